Source: Lay out the model, the ports and the checks

The control core is to be a deterministic state machine, so its seam comes first: immutable values in Core/Model, typed events and effects in Core/Ports. The object API's records are typed too, which keeps codecs in adapters.

--- /dev/null
+++ b/Source/Core/Model/Claim.h
@@ -0,0 +1,59 @@
+#ifndef BRONZEPASS_CORE_MODEL_CLAIM_H
+#define BRONZEPASS_CORE_MODEL_CLAIM_H
+
+#include "Core/Model/Id.h"
+#include "Core/Model/Request.h"
+#include "Core/Model/Time.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bronzepass::core::model {
+
+enum class ClaimState {
+  /// Taken; its run may be under way or its outcome lost.
+  Claimed,
+  /// It ran; m_Status and m_Answer hold what the endpoint said.
+  Done,
+  /// Proven not to have run; the key is free again.
+  Released,
+};
+
+/// The at-most-once record of one idempotency key.
+struct ClaimRecord {
+  /// stableHash of caller, pool and key.
+  uint64_t m_KeyHash = 0;
+  /// Hash of method, path and body: a repeat must ask for the same thing.
+  uint64_t m_BodyHash = 0;
+  ClaimState m_State = ClaimState::Claimed;
+  /// The node that was granted the run, and its request.
+  NodeId m_Runner;
+  RequestId m_Request;
+  TimePoint m_TakenAt;
+  /// Of the first answer, for repeats; empty where it is too long to keep.
+  uint16_t m_Status = 0;
+  std::string m_Answer;
+
+  friend auto operator<=>(const ClaimRecord &, const ClaimRecord &) = default;
+};
+
+/// One shard of claims: one object of the object API.
+struct ClaimShardRecord {
+  uint32_t m_Shard = 0;
+  /// The owner that wrote it last, and the epoch it took the shard with.
+  NodeId m_Writer;
+  FencingToken m_Epoch;
+  /// Rises with every write of one epoch: a writer whose answer was lost finds
+  /// out by reading whether its write took effect.
+  uint64_t m_Sequence = 0;
+  std::vector<ClaimRecord> m_Claims;
+
+  friend auto operator<=>(const ClaimShardRecord &,
+                          const ClaimShardRecord &) = default;
+};
+
+} // namespace bronzepass::core::model
+
+#endif // BRONZEPASS_CORE_MODEL_CLAIM_H
--- /dev/null
+++ b/Source/Core/Model/Residency.h
@@ -0,0 +1,83 @@
+#ifndef BRONZEPASS_CORE_MODEL_RESIDENCY_H
+#define BRONZEPASS_CORE_MODEL_RESIDENCY_H
+
+#include "Core/Model/Address.h"
+#include "Core/Model/Artifact.h"
+#include "Core/Model/Id.h"
+#include "Core/Model/Time.h"
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+namespace bronzepass::core::model {
+
+enum class CopyState { Loading, Serving, Draining, Unloading };
+
+/// One artifact on one engine, as the engine reports it.
+struct CopyReport {
+  ArtifactId m_Artifact;
+  CopyState m_State = CopyState::Loading;
+  uint64_t m_MemoryBytes = 0;
+
+  friend auto operator<=>(const CopyReport &, const CopyReport &) = default;
+};
+
+/// What an engine says of itself; arrives late, and may be lost.
+struct EngineReport {
+  EndpointId m_Endpoint;
+  /// Rises with every report of one engine process.
+  uint64_t m_Sequence = 0;
+  /// When the engine made it, by the clock of the node that asked.
+  TimePoint m_MadeAt;
+  std::vector<CopyReport> m_Copies;
+  uint64_t m_MemoryBytes = 0;
+  /// Weights and exported KV cache held now.
+  uint64_t m_UsedBytes = 0;
+  uint32_t m_Running = 0;
+  uint32_t m_Waiting = 0;
+  /// Greatest fencing token it has taken an order with.
+  FencingToken m_HighestToken;
+
+  friend auto operator<=>(const EngineReport &, const EngineReport &) = default;
+};
+
+/// One artifact on one engine as routing sees it.
+struct Copy {
+  ArtifactId m_Artifact;
+  EndpointId m_Endpoint;
+  CopyState m_State = CopyState::Loading;
+
+  friend auto operator<=>(const Copy &, const Copy &) = default;
+};
+
+enum class Liveness { Live, Suspect, Leaving, Gone };
+
+enum class VmKind { Entry, Endpoint };
+
+/// One line of the platform's lagging list of VMs. The ports are set for the
+/// system's own entry VMs.
+struct VmState {
+  VmId m_Vm;
+  VmKind m_Kind = VmKind::Endpoint;
+  Liveness m_Liveness = Liveness::Live;
+  DomainId m_Domain;
+  RegionId m_Region;
+  Address m_PeerAddress;
+  Address m_CallerAddress;
+
+  friend auto operator<=>(const VmState &, const VmState &) = default;
+};
+
+/// How routing and placement are to treat an endpoint now.
+struct EndpointState {
+  EndpointId m_Endpoint;
+  Liveness m_Liveness = Liveness::Live;
+
+  friend auto operator<=>(const EndpointState &,
+                          const EndpointState &) = default;
+};
+
+} // namespace bronzepass::core::model
+
+#endif // BRONZEPASS_CORE_MODEL_RESIDENCY_H
--- /dev/null
+++ b/Source/Core/Ports/Effect.h
@@ -0,0 +1,118 @@
+#ifndef BRONZEPASS_CORE_PORTS_EFFECT_H
+#define BRONZEPASS_CORE_PORTS_EFFECT_H
+
+#include "Core/Model/Decision.h"
+#include "Core/Model/Node.h"
+#include "Core/Model/Order.h"
+#include "Core/Ports/PeerMessage.h"
+#include "Core/Ports/Store.h"
+
+#include <compare>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace bronzepass::core::routing {
+class RoutingTable;
+} // namespace bronzepass::core::routing
+
+namespace bronzepass::core::ports {
+
+/// Ask an engine for its report.
+struct ReportWanted {
+  model::EndpointId m_Endpoint;
+  model::Address m_Address;
+
+  friend auto operator<=>(const ReportWanted &, const ReportWanted &) = default;
+};
+
+/// An order with the address it goes to.
+struct OrderSend {
+  model::EngineOrder m_Order;
+  model::Address m_Address;
+
+  friend auto operator<=>(const OrderSend &, const OrderSend &) = default;
+};
+
+struct PeerSend {
+  model::NodeId m_To;
+  PeerMessage m_Message;
+
+  friend auto operator<=>(const PeerSend &, const PeerSend &) = default;
+};
+
+struct PeerConnect {
+  model::NodeInfo m_Peer;
+
+  friend auto operator<=>(const PeerConnect &, const PeerConnect &) = default;
+};
+
+struct PeerDisconnect {
+  model::NodeId m_Peer;
+
+  friend auto operator<=>(const PeerDisconnect &,
+                          const PeerDisconnect &) = default;
+};
+
+/// Ask the platform for its list of VMs.
+struct VmListWanted {
+  friend auto operator<=>(const VmListWanted &, const VmListWanted &) = default;
+};
+
+/// The answer to a ClaimWanted.
+struct ClaimVerdict {
+  model::RequestId m_Request;
+  ClaimVerdictKind m_Kind = ClaimVerdictKind::Unavailable;
+  uint16_t m_Status = 0;
+  std::string m_Answer;
+
+  friend auto operator<=>(const ClaimVerdict &, const ClaimVerdict &) = default;
+};
+
+/// Traffic is to use this table from now on.
+struct TablePublished {
+  std::shared_ptr<const routing::RoutingTable> m_Table;
+
+  friend auto operator<=>(const TablePublished &,
+                          const TablePublished &) = default;
+};
+
+/// The use of callers' limits by all other nodes, for traffic's own share.
+struct UsageSeen {
+  std::vector<CallerUsage> m_Others;
+
+  friend auto operator<=>(const UsageSeen &, const UsageSeen &) = default;
+};
+
+/// Readiness, as the balancer is to see it.
+struct ReadinessChanged {
+  bool m_Ready = false;
+  std::string m_Reason;
+
+  friend auto operator<=>(const ReadinessChanged &,
+                          const ReadinessChanged &) = default;
+};
+
+/// Traffic is to take nothing new and finish what it has.
+struct TrafficStop {
+  friend auto operator<=>(const TrafficStop &, const TrafficStop &) = default;
+};
+
+/// All is handed over; the process may exit.
+struct StopFinished {
+  friend auto operator<=>(const StopFinished &, const StopFinished &) = default;
+};
+
+/// All that the control core can ask of the outside.
+using Effect =
+    std::variant<StoreCall, OrderSend, ReportWanted, PeerSend, PeerConnect,
+                 PeerDisconnect, VmListWanted, ClaimVerdict, TablePublished,
+                 UsageSeen, ReadinessChanged, TrafficStop, StopFinished,
+                 model::Decision>;
+
+/// Effects in the order in which they are to be carried out.
+using EffectList = std::vector<Effect>;
+
+} // namespace bronzepass::core::ports
+
+#endif // BRONZEPASS_CORE_PORTS_EFFECT_H
--- /dev/null
+++ b/Source/Core/Ports/Event.h
@@ -0,0 +1,115 @@
+#ifndef BRONZEPASS_CORE_PORTS_EVENT_H
+#define BRONZEPASS_CORE_PORTS_EVENT_H
+
+#include "Core/Model/Demand.h"
+#include "Core/Model/Lease.h"
+#include "Core/Model/Order.h"
+#include "Core/Model/Residency.h"
+#include "Core/Ports/PeerMessage.h"
+#include "Core/Ports/Store.h"
+
+#include <compare>
+#include <variant>
+#include <vector>
+
+namespace bronzepass::core::ports {
+
+/// Time has passed; due timers run.
+struct Tick {
+  friend auto operator<=>(const Tick &, const Tick &) = default;
+};
+
+/// A report that was asked for did not come.
+struct ReportMissed {
+  model::EndpointId m_Endpoint;
+  /// The endpoint refused the connection, rather than being slow.
+  bool m_Refused = false;
+
+  friend auto operator<=>(const ReportMissed &, const ReportMissed &) = default;
+};
+
+/// Traffic saw an endpoint refuse a connection or answer again.
+struct EndpointSeen {
+  model::EndpointId m_Endpoint;
+  bool m_Refused = false;
+
+  friend auto operator<=>(const EndpointSeen &, const EndpointSeen &) = default;
+};
+
+struct PeerReceived {
+  model::NodeId m_From;
+  PeerMessage m_Message;
+
+  friend auto operator<=>(const PeerReceived &, const PeerReceived &) = default;
+};
+
+struct PeerLinkChanged {
+  model::NodeId m_Peer;
+  bool m_Up = false;
+
+  friend auto operator<=>(const PeerLinkChanged &,
+                          const PeerLinkChanged &) = default;
+};
+
+struct VmListSeen {
+  std::vector<model::VmState> m_Vms;
+
+  friend auto operator<=>(const VmListSeen &, const VmListSeen &) = default;
+};
+
+/// Traffic asks for the right to run a request with an idempotency key.
+struct ClaimWanted {
+  model::RequestId m_Request;
+  uint64_t m_KeyHash = 0;
+  uint64_t m_BodyHash = 0;
+  model::TimePoint m_Deadline;
+
+  friend auto operator<=>(const ClaimWanted &, const ClaimWanted &) = default;
+};
+
+/// Traffic says how a granted run ended.
+struct ClaimEnded {
+  model::RequestId m_Request;
+  uint64_t m_KeyHash = 0;
+  model::ClaimState m_State = model::ClaimState::Done;
+  uint16_t m_Status = 0;
+  std::string m_Answer;
+
+  friend auto operator<=>(const ClaimEnded &, const ClaimEnded &) = default;
+};
+
+/// Traffic's count of demand and use since the last one.
+struct TrafficSeen {
+  std::vector<model::DemandSample> m_Demand;
+  std::vector<CallerUsage> m_Usage;
+
+  friend auto operator<=>(const TrafficSeen &, const TrafficSeen &) = default;
+};
+
+/// The process was told to stop gracefully.
+struct StopWanted {
+  friend auto operator<=>(const StopWanted &, const StopWanted &) = default;
+};
+
+/// Traffic has answered everything after a StopWanted.
+struct TrafficDrained {
+  friend auto operator<=>(const TrafficDrained &,
+                          const TrafficDrained &) = default;
+};
+
+/// All that can come into the control core.
+using Event = std::variant<Tick, StoreAnswer, model::EngineReport, ReportMissed,
+                           EndpointSeen, model::OrderAnswer, PeerReceived,
+                           PeerLinkChanged, VmListSeen, ClaimWanted, ClaimEnded,
+                           TrafficSeen, StopWanted, TrafficDrained>;
+
+/// Where adapters put what comes in; callable from any thread.
+class EventSink {
+public:
+  virtual ~EventSink() = default;
+  virtual void post(Event Incoming) = 0;
+};
+
+} // namespace bronzepass::core::ports
+
+#endif // BRONZEPASS_CORE_PORTS_EVENT_H
--- /dev/null
+++ b/Source/UnitTests/Fakes/FakeStore.h
@@ -0,0 +1,193 @@
+#ifndef BRONZEPASS_UNITTESTS_FAKES_FAKESTORE_H
+#define BRONZEPASS_UNITTESTS_FAKES_FAKESTORE_H
+
+#include "Core/Ports/Store.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace bronzepass::unit_tests::fakes {
+
+/// What becomes of one call. The write of a LostAnswer call takes effect, that
+/// of a LostCall does not; the caller is told Unknown either way.
+enum class StoreFault { None, Slow, LostAnswer, LostCall, Down };
+
+/// The object API in memory under virtual time. Each call is answered after
+/// m_Latency, in order of due time; a fault chooser decides on each call.
+class FakeStore {
+public:
+  using FaultChooser =
+      std::function<StoreFault(const core::ports::StoreCall &)>;
+
+  /// An answer with the caller that it goes to.
+  struct DueAnswer {
+    core::model::TimePoint m_At;
+    core::model::NodeId m_Caller;
+    core::ports::StoreAnswer m_Answer;
+  };
+
+  core::model::Duration m_Latency = std::chrono::milliseconds(5);
+  core::model::Duration m_SlowLatency = std::chrono::seconds(2);
+  FaultChooser m_Fault = [](const core::ports::StoreCall &) {
+    return StoreFault::None;
+  };
+
+  /// Takes a call at \p Now; its effect is applied at once, its answer is due
+  /// later (a slow answer's effect too: writes are ordered by arrival).
+  void submit(const core::model::NodeId &Caller,
+              const core::ports::StoreCall &Call, core::model::TimePoint Now) {
+    using core::ports::StoreStatus;
+    ++m_CallCount;
+    const StoreFault Fault = m_Fault(Call);
+    if (Fault == StoreFault::Down || Fault == StoreFault::LostCall) {
+      const StoreStatus Status = Fault == StoreFault::Down
+                                     ? StoreStatus::NotSent
+                                     : StoreStatus::Unknown;
+      answer(Caller, {.m_Id = Call.m_Id, .m_Status = Status},
+             Now + lostDelay(Fault, Call));
+      return;
+    }
+    if (Call.m_Verb == core::ports::StoreVerb::Watch && !hasNews(Call)) {
+      m_Watches.push_back({Now + Call.m_Timeout, Caller, Call});
+      return;
+    }
+    core::ports::StoreAnswer Answer = apply(Call);
+    if (Fault == StoreFault::LostAnswer)
+      Answer = {.m_Id = Call.m_Id, .m_Status = StoreStatus::Unknown};
+    const core::model::Duration Delay =
+        Fault == StoreFault::Slow         ? m_SlowLatency
+        : Fault == StoreFault::LostAnswer ? lostDelay(Fault, Call)
+                                          : m_Latency;
+    answer(Caller, std::move(Answer), Now + Delay);
+    wakeWatches(Now);
+  }
+
+  /// Removes and returns the answers due by \p Now, earliest first.
+  std::vector<DueAnswer> takeDue(core::model::TimePoint Now) {
+    expireWatches(Now);
+    std::stable_sort(
+        m_Due.begin(), m_Due.end(),
+        [](const DueAnswer &A, const DueAnswer &B) { return A.m_At < B.m_At; });
+    auto End = std::find_if(m_Due.begin(), m_Due.end(),
+                            [Now](const DueAnswer &D) { return D.m_At > Now; });
+    std::vector<DueAnswer> Taken(m_Due.begin(), End);
+    m_Due.erase(m_Due.begin(), End);
+    return Taken;
+  }
+
+  const core::ports::StoredObject *find(const core::ports::ObjectKey &K) const {
+    auto Found = m_Objects.find(K);
+    return Found == m_Objects.end() ? nullptr : &Found->second;
+  }
+
+  uint64_t callCount() const { return m_CallCount; }
+
+private:
+  struct WaitingWatch {
+    core::model::TimePoint m_Until;
+    core::model::NodeId m_Caller;
+    core::ports::StoreCall m_Call;
+  };
+
+  static core::model::Duration lostDelay(StoreFault Fault,
+                                         const core::ports::StoreCall &Call) {
+    const bool AtOnce = Fault == StoreFault::Down;
+    return AtOnce ? core::model::Duration(100) : Call.m_Timeout;
+  }
+
+  void answer(const core::model::NodeId &Caller,
+              core::ports::StoreAnswer Answer, core::model::TimePoint At) {
+    m_Due.push_back({At, Caller, std::move(Answer)});
+  }
+
+  bool hasNews(const core::ports::StoreCall &Call) const {
+    return std::any_of(m_Objects.begin(), m_Objects.end(),
+                       [&Call](const auto &Entry) {
+                         return matches(Entry.second, Call) &&
+                                Entry.second.m_Version > Call.m_Expected;
+                       });
+  }
+
+  static bool matches(const core::ports::StoredObject &Object,
+                      const core::ports::StoreCall &Call) {
+    return Object.m_Key.m_Kind == Call.m_Key.m_Kind &&
+           Object.m_Key.m_Name.rfind(Call.m_Key.m_Name, 0) == 0;
+  }
+
+  core::ports::StoreAnswer list(const core::ports::StoreCall &Call,
+                                core::model::ObjectVersion Since) const {
+    core::ports::StoreAnswer Answer{.m_Id = Call.m_Id,
+                                    .m_Status = core::ports::StoreStatus::Ok,
+                                    .m_ListVersion = m_Version};
+    for (const auto &Entry : m_Objects)
+      if (matches(Entry.second, Call) && Entry.second.m_Version > Since)
+        Answer.m_Objects.push_back(Entry.second);
+    return Answer;
+  }
+
+  core::ports::StoreAnswer apply(const core::ports::StoreCall &Call) {
+    using core::ports::StoreStatus;
+    using core::ports::StoreVerb;
+    if (Call.m_Verb == StoreVerb::List)
+      return list(Call, {});
+    if (Call.m_Verb == StoreVerb::Watch)
+      return list(Call, Call.m_Expected);
+    core::ports::StoreAnswer Answer{.m_Id = Call.m_Id,
+                                    .m_Status = StoreStatus::Ok};
+    auto Found = m_Objects.find(Call.m_Key);
+    const bool Exists = Found != m_Objects.end();
+    if (Call.m_Verb == StoreVerb::Create ? Exists : !Exists) {
+      Answer.m_Status = Exists ? StoreStatus::Conflict : StoreStatus::NotFound;
+      return Answer;
+    }
+    const bool Conditional =
+        Call.m_Verb == StoreVerb::Update || Call.m_Verb == StoreVerb::Delete;
+    if (Conditional && Found->second.m_Version != Call.m_Expected) {
+      Answer.m_Status = StoreStatus::Conflict;
+      return Answer;
+    }
+    if (Call.m_Verb == StoreVerb::Delete) {
+      m_Objects.erase(Found);
+      return Answer;
+    }
+    if (Call.m_Verb != StoreVerb::Get)
+      m_Objects[Call.m_Key] = {
+          Call.m_Key, {++m_Version.m_Value}, *Call.m_Record};
+    Answer.m_Objects.push_back(m_Objects.at(Call.m_Key));
+    return Answer;
+  }
+
+  void wakeWatches(core::model::TimePoint Now) {
+    for (auto It = m_Watches.begin(); It != m_Watches.end();) {
+      if (!hasNews(It->m_Call)) {
+        ++It;
+        continue;
+      }
+      answer(It->m_Caller, apply(It->m_Call), Now + m_Latency);
+      It = m_Watches.erase(It);
+    }
+  }
+
+  void expireWatches(core::model::TimePoint Now) {
+    for (auto It = m_Watches.begin(); It != m_Watches.end();) {
+      if (It->m_Until > Now) {
+        ++It;
+        continue;
+      }
+      answer(It->m_Caller, apply(It->m_Call), It->m_Until);
+      It = m_Watches.erase(It);
+    }
+  }
+
+  std::map<core::ports::ObjectKey, core::ports::StoredObject> m_Objects;
+  std::vector<DueAnswer> m_Due;
+  std::vector<WaitingWatch> m_Watches;
+  core::model::ObjectVersion m_Version;
+  uint64_t m_CallCount = 0;
+};
+
+} // namespace bronzepass::unit_tests::fakes
+
+#endif // BRONZEPASS_UNITTESTS_FAKES_FAKESTORE_H
