Adapters: Add codecs of records and peer messages

Cause: the object API, peer links and tests need one reading and one writing of the model's types. Change: library AdapterCodec. Each type names its fields once, for writing and reading alike; records become JSON text with a format number, peer messages CBOR with a type and a number on their link. Unknown fields are passed over, so that two releases can run side by side. Sizes, nesting, names, spans and numbers are bounded, and decoding never throws. NodeInfo, EndpointState, Heartbeat and PeerLinkChanged take the fields that membership needs: incarnation, version, progress, the dialled VM. Seen to fail: without the nesting check, and without the check of runs of indefinite-length heads, 400,000 equal bytes overflow the stack inside the JSON library's CBOR reader; each was taken out and the test crashed.

--- /dev/null
+++ b/Source/Core/Adapters/Codec/JsonParser.h
@@ -0,0 +1,21 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_CODEC_JSONPARSER_H
+#define BRONZEPASS_CORE_ADAPTERS_CODEC_JSONPARSER_H
+
+#include "Core/Adapters/Codec/WireFormat.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bronzepass::core::adapters::codec {
+
+/// Parses untrusted bytes by the JSON library, within limits of size and
+/// nesting. Never throws; \p Reason says why nothing was returned.
+std::optional<nlohmann::json> parseJson(std::string_view Bytes,
+                                        WireFormat Format, size_t MaxBytes,
+                                        std::string &Reason);
+
+} // namespace bronzepass::core::adapters::codec
+
+#endif // BRONZEPASS_CORE_ADAPTERS_CODEC_JSONPARSER_H
--- /dev/null
+++ b/Source/Core/Adapters/Codec/MessageFields.h
@@ -0,0 +1,113 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_CODEC_MESSAGEFIELDS_H
+#define BRONZEPASS_CORE_ADAPTERS_CODEC_MESSAGEFIELDS_H
+
+#include "Core/Adapters/Codec/ModelFields.h"
+#include "Core/Ports/PeerMessage.h"
+
+namespace bronzepass::core::adapters::codec {
+
+template <> struct Fields<ports::Hello> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("protocol", Value.m_ProtocolVersion);
+    Visitor.required("node", Value.m_Node);
+    Visitor.required("generation", Value.m_Generation);
+  }
+};
+
+template <> struct Fields<ports::GenerationProgress> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("generation", Value.m_Generation);
+    Visitor.hash("nodes", Value.m_NodeHashes);
+  }
+};
+
+template <> struct Fields<ports::Heartbeat> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("sequence", Value.m_Sequence);
+    Visitor.required("generation", Value.m_Generation);
+    Visitor.optional("leaving", Value.m_Leaving);
+    Visitor.optional("nodeNews", Value.m_NodeNews);
+    Visitor.optional("endpointNews", Value.m_EndpointNews);
+    Visitor.optional("progress", Value.m_Progress);
+  }
+};
+
+template <> struct Fields<ports::IntentOffer> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("head", Value.m_Head);
+  }
+};
+
+template <> struct Fields<ports::IntentPartsWanted> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.hash("hashes", Value.m_Hashes);
+  }
+};
+
+template <> struct Fields<ports::IntentPartSent> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("part", Value.m_Part);
+  }
+};
+
+template <> struct Fields<ports::ClaimAsk> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("askId", Value.m_AskId);
+    Visitor.hash("key", Value.m_KeyHash);
+    Visitor.hash("body", Value.m_BodyHash);
+    Visitor.required("request", Value.m_Request);
+    Visitor.micros("windowMicros", Value.m_WindowMicros);
+  }
+};
+
+template <> struct Fields<ports::ClaimReply> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("askId", Value.m_AskId);
+    Visitor.required("verdict", Value.m_Verdict);
+    Visitor.optional("status", Value.m_Status);
+    Visitor.bytes("answer", Value.m_Answer);
+    Visitor.optional("owner", Value.m_Owner);
+  }
+};
+
+template <> struct Fields<ports::ClaimOutcome> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.hash("key", Value.m_KeyHash);
+    Visitor.required("request", Value.m_Request);
+    Visitor.required("state", Value.m_State);
+    Visitor.optional("status", Value.m_Status);
+    Visitor.bytes("answer", Value.m_Answer);
+  }
+};
+
+template <> struct Fields<ports::DemandShare> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("pool", Value.m_Pool);
+    Visitor.required("samples", Value.m_Samples);
+  }
+};
+
+template <> struct Fields<ports::CallerUsage> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("caller", Value.m_Caller);
+    Visitor.optional("requests", Value.m_Requests);
+    Visitor.optional("tokens", Value.m_Tokens);
+    Visitor.optional("inFlight", Value.m_InFlight);
+  }
+};
+
+template <> struct Fields<ports::UsageShare> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("usage", Value.m_Usage);
+  }
+};
+
+template <> struct Fields<ports::ResidencyShare> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("reports", Value.m_Reports);
+  }
+};
+
+} // namespace bronzepass::core::adapters::codec
+
+#endif // BRONZEPASS_CORE_ADAPTERS_CODEC_MESSAGEFIELDS_H
--- a/Source/Core/Model/Node.h
+++ b/Source/Core/Model/Node.h
@@ -6,6 +6,7 @@
 #include "Core/Model/Residency.h"
 
 #include <compare>
+#include <cstdint>
 
 namespace bronzepass::core::model {
 
@@ -20,6 +21,9 @@
   /// Where it takes callers' and forwarded requests.
   Address m_CallerAddress;
   Liveness m_Liveness = Liveness::Live;
+  /// Raised by the node itself alone, to refute a suspicion. Of two statements
+  /// the one with the higher incarnation holds, then the worse liveness.
+  uint64_t m_Incarnation = 0;
 
   friend auto operator<=>(const NodeInfo &, const NodeInfo &) = default;
 };
--- a/Source/Core/Model/Residency.h
+++ b/Source/Core/Model/Residency.h
@@ -73,6 +73,9 @@
 struct EndpointState {
   EndpointId m_Endpoint;
   Liveness m_Liveness = Liveness::Live;
+  /// Raised by every node that sees a change. Of two statements the one with
+  /// the higher version holds, then the worse liveness.
+  uint64_t m_Version = 0;
 
   friend auto operator<=>(const EndpointState &,
                           const EndpointState &) = default;
--- a/Source/Core/Ports/Event.h
+++ b/Source/Core/Ports/Event.h
@@ -43,9 +43,15 @@
   friend auto operator<=>(const PeerReceived &, const PeerReceived &) = default;
 };
 
+/// A link to a peer came up (its Hello follows) or broke, or could not be had.
 struct PeerLinkChanged {
+  /// Empty where the dialled peer never said who it is.
   model::NodeId m_Peer;
   bool m_Up = false;
+  /// The VM that was dialled; empty for a link that the peer made.
+  model::VmId m_Vm;
+  /// The peer broke the protocol, rather than going away.
+  bool m_Violation = false;
 
   friend auto operator<=>(const PeerLinkChanged &,
                           const PeerLinkChanged &) = default;
--- a/Source/Core/Ports/PeerMessage.h
+++ b/Source/Core/Ports/PeerMessage.h
@@ -26,6 +26,17 @@
   friend auto operator<=>(const Hello &, const Hello &) = default;
 };
 
+/// Which nodes hold a generation or a newer one, as far as the sender heard and
+/// has not said on this link before.
+struct GenerationProgress {
+  model::Generation m_Generation;
+  /// stableHash of the nodes' ids.
+  std::vector<uint64_t> m_NodeHashes;
+
+  friend auto operator<=>(const GenerationProgress &,
+                          const GenerationProgress &) = default;
+};
+
 /// Sent on every link each heartbeat period.
 struct Heartbeat {
   uint64_t m_Sequence = 0;
@@ -35,6 +46,7 @@
   /// Changes of liveness that the sender learnt lately, nodes and endpoints.
   std::vector<model::NodeInfo> m_NodeNews;
   std::vector<model::EndpointState> m_EndpointNews;
+  GenerationProgress m_Progress;
 
   friend auto operator<=>(const Heartbeat &, const Heartbeat &) = default;
 };
