Membership: Add the view of peers and endpoints and the keeper of the intent

Cause: nodes must know each other, agree on duties and pass on accepted generations without a coordination service of their own. Change: MembershipView merges the platform's lagging list, heartbeats and gossip over a fixed-degree overlay of hashed rings; EndpointTable keeps endpoints' liveness; Duties spreads work by rendezvous hashing; IntentKeeper takes only higher generations from the object API and peers and relays their parts; MembershipCore gives events to both.

--- a/Source/Core/Adapters/Codec/MessageFields.h
+++ b/Source/Core/Adapters/Codec/MessageFields.h
@@ -29,6 +29,8 @@
     Visitor.optional("nodeNews", Value.m_NodeNews);
     Visitor.optional("endpointNews", Value.m_EndpointNews);
     Visitor.optional("progress", Value.m_Progress);
+    Visitor.optional("echo", Value.m_Echo);
+    Visitor.optional("membersDigest", Value.m_MembersDigest);
   }
 };
 
--- /dev/null
+++ b/Source/Core/Membership/Duties.cpp
@@ -0,0 +1,103 @@
+#include "Core/Membership/Duties.h"
+
+#include "Core/Model/Hash.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace bronzepass::core::membership {
+
+namespace {
+
+/// A node's claim to a duty: nearness first, then weight, then the name, so
+/// that equal weights are ordered alike on every node.
+using Score = std::tuple<int, uint64_t, model::NodeId>;
+
+uint64_t weightOf(const std::string &Duty, const model::NodeInfo &Node) {
+  return model::rendezvousWeight(Duty, Node.m_Vm.str());
+}
+
+/// The \p Count best, best first.
+std::vector<model::NodeId> best(std::vector<Score> Scores, size_t Count) {
+  Count = std::min(Count, Scores.size());
+  std::partial_sort(Scores.begin(), Scores.begin() + Count, Scores.end(),
+                    std::greater<>());
+  std::vector<model::NodeId> Nodes;
+  for (size_t I = 0; I < Count; ++I)
+    Nodes.push_back(std::get<model::NodeId>(Scores[I]));
+  return Nodes;
+}
+
+enum Nearness { FarAway = 0, SameRegion = 1, SameDomain = 2 };
+
+Nearness nearness(const model::EndpointSpec &Endpoint,
+                  const model::NodeInfo &Node) {
+  if (Node.m_Domain == Endpoint.m_Domain)
+    return SameDomain;
+  return Node.m_Region == Endpoint.m_Region ? SameRegion : FarAway;
+}
+
+} // namespace
+
+Duties::Duties(std::vector<model::NodeInfo> Nodes) : m_Nodes(std::move(Nodes)) {
+  std::sort(m_Nodes.begin(), m_Nodes.end());
+}
+
+std::vector<model::NodeId>
+Duties::watchersOf(const model::DomainId &Domain) const {
+  const std::string Duty = "watch/" + Domain.str();
+  std::vector<Score> Scores;
+  for (const model::NodeInfo &Node : m_Nodes)
+    if (Node.m_Domain == Domain)
+      Scores.emplace_back(0, weightOf(Duty, Node), Node.m_Node);
+  return best(std::move(Scores), WatchersPerDomain);
+}
+
+std::vector<model::NodeId>
+Duties::pollersOf(const model::EndpointSpec &Endpoint) const {
+  const std::string Duty = "poll/" + Endpoint.m_Name.str();
+  std::vector<Score> Near;
+  std::vector<Score> Elsewhere;
+  for (const model::NodeInfo &Node : m_Nodes) {
+    const Nearness Place = nearness(Endpoint, Node);
+    std::vector<Score> &Group = Place == SameDomain ? Near : Elsewhere;
+    Group.emplace_back(Place, weightOf(Duty, Node), Node.m_Node);
+  }
+  // A poller of another failure domain still sees the engine when all nodes
+  // beside it are cut off or gone.
+  const size_t NearCount = Elsewhere.empty() ? PollersPerEndpoint : 1;
+  std::vector<model::NodeId> Pollers = best(std::move(Near), NearCount);
+  const std::vector<model::NodeId> Others =
+      best(std::move(Elsewhere), PollersPerEndpoint - Pollers.size());
+  Pollers.insert(Pollers.end(), Others.begin(), Others.end());
+  return Pollers;
+}
+
+size_t Duties::preferenceFor(const model::LeaseName &Lease,
+                             const model::NodeId &Node) const {
+  const std::string Duty = "lease/" + Lease.m_Duty;
+  const auto Own =
+      std::find_if(m_Nodes.begin(), m_Nodes.end(),
+                   [&Node](const auto &N) { return N.m_Node == Node; });
+  if (Own == m_Nodes.end())
+    return m_Nodes.size();
+  const Score Mine(0, weightOf(Duty, *Own), Node);
+  return std::count_if(m_Nodes.begin(), m_Nodes.end(),
+                       [&Duty, &Mine](const auto &N) {
+                         return Score(0, weightOf(Duty, N), N.m_Node) > Mine;
+                       });
+}
+
+model::NodeId Duties::ownerOf(const std::string &Duty) const {
+  Score Best;
+  for (const model::NodeInfo &Node : m_Nodes)
+    Best = std::max(Best, Score(0, weightOf(Duty, Node), Node.m_Node));
+  return std::get<model::NodeId>(Best);
+}
+
+model::NodeId Duties::claimShardOwner(uint32_t Shard) const {
+  return ownerOf("claims/" + std::to_string(Shard));
+}
+
+} // namespace bronzepass::core::membership
--- /dev/null
+++ b/Source/Core/Membership/IntentFetch.cpp
@@ -0,0 +1,136 @@
+#include "Core/Membership/IntentFetch.h"
+
+#include "Core/Membership/IntentParts.h"
+#include "Core/Model/Hash.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace bronzepass::core::membership {
+
+namespace {
+
+/// A peer that sends nothing for this long is passed over.
+constexpr model::Duration PeerPatience = std::chrono::seconds(1);
+/// From then on the object API is asked, wherever the head came from.
+constexpr model::Duration StoreFallback = std::chrono::seconds(3);
+constexpr model::Duration GetTimeout = std::chrono::seconds(2);
+constexpr model::Duration RetryBase = std::chrono::milliseconds(250);
+constexpr model::Duration RetryCap = std::chrono::seconds(5);
+
+} // namespace
+
+IntentFetch::IntentFetch(model::IntentHead Head, const PartMap &Held,
+                         StoreSubmitter Submit, ports::Random &Random,
+                         model::TimePoint Now)
+    : m_Head(std::move(Head)), m_Submit(std::move(Submit)), m_Random(Random),
+      m_Backoff(RetryBase, RetryCap), m_StartedAt(Now), m_LastProgress(Now) {
+  for (const uint64_t Hash : m_Head.m_PartHashes) {
+    const auto Found = Held.find(Hash);
+    if (Found == Held.end())
+      m_Missing[Hash] = false;
+    else
+      m_Parts.insert(*Found);
+  }
+}
+
+void IntentFetch::addPeer(const model::NodeId &Peer) {
+  if (std::find(m_Peers.begin(), m_Peers.end(), Peer) == m_Peers.end())
+    m_Peers.push_back(Peer);
+}
+
+void IntentFetch::removePeer(const model::NodeId &Peer) {
+  const bool WasInTurn = !m_Peers.empty() && m_Peers.front() == Peer;
+  std::erase(m_Peers, Peer);
+  if (!WasInTurn)
+    return;
+  for (auto &[Hash, Asked] : m_Missing)
+    Asked = false;
+}
+
+void IntentFetch::tick(model::TimePoint Now, ports::EffectList &Out) {
+  if (!m_Peers.empty() && Now - m_LastProgress >= PeerPatience) {
+    const model::NodeId Slow = m_Peers.front();
+    removePeer(Slow);
+    m_LastProgress = Now;
+  }
+  askPeer(Now, Out);
+  if (Now - m_StartedAt >= StoreFallback)
+    m_StoreAllowed = true;
+  askStore(Now);
+}
+
+void IntentFetch::askPeer(model::TimePoint Now, ports::EffectList &Out) {
+  if (m_Peers.empty())
+    return;
+  const bool Waits =
+      std::any_of(m_Missing.begin(), m_Missing.end(),
+                  [](const auto &Entry) { return Entry.second; });
+  if (Waits)
+    return;
+  ports::IntentPartsWanted Wanted;
+  for (auto &[Hash, Asked] : m_Missing) {
+    if (Wanted.m_Hashes.size() == PartsPerRequest)
+      break;
+    Asked = true;
+    Wanted.m_Hashes.push_back(Hash);
+  }
+  if (Wanted.m_Hashes.empty())
+    return;
+  m_LastProgress = Now;
+  Out.push_back(ports::PeerSend{m_Peers.front(), std::move(Wanted)});
+}
+
+void IntentFetch::askStore(model::TimePoint Now) {
+  if (!m_StoreAllowed || !m_Peers.empty() || Now < m_NextStoreAt)
+    return;
+  for (const auto &[Hash, Asked] : m_Missing) {
+    if (m_Calls.size() >= StoreCallsAtOnce)
+      return;
+    const bool Pending =
+        std::any_of(m_Calls.begin(), m_Calls.end(),
+                    [Hash = Hash](const auto &C) { return C.second == Hash; });
+    if (Pending)
+      continue;
+    ports::StoreCall Call{.m_Verb = ports::StoreVerb::Get,
+                          .m_Key = intentPartKey(Hash),
+                          .m_Priority = ports::StorePriority::Intent,
+                          .m_Timeout = GetTimeout};
+    m_Calls[m_Submit(std::move(Call))] = Hash;
+  }
+}
+
+void IntentFetch::add(const model::IntentPart &Part) {
+  const bool IsWanted = m_Missing.contains(Part.m_Hash);
+  if (!IsWanted || Part.m_Hash != model::stableHash(Part.m_Text))
+    return;
+  m_Missing.erase(Part.m_Hash);
+  m_Parts[Part.m_Hash] = Part.m_Text;
+}
+
+void IntentFetch::partSent(const model::IntentPart &Part, model::TimePoint Now,
+                           ports::EffectList &Out) {
+  add(Part);
+  m_LastProgress = Now;
+  askPeer(Now, Out);
+}
+
+bool IntentFetch::storeAnswer(const ports::StoreAnswer &Answer,
+                              model::TimePoint Now) {
+  if (m_Calls.erase(Answer.m_Id) == 0)
+    return false;
+  // The part was removed: a newer generation has replaced this one.
+  m_Lost = m_Lost || Answer.m_Status == ports::StoreStatus::NotFound;
+  if (Answer.m_Status != ports::StoreStatus::Ok) {
+    m_NextStoreAt = Now + m_Backoff.next(m_Random);
+    return true;
+  }
+  m_Backoff.reset();
+  for (const ports::StoredObject &Object : Answer.m_Objects)
+    if (const auto *Part = std::get_if<model::IntentPart>(&Object.m_Record))
+      add(*Part);
+  askStore(Now);
+  return true;
+}
+
+} // namespace bronzepass::core::membership
--- /dev/null
+++ b/Source/Core/Membership/IntentKeeper.cpp
@@ -0,0 +1,229 @@
+#include "Core/Membership/IntentKeeper.h"
+
+#include "Core/Membership/IntentParts.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace bronzepass::core::membership {
+
+namespace {
+
+/// A peer that stays behind is offered the generation again after this long.
+constexpr model::Duration OfferPause = std::chrono::seconds(3);
+/// How long a node that boots waits for peers that don't answer.
+constexpr model::Duration PeerGrace = std::chrono::seconds(3);
+/// Peers heard before the generation they name counts as the newest.
+constexpr size_t PeersWanted = 2;
+
+std::string subjectOf(const model::IntentHead &Head) {
+  return "generation " + std::to_string(Head.m_Generation.m_Value);
+}
+
+} // namespace
+
+IntentKeeper::IntentKeeper(const ports::IntentReader &Reader,
+                           StoreSubmitter Submit, ports::Random &Random)
+    : m_Reader(Reader), m_Submit(std::move(Submit)), m_Random(Random),
+      m_Watch(m_Submit, Random) {}
+
+void IntentKeeper::start(model::TimePoint Now, ports::EffectList &Out) {
+  m_StartedAt = Now;
+  tick(Now, Out);
+}
+
+void IntentKeeper::setWatching(bool Watching) { m_OnDuty = Watching; }
+
+void IntentKeeper::tick(model::TimePoint Now, ports::EffectList &Out) {
+  const bool Alone = m_Peers.empty() && Now - m_StartedAt >= PeerGrace;
+  m_Watch.setWatching(m_OnDuty || Alone);
+  m_Watch.tick(Now);
+  if (m_Fetch)
+    m_Fetch->tick(Now, Out);
+  settleFetch(Now, Out);
+}
+
+bool IntentKeeper::storeAnswer(const ports::StoreAnswer &Answer,
+                               model::TimePoint Now, ports::EffectList &Out) {
+  const IntentWatch::Outcome Seen = m_Watch.storeAnswer(Answer, Now);
+  if (Seen.m_Head)
+    consider(*Seen.m_Head, nullptr, Now, Out);
+  if (Seen.m_WasOwn) {
+    m_Watch.tick(Now);
+    return true;
+  }
+  const bool WasOwn = m_Fetch && m_Fetch->storeAnswer(Answer, Now);
+  settleFetch(Now, Out);
+  return WasOwn;
+}
+
+void IntentKeeper::peerLinkChanged(const ports::PeerLinkChanged &Change,
+                                   model::TimePoint, ports::EffectList &) {
+  if (Change.m_Up) {
+    m_Peers[Change.m_Peer] = {};
+    return;
+  }
+  m_Peers.erase(Change.m_Peer);
+  if (m_Fetch)
+    m_Fetch->removePeer(Change.m_Peer);
+}
+
+void IntentKeeper::peerReceived(const ports::PeerReceived &Received,
+                                model::TimePoint Now, ports::EffectList &Out) {
+  const model::NodeId &From = Received.m_From;
+  if (!m_Peers.contains(From))
+    return;
+  if (const auto *Greeting = std::get_if<ports::Hello>(&Received.m_Message))
+    offerIfBehind(From, Greeting->m_Generation, Now, Out);
+  else if (const auto *Beat =
+               std::get_if<ports::Heartbeat>(&Received.m_Message)) {
+    m_Peers[From].m_Heard = true;
+    offerIfBehind(From, Beat->m_Generation, Now, Out);
+  } else if (const auto *Offer =
+                 std::get_if<ports::IntentOffer>(&Received.m_Message))
+    consider(Offer->m_Head, &From, Now, Out);
+  else if (const auto *Wanted =
+               std::get_if<ports::IntentPartsWanted>(&Received.m_Message))
+    sendParts(From, *Wanted, Out);
+  else if (const auto *Sent =
+               std::get_if<ports::IntentPartSent>(&Received.m_Message)) {
+    if (m_Fetch)
+      m_Fetch->partSent(Sent->m_Part, Now, Out);
+    settleFetch(Now, Out);
+  }
+}
+
+void IntentKeeper::offerIfBehind(const model::NodeId &Peer,
+                                 model::Generation Generation,
+                                 model::TimePoint Now, ports::EffectList &Out) {
+  PeerState &State = m_Peers[Peer];
+  State.m_Generation = Generation;
+  m_Highest = std::max(m_Highest, Generation);
+  if (Generation >= m_Head.m_Generation)
+    return;
+  const bool JustOffered = State.m_Offered == m_Head.m_Generation &&
+                           Now - State.m_OfferedAt < OfferPause;
+  if (!JustOffered)
+    offer(Peer, Now, Out);
+}
+
+void IntentKeeper::offer(const model::NodeId &To, model::TimePoint Now,
+                         ports::EffectList &Out) {
+  PeerState &State = m_Peers[To];
+  State.m_Offered = m_Head.m_Generation;
+  State.m_OfferedAt = Now;
+  Out.push_back(ports::PeerSend{To, ports::IntentOffer{m_Head}});
+}
+
+void IntentKeeper::sendParts(const model::NodeId &To,
+                             const ports::IntentPartsWanted &Wanted,
+                             ports::EffectList &Out) const {
+  const size_t Count =
+      std::min(Wanted.m_Hashes.size(), IntentFetch::PartsPerRequest);
+  for (size_t I = 0; I < Count; ++I) {
+    const auto Found = m_Parts.find(Wanted.m_Hashes[I]);
+    if (Found != m_Parts.end())
+      Out.push_back(ports::PeerSend{
+          To, ports::IntentPartSent{{Found->first, Found->second}}});
+  }
+}
+
+void IntentKeeper::consider(const model::IntentHead &Head,
+                            const model::NodeId *From, model::TimePoint Now,
+                            ports::EffectList &Out) {
+  if (Head.m_Generation <= m_Head.m_Generation) {
+    ++m_StaleHeads;
+    return;
+  }
+  if (Head == m_Refused || Head.m_PartHashes.size() > MaxParts)
+    return;
+  m_Highest = std::max(m_Highest, Head.m_Generation);
+  const model::Generation Fetched =
+      m_Fetch ? m_Fetch->head().m_Generation : model::Generation();
+  if (Head.m_Generation < Fetched) {
+    ++m_StaleHeads;
+    return;
+  }
+  if (Head.m_Generation > Fetched)
+    m_Fetch.emplace(Head, m_Parts, m_Submit, m_Random, Now);
+  else if (Head != m_Fetch->head())
+    return;
+  if (From)
+    m_Fetch->addPeer(*From);
+  else
+    m_Fetch->allowStore();
+  m_Fetch->tick(Now, Out);
+  settleFetch(Now, Out);
+}
+
+void IntentKeeper::settleFetch(model::TimePoint Now, ports::EffectList &Out) {
+  if (!m_Fetch)
+    return;
+  if (m_Fetch->isComplete()) {
+    putInForce(Now, Out);
+    return;
+  }
+  if (!m_Fetch->isLost())
+    return;
+  m_Fetch.reset();
+  m_Watch.readAgain();
+}
+
+void IntentKeeper::putInForce(model::TimePoint Now, ports::EffectList &Out) {
+  const IntentFetch Fetched = std::move(*m_Fetch);
+  m_Fetch.reset();
+  model::IntentDocument Document{Fetched.head(), {}};
+  for (const auto &[Hash, Text] : Fetched.parts())
+    Document.m_Parts.push_back({Hash, Text});
+  const std::optional<std::string> Text = joinIntent(Document);
+  if (!Text)
+    return;
+  ports::IntentReading Reading =
+      m_Reader.read(*Text, subjectOf(Fetched.head()));
+  if (!Reading.m_Intent || model::hasErrors(Reading.m_Findings))
+    return refuse(Fetched.head(), Reading.m_Findings, Out);
+  Reading.m_Intent->m_Generation = Fetched.head().m_Generation;
+  m_Head = Fetched.head();
+  m_Parts = Fetched.parts();
+  m_InForce =
+      std::make_shared<const model::Intent>(std::move(*Reading.m_Intent));
+  Out.push_back(model::Decision{.m_Kind = model::DecisionKind::Intent,
+                                .m_Subject = subjectOf(m_Head),
+                                .m_Action = "adopt",
+                                .m_Reason = m_Head.m_Author.empty()
+                                                ? "newer than the one before"
+                                                : "by " + m_Head.m_Author});
+  for (const auto &[Peer, State] : m_Peers)
+    if (State.m_Generation < m_Head.m_Generation)
+      offer(Peer, Now, Out);
+}
+
+void IntentKeeper::refuse(const model::IntentHead &Head,
+                          const model::FindingList &Findings,
+                          ports::EffectList &Out) {
+  m_Refused = Head;
+  std::string Reason;
+  for (const model::Finding &Finding : Findings)
+    Reason += (Reason.empty() ? "" : "; ") + model::toString(Finding);
+  Out.push_back(model::Decision{.m_Kind = model::DecisionKind::Intent,
+                                .m_Subject = subjectOf(Head),
+                                .m_Action = "refuse",
+                                .m_Reason = Reason});
+}
+
+bool IntentKeeper::isSettled(model::TimePoint Now, bool HasOthers) const {
+  const bool Behind = m_Highest > m_Head.m_Generation &&
+                      !(m_Refused && m_Refused->m_Generation == m_Highest);
+  if (Behind)
+    return false;
+  const size_t Heard =
+      std::count_if(m_Peers.begin(), m_Peers.end(),
+                    [](const auto &Entry) { return Entry.second.m_Heard; });
+  const bool GraceOver = Now - m_StartedAt >= PeerGrace;
+  const bool PeersAsked = Heard >= PeersWanted || (Heard > 0 && GraceOver);
+  if (m_Watch.hasRead())
+    return PeersAsked || !HasOthers || GraceOver;
+  return PeersAsked && m_InForce;
+}
+
+} // namespace bronzepass::core::membership
--- /dev/null
+++ b/Source/Core/Membership/IntentKeeper.h
@@ -0,0 +1,99 @@
+#ifndef BRONZEPASS_CORE_MEMBERSHIP_INTENTKEEPER_H
+#define BRONZEPASS_CORE_MEMBERSHIP_INTENTKEEPER_H
+
+#include "Core/Membership/IntentFetch.h"
+#include "Core/Membership/IntentWatch.h"
+#include "Core/Model/Intent.h"
+#include "Core/Ports/Effect.h"
+#include "Core/Ports/Event.h"
+#include "Core/Ports/Ports.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace bronzepass::core::membership {
+
+/// Keeps this node's generation of the intent: takes newer ones from the
+/// object API and from peers, whatever order they come in, and relays them.
+/// The generation in force only ever rises.
+class IntentKeeper {
+public:
+  IntentKeeper(const ports::IntentReader &Reader, StoreSubmitter Submit,
+               ports::Random &Random);
+
+  void start(model::TimePoint Now, ports::EffectList &Out);
+  void tick(model::TimePoint Now, ports::EffectList &Out);
+
+  /// Whether this node watches the object API for its failure domain; one
+  /// without links to peers does so whatever its duties.
+  void setWatching(bool Watching);
+
+  /// Returns whether the answer was to a call of the keeper's.
+  bool storeAnswer(const ports::StoreAnswer &Answer, model::TimePoint Now,
+                   ports::EffectList &Out);
+  void peerLinkChanged(const ports::PeerLinkChanged &Change,
+                       model::TimePoint Now, ports::EffectList &Out);
+  /// Takes Hello, Heartbeat and the Intent messages; others are not for it.
+  void peerReceived(const ports::PeerReceived &Received, model::TimePoint Now,
+                    ports::EffectList &Out);
+
+  /// The intent in force; null until there is one.
+  const std::shared_ptr<const model::Intent> &inForce() const {
+    return m_InForce;
+  }
+  model::Generation generation() const { return m_Head.m_Generation; }
+  const model::IntentHead &head() const { return m_Head; }
+
+  /// Whether this node has what its peers and the object API have, as far as
+  /// they can be asked; it must not report ready before. \p HasOthers: the
+  /// platform's list or peers name other nodes.
+  bool isSettled(model::TimePoint Now, bool HasOthers) const;
+
+  /// Heads that were not newer than what was held, by the road they came.
+  uint64_t staleHeads() const { return m_StaleHeads; }
+
+private:
+  void consider(const model::IntentHead &Head, const model::NodeId *From,
+                model::TimePoint Now, ports::EffectList &Out);
+  void offer(const model::NodeId &To, model::TimePoint Now,
+             ports::EffectList &Out);
+  void offerIfBehind(const model::NodeId &Peer, model::Generation Generation,
+                     model::TimePoint Now, ports::EffectList &Out);
+  void sendParts(const model::NodeId &To,
+                 const ports::IntentPartsWanted &Wanted,
+                 ports::EffectList &Out) const;
+  void settleFetch(model::TimePoint Now, ports::EffectList &Out);
+  void putInForce(model::TimePoint Now, ports::EffectList &Out);
+  void refuse(const model::IntentHead &Head, const model::FindingList &Findings,
+              ports::EffectList &Out);
+
+  const ports::IntentReader &m_Reader;
+  StoreSubmitter m_Submit;
+  ports::Random &m_Random;
+  IntentWatch m_Watch;
+  std::optional<IntentFetch> m_Fetch;
+  model::IntentHead m_Head;
+  PartMap m_Parts;
+  std::shared_ptr<const model::Intent> m_InForce;
+  std::optional<model::IntentHead> m_Refused;
+
+  struct PeerState {
+    model::Generation m_Generation;
+    bool m_Heard = false;
+    model::Generation m_Offered;
+    model::TimePoint m_OfferedAt;
+  };
+  std::map<model::NodeId, PeerState> m_Peers;
+  model::Generation m_Highest;
+  model::TimePoint m_StartedAt;
+  bool m_OnDuty = false;
+  uint64_t m_StaleHeads = 0;
+};
+
+} // namespace bronzepass::core::membership
+
+#endif // BRONZEPASS_CORE_MEMBERSHIP_INTENTKEEPER_H
--- /dev/null
+++ b/Source/Core/Membership/IntentWatch.cpp
@@ -0,0 +1,76 @@
+#include "Core/Membership/IntentWatch.h"
+
+#include "Core/Membership/IntentParts.h"
+
+#include <variant>
+
+namespace bronzepass::core::membership {
+
+namespace {
+
+constexpr model::Duration ListTimeout = std::chrono::seconds(2);
+constexpr model::Duration WatchTimeout = std::chrono::seconds(30);
+/// An answer that is later than its timeout by this much will not come.
+constexpr model::Duration AnswerGrace = std::chrono::seconds(5);
+constexpr model::Duration RetryBase = std::chrono::milliseconds(500);
+constexpr model::Duration RetryCap = std::chrono::seconds(5);
+
+} // namespace
+
+IntentWatch::IntentWatch(StoreSubmitter Submit, ports::Random &Random)
+    : m_Submit(std::move(Submit)), m_Random(Random),
+      m_Backoff(RetryBase, RetryCap) {}
+
+void IntentWatch::tick(model::TimePoint Now) {
+  if (m_Call && Now >= m_LostAt)
+    fail(Now);
+  if (m_Call || Now < m_NextAt)
+    return;
+  if (m_NeedsList)
+    submit(ports::StoreVerb::List, Now);
+  else if (m_Watching)
+    submit(ports::StoreVerb::Watch, Now);
+}
+
+void IntentWatch::submit(ports::StoreVerb Verb, model::TimePoint Now) {
+  const bool Waits = Verb == ports::StoreVerb::Watch;
+  ports::StoreCall Call{.m_Verb = Verb,
+                        .m_Key = intentHeadKey(),
+                        .m_Priority = ports::StorePriority::Intent,
+                        .m_Timeout = Waits ? WatchTimeout : ListTimeout};
+  if (Waits)
+    Call.m_Expected = m_Version;
+  m_Verb = Verb;
+  m_LostAt = Now + Call.m_Timeout + AnswerGrace;
+  m_Call = m_Submit(std::move(Call));
+}
+
+void IntentWatch::fail(model::TimePoint Now) {
+  m_Call = model::CallId();
+  // A watch may have been refused since its version is too old.
+  m_NeedsList = true;
+  m_NextAt = Now + m_Backoff.next(m_Random);
+}
+
+IntentWatch::Outcome IntentWatch::storeAnswer(const ports::StoreAnswer &Answer,
+                                              model::TimePoint Now) {
+  if (!m_Call || Answer.m_Id != m_Call)
+    return {};
+  Outcome Seen{.m_WasOwn = true};
+  if (Answer.m_Status != ports::StoreStatus::Ok) {
+    fail(Now);
+    return Seen;
+  }
+  m_Call = model::CallId();
+  m_NeedsList = false;
+  m_HasRead = true;
+  m_Version = Answer.m_ListVersion;
+  m_Backoff.reset();
+  for (const ports::StoredObject &Object : Answer.m_Objects)
+    if (Object.m_Key == intentHeadKey())
+      if (const auto *Head = std::get_if<model::IntentHead>(&Object.m_Record))
+        Seen.m_Head = *Head;
+  return Seen;
+}
+
+} // namespace bronzepass::core::membership
--- /dev/null
+++ b/Source/Core/Membership/MembershipCore.cpp
@@ -0,0 +1,70 @@
+#include "Core/Membership/MembershipCore.h"
+
+#include <variant>
+
+namespace bronzepass::core::membership {
+
+MembershipCore::MembershipCore(model::NodeInfo Self,
+                               const ports::IntentReader &Reader,
+                               StoreSubmitter Submit, ports::Random &Random)
+    : m_View(std::move(Self), Random),
+      m_Intent(Reader, std::move(Submit), Random) {}
+
+void MembershipCore::start(model::TimePoint Now, ports::EffectList &Out) {
+  m_View.start(Now, Out);
+  m_Intent.start(Now, Out);
+  passOnChanges(Now, Out);
+}
+
+bool MembershipCore::handle(const ports::Event &Incoming, model::TimePoint Now,
+                            ports::EffectList &Out) {
+  bool WasOwn = false;
+  m_View.observe(Now, Out);
+  if (std::holds_alternative<ports::Tick>(Incoming)) {
+    m_View.tick(Now, Out);
+    m_Intent.tick(Now, Out);
+  } else if (const auto *Answer = std::get_if<ports::StoreAnswer>(&Incoming)) {
+    WasOwn = m_Intent.storeAnswer(*Answer, Now, Out);
+  } else if (const auto *Report = std::get_if<model::EngineReport>(&Incoming)) {
+    m_View.reportSeen(*Report, Now);
+  } else if (const auto *Missed = std::get_if<ports::ReportMissed>(&Incoming)) {
+    m_View.reportMissed(*Missed, Now);
+  } else if (const auto *Seen = std::get_if<ports::EndpointSeen>(&Incoming)) {
+    m_View.endpointSeen(*Seen, Now);
+  } else if (const auto *Received =
+                 std::get_if<ports::PeerReceived>(&Incoming)) {
+    m_View.peerReceived(*Received, Now, Out);
+    m_Intent.peerReceived(*Received, Now, Out);
+  } else if (const auto *Change =
+                 std::get_if<ports::PeerLinkChanged>(&Incoming)) {
+    m_View.peerLinkChanged(*Change, Now, Out);
+    m_Intent.peerLinkChanged(*Change, Now, Out);
+  } else if (const auto *Vms = std::get_if<ports::VmListSeen>(&Incoming)) {
+    m_View.vmListSeen(*Vms, Now, Out);
+  }
+  passOnChanges(Now, Out);
+  return WasOwn;
+}
+
+void MembershipCore::leave(model::TimePoint Now, ports::EffectList &Out) {
+  m_View.leave(Now, Out);
+}
+
+bool MembershipCore::isReady(model::TimePoint Now) const {
+  return !m_View.isLeaving() && !m_View.isReplaced() &&
+         m_Intent.isSettled(Now, m_View.hasOthers());
+}
+
+void MembershipCore::passOnChanges(model::TimePoint Now,
+                                   ports::EffectList &Out) {
+  if (m_SeenDuties != m_View.dutiesVersion()) {
+    m_SeenDuties = m_View.dutiesVersion();
+    m_Intent.setWatching(m_View.watchesForDomain());
+  }
+  if (m_Intent.generation() == m_View.generations().own())
+    return;
+  m_View.setIntent(*m_Intent.inForce(), Now);
+  m_View.sendDueHeartbeats(Now, Out);
+}
+
+} // namespace bronzepass::core::membership
--- /dev/null
+++ b/Source/Core/Membership/MembershipJudgement.cpp
@@ -0,0 +1,175 @@
+// The part of MembershipView that decides who is there: the platform's list,
+// suspicion, and the overlay and duties that follow.
+#include "Core/Membership/MembershipTiming.h"
+#include "Core/Membership/MembershipView.h"
+
+#include <algorithm>
+
+namespace bronzepass::core::membership {
+
+namespace {
+
+/// Up to this many others, a node that is cut off from all of them judges them
+/// by itself; among more, it takes itself for the one that is cut off.
+constexpr size_t SmallSystem = 8;
+
+} // namespace
+
+void MembershipView::vmListSeen(const ports::VmListSeen &Seen,
+                                model::TimePoint Now, ports::EffectList &Out) {
+  m_Listing.update(Seen.m_Vms);
+  m_ListChanged = true;
+  applyListedNodes(Now, Out);
+  for (const model::EndpointState &Statement :
+       m_Endpoints.vmListSeen(Seen.m_Vms)) {
+    tell(Statement, model::NodeId());
+    Out.push_back(model::Decision{.m_Kind = model::DecisionKind::Membership,
+                                  .m_Subject = Statement.m_Endpoint.str(),
+                                  .m_Action = "endpoint",
+                                  .m_Reason = "the platform's list changed"});
+  }
+  if (m_Unsure && !hasOthers())
+    confirm("the platform lists no other node", Out);
+  refreshOverlay(Now);
+}
+
+void MembershipView::applyListedNodes(model::TimePoint Now,
+                                      ports::EffectList &Out) {
+  for (const auto &[Vm, Listed] : m_Listing.vms()) {
+    const model::Liveness Liveness = Listed.m_Liveness;
+    if (Liveness != model::Liveness::Leaving &&
+        Liveness != model::Liveness::Gone)
+      continue;
+    if (Vm == m_Self.m_Vm) {
+      if (!isLeaving())
+        leave(Now, Out);
+      continue;
+    }
+    const MemberTable::Member *Known = m_Members.find(Vm);
+    // A node that still answers has not gone, whatever a lagging list says.
+    const bool Answers =
+        Liveness == model::Liveness::Gone && m_Links.isLinked(Vm);
+    if (Known && Known->m_Info.m_Liveness < Liveness && !Answers)
+      judge(Known->m_Info, Liveness, "the platform's list says so", Now, Out);
+  }
+}
+
+void MembershipView::judge(const model::NodeInfo &Node,
+                           model::Liveness Liveness, const std::string &Reason,
+                           model::TimePoint Now, ports::EffectList &Out) {
+  model::NodeInfo Statement = Node;
+  Statement.m_Liveness = Liveness;
+  if (!m_Members.merge(Statement, Now))
+    return;
+  m_News.add(Statement.m_Vm, model::NodeId());
+  const char *Action = Liveness == model::Liveness::Suspect ? "suspect"
+                       : Liveness == model::Liveness::Gone  ? "gone"
+                                                            : "leaving";
+  Out.push_back(model::Decision{.m_Kind = model::DecisionKind::Membership,
+                                .m_Subject = Statement.m_Node.str(),
+                                .m_Action = Action,
+                                .m_Reason = Reason});
+}
+
+bool MembershipView::hasOthers() const {
+  const auto &Vms = m_Listing.vms();
+  const bool Listed =
+      std::any_of(Vms.begin(), Vms.end(), [this](const auto &Entry) {
+        return Entry.first != m_Self.m_Vm &&
+               Entry.second.m_Liveness == model::Liveness::Live;
+      });
+  return Listed || m_Members.present().size() > 1;
+}
+
+bool MembershipView::hasWitness() const {
+  return !m_Links.links().empty() ||
+         m_Members.present().size() <= SmallSystem + 1;
+}
+
+void MembershipView::judgeSilent(model::TimePoint Now, ports::EffectList &Out) {
+  if (m_Unsure || !hasWitness())
+    return;
+  for (const model::VmId &Vm : m_Links.unlinkedFor(SuspectAfter, Now)) {
+    const MemberTable::Member *Known = m_Members.find(Vm);
+    if (!Known || Known->m_Info.m_Liveness != model::Liveness::Live)
+      continue;
+    const auto Refuted = m_Refuted.find(Vm);
+    if (Refuted != m_Refuted.end() && Now - Refuted->second < SuspicionPause)
+      continue;
+    judge(Known->m_Info, model::Liveness::Suspect, "no link to it can be had",
+          Now, Out);
+  }
+  std::vector<model::NodeInfo> Gone;
+  for (const auto &[Vm, Known] : m_Members.all())
+    if (Known.m_Info.m_Liveness == model::Liveness::Suspect &&
+        Now - Known.m_Since >= GoneAfter)
+      Gone.push_back(Known.m_Info);
+  for (const model::VmId &Vm :
+       m_Links.unlinkedFor(SuspectAfter + GoneAfter, Now))
+    if (const MemberTable::Member *Known = m_Members.find(Vm))
+      if (Known->m_Info.m_Liveness == model::Liveness::Leaving)
+        Gone.push_back(Known->m_Info);
+  for (const model::NodeInfo &Node : Gone)
+    judge(Node, model::Liveness::Gone, "it did not speak up", Now, Out);
+}
+
+void MembershipView::refreshOverlay(model::TimePoint Now) {
+  if (!m_ListChanged && m_SeenMembers == m_Members.version())
+    return;
+  m_ListChanged = false;
+  m_SeenMembers = m_Members.version();
+  Overlay Fresh(m_Self.m_Vm, m_Self.m_Region);
+  for (const auto &[Vm, Listed] : m_Listing.vms())
+    if (Listed.m_Liveness == model::Liveness::Live && !m_Members.find(Vm))
+      Fresh.put(Vm, Listed.m_Region, true);
+  for (const auto &[Vm, Known] : m_Members.all()) {
+    const bool Gone = Known.m_Info.m_Liveness == model::Liveness::Gone;
+    if (!Gone || m_Listing.isLive(Vm))
+      Fresh.put(Vm, Known.m_Info.m_Region, !Gone);
+  }
+  m_Overlay = std::move(Fresh);
+  m_Links.setTargets(
+      {m_Overlay.successors(), m_Overlay.predecessors(), m_Overlay.probes()},
+      Now);
+  refreshDuties();
+}
+
+void MembershipView::refreshDuties() {
+  std::vector<model::NodeInfo> Nodes;
+  for (model::NodeInfo Node : m_Members.present()) {
+    if (Node.m_Liveness == model::Liveness::Leaving)
+      continue;
+    // Neither suspicion nor its refutation moves a duty.
+    Node.m_Liveness = model::Liveness::Live;
+    Node.m_Incarnation = 0;
+    Nodes.push_back(std::move(Node));
+  }
+  std::sort(Nodes.begin(), Nodes.end());
+  if (Nodes == m_Duties.nodes())
+    return;
+  m_Duties = Duties(std::move(Nodes));
+  ++m_DutiesVersion;
+}
+
+bool MembershipView::watchesForDomain() const {
+  const std::vector<model::NodeId> Watchers =
+      m_Duties.watchersOf(m_Self.m_Domain);
+  return std::find(Watchers.begin(), Watchers.end(), m_Self.m_Node) !=
+         Watchers.end();
+}
+
+std::optional<model::NodeInfo>
+MembershipView::infoOf(const model::VmId &Vm) const {
+  if (const MemberTable::Member *Known = m_Members.find(Vm))
+    return Known->m_Info;
+  const model::VmState *Listed = m_Listing.find(Vm);
+  if (!Listed)
+    return std::nullopt;
+  return model::NodeInfo{.m_Vm = Vm,
+                         .m_Domain = Listed->m_Domain,
+                         .m_Region = Listed->m_Region,
+                         .m_PeerAddress = Listed->m_PeerAddress,
+                         .m_CallerAddress = Listed->m_CallerAddress};
+}
+
+} // namespace bronzepass::core::membership
--- a/Source/Core/Ports/PeerMessage.h
+++ b/Source/Core/Ports/PeerMessage.h
@@ -47,6 +47,11 @@
   std::vector<model::NodeInfo> m_NodeNews;
   std::vector<model::EndpointState> m_EndpointNews;
   GenerationProgress m_Progress;
+  /// Sequence of the last heartbeat taken from the receiver: what came before
+  /// this message on the link was sent with that one in mind.
+  uint64_t m_Echo = 0;
+  /// Equal where sender and receiver know the same members.
+  uint64_t m_MembersDigest = 0;
 
   friend auto operator<=>(const Heartbeat &, const Heartbeat &) = default;
 };
