Adapters: Read settings and intents with all findings at once

Both files are read through one checked map reader: unknown keys with a near match, wrong types, ranges and missing keys become findings with their line and column, sorted by place.

--- /dev/null
+++ b/Source/Core/Adapters/Yaml/SettingsReader.cpp
@@ -0,0 +1,110 @@
+#include "Core/Adapters/Yaml/SettingsReader.h"
+
+#include "Core/Adapters/Yaml/MapReader.h"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace bronzepass::core::adapters::yaml {
+
+namespace {
+
+using settings::Bytes;
+using settings::SettingInfo;
+using settings::SettingValue;
+
+const std::vector<std::string> LogLevels = {"trace", "debug", "info",
+                                            "warn",  "error", "off"};
+
+/// Reads one value of the type that the setting's sample has.
+SettingValue readValue(MapReader &Section, const SettingInfo &Info) {
+  const std::string &Key = Info.m_Key;
+  if (std::holds_alternative<std::string>(Info.m_Sample))
+    return Section.requiredText(Key);
+  if (std::holds_alternative<uint64_t>(Info.m_Sample))
+    return Section.count(Key, std::get<uint64_t>(Info.m_Sample),
+                         std::get<uint64_t>(*Info.m_Least),
+                         std::get<uint64_t>(*Info.m_Most));
+  if (std::holds_alternative<Bytes>(Info.m_Sample))
+    return Bytes{Section.bytes(Key, std::get<Bytes>(Info.m_Sample).m_Value)};
+  if (std::holds_alternative<model::Duration>(Info.m_Sample))
+    return Section.duration(Key, std::get<model::Duration>(Info.m_Sample));
+  return Section.requiredAddress(Key);
+}
+
+void checkRange(MapReader &Section, const SettingInfo &Info,
+                const SettingValue &Value) {
+  // A count's range is checked as it is read.
+  if (!Info.m_Least || std::holds_alternative<uint64_t>(Value))
+    return;
+  if (Value < *Info.m_Least || *Info.m_Most < Value)
+    Section.error(Info.m_Key, "is " + settings::toString(Value) +
+                                  ", expected " +
+                                  settings::toString(*Info.m_Least) + " to " +
+                                  settings::toString(*Info.m_Most));
+}
+
+void checkLogLevel(MapReader &Section, const SettingInfo &Info) {
+  std::vector<std::pair<std::string, int>> Choices;
+  for (const std::string &Level : LogLevels)
+    Choices.emplace_back(Level, 0);
+  Section.choice(Info.m_Key, 0, Choices);
+}
+
+std::map<std::string, std::vector<std::string>> keysOfSections() {
+  std::map<std::string, std::vector<std::string>> Keys;
+  for (const SettingInfo &Info : settings::allSettings())
+    Keys[Info.m_Section].push_back(Info.m_Key);
+  return Keys;
+}
+
+} // namespace
+
+SettingsReading readSettings(const std::string &Text,
+                             const std::string &FileName) {
+  FindingSink Sink(FileName);
+  const YAML::Node Document = parseDocument(Text, Sink);
+  SettingsReading Reading;
+  if (!Document.IsDefined() || Document.IsNull()) {
+    Reading.m_Findings = Sink.take();
+    if (Reading.m_Findings.empty())
+      Reading.m_Findings.push_back(
+          {model::Severity::Error, {FileName, 0, 0}, "the file is empty"});
+    return Reading;
+  }
+  const std::map<std::string, std::vector<std::string>> Keys = keysOfSections();
+  std::vector<std::string> SectionNames;
+  for (const auto &Entry : Keys)
+    SectionNames.push_back(Entry.first);
+  MapReader Top(Document, "settings", SectionNames, Sink);
+
+  std::map<std::string, MapReader> Sections;
+  for (const auto &Entry : Keys) {
+    const YAML::Node Node = Top.has(Entry.first)
+                                ? Top.at(Entry.first)
+                                : YAML::Node(YAML::NodeType::Map);
+    Sections.emplace(Entry.first,
+                     MapReader(Node, Entry.first, Entry.second, Sink));
+  }
+  std::map<settings::NodeSettings::Key, SettingValue> Values;
+  for (const SettingInfo &Info : settings::allSettings()) {
+    MapReader &Section = Sections.at(Info.m_Section);
+    if (!Section.has(Info.m_Key)) {
+      if (!Info.m_HasDefault)
+        Section.error(Info.m_Key, "is missing");
+      continue;
+    }
+    const SettingValue Value = readValue(Section, Info);
+    checkRange(Section, Info, Value);
+    if (Info.m_Section == "logs")
+      checkLogLevel(Section, Info);
+    Values[{Info.m_Section, Info.m_Key}] = Value;
+  }
+  Reading.m_Findings = Sink.take();
+  if (!model::hasErrors(Reading.m_Findings))
+    Reading.m_Settings = settings::NodeSettings(std::move(Values));
+  return Reading;
+}
+
+} // namespace bronzepass::core::adapters::yaml
--- /dev/null
+++ b/Source/Core/Adapters/Yaml/SettingsReader.h
@@ -0,0 +1,24 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_YAML_SETTINGSREADER_H
+#define BRONZEPASS_CORE_ADAPTERS_YAML_SETTINGSREADER_H
+
+#include "Core/Model/Finding.h"
+#include "Core/Settings/NodeSettings.h"
+
+#include <optional>
+#include <string>
+
+namespace bronzepass::core::adapters::yaml {
+
+/// A node's settings where they have no errors, and all findings.
+struct SettingsReading {
+  std::optional<settings::NodeSettings> m_Settings;
+  model::FindingList m_Findings;
+};
+
+/// Reads a settings file's text; \p FileName stands in the findings.
+SettingsReading readSettings(const std::string &Text,
+                             const std::string &FileName);
+
+} // namespace bronzepass::core::adapters::yaml
+
+#endif // BRONZEPASS_CORE_ADAPTERS_YAML_SETTINGSREADER_H
--- /dev/null
+++ b/Source/Core/Adapters/Yaml/YamlIntentReader.h
@@ -0,0 +1,20 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_YAML_YAMLINTENTREADER_H
+#define BRONZEPASS_CORE_ADAPTERS_YAML_YAMLINTENTREADER_H
+
+#include "Core/Ports/Ports.h"
+
+#include <string>
+
+namespace bronzepass::core::adapters::yaml {
+
+/// Reads an intent's YAML text and checks it whole: every finding at its place,
+/// reported together.
+class YamlIntentReader : public ports::IntentReader {
+public:
+  ports::IntentReading read(const std::string &Text,
+                            const std::string &FileName) const override;
+};
+
+} // namespace bronzepass::core::adapters::yaml
+
+#endif // BRONZEPASS_CORE_ADAPTERS_YAML_YAMLINTENTREADER_H
--- /dev/null
+++ b/Source/Core/Settings/NodeSettings.cpp
@@ -0,0 +1,94 @@
+#include "Core/Settings/NodeSettings.h"
+
+namespace bronzepass::core::settings {
+
+namespace {
+
+template <typename ValueT>
+std::optional<SettingValue> widen(const std::optional<ValueT> &Value) {
+  if (!Value)
+    return std::nullopt;
+  return SettingValue(*Value);
+}
+
+template <typename ValueT> SettingInfo describe(const Setting<ValueT> &Which) {
+  return {Which.m_Section,
+          Which.m_Key,
+          SettingValue(Which.m_Default.value_or(ValueT())),
+          Which.m_Default.has_value(),
+          widen(Which.m_Least),
+          widen(Which.m_Most),
+          Which.m_Meaning};
+}
+
+std::string durationText(model::Duration Value) {
+  using namespace std::chrono;
+  if (Value % seconds(1) == model::Duration::zero())
+    return std::to_string(duration_cast<seconds>(Value).count()) + "s";
+  if (Value % milliseconds(1) == model::Duration::zero())
+    return std::to_string(duration_cast<milliseconds>(Value).count()) + "ms";
+  return std::to_string(Value.count()) + "us";
+}
+
+std::string bytesText(uint64_t Value) {
+  static constexpr const char *Units[] = {"B", "KiB", "MiB", "GiB", "TiB"};
+  size_t Unit = 0;
+  while (Unit + 1 < std::size(Units) && Value != 0 && Value % 1024 == 0) {
+    Value /= 1024;
+    ++Unit;
+  }
+  return std::to_string(Value) + Units[Unit];
+}
+
+struct TextOf {
+  std::string operator()(const std::string &Value) const { return Value; }
+  std::string operator()(uint64_t Value) const { return std::to_string(Value); }
+  std::string operator()(Bytes Value) const { return bytesText(Value.m_Value); }
+  std::string operator()(model::Duration Value) const {
+    return durationText(Value);
+  }
+  std::string operator()(const model::Address &Value) const {
+    return Value.m_Ip + ":" + std::to_string(Value.m_Port);
+  }
+};
+
+} // namespace
+
+std::string toString(const SettingValue &Value) {
+  return std::visit(TextOf(), Value);
+}
+
+const std::vector<SettingInfo> &allSettings() {
+  static const std::vector<SettingInfo> All = {
+      describe(NodeVm),
+      describe(NodeFailureDomain),
+      describe(NodeRegion),
+      describe(ListenCallers),
+      describe(ListenPeers),
+      describe(ListenOperators),
+      describe(PlatformObjectApi),
+      describe(PlatformNamespace),
+      describe(PlatformCallsPerSecond),
+      describe(TimeoutConnect),
+      describe(TimeoutFirstByte),
+      describe(TimeoutObjectApi),
+      describe(TimeoutWindow),
+      describe(TimeoutStop),
+      describe(PeriodReport),
+      describe(PeriodVmList),
+      describe(LimitBody),
+      describe(LimitCallerBuffer),
+      describe(LimitQueueRequests),
+      describe(LimitQueueBytes),
+      describe(LimitReactorThreads),
+      describe(LimitEngineDrivers),
+      describe(LogRouting),
+      describe(LogPlacement),
+      describe(LogMembership),
+      describe(LogClaims),
+      describe(LogIntent),
+  };
+  return All;
+}
+
+} // namespace bronzepass::core::settings
--- /dev/null
+++ b/Source/Core/Settings/Setting.h
@@ -0,0 +1,50 @@
+#ifndef BRONZEPASS_CORE_SETTINGS_SETTING_H
+#define BRONZEPASS_CORE_SETTINGS_SETTING_H
+
+#include "Core/Model/Address.h"
+#include "Core/Model/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace bronzepass::core::settings {
+
+/// A size in bytes; a type of its own so that "64KiB" is read as such.
+struct Bytes {
+  uint64_t m_Value = 0;
+
+  friend auto operator<=>(const Bytes &, const Bytes &) = default;
+};
+
+using SettingValue =
+    std::variant<std::string, uint64_t, Bytes, model::Duration, model::Address>;
+
+/// One named, typed setting of a node. With no default it must be given.
+template <typename ValueT> struct Setting {
+  const char *m_Section;
+  const char *m_Key;
+  std::optional<ValueT> m_Default;
+  /// Allowed range, both ends included; not used for texts and addresses.
+  std::optional<ValueT> m_Least;
+  std::optional<ValueT> m_Most;
+  /// One line for docs/SETTINGS.md.
+  const char *m_Meaning;
+};
+
+/// A setting without its type, for the table of all settings.
+struct SettingInfo {
+  std::string m_Section;
+  std::string m_Key;
+  /// Holds a value of the setting's type even where there is no default.
+  SettingValue m_Sample;
+  bool m_HasDefault = false;
+  std::optional<SettingValue> m_Least;
+  std::optional<SettingValue> m_Most;
+  std::string m_Meaning;
+};
+
+} // namespace bronzepass::core::settings
+
+#endif // BRONZEPASS_CORE_SETTINGS_SETTING_H
