--- /dev/null
+++ b/Source/Core/Cli/CheckCommand.cpp
@@ -0,0 +1,46 @@
+#include "Core/Cli/CheckCommand.h"
+
+#include "Core/Adapters/Yaml/SettingsReader.h"
+#include "Core/Adapters/Yaml/YamlIntentReader.h"
+#include "Core/Cli/FileText.h"
+#include "Core/Cli/FindingPrinter.h"
+
+#include <ostream>
+
+namespace bronzepass::core::cli {
+
+namespace po = boost::program_options;
+
+void CheckCommand::addOptions(po::options_description &Options) const {
+  Options.add_options()("file", po::value<std::string>(), "file to check")(
+      "kind", po::value<std::string>()->default_value("intent"),
+      "intent or settings");
+}
+
+ExitCode CheckCommand::run(const CommandContext &Context) const {
+  const std::string Path = Context.text("file");
+  const std::string Kind = Context.text("kind");
+  if (Path.empty()) {
+    Context.m_Err << "bronzepass check: name a file\n";
+    return ExitCode::Usage;
+  }
+  if (Kind != "intent" && Kind != "settings") {
+    Context.m_Err << "bronzepass check: --kind is '" << Kind
+                  << "', expected intent or settings\n";
+    return ExitCode::Usage;
+  }
+  std::string Reason;
+  const std::optional<std::string> Text = readFile(Path, Reason);
+  if (!Text) {
+    Context.m_Err << "bronzepass check: " << Reason << "\n";
+    return ExitCode::Failed;
+  }
+  const model::FindingList Findings =
+      Kind == "intent"
+          ? adapters::yaml::YamlIntentReader().read(*Text, Path).m_Findings
+          : adapters::yaml::readSettings(*Text, Path).m_Findings;
+  printFindings(Findings, Context);
+  return model::hasErrors(Findings) ? ExitCode::Findings : ExitCode::Ok;
+}
+
+} // namespace bronzepass::core::cli
--- a/Source/Core/Model/NearMatch.cpp
+++ b/Source/Core/Model/NearMatch.cpp
@@ -31,7 +31,7 @@
   size_t BestDistance = 0;
   for (const std::string &Candidate : Candidates) {
     const size_t Distance = editDistance(Word, Candidate);
-    const size_t Allowed = std::max<size_t>(1, Candidate.size() / 3);
+    const size_t Allowed = std::max<size_t>(1, (Candidate.size() + 1) / 3);
     if (Distance > Allowed || (Best && Distance >= BestDistance))
       continue;
     Best = Candidate;
