--- a/Source/Core/Adapters/Yaml/YamlIntentReader.cpp
+++ b/Source/Core/Adapters/Yaml/YamlIntentReader.cpp
@@ -11,6 +11,14 @@
 
 using namespace model;
 
+/// Labels as given, with the name as one more: selectors can name single
+/// things by it.
+LabelMap namedLabels(MapReader &Map, const std::string &Name) {
+  LabelMap Labels = Map.labels("labels");
+  Labels.emplace("name", Name);
+  return Labels;
+}
+
 constexpr uint64_t AnyCount = std::numeric_limits<uint32_t>::max();
 constexpr double AnyRate = 1e9;
 
@@ -30,7 +38,7 @@
                 Sink);
   ModelSpec Spec;
   Spec.m_Name = ModelId(Map.requiredText("name"));
-  Spec.m_Labels = Map.labels("labels");
+  Spec.m_Labels = namedLabels(Map, Spec.m_Name.str());
   Spec.m_MinCopies = Map.count("min-copies", 1, 1, 1000);
   Map.each("versions", [&Spec, &Sink](const YAML::Node &Each) {
     Spec.m_Versions.push_back(readVersion(Each, Sink));
@@ -46,7 +54,7 @@
   AdapterSpec Spec;
   Spec.m_Name = AdapterId(Map.requiredText("name"));
   Spec.m_Base = ModelId(Map.requiredText("base"));
-  Spec.m_Labels = Map.labels("labels");
+  Spec.m_Labels = namedLabels(Map, Spec.m_Name.str());
   Spec.m_MemoryBytes = Map.requiredBytes("memory");
   Spec.m_LoadTime = Map.requiredDuration("load-time");
   return Spec;
@@ -96,7 +104,7 @@
   Spec.m_Kind = Map.choice<PoolKind>(
       "kind", PoolKind::Engine,
       {{"engine", PoolKind::Engine}, {"service", PoolKind::Service}});
-  Spec.m_Labels = Map.labels("labels");
+  Spec.m_Labels = namedLabels(Map, Spec.m_Name.str());
   Spec.m_Fencing = Map.choice<FencingMode>(
       "fencing", FencingMode::Ignores,
       {{"refuses", FencingMode::Refuses}, {"ignores", FencingMode::Ignores}});
@@ -156,7 +164,7 @@
                 {"name", "labels", "priority", "weight", "limits"}, Sink);
   CallerSpec Spec;
   Spec.m_Name = CallerId(Map.requiredText("name"));
-  Spec.m_Labels = Map.labels("labels");
+  Spec.m_Labels = namedLabels(Map, Spec.m_Name.str());
   Spec.m_Priority = Map.choice<Priority>(
       "priority", Priority::Interactive,
       {{"interactive", Priority::Interactive}, {"batch", Priority::Batch}});
