--- a/Source/Core/Model/Claim.h
+++ b/Source/Core/Model/Claim.h
@@ -2,7 +2,6 @@
 #define BRONZEPASS_CORE_MODEL_CLAIM_H
 
 #include "Core/Model/Id.h"
-#include "Core/Model/Request.h"
 #include "Core/Model/Time.h"
 
 #include <compare>
@@ -28,9 +27,10 @@
   /// Hash of method, path and body: a repeat must ask for the same thing.
   uint64_t m_BodyHash = 0;
   ClaimState m_State = ClaimState::Claimed;
-  /// The node that was granted the run, and its request.
+  /// The ask that holds the key: the node that may run it, and its number for
+  /// the ask. The two together never come again.
   NodeId m_Runner;
-  RequestId m_Request;
+  uint64_t m_AskId = 0;
   TimePoint m_TakenAt;
   /// Of the first answer, for repeats; empty where it is too long to keep.
   uint16_t m_Status = 0;
@@ -39,14 +39,16 @@
   friend auto operator<=>(const ClaimRecord &, const ClaimRecord &) = default;
 };
 
-/// One shard of claims: one object of the object API.
+/// One shard of claims: one object of the object API, written by conditional
+/// update alone.
 struct ClaimShardRecord {
   uint32_t m_Shard = 0;
+  /// Of the deployment; an owner with another count must not write.
+  uint32_t m_ShardCount = 0;
   /// The owner that wrote it last, and the epoch it took the shard with.
   NodeId m_Writer;
   FencingToken m_Epoch;
-  /// Rises with every write of one epoch: a writer whose answer was lost finds
-  /// out by reading whether its write took effect.
+  /// Rises with every write.
   uint64_t m_Sequence = 0;
   std::vector<ClaimRecord> m_Claims;
 
--- a/Source/Core/Ports/PeerMessage.h
+++ b/Source/Core/Ports/PeerMessage.h
@@ -63,10 +63,13 @@
 
 /// Asks a claim shard's owner for the right to run a request.
 struct ClaimAsk {
+  /// Unique on the asking node; kept when the same ask is sent again.
   uint64_t m_AskId = 0;
   uint64_t m_KeyHash = 0;
   uint64_t m_BodyHash = 0;
-  model::RequestId m_Request;
+  /// Which of the shard's candidates the asker takes the receiver for: 0 for
+  /// the owner, else it is to step in for those before it, which are silent.
+  uint32_t m_Rank = 0;
   /// How much of the caller's window is left, microseconds.
   uint64_t m_WindowMicros = 0;
 
@@ -88,6 +91,9 @@
   NotOwner,
 };
 
+/// What the shard's record says of an ask's key, to that ask. The answer to a
+/// ClaimOutcome too: Done once a run is recorded, anything but Granted or
+/// NotOwner once a release is.
 struct ClaimReply {
   uint64_t m_AskId = 0;
   ClaimVerdictKind m_Verdict = ClaimVerdictKind::Unavailable;
@@ -98,10 +104,11 @@
   friend auto operator<=>(const ClaimReply &, const ClaimReply &) = default;
 };
 
-/// Tells the owner how a granted run ended.
+/// Tells the owner how a granted run ended, or that the ask was given up
+/// without a run. Sent again until it is answered.
 struct ClaimOutcome {
+  uint64_t m_AskId = 0;
   uint64_t m_KeyHash = 0;
-  model::RequestId m_Request;
   model::ClaimState m_State = model::ClaimState::Done;
   uint16_t m_Status = 0;
   std::string m_Answer;
