Routing: Add the routing table and the traffic core

Requests had no code that decides where they run and how they end.

TrafficCore takes typed events and returns typed effects: admission by window, fair queues in lanes per model and caller, choice by predicted finish, limits over all nodes, retries by budget, claims before calls that must not be repeated, resumption at the exact offset, and a visible break where an answer can't be made whole.

The policy is not measured yet.

--- /dev/null
+++ b/Source/Core/Routing/RoutingTable.h
@@ -0,0 +1,165 @@
+#ifndef BRONZEPASS_CORE_ROUTING_ROUTINGTABLE_H
+#define BRONZEPASS_CORE_ROUTING_ROUTINGTABLE_H
+
+#include "Core/Model/Artifact.h"
+#include "Core/Model/Intent.h"
+#include "Core/Model/Node.h"
+#include "Core/Routing/RoutingInputs.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace bronzepass::core::routing {
+
+/// Position of an endpoint in one routing table.
+using EndpointIndex = uint32_t;
+
+/// One endpoint as this node reaches it.
+struct TableEndpoint {
+  const model::EndpointSpec *m_Spec = nullptr;
+  const model::PoolSpec *m_Pool = nullptr;
+  model::Liveness m_Liveness = model::Liveness::Live;
+  /// Live, or merely suspect, and not drained by a selector.
+  bool m_TakesNew = true;
+  /// This node sends to it directly.
+  bool m_Driven = true;
+  /// One way from this node.
+  model::Duration m_Delay{0};
+  /// Nodes that drive it, as positions in RoutingTable::nodes().
+  std::vector<uint32_t> m_Drivers;
+};
+
+/// Where one artifact can be asked for.
+struct TableCopies {
+  /// Endpoints that serve it and take new requests, ascending.
+  std::vector<EndpointIndex> m_Serving;
+  /// A copy is being loaded somewhere.
+  bool m_Loading = false;
+  /// From a cold start.
+  model::Duration m_LoadTime{0};
+};
+
+struct TableAdapter {
+  model::AdapterId m_Name;
+  TableCopies m_Copies;
+};
+
+struct TableVersion {
+  const model::VersionSpec *m_Spec = nullptr;
+  TableCopies m_Copies;
+  /// Sorted by name.
+  std::vector<TableAdapter> m_Adapters;
+};
+
+struct TableModel {
+  const model::ModelSpec *m_Spec = nullptr;
+  std::vector<TableVersion> m_Versions;
+};
+
+/// A plain service's pool with those endpoints that take new calls.
+struct TableService {
+  const model::PoolSpec *m_Pool = nullptr;
+  TableCopies m_Copies;
+};
+
+/// What a path under a plain service's prefix stands for.
+struct ServiceMatch {
+  model::PoolId m_Pool;
+  bool m_Repeatable = true;
+
+  friend bool operator==(const ServiceMatch &, const ServiceMatch &) = default;
+};
+
+/// One line of /v1/models.
+struct ModelListing {
+  model::ModelId m_Model;
+  /// Empty for the model itself.
+  model::AdapterId m_Adapter;
+  /// Some copy answers now.
+  bool m_Ready = false;
+
+  friend bool operator==(const ModelListing &, const ModelListing &) = default;
+};
+
+/// Immutable snapshot that traffic threads route by; the control thread builds
+/// a new one on each change and shares it.
+class RoutingTable {
+public:
+  /// \p Inputs must hold an intent.
+  static std::shared_ptr<const RoutingTable> build(const RoutingInputs &Inputs);
+
+  const model::Intent &intent() const { return *m_Intent; }
+  const model::NodeInfo &self() const { return m_Self; }
+  const TableSettings &settings() const { return m_Settings; }
+  /// Nodes that take requests, this one included, sorted by id.
+  const std::vector<model::NodeInfo> &nodes() const { return m_Nodes; }
+  const std::vector<TableEndpoint> &endpoints() const { return m_Endpoints; }
+
+  /// Null where the intent declares no such thing.
+  const TableModel *findModel(const model::ModelId &Model) const;
+  const TableService *findService(const model::PoolId &Pool) const;
+  const TableEndpoint *findEndpoint(const model::EndpointId &Endpoint) const;
+  const model::CallerSpec *findCaller(const model::CallerId &Caller) const;
+  static const TableVersion *findVersion(const TableModel &Model,
+                                         std::string_view Version);
+  static const TableAdapter *findAdapter(const TableVersion &Version,
+                                         const model::AdapterId &Adapter);
+  /// Draws a version by the traffic shares of those that answer (of all, where
+  /// none does). \p Model must have a version; \p Draw is uniform.
+  static const TableVersion &drawVersion(const TableModel &Model,
+                                         const model::AdapterId &Adapter,
+                                         uint64_t Draw);
+
+  /// Reads a request's model name: "model", "model@version", "model+adapter",
+  /// "model@version+adapter", or an adapter's own name. The version stays
+  /// empty where none is named. Nothing where no such model is declared.
+  std::optional<model::ArtifactId> findByName(std::string_view Name) const;
+
+  /// The plain service that owns \p Path (the longest prefix wins), and whether
+  /// the call may be repeated (the longest route wins; repeatable if none).
+  std::optional<ServiceMatch> findServiceByPath(std::string_view Path) const;
+
+  /// Whether selectors let \p Caller use \p Model; an undeclared caller counts
+  /// as one without labels.
+  bool mayUse(const model::CallerId &Caller, const TableModel &Model) const;
+
+  /// Models and adapters that \p Caller may use, in the intent's order.
+  std::vector<ModelListing> listModels(const model::CallerId &Caller) const;
+
+  /// Whether this node sends to \p Endpoint directly.
+  bool drives(const model::EndpointId &Endpoint) const;
+
+private:
+  RoutingTable() = default;
+
+  void addNodes(const RoutingInputs &Inputs);
+  void addEndpoints(const RoutingInputs &Inputs);
+  void addDrivers(TableEndpoint &Endpoint);
+  void addModels();
+  void addCopies(const RoutingInputs &Inputs);
+  void addServices();
+  model::Duration delayTo(const model::DomainId &Domain,
+                          const model::RegionId &Region) const;
+
+  std::shared_ptr<const model::Intent> m_Intent;
+  model::NodeInfo m_Self;
+  TableSettings m_Settings;
+  std::vector<model::NodeInfo> m_Nodes;
+  std::vector<TableEndpoint> m_Endpoints;
+  std::vector<TableModel> m_Models;
+  std::vector<TableService> m_Services;
+  // Looked up only, never iterated: their order reaches no decision.
+  std::unordered_map<std::string_view, EndpointIndex> m_EndpointIndex;
+  std::unordered_map<std::string_view, uint32_t> m_ModelIndex;
+  std::unordered_map<std::string_view, uint32_t> m_AdapterIndex;
+  std::unordered_map<std::string_view, uint32_t> m_CallerIndex;
+};
+
+} // namespace bronzepass::core::routing
+
+#endif // BRONZEPASS_CORE_ROUTING_ROUTINGTABLE_H
--- /dev/null
+++ b/Source/Core/Routing/TrafficCore.cpp
@@ -0,0 +1,401 @@
+#include "Core/Routing/TrafficCore.h"
+
+#include <algorithm>
+
+namespace bronzepass::core::routing {
+
+namespace {
+
+constexpr model::Duration ShortRetry = std::chrono::seconds(1);
+/// How long a claim is awaited whose request is already answered.
+constexpr model::Duration ClaimPatience = std::chrono::seconds(60);
+
+model::Refusal notRun(model::RefusalReason Reason, const char *Message,
+                      model::Duration RetryAfter = model::Duration(0)) {
+  return {Reason, model::RunState::NotRun, Message, RetryAfter};
+}
+
+} // namespace
+
+TrafficCore::TrafficCore(const TrafficSettings &Settings, ports::Random &Dice,
+                         model::NodeInfo Self)
+    : m_Settings(Settings), m_Dice(Dice), m_Self(std::move(Self)),
+      m_Policy(makePolicy(Settings.m_Policy)),
+      m_Prefixes(Settings.m_PrefixEntries),
+      m_Queue(Settings.m_QueueRequests, Settings.m_QueueBytes),
+      m_Limiter(Settings.m_ReportPeriod),
+      m_Retries(Settings.m_RetryRatio, Settings.m_RetryFloorPerSecond) {}
+
+void TrafficCore::handle(const TrafficEvent &Event, model::TimePoint Now,
+                         TrafficEffectList &Out) {
+  m_Now = std::max(m_Now, Now);
+  m_Out = &Out;
+  std::visit([this](const auto &Each) { on(Each); }, Event);
+  runTimers();
+  dispatchWaiting();
+  noteEmpty();
+  m_Out = nullptr;
+}
+
+void TrafficCore::on(const RequestArrived &Event) {
+  model::RequestId Id = Event.m_Request.m_Id;
+  if (m_Live.contains(Id)) {
+    ++m_Counts.m_StaleDropped;
+    return;
+  }
+  ++m_Counts.m_Arrived;
+  LiveRequest New;
+  New.m_Request = Event.m_Request;
+  New.m_KeyHash = Event.m_KeyHash;
+  New.m_BodyHash = Event.m_BodyHash;
+  std::optional<model::Refusal> Refusal = resolve(New);
+  if (Refusal) {
+    refuseUnknown(New, *Refusal);
+    return;
+  }
+  m_Retries.arrived();
+  if (!New.m_Request.m_Forwarded)
+    m_Demand.arrived(New.m_Lane.m_Artifact);
+  LiveRequest &Live = m_Live.emplace(Id, std::move(New)).first->second;
+  setDue(Live, Live.m_Request.m_Deadline);
+  if (!needsClaim(Live)) {
+    place(Live);
+    return;
+  }
+  Choice First = choose(Live);
+  if (First.m_Advice == Advice::Refuse) {
+    refuse(Live, First.m_Refusal);
+    return;
+  }
+  Live.m_Phase = RequestPhase::AwaitingClaim;
+  m_Out->push_back(ports::ClaimWanted{Id, Live.m_KeyHash, Live.m_BodyHash,
+                                      Live.m_Request.m_Deadline});
+}
+
+std::optional<model::Refusal> TrafficCore::resolve(LiveRequest &Live) {
+  const model::Request &Request = Live.m_Request;
+  if (m_Stopping)
+    return notRun(model::RefusalReason::Stopping, "this node is stopping",
+                  ShortRetry);
+  if (!m_Table)
+    return notRun(model::RefusalReason::NoCopyAnswers,
+                  "this node has no configuration yet", ShortRetry);
+  if (Request.m_Deadline <= m_Now)
+    return notRun(model::RefusalReason::DeadlinePassed,
+                  "the window had passed on arrival");
+  if (!Request.m_ServicePool.empty()) {
+    if (m_Table->findService(Request.m_ServicePool) == nullptr)
+      return notRun(model::RefusalReason::UnknownModel,
+                    "no such service is declared");
+    Live.m_Lane.m_Service = Request.m_ServicePool;
+  } else if (std::optional<model::Refusal> Refusal = resolveModel(Live)) {
+    return Refusal;
+  }
+  const model::CallerSpec *Caller = m_Table->findCaller(Request.m_Caller);
+  if (Caller == nullptr || Request.m_Forwarded)
+    return std::nullopt;
+  std::optional<model::Duration> ComeBack =
+      m_Limiter.admit(*Caller, m_Table->nodes().size(), m_Now);
+  if (ComeBack)
+    return notRun(model::RefusalReason::OverLimit,
+                  "the caller's limit is used up", *ComeBack);
+  Live.m_Metered = true;
+  return std::nullopt;
+}
+
+std::optional<model::Refusal> TrafficCore::resolveModel(LiveRequest &Live) {
+  const model::Request &Request = Live.m_Request;
+  const TableModel *Model = m_Table->findModel(Request.m_Model);
+  if (Model == nullptr || Model->m_Versions.empty())
+    return notRun(model::RefusalReason::UnknownModel,
+                  "no such model is declared");
+  if (!m_Table->mayUse(Request.m_Caller, *Model))
+    return notRun(model::RefusalReason::NotAllowed,
+                  "a selector denies this model to this caller");
+  const TableVersion *Version =
+      RoutingTable::findVersion(*Model, Request.m_Version);
+  if (Request.m_Version.empty())
+    Version =
+        &RoutingTable::drawVersion(*Model, Request.m_Adapter, m_Dice.next());
+  if (Version == nullptr)
+    return notRun(model::RefusalReason::UnknownModel,
+                  "no such version is declared");
+  if (!Request.m_Adapter.empty() &&
+      !RoutingTable::findAdapter(*Version, Request.m_Adapter))
+    return notRun(model::RefusalReason::UnknownModel,
+                  "no such adapter is declared");
+  Live.m_Lane.m_Artifact = {Request.m_Model, Version->m_Spec->m_Version,
+                            Request.m_Adapter};
+  return std::nullopt;
+}
+
+bool TrafficCore::needsClaim(const LiveRequest &Live) const {
+  const model::Request &Request = Live.m_Request;
+  // A forwarded request was claimed by the node that took it in.
+  if (Request.m_Repeatable || !Request.m_IdempotencyKey || Request.m_Forwarded)
+    return false;
+  const TableService *Service = m_Table->findService(Request.m_ServicePool);
+  return Service == nullptr || !Service->m_Pool->m_HonoursIdempotencyKeys;
+}
+
+void TrafficCore::on(const ports::ClaimVerdict &Event) {
+  auto Abandoned = m_AbandonedClaims.find(Event.m_Request);
+  if (Abandoned != m_AbandonedClaims.end()) {
+    if (Event.m_Kind == ports::ClaimVerdictKind::Granted)
+      m_Out->push_back(ports::ClaimEnded{Event.m_Request,
+                                         Abandoned->second.m_KeyHash,
+                                         model::ClaimState::Released, 0, ""});
+    m_AbandonedClaims.erase(Abandoned);
+    return;
+  }
+  auto Found = m_Live.find(Event.m_Request);
+  if (Found == m_Live.end() ||
+      Found->second.m_Phase != RequestPhase::AwaitingClaim) {
+    ++m_Counts.m_StaleDropped;
+    return;
+  }
+  LiveRequest &Live = Found->second;
+  Live.m_Phase = RequestPhase::Queued;
+  switch (Event.m_Kind) {
+  case ports::ClaimVerdictKind::Granted:
+    Live.m_Claimed = true;
+    place(Live);
+    return;
+  case ports::ClaimVerdictKind::Done:
+    m_Out->push_back(
+        ReplayAnswer{Event.m_Request, Event.m_Status, Event.m_Answer});
+    ++m_Counts.m_Answered;
+    forget(Live);
+    return;
+  case ports::ClaimVerdictKind::Pending:
+    refuse(Live,
+           {model::RefusalReason::ClaimPending, model::RunState::Unknown,
+            "another run of this key has no known outcome yet", ShortRetry});
+    return;
+  case ports::ClaimVerdictKind::Mismatch:
+    refuse(Live, notRun(model::RefusalReason::KeyMismatch,
+                        "the key was used for another request"));
+    return;
+  case ports::ClaimVerdictKind::Unavailable:
+  case ports::ClaimVerdictKind::NotOwner:
+    refuse(Live, notRun(model::RefusalReason::ClaimStoreDown,
+                        "the claim could not be recorded", ShortRetry));
+    return;
+  }
+}
+
+void TrafficCore::on(const CallerGone &Event) {
+  auto Found = m_Live.find(Event.m_Request);
+  if (Found == m_Live.end() || Found->second.m_Answered)
+    return;
+  LiveRequest &Live = Found->second;
+  if (Live.m_Phase == RequestPhase::AwaitingClaim) {
+    m_AbandonedClaims[Event.m_Request] = {Live.m_KeyHash,
+                                          m_Now + ClaimPatience};
+  } else if (Live.m_Phase == RequestPhase::Running && Live.m_Claimed) {
+    Live.m_Answered = true;
+    setDue(Live, Live.m_Request.m_Deadline + m_Settings.m_OutcomeGrace);
+    return;
+  }
+  if (Live.m_Phase == RequestPhase::Queued)
+    releaseClaim(Live);
+  cancelAttempt(Live);
+  forget(Live);
+}
+
+void TrafficCore::on(const TableChanged &Event) {
+  m_Table = Event.m_Table;
+  m_ByIndex.clear();
+  for (const TableEndpoint &Each : m_Table->endpoints())
+    m_ByIndex.push_back(&record(Each.m_Spec->m_Name));
+  for (auto It = m_Endpoints.begin(); It != m_Endpoints.end();) {
+    bool Declared = m_Table->findEndpoint(It->first) != nullptr;
+    if (Declared || It->second.m_View.inFlight() > 0)
+      ++It;
+    else
+      It = m_Endpoints.erase(It);
+  }
+  for (auto It = m_LaneStats.begin(); It != m_LaneStats.end();) {
+    if (copiesOf(It->first) != nullptr)
+      ++It;
+    else
+      It = m_LaneStats.erase(It);
+  }
+}
+
+void TrafficCore::on(const LoadSeen &Event) {
+  if (m_Table && m_Table->findEndpoint(Event.m_Endpoint))
+    record(Event.m_Endpoint).m_View.reported(Event.m_Load, Event.m_MadeAt);
+}
+
+void TrafficCore::on(const CacheSeen &Event) {
+  if (!m_Table || !m_Table->findEndpoint(Event.m_Endpoint))
+    return;
+  EndpointRecord &Record = record(Event.m_Endpoint);
+  if (Event.m_Sequence <= Record.m_CacheSequence && !Event.m_Cleared)
+    return;
+  Record.m_CacheSequence = Event.m_Sequence;
+  if (Event.m_Cleared)
+    m_Prefixes.forget(Record.m_Tag);
+  for (uint64_t Hash : Event.m_Removed)
+    m_Prefixes.remove(Hash, Record.m_Tag);
+  for (uint64_t Hash : Event.m_Added)
+    m_Prefixes.add(Hash, Record.m_Tag);
+}
+
+void TrafficCore::on(const ports::UsageSeen &Event) {
+  m_Limiter.othersUsed(Event.m_Others);
+}
+
+void TrafficCore::on(const TrafficTick & /*Event*/) {
+  for (auto It = m_AbandonedClaims.begin(); It != m_AbandonedClaims.end();) {
+    // Without a verdict the claim stays taken, which is the safe side.
+    if (It->second.m_Expires <= m_Now)
+      It = m_AbandonedClaims.erase(It);
+    else
+      ++It;
+  }
+  if (m_Now - m_ReportedAt >= m_Settings.m_ReportPeriod)
+    report();
+}
+
+void TrafficCore::on(const TrafficStopWanted & /*Event*/) { m_Stopping = true; }
+
+void TrafficCore::report() {
+  m_ReportedAt = m_Now;
+  ports::TrafficSeen Seen{m_Demand.take(), m_Limiter.takeUsage()};
+  if (!Seen.m_Demand.empty() || !Seen.m_Usage.empty())
+    m_Out->push_back(std::move(Seen));
+}
+
+void TrafficCore::setDue(LiveRequest &Live, model::TimePoint When) {
+  model::RequestId Id = Live.m_Request.m_Id;
+  m_Timers.erase({Live.m_Due, Id});
+  Live.m_Due = When;
+  m_Timers.insert({When, Id});
+}
+
+void TrafficCore::runTimers() {
+  while (!m_Timers.empty() && m_Timers.begin()->first <= m_Now) {
+    auto Found = m_Live.find(m_Timers.begin()->second);
+    m_Timers.erase(m_Timers.begin());
+    if (Found != m_Live.end())
+      timerDue(Found->second);
+  }
+}
+
+void TrafficCore::timerDue(LiveRequest &Live) {
+  if (Live.m_Answered) {
+    // The outcome stays unknown: the claim is left taken.
+    cancelAttempt(Live);
+    forget(Live);
+    return;
+  }
+  if (Live.m_Phase == RequestPhase::AwaitingClaim) {
+    m_AbandonedClaims[Live.m_Request.m_Id] = {Live.m_KeyHash,
+                                              m_Now + ClaimPatience};
+    refuse(Live,
+           notRun(model::RefusalReason::ClaimStoreDown,
+                  "the claim was not recorded inside the window", ShortRetry));
+    return;
+  }
+  if (Live.m_Phase == RequestPhase::Queued) {
+    refuse(Live, {model::RefusalReason::WindowTooShort, model::RunState::NotRun,
+                  "no endpoint had room while the window could be met",
+                  fromSeconds(predictWait(Live)) + ShortRetry});
+    return;
+  }
+  model::Refusal Refusal{
+      model::RefusalReason::DeadlinePassed, model::RunState::Unknown,
+      "the window passed before the answer was whole", model::Duration(0)};
+  if (!Live.m_Claimed) {
+    cancelAttempt(Live);
+    refuse(Live, Refusal);
+    return;
+  }
+  // Answered now, but the run goes on so that its outcome is recorded.
+  model::RequestId Id = Live.m_Request.m_Id;
+  Refusal.m_RunState =
+      Live.m_Ran ? model::RunState::Ran : model::RunState::Unknown;
+  logEnd(Live, "refuse", Refusal);
+  ++m_Counts.m_Refused;
+  if (Live.m_HeadRelayed)
+    m_Out->push_back(BreakAnswer{Id, Refusal});
+  else
+    m_Out->push_back(RefuseRequest{Id, Refusal});
+  Live.m_Answered = true;
+  setDue(Live, Live.m_Request.m_Deadline + m_Settings.m_OutcomeGrace);
+}
+
+void TrafficCore::refuse(LiveRequest &Live, model::Refusal Refusal) {
+  model::RequestId Id = Live.m_Request.m_Id;
+  if (Live.m_Ran)
+    Refusal.m_RunState = model::RunState::Ran;
+  else if (Live.m_MayHaveRun)
+    Refusal.m_RunState = model::RunState::Unknown;
+  else
+    releaseClaim(Live);
+  if (!Live.m_Answered) {
+    logEnd(Live, Live.m_HeadRelayed ? "break" : "refuse", Refusal);
+    if (!Live.m_Request.m_Forwarded)
+      m_Demand.refused(Live.m_Lane.m_Artifact);
+    if (Live.m_HeadRelayed) {
+      ++m_Counts.m_Broken;
+      m_Out->push_back(BreakAnswer{Id, Refusal});
+    } else {
+      ++m_Counts.m_Refused;
+      m_Out->push_back(RefuseRequest{Id, Refusal});
+    }
+  }
+  forget(Live);
+}
+
+void TrafficCore::refuseUnknown(const LiveRequest &Live,
+                                const model::Refusal &Refusal) {
+  ++m_Counts.m_Refused;
+  logEnd(Live, "refuse", Refusal);
+  m_Out->push_back(RefuseRequest{Live.m_Request.m_Id, Refusal});
+}
+
+void TrafficCore::releaseClaim(LiveRequest &Live) {
+  if (!Live.m_Claimed || Live.m_MayHaveRun)
+    return;
+  Live.m_Claimed = false;
+  m_Out->push_back(ports::ClaimEnded{Live.m_Request.m_Id, Live.m_KeyHash,
+                                     model::ClaimState::Released, 0, ""});
+}
+
+void TrafficCore::forget(LiveRequest &Live) {
+  leaveQueue(Live);
+  if (Live.m_Metered)
+    m_Limiter.ended(Live.m_Request.m_Caller,
+                    Live.m_Tokens + Live.m_Request.m_PromptTokens *
+                                        (Live.m_Tries > 0 ? 1 : 0));
+  m_Timers.erase({Live.m_Due, Live.m_Request.m_Id});
+  m_Live.erase(Live.m_Request.m_Id);
+}
+
+void TrafficCore::noteEmpty() {
+  if (!m_Stopping || m_ToldEmpty || !m_Live.empty() ||
+      !m_AbandonedClaims.empty())
+    return;
+  m_ToldEmpty = true;
+  report();
+  m_Out->push_back(TrafficEmpty());
+}
+
+TrafficCore::EndpointRecord &
+TrafficCore::record(const model::EndpointId &Endpoint) {
+  auto Found = m_Endpoints.find(Endpoint);
+  if (Found != m_Endpoints.end())
+    return Found->second;
+  EndpointRecord &New =
+      m_Endpoints.emplace(Endpoint, EndpointRecord(m_Settings)).first->second;
+  if (++m_LastTag == 0)
+    ++m_LastTag;
+  New.m_Tag = m_LastTag;
+  m_Prefixes.forget(New.m_Tag);
+  return New;
+}
+
+} // namespace bronzepass::core::routing
