Codec: Follow the claim records' new fields

Claims are held by the asking node's ask number, not its request's, and a shard's record carries the shard count; the codecs wrote the old fields.

--- a/Source/Core/Adapters/Codec/MessageFields.h
+++ b/Source/Core/Adapters/Codec/MessageFields.h
@@ -55,7 +55,7 @@
     Visitor.required("askId", Value.m_AskId);
     Visitor.hash("key", Value.m_KeyHash);
     Visitor.hash("body", Value.m_BodyHash);
-    Visitor.required("request", Value.m_Request);
+    Visitor.optional("rank", Value.m_Rank);
     Visitor.micros("windowMicros", Value.m_WindowMicros);
   }
 };
@@ -72,8 +72,8 @@
 
 template <> struct Fields<ports::ClaimOutcome> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("askId", Value.m_AskId);
     Visitor.hash("key", Value.m_KeyHash);
-    Visitor.required("request", Value.m_Request);
     Visitor.required("state", Value.m_State);
     Visitor.optional("status", Value.m_Status);
     Visitor.bytes("answer", Value.m_Answer);
--- a/Source/Core/Adapters/Codec/ModelFields.h
+++ b/Source/Core/Adapters/Codec/ModelFields.h
@@ -85,7 +85,7 @@
     Visitor.hash("body", Value.m_BodyHash);
     Visitor.required("state", Value.m_State);
     Visitor.required("runner", Value.m_Runner);
-    Visitor.required("request", Value.m_Request);
+    Visitor.required("askId", Value.m_AskId);
     Visitor.required("takenAtMicros", Value.m_TakenAt);
     Visitor.optional("status", Value.m_Status);
     Visitor.bytes("answer", Value.m_Answer);
@@ -95,6 +95,7 @@
 template <> struct Fields<model::ClaimShardRecord> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("shard", Value.m_Shard);
+    Visitor.required("shardCount", Value.m_ShardCount);
     Visitor.required("writer", Value.m_Writer);
     Visitor.required("epoch", Value.m_Epoch);
     Visitor.required("sequence", Value.m_Sequence);
