--- /dev/null
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -0,0 +1,345 @@
+#include "Core/Adapters/Curl/CurlMulti.h"
+
+#include <algorithm>
+#include <cctype>
+#include <curl/curl.h>
+#include <sys/epoll.h>
+
+namespace bronzepass::core::adapters::curl {
+
+namespace {
+
+constexpr int FirstFinalStatus = 200;
+
+void initCurlOnce() {
+  static const CURLcode Done = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(Done);
+}
+
+struct EasyDeleter {
+  void operator()(CURL *Easy) const { curl_easy_cleanup(Easy); }
+};
+struct MultiDeleter {
+  void operator()(CURLM *Multi) const { curl_multi_cleanup(Multi); }
+};
+struct ListDeleter {
+  void operator()(curl_slist *List) const { curl_slist_free_all(List); }
+};
+
+/// One transfer with all that libcurl points to while it runs.
+struct Transfer {
+  uint64_t m_Id = 0;
+  std::unique_ptr<CURL, EasyDeleter> m_Easy;
+  std::unique_ptr<curl_slist, ListDeleter> m_HeaderList;
+  TransferRequest m_Request;
+  std::shared_ptr<TransferListener> m_Listener;
+  TransferHead m_Head;
+  bool m_Cancelled = false;
+  /// Without a length or chunks, the end of the body can't be told from a
+  /// broken connection.
+  bool m_Delimited = false;
+};
+
+std::string_view trimmed(std::string_view Text) {
+  constexpr std::string_view Blanks = " \t\r\n";
+  const size_t First = Text.find_first_not_of(Blanks);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Blanks) - First + 1);
+}
+
+void addHeaderLine(TransferHead &Head, std::string_view Line) {
+  const size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos)
+    return;
+  std::string Name(Line.substr(0, Colon));
+  std::transform(Name.begin(), Name.end(), Name.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  Head.m_Headers[Name] = std::string(trimmed(Line.substr(Colon + 1)));
+}
+
+bool isDelimited(const TransferHead &Head) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Head.m_Headers.contains("content-length") ||
+         Head.m_Headers.contains("transfer-encoding") ||
+         Head.m_Status == NoContent || Head.m_Status == NotModified;
+}
+
+std::string urlOf(const TransferRequest &Request) {
+  const bool IsV6 = Request.m_Address.m_Ip.find(':') != std::string::npos;
+  const std::string Host =
+      IsV6 ? "[" + Request.m_Address.m_Ip + "]" : Request.m_Address.m_Ip;
+  return "http://" + Host + ":" + std::to_string(Request.m_Address.m_Port) +
+         Request.m_Path;
+}
+
+size_t onHeaderLine(char *Data, size_t Size, size_t Count, void *User) {
+  Transfer &Running = *static_cast<Transfer *>(User);
+  const std::string_view Line(Data, Size * Count);
+  if (Line.substr(0, 5) == "HTTP/")
+    Running.m_Head = {};
+  if (!trimmed(Line).empty()) {
+    addHeaderLine(Running.m_Head, Line);
+    return Size * Count;
+  }
+  long Status = 0;
+  curl_easy_getinfo(Running.m_Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
+  if (Status < FirstFinalStatus || Running.m_Cancelled)
+    return Size * Count;
+  Running.m_Head.m_Status = static_cast<int>(Status);
+  Running.m_Delimited = isDelimited(Running.m_Head);
+  Running.m_Listener->onHead(Running.m_Head);
+  return Size * Count;
+}
+
+size_t onBody(char *Data, size_t Size, size_t Count, void *User) {
+  Transfer &Running = *static_cast<Transfer *>(User);
+  if (Running.m_Cancelled)
+    return 0; // libcurl closes the connection.
+  Running.m_Listener->onPiece({Data, Size * Count});
+  return Running.m_Cancelled ? 0 : Size * Count;
+}
+
+} // namespace
+
+class CurlMulti::Impl {
+public:
+  Impl(net::EventLoop &Loop, long MaxIdle) : m_Loop(Loop) {
+    initCurlOnce();
+    m_Multi.reset(curl_multi_init());
+    curl_multi_setopt(m_Multi.get(), CURLMOPT_SOCKETFUNCTION, onSocket);
+    curl_multi_setopt(m_Multi.get(), CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_Multi.get(), CURLMOPT_TIMERFUNCTION, onTimer);
+    curl_multi_setopt(m_Multi.get(), CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(m_Multi.get(), CURLMOPT_MAXCONNECTS, MaxIdle);
+  }
+
+  ~Impl() {
+    stopTimer();
+    for (auto &Entry : m_Transfers)
+      curl_multi_remove_handle(m_Multi.get(), Entry.second->m_Easy.get());
+    m_Transfers.clear();
+    m_Multi.reset();
+  }
+
+  uint64_t start(TransferRequest Request,
+                 std::shared_ptr<TransferListener> Listener) {
+    std::unique_ptr<Transfer> Added = std::make_unique<Transfer>();
+    Added->m_Id = m_NextId++;
+    Added->m_Request = std::move(Request);
+    Added->m_Listener = std::move(Listener);
+    Added->m_Easy.reset(curl_easy_init());
+    setOptions(*Added);
+    const uint64_t Id = Added->m_Id;
+    CURL *const Easy = Added->m_Easy.get();
+    m_Transfers[Id] = std::move(Added);
+    if (m_InCurl)
+      m_ToStart.push_back(Id);
+    else
+      curl_multi_add_handle(m_Multi.get(), Easy);
+    return Id;
+  }
+
+  void cancel(uint64_t Id) {
+    auto Found = m_Transfers.find(Id);
+    if (Found == m_Transfers.end())
+      return;
+    Found->second->m_Cancelled = true;
+    if (m_InCurl)
+      m_ToRemove.push_back(Id);
+    else
+      remove(Id);
+  }
+
+private:
+  void setOptions(Transfer &Added) {
+    CURL *const Easy = Added.m_Easy.get();
+    const TransferRequest &Request = Added.m_Request;
+    curl_easy_setopt(Easy, CURLOPT_URL, urlOf(Request).c_str());
+    curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Request.m_Method.c_str());
+    curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(Easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(Request.m_ConnectTimeout.count()));
+    curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(Request.m_Timeout.count()));
+    const long Fresh = Request.m_FreshConnection ? 1L : 0L;
+    curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, Fresh);
+    curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, Fresh);
+    setBody(Added);
+    setHeaders(Added);
+    curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, onHeaderLine);
+    curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Added);
+    curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Added);
+    curl_easy_setopt(Easy, CURLOPT_PRIVATE, &Added);
+  }
+
+  static void setBody(Transfer &Added) {
+    CURL *const Easy = Added.m_Easy.get();
+    const TransferRequest &Request = Added.m_Request;
+    if (Request.m_Method == "HEAD")
+      curl_easy_setopt(Easy, CURLOPT_NOBODY, 1L);
+    if (Request.m_Body.empty() &&
+        (Request.m_Method == "GET" || Request.m_Method == "HEAD"))
+      return;
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(Request.m_Body.size()));
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Request.m_Body.c_str());
+  }
+
+  static void setHeaders(Transfer &Added) {
+    // No "100 Continue" round trip before a long body.
+    curl_slist *List = curl_slist_append(nullptr, "Expect:");
+    for (const std::string &Header : Added.m_Request.m_Headers)
+      List = curl_slist_append(List, Header.c_str());
+    Added.m_HeaderList.reset(List);
+    curl_easy_setopt(Added.m_Easy.get(), CURLOPT_HTTPHEADER, List);
+  }
+
+  void remove(uint64_t Id) {
+    auto Found = m_Transfers.find(Id);
+    if (Found == m_Transfers.end())
+      return;
+    const std::unique_ptr<Transfer> Removed = std::move(Found->second);
+    m_Transfers.erase(Found);
+    curl_multi_remove_handle(m_Multi.get(), Removed->m_Easy.get());
+  }
+
+  static int onSocket(CURL * /*Easy*/, curl_socket_t Socket, int What,
+                      void *User, void * /*SocketUser*/) {
+    Impl &Self = *static_cast<Impl *>(User);
+    if (What == CURL_POLL_REMOVE) {
+      Self.m_Loop.unwatch(Socket);
+      return 0;
+    }
+    uint32_t Events = 0;
+    if ((What & CURL_POLL_IN) != 0)
+      Events |= EPOLLIN;
+    if ((What & CURL_POLL_OUT) != 0)
+      Events |= EPOLLOUT;
+    Self.m_Loop.watch(Socket, Events, [&Self, Socket](uint32_t Seen) {
+      int Action = 0;
+      if ((Seen & (EPOLLIN | EPOLLHUP)) != 0)
+        Action |= CURL_CSELECT_IN;
+      if ((Seen & EPOLLOUT) != 0)
+        Action |= CURL_CSELECT_OUT;
+      if ((Seen & EPOLLERR) != 0)
+        Action |= CURL_CSELECT_ERR;
+      Self.act(Socket, Action);
+    });
+    return 0;
+  }
+
+  static int onTimer(CURLM * /*Multi*/, long Millis, void *User) {
+    Impl &Self = *static_cast<Impl *>(User);
+    Self.stopTimer();
+    if (Millis < 0)
+      return 0;
+    Self.m_TimerRuns = true;
+    Self.m_Timer =
+        Self.m_Loop.runAfter(std::chrono::milliseconds(Millis), [&Self] {
+          Self.m_TimerRuns = false;
+          Self.act(CURL_SOCKET_TIMEOUT, 0);
+        });
+    return 0;
+  }
+
+  void stopTimer() {
+    if (m_TimerRuns)
+      m_Loop.cancel(m_Timer);
+    m_TimerRuns = false;
+  }
+
+  void act(curl_socket_t Socket, int Action) {
+    int Running = 0;
+    m_InCurl = true;
+    curl_multi_socket_action(m_Multi.get(), Socket, Action, &Running);
+    m_InCurl = false;
+    takeFinished();
+    runPostponed();
+  }
+
+  void takeFinished() {
+    int Left = 0;
+    while (CURLMsg *Message = curl_multi_info_read(m_Multi.get(), &Left)) {
+      if (Message->msg != CURLMSG_DONE)
+        continue;
+      char *Private = nullptr;
+      curl_easy_getinfo(Message->easy_handle, CURLINFO_PRIVATE, &Private);
+      // NOLINTNEXTLINE(bugprone-casting-through-void): set by setOptions().
+      finish(*static_cast<Transfer *>(static_cast<void *>(Private)),
+             Message->data.result);
+    }
+  }
+
+  void finish(Transfer &Ended, CURLcode Code) {
+    const TransferResult Result = resultOf(Ended, Code);
+    const std::shared_ptr<TransferListener> Listener = Ended.m_Listener;
+    const bool Cancelled = Ended.m_Cancelled;
+    remove(Ended.m_Id);
+    if (!Cancelled)
+      Listener->onDone(Result);
+  }
+
+  static TransferResult resultOf(const Transfer &Ended, CURLcode Code) {
+    CURL *const Easy = Ended.m_Easy.get();
+    long Sent = 0;
+    long Connects = 0;
+    curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &Sent);
+    curl_easy_getinfo(Easy, CURLINFO_NUM_CONNECTS, &Connects);
+    TransferResult Result;
+    Result.m_Whole = Code == CURLE_OK && Ended.m_Delimited;
+    Result.m_BytesSent = static_cast<uint64_t>(Sent);
+    Result.m_Connects = static_cast<uint32_t>(Connects);
+    Result.m_Refused = Code == CURLE_COULDNT_CONNECT;
+    Result.m_TimedOut = Code == CURLE_OPERATION_TIMEDOUT;
+    if (Code != CURLE_OK)
+      Result.m_Error = curl_easy_strerror(Code);
+    else if (!Ended.m_Delimited)
+      Result.m_Error = "the answer has neither a length nor chunks";
+    return Result;
+  }
+
+  /// libcurl refuses changes from inside its own callbacks.
+  void runPostponed() {
+    const std::vector<uint64_t> ToRemove = std::move(m_ToRemove);
+    m_ToRemove.clear();
+    for (const uint64_t Id : ToRemove)
+      remove(Id);
+    const std::vector<uint64_t> ToStart = std::move(m_ToStart);
+    m_ToStart.clear();
+    for (const uint64_t Id : ToStart) {
+      auto Found = m_Transfers.find(Id);
+      if (Found != m_Transfers.end())
+        curl_multi_add_handle(m_Multi.get(), Found->second->m_Easy.get());
+    }
+  }
+
+  net::EventLoop &m_Loop;
+  std::unique_ptr<CURLM, MultiDeleter> m_Multi;
+  std::unordered_map<uint64_t, std::unique_ptr<Transfer>> m_Transfers;
+  uint64_t m_NextId = 1;
+  bool m_InCurl = false;
+  std::vector<uint64_t> m_ToStart;
+  std::vector<uint64_t> m_ToRemove;
+  bool m_TimerRuns = false;
+  net::EventLoop::TimerId m_Timer;
+};
+
+CurlMulti::CurlMulti(net::EventLoop &Loop, long MaxIdle)
+    : m_Impl(std::make_unique<Impl>(Loop, MaxIdle)) {}
+
+CurlMulti::~CurlMulti() = default;
+
+uint64_t CurlMulti::start(TransferRequest Request,
+                          std::shared_ptr<TransferListener> Listener) {
+  return m_Impl->start(std::move(Request), std::move(Listener));
+}
+
+void CurlMulti::cancel(uint64_t Transfer) { m_Impl->cancel(Transfer); }
+
+} // namespace bronzepass::core::adapters::curl
--- /dev/null
+++ b/Source/Core/Adapters/Net/EventLoop.cpp
@@ -0,0 +1,157 @@
+#include "Core/Adapters/Net/EventLoop.h"
+
+#include <algorithm>
+#include <array>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+
+namespace bronzepass::core::adapters::net {
+
+namespace {
+
+constexpr size_t EventsPerWait = 256;
+/// Serial of the wake-up descriptor; watches count from 1.
+constexpr uint32_t WakeupSerial = 0;
+
+/// The serial tells a watch from an earlier one on the same descriptor number.
+uint64_t makeTag(int Fd, uint32_t Serial) {
+  return (static_cast<uint64_t>(Serial) << 32) | static_cast<uint32_t>(Fd);
+}
+
+} // namespace
+
+EventLoop::EventLoop()
+    : m_Epoll(::epoll_create1(EPOLL_CLOEXEC)),
+      m_Wakeup(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  epoll_event Event{};
+  Event.events = EPOLLIN;
+  Event.data.u64 = makeTag(m_Wakeup.get(), WakeupSerial);
+  ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_ADD, m_Wakeup.get(), &Event);
+}
+
+EventLoop::~EventLoop() {
+  // What tasks, timers and watchers own may post once more as it goes.
+  m_Stopping = true;
+  bool Left = true;
+  while (Left) {
+    std::vector<Task> Tasks;
+    {
+      const std::lock_guard<std::mutex> Lock(m_TaskMutex);
+      Tasks.swap(m_Tasks);
+    }
+    const std::map<TimerId, Task> Timers = std::move(m_Timers);
+    m_Timers.clear();
+    const std::unordered_map<int, std::shared_ptr<Watch>> Watches =
+        std::move(m_Watches);
+    m_Watches.clear();
+    Left = !Tasks.empty() || !Timers.empty() || !Watches.empty();
+  }
+}
+
+void EventLoop::run() {
+  std::array<epoll_event, EventsPerWait> Events{};
+  while (!m_Stopping) {
+    const int Count = ::epoll_wait(m_Epoll.get(), Events.data(), EventsPerWait,
+                                   millisToNextTimer());
+    for (int I = 0; I < Count; ++I)
+      dispatch(Events[I].data.u64, Events[I].events);
+    runDueTimers();
+  }
+}
+
+void EventLoop::stop() {
+  m_Stopping = true;
+  ::eventfd_write(m_Wakeup.get(), 1);
+}
+
+void EventLoop::post(Task Work) {
+  bool WasEmpty = false;
+  {
+    const std::lock_guard<std::mutex> Lock(m_TaskMutex);
+    WasEmpty = m_Tasks.empty();
+    m_Tasks.push_back(std::move(Work));
+  }
+  if (WasEmpty)
+    ::eventfd_write(m_Wakeup.get(), 1);
+}
+
+EventLoop::TimerId EventLoop::runAfter(std::chrono::microseconds Delay,
+                                       Task Work) {
+  const TimerId Timer{std::chrono::steady_clock::now() + Delay, m_NextTimer++};
+  m_Timers.emplace(Timer, std::move(Work));
+  return Timer;
+}
+
+void EventLoop::cancel(const TimerId &Timer) { m_Timers.erase(Timer); }
+
+void EventLoop::watch(int Fd, uint32_t Events, Watcher OnEvents) {
+  const bool Known = m_Watches.contains(Fd);
+  const uint32_t Serial = m_NextWatch++;
+  m_Watches[Fd] = std::make_shared<Watch>(Watch{Serial, std::move(OnEvents)});
+  epoll_event Event{};
+  Event.events = Events;
+  Event.data.u64 = makeTag(Fd, Serial);
+  ::epoll_ctl(m_Epoll.get(), Known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, Fd, &Event);
+}
+
+void EventLoop::rewatch(int Fd, uint32_t Events) {
+  auto Found = m_Watches.find(Fd);
+  if (Found == m_Watches.end())
+    return;
+  epoll_event Event{};
+  Event.events = Events;
+  Event.data.u64 = makeTag(Fd, Found->second->m_Serial);
+  ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_MOD, Fd, &Event);
+}
+
+void EventLoop::unwatch(int Fd) {
+  if (m_Watches.erase(Fd) != 0)
+    ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_DEL, Fd, nullptr);
+}
+
+int EventLoop::millisToNextTimer() const {
+  if (m_Timers.empty())
+    return -1;
+  const std::chrono::steady_clock::duration Left =
+      m_Timers.begin()->first.m_Due - std::chrono::steady_clock::now();
+  const std::chrono::milliseconds Wait =
+      std::chrono::ceil<std::chrono::milliseconds>(Left);
+  return static_cast<int>(std::max<int64_t>(Wait.count(), 0));
+}
+
+void EventLoop::runDueTimers() {
+  const SteadyTime Now = std::chrono::steady_clock::now();
+  while (!m_Timers.empty() && m_Timers.begin()->first.m_Due <= Now) {
+    const Task Work = std::move(m_Timers.begin()->second);
+    m_Timers.erase(m_Timers.begin());
+    Work();
+  }
+}
+
+void EventLoop::runTasks() {
+  eventfd_t Ignored = 0;
+  ::eventfd_read(m_Wakeup.get(), &Ignored);
+  std::vector<Task> Tasks;
+  {
+    const std::lock_guard<std::mutex> Lock(m_TaskMutex);
+    Tasks.swap(m_Tasks);
+  }
+  for (const Task &Work : Tasks)
+    Work();
+}
+
+void EventLoop::dispatch(uint64_t Tag, uint32_t Events) {
+  const uint32_t Serial = static_cast<uint32_t>(Tag >> 32);
+  if (Serial == WakeupSerial) {
+    runTasks();
+    return;
+  }
+  auto Found = m_Watches.find(static_cast<int>(Tag & 0xffffffff));
+  if (Found == m_Watches.end() || Found->second->m_Serial != Serial)
+    return;
+  // The watcher may remove itself while it runs.
+  const std::shared_ptr<Watch> Kept = Found->second;
+  Kept->m_OnEvents(Events);
+}
+
+} // namespace bronzepass::core::adapters::net
--- /dev/null
+++ b/Source/Core/Adapters/Net/EventLoop.h
@@ -0,0 +1,83 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_NET_EVENTLOOP_H
+#define BRONZEPASS_CORE_ADAPTERS_NET_EVENTLOOP_H
+
+#include "Core/Adapters/Net/FileDescriptor.h"
+
+#include <atomic>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace bronzepass::core::adapters::net {
+
+/// One thread's sockets, timers and tasks. post() and stop() may be called from
+/// any thread, everything else from the loop's thread (or before it runs).
+class EventLoop {
+public:
+  using Task = std::function<void()>;
+  /// Gets the epoll event bits that are set.
+  using Watcher = std::function<void(uint32_t Events)>;
+  using SteadyTime = std::chrono::steady_clock::time_point;
+
+  struct TimerId {
+    SteadyTime m_Due;
+    uint64_t m_Serial = 0;
+
+    friend auto operator<=>(const TimerId &, const TimerId &) = default;
+  };
+
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+
+  /// Runs until stop(); tasks posted before it are run first.
+  void run();
+  void stop();
+  /// Runs \p Work on the loop's thread, in order of posting.
+  void post(Task Work);
+
+  TimerId runAfter(std::chrono::microseconds Delay, Task Work);
+  /// Does nothing where the timer has run already.
+  void cancel(const TimerId &Timer);
+
+  /// Watches \p Fd for \p Events (epoll bits, level-triggered); a second call
+  /// replaces the first. unwatch() it before it is closed.
+  void watch(int Fd, uint32_t Events, Watcher OnEvents);
+  /// Changes the bits alone.
+  void rewatch(int Fd, uint32_t Events);
+  void unwatch(int Fd);
+
+private:
+  struct Watch {
+    uint32_t m_Serial = 0;
+    Watcher m_OnEvents;
+  };
+
+  int millisToNextTimer() const;
+  void runDueTimers();
+  void runTasks();
+  void dispatch(uint64_t Tag, uint32_t Events);
+
+  FileDescriptor m_Epoll;
+  FileDescriptor m_Wakeup;
+  std::atomic<bool> m_Stopping = false;
+
+  std::mutex m_TaskMutex;
+  std::vector<Task> m_Tasks;
+
+  std::map<TimerId, Task> m_Timers;
+  uint64_t m_NextTimer = 1;
+  std::unordered_map<int, std::shared_ptr<Watch>> m_Watches;
+  uint32_t m_NextWatch = 1;
+};
+
+} // namespace bronzepass::core::adapters::net
+
+#endif // BRONZEPASS_CORE_ADAPTERS_NET_EVENTLOOP_H
--- /dev/null
+++ b/Source/Core/Adapters/Pistache/HttpAnswer.cpp
@@ -0,0 +1,136 @@
+#include "Core/Adapters/Pistache/HttpAnswer.h"
+
+#include <array>
+#include <charconv>
+#include <pistache/http_defs.h>
+
+namespace bronzepass::core::adapters::pistache {
+
+namespace {
+
+constexpr std::string_view LineEnd = "\r\n";
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+
+std::string chunkOf(std::string_view Piece) {
+  std::array<char, 16> Digits{};
+  const std::to_chars_result Size =
+      std::to_chars(Digits.data(), Digits.data() + Digits.size(), Piece.size(),
+                    16); // Chunk sizes are hexadecimal.
+  std::string Chunk;
+  Chunk.reserve(Piece.size() + Digits.size() + 2 * LineEnd.size());
+  Chunk.append(Digits.data(), Size.ptr);
+  Chunk.append(LineEnd).append(Piece).append(LineEnd);
+  return Chunk;
+}
+
+} // namespace
+
+const char *reasonPhrase(int Status) {
+  return Pistache::Http::codeString(static_cast<Pistache::Http::Code>(Status));
+}
+
+HttpAnswer::HttpAnswer(std::shared_ptr<HttpConnection> Connection, bool Http11,
+                       bool KeepAlive, bool HeadOnly)
+    : m_Connection(std::move(Connection)), m_Http11(Http11),
+      m_KeepAlive(KeepAlive), m_HeadOnly(HeadOnly) {}
+
+HttpAnswer::~HttpAnswer() {
+  if (m_Ended)
+    return;
+  // The last owner may be on any thread.
+  const std::shared_ptr<HttpConnection> Connection = std::move(m_Connection);
+  Connection->loop().post([Connection] { Connection->cut(); });
+}
+
+void HttpAnswer::onGone(std::function<void()> OnGone) {
+  m_Attached = true;
+  m_Connection->startAnswer(std::move(OnGone));
+}
+
+void HttpAnswer::attach() {
+  if (!m_Attached)
+    onGone(nullptr);
+}
+
+std::string HttpAnswer::head(int Status, const std::vector<HttpHeader> &Headers,
+                             std::optional<uint64_t> ContentLength) const {
+  std::string Text = "HTTP/1.1 " + std::to_string(Status) + " " +
+                     reasonPhrase(Status) + "\r\n";
+  for (const HttpHeader &Header : Headers)
+    Text += Header.m_Name + ": " + Header.m_Value + "\r\n";
+  if (ContentLength)
+    Text += "Content-Length: " + std::to_string(*ContentLength) + "\r\n";
+  if (m_Chunked)
+    Text += "Transfer-Encoding: chunked\r\n";
+  Text += m_KeepAlive ? "Connection: keep-alive\r\n" : "Connection: close\r\n";
+  return Text + "\r\n";
+}
+
+void HttpAnswer::send(const HttpReply &Reply) {
+  if (m_Begun)
+    return;
+  m_Begun = true;
+  attach();
+  m_KeepAlive = m_KeepAlive && !Reply.m_Close;
+  std::vector<HttpHeader> Headers = Reply.m_Headers;
+  Headers.push_back({"Content-Type", Reply.m_ContentType});
+  std::string Text = head(Reply.m_Status, Headers, Reply.m_Body.size());
+  if (!m_HeadOnly)
+    Text += Reply.m_Body;
+  // Before the last byte: the caller's next request may be here at once.
+  if (m_KeepAlive)
+    m_Connection->setBusy(false);
+  m_Connection->write(Text);
+  finish();
+}
+
+void HttpAnswer::begin(int Status, const std::vector<HttpHeader> &Headers,
+                       std::optional<uint64_t> ContentLength) {
+  if (m_Begun)
+    return;
+  m_Begun = true;
+  attach();
+  m_Chunked = !ContentLength && m_Http11;
+  m_KeepAlive = m_KeepAlive && (ContentLength || m_Chunked);
+  m_Connection->write(head(Status, Headers, ContentLength));
+}
+
+bool HttpAnswer::write(std::string_view Piece) {
+  if (m_Ended)
+    return false;
+  // An empty chunk would end the answer.
+  if (Piece.empty() || m_HeadOnly)
+    return m_Connection->isOpen();
+  return m_Connection->write(m_Chunked ? chunkOf(Piece) : std::string(Piece));
+}
+
+void HttpAnswer::end() {
+  if (m_Ended)
+    return;
+  if (m_KeepAlive)
+    m_Connection->setBusy(false);
+  if (m_Chunked && !m_HeadOnly)
+    m_Connection->write(LastChunk);
+  finish();
+}
+
+void HttpAnswer::finish() {
+  m_Ended = true;
+  if (!m_KeepAlive) {
+    m_Connection->setDiscarding();
+    m_Connection->setBusy(false);
+  }
+  m_Connection->endAnswer(!m_KeepAlive);
+}
+
+void HttpAnswer::abort() {
+  if (m_Ended)
+    return;
+  m_Ended = true;
+  m_Connection->setDiscarding();
+  m_Connection->setBusy(false);
+  m_Connection->startAnswer(nullptr);
+  m_Connection->cut();
+}
+
+} // namespace bronzepass::core::adapters::pistache
--- /dev/null
+++ b/Source/Core/Adapters/Pistache/HttpAnswer.h
@@ -0,0 +1,69 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_PISTACHE_HTTPANSWER_H
+#define BRONZEPASS_CORE_ADAPTERS_PISTACHE_HTTPANSWER_H
+
+#include "Core/Adapters/Pistache/HttpConnection.h"
+#include "Core/Adapters/Pistache/HttpMessage.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace bronzepass::core::adapters::pistache {
+
+/// The answer to one request, whole or in pieces. It writes to the connection
+/// that the request came on and to no other, and never after its own end. Used
+/// on the loop's thread; dropped before its end, it breaks the connection.
+class HttpAnswer {
+public:
+  HttpAnswer(std::shared_ptr<HttpConnection> Connection, bool Http11,
+             bool KeepAlive, bool HeadOnly);
+  ~HttpAnswer();
+  HttpAnswer(const HttpAnswer &) = delete;
+  HttpAnswer &operator=(const HttpAnswer &) = delete;
+
+  /// Calls \p OnGone once if the caller leaves, or is cut, before the end.
+  /// \p OnGone runs at once where it has left already.
+  void onGone(std::function<void()> OnGone);
+
+  /// The whole answer at once.
+  void send(const HttpReply &Reply);
+
+  /// Starts an answer in pieces. Without \p ContentLength it is chunked (or,
+  /// for HTTP/1.0, ended by the connection's end).
+  void begin(int Status, const std::vector<HttpHeader> &Headers,
+             std::optional<uint64_t> ContentLength);
+  /// False where the caller is gone.
+  bool write(std::string_view Piece);
+  /// Ends it cleanly.
+  void end();
+  /// Ends it so that the caller can tell that it is not whole.
+  void abort();
+
+  bool hasBegun() const { return m_Begun; }
+  bool hasEnded() const { return m_Ended; }
+  net::EventLoop &loop() { return m_Connection->loop(); }
+
+private:
+  std::string head(int Status, const std::vector<HttpHeader> &Headers,
+                   std::optional<uint64_t> ContentLength) const;
+  void attach();
+  void finish();
+
+  std::shared_ptr<HttpConnection> m_Connection;
+  bool m_Http11;
+  bool m_KeepAlive;
+  bool m_HeadOnly;
+  bool m_Attached = false;
+  bool m_Chunked = false;
+  bool m_Begun = false;
+  bool m_Ended = false;
+};
+
+/// "Not Found" for 404; "Unknown" where there is no standard phrase.
+const char *reasonPhrase(int Status);
+
+} // namespace bronzepass::core::adapters::pistache
+
+#endif // BRONZEPASS_CORE_ADAPTERS_PISTACHE_HTTPANSWER_H
--- /dev/null
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -0,0 +1,156 @@
+#include "Core/Adapters/Pistache/HttpConnection.h"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+namespace bronzepass::core::adapters::pistache {
+
+namespace {
+
+/// How long a caller may take to read the last answer before a forced close.
+constexpr std::chrono::milliseconds LingerTime = std::chrono::seconds(2);
+
+} // namespace
+
+HttpConnection::HttpConnection(net::EventLoop &Loop, int PeerFd,
+                               ConnectionLimits Limits)
+    : m_Loop(Loop), m_Fd(::fcntl(PeerFd, F_DUPFD_CLOEXEC, 0)),
+      m_Limits(Limits) {
+  const int On = 1;
+  ::setsockopt(m_Fd.get(), IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+}
+
+HttpConnection::~HttpConnection() = default;
+
+void HttpConnection::startAnswer(std::function<void()> OnGone) {
+  open();
+  stopTimer();
+  if (!m_Open) {
+    if (OnGone)
+      OnGone();
+    return;
+  }
+  m_OnGone = std::move(OnGone);
+}
+
+void HttpConnection::open() {
+  if (m_WasOpened || !m_Fd.valid())
+    return;
+  m_WasOpened = true;
+  m_Open = true;
+  const std::shared_ptr<HttpConnection> Self = shared_from_this();
+  m_Loop.watch(m_Fd.get(), EPOLLRDHUP,
+               [Self](uint32_t Events) { Self->onEvents(Events); });
+}
+
+void HttpConnection::close() {
+  if (!m_Open)
+    return;
+  m_Open = false;
+  stopTimer();
+  m_Pending.clear();
+  m_Loop.unwatch(m_Fd.get());
+  // Pistache holds the other descriptor: it sees the end and closes its own.
+  ::shutdown(m_Fd.get(), SHUT_RDWR);
+  m_Fd.reset();
+  const std::function<void()> OnGone = std::move(m_OnGone);
+  m_OnGone = nullptr;
+  if (OnGone)
+    OnGone();
+}
+
+void HttpConnection::onEvents(uint32_t Events) {
+  if ((Events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+    close();
+    return;
+  }
+  if ((Events & EPOLLOUT) != 0)
+    flush();
+}
+
+bool HttpConnection::write(std::string_view Bytes) {
+  if (!m_Open)
+    return false;
+  if (m_Pending.empty()) {
+    const ssize_t Sent = ::send(m_Fd.get(), Bytes.data(), Bytes.size(),
+                                MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (Sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+      close();
+      return false;
+    }
+    Bytes.remove_prefix(Sent > 0 ? static_cast<size_t>(Sent) : 0);
+    if (Bytes.empty())
+      return true;
+  }
+  if (m_Pending.size() + Bytes.size() > m_Limits.m_BufferBytes) {
+    close();
+    return false;
+  }
+  m_Pending.append(Bytes);
+  updateWatch();
+  return true;
+}
+
+void HttpConnection::flush() {
+  const ssize_t Sent = ::send(m_Fd.get(), m_Pending.data(), m_Pending.size(),
+                              MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (Sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+    close();
+    return;
+  }
+  m_Pending.erase(0, Sent > 0 ? static_cast<size_t>(Sent) : 0);
+  updateWatch();
+  if (m_Pending.empty() && m_CloseWhenSent)
+    finishSending();
+}
+
+void HttpConnection::updateWatch() {
+  const uint32_t Events =
+      m_Pending.empty() ? EPOLLRDHUP : (EPOLLRDHUP | EPOLLOUT);
+  m_Loop.rewatch(m_Fd.get(), Events);
+}
+
+void HttpConnection::endAnswer(bool Close) {
+  m_OnGone = nullptr;
+  if (!m_Open)
+    return;
+  m_CloseWhenSent = Close;
+  startTimer(Close ? LingerTime : m_Limits.m_KeepAlive);
+  if (Close && m_Pending.empty())
+    finishSending();
+}
+
+void HttpConnection::finishSending() {
+  // A close with unread input would reset the connection and could take the
+  // answer with it: end our side, and wait for the caller or the timer.
+  ::shutdown(m_Fd.get(), SHUT_WR);
+}
+
+void HttpConnection::cut() { close(); }
+
+void HttpConnection::startTimer(std::chrono::milliseconds Delay) {
+  stopTimer();
+  m_TimerRuns = true;
+  const std::weak_ptr<HttpConnection> Weak = weak_from_this();
+  m_Timer = m_Loop.runAfter(Delay, [Weak] {
+    const std::shared_ptr<HttpConnection> Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->m_TimerRuns = false;
+    // A request that is being handed over keeps the connection.
+    if (!Self->m_Busy)
+      Self->close();
+  });
+}
+
+void HttpConnection::stopTimer() {
+  if (m_TimerRuns)
+    m_Loop.cancel(m_Timer);
+  m_TimerRuns = false;
+}
+
+} // namespace bronzepass::core::adapters::pistache
--- /dev/null
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -0,0 +1,86 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_PISTACHE_HTTPCONNECTION_H
+#define BRONZEPASS_CORE_ADAPTERS_PISTACHE_HTTPCONNECTION_H
+
+#include "Core/Adapters/Net/EventLoop.h"
+#include "Core/Adapters/Net/FileDescriptor.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace bronzepass::core::adapters::pistache {
+
+/// What one connection may hold and how long it may idle.
+struct ConnectionLimits {
+  /// Bytes of answers that a caller has not taken yet; past it, it is cut.
+  size_t m_BufferBytes = 1 << 20;
+  /// From the end of an answer to the next request.
+  std::chrono::milliseconds m_KeepAlive = std::chrono::seconds(60);
+};
+
+/// The writing side of one connection to a Pistache server, on a duplicate of
+/// its descriptor: Pistache queues answers by descriptor number, which the
+/// kernel may have given to another caller by then; a duplicate goes on naming
+/// this connection. All but the constructor, busy and discard flags belong to
+/// the loop's thread.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+public:
+  /// Duplicates \p PeerFd; called on the reactor's thread that owns it.
+  HttpConnection(net::EventLoop &Loop, int PeerFd, ConnectionLimits Limits);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection &) = delete;
+  HttpConnection &operator=(const HttpConnection &) = delete;
+
+  /// A request has been read; \p OnGone is called once if the caller leaves
+  /// before endAnswer().
+  void startAnswer(std::function<void()> OnGone);
+  /// Sends or keeps the bytes; false where the connection is gone, or was cut
+  /// because its caller reads too slowly.
+  bool write(std::string_view Bytes);
+  /// The answer has been written; the connection idles or, with \p Close,
+  /// ends once all is sent.
+  void endAnswer(bool Close);
+  /// Ends it visibly: what is kept is dropped, nothing is ended cleanly.
+  void cut();
+  bool isOpen() const { return m_Open; }
+  net::EventLoop &loop() { return m_Loop; }
+
+  /// A request is being answered: what comes in is a pipelined one.
+  bool isBusy() const { return m_Busy; }
+  void setBusy(bool Busy) { m_Busy = Busy; }
+  /// What still comes in is thrown away: the last answer told why.
+  bool isDiscarding() const { return m_Discarding; }
+  void setDiscarding() { m_Discarding = true; }
+
+private:
+  void open();
+  void close();
+  void onEvents(uint32_t Events);
+  void flush();
+  void updateWatch();
+  void finishSending();
+  void startTimer(std::chrono::milliseconds Delay);
+  void stopTimer();
+
+  net::EventLoop &m_Loop;
+  net::FileDescriptor m_Fd;
+  ConnectionLimits m_Limits;
+  std::atomic<bool> m_Busy = false;
+  std::atomic<bool> m_Discarding = false;
+
+  bool m_Open = false;
+  bool m_WasOpened = false;
+  bool m_CloseWhenSent = false;
+  std::string m_Pending;
+  std::function<void()> m_OnGone;
+  bool m_TimerRuns = false;
+  net::EventLoop::TimerId m_Timer;
+};
+
+} // namespace bronzepass::core::adapters::pistache
+
+#endif // BRONZEPASS_CORE_ADAPTERS_PISTACHE_HTTPCONNECTION_H
--- /dev/null
+++ b/Source/Core/Adapters/Pistache/HttpMessage.h
@@ -0,0 +1,61 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_PISTACHE_HTTPMESSAGE_H
+#define BRONZEPASS_CORE_ADAPTERS_PISTACHE_HTTPMESSAGE_H
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bronzepass::core::adapters::pistache {
+
+/// One request, read whole.
+struct HttpRequest {
+  /// "GET", "POST", ...
+  std::string m_Method;
+  /// Without the query.
+  std::string m_Path;
+  std::map<std::string, std::string> m_Query;
+  /// By lower-case name.
+  std::map<std::string, std::string> m_Headers;
+  std::string m_Body;
+  /// IP number of the other end.
+  std::string m_PeerIp;
+
+  /// Empty where there is no such header; \p LowerName in lower case.
+  std::string header(const std::string &LowerName) const {
+    auto Found = m_Headers.find(LowerName);
+    return Found == m_Headers.end() ? std::string() : Found->second;
+  }
+
+  /// Empty where there is no such query parameter.
+  std::string query(const std::string &Name) const {
+    auto Found = m_Query.find(Name);
+    return Found == m_Query.end() ? std::string() : Found->second;
+  }
+
+  friend bool operator==(const HttpRequest &, const HttpRequest &) = default;
+};
+
+struct HttpHeader {
+  std::string m_Name;
+  std::string m_Value;
+
+  friend auto operator<=>(const HttpHeader &, const HttpHeader &) = default;
+};
+
+/// A whole answer.
+struct HttpReply {
+  int m_Status = 200;
+  std::string m_Body;
+  std::string m_ContentType = "application/json";
+  std::vector<HttpHeader> m_Headers;
+  /// Close the connection behind it.
+  bool m_Close = false;
+
+  friend bool operator==(const HttpReply &, const HttpReply &) = default;
+};
+
+} // namespace bronzepass::core::adapters::pistache
+
+#endif // BRONZEPASS_CORE_ADAPTERS_PISTACHE_HTTPMESSAGE_H
--- /dev/null
+++ b/Source/Core/Adapters/Traffic/Attempt.cpp
@@ -0,0 +1,114 @@
+#include "Core/Adapters/Traffic/Attempt.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace bronzepass::core::adapters::traffic {
+
+namespace {
+
+constexpr int ServiceUnavailable = 503;
+constexpr std::string_view TerminalMarker = "data: [DONE]";
+constexpr std::string_view EventEnd = "\n\n";
+/// Enough for the marker with either kind of line end behind it.
+constexpr size_t TailBytes = 32;
+
+std::optional<uint64_t> numberOf(const std::string &Text) {
+  uint64_t Value = 0;
+  const std::from_chars_result Result =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Text.empty() || Result.ec != std::errc() ||
+      Result.ptr != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
+
+std::optional<routing::LoadHint> loadOf(const curl::TransferHead &Head) {
+  const std::optional<uint64_t> Running =
+      numberOf(Head.header("bronzepass-running"));
+  const std::optional<uint64_t> Waiting =
+      numberOf(Head.header("bronzepass-waiting"));
+  if (!Running || !Waiting)
+    return std::nullopt;
+  return routing::LoadHint{static_cast<uint32_t>(*Running),
+                           static_cast<uint32_t>(*Waiting)};
+}
+
+uint32_t countEvents(std::string_view Piece) {
+  uint32_t Count = 0;
+  for (size_t At = Piece.find(EventEnd); At != std::string_view::npos;
+       At = Piece.find(EventEnd, At + EventEnd.size()))
+    ++Count;
+  return Count;
+}
+
+} // namespace
+
+std::optional<routing::AttemptHead>
+Attempt::takeHead(const curl::TransferHead &Head) {
+  m_Head = Head;
+  m_HasHead = true;
+  m_Declined = Head.m_Status == ServiceUnavailable &&
+               Head.header("bronzepass-run-state") == "not_run";
+  if (m_Declined)
+    return std::nullopt;
+  m_IsStream = Head.header("content-type").rfind("text/event-stream", 0) == 0;
+  m_Unusable = !resumesWhereAsked();
+  if (m_Unusable)
+    return std::nullopt;
+  return routing::AttemptHead{
+      m_Start.m_Attempt, static_cast<uint16_t>(Head.m_Status), loadOf(Head)};
+}
+
+bool Attempt::resumesWhereAsked() const {
+  if (m_Start.m_ResumeOffset == 0)
+    return true;
+  return numberOf(m_Head.header("bronzepass-resume-offset")) ==
+         m_Start.m_ResumeOffset;
+}
+
+std::optional<routing::AttemptChunk>
+Attempt::takePiece(std::string_view Piece) {
+  if (m_Declined || m_Unusable)
+    return std::nullopt;
+  const routing::AttemptChunk Chunk{m_Start.m_Attempt, m_Offset, Piece.size(),
+                                    m_IsStream ? countEvents(Piece) : 0};
+  m_Offset += Piece.size();
+  m_Tail.append(Piece.substr(Piece.size() - std::min(Piece.size(), TailBytes)));
+  if (m_Tail.size() > TailBytes)
+    m_Tail.erase(0, m_Tail.size() - TailBytes);
+  m_KeptTooLong = m_KeptTooLong || m_Kept.size() + Piece.size() > m_KeptLimit;
+  if (m_KeptTooLong)
+    m_Kept.clear();
+  else
+    m_Kept.append(Piece);
+  return Chunk;
+}
+
+bool Attempt::hasTerminalMarker() const {
+  const size_t Last = m_Tail.find_last_not_of("\r\n");
+  if (Last == std::string::npos || Last + 1 == m_Tail.size())
+    return false;
+  return std::string_view(m_Tail).substr(0, Last + 1).ends_with(TerminalMarker);
+}
+
+routing::AttemptEnded Attempt::takeEnd(const curl::TransferResult &Result) {
+  routing::AttemptEnded Ended{m_Start.m_Attempt, routing::AttemptEnd::Broken,
+                              static_cast<uint16_t>(m_Head.m_Status), m_Kept};
+  if (m_Unusable)
+    return Ended;
+  if (m_Declined)
+    Ended.m_End = routing::AttemptEnd::Declined;
+  else if (m_HasHead && (m_IsStream ? hasTerminalMarker() : Result.m_Whole))
+    Ended.m_End = routing::AttemptEnd::Whole;
+  else if (!m_HasHead && Result.m_BytesSent == 0)
+    Ended.m_End = routing::AttemptEnd::NotSent;
+  return Ended;
+}
+
+routing::AttemptEnded Attempt::brokenEnd() const {
+  return {m_Start.m_Attempt, routing::AttemptEnd::Broken,
+          static_cast<uint16_t>(m_Head.m_Status), ""};
+}
+
+} // namespace bronzepass::core::adapters::traffic
--- /dev/null
+++ b/Source/Core/Adapters/Traffic/TrafficDriver.cpp
@@ -0,0 +1,377 @@
+#include "Core/Adapters/Traffic/TrafficDriver.h"
+
+#include "Core/Adapters/Curl/CurlMulti.h"
+#include "Core/Adapters/Net/LoopThread.h"
+#include "Core/Adapters/Pistache/ErrorReply.h"
+#include "Core/Adapters/Traffic/Attempt.h"
+#include "Core/Adapters/Traffic/AttemptRequest.h"
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+namespace bronzepass::core::adapters::traffic {
+
+namespace {
+
+/// Headers of an endpoint's answer that are not the caller's.
+bool isRelayed(const std::string &LowerName) {
+  static const std::vector<std::string> Dropped = {
+      "connection", "keep-alive",         "transfer-encoding", "content-length",
+      "date",       "bronzepass-running", "bronzepass-waiting"};
+  return std::find(Dropped.begin(), Dropped.end(), LowerName) == Dropped.end();
+}
+
+std::vector<pistache::HttpHeader>
+relayedHeaders(const curl::TransferHead &Head) {
+  std::vector<pistache::HttpHeader> Headers;
+  for (const auto &Entry : Head.m_Headers)
+    if (isRelayed(Entry.first))
+      Headers.push_back({Entry.first, Entry.second});
+  return Headers;
+}
+
+std::optional<uint64_t> contentLength(const curl::TransferHead &Head) {
+  const std::string Text = Head.header("content-length");
+  if (Text.empty())
+    return std::nullopt;
+  return std::strtoull(Text.c_str(), nullptr, 10);
+}
+
+} // namespace
+
+class TrafficDriver::Impl {
+public:
+  Impl(TrafficOptions Options, std::unique_ptr<TrafficDecider> Decider,
+       TrafficPorts Ports)
+      : m_Options(std::move(Options)), m_Decider(std::move(Decider)),
+        m_Ports(Ports),
+        m_Curl(m_Thread.loop(), m_Options.m_MaxIdleConnections) {}
+
+  ~Impl() { stop(); }
+
+  void start() {
+    scheduleTick();
+    m_Thread.start();
+  }
+
+  void stop() { m_Thread.stop(); }
+
+  net::EventLoop &loop() { return m_Thread.loop(); }
+
+  void accept(CallerRequest Request) {
+    const std::shared_ptr<CallerRequest> Shared =
+        std::make_shared<CallerRequest>(std::move(Request));
+    loop().post([this, Shared] { admit(std::move(*Shared)); });
+  }
+
+  void post(routing::TrafficEvent Event) {
+    loop().post([this, Event = std::move(Event)] { dispatch(Event); });
+  }
+
+private:
+  /// Hands one attempt's answer to the driver.
+  class Listener : public curl::TransferListener {
+  public:
+    Listener(Impl &Driver, model::AttemptId Attempt)
+        : m_Driver(Driver), m_Attempt(Attempt) {}
+
+    void onHead(const curl::TransferHead &Head) override {
+      m_Driver.onHead(m_Attempt, Head);
+    }
+    void onPiece(std::string_view Piece) override {
+      m_Driver.onPiece(m_Attempt, Piece);
+    }
+    void onDone(const curl::TransferResult &Result) override {
+      m_Driver.onDone(m_Attempt, Result);
+    }
+
+  private:
+    Impl &m_Driver;
+    model::AttemptId m_Attempt;
+  };
+
+  void scheduleTick() {
+    loop().runAfter(m_Options.m_TickPeriod, [this] {
+      dispatch(routing::TrafficTick{});
+      scheduleTick();
+    });
+  }
+
+  void admit(CallerRequest Request) {
+    const model::RequestId Id{m_NextRequest++};
+    Request.m_Request.m_Id = Id;
+    const routing::RequestArrived Arrived{Request.m_Request, Request.m_KeyHash,
+                                          Request.m_BodyHash};
+    const std::shared_ptr<pistache::HttpAnswer> Answer = Request.m_Answer;
+    m_Requests.emplace(Id, std::move(Request));
+    // The caller may have left already: the decider is to learn of its request
+    // first.
+    m_Waiting.push_back(Arrived);
+    Answer->onGone([this, Id] {
+      m_Gone.push_back(Id);
+      dispatch(routing::CallerGone{Id});
+    });
+    drain();
+  }
+
+  /// Runs the decider on \p Event and carries out what it says. An effect may
+  /// bring about further events: they wait until it is done.
+  void dispatch(const routing::TrafficEvent &Event) {
+    m_Waiting.push_back(Event);
+    drain();
+  }
+
+  void drain() {
+    if (m_Dispatching)
+      return;
+    m_Dispatching = true;
+    while (!m_Waiting.empty()) {
+      const routing::TrafficEvent Next = std::move(m_Waiting.front());
+      m_Waiting.pop_front();
+      routing::TrafficEffectList Effects;
+      m_Decider->handle(Next, m_Ports.m_Clock.now(), Effects);
+      for (const routing::TrafficEffect &Effect : Effects)
+        std::visit([this](const auto &Value) { carryOut(Value); }, Effect);
+      m_Piece = {};
+    }
+    m_Dispatching = false;
+    forgetGone();
+  }
+
+  void forgetGone() {
+    for (const model::RequestId &Id : m_Gone)
+      m_Requests.erase(Id);
+    m_Gone.clear();
+  }
+
+  CallerRequest *find(const model::RequestId &Id) {
+    auto Found = m_Requests.find(Id);
+    return Found == m_Requests.end() ? nullptr : &Found->second;
+  }
+
+  Attempt *find(const model::AttemptId &Id) {
+    auto Found = m_Attempts.find(Id);
+    return Found == m_Attempts.end() ? nullptr : Found->second.get();
+  }
+
+  // What endpoints say.
+
+  void onHead(const model::AttemptId &Id, const curl::TransferHead &Head) {
+    Attempt *const Running = find(Id);
+    if (Running == nullptr)
+      return;
+    stopTimer(*Running);
+    const std::optional<routing::AttemptHead> Event = Running->takeHead(Head);
+    if (Running->isUnusable())
+      breakAttempt(*Running);
+    else if (Event)
+      dispatch(*Event);
+  }
+
+  void onPiece(const model::AttemptId &Id, std::string_view Piece) {
+    Attempt *const Running = find(Id);
+    if (Running == nullptr) {
+      m_Ports.m_Metrics.add(ports::Metric::StaleAnswersDropped, "", 1);
+      return;
+    }
+    const std::optional<routing::AttemptChunk> Event =
+        Running->takePiece(Piece);
+    if (!Event)
+      return;
+    // Valid while this event is handled: pieces come from libcurl's callback,
+    // which never runs inside an effect.
+    m_Piece = Piece;
+    dispatch(*Event);
+  }
+
+  void onDone(const model::AttemptId &Id, const curl::TransferResult &Result) {
+    Attempt *const Running = find(Id);
+    if (Running == nullptr)
+      return;
+    stopTimer(*Running);
+    const routing::AttemptEnded Event = Running->takeEnd(Result);
+    m_Attempts.erase(Id);
+    dispatch(Event);
+  }
+
+  void breakAttempt(Attempt &Running) {
+    const routing::AttemptEnded Event = Running.brokenEnd();
+    drop(Running.start().m_Attempt);
+    dispatch(Event);
+  }
+
+  void stopTimer(Attempt &Running) {
+    if (Running.m_TimerRuns)
+      loop().cancel(Running.m_Timer);
+    Running.m_TimerRuns = false;
+  }
+
+  void drop(const model::AttemptId Id) {
+    Attempt *const Running = find(Id);
+    if (Running == nullptr)
+      return;
+    stopTimer(*Running);
+    m_Curl.cancel(Running->m_Transfer);
+    m_Attempts.erase(Id);
+  }
+
+  // What the decider wants.
+
+  void carryOut(const routing::StartAttempt &Start) {
+    const CallerRequest *const Request = find(Start.m_Request);
+    if (Request == nullptr) {
+      dispatch(routing::AttemptEnded{Start.m_Attempt,
+                                     routing::AttemptEnd::NotSent, 0, ""});
+      return;
+    }
+    const size_t Kept =
+        Request->m_Request.m_IdempotencyKey ? m_Options.m_KeptAnswerBytes : 0;
+    std::unique_ptr<Attempt> Added = std::make_unique<Attempt>(Start, Kept);
+    Added->m_Transfer =
+        m_Curl.start(attemptRequest(Start, *Request, m_Options.m_Node,
+                                    m_Ports.m_Clock.now()),
+                     std::make_shared<Listener>(*this, Start.m_Attempt));
+    startTimer(*Added);
+    m_Attempts[Start.m_Attempt] = std::move(Added);
+    m_Ports.m_Metrics.add(ports::Metric::AttemptsStarted,
+                          Start.m_Endpoint.str(), 1);
+  }
+
+  void startTimer(Attempt &Running) {
+    const routing::StartAttempt &Start = Running.start();
+    if (Start.m_FirstByteTimeout.count() == 0)
+      return;
+    const model::AttemptId Id = Start.m_Attempt;
+    Running.m_TimerRuns = true;
+    Running.m_Timer = loop().runAfter(Start.m_FirstByteTimeout,
+                                      [this, Id] { onTimeout(Id); });
+  }
+
+  void onTimeout(const model::AttemptId &Id) {
+    Attempt *const Running = find(Id);
+    if (Running == nullptr)
+      return;
+    Running->m_TimerRuns = false;
+    breakAttempt(*Running);
+  }
+
+  void carryOut(const routing::CancelAttempt &Cancel) {
+    drop(Cancel.m_Attempt);
+  }
+
+  void carryOut(const routing::RelayHead &Relay) {
+    CallerRequest *const Request = find(Relay.m_Request);
+    const Attempt *const Running = find(Relay.m_Attempt);
+    if (Request == nullptr || Running == nullptr)
+      return;
+    Request->m_Answer->begin(Running->head().m_Status,
+                             relayedHeaders(Running->head()),
+                             contentLength(Running->head()));
+  }
+
+  void carryOut(const routing::RelayChunk &Relay) {
+    CallerRequest *const Request = find(Relay.m_Request);
+    if (Request != nullptr)
+      Request->m_Answer->write(m_Piece);
+  }
+
+  void carryOut(const routing::FinishAnswer &Finish) {
+    CallerRequest *const Request = find(Finish.m_Request);
+    if (Request == nullptr)
+      return;
+    m_Ports.m_Metrics.add(ports::Metric::RequestsAnswered, "", 1);
+    Request->m_Answer->end();
+    m_Requests.erase(Finish.m_Request);
+  }
+
+  void carryOut(const routing::RefuseRequest &Refuse) {
+    CallerRequest *const Request = find(Refuse.m_Request);
+    if (Request == nullptr)
+      return;
+    m_Ports.m_Metrics.add(ports::Metric::RequestsRefused,
+                          model::toString(Refuse.m_Refusal.m_Reason), 1);
+    Request->m_Answer->send(pistache::refusalReply(Refuse.m_Refusal));
+    m_Requests.erase(Refuse.m_Request);
+  }
+
+  void carryOut(const routing::BreakAnswer &Break) {
+    CallerRequest *const Request = find(Break.m_Request);
+    if (Request == nullptr)
+      return;
+    m_Ports.m_Metrics.add(ports::Metric::RequestsRefused,
+                          model::toString(Break.m_Refusal.m_Reason), 1);
+    const std::shared_ptr<pistache::HttpAnswer> Answer = Request->m_Answer;
+    m_Requests.erase(Break.m_Request);
+    Answer->abort();
+  }
+
+  void carryOut(const routing::ReplayAnswer &Replay) {
+    CallerRequest *const Request = find(Replay.m_Request);
+    if (Request == nullptr)
+      return;
+    pistache::HttpReply Reply;
+    Reply.m_Status = Replay.m_Status;
+    Reply.m_Body = Replay.m_Answer;
+    Reply.m_Headers.push_back({"Bronzepass-Replayed", "true"});
+    m_Ports.m_Metrics.add(ports::Metric::RequestsAnswered, "replayed", 1);
+    Request->m_Answer->send(Reply);
+    m_Requests.erase(Replay.m_Request);
+  }
+
+  void carryOut(const routing::TrafficEmpty & /*Empty*/) {
+    m_Ports.m_Control.post(ports::TrafficDrained{});
+  }
+
+  void carryOut(const model::Decision &Decision) {
+    m_Ports.m_DecisionLog.write(Decision);
+  }
+
+  /// Of the kinds that go to the control core.
+  template <typename EventT> void carryOut(const EventT &Event) {
+    m_Ports.m_Control.post(Event);
+  }
+
+  TrafficOptions m_Options;
+  std::unique_ptr<TrafficDecider> m_Decider;
+  TrafficPorts m_Ports;
+  net::LoopThread m_Thread;
+  std::unordered_map<model::RequestId, CallerRequest> m_Requests;
+  std::unordered_map<model::AttemptId, std::unique_ptr<Attempt>> m_Attempts;
+  uint64_t m_NextRequest = 1;
+  std::deque<routing::TrafficEvent> m_Waiting;
+  bool m_Dispatching = false;
+  std::string_view m_Piece;
+  std::vector<model::RequestId> m_Gone;
+  curl::CurlMulti m_Curl;
+};
+
+TrafficDriver::TrafficDriver(TrafficOptions Options,
+                             std::unique_ptr<TrafficDecider> Decider,
+                             TrafficPorts Ports)
+    : m_Impl(std::make_unique<Impl>(std::move(Options), std::move(Decider),
+                                    Ports)) {}
+
+TrafficDriver::~TrafficDriver() = default;
+
+void TrafficDriver::start() { m_Impl->start(); }
+
+void TrafficDriver::stop() { m_Impl->stop(); }
+
+void TrafficDriver::accept(CallerRequest Request) {
+  m_Impl->accept(std::move(Request));
+}
+
+void TrafficDriver::post(routing::TrafficEvent Event) {
+  m_Impl->post(std::move(Event));
+}
+
+void TrafficDriver::setTable(
+    std::shared_ptr<const routing::RoutingTable> Table) {
+  m_Impl->post(routing::TableChanged{std::move(Table)});
+}
+
+net::EventLoop &TrafficDriver::loop() { return m_Impl->loop(); }
+
+} // namespace bronzepass::core::adapters::traffic
