Adapters: Reach the object API and the list of VMs over HTTP

Every call is answered once; where nothing came, by whether a byte had left. A watch ends with its first whole lines, so that it counts as one call and its news is not held back.

--- /dev/null
+++ b/Source/Core/Adapters/ObjectApi/ObjectApiClient.cpp
@@ -0,0 +1,107 @@
+#include "Core/Adapters/ObjectApi/ObjectApiClient.h"
+
+#include "Core/Adapters/ObjectApi/ObjectExchange.h"
+
+#include <memory>
+#include <utility>
+
+namespace bronzepass::core::adapters::object_api {
+
+namespace {
+
+/// Collects one call's answer.
+class CallListener : public curl::TransferListener {
+public:
+  CallListener(ports::StoreCall Call, net::EventLoop &Loop,
+               curl::CurlMulti &Curl, ports::EventSink &Sink)
+      : m_Call(std::move(Call)), m_Loop(Loop), m_Curl(Curl), m_Sink(Sink) {}
+
+  void setTransfer(uint64_t Transfer) { m_Transfer = Transfer; }
+
+  void onHead(const curl::TransferHead &Head) override {
+    m_Status = Head.m_Status;
+  }
+
+  void onPiece(std::string_view Piece) override {
+    m_Body.append(Piece);
+    const bool IsNews = m_Call.m_Verb == ports::StoreVerb::Watch &&
+                        m_Status == HttpOk && !m_Answered;
+    if (!IsNews)
+      return;
+    std::optional<ports::StoreAnswer> Answer = readWatchLines(m_Call, m_Body);
+    if (!Answer)
+      return;
+    m_Answered = true;
+    m_Sink.post(std::move(*Answer));
+    // Not from inside libcurl's own callback.
+    m_Loop.post(
+        [&Curl = m_Curl, Transfer = m_Transfer] { Curl.cancel(Transfer); });
+  }
+
+  void onDone(const curl::TransferResult &Result) override {
+    if (!m_Answered)
+      m_Sink.post(readAnswer(m_Call, m_Status, m_Body, Result));
+    m_Answered = true;
+  }
+
+private:
+  static constexpr int HttpOk = 200;
+
+  ports::StoreCall m_Call;
+  net::EventLoop &m_Loop;
+  curl::CurlMulti &m_Curl;
+  ports::EventSink &m_Sink;
+  uint64_t m_Transfer = 0;
+  int m_Status = 0;
+  std::string m_Body;
+  bool m_Answered = false;
+};
+
+class VmListListener : public curl::TransferListener {
+public:
+  explicit VmListListener(ports::EventSink &Sink) : m_Sink(Sink) {}
+
+  void onHead(const curl::TransferHead &) override {}
+  void onPiece(std::string_view Piece) override { m_Body.append(Piece); }
+  void onDone(const curl::TransferResult &Result) override {
+    if (!Result.m_Whole)
+      return;
+    std::optional<ports::VmListSeen> Seen = readVmList(m_Body);
+    if (Seen)
+      m_Sink.post(std::move(*Seen));
+  }
+
+private:
+  ports::EventSink &m_Sink;
+  std::string m_Body;
+};
+
+} // namespace
+
+ObjectApiClient::ObjectApiClient(net::EventLoop &Loop,
+                                 ObjectApiSettings Settings,
+                                 ports::EventSink &Sink)
+    : m_Loop(Loop), m_Settings(std::move(Settings)), m_Sink(Sink),
+      m_Curl(Loop, MaxIdleConnections) {}
+
+void ObjectApiClient::submit(const ports::StoreCall &Call) {
+  std::optional<curl::TransferRequest> Request = makeTransfer(Call, m_Settings);
+  if (!Request) {
+    m_Sink.post(ports::StoreAnswer{.m_Id = Call.m_Id,
+                                   .m_Status = ports::StoreStatus::Rejected});
+    return;
+  }
+  auto Listener = std::make_shared<CallListener>(Call, m_Loop, m_Curl, m_Sink);
+  m_Loop.post([this, Listener, Request = std::move(*Request)]() mutable {
+    Listener->setTransfer(m_Curl.start(std::move(Request), Listener));
+  });
+}
+
+void ObjectApiClient::refresh() {
+  m_Loop.post([this] {
+    m_Curl.start(makeVmListTransfer(m_Settings),
+                 std::make_shared<VmListListener>(m_Sink));
+  });
+}
+
+} // namespace bronzepass::core::adapters::object_api
