--- a/Source/Core/Membership/GenerationTracker.cpp
+++ b/Source/Core/Membership/GenerationTracker.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-GenerationTracker::GenerationTracker(model::NodeId Self)
+GenerationTracker::GenerationTracker(const model::NodeId &Self)
     : m_SelfHash(hashOf(Self)) {}
 
 void GenerationTracker::raise(model::Generation Generation) {
--- a/Source/Core/Membership/GenerationTracker.h
+++ b/Source/Core/Membership/GenerationTracker.h
@@ -18,7 +18,7 @@
 /// operator who waits, and a generation costs a node (nodes x links) hashes.
 class GenerationTracker {
 public:
-  explicit GenerationTracker(model::NodeId Self);
+  explicit GenerationTracker(const model::NodeId &Self);
 
   /// This node has \p Generation in force.
   void setOwn(model::Generation Generation);
--- a/Source/Core/Membership/VmListing.h
+++ b/Source/Core/Membership/VmListing.h
@@ -10,7 +10,9 @@
 namespace bronzepass::core::membership {
 
 /// The platform's list of VMs of one kind, over several readings: a VM that
-/// was listed and is missing twice in a row is gone.
+/// was listed and is missing twice in a row is gone. A reading may come from a
+/// replica that lags: one that says Live after Leaving is not believed before
+/// it is repeated, and one that lacks half of the VMs takes none away.
 class VmListing {
 public:
   explicit VmListing(model::VmKind Kind) : m_Kind(Kind) {}
@@ -27,9 +29,17 @@
   /// Readings after which a missing VM is forgotten.
   static constexpr uint32_t ListsRemembered = 1000;
 
+  /// Readings in a row that bring a leaving VM back to life.
+  static constexpr uint32_t LiveReadings = 15;
+
+  void take(const model::VmState &State);
+  void countMissing(const std::vector<model::VmState> &Vms);
+
   model::VmKind m_Kind;
   std::map<model::VmId, model::VmState> m_Vms;
   std::map<model::VmId, uint32_t> m_Missed;
+  /// Leaving VMs that were listed as live since, and how often.
+  std::map<model::VmId, uint32_t> m_LiveAgain;
 };
 
 } // namespace bronzepass::core::membership
--- /dev/null
+++ b/Source/UnitTests/Membership/DutiesTest.cpp
@@ -0,0 +1,85 @@
+#include "Core/Membership/Duties.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace bronzepass::core;
+using bronzepass::core::membership::Duties;
+
+namespace bronzepass::unit_tests::membership {
+
+namespace {
+
+std::vector<model::NodeInfo> nodes(int Count) {
+  std::vector<model::NodeInfo> Nodes;
+  for (int I = 0; I < Count; ++I)
+    Nodes.push_back({.m_Node = model::NodeId("n" + std::to_string(I)),
+                     .m_Vm = model::VmId("vm-" + std::to_string(I)),
+                     .m_Domain = model::DomainId("d" + std::to_string(I % 6)),
+                     .m_Region = model::RegionId("r" + std::to_string(I % 2))});
+  return Nodes;
+}
+
+model::EndpointSpec endpoint(int Number) {
+  model::EndpointSpec Spec;
+  Spec.m_Name = model::EndpointId("e" + std::to_string(Number));
+  Spec.m_Domain = model::DomainId("d" + std::to_string(Number % 6));
+  Spec.m_Region = model::RegionId("r" + std::to_string(Number % 2));
+  return Spec;
+}
+
+} // namespace
+
+TEST_CASE("a node that leaves moves only its own duties") {
+  const std::vector<model::NodeInfo> All = nodes(40);
+  std::vector<model::NodeInfo> Fewer = All;
+  const model::NodeId Left = Fewer[7].m_Node;
+  Fewer.erase(Fewer.begin() + 7);
+  const Duties Before(All);
+  const Duties After(Fewer);
+  for (uint32_t Shard = 0; Shard < 256; ++Shard)
+    if (Before.claimShardOwner(Shard) != Left)
+      CHECK(After.claimShardOwner(Shard) == Before.claimShardOwner(Shard));
+  for (int I = 0; I < 200; ++I) {
+    const std::vector<model::NodeId> Old = Before.pollersOf(endpoint(I));
+    if (std::find(Old.begin(), Old.end(), Left) == Old.end())
+      CHECK(After.pollersOf(endpoint(I)) == Old);
+  }
+}
+
+TEST_CASE("an engine is polled from its own failure domain and from another") {
+  const std::vector<model::NodeInfo> All = nodes(40);
+  const Duties Spread(All);
+  std::map<model::NodeId, model::NodeInfo> Infos;
+  for (const model::NodeInfo &Node : All)
+    Infos[Node.m_Node] = Node;
+  for (int I = 0; I < 100; ++I) {
+    const model::EndpointSpec Engine = endpoint(I);
+    const std::vector<model::NodeId> Pollers = Spread.pollersOf(Engine);
+    REQUIRE(Pollers.size() == 2);
+    CHECK(Infos[Pollers[0]].m_Domain == Engine.m_Domain);
+    CHECK(Infos[Pollers[1]].m_Domain != Engine.m_Domain);
+    CHECK(Infos[Pollers[1]].m_Region == Engine.m_Region);
+  }
+}
+
+TEST_CASE("without nodes beside it an engine is still polled") {
+  const Duties One({nodes(1)});
+  CHECK(One.pollersOf(endpoint(3)).size() == 1);
+  std::vector<model::NodeInfo> SameDomain = {nodes(13)[0], nodes(13)[6],
+                                             nodes(13)[12]};
+  CHECK(Duties(SameDomain).pollersOf(endpoint(0)).size() == 2);
+  CHECK(Duties(SameDomain).pollersOf(endpoint(1)).size() == 2);
+}
+
+TEST_CASE("exactly one node is first in the order for a lease") {
+  const std::vector<model::NodeInfo> All = nodes(20);
+  const Duties Spread(All);
+  std::vector<bool> Taken(All.size());
+  for (const model::NodeInfo &Node : All)
+    Taken[Spread.preferenceFor({"pool/assistants"}, Node.m_Node)] = true;
+  CHECK(std::count(Taken.begin(), Taken.end(), true) == 20);
+  CHECK(Spread.preferenceFor({"pool/a"}, model::NodeId("unknown")) == 20);
+}
+
+} // namespace bronzepass::unit_tests::membership
--- /dev/null
+++ b/Source/UnitTests/Membership/GenerationTrackerTest.cpp
@@ -0,0 +1,66 @@
+#include "Core/Membership/GenerationTracker.h"
+#include "Core/Model/Hash.h"
+
+#include <doctest/doctest.h>
+
+using namespace bronzepass::core;
+using bronzepass::core::membership::GenerationTracker;
+
+namespace bronzepass::unit_tests::membership {
+
+namespace {
+
+const model::NodeId Self("self");
+const model::NodeId Left("left");
+const model::NodeId Right("right");
+const model::NodeId Far("far");
+
+std::vector<model::NodeInfo> everyone() {
+  return {
+      {.m_Node = Self}, {.m_Node = Left}, {.m_Node = Right}, {.m_Node = Far}};
+}
+
+ports::GenerationProgress progress(uint64_t Generation,
+                                   const model::NodeId &Node) {
+  return {{Generation}, {model::stableHash(Node.str())}};
+}
+
+} // namespace
+
+TEST_CASE("those who are not known to hold the generation are named") {
+  GenerationTracker Tracker(Self);
+  Tracker.setOwn({1});
+  Tracker.heard(Left, {1});
+  Tracker.merge(Left, progress(1, Far));
+  const auto Late = Tracker.laggards({1}, everyone());
+  REQUIRE(Late.size() == 1);
+  CHECK(Late.front().m_Node == Right);
+  CHECK(Tracker.laggards({2}, everyone()).size() == 4);
+}
+
+TEST_CASE("holders of a generation do not count for the next") {
+  GenerationTracker Tracker(Self);
+  Tracker.setOwn({1});
+  Tracker.heard(Left, {1});
+  Tracker.heard(Right, {2});
+  const auto Late = Tracker.laggards({2}, everyone());
+  CHECK(Late.size() == 3);
+  Tracker.merge(Right, progress(1, Far));
+  CHECK(Tracker.laggards({2}, everyone()).size() == 3);
+}
+
+TEST_CASE("each name crosses a link once, and not back to whom it came from") {
+  GenerationTracker Tracker(Self);
+  Tracker.linkUp(Left);
+  Tracker.linkUp(Right);
+  Tracker.setOwn({1});
+  Tracker.merge(Left, progress(1, Far));
+  Tracker.merge(Right, progress(1, Far));
+  Tracker.merge(Left, progress(1, Far));
+  CHECK(Tracker.take(Left, 10).m_NodeHashes.size() == 1);
+  CHECK(Tracker.take(Right, 10).m_NodeHashes.size() == 2);
+  CHECK_FALSE(Tracker.hasNewsFor(Left));
+  CHECK_FALSE(Tracker.hasNewsFor(Right));
+}
+
+} // namespace bronzepass::unit_tests::membership
--- /dev/null
+++ b/Source/UnitTests/Membership/MembershipSystem.h
@@ -0,0 +1,88 @@
+#ifndef BRONZEPASS_UNITTESTS_MEMBERSHIP_MEMBERSHIPSYSTEM_H
+#define BRONZEPASS_UNITTESTS_MEMBERSHIP_MEMBERSHIPSYSTEM_H
+
+#include "Core/Membership/MembershipCore.h"
+#include "UnitTests/Fakes/FakeIntentReader.h"
+#include "UnitTests/Fakes/FakePeerNetwork.h"
+#include "UnitTests/Fakes/FakeStore.h"
+#include "UnitTests/Fakes/FixedRandom.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bronzepass::unit_tests::membership {
+
+/// A few real membership cores over the fakes, under virtual time.
+class MembershipSystem {
+public:
+  struct Node {
+    core::model::NodeInfo m_Info;
+    fakes::FixedRandom m_Random;
+    std::unique_ptr<core::membership::MembershipCore> m_Core;
+    uint64_t m_LastCall = 0;
+    /// Events wait while the process is paused.
+    core::model::TimePoint m_PausedUntil;
+    std::deque<core::ports::Event> m_Waiting;
+    std::vector<core::model::Decision> m_Log;
+    /// Every generation it had in force, in order.
+    std::vector<uint64_t> m_Generations;
+  };
+
+  static constexpr core::model::Duration Step = std::chrono::milliseconds(10);
+  static constexpr core::model::Duration TickPeriod =
+      std::chrono::milliseconds(50);
+
+  /// Starts a node's process on \p Vm.
+  Node &boot(const std::string &Vm, const std::string &Domain,
+             const std::string &Region = "caribbean");
+  /// Ends the process without notice.
+  void kill(const std::string &Vm);
+  void pause(const std::string &Vm, core::model::Duration Span);
+  void run(core::model::Duration Span);
+
+  /// Writes a generation to the object API as an operator does.
+  void apply(uint64_t Generation, const std::string &Text);
+
+  Node &node(const std::string &Vm) { return *m_Nodes.at(Vm); }
+  core::membership::MembershipCore &core(const std::string &Vm) {
+    return *node(Vm).m_Core;
+  }
+  bool allAt(uint64_t Generation) const;
+  /// Whether every node counts exactly the running ones as live.
+  bool allAgree() const;
+  MembershipSystem();
+
+  core::model::TimePoint now() const { return m_Now; }
+  const std::map<std::string, std::unique_ptr<Node>> &nodes() const {
+    return m_Nodes;
+  }
+  /// Gives \p Event to \p Vm's core now.
+  void give(const std::string &Vm, const core::ports::Event &Event);
+
+  fakes::FakeStore m_Store;
+  fakes::FakePeerNetwork m_Network;
+  /// What the platform's list shows; boot adds to it, kill does not remove.
+  std::map<std::string, core::model::VmState> m_VmList;
+  bool m_VmListDown = false;
+  /// May change an answer of the object API before it reaches a node.
+  std::function<void(core::ports::StoreAnswer &)> m_Tamper =
+      [](core::ports::StoreAnswer &) {};
+
+private:
+  void deliver(const core::model::NodeId &To, const core::ports::Event &Event);
+  void carryOut(Node &On, core::ports::EffectList &Effects);
+
+  core::model::TimePoint m_Now{std::chrono::seconds(1'000'000)};
+  std::map<std::string, std::unique_ptr<Node>> m_Nodes;
+  fakes::FakeIntentReader m_Reader;
+  uint64_t m_Booted = 0;
+  uint64_t m_OperatorCalls = 0;
+};
+
+} // namespace bronzepass::unit_tests::membership
+
+#endif // BRONZEPASS_UNITTESTS_MEMBERSHIP_MEMBERSHIPSYSTEM_H
