--- a/Source/Core/Adapters/Codec/ModelFields.h
+++ b/Source/Core/Adapters/Codec/ModelFields.h
@@ -27,12 +27,23 @@
   }
 };
 
+template <> struct Fields<model::IntentRevision> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("generation", Value.m_Generation);
+    Visitor.optional("author", Value.m_Author);
+    Visitor.optional("summary", Value.m_Summary);
+    Visitor.hash("text", Value.m_TextHash);
+  }
+};
+
 template <> struct Fields<model::IntentHead> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("generation", Value.m_Generation);
     Visitor.hash("parts", Value.m_PartHashes);
     Visitor.optional("author", Value.m_Author);
     Visitor.optional("summary", Value.m_Summary);
+    Visitor.hash("text", Value.m_TextHash);
+    Visitor.optional("earlier", Value.m_Earlier);
   }
 };
 
--- a/Source/Core/Cli/AllCommands.cpp
+++ b/Source/Core/Cli/AllCommands.cpp
@@ -1,5 +1,10 @@
+#include "Core/Cli/ApplyCommand.h"
 #include "Core/Cli/CheckCommand.h"
 #include "Core/Cli/CommandLine.h"
+#include "Core/Cli/DiffCommand.h"
+#include "Core/Cli/DrainCommand.h"
+#include "Core/Cli/GetCommand.h"
+#include "Core/Cli/RetireCommand.h"
 #include "Core/Cli/VersionCommand.h"
 
 namespace bronzepass::core::cli {
@@ -7,6 +12,11 @@
 std::vector<std::unique_ptr<Command>> allCommands() {
   std::vector<std::unique_ptr<Command>> Commands;
   Commands.push_back(std::make_unique<CheckCommand>());
+  Commands.push_back(std::make_unique<ApplyCommand>());
+  Commands.push_back(std::make_unique<GetCommand>());
+  Commands.push_back(std::make_unique<DiffCommand>());
+  Commands.push_back(std::make_unique<DrainCommand>());
+  Commands.push_back(std::make_unique<RetireCommand>());
   Commands.push_back(std::make_unique<VersionCommand>());
   return Commands;
 }
--- a/Source/Core/Model/IntentDocument.h
+++ b/Source/Core/Model/IntentDocument.h
@@ -19,6 +19,18 @@
   friend auto operator<=>(const IntentPart &, const IntentPart &) = default;
 };
 
+/// One earlier generation, for conflicts and `get --history`.
+struct IntentRevision {
+  Generation m_Generation;
+  std::string m_Author;
+  std::string m_Summary;
+  /// stableHash of the whole text: a writer finds its own change by it.
+  uint64_t m_TextHash = 0;
+
+  friend auto operator<=>(const IntentRevision &,
+                          const IntentRevision &) = default;
+};
+
 /// Names the parts that make up one generation. Replacing the head by a
 /// conditional update accepts the generation, whole or not at all.
 struct IntentHead {
@@ -28,6 +40,10 @@
   std::string m_Author;
   /// One line that says what changed.
   std::string m_Summary;
+  /// stableHash of the whole text.
+  uint64_t m_TextHash = 0;
+  /// The generations before it, newest first; bounded by its writer.
+  std::vector<IntentRevision> m_Earlier;
 
   friend auto operator<=>(const IntentHead &, const IntentHead &) = default;
 };
