Placement: Write the ledger before orders, and repeat them until evidence

Models have to be placed on engines without promising memory twice. The ledger of each engine is one object, claimed by conditional update when a lease is taken; an order leaves only after the revision that records it is known to be stored. Reports, answers and tokens settle orders; what may still arrive is kept as a doubt that holds its memory. A planner of copies, a load queue and demand averages come with it.

--- a/Source/Core/Model/Ledger.h
+++ b/Source/Core/Model/Ledger.h
@@ -11,6 +11,17 @@
 
 namespace bronzepass::core::model {
 
+/// An order on an artifact that may still reach the engine, besides the one
+/// recorded last: a send that was never answered, or one that a former lease
+/// holder may still make.
+struct LedgerDoubt {
+  NodeId m_Writer;
+  FencingToken m_Token;
+  OrderKind m_Kind = OrderKind::Load;
+
+  friend auto operator<=>(const LedgerDoubt &, const LedgerDoubt &) = default;
+};
+
 /// What one artifact takes, or may take, of an engine's memory.
 struct LedgerEntry {
   ArtifactId m_Artifact;
@@ -18,20 +29,40 @@
   /// The order last recorded for it, sent or not.
   OrderKind m_LastOrder = OrderKind::Load;
   OrderId m_OrderId;
+  /// Fencing token that the order carries; zero where nobody ordered it.
   FencingToken m_Token;
+  /// The node that recorded the order and may send it.
+  NodeId m_Writer;
   /// Evidence has settled the order; its memory follows the engine's report.
   bool m_Settled = false;
+  /// While any is left the memory stays promised.
+  std::vector<LedgerDoubt> m_Doubts;
 
   friend auto operator<=>(const LedgerEntry &, const LedgerEntry &) = default;
 };
 
+/// The role order last recorded for an engine.
+struct LedgerRole {
+  EngineRole m_Role = EngineRole::Mixed;
+  FencingToken m_Token;
+  bool m_Settled = true;
+
+  friend auto operator<=>(const LedgerRole &, const LedgerRole &) = default;
+};
+
 /// The memory promised on one engine, kept as one object of the object API and
 /// written by conditional update before any order leaves.
 struct EngineLedger {
   EndpointId m_Endpoint;
   uint64_t m_MemoryBytes = 0;
-  /// Token of the lease holder that wrote it last.
+  /// Token of the lease under which it was written last.
   FencingToken m_Token;
+  /// The node that wrote it last.
+  NodeId m_Writer;
+  /// Rises with every write under one token; settles a lost answer.
+  uint64_t m_Revision = 0;
+  LedgerRole m_Role;
+  /// Sorted by artifact.
   std::vector<LedgerEntry> m_Entries;
 
   friend auto operator<=>(const EngineLedger &, const EngineLedger &) = default;
--- /dev/null
+++ b/Source/Core/Placement/DemandTracker.cpp
@@ -0,0 +1,67 @@
+#include "Core/Placement/DemandTracker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bronzepass::core::placement {
+
+namespace {
+constexpr double NoDemand = 1e-6;
+/// Averages after which an artifact's demand is forgotten.
+constexpr int ForgetAfter = 40;
+} // namespace
+
+void DemandTracker::decay(DemandRate &Rate, model::TimePoint Now) const {
+  if (Now <= Rate.m_Updated)
+    return;
+  const double Spans =
+      std::chrono::duration<double>(Now - Rate.m_Updated).count() /
+      std::chrono::duration<double>(m_Average).count();
+  const double Left = std::exp(-Spans);
+  Rate.m_Arrivals *= Left;
+  Rate.m_Unserved *= Left;
+  Rate.m_Slots *= Left;
+  Rate.m_Waiting *= Left;
+  Rate.m_Updated = Now;
+}
+
+void DemandTracker::addTo(DemandRate &Rate, const model::DemandSample &Sample,
+                          model::TimePoint Now) const {
+  decay(Rate, Now);
+  const double Span = std::chrono::duration<double>(m_Average).count();
+  const double Late =
+      std::max(0.0, double(Sample.m_Arrivals) - double(Sample.m_InTime));
+  Rate.m_Arrivals += Sample.m_Arrivals / Span;
+  Rate.m_Unserved += Late / Span;
+  Rate.m_Slots += Sample.m_SlotSeconds / Span;
+  Rate.m_Waiting = std::max(Rate.m_Waiting, double(Sample.m_Waiting));
+  if (Sample.m_Arrivals > 0 || Sample.m_Waiting > 0)
+    Rate.m_LastArrival = Now;
+}
+
+void DemandTracker::add(const model::DemandSample &Sample,
+                        model::TimePoint Now) {
+  addTo(m_Rates[Sample.m_Artifact], Sample, Now);
+  if (Sample.m_Artifact.isAdapter())
+    addTo(m_Rates[Sample.m_Artifact.base()], Sample, Now);
+}
+
+DemandRate DemandTracker::rate(const model::ArtifactId &Artifact,
+                               model::TimePoint Now) const {
+  auto Found = m_Rates.find(Artifact);
+  if (Found == m_Rates.end())
+    return {};
+  DemandRate Rate = Found->second;
+  decay(Rate, Now);
+  return Rate;
+}
+
+void DemandTracker::forget(model::TimePoint Now) {
+  for (auto It = m_Rates.begin(); It != m_Rates.end();) {
+    const bool Idle = Now > It->second.m_Updated + ForgetAfter * m_Average ||
+                      It->second.m_Arrivals < NoDemand;
+    It = Idle ? m_Rates.erase(It) : std::next(It);
+  }
+}
+
+} // namespace bronzepass::core::placement
--- /dev/null
+++ b/Source/Core/Placement/FenceBook.h
@@ -0,0 +1,49 @@
+#ifndef BRONZEPASS_CORE_PLACEMENT_FENCEBOOK_H
+#define BRONZEPASS_CORE_PLACEMENT_FENCEBOOK_H
+
+#include "Core/Model/Id.h"
+#include "Core/Model/Time.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+namespace bronzepass::core::placement {
+
+/// Which former lease holders can send no order any more, and since when.
+class FenceBook {
+public:
+  /// \p Node sends nothing under a lease token below \p Token.
+  void acknowledged(const model::NodeId &Node, model::FencingToken Token,
+                    model::TimePoint Now) {
+    Fence &Known = m_Fences[Node];
+    if (Known.m_Below >= Token)
+      return;
+    Known = {Token, Now};
+  }
+
+  /// The process of \p Node has ended.
+  void gone(const model::NodeId &Node, model::TimePoint Now) {
+    acknowledged(Node, {UINT64_MAX}, Now);
+  }
+
+  /// Since when \p Node sends nothing under \p Lease; nothing where it may.
+  std::optional<model::TimePoint> since(const model::NodeId &Node,
+                                        model::FencingToken Lease) const {
+    auto Found = m_Fences.find(Node);
+    if (Found == m_Fences.end() || Found->second.m_Below <= Lease)
+      return std::nullopt;
+    return Found->second.m_At;
+  }
+
+private:
+  struct Fence {
+    model::FencingToken m_Below;
+    model::TimePoint m_At;
+  };
+  std::map<model::NodeId, Fence> m_Fences;
+};
+
+} // namespace bronzepass::core::placement
+
+#endif // BRONZEPASS_CORE_PLACEMENT_FENCEBOOK_H
--- /dev/null
+++ b/Source/Core/Placement/Planner.h
@@ -0,0 +1,98 @@
+#ifndef BRONZEPASS_CORE_PLACEMENT_PLANNER_H
+#define BRONZEPASS_CORE_PLACEMENT_PLANNER_H
+
+#include "Core/Placement/PoolState.h"
+
+#include <optional>
+#include <vector>
+
+namespace bronzepass::core::placement {
+
+/// Decides where copies go and which may go away. It queues loads and records
+/// unloads in the pool's state; its cost follows the groups that changed.
+class Planner {
+public:
+  explicit Planner(PoolState &Pool) : m_Pool(Pool) {}
+
+  /// Plans every group that is marked dirty, largest first.
+  void planDirty(model::TimePoint Now);
+  /// Weighs demand: copies for bursts, copies that are spare.
+  void reviewDemand(model::TimePoint Now);
+
+private:
+  /// An engine as a place for a copy; the lower score is the better one.
+  struct Candidate {
+    EngineIndex m_Engine = 0;
+    double m_Score = 0;
+  };
+  /// What has to leave an engine so that a copy fits.
+  struct Eviction {
+    EngineIndex m_Engine = 0;
+    /// Groups that leave; those in m_Moved have to be loaded elsewhere.
+    std::vector<model::ArtifactId> m_Spare;
+    std::vector<model::ArtifactId> m_Moved;
+  };
+
+  void planGroup(const model::ArtifactId &Base, model::TimePoint Now);
+  void planCopies(const GroupSpec &Spec, GroupState &Group,
+                  model::TimePoint Now);
+  void planAdapters(const GroupSpec &Spec, GroupState &Group,
+                    model::TimePoint Now);
+  void planAdapter(const GroupSpec &Spec, const AdapterPart &Part,
+                   GroupState &Group, model::TimePoint Now);
+  void planRemoval(const model::ArtifactId &Base, GroupState &Group,
+                   model::TimePoint Now);
+  void planLeaving(const GroupSpec &Spec, GroupState &Group,
+                   model::TimePoint Now);
+  void dropStale(const model::ArtifactId &Base, GroupState &Group,
+                 const GroupSpec *Spec, model::TimePoint Now);
+
+  /// Engines whose copy of the base counts towards the target.
+  std::vector<EngineIndex> keptEngines(const model::ArtifactId &Base,
+                                       const GroupState &Group) const;
+  std::vector<EngineIndex> queuedEngines(const model::ArtifactId &Artifact,
+                                         const GroupState &Group) const;
+  bool isApart(const GroupSpec &Spec, EngineIndex Engine) const;
+  std::vector<Candidate> candidates(const GroupSpec &Spec, uint64_t Bytes,
+                                    const std::vector<EngineIndex> &Taken,
+                                    bool NeedsRoom, model::TimePoint Now) const;
+  double score(const GroupSpec &Spec, EngineIndex Engine,
+               const std::vector<EngineIndex> &Taken) const;
+  bool placeCopy(const GroupSpec &Spec, GroupState &Group, CopyReason Reason,
+                 uint32_t MostMoves, model::TimePoint Now);
+  void queueCopy(const GroupSpec &Spec, EngineIndex Engine, CopyReason Reason,
+                 const std::vector<Candidate> &Others, model::TimePoint Now);
+  std::optional<Eviction> findRoom(const GroupSpec &Spec, uint64_t Bytes,
+                                   const std::vector<EngineIndex> &Taken,
+                                   uint32_t MostMoves,
+                                   model::TimePoint Now) const;
+  std::optional<Eviction> evictionFrom(EngineIndex Engine, int64_t Need,
+                                       uint32_t MostMoves,
+                                       model::TimePoint Now) const;
+  int64_t bytesOn(EngineIndex Engine, const model::ArtifactId &Base) const;
+  bool isSpare(const GroupSpec &Spec, const GroupState &Group) const;
+  bool fitsElsewhere(const GroupSpec &Spec, const GroupState &Group,
+                     EngineIndex Engine, int64_t Bytes,
+                     model::TimePoint Now) const;
+  void carryOut(const Eviction &Plan, model::TimePoint Now);
+  bool unloadFrom(EngineIndex Engine, const model::ArtifactId &Base,
+                  CopyReason Reason, model::TimePoint Now);
+  std::string whyItWaits(const GroupSpec &Spec, uint64_t Bytes,
+                         model::TimePoint Now) const;
+
+  void spreadLoad(model::TimePoint Now);
+  void reviewGroup(const model::ArtifactId &Base, GroupState &Group,
+                   model::TimePoint Now);
+  void weighBurst(const GroupSpec &Spec, GroupState &Group,
+                  const DemandRate &Demand, model::TimePoint Now);
+  void weighSpare(const GroupSpec &Spec, GroupState &Group,
+                  const DemandRate &Demand, model::TimePoint Now);
+
+  PoolState &m_Pool;
+  /// A moved group must not displace others in turn.
+  bool m_MakingRoom = false;
+};
+
+} // namespace bronzepass::core::placement
+
+#endif // BRONZEPASS_CORE_PLACEMENT_PLANNER_H
--- /dev/null
+++ b/Source/Core/Placement/PlannerDemand.cpp
@@ -0,0 +1,139 @@
+// Copies for bursts and their taking back: the demand half of Planner.
+#include "Core/Placement/Planner.h"
+
+#include <algorithm>
+
+namespace bronzepass::core::placement {
+
+namespace {
+
+/// Below this many late requests a second there is no burst.
+constexpr double LeastUnserved = 0.02;
+
+double seconds(model::Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+} // namespace
+
+void Planner::reviewDemand(model::TimePoint Now) {
+  m_Pool.m_Demand.forget(Now);
+  spreadLoad(Now);
+  std::vector<model::ArtifactId> Bases;
+  for (const auto &Entry : m_Pool.m_Groups)
+    Bases.push_back(Entry.first);
+  for (const model::ArtifactId &Base : Bases)
+    reviewGroup(Base, m_Pool.m_Groups.at(Base), Now);
+}
+
+void Planner::spreadLoad(model::TimePoint Now) {
+  for (EngineSlot &Slot : m_Pool.m_Engines)
+    Slot.m_Load = 0;
+  for (const auto &Entry : m_Pool.m_Groups) {
+    const std::vector<EngineIndex> Kept =
+        keptEngines(Entry.first, Entry.second);
+    if (Kept.empty())
+      continue;
+    const double Share =
+        m_Pool.m_Demand.rate(Entry.first, Now).m_Slots / double(Kept.size());
+    for (EngineIndex Engine : Kept)
+      m_Pool.m_Engines[Engine].m_Load += Share;
+  }
+}
+
+void Planner::reviewGroup(const model::ArtifactId &Base, GroupState &Group,
+                          model::TimePoint Now) {
+  const GroupSpec *Spec = m_Pool.wanted(Base);
+  const size_t Copies = keptEngines(Base, Group).size();
+  const bool Unfinished =
+      !Spec || !Group.m_Waits.empty() || !Group.m_Queue.empty() ||
+      !Group.m_LeaveEngines.empty() || Copies < Spec->m_MinCopies;
+  if (Unfinished || Copies != Group.m_Engines.size())
+    m_Pool.m_Dirty.insert(Base);
+  if (Unfinished)
+    return;
+  const DemandRate Demand = m_Pool.m_Demand.rate(Base, Now);
+  if (Demand.m_Unserved > LeastUnserved) {
+    Group.m_SpareSince.reset();
+    weighBurst(*Spec, Group, Demand, Now);
+    return;
+  }
+  weighSpare(*Spec, Group, Demand, Now);
+}
+
+void Planner::weighBurst(const GroupSpec &Spec, GroupState &Group,
+                         const DemandRate &Demand, model::TimePoint Now) {
+  const std::vector<EngineIndex> Kept = keptEngines(Spec.m_Base, Group);
+  for (EngineIndex Engine : Kept)
+    if (m_Pool.entry(Engine, Spec.m_Base)->isLoading())
+      return;
+  // Slots that a further copy could add, on the least used engine there is.
+  double MostSpare = 0;
+  for (EngineIndex I = 0; I < m_Pool.m_Engines.size(); ++I) {
+    if (!m_Pool.takesLoads(I, Now) ||
+        std::find(Kept.begin(), Kept.end(), I) != Kept.end())
+      continue;
+    const EngineSlot &Slot = m_Pool.m_Engines[I];
+    const double Spare =
+        Slot.m_Book.engine().m_Slots * m_Pool.m_Settings.m_SlotShareMost -
+        Slot.m_Load;
+    MostSpare = std::max(MostSpare, Spare);
+  }
+  const double SlotsPerRequest =
+      Demand.m_Arrivals > 0 ? std::max(Demand.m_Slots, 0.1) / Demand.m_Arrivals
+                            : 1;
+  const double Served =
+      std::min(Demand.m_Unserved, MostSpare / SlotsPerRequest);
+  const model::Duration Useful =
+      m_Pool.m_Settings.m_BurstHorizon - Spec.m_LoadTime;
+  const model::PolicyWeights &Weights = m_Pool.m_Catalog->intent().m_Weights;
+  const double Gain =
+      Weights.m_Attainment * Served * std::max(0.0, seconds(Useful));
+  const double Cost = Weights.m_Move * m_Pool.m_Settings.m_MoveMargin;
+  if (Gain <= Cost)
+    return;
+  // What it gains beyond its own load may pay for moving others.
+  const double Others = Weights.m_Move > 0 ? Gain / Cost - 1 : 1;
+  const uint32_t MostMoves =
+      static_cast<uint32_t>(std::clamp(Others, 0.0, 1.0));
+  if (placeCopy(Spec, Group, CopyReason::Burst, MostMoves, Now))
+    Group.m_ExtraCopies = static_cast<uint32_t>(
+        Kept.size() + 1 - std::min<size_t>(Kept.size(), Spec.m_MinCopies));
+}
+
+void Planner::weighSpare(const GroupSpec &Spec, GroupState &Group,
+                         const DemandRate &Demand, model::TimePoint Now) {
+  const std::vector<EngineIndex> Kept = keptEngines(Spec.m_Base, Group);
+  if (Kept.size() <= Spec.m_MinCopies) {
+    Group.m_SpareSince.reset();
+    return;
+  }
+  // Whether the others would carry its load with slots to spare.
+  const double Share = Demand.m_Slots / double(Kept.size());
+  EngineIndex Busiest = Kept.front();
+  double Room = 0;
+  for (EngineIndex Engine : Kept) {
+    const EngineSlot &Slot = m_Pool.m_Engines[Engine];
+    Room += Slot.m_Book.engine().m_Slots * m_Pool.m_Settings.m_SlotShareSpare -
+            Slot.m_Load + Share;
+    if (Slot.m_Load > m_Pool.m_Engines[Busiest].m_Load)
+      Busiest = Engine;
+  }
+  Room -= Room / double(Kept.size());
+  if (Room < Demand.m_Slots) {
+    Group.m_SpareSince.reset();
+    return;
+  }
+  if (!Group.m_SpareSince)
+    Group.m_SpareSince = Now;
+  if (Now < *Group.m_SpareSince + m_Pool.m_Settings.m_TakeBackAfter)
+    return;
+  // Memory that nobody needs is no reason to unload.
+  if (m_Pool.roomOn(Busiest) > int64_t(Spec.totalBytes()))
+    return;
+  Group.m_ExtraCopies -= std::min<uint32_t>(Group.m_ExtraCopies, 1);
+  if (unloadFrom(Busiest, Spec.m_Base, CopyReason::Spare, Now))
+    Group.m_SpareSince = Now;
+}
+
+} // namespace bronzepass::core::placement
--- /dev/null
+++ b/Source/Core/Placement/PlannerRoom.cpp
@@ -0,0 +1,239 @@
+// Choice of engines and making of room: the packing half of Planner.
+#include "Core/Placement/Planner.h"
+
+#include <algorithm>
+
+namespace bronzepass::core::placement {
+
+namespace {
+
+/// Weights of an engine's score against a full use of its slots, which is 1.
+constexpr double SameDomainCost = 4;
+constexpr double TogetherGain = 2;
+constexpr double MemoryCost = 1;
+constexpr size_t RunnersUpShown = 2;
+
+} // namespace
+
+bool Planner::isApart(const GroupSpec &Spec, EngineIndex Engine) const {
+  if (Spec.m_Apart.empty())
+    return true;
+  const EngineSlot &Slot = m_Pool.m_Engines[Engine];
+  auto Clashes = [&](const model::ArtifactId &Base) {
+    const GroupSpec *Other = m_Pool.m_Catalog->find(Base);
+    return Other && Base.m_Model != Spec.m_Base.m_Model &&
+           intersects(Other->m_Apart, Spec.m_Apart);
+  };
+  if (std::any_of(Slot.m_Groups.begin(), Slot.m_Groups.end(), Clashes))
+    return false;
+  return std::none_of(m_Pool.m_Queued.begin(), m_Pool.m_Queued.end(),
+                      [&](const model::ArtifactId &Base) {
+                        if (!Clashes(Base))
+                          return false;
+                        const std::vector<QueuedLoad> &Queue =
+                            m_Pool.m_Groups.at(Base).m_Queue;
+                        return std::any_of(Queue.begin(), Queue.end(),
+                                           [Engine](const QueuedLoad &Load) {
+                                             return Load.m_Engine == Engine;
+                                           });
+                      });
+}
+
+double Planner::score(const GroupSpec &Spec, EngineIndex Engine,
+                      const std::vector<EngineIndex> &Taken) const {
+  const EngineSlot &Slot = m_Pool.m_Engines[Engine];
+  const model::EndpointSpec &Self = Slot.m_Book.engine();
+  double Score = Slot.m_Load / std::max<uint32_t>(Self.m_Slots, 1);
+  const double Capacity = double(Slot.m_Book.capacityBytes());
+  Score += MemoryCost * (1 - double(m_Pool.roomOn(Engine)) / Capacity);
+  for (EngineIndex Other : Taken)
+    if (m_Pool.m_Engines[Other].m_Book.engine().m_Domain == Self.m_Domain)
+      Score += SameDomainCost;
+  if (Spec.m_Together.empty())
+    return Score;
+  for (const model::ArtifactId &Base : Slot.m_Groups) {
+    const GroupSpec *Other = m_Pool.m_Catalog->find(Base);
+    if (Other && Base != Spec.m_Base &&
+        intersects(Other->m_Together, Spec.m_Together))
+      return Score - TogetherGain;
+  }
+  return Score;
+}
+
+std::vector<Planner::Candidate>
+Planner::candidates(const GroupSpec &Spec, uint64_t Bytes,
+                    const std::vector<EngineIndex> &Taken, bool NeedsRoom,
+                    model::TimePoint Now) const {
+  std::vector<Candidate> All;
+  for (EngineIndex I = 0; I < m_Pool.m_Engines.size(); ++I) {
+    if (!m_Pool.takesLoads(I, Now) ||
+        (NeedsRoom && m_Pool.roomOn(I) < int64_t(Bytes)))
+      continue;
+    if (std::find(Taken.begin(), Taken.end(), I) != Taken.end())
+      continue;
+    if (m_Pool.m_Engines[I].m_Book.refusesLoad(Spec.m_Base) ||
+        !isApart(Spec, I))
+      continue;
+    All.push_back({I, score(Spec, I, Taken)});
+  }
+  std::stable_sort(All.begin(), All.end(),
+                   [](const Candidate &A, const Candidate &B) {
+                     return A.m_Score < B.m_Score;
+                   });
+  return All;
+}
+
+bool Planner::placeCopy(const GroupSpec &Spec, GroupState &Group,
+                        CopyReason Reason, uint32_t MostMoves,
+                        model::TimePoint Now) {
+  std::vector<EngineIndex> Taken = Group.m_Engines;
+  for (EngineIndex Engine : queuedEngines(Spec.m_Base, Group))
+    Taken.push_back(Engine);
+  // A copy that is only in doubt keeps its room for its own return.
+  Taken.erase(std::remove_if(Taken.begin(), Taken.end(),
+                             [&](EngineIndex Engine) {
+                               const EntryState *State =
+                                   m_Pool.entry(Engine, Spec.m_Base);
+                               return State && State->isInDoubt();
+                             }),
+              Taken.end());
+  const std::vector<Candidate> Fits =
+      candidates(Spec, Spec.totalBytes(), Taken, true, Now);
+  if (!Fits.empty()) {
+    queueCopy(Spec, Fits.front().m_Engine, Reason, Fits, Now);
+    return true;
+  }
+  const std::optional<Eviction> Room =
+      findRoom(Spec, Spec.totalBytes(), Taken, MostMoves, Now);
+  if (!Room)
+    return false;
+  queueCopy(Spec, Room->m_Engine, Reason, {}, Now);
+  carryOut(*Room, Now);
+  return true;
+}
+
+void Planner::queueCopy(const GroupSpec &Spec, EngineIndex Engine,
+                        CopyReason Reason, const std::vector<Candidate> &Others,
+                        model::TimePoint Now) {
+  m_Pool.queue(Spec.m_Base,
+               {Spec.m_Base, Spec.m_MemoryBytes, Engine, Reason, Now});
+  for (const AdapterPart &Part : Spec.m_Adapters) {
+    const EntryState *Known = m_Pool.entry(Engine, Part.m_Artifact);
+    if (!Known || !Known->isLoad())
+      m_Pool.queue(Spec.m_Base,
+                   {Part.m_Artifact, Part.m_MemoryBytes, Engine, Reason, Now});
+  }
+  model::Decision Line{
+      .m_Kind = model::DecisionKind::Placement,
+      .m_Subject = model::toString(Spec.m_Base),
+      .m_Action = "queue",
+      .m_Chosen = m_Pool.m_Engines[Engine].m_Book.engine().m_Name.str(),
+      .m_Reason = toString(Reason)};
+  for (size_t I = 1; I < Others.size() && I <= RunnersUpShown; ++I)
+    Line.m_RunnersUp.push_back(
+        {m_Pool.m_Engines[Others[I].m_Engine].m_Book.engine().m_Name.str(),
+         "score " + std::to_string(Others[I].m_Score)});
+  m_Pool.m_Decisions.push_back(std::move(Line));
+}
+
+int64_t Planner::bytesOn(EngineIndex Engine,
+                         const model::ArtifactId &Base) const {
+  int64_t Sum = 0;
+  for (const EntryState &State : m_Pool.m_Engines[Engine].m_Book.entries())
+    if (State.m_Entry.m_Artifact.base() == Base && State.isLoad())
+      Sum += static_cast<int64_t>(State.m_Entry.m_MemoryBytes);
+  return Sum;
+}
+
+bool Planner::isSpare(const GroupSpec &Spec, const GroupState &Group) const {
+  return Group.m_SpareSince.has_value() &&
+         keptEngines(Spec.m_Base, Group).size() > Spec.m_MinCopies;
+}
+
+bool Planner::fitsElsewhere(const GroupSpec &Spec, const GroupState &Group,
+                            EngineIndex Engine, int64_t Bytes,
+                            model::TimePoint Now) const {
+  for (EngineIndex I = 0; I < m_Pool.m_Engines.size(); ++I) {
+    if (I == Engine || !m_Pool.takesLoads(I, Now) || m_Pool.roomOn(I) < Bytes)
+      continue;
+    if (std::binary_search(Group.m_Engines.begin(), Group.m_Engines.end(), I))
+      continue;
+    if (isApart(Spec, I))
+      return true;
+  }
+  return false;
+}
+
+std::optional<Planner::Eviction>
+Planner::evictionFrom(EngineIndex Engine, int64_t Need, uint32_t MostMoves,
+                      model::TimePoint Now) const {
+  Eviction Plan{.m_Engine = Engine};
+  std::vector<std::pair<int64_t, model::ArtifactId>> Movable;
+  for (const model::ArtifactId &Base : m_Pool.m_Engines[Engine].m_Groups) {
+    const GroupSpec *Spec = m_Pool.wanted(Base);
+    const GroupState &Group = m_Pool.m_Groups.at(Base);
+    const EntryState *State = m_Pool.entry(Engine, Base);
+    if (!Spec || !State || !State->isLoad() || State->isLoading() ||
+        Group.m_LeaveEngines.count(Engine) || !Group.m_Queue.empty())
+      continue;
+    const int64_t Bytes = bytesOn(Engine, Base);
+    if (isSpare(*Spec, Group) && m_Pool.mayUnload(Engine, Base, Now)) {
+      Plan.m_Spare.push_back(Base);
+      Need -= Bytes;
+      if (Need <= 0)
+        return Plan;
+      continue;
+    }
+    if (MostMoves > 0 && fitsElsewhere(*Spec, Group, Engine, Bytes, Now))
+      Movable.emplace_back(Bytes, Base);
+  }
+  // The smallest that suffices, else the largest first: fewest moves.
+  std::sort(Movable.begin(), Movable.end());
+  while (Need > 0 && !Movable.empty() && Plan.m_Moved.size() < MostMoves) {
+    auto Enough =
+        std::find_if(Movable.begin(), Movable.end(),
+                     [Need](const auto &M) { return M.first >= Need; });
+    auto Chosen = Enough == Movable.end() ? std::prev(Movable.end()) : Enough;
+    Need -= Chosen->first;
+    Plan.m_Moved.push_back(Chosen->second);
+    Movable.erase(Chosen);
+  }
+  if (Need > 0)
+    return std::nullopt;
+  return Plan;
+}
+
+std::optional<Planner::Eviction>
+Planner::findRoom(const GroupSpec &Spec, uint64_t Bytes,
+                  const std::vector<EngineIndex> &Taken, uint32_t MostMoves,
+                  model::TimePoint Now) const {
+  std::optional<Eviction> Best;
+  for (const Candidate &Place : candidates(Spec, Bytes, Taken, false, Now)) {
+    const int64_t Need = int64_t(Bytes) - m_Pool.roomOn(Place.m_Engine);
+    if (Best && Best->m_Moved.empty())
+      break;
+    std::optional<Eviction> Plan =
+        evictionFrom(Place.m_Engine, Need, MostMoves, Now);
+    if (!Plan || (Best && Best->m_Moved.size() <= Plan->m_Moved.size()))
+      continue;
+    Best = std::move(Plan);
+  }
+  return Best;
+}
+
+void Planner::carryOut(const Eviction &Plan, model::TimePoint Now) {
+  for (const model::ArtifactId &Base : Plan.m_Spare) {
+    GroupState &Group = m_Pool.m_Groups.at(Base);
+    Group.m_ExtraCopies -= std::min<uint32_t>(Group.m_ExtraCopies, 1);
+    unloadFrom(Plan.m_Engine, Base, CopyReason::MakesRoom, Now);
+  }
+  m_MakingRoom = true;
+  for (const model::ArtifactId &Base : Plan.m_Moved) {
+    GroupState &Group = m_Pool.m_Groups.at(Base);
+    Group.m_LeaveEngines.insert(Plan.m_Engine);
+    planCopies(*m_Pool.wanted(Base), Group, Now);
+  }
+  m_MakingRoom = false;
+}
+
+} // namespace bronzepass::core::placement
--- /dev/null
+++ b/Source/Core/Placement/PoolShard.h
@@ -0,0 +1,104 @@
+#ifndef BRONZEPASS_CORE_PLACEMENT_POOLSHARD_H
+#define BRONZEPASS_CORE_PLACEMENT_POOLSHARD_H
+
+#include "Core/Model/Finding.h"
+#include "Core/Model/Lease.h"
+#include "Core/Placement/LoadQueue.h"
+#include "Core/Placement/Planner.h"
+#include "Core/Placement/PoolState.h"
+#include "Core/Placement/StoreGateway.h"
+#include "Core/Ports/Effect.h"
+#include "Core/Ports/Event.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace bronzepass::core::placement {
+
+/// Placement of one pool for as long as this node holds its lease. It reads and
+/// claims the ledgers, then plans, records and sends; past the lease's end it
+/// does nothing.
+class PoolShard {
+public:
+  using LivenessMap = std::map<model::EndpointId, model::Liveness>;
+
+  PoolShard(model::NodeId Self, const StoreGateway &Gateway,
+            const PlacementSettings &Settings, const model::PoolId &Pool,
+            const model::HeldLease &Lease, const ElsewhereMap &Elsewhere,
+            model::TimePoint Now);
+  PoolShard(const PoolShard &) = delete;
+  PoolShard &operator=(const PoolShard &) = delete;
+
+  const model::HeldLease &lease() const { return m_Lease; }
+  void renewed(const model::HeldLease &Lease) { m_Lease = Lease; }
+  void intentChanged(std::shared_ptr<const Catalog> Value,
+                     const LivenessMap &Liveness, model::TimePoint Now);
+
+  void reportSeen(const model::EngineReport &Report, model::TimePoint Now,
+                  ports::EffectList &Effects);
+  void reportMissed(const ports::ReportMissed &Missed, model::TimePoint Now,
+                    ports::EffectList &Effects);
+  void livenessChanged(const model::EndpointState &State, model::TimePoint Now,
+                       ports::EffectList &Effects);
+  void orderAnswered(const model::OrderAnswer &Answer, model::TimePoint Now,
+                     ports::EffectList &Effects);
+  bool storeAnswered(const ports::StoreAnswer &Answer, model::TimePoint Now,
+                     ports::EffectList &Effects);
+  void demandSeen(const model::DemandSample &Sample, model::TimePoint Now);
+  void fenced(const model::NodeId &Node, model::FencingToken Below,
+              model::TimePoint Now) {
+    m_Fences.acknowledged(Node, Below, Now);
+  }
+  void nodeGone(const model::NodeId &Node, model::TimePoint Now) {
+    m_Fences.gone(Node, Now);
+  }
+  void tick(model::TimePoint Now, ports::EffectList &Effects);
+
+  bool knows(const model::ArtifactId &Base) const;
+  void addMoves(std::vector<MoveStatus> &All) const;
+  void addCopies(const model::ArtifactId &Artifact, model::TimePoint Now,
+                 std::vector<CopyStatus> &All) const;
+  void addEngines(std::vector<EngineStatus> &All) const;
+  void addFindings(model::FindingList &All) const;
+  void addUnfenced(std::vector<UnfencedNode> &All) const;
+  void addDraining(std::vector<model::Copy> &All) const;
+  MoveCounts counts() const;
+
+private:
+  /// Marks the call that lists all ledgers among those of single engines.
+  static constexpr EngineIndex AllEngines = UINT32_MAX;
+
+  std::optional<EngineIndex> indexOf(const model::EndpointId &Endpoint) const;
+  bool isValid(model::TimePoint Now) const {
+    return Now < m_Lease.m_ValidUntil;
+  }
+  void listLedgers(model::TimePoint Now);
+  void ledgersSeen(const ports::StoreAnswer &Answer, model::TimePoint Now);
+  /// Brings one engine's evidence, ledger and orders up to date.
+  void serve(EngineIndex Engine, bool Settle, model::TimePoint Now,
+             ports::EffectList &Effects);
+  void plan(model::TimePoint Now, ports::EffectList &Effects);
+  void describeEngines(const LivenessMap &Liveness, model::TimePoint Now);
+  void flushDecisions(ports::EffectList &Effects);
+  MovePhase phaseOf(const LedgerBook &Book, const EntryState &State) const;
+
+  model::NodeId m_Self;
+  const StoreGateway &m_Gateway;
+  model::HeldLease m_Lease;
+  PoolState m_State;
+  Planner m_Planner;
+  LoadQueue m_Loads;
+  FenceBook m_Fences;
+  std::map<model::EndpointId, EngineIndex> m_Index;
+  std::map<model::CallId, EngineIndex> m_Calls;
+  bool m_Listed = false;
+  bool m_ListOut = false;
+  model::TimePoint m_ListRetryAt;
+  model::TimePoint m_ReviewAt;
+};
+
+} // namespace bronzepass::core::placement
+
+#endif // BRONZEPASS_CORE_PLACEMENT_POOLSHARD_H
--- /dev/null
+++ b/Source/UnitTests/Placement/PlacementWorld.h
@@ -0,0 +1,302 @@
+#ifndef BRONZEPASS_UNITTESTS_PLACEMENT_PLACEMENTWORLD_H
+#define BRONZEPASS_UNITTESTS_PLACEMENT_PLACEMENTWORLD_H
+
+#include "Core/Placement/PlacementCore.h"
+#include "UnitTests/Fakes/FakeEngine.h"
+#include "UnitTests/Fakes/FakeStore.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace bronzepass::unit_tests::placement {
+
+using namespace std::chrono_literals;
+namespace model = core::model;
+namespace ports = core::ports;
+
+constexpr uint64_t GiB = uint64_t(1) << 30;
+
+/// Several placement cores before one store and the engines of one pool, in
+/// virtual time. Orders pass a network whose delays a test chooses.
+class PlacementWorld {
+public:
+  /// When an order reaches its engine, each time it does; empty: it is lost.
+  using Network = std::function<std::vector<model::Duration>()>;
+  /// Sees an unload that is about to take effect on a serving copy.
+  using UnloadWatch =
+      std::function<void(const model::EngineOrder &, model::TimePoint SentAt)>;
+
+  struct Node {
+    std::unique_ptr<core::placement::PlacementCore> m_Core;
+    bool m_Paused = false;
+    bool m_Gone = false;
+    model::FencingToken m_Token;
+    /// Orders that the core emitted and a pause keeps from leaving.
+    std::vector<ports::OrderSend> m_Held;
+  };
+  struct InTransit {
+    model::TimePoint m_At;
+    model::TimePoint m_SentAt;
+    size_t m_Node = 0;
+    model::EngineOrder m_Order;
+    bool m_AnswerLost = false;
+  };
+
+  PlacementWorld(std::shared_ptr<const model::Intent> Intent, size_t Nodes,
+                 core::placement::PlacementSettings Settings = {})
+      : m_Settings(Settings), m_Intent(std::move(Intent)) {
+    for (size_t I = 0; I < Nodes; ++I)
+      addNode();
+    for (const model::EndpointSpec &Spec : pool().m_Endpoints) {
+      fakes::FakeEngine Engine;
+      Engine.m_Spec = Spec;
+      Engine.m_Fencing = pool().m_Fencing;
+      m_Engines.push_back(std::move(Engine));
+      m_Reachable.push_back(true);
+    }
+  }
+
+  const model::PoolSpec &pool() const { return m_Intent->m_Pools.front(); }
+  model::NodeId nodeId(size_t Node) const {
+    return model::NodeId("node-" + std::to_string(Node));
+  }
+
+  void addNode() {
+    const size_t Index = m_Nodes.size();
+    m_Nodes.emplace_back();
+    m_Nodes.back().m_Core = std::make_unique<core::placement::PlacementCore>(
+        nodeId(Index),
+        [this, Index](ports::StoreCall Call) {
+          Call.m_Id = {++m_LastCall};
+          m_Store.submit(nodeId(Index), Call, m_Now);
+          return Call.m_Id;
+        },
+        m_Settings);
+    run(Index, [&](auto &Core, auto &Effects) {
+      Core.intentChanged(m_Intent, m_Now, Effects);
+    });
+  }
+
+  /// Makes \p Holder the lease's holder under a token of its own.
+  void giveLease(size_t Holder) {
+    m_Holder = Holder;
+    m_Nodes[Holder].m_Token = {++m_LastToken};
+    renew();
+  }
+
+  void renew() {
+    Node &Holder = m_Nodes[m_Holder];
+    if (Holder.m_Paused || Holder.m_Gone)
+      return;
+    run(m_Holder, [&](auto &Core, auto &Effects) {
+      Core.leaseHeld({core::placement::poolLease(pool().m_Name), Holder.m_Token,
+                      m_Now + LeaseTerm},
+                     m_Now, Effects);
+    });
+  }
+
+  /// The process stops; what it was about to send stays with it.
+  void pause(size_t Index) { m_Nodes[Index].m_Paused = true; }
+
+  /// It goes on: its kept orders leave, then it learns of the newer lease.
+  void wake(size_t Index) {
+    Node &Woken = m_Nodes[Index];
+    Woken.m_Paused = false;
+    for (const ports::OrderSend &Send : Woken.m_Held)
+      send(Index, Send.m_Order);
+    Woken.m_Held.clear();
+    run(Index, [&](auto &Core, auto &Effects) { Core.tick(m_Now, Effects); });
+    if (Index == m_Holder)
+      return;
+    Woken.m_Core->leaseLost(core::placement::poolLease(pool().m_Name));
+    run(m_Holder, [&](auto &Core, auto &Effects) {
+      Core.predecessorFenced(core::placement::poolLease(pool().m_Name),
+                             nodeId(Index), m_Nodes[m_Holder].m_Token, m_Now,
+                             Effects);
+    });
+  }
+
+  /// The VM leaves the list; what it kept never leaves.
+  void kill(size_t Index) {
+    m_Nodes[Index].m_Gone = true;
+    m_Nodes[Index].m_Held.clear();
+    for (size_t I = 0; I < m_Nodes.size(); ++I)
+      run(I, [&](auto &Core, auto &Effects) {
+        Core.nodeGone(nodeId(Index), m_Now, Effects);
+      });
+  }
+
+  void changeIntent(std::shared_ptr<const model::Intent> Value) {
+    m_Intent = std::move(Value);
+    for (size_t I = 0; I < m_Nodes.size(); ++I)
+      run(I, [&](auto &Core, auto &Effects) {
+        Core.intentChanged(m_Intent, m_Now, Effects);
+      });
+  }
+
+  /// Passes \p Time in steps of \p Step.
+  void pass(model::Duration Time, model::Duration Step = 1s) {
+    const model::TimePoint End = m_Now + Time;
+    while (m_Now < End)
+      step(Step);
+  }
+
+  void step(model::Duration Step) {
+    m_Now += Step;
+    deliver();
+    for (size_t I = 0; I < m_Engines.size(); ++I) {
+      m_Engines[I].advance(m_Now);
+      report(I);
+    }
+    answerStoreCalls();
+    renew();
+    for (size_t I = 0; I < m_Nodes.size(); ++I)
+      run(I, [&](auto &Core, auto &Effects) { Core.tick(m_Now, Effects); });
+    if (m_AfterStep)
+      m_AfterStep();
+  }
+
+  uint32_t serving(const model::ArtifactId &Artifact) const {
+    uint32_t Count = 0;
+    for (const fakes::FakeEngine &Engine : m_Engines)
+      Count += Engine.serves(Artifact);
+    return Count;
+  }
+
+  core::placement::PlacementCore &holder() { return *m_Nodes[m_Holder].m_Core; }
+
+  static constexpr model::Duration LeaseTerm = 10s;
+
+  core::placement::PlacementSettings m_Settings;
+  std::shared_ptr<const model::Intent> m_Intent;
+  model::TimePoint m_Now{std::chrono::hours(1)};
+  fakes::FakeStore m_Store;
+  std::vector<Node> m_Nodes;
+  std::vector<fakes::FakeEngine> m_Engines;
+  std::vector<bool> m_Reachable;
+  size_t m_Holder = 0;
+  Network m_Network = [] { return std::vector<model::Duration>{0ms}; };
+  std::function<bool()> m_LosesAnswer = [] { return false; };
+  UnloadWatch m_UnloadWatch;
+  std::function<void()> m_AfterStep;
+  std::vector<InTransit> m_Transit;
+  std::vector<model::Decision> m_Decisions;
+  bool m_KeepsDecisions = false;
+
+private:
+  template <typename InputT> void run(size_t Index, const InputT &Input) {
+    Node &Runner = m_Nodes[Index];
+    if (Runner.m_Paused || Runner.m_Gone)
+      return;
+    ports::EffectList Effects;
+    Input(*Runner.m_Core, Effects);
+    for (ports::Effect &Effect : Effects) {
+      if (auto *Order = std::get_if<ports::OrderSend>(&Effect))
+        Runner.m_Held.push_back(std::move(*Order));
+      else if (m_KeepsDecisions && std::get_if<model::Decision>(&Effect))
+        m_Decisions.push_back(std::get<model::Decision>(std::move(Effect)));
+    }
+  }
+
+  void send(size_t Index, const model::EngineOrder &Order) {
+    const std::vector<model::Duration> Arrivals = m_Network();
+    for (model::Duration Delay : Arrivals)
+      m_Transit.push_back(
+          {m_Now + Delay, m_Now, Index, Order, m_LosesAnswer()});
+  }
+
+  /// Orders leave one step after they were decided, so that a pause can come
+  /// between.
+  void deliver() {
+    for (size_t I = 0; I < m_Nodes.size(); ++I) {
+      if (m_Nodes[I].m_Paused || m_Nodes[I].m_Gone)
+        continue;
+      const std::vector<ports::OrderSend> Leaving =
+          std::move(m_Nodes[I].m_Held);
+      m_Nodes[I].m_Held.clear();
+      for (const ports::OrderSend &Send : Leaving)
+        send(I, Send.m_Order);
+    }
+    std::stable_sort(
+        m_Transit.begin(), m_Transit.end(),
+        [](const auto &A, const auto &B) { return A.m_At < B.m_At; });
+    while (!m_Transit.empty() && m_Transit.front().m_At <= m_Now) {
+      const InTransit Due = m_Transit.front();
+      m_Transit.erase(m_Transit.begin());
+      arrive(Due);
+    }
+  }
+
+  void arrive(const InTransit &Due) {
+    for (size_t I = 0; I < m_Engines.size(); ++I) {
+      fakes::FakeEngine &Engine = m_Engines[I];
+      if (Engine.m_Spec.m_Name != Due.m_Order.m_Endpoint || !m_Reachable[I])
+        continue;
+      const bool Served = Engine.serves(Due.m_Order.m_Artifact);
+      const model::OrderAnswer Answer = Engine.apply(Due.m_Order, m_Now);
+      if (m_UnloadWatch && Served && !Engine.serves(Due.m_Order.m_Artifact))
+        m_UnloadWatch(Due.m_Order, Due.m_SentAt);
+      if (!Due.m_AnswerLost)
+        run(Due.m_Node, [&](auto &Core, auto &Effects) {
+          Core.orderAnswered(Answer, m_Now, Effects);
+        });
+    }
+  }
+
+  void report(size_t Engine) {
+    const model::EngineReport Report = m_Engines[Engine].report(m_Now);
+    for (size_t I = 0; I < m_Nodes.size(); ++I)
+      run(I, [&](auto &Core, auto &Effects) {
+        if (m_Reachable[Engine])
+          Core.reportSeen(Report, m_Now, Effects);
+        else
+          Core.reportMissed({Report.m_Endpoint}, m_Now, Effects);
+      });
+  }
+
+  void answerStoreCalls() {
+    for (const fakes::FakeStore::DueAnswer &Due : m_Store.takeDue(m_Now))
+      for (size_t I = 0; I < m_Nodes.size(); ++I)
+        if (nodeId(I) == Due.m_Caller)
+          run(I, [&](auto &Core, auto &Effects) {
+            Core.storeAnswered(Due.m_Answer, m_Now, Effects);
+          });
+  }
+
+  uint64_t m_LastCall = 0;
+  uint64_t m_LastToken = 0;
+};
+
+/// An intent of one engine pool with \p Models models on \p Engines engines.
+inline model::Intent smallIntent(uint32_t Engines, uint32_t Models,
+                                 model::FencingMode Fencing) {
+  model::Intent Value{.m_Generation = {1}, .m_Name = "small"};
+  model::PoolSpec Pool{.m_Name = model::PoolId("engines"),
+                       .m_Fencing = Fencing};
+  for (uint32_t I = 0; I < Engines; ++I)
+    Pool.m_Endpoints.push_back(
+        {.m_Name = model::EndpointId("e" + std::to_string(I)),
+         .m_Domain = model::DomainId("d" + std::to_string(I % 2)),
+         .m_MemoryBytes = 100 * GiB,
+         .m_Accelerators = 1,
+         .m_Slots = 8});
+  Value.m_Pools.push_back(std::move(Pool));
+  for (uint32_t I = 0; I < Models; ++I)
+    Value.m_Models.push_back({.m_Name = model::ModelId("m" + std::to_string(I)),
+                              .m_Labels = {{"name", "m" + std::to_string(I)}},
+                              .m_Versions = {{.m_Version = "v1",
+                                              .m_MemoryBytes = 30 * GiB,
+                                              .m_LoadTime = 50s}}});
+  Value.m_WeightStore = {2, 8};
+  return Value;
+}
+
+inline std::shared_ptr<const model::Intent> share(model::Intent Value) {
+  return std::make_shared<const model::Intent>(std::move(Value));
+}
+
+} // namespace bronzepass::unit_tests::placement
+
+#endif // BRONZEPASS_UNITTESTS_PLACEMENT_PLACEMENTWORLD_H
