--- /dev/null
+++ b/Source/Core/Adapters/Callers/CallerFront.h
@@ -0,0 +1,60 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_CALLERS_CALLERFRONT_H
+#define BRONZEPASS_CORE_ADAPTERS_CALLERS_CALLERFRONT_H
+
+#include "Core/Adapters/Callers/CallerHeaders.h"
+#include "Core/Adapters/Pistache/HttpServer.h"
+#include "Core/Adapters/Traffic/TrafficDriver.h"
+#include "Core/Ports/Ports.h"
+#include "Core/Routing/RoutingTable.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bronzepass::core::adapters::callers {
+
+struct CallerFrontOptions {
+  pistache::HttpServerOptions m_Server;
+  WindowLimits m_Windows;
+};
+
+/// The callers' HTTP API: reads each request whole on Pistache's threads and
+/// hands it to the traffic thread. Other nodes forward requests to it as well.
+class CallerFront : private pistache::HttpHandler {
+public:
+  /// \p Driver and \p Clock outlive it.
+  CallerFront(CallerFrontOptions Options, traffic::TrafficDriver &Driver,
+              const ports::Clock &Clock);
+  ~CallerFront() override;
+
+  /// The reason where it can't listen.
+  std::optional<std::string> start();
+  /// Closes the listening socket and all connections at once.
+  void stop();
+  uint16_t port() const;
+
+  /// From any thread. Until the first table, every request is refused.
+  void setTable(std::shared_ptr<const routing::RoutingTable> Table);
+
+private:
+  void onRequest(pistache::HttpRequest Request,
+                 std::shared_ptr<pistache::HttpAnswer> Answer) override;
+  pistache::HttpReply onFault(pistache::HttpFault Fault,
+                              const std::string &Message) override;
+
+  pistache::HttpReply listModels(const pistache::HttpRequest &Request,
+                                 const routing::RoutingTable &Table) const;
+  static void reply(const std::shared_ptr<pistache::HttpAnswer> &Answer,
+                    pistache::HttpReply Reply);
+
+  WindowLimits m_Windows;
+  traffic::TrafficDriver &m_Driver;
+  const ports::Clock &m_Clock;
+  std::atomic<std::shared_ptr<const routing::RoutingTable>> m_Table;
+  pistache::HttpServer m_Server;
+};
+
+} // namespace bronzepass::core::adapters::callers
+
+#endif // BRONZEPASS_CORE_ADAPTERS_CALLERS_CALLERFRONT_H
--- /dev/null
+++ b/Source/Core/Adapters/Callers/RequestReader.h
@@ -0,0 +1,27 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_CALLERS_REQUESTREADER_H
+#define BRONZEPASS_CORE_ADAPTERS_CALLERS_REQUESTREADER_H
+
+#include "Core/Adapters/Callers/CallerHeaders.h"
+#include "Core/Adapters/Pistache/HttpMessage.h"
+#include "Core/Adapters/Traffic/CallerRequest.h"
+#include "Core/Routing/RoutingTable.h"
+
+#include <optional>
+
+namespace bronzepass::core::adapters::callers {
+
+/// Either a request to route, or the answer that says why there is none.
+struct RequestReading {
+  std::optional<traffic::CallerRequest> m_Request;
+  pistache::HttpReply m_Refusal;
+};
+
+/// Reads a request for a model or a plain service. All that is wrong with it
+/// is told in one answer, with its place.
+RequestReading readRequest(const pistache::HttpRequest &Request,
+                           const routing::RoutingTable &Table,
+                           const WindowLimits &Windows, model::TimePoint Now);
+
+} // namespace bronzepass::core::adapters::callers
+
+#endif // BRONZEPASS_CORE_ADAPTERS_CALLERS_REQUESTREADER_H
--- a/Source/Core/Adapters/Pistache/HttpMessage.h
+++ b/Source/Core/Adapters/Pistache/HttpMessage.h
@@ -16,6 +16,8 @@
   /// Without the query.
   std::string m_Path;
   std::map<std::string, std::string> m_Query;
+  /// "?a=1&b=2", or empty.
+  std::string m_QueryText;
   /// By lower-case name.
   std::map<std::string, std::string> m_Headers;
   std::string m_Body;
--- a/Source/Core/Adapters/Pistache/HttpServer.cpp
+++ b/Source/Core/Adapters/Pistache/HttpServer.cpp
@@ -59,6 +59,7 @@
   for (auto It = From.query().parameters_begin();
        It != From.query().parameters_end(); ++It)
     To.m_Query[It->first] = It->second;
+  To.m_QueryText = From.query().as_str();
   copyHeaders(From, To);
   To.m_Body = From.body();
   To.m_PeerIp = From.address().host();
