--- /dev/null
+++ b/Source/Core/Adapters/Curl/CurlEngineClient.cpp
@@ -0,0 +1,196 @@
+#include "Core/Adapters/Curl/CurlEngineClient.h"
+
+#include "Core/Adapters/Curl/CurlMulti.h"
+#include "Core/Adapters/Json/ControlJson.h"
+#include "Core/Adapters/Net/LoopThread.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace bronzepass::core::adapters::curl {
+
+namespace {
+
+constexpr int StatusAccepted = 202;
+constexpr int StatusOk = 200;
+constexpr int StatusConflict = 409;
+constexpr int StatusNoRoom = 507;
+/// A report of some thousand copies with all its cache events stays below.
+constexpr size_t MaxAnswerBytes = 8 << 20;
+
+std::chrono::milliseconds toMillis(model::Duration Value) {
+  return std::chrono::ceil<std::chrono::milliseconds>(Value);
+}
+
+/// Collects one short answer and hands it on.
+class WholeAnswer : public TransferListener {
+public:
+  using DoneCallback = std::function<void(const TransferResult &Result,
+                                          int Status, const std::string &Body)>;
+
+  explicit WholeAnswer(DoneCallback OnDone) : m_OnDone(std::move(OnDone)) {}
+
+  void onHead(const TransferHead &Head) override { m_Status = Head.m_Status; }
+  void onPiece(std::string_view Piece) override {
+    if (m_Body.size() + Piece.size() <= MaxAnswerBytes)
+      m_Body.append(Piece);
+  }
+  void onDone(const TransferResult &Result) override {
+    m_OnDone(Result, m_Status, m_Body);
+  }
+
+private:
+  DoneCallback m_OnDone;
+  int m_Status = 0;
+  std::string m_Body;
+};
+
+model::FencingToken highestToken(const std::string &Body) {
+  const nlohmann::json Json = nlohmann::json::parse(Body, nullptr, false);
+  if (!Json.is_object() || !Json.contains("highest_token") ||
+      !Json["highest_token"].is_number_unsigned())
+    return {};
+  return {Json["highest_token"].get<uint64_t>()};
+}
+
+model::OrderStatus orderStatus(const TransferResult &Result, int Status) {
+  if (Status == 0 && Result.m_BytesSent == 0)
+    return model::OrderStatus::NotSent;
+  if (!Result.m_Whole)
+    return model::OrderStatus::Unknown;
+  switch (Status) {
+  case StatusOk:
+  case StatusAccepted:
+    return model::OrderStatus::Accepted;
+  case StatusConflict:
+    return model::OrderStatus::StaleToken;
+  case StatusNoRoom:
+    return model::OrderStatus::NoMemory;
+  default:
+    return model::OrderStatus::Unknown;
+  }
+}
+
+} // namespace
+
+class CurlEngineClient::Impl {
+public:
+  Impl(EngineClientOptions Options, const ports::Clock &Clock,
+       ports::EventSink &Control, TrafficSink Traffic)
+      : m_Options(Options), m_Clock(Clock), m_Control(Control),
+        m_Traffic(std::move(Traffic)),
+        m_Curl(m_Thread.loop(), Options.m_MaxIdleConnections) {
+    m_Thread.start();
+  }
+
+  ~Impl() { m_Thread.stop(); }
+
+  void send(const model::EngineOrder &Order, const model::Address &To) {
+    m_Thread.loop().post([this, Order, To] { startOrder(Order, To); });
+  }
+
+  void requestReport(const model::EndpointId &Endpoint,
+                     const model::Address &From) {
+    m_Thread.loop().post(
+        [this, Endpoint, From] { startReport(Endpoint, From); });
+  }
+
+private:
+  TransferRequest requestTo(const model::Address &To) const {
+    TransferRequest Request;
+    Request.m_Address = To;
+    Request.m_ConnectTimeout = toMillis(m_Options.m_ConnectTimeout);
+    Request.m_Timeout = toMillis(m_Options.m_AnswerTimeout);
+    return Request;
+  }
+
+  void startOrder(const model::EngineOrder &Order, const model::Address &To) {
+    TransferRequest Request = requestTo(To);
+    Request.m_Method = "POST";
+    Request.m_Path = json::orderPath(Order.m_Kind);
+    Request.m_Headers = {"Content-Type: application/json"};
+    Request.m_Body = json::orderToJson(Order);
+    // A silent retry would send it once more after it was given up.
+    Request.m_FreshConnection = true;
+    const model::OrderId Id = Order.m_Id;
+    const model::EndpointId Endpoint = Order.m_Endpoint;
+    m_Curl.start(std::move(Request),
+                 std::make_shared<WholeAnswer>(
+                     [this, Id, Endpoint](const TransferResult &Result,
+                                          int Status, const std::string &Body) {
+                       m_Control.post(model::OrderAnswer{
+                           Id, Endpoint, orderStatus(Result, Status),
+                           highestToken(Body)});
+                     }));
+  }
+
+  void startReport(const model::EndpointId &Endpoint,
+                   const model::Address &From) {
+    TransferRequest Request = requestTo(From);
+    Request.m_Path = "/control/report?cache_since=" +
+                     std::to_string(m_CacheSequences[Endpoint]);
+    // The engine made it between the asking and the answer: the earlier time
+    // never makes a report look fresher than it is.
+    const model::TimePoint AskedAt = m_Clock.now();
+    m_Curl.start(
+        std::move(Request),
+        std::make_shared<WholeAnswer>(
+            [this, Endpoint, AskedAt](const TransferResult &Result, int Status,
+                                      const std::string &Body) {
+              takeReport(Endpoint, AskedAt, Result, Status, Body);
+            }));
+  }
+
+  void takeReport(const model::EndpointId &Endpoint, model::TimePoint AskedAt,
+                  const TransferResult &Result, int Status,
+                  const std::string &Body) {
+    std::optional<json::ReportReading> Reading;
+    if (Result.m_Whole && Status == StatusOk)
+      Reading = json::reportFromJson(Body);
+    // An engine that took over another's address is not the one asked for.
+    if (!Reading || Reading->m_Report.m_Endpoint != Endpoint) {
+      m_Control.post(ports::ReportMissed{Endpoint, Result.m_Refused});
+      return;
+    }
+    Reading->m_Report.m_MadeAt = AskedAt;
+    m_CacheSequences[Endpoint] = Reading->m_Cache.m_Sequence;
+    if (m_Traffic) {
+      m_Traffic(routing::LoadSeen{
+          Endpoint,
+          {Reading->m_Report.m_Running, Reading->m_Report.m_Waiting},
+          AskedAt});
+      m_Traffic(Reading->m_Cache);
+    }
+    m_Control.post(Reading->m_Report);
+  }
+
+  EngineClientOptions m_Options;
+  const ports::Clock &m_Clock;
+  ports::EventSink &m_Control;
+  TrafficSink m_Traffic;
+  /// How far each engine's cache events have been read.
+  std::map<model::EndpointId, uint64_t> m_CacheSequences;
+  net::LoopThread m_Thread;
+  CurlMulti m_Curl;
+};
+
+CurlEngineClient::CurlEngineClient(EngineClientOptions Options,
+                                   const ports::Clock &Clock,
+                                   ports::EventSink &Control,
+                                   TrafficSink Traffic)
+    : m_Impl(std::make_unique<Impl>(Options, Clock, Control,
+                                    std::move(Traffic))) {}
+
+CurlEngineClient::~CurlEngineClient() = default;
+
+void CurlEngineClient::send(const model::EngineOrder &Order,
+                            const model::Address &To) {
+  m_Impl->send(Order, To);
+}
+
+void CurlEngineClient::requestReport(const model::EndpointId &Endpoint,
+                                     const model::Address &From) {
+  m_Impl->requestReport(Endpoint, From);
+}
+
+} // namespace bronzepass::core::adapters::curl
