--- a/Source/Core/Adapters/Codec/FieldReader.h
+++ b/Source/Core/Adapters/Codec/FieldReader.h
@@ -46,6 +46,11 @@
     readHash(Key, *Found, Value);
   }
 
+  void optionalHash(const char *Key, uint64_t &Value) {
+    if (const nlohmann::json *Found = find(Key))
+      readHash(Key, *Found, Value);
+  }
+
   void hash(const char *Key, std::vector<uint64_t> &Values) {
     const nlohmann::json *Found = find(Key);
     if (!Found || !Found->is_array())
--- a/Source/Core/Adapters/Codec/FieldWriter.h
+++ b/Source/Core/Adapters/Codec/FieldWriter.h
@@ -32,6 +32,8 @@
 
   void hash(const char *Key, uint64_t Value) { m_Object[Key] = hash(Value); }
 
+  void optionalHash(const char *Key, uint64_t Value) { hash(Key, Value); }
+
   void hash(const char *Key, const std::vector<uint64_t> &Values) {
     nlohmann::json Array = nlohmann::json::array();
     for (const uint64_t Value : Values)
--- a/Source/Core/Adapters/Codec/ModelFields.h
+++ b/Source/Core/Adapters/Codec/ModelFields.h
@@ -32,7 +32,7 @@
     Visitor.required("generation", Value.m_Generation);
     Visitor.optional("author", Value.m_Author);
     Visitor.optional("summary", Value.m_Summary);
-    Visitor.hash("text", Value.m_TextHash);
+    Visitor.optionalHash("text", Value.m_TextHash);
   }
 };
 
@@ -42,7 +42,7 @@
     Visitor.hash("parts", Value.m_PartHashes);
     Visitor.optional("author", Value.m_Author);
     Visitor.optional("summary", Value.m_Summary);
-    Visitor.hash("text", Value.m_TextHash);
+    Visitor.optionalHash("text", Value.m_TextHash);
     Visitor.optional("earlier", Value.m_Earlier);
   }
 };
@@ -70,6 +70,22 @@
   }
 };
 
+template <> struct Fields<model::LedgerDoubt> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("writer", Value.m_Writer);
+    Visitor.required("token", Value.m_Token);
+    Visitor.required("order", Value.m_Kind);
+  }
+};
+
+template <> struct Fields<model::LedgerRole> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("role", Value.m_Role);
+    Visitor.required("token", Value.m_Token);
+    Visitor.required("settled", Value.m_Settled);
+  }
+};
+
 template <> struct Fields<model::LedgerEntry> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("artifact", Value.m_Artifact);
@@ -77,7 +93,9 @@
     Visitor.required("lastOrder", Value.m_LastOrder);
     Visitor.required("orderId", Value.m_OrderId);
     Visitor.required("token", Value.m_Token);
+    Visitor.required("writer", Value.m_Writer);
     Visitor.required("settled", Value.m_Settled);
+    Visitor.optional("doubts", Value.m_Doubts);
   }
 };
 
@@ -86,6 +104,9 @@
     Visitor.required("endpoint", Value.m_Endpoint);
     Visitor.required("memoryBytes", Value.m_MemoryBytes);
     Visitor.required("token", Value.m_Token);
+    Visitor.required("writer", Value.m_Writer);
+    Visitor.required("revision", Value.m_Revision);
+    Visitor.optional("role", Value.m_Role);
     Visitor.required("entries", Value.m_Entries);
   }
 };
--- /dev/null
+++ b/Source/Core/Adapters/Curl/BlockingGet.h
@@ -0,0 +1,23 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_CURL_BLOCKINGGET_H
+#define BRONZEPASS_CORE_ADAPTERS_CURL_BLOCKINGGET_H
+
+#include "Core/Model/Address.h"
+
+#include <string>
+
+namespace bronzepass::core::adapters::curl {
+
+struct BlockingReply {
+  /// HTTP status; 0 where no whole answer came.
+  int m_Status = 0;
+  std::string m_Body;
+  std::string m_Error;
+};
+
+/// Fetches one page and waits for it, a few seconds at most; for commands.
+BlockingReply blockingGet(const model::Address &Address,
+                          const std::string &Path);
+
+} // namespace bronzepass::core::adapters::curl
+
+#endif // BRONZEPASS_CORE_ADAPTERS_CURL_BLOCKINGGET_H
--- /dev/null
+++ b/Source/Core/Node/ControlCore.cpp
@@ -0,0 +1,258 @@
+#include "Core/Node/ControlCore.h"
+
+#include "Core/Routing/RoutingTable.h"
+
+#include <variant>
+
+namespace bronzepass::core::node {
+
+namespace {
+
+/// Reports in one message: a few hundred bytes each, far below the limit.
+constexpr size_t ReportsPerMessage = 32;
+
+} // namespace
+
+ControlCore::ControlCore(const NodeConfig &Config, ports::Random &Random,
+                         const ports::IntentReader &Reader)
+    : m_Config(Config), m_Governor(Config.m_Governor, Random),
+      m_View(Config.m_Self, Random),
+      m_Intent(
+          Reader,
+          [this](ports::StoreCall Call) {
+            return submit(leases::StoreClient::Intent, std::move(Call));
+          },
+          Random),
+      m_Placement(
+          Config.m_Self.m_Node,
+          [this](ports::StoreCall Call) {
+            return submit(leases::StoreClient::Placement, std::move(Call));
+          },
+          Config.m_Placement),
+      m_Poller(Config.m_ReportPeriod), m_Shares(m_View, Config.m_SharePeriod) {}
+
+model::CallId ControlCore::submit(leases::StoreClient Client,
+                                  ports::StoreCall Call) {
+  return m_Governor.submit(Client, std::move(Call), m_Now, *m_Out);
+}
+
+void ControlCore::start(model::TimePoint Now, ports::EffectList &Out) {
+  m_Now = Now;
+  m_Out = &Out;
+  m_View.start(Now, Out);
+  m_Intent.start(Now, Out);
+  setReady(false, "no configuration yet");
+}
+
+void ControlCore::handle(const ports::Event &Incoming, model::TimePoint Now,
+                         ports::EffectList &Out) {
+  m_Now = Now;
+  m_Out = &Out;
+  m_View.observe(Now, Out);
+  std::visit([this](const auto &Event) { on(Event); }, Incoming);
+  followIntent();
+  followDuties();
+  followEndpoints();
+  publishTable();
+  judgeReadiness();
+  advanceStop();
+}
+
+void ControlCore::on(const ports::Tick &) {
+  for (const leases::RoutedAnswer &Each : m_Governor.tick(m_Now, *m_Out))
+    routeAnswer(Each);
+  m_View.tick(m_Now, *m_Out);
+  m_Intent.tick(m_Now, *m_Out);
+  m_Placement.tick(m_Now, *m_Out);
+  m_Poller.tick(m_Now, *m_Out);
+  if (!m_Intent.inForce())
+    return;
+  const std::vector<model::DemandSample> Own =
+      m_Shares.tick(*m_Intent.inForce(), m_Now, *m_Out);
+  if (!Own.empty())
+    m_Placement.demandSeen(Own, m_Now);
+}
+
+void ControlCore::on(const ports::StoreAnswer &Answer) {
+  const std::optional<leases::RoutedAnswer> Routed =
+      m_Governor.onAnswer(Answer, m_Now, *m_Out);
+  if (Routed)
+    routeAnswer(*Routed);
+}
+
+void ControlCore::routeAnswer(const leases::RoutedAnswer &Routed) {
+  switch (Routed.m_Client) {
+  case leases::StoreClient::Intent:
+    m_Intent.storeAnswer(Routed.m_Answer, m_Now, *m_Out);
+    return;
+  case leases::StoreClient::Placement:
+    m_Placement.storeAnswered(Routed.m_Answer, m_Now, *m_Out);
+    return;
+  case leases::StoreClient::Leases:
+  case leases::StoreClient::Claims:
+  case leases::StoreClient::Status:
+    return;
+  }
+}
+
+void ControlCore::on(const model::EngineReport &Report) {
+  m_Poller.answered(Report.m_Endpoint);
+  takeReport(Report, nullptr);
+}
+
+void ControlCore::takeReport(const model::EngineReport &Report,
+                             const model::NodeId *From) {
+  const ResidencyBook::News News = m_Residency.take(Report);
+  if (News == ResidencyBook::News::Stale)
+    return;
+  m_View.reportSeen(Report, m_Now);
+  m_Placement.reportSeen(Report, m_Now, *m_Out);
+  if (News == ResidencyBook::News::Same)
+    return;
+  m_TableDirty = true;
+  for (const model::NodeId &Peer : m_View.linkedPeers())
+    if (!From || Peer != *From)
+      m_Out->push_back(ports::PeerSend{Peer, ports::ResidencyShare{{Report}}});
+}
+
+void ControlCore::on(const ports::ReportMissed &Missed) {
+  m_Poller.answered(Missed.m_Endpoint);
+  m_View.reportMissed(Missed, m_Now);
+  m_Placement.reportMissed(Missed, m_Now, *m_Out);
+}
+
+void ControlCore::on(const ports::EndpointSeen &Seen) {
+  m_View.endpointSeen(Seen, m_Now);
+}
+
+void ControlCore::on(const model::OrderAnswer &Answer) {
+  m_Placement.orderAnswered(Answer, m_Now, *m_Out);
+}
+
+void ControlCore::on(const ports::PeerReceived &Received) {
+  m_View.peerReceived(Received, m_Now, *m_Out);
+  m_Intent.peerReceived(Received, m_Now, *m_Out);
+  if (const auto *Share =
+          std::get_if<ports::ResidencyShare>(&Received.m_Message)) {
+    for (const model::EngineReport &Report : Share->m_Reports)
+      takeReport(Report, &Received.m_From);
+  } else if (const auto *Demand =
+                 std::get_if<ports::DemandShare>(&Received.m_Message)) {
+    m_Placement.demandSeen(Demand->m_Samples, m_Now);
+  } else if (const auto *Usage =
+                 std::get_if<ports::UsageShare>(&Received.m_Message)) {
+    m_Shares.usageReceived(Received.m_From, *Usage, m_Now, *m_Out);
+  }
+}
+
+void ControlCore::on(const ports::PeerLinkChanged &Change) {
+  m_View.peerLinkChanged(Change, m_Now, *m_Out);
+  m_Intent.peerLinkChanged(Change, m_Now, *m_Out);
+  if (Change.m_Up)
+    sendResidency(Change.m_Peer);
+}
+
+void ControlCore::sendResidency(const model::NodeId &To) {
+  for (std::vector<model::EngineReport> &List :
+       m_Residency.inLists(ReportsPerMessage))
+    m_Out->push_back(
+        ports::PeerSend{To, ports::ResidencyShare{std::move(List)}});
+}
+
+void ControlCore::on(const ports::VmListSeen &Seen) {
+  m_View.vmListSeen(Seen, m_Now, *m_Out);
+}
+
+void ControlCore::on(const ports::ClaimWanted &Wanted) {
+  m_Out->push_back(ports::ClaimVerdict{
+      Wanted.m_Request, ports::ClaimVerdictKind::Unavailable, 0, {}});
+}
+
+void ControlCore::on(const ports::ClaimEnded &) {}
+
+void ControlCore::on(const ports::TrafficSeen &Seen) {
+  if (m_Intent.inForce())
+    m_Shares.trafficSeen(Seen, *m_Intent.inForce(), m_Now, *m_Out);
+}
+
+void ControlCore::followIntent() {
+  if (m_Intent.generation() == m_SeenGeneration || !m_Intent.inForce())
+    return;
+  m_SeenGeneration = m_Intent.generation();
+  const std::shared_ptr<const model::Intent> Value = m_Intent.inForce();
+  m_View.setIntent(*Value, m_Now);
+  std::set<model::EndpointId> Declared;
+  for (const model::PoolSpec &Pool : Value->m_Pools)
+    for (const model::EndpointSpec &Endpoint : Pool.m_Endpoints)
+      Declared.insert(Endpoint.m_Name);
+  m_Residency.keepOnly(Declared);
+  m_Placement.intentChanged(Value, m_Now, *m_Out);
+  refreshPolls();
+  m_TableDirty = true;
+}
+
+void ControlCore::followDuties() {
+  if (m_SeenDuties != m_View.dutiesVersion()) {
+    m_SeenDuties = m_View.dutiesVersion();
+    bool Watches = false;
+    for (const model::NodeId &Node :
+         m_View.duties().watchersOf(m_View.self().m_Domain))
+      Watches = Watches || Node == m_View.self().m_Node;
+    m_Intent.setWatching(Watches);
+    refreshPolls();
+  }
+  if (m_SeenMembers != m_View.members().version()) {
+    m_SeenMembers = m_View.members().version();
+    m_TableDirty = true;
+  }
+}
+
+void ControlCore::followEndpoints() {
+  if (m_SeenEndpoints != m_View.endpoints().version()) {
+    m_SeenEndpoints = m_View.endpoints().version();
+    for (const model::EndpointState &State : m_View.endpoints().states())
+      m_Placement.livenessChanged(State, m_Now, *m_Out);
+    m_TableDirty = true;
+  }
+  const std::vector<model::Copy> Draining = m_Placement.drainingCopies();
+  if (Draining != m_SeenDraining) {
+    m_SeenDraining = Draining;
+    m_TableDirty = true;
+  }
+}
+
+void ControlCore::refreshPolls() {
+  if (!m_Intent.inForce())
+    return;
+  std::map<model::EndpointId, model::Address> Engines;
+  for (const model::PoolSpec &Pool : m_Intent.inForce()->m_Pools) {
+    if (Pool.m_Kind != model::PoolKind::Engine)
+      continue;
+    for (const model::EndpointSpec &Endpoint : Pool.m_Endpoints)
+      for (const model::NodeId &Node : m_View.duties().pollersOf(Endpoint))
+        if (Node == m_View.self().m_Node)
+          Engines.emplace(Endpoint.m_Name, Endpoint.m_Address);
+  }
+  m_Poller.setEngines(Engines, m_Now);
+}
+
+void ControlCore::publishTable() {
+  if (!m_TableDirty || !m_Intent.inForce())
+    return;
+  if (m_TableAt && m_Now < *m_TableAt + m_Config.m_TableSpacing)
+    return;
+  routing::RoutingInputs Inputs{.m_Intent = m_Intent.inForce(),
+                                .m_Copies = m_Residency.copies(m_SeenDraining),
+                                .m_Self = m_View.self(),
+                                .m_Settings = m_Config.m_Table};
+  for (const model::EndpointState &State : m_View.endpoints().states())
+    if (State.m_Liveness != model::Liveness::Live)
+      Inputs.m_EndpointStates.push_back(State);
+  Inputs.m_Nodes = m_View.members().present();
+  m_Table = routing::RoutingTable::build(Inputs);
+  m_TableAt = m_Now;
+  m_TableDirty = false;
+  m_Out->push_back(ports::TablePublished{m_Table});
+}
+
+} // namespace bronzepass::core::node
--- /dev/null
+++ b/Source/Core/Node/ControlCore.h
@@ -0,0 +1,114 @@
+#ifndef BRONZEPASS_CORE_NODE_CONTROLCORE_H
+#define BRONZEPASS_CORE_NODE_CONTROLCORE_H
+
+#include "Core/Leases/StoreGovernor.h"
+#include "Core/Membership/IntentKeeper.h"
+#include "Core/Membership/MembershipView.h"
+#include "Core/Node/NodeConfig.h"
+#include "Core/Node/ReportPoller.h"
+#include "Core/Node/ResidencyBook.h"
+#include "Core/Node/ShareDesk.h"
+#include "Core/Placement/PlacementCore.h"
+#include "Core/Ports/Effect.h"
+#include "Core/Ports/Event.h"
+#include "Core/Ports/Ports.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bronzepass::core::node {
+
+/// One node's control: membership, configuration, leases, claims, placement and
+/// the routing table, composed. A deterministic state machine: time, randomness
+/// and every message come in as typed events, and what is to be done comes out
+/// as typed effects, in order. Nothing here reads a clock, a socket or a
+/// thread, so that many nodes can live in one process under virtual time, and
+/// a node can be driven from outside one event at a time.
+class ControlCore {
+public:
+  /// \p Random and \p Reader outlive the core.
+  ControlCore(const NodeConfig &Config, ports::Random &Random,
+              const ports::IntentReader &Reader);
+  ControlCore(const ControlCore &) = delete;
+  ControlCore &operator=(const ControlCore &) = delete;
+
+  /// Once, before the first event.
+  void start(model::TimePoint Now, ports::EffectList &Out);
+
+  /// Takes one event at \p Now, which never runs backwards, and appends what
+  /// is to be done to \p Out. A Tick is due at least every 50 ms.
+  void handle(const ports::Event &Incoming, model::TimePoint Now,
+              ports::EffectList &Out);
+
+  const membership::MembershipView &view() const { return m_View; }
+  const membership::IntentKeeper &intent() const { return m_Intent; }
+  const placement::PlacementCore &placement() const { return m_Placement; }
+  const ResidencyBook &residency() const { return m_Residency; }
+  const leases::StoreGovernor &governor() const { return m_Governor; }
+  bool isReady() const { return m_Ready; }
+  const std::string &readinessReason() const { return m_ReadinessReason; }
+
+private:
+  void on(const ports::Tick &);
+  void on(const ports::StoreAnswer &Answer);
+  void on(const model::EngineReport &Report);
+  void on(const ports::ReportMissed &Missed);
+  void on(const ports::EndpointSeen &Seen);
+  void on(const model::OrderAnswer &Answer);
+  void on(const ports::PeerReceived &Received);
+  void on(const ports::PeerLinkChanged &Change);
+  void on(const ports::VmListSeen &Seen);
+  void on(const ports::ClaimWanted &Wanted);
+  void on(const ports::ClaimEnded &Ended);
+  void on(const ports::TrafficSeen &Seen);
+  void on(const ports::StopWanted &);
+  void on(const ports::TrafficDrained &);
+
+  void routeAnswer(const leases::RoutedAnswer &Routed);
+  void takeReport(const model::EngineReport &Report, const model::NodeId *From);
+  void sendResidency(const model::NodeId &To);
+  model::CallId submit(leases::StoreClient Client, ports::StoreCall Call);
+
+  void followIntent();
+  void followDuties();
+  void followEndpoints();
+  void refreshPolls();
+  void publishTable();
+  void judgeReadiness();
+  void setReady(bool Ready, const std::string &Reason);
+  void advanceStop();
+
+  const NodeConfig m_Config;
+  leases::StoreGovernor m_Governor;
+  membership::MembershipView m_View;
+  membership::IntentKeeper m_Intent;
+  placement::PlacementCore m_Placement;
+  ResidencyBook m_Residency;
+  ReportPoller m_Poller;
+  ShareDesk m_Shares;
+
+  // Valid during handle().
+  model::TimePoint m_Now;
+  ports::EffectList *m_Out = nullptr;
+
+  // What the rest was last brought in line with.
+  model::Generation m_SeenGeneration;
+  std::optional<uint64_t> m_SeenDuties;
+  std::optional<uint64_t> m_SeenEndpoints;
+  std::optional<uint64_t> m_SeenMembers;
+  std::vector<model::Copy> m_SeenDraining;
+  bool m_TableDirty = false;
+  std::optional<model::TimePoint> m_TableAt;
+  std::shared_ptr<const routing::RoutingTable> m_Table;
+
+  bool m_Ready = false;
+  std::string m_ReadinessReason;
+  enum class StopPhase { Running, LameDuck, Draining, HandingOver, Stopped };
+  StopPhase m_Stop = StopPhase::Running;
+  model::TimePoint m_StopPhaseEnds;
+};
+
+} // namespace bronzepass::core::node
+
+#endif // BRONZEPASS_CORE_NODE_CONTROLCORE_H
--- /dev/null
+++ b/Source/Core/Node/ControlStop.cpp
@@ -0,0 +1,53 @@
+#include "Core/Node/ControlCore.h"
+
+namespace bronzepass::core::node {
+
+void ControlCore::setReady(bool Ready, const std::string &Reason) {
+  if (Ready == m_Ready && Reason == m_ReadinessReason)
+    return;
+  m_Ready = Ready;
+  m_ReadinessReason = Reason;
+  m_Out->push_back(ports::ReadinessChanged{Ready, Reason});
+}
+
+void ControlCore::judgeReadiness() {
+  if (m_Stop != StopPhase::Running)
+    return setReady(false, "stopping");
+  if (m_View.isReplaced())
+    return setReady(false, "a newer process of this VM is known");
+  if (!m_Intent.inForce())
+    return setReady(false, "no configuration yet");
+  if (!m_Intent.isSettled(m_Now, m_View.hasOthers()))
+    return setReady(false, "asking peers for the newest configuration");
+  if (!m_Table)
+    return setReady(false, "no routing table yet");
+  setReady(true, "ready");
+}
+
+void ControlCore::on(const ports::StopWanted &) {
+  if (m_Stop != StopPhase::Running)
+    return;
+  m_Stop = StopPhase::LameDuck;
+  m_StopPhaseEnds = m_Now + m_Config.m_LameDuck;
+  m_View.leave(m_Now, *m_Out);
+}
+
+void ControlCore::on(const ports::TrafficDrained &) {
+  if (m_Stop != StopPhase::Draining)
+    return;
+  m_Stop = StopPhase::HandingOver;
+  m_StopPhaseEnds = m_Now + m_Config.m_HandOver;
+}
+
+void ControlCore::advanceStop() {
+  if (m_Stop == StopPhase::LameDuck && m_Now >= m_StopPhaseEnds) {
+    m_Stop = StopPhase::Draining;
+    m_Out->push_back(ports::TrafficStop());
+  }
+  if (m_Stop == StopPhase::HandingOver) {
+    m_Stop = StopPhase::Stopped;
+    m_Out->push_back(ports::StopFinished());
+  }
+}
+
+} // namespace bronzepass::core::node
--- /dev/null
+++ b/Source/Core/Node/ResidencyBook.cpp
@@ -0,0 +1,62 @@
+#include "Core/Node/ResidencyBook.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzepass::core::node {
+
+ResidencyBook::News ResidencyBook::take(const model::EngineReport &Report) {
+  auto Found = m_Reports.find(Report.m_Endpoint);
+  if (Found == m_Reports.end()) {
+    m_Reports.emplace(Report.m_Endpoint, Report);
+    return News::Changed;
+  }
+  model::EngineReport &Known = Found->second;
+  if (Report.m_MadeAt <= Known.m_MadeAt)
+    return News::Stale;
+  const bool Same = Report.m_Copies == Known.m_Copies &&
+                    Report.m_HighestToken == Known.m_HighestToken;
+  Known = Report;
+  return Same ? News::Same : News::Changed;
+}
+
+void ResidencyBook::keepOnly(const std::set<model::EndpointId> &Declared) {
+  std::erase_if(m_Reports, [&Declared](const auto &Entry) {
+    return Declared.count(Entry.first) == 0;
+  });
+}
+
+std::vector<model::Copy>
+ResidencyBook::copies(const std::vector<model::Copy> &Draining) const {
+  std::set<std::pair<model::EndpointId, model::ArtifactId>> Emptied;
+  for (const model::Copy &Each : Draining)
+    Emptied.emplace(Each.m_Endpoint, Each.m_Artifact);
+  std::vector<model::Copy> Copies;
+  for (const auto &Entry : m_Reports)
+    for (const model::CopyReport &Each : Entry.second.m_Copies) {
+      const bool Leaves = Each.m_State == model::CopyState::Serving &&
+                          Emptied.count({Entry.first, Each.m_Artifact}) != 0;
+      Copies.push_back({Each.m_Artifact, Entry.first,
+                        Leaves ? model::CopyState::Draining : Each.m_State});
+    }
+  return Copies;
+}
+
+const model::EngineReport *
+ResidencyBook::find(const model::EndpointId &Endpoint) const {
+  auto Found = m_Reports.find(Endpoint);
+  return Found == m_Reports.end() ? nullptr : &Found->second;
+}
+
+std::vector<std::vector<model::EngineReport>>
+ResidencyBook::inLists(size_t MaxReports) const {
+  std::vector<std::vector<model::EngineReport>> Lists;
+  for (const auto &Entry : m_Reports) {
+    if (Lists.empty() || Lists.back().size() == MaxReports)
+      Lists.emplace_back();
+    Lists.back().push_back(Entry.second);
+  }
+  return Lists;
+}
+
+} // namespace bronzepass::core::node
--- /dev/null
+++ b/Source/Core/Node/ResidencyBook.h
@@ -0,0 +1,50 @@
+#ifndef BRONZEPASS_CORE_NODE_RESIDENCYBOOK_H
+#define BRONZEPASS_CORE_NODE_RESIDENCYBOOK_H
+
+#include "Core/Model/Residency.h"
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace bronzepass::core::node {
+
+/// The latest report of each engine, whichever node asked for it.
+class ResidencyBook {
+public:
+  /// What a report brought.
+  enum class News {
+    /// Nothing: a later one is known.
+    Stale,
+    /// It is the latest, but names the same copies in the same states.
+    Same,
+    /// Copies or their states changed: other nodes are to learn it.
+    Changed,
+  };
+
+  News take(const model::EngineReport &Report);
+
+  /// Drops the reports of endpoints that are not among \p Declared.
+  void keepOnly(const std::set<model::EndpointId> &Declared);
+
+  /// All copies; those in \p Draining count as draining whatever their engine
+  /// says.
+  std::vector<model::Copy>
+  copies(const std::vector<model::Copy> &Draining) const;
+
+  const model::EngineReport *find(const model::EndpointId &Endpoint) const;
+
+  /// All reports, in lists of at most \p MaxReports.
+  std::vector<std::vector<model::EngineReport>>
+  inLists(size_t MaxReports) const;
+
+  size_t size() const { return m_Reports.size(); }
+
+private:
+  std::map<model::EndpointId, model::EngineReport> m_Reports;
+};
+
+} // namespace bronzepass::core::node
+
+#endif // BRONZEPASS_CORE_NODE_RESIDENCYBOOK_H
--- /dev/null
+++ b/Source/Core/Node/ShareDesk.cpp
@@ -0,0 +1,121 @@
+#include "Core/Node/ShareDesk.h"
+
+#include "Core/Placement/PlacementCore.h"
+
+#include <set>
+
+namespace bronzepass::core::node {
+
+namespace {
+
+bool isLimited(const model::Intent &Intent, const model::CallerId &Caller) {
+  for (const model::CallerSpec &Each : Intent.m_Callers)
+    if (Each.m_Name == Caller)
+      return !(Each.m_Limits == model::CallerLimits());
+  return false;
+}
+
+void addTo(model::DemandSample &Sum, const model::DemandSample &Sample) {
+  Sum.m_Artifact = Sample.m_Artifact;
+  Sum.m_Arrivals += Sample.m_Arrivals;
+  Sum.m_InTime += Sample.m_InTime;
+  Sum.m_Refused += Sample.m_Refused;
+  Sum.m_Waiting = Sample.m_Waiting;
+  Sum.m_SlotSeconds += Sample.m_SlotSeconds;
+}
+
+} // namespace
+
+model::NodeId ShareDesk::ownerOf(const model::CallerId &Caller) const {
+  return m_View.duties().ownerOf("caller/" + Caller.str());
+}
+
+void ShareDesk::trafficSeen(const ports::TrafficSeen &Seen,
+                            const model::Intent &Intent, model::TimePoint Now,
+                            ports::EffectList &Out) {
+  for (const model::DemandSample &Sample : Seen.m_Demand)
+    addTo(m_Demand[Sample.m_Artifact], Sample);
+
+  const model::NodeId &Self = m_View.self().m_Node;
+  std::map<model::NodeId, std::vector<ports::CallerUsage>> ByOwner;
+  for (const ports::CallerUsage &Usage : Seen.m_Usage)
+    if (isLimited(Intent, Usage.m_Caller))
+      ByOwner[ownerOf(Usage.m_Caller)].push_back(Usage);
+  for (const auto &Entry : ByOwner) {
+    if (Entry.first == Self) {
+      m_Usage.take(Self, Entry.second, Now);
+      Out.push_back(
+          ports::UsageSeen{answerTo(Self, Entry.second, Now).m_Usage});
+      continue;
+    }
+    m_View.wantLink(Entry.first, Now);
+    Out.push_back(
+        ports::PeerSend{Entry.first, ports::UsageShare{Entry.second}});
+  }
+}
+
+ports::UsageShare
+ShareDesk::answerTo(const model::NodeId &Asker,
+                    const std::vector<ports::CallerUsage> &Usage,
+                    model::TimePoint Now) const {
+  ports::UsageShare Answer;
+  for (const ports::CallerUsage &Each : Usage)
+    Answer.m_Usage.push_back(m_Usage.others(Each.m_Caller, Asker, Now));
+  return Answer;
+}
+
+void ShareDesk::usageReceived(const model::NodeId &From,
+                              const ports::UsageShare &Share,
+                              model::TimePoint Now, ports::EffectList &Out) {
+  const model::NodeId &Self = m_View.self().m_Node;
+  std::vector<ports::CallerUsage> Owned;
+  std::vector<ports::CallerUsage> Answers;
+  // From the node that sums a caller's use it is the answer; to it, an account.
+  for (const ports::CallerUsage &Each : Share.m_Usage)
+    (ownerOf(Each.m_Caller) == Self ? Owned : Answers).push_back(Each);
+  if (!Answers.empty())
+    Out.push_back(ports::UsageSeen{Answers});
+  if (Owned.empty())
+    return;
+  m_Usage.take(From, Owned, Now);
+  Out.push_back(ports::PeerSend{From, answerTo(From, Owned, Now)});
+}
+
+std::vector<model::DemandSample> ShareDesk::tick(const model::Intent &Intent,
+                                                 model::TimePoint Now,
+                                                 ports::EffectList &Out) {
+  if (m_NextAt && Now < *m_NextAt)
+    return {};
+  m_NextAt = Now + m_Period;
+  m_Usage.forgetOld(Now);
+  std::vector<model::DemandSample> Samples;
+  for (const auto &Entry : m_Demand)
+    Samples.push_back(Entry.second);
+  m_Demand.clear();
+  if (Samples.empty())
+    return {};
+
+  // A node that places several pools gets the account once.
+  std::map<model::NodeId, model::PoolId> Placers;
+  for (const model::PoolSpec &Pool : Intent.m_Pools) {
+    if (Pool.m_Kind != model::PoolKind::Engine)
+      continue;
+    const model::LeaseName Lease = placement::poolLease(Pool.m_Name);
+    for (const model::NodeInfo &Node : m_View.duties().nodes())
+      if (m_View.duties().preferenceFor(Lease, Node.m_Node) == 0)
+        Placers.emplace(Node.m_Node, Pool.m_Name);
+  }
+  bool Own = false;
+  for (const auto &Entry : Placers) {
+    if (Entry.first == m_View.self().m_Node) {
+      Own = true;
+      continue;
+    }
+    m_View.wantLink(Entry.first, Now);
+    Out.push_back(ports::PeerSend{Entry.first,
+                                  ports::DemandShare{Entry.second, Samples}});
+  }
+  return Own ? Samples : std::vector<model::DemandSample>();
+}
+
+} // namespace bronzepass::core::node
--- a/Source/UnitTests/Adapters/Codec/RecordCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Codec/RecordCodecTest.cpp
@@ -23,16 +23,23 @@
                                  {7},
                                  std::chrono::seconds(9),
                                  41};
+  const model::LedgerEntry Entry{
+      .m_Artifact = {model::ModelId("gas"), "2", model::AdapterId("barge")},
+      .m_MemoryBytes = 12'000'000,
+      .m_LastOrder = model::OrderKind::Unload,
+      .m_OrderId = {3},
+      .m_Token = {7},
+      .m_Writer = model::NodeId("n1"),
+      .m_Settled = true,
+      .m_Doubts = {{model::NodeId("n0"), {6}, model::OrderKind::Load}}};
   const model::EngineLedger Ledger{
-      model::EndpointId("engine-1"),
-      80'000'000'000,
-      {7},
-      {{{model::ModelId("gas"), "2", model::AdapterId("barge")},
-        12'000'000,
-        model::OrderKind::Unload,
-        {3},
-        {7},
-        true}}};
+      .m_Endpoint = model::EndpointId("engine-1"),
+      .m_MemoryBytes = 80'000'000'000,
+      .m_Token = {7},
+      .m_Writer = model::NodeId("n1"),
+      .m_Revision = 5,
+      .m_Role = {model::EngineRole::Decode, {6}, false},
+      .m_Entries = {Entry}};
   const model::ClaimRecord Claim{
       UINT64_MAX,
       5,
