--- /dev/null
+++ b/Source/StandIns/ServiceStandIn.h
@@ -0,0 +1,47 @@
+#ifndef BRONZEPASS_STANDINS_SERVICESTANDIN_H
+#define BRONZEPASS_STANDINS_SERVICESTANDIN_H
+
+#include "StandIns/StandIn.h"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace bronzepass::stand_ins {
+
+/// A plain service: each call to any path is a run, which it counts and logs.
+/// GET /runs tells of them; POST /faults makes the next calls fail.
+class ServiceStandIn : public StandIn {
+public:
+  explicit ServiceStandIn(core::model::Address Address);
+  ~ServiceStandIn() override;
+
+private:
+  struct Call {
+    uint64_t m_Run = 0;
+    std::string m_Method;
+    std::string m_Path;
+    std::string m_Key;
+    std::string m_Body;
+  };
+
+  void handle(const HttpRequest &Request,
+              const std::shared_ptr<HttpAnswer> &Answer) override;
+  void run(const HttpRequest &Request,
+           const std::shared_ptr<HttpAnswer> &Answer);
+  HttpReply runs() const;
+  HttpReply setFaults(const HttpRequest &Request);
+
+  uint64_t m_Runs = 0;
+  std::deque<Call> m_Calls;
+  /// The next calls that run but whose connection breaks without an answer.
+  uint32_t m_LoseNext = 0;
+  /// The next calls that are declined and don't run.
+  uint32_t m_DeclineNext = 0;
+  /// Time that a call takes, milliseconds.
+  uint32_t m_DelayMillis = 0;
+};
+
+} // namespace bronzepass::stand_ins
+
+#endif // BRONZEPASS_STANDINS_SERVICESTANDIN_H
--- a/Source/StandIns/StandIn.cpp
+++ b/Source/StandIns/StandIn.cpp
@@ -40,7 +40,11 @@
 void StandIn::onRequest(HttpRequest Request,
                         std::shared_ptr<HttpAnswer> Answer) {
   loop().post([this, Request = std::move(Request), Answer = std::move(Answer)] {
-    handle(Request, Answer);
+    try {
+      handle(Request, Answer);
+    } catch (const nlohmann::json::exception &Error) {
+      Answer->send(errorReply(400, Error.what()));
+    }
   });
 }
 
