UnitTests: Drive the whole request path over loopback

A caller's request goes through the front, the traffic thread with the real traffic core and an engine stand-in, and back, streamed and plain.

--- /dev/null
+++ b/Source/UnitTests/Adapters/TestNode.h
@@ -0,0 +1,130 @@
+#ifndef BRONZEPASS_UNITTESTS_ADAPTERS_TESTNODE_H
+#define BRONZEPASS_UNITTESTS_ADAPTERS_TESTNODE_H
+
+#include "Core/Adapters/Callers/CallerFront.h"
+#include "Core/Adapters/Traffic/CoreDecider.h"
+#include "Core/Adapters/Traffic/TrafficDriver.h"
+#include "StandIns/EngineStandIn.h"
+#include "StandIns/ServiceStandIn.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace bronzepass::unit_tests::adapters {
+
+class SteadyClock : public core::ports::Clock {
+public:
+  core::model::TimePoint now() const override {
+    return core::model::TimePoint(
+        std::chrono::duration_cast<core::model::Duration>(
+            std::chrono::steady_clock::now().time_since_epoch()));
+  }
+};
+
+class CountingDice : public core::ports::Random {
+public:
+  uint64_t next() override { return m_Next++; }
+
+private:
+  uint64_t m_Next = 0;
+};
+
+/// Grants each claim at once and keeps every event.
+class ControlStub : public core::ports::EventSink {
+public:
+  void post(core::ports::Event Incoming) override;
+  /// Of the kind \p EventT.
+  template <typename EventT> size_t count() {
+    const std::lock_guard<std::mutex> Lock(m_Mutex);
+    size_t Count = 0;
+    for (const core::ports::Event &Each : m_Events)
+      Count += std::holds_alternative<EventT>(Each) ? 1 : 0;
+    return Count;
+  }
+  template <typename EventT> EventT last() {
+    const std::lock_guard<std::mutex> Lock(m_Mutex);
+    EventT Found{};
+    for (const core::ports::Event &Each : m_Events)
+      if (std::holds_alternative<EventT>(Each))
+        Found = std::get<EventT>(Each);
+    return Found;
+  }
+
+  std::atomic<core::adapters::traffic::TrafficDriver *> m_Driver = nullptr;
+
+private:
+  std::mutex m_Mutex;
+  std::vector<core::ports::Event> m_Events;
+};
+
+class SilentLog : public core::ports::DecisionLog {
+public:
+  void write(const core::model::Decision & /*Line*/) override {}
+};
+
+class SilentMetrics : public core::ports::Metrics {
+public:
+  void add(core::ports::Metric /*Which*/, const std::string & /*Label*/,
+           double /*Amount*/) override {}
+  void set(core::ports::Metric /*Which*/, const std::string & /*Label*/,
+           double /*Value*/) override {}
+};
+
+/// The model that every engine of a TestNode serves.
+core::model::ArtifactId testArtifact();
+
+/// An engine stand-in that serves testArtifact(), listening.
+std::unique_ptr<stand_ins::EngineStandIn>
+startEngine(stand_ins::EngineOptions Options);
+
+/// A node's request path in one process: front, traffic thread, real traffic
+/// core, and stand-ins behind it.
+class TestNode {
+public:
+  struct Settings {
+    stand_ins::EngineOptions m_Engine;
+    core::adapters::callers::CallerFrontOptions m_Front;
+    core::routing::TrafficSettings m_Traffic;
+    bool m_CanResume = false;
+  };
+
+  explicit TestNode(Settings Given);
+  ~TestNode();
+
+  uint16_t port() const { return m_Front->port(); }
+  stand_ins::EngineStandIn &engine() { return *m_Engine; }
+  stand_ins::ServiceStandIn &service() { return *m_Service; }
+  core::adapters::traffic::TrafficDriver &driver() { return *m_Driver; }
+  ControlStub &control() { return m_Control; }
+
+  /// A number from the engine's report, by its name under "counts".
+  uint64_t engineCount(const std::string &Name) const;
+  uint64_t serviceRuns() const;
+  /// Posts \p Json to an address's /faults.
+  static void setFaults(const stand_ins::StandIn &StandIn,
+                        const std::string &Json);
+
+private:
+  std::shared_ptr<const core::routing::RoutingTable> makeTable() const;
+
+  Settings m_Settings;
+  SteadyClock m_Clock;
+  CountingDice m_Dice;
+  ControlStub m_Control;
+  SilentLog m_Log;
+  SilentMetrics m_Metrics;
+  std::unique_ptr<stand_ins::EngineStandIn> m_Engine;
+  std::unique_ptr<stand_ins::ServiceStandIn> m_Service;
+  std::unique_ptr<core::adapters::traffic::TrafficDriver> m_Driver;
+  std::unique_ptr<core::adapters::callers::CallerFront> m_Front;
+};
+
+/// The body of a chat completion for testArtifact().
+std::string chatBody(const std::string &User, uint32_t Tokens, bool Stream);
+
+} // namespace bronzepass::unit_tests::adapters
+
+#endif // BRONZEPASS_UNITTESTS_ADAPTERS_TESTNODE_H
