--- /dev/null
+++ b/Source/UnitTests/Adapters/OnceTest.cpp
@@ -0,0 +1,146 @@
+#include "UnitTests/Adapters/HttpClient.h"
+#include "UnitTests/Adapters/TestNode.h"
+
+#include "Core/Adapters/Curl/CurlMulti.h"
+#include "Core/Adapters/Net/LoopThread.h"
+
+#include <doctest/doctest.h>
+#include <future>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace bronzepass::unit_tests::adapters {
+
+namespace curl = core::adapters::curl;
+namespace net = core::adapters::net;
+
+namespace {
+
+class ResultListener : public curl::TransferListener {
+public:
+  void onHead(const curl::TransferHead & /*Head*/) override {}
+  void onPiece(std::string_view /*Piece*/) override {}
+  void onDone(const curl::TransferResult &Result) override {
+    m_Result.set_value(Result);
+  }
+  std::promise<curl::TransferResult> m_Result;
+};
+
+curl::TransferResult transfer(net::EventLoop &Loop, curl::CurlMulti &Curl,
+                              const curl::TransferRequest &Request) {
+  const std::shared_ptr<ResultListener> Listener =
+      std::make_shared<ResultListener>();
+  Loop.post([&Curl, Request, Listener] { Curl.start(Request, Listener); });
+  return Listener->m_Result.get_future().get();
+}
+
+curl::TransferRequest serviceCall(uint16_t Port) {
+  curl::TransferRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Address = {"127.0.0.1", Port};
+  Request.m_Path = "/certificates";
+  Request.m_Body = "{}";
+  Request.m_Timeout = Patience;
+  return Request;
+}
+
+} // namespace
+
+TEST_CASE("a call that may not be repeated runs once though its answer is "
+          "lost") {
+  TestNode Node({});
+  // Leaves a connection to the service that could be used again.
+  CHECK(fetch(Node.port(), "POST", "/booking/slots", "{}").m_Status == 200);
+  TestNode::setFaults(Node.service(), R"({"lose_next": 1})");
+  const HttpResult Lost = fetch(Node.port(), "POST", "/booking/certificates",
+                                "{}", {"Idempotency-Key: cert-1"});
+  CHECK(Lost.m_Status == 502);
+  CHECK(nlohmann::json::parse(Lost.m_Body)["error"]["run_state"] == "unknown");
+  CHECK(Node.serviceRuns() == 2);
+}
+
+TEST_CASE("a declined call goes elsewhere or is told not to have run") {
+  TestNode Node({});
+  TestNode::setFaults(Node.service(), R"({"decline_next": 100})");
+  const HttpResult Declined =
+      fetch(Node.port(), "POST", "/booking/certificates", "{}",
+            {"Idempotency-Key: cert-2"});
+  CHECK(Declined.m_Status == 503);
+  CHECK(Declined.m_Headers.at("bronzepass-run-state") == "not_run");
+  CHECK(Node.serviceRuns() == 0);
+}
+
+TEST_CASE("a claim's end carries the first answer for repeats") {
+  TestNode Node({});
+  const HttpResult First = fetch(Node.port(), "POST", "/booking/certificates",
+                                 "{\"unit\":7}", {"Idempotency-Key: cert-3"});
+  CHECK(First.m_Status == 200);
+  REQUIRE(waitFor([&Node] {
+    return Node.control().count<core::ports::ClaimEnded>() == 1;
+  }));
+  const core::ports::ClaimEnded Ended =
+      Node.control().last<core::ports::ClaimEnded>();
+  CHECK(Ended.m_Answer == First.m_Body);
+  CHECK(Ended.m_Status == 200);
+}
+
+TEST_CASE("a reused connection that died is not proof that nothing ran") {
+  stand_ins::ServiceStandIn Service({"127.0.0.1", 0});
+  REQUIRE_FALSE(Service.start());
+  net::LoopThread Thread;
+  curl::CurlMulti Curl(Thread.loop(), 8);
+  Thread.start();
+  REQUIRE(transfer(Thread.loop(), Curl, serviceCall(Service.port())).m_Whole);
+  // The next call runs and its connection breaks without an answer: libcurl
+  // sends it again on a connection of its own, and so runs it twice.
+  TestNode::setFaults(Service, R"({"lose_next": 1})");
+  const curl::TransferResult Reused =
+      transfer(Thread.loop(), Curl, serviceCall(Service.port()));
+  CHECK(Reused.m_Whole);
+  const HttpResult Naive = fetch(Service.port(), "GET", "/runs");
+  CHECK(nlohmann::json::parse(Naive.m_Body)["runs"] == 3);
+  // With a fresh connection it does not.
+  TestNode::setFaults(Service, R"({"lose_next": 1})");
+  curl::TransferRequest Fresh = serviceCall(Service.port());
+  Fresh.m_FreshConnection = true;
+  const curl::TransferResult Lost = transfer(Thread.loop(), Curl, Fresh);
+  CHECK_FALSE(Lost.m_Whole);
+  CHECK(Lost.m_BytesSent > 0);
+  const HttpResult Runs = fetch(Service.port(), "GET", "/runs");
+  CHECK(nlohmann::json::parse(Runs.m_Body)["runs"] == 4);
+  Thread.stop();
+}
+
+TEST_CASE("bytes sent on a dead connection count though the next is refused") {
+  net::LoopThread Thread;
+  curl::CurlMulti Curl(Thread.loop(), 8);
+  Thread.start();
+  std::unique_ptr<stand_ins::ServiceStandIn> Service =
+      std::make_unique<stand_ins::ServiceStandIn>(
+          core::model::Address{"127.0.0.1", 0});
+  REQUIRE_FALSE(Service->start());
+  const uint16_t Port = Service->port();
+  REQUIRE(transfer(Thread.loop(), Curl, serviceCall(Port)).m_Whole);
+  TestNode::setFaults(*Service, R"({"delay_ms": 600000})");
+  // It runs, its process dies, and nothing listens on the port any more.
+  const std::shared_ptr<ResultListener> Listener =
+      std::make_shared<ResultListener>();
+  Thread.loop().post(
+      [&Curl, Port, Listener] { Curl.start(serviceCall(Port), Listener); });
+  REQUIRE(waitFor([Port] {
+    const HttpResult Runs = fetch(Port, "GET", "/runs");
+    return nlohmann::json::parse(Runs.m_Body)["runs"] == 2;
+  }));
+  Service.reset();
+  const curl::TransferResult Result = Listener->m_Result.get_future().get();
+  CHECK_FALSE(Result.m_Whole);
+  CHECK(Result.m_BytesSent > 0);
+  // Nothing was sent here: this is the proof.
+  const curl::TransferResult Refused =
+      transfer(Thread.loop(), Curl, serviceCall(Port));
+  CHECK(Refused.m_Refused);
+  CHECK(Refused.m_BytesSent == 0);
+  Thread.stop();
+}
+
+} // namespace bronzepass::unit_tests::adapters
--- /dev/null
+++ b/Source/UnitTests/Adapters/StreamTest.cpp
@@ -0,0 +1,173 @@
+#include "UnitTests/Adapters/HttpClient.h"
+#include "UnitTests/Adapters/TestNode.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace bronzepass::unit_tests::adapters {
+
+namespace {
+
+const char *const ChatPath = "/v1/chat/completions";
+
+/// How often \p Part stands in \p Text.
+size_t countOf(const std::string &Text, const std::string &Part) {
+  size_t Count = 0;
+  for (size_t At = Text.find(Part); At != std::string::npos;
+       At = Text.find(Part, At + Part.size()))
+    ++Count;
+  return Count;
+}
+
+} // namespace
+
+TEST_CASE("a caller that leaves mid-stream cancels its engine's stream") {
+  TestNode Node({});
+  RawConnection Leaving(Node.port());
+  Leaving.send(postText(ChatPath, chatBody("anna", 100000, true)));
+  REQUIRE(Leaving.readUntil("anna:3 "));
+  Leaving.close();
+  CHECK(waitFor([&Node] { return Node.engineCount("cancelled") == 1; }));
+  CHECK(
+      fetch(Node.port(), "POST", ChatPath, chatBody("omar", 2, true)).m_Whole);
+}
+
+TEST_CASE("a caller that stops reading is cut, others are served") {
+  TestNode::Settings Settings;
+  Settings.m_Engine.m_Step = std::chrono::microseconds(100);
+  Settings.m_Front.m_Server.m_Connections.m_BufferBytes = 64 << 10;
+  TestNode Node(Settings);
+  RawConnection Stopped(Node.port(), 4096);
+  // Far more than the kernel and the node keep for one caller.
+  Stopped.send(
+      postText(ChatPath, chatBody(std::string(4096, 's'), 100000, true)));
+  REQUIRE(Stopped.readUntil("HTTP/1.1 200"));
+  const HttpResult Other =
+      fetch(Node.port(), "POST", ChatPath, chatBody("omar", 20, true));
+  CHECK(Other.m_Whole);
+  CHECK(waitFor([&Node] { return Node.engineCount("cancelled") == 1; }));
+  // What was kept for it may still be read, but the end is no clean one.
+  CHECK(Stopped.readToEnd());
+  CHECK(Stopped.text().find("[DONE]") == std::string::npos);
+  CHECK_FALSE(Stopped.text().ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("half a stream ends in a visible break") {
+  TestNode Node({});
+  TestNode::setFaults(Node.engine(),
+                      R"({"break_next": 1, "break_after_tokens": 3})");
+  const HttpResult Broken =
+      fetch(Node.port(), "POST", ChatPath, chatBody("anna", 10, true));
+  CHECK(Broken.m_Status == 200);
+  CHECK_FALSE(Broken.m_Whole);
+  CHECK(Broken.m_Body.find("anna:2 ") != std::string::npos);
+  CHECK(Broken.m_Body.find("[DONE]") == std::string::npos);
+}
+
+TEST_CASE("half a stream goes on at the exact byte where engines resume") {
+  TestNode::Settings Settings;
+  Settings.m_CanResume = true;
+  TestNode Node(Settings);
+  const HttpResult Unbroken =
+      fetch(Node.port(), "POST", ChatPath, chatBody("anna", 10, true));
+  TestNode::setFaults(Node.engine(),
+                      R"({"break_next": 1, "break_after_tokens": 3})");
+  const HttpResult Resumed =
+      fetch(Node.port(), "POST", ChatPath, chatBody("anna", 10, true));
+  CHECK(Resumed.m_Whole);
+  CHECK(Resumed.m_Body == Unbroken.m_Body);
+  CHECK(Node.engineCount("started") == 3);
+}
+
+TEST_CASE("an engine that starts over when asked to go on is not joined") {
+  TestNode::Settings Settings;
+  Settings.m_CanResume = true;
+  Settings.m_Engine.m_CanResume = false;
+  TestNode Node(Settings);
+  TestNode::setFaults(Node.engine(),
+                      R"({"break_next": 1, "break_after_tokens": 3})");
+  const HttpResult Broken =
+      fetch(Node.port(), "POST", ChatPath, chatBody("anna", 10, true));
+  CHECK_FALSE(Broken.m_Whole);
+  CHECK(countOf(Broken.m_Body, "anna:0 ") == 1);
+}
+
+TEST_CASE("a stream longer than every time-out comes whole") {
+  constexpr std::chrono::seconds Timeout(1);
+  TestNode::Settings Settings;
+  Settings.m_Front.m_Server.m_HeaderTimeout = Timeout;
+  Settings.m_Front.m_Server.m_BodyTimeout = Timeout;
+  Settings.m_Front.m_Server.m_Connections.m_KeepAlive = Timeout;
+  Settings.m_Engine.m_Step = std::chrono::milliseconds(100);
+  TestNode Node(Settings);
+  const HttpResult Long =
+      fetch(Node.port(), "POST", ChatPath, chatBody("anna", 35, true));
+  CHECK(Long.m_Whole);
+  CHECK(Long.m_Body.find("anna:34 ") != std::string::npos);
+  CHECK(Long.m_Body.find("408") == std::string::npos);
+}
+
+TEST_CASE("a connection that idles after its answer is closed quietly") {
+  TestNode::Settings Settings;
+  Settings.m_Front.m_Server.m_Connections.m_KeepAlive = std::chrono::seconds(1);
+  TestNode Node(Settings);
+  RawConnection Idle(Node.port());
+  Idle.send(postText(ChatPath, chatBody("anna", 1, false)));
+  REQUIRE(Idle.readUntil("anna:0 "));
+  CHECK(Idle.readToEnd());
+  CHECK(countOf(Idle.text(), "HTTP/1.1") == 1);
+}
+
+TEST_CASE("a second request on a kept connection gets its own answer") {
+  TestNode Node({});
+  RawConnection Kept(Node.port());
+  for (int I = 0; I < 20; ++I) {
+    const std::string User = "user" + std::to_string(I);
+    Kept.clearText();
+    Kept.send(postText(ChatPath, chatBody(User, 2, I % 2 == 0)));
+    REQUIRE(Kept.readUntil(I % 2 == 0 ? "0\r\n\r\n" : "}}"));
+    CHECK(countOf(Kept.text(), User + ":") == 2);
+    CHECK(countOf(Kept.text(), ":1 ") == 1);
+  }
+}
+
+TEST_CASE("each late answer reaches its own caller while connections churn") {
+  constexpr int Threads = 8;
+  constexpr int Rounds = 60;
+  TestNode::Settings Settings;
+  Settings.m_Engine.m_Slots = 256;
+  TestNode Node(Settings);
+  std::atomic<int> Crossed = 0;
+  std::atomic<int> Missing = 0;
+  std::vector<std::thread> Callers;
+  for (int T = 0; T < Threads; ++T)
+    Callers.emplace_back([&Node, &Crossed, &Missing, T] {
+      for (int I = 0; I < Rounds; ++I) {
+        const std::string Name = std::to_string(T) + "-" + std::to_string(I);
+        // One that leaves frees its descriptor's number for the next one while
+        // its answer is still on the way.
+        {
+          RawConnection Leaving(Node.port());
+          Leaving.send(postText(ChatPath, chatBody("left" + Name, 4, false)));
+        }
+        RawConnection Staying(Node.port());
+        Staying.send(postText(ChatPath, chatBody("own" + Name, 2, I % 2 == 0)));
+        if (!Staying.readUntil("own" + Name + ":1 "))
+          ++Missing;
+        if (Staying.text().find("left") != std::string::npos ||
+            countOf(Staying.text(), "HTTP/1.1") != 1)
+          ++Crossed;
+      }
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  CHECK(Missing == 0);
+  CHECK(Crossed == 0);
+}
+
+} // namespace bronzepass::unit_tests::adapters
