--- a/Source/UnitTests/Fakes/FakeStore.h
+++ b/Source/UnitTests/Fakes/FakeStore.h
@@ -6,13 +6,15 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bronzepass::unit_tests::fakes {
 
-/// What becomes of one call. The write of a LostAnswer call takes effect, that
-/// of a LostCall does not; the caller is told Unknown either way.
-enum class StoreFault { None, Slow, LostAnswer, LostCall, Down };
+/// What becomes of one call. The write of a LostAnswer call takes effect at
+/// once, that of a LateWrite after m_LateDelay, that of a LostCall never; the
+/// caller is told Unknown in all three cases.
+enum class StoreFault { None, Slow, LostAnswer, LateWrite, LostCall, Down };
 
 /// The object API in memory under virtual time. Each call is answered after
 /// m_Latency, in order of due time; a fault chooser decides on each call.
@@ -30,6 +32,7 @@
 
   core::model::Duration m_Latency = std::chrono::milliseconds(5);
   core::model::Duration m_SlowLatency = std::chrono::seconds(2);
+  core::model::Duration m_LateDelay = std::chrono::seconds(3);
   FaultChooser m_Fault = [](const core::ports::StoreCall &) {
     return StoreFault::None;
   };
@@ -39,8 +42,15 @@
   void submit(const core::model::NodeId &Caller,
               const core::ports::StoreCall &Call, core::model::TimePoint Now) {
     using core::ports::StoreStatus;
+    applyLateWrites(Now);
     ++m_CallCount;
     const StoreFault Fault = m_Fault(Call);
+    if (Fault == StoreFault::LateWrite) {
+      m_LateWrites.push_back({Now + m_LateDelay, Call});
+      answer(Caller, {.m_Id = Call.m_Id, .m_Status = StoreStatus::Unknown},
+             Now + Call.m_Timeout);
+      return;
+    }
     if (Fault == StoreFault::Down || Fault == StoreFault::LostCall) {
       const StoreStatus Status = Fault == StoreFault::Down
                                      ? StoreStatus::NotSent
@@ -66,6 +76,7 @@
 
   /// Removes and returns the answers due by \p Now, earliest first.
   std::vector<DueAnswer> takeDue(core::model::TimePoint Now) {
+    applyLateWrites(Now);
     expireWatches(Now);
     std::stable_sort(
         m_Due.begin(), m_Due.end(),
@@ -84,6 +95,18 @@
 
   uint64_t callCount() const { return m_CallCount; }
 
+  /// When takeDue() next has something to give, or a late write takes effect.
+  std::optional<core::model::TimePoint> nextDueAt() const {
+    std::optional<core::model::TimePoint> Next;
+    for (const DueAnswer &Due : m_Due)
+      Next = std::min(Next.value_or(Due.m_At), Due.m_At);
+    for (const LateWrite &Late : m_LateWrites)
+      Next = std::min(Next.value_or(Late.m_At), Late.m_At);
+    for (const WaitingWatch &Watch : m_Watches)
+      Next = std::min(Next.value_or(Watch.m_Until), Watch.m_Until);
+    return Next;
+  }
+
 private:
   struct WaitingWatch {
     core::model::TimePoint m_Until;
@@ -91,6 +114,22 @@
     core::ports::StoreCall m_Call;
   };
 
+  struct LateWrite {
+    core::model::TimePoint m_At;
+    core::ports::StoreCall m_Call;
+  };
+
+  void applyLateWrites(core::model::TimePoint Now) {
+    for (auto It = m_LateWrites.begin(); It != m_LateWrites.end();) {
+      if (It->m_At > Now) {
+        ++It;
+        continue;
+      }
+      apply(It->m_Call);
+      It = m_LateWrites.erase(It);
+    }
+  }
+
   static core::model::Duration lostDelay(StoreFault Fault,
                                          const core::ports::StoreCall &Call) {
     const bool AtOnce = Fault == StoreFault::Down;
@@ -184,6 +223,7 @@
   std::map<core::ports::ObjectKey, core::ports::StoredObject> m_Objects;
   std::vector<DueAnswer> m_Due;
   std::vector<WaitingWatch> m_Watches;
+  std::vector<LateWrite> m_LateWrites;
   core::model::ObjectVersion m_Version;
   uint64_t m_CallCount = 0;
 };
