--- a/Source/Core/Ports/PeerMessage.h
+++ b/Source/Core/Ports/PeerMessage.h
@@ -26,6 +26,17 @@
   friend auto operator<=>(const Hello &, const Hello &) = default;
 };
 
+/// Which nodes hold a generation or a newer one, as far as the sender heard and
+/// has not said on this link before.
+struct GenerationProgress {
+  model::Generation m_Generation;
+  /// stableHash of the nodes' ids.
+  std::vector<uint64_t> m_NodeHashes;
+
+  friend auto operator<=>(const GenerationProgress &,
+                          const GenerationProgress &) = default;
+};
+
 /// Sent on every link each heartbeat period.
 struct Heartbeat {
   uint64_t m_Sequence = 0;
@@ -35,6 +46,12 @@
   /// Changes of liveness that the sender learnt lately, nodes and endpoints.
   std::vector<model::NodeInfo> m_NodeNews;
   std::vector<model::EndpointState> m_EndpointNews;
+  GenerationProgress m_Progress;
+  /// Sequence of the last heartbeat taken from the receiver: what came before
+  /// this message on the link was sent with that one in mind.
+  uint64_t m_Echo = 0;
+  /// Equal where sender and receiver know the same members.
+  uint64_t m_MembersDigest = 0;
 
   friend auto operator<=>(const Heartbeat &, const Heartbeat &) = default;
 };
