--- a/Source/Core/Adapters/Codec/MessageFields.h
+++ b/Source/Core/Adapters/Codec/MessageFields.h
@@ -65,6 +65,7 @@
 template <> struct Fields<ports::ClaimReply> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("askId", Value.m_AskId);
+    Visitor.optional("toOutcome", Value.m_ToOutcome);
     Visitor.required("verdict", Value.m_Verdict);
     Visitor.optional("status", Value.m_Status);
     Visitor.bytes("answer", Value.m_Answer);
--- a/Source/UnitTests/Adapters/Codec/PeerCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Codec/PeerCodecTest.cpp
@@ -48,7 +48,7 @@
       ports::IntentPartsWanted{{1, UINT64_MAX}},
       ports::IntentPartSent{{model::stableHash(Text), Text}},
       ports::ClaimAsk{1, 2, 3, {4}, 5},
-      ports::ClaimReply{1, ports::ClaimVerdictKind::NotOwner, 200, "\xff",
+      ports::ClaimReply{1, true, ports::ClaimVerdictKind::NotOwner, 200, "\xff",
                         model::NodeId("n2")},
       ports::ClaimOutcome{1, {2}, model::ClaimState::Released, 0, ""},
       ports::DemandShare{model::PoolId("p"), {{Artifact, 1, 2, 3, 4, 0.25}}},
