--- /dev/null
+++ b/Source/Core/Adapters/Daemon/DecisionRing.h
@@ -0,0 +1,34 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_DAEMON_DECISIONRING_H
+#define BRONZEPASS_CORE_ADAPTERS_DAEMON_DECISIONRING_H
+
+#include "Core/Ports/Ports.h"
+
+#include <deque>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace bronzepass::core::adapters::daemon {
+
+/// Passes decisions on to the log and keeps the last ones, so that `explain`
+/// can say why a request went where it did. Callable from any thread.
+class DecisionRing : public ports::DecisionLog {
+public:
+  explicit DecisionRing(ports::DecisionLog &Next) : m_Next(Next) {}
+
+  void write(const model::Decision &Line) override;
+
+  /// The decisions kept about \p Subject, oldest first.
+  std::vector<model::Decision> about(const std::string &Subject) const;
+
+private:
+  static constexpr size_t MaxDecisions = 4096;
+
+  ports::DecisionLog &m_Next;
+  mutable std::mutex m_Mutex;
+  std::deque<model::Decision> m_Decisions;
+};
+
+} // namespace bronzepass::core::adapters::daemon
+
+#endif // BRONZEPASS_CORE_ADAPTERS_DAEMON_DECISIONRING_H
