Leases: Hold leases with fencing tokens in the object API

Duties such as a pool's placement belong to one node at a time; a holder may be paused past its term and wake, and a renewal's answer may be lost.

LeaseKeeper changes hands only by conditional update of the lease's record, with a token that rises each time. A holder acts until its term, counted from the sending of the last confirmed renewal, is out on its own clock; a waiter takes over once the record stood still for a term on its own. A lost write is settled by reading; no two writes of a node are alike, so that one is never taken for the other. Renewals fall due after a third of the term, spread by hash. Only the first ranks look at a lease, and a holder that is no longer first gives it back after half a minute.

ClaimReply says whether it answers an ask or an outcome, in the codec too.

--- a/Source/Core/Adapters/Codec/MessageFields.h
+++ b/Source/Core/Adapters/Codec/MessageFields.h
@@ -69,6 +69,7 @@
     Visitor.optional("status", Value.m_Status);
     Visitor.bytes("answer", Value.m_Answer);
     Visitor.optional("owner", Value.m_Owner);
+    Visitor.optional("toOutcome", Value.m_ToOutcome);
   }
 };
 
--- a/Source/Core/Claims/ClaimShard.cpp
+++ b/Source/Core/Claims/ClaimShard.cpp
@@ -27,8 +27,8 @@
 
 ClaimReply replyTo(const WaitingOutcome &Outcome, ClaimVerdictKind Verdict) {
   return {.m_AskId = Outcome.m_Ask.m_AskId,
-          .m_ToOutcome = true,
-          .m_Verdict = Verdict};
+          .m_Verdict = Verdict,
+          .m_ToOutcome = true};
 }
 
 bool isOf(const model::ClaimRecord &Claim, const AskRef &Ask) {
--- a/Source/Core/Claims/ClaimShards.cpp
+++ b/Source/Core/Claims/ClaimShards.cpp
@@ -126,8 +126,8 @@
 ports::ClaimReply ClaimShards::notOwner(uint64_t AskId, bool ToOutcome,
                                         uint32_t Shard) const {
   ports::ClaimReply Reply{.m_AskId = AskId,
-                          .m_ToOutcome = ToOutcome,
-                          .m_Verdict = ports::ClaimVerdictKind::NotOwner};
+                          .m_Verdict = ports::ClaimVerdictKind::NotOwner,
+                          .m_ToOutcome = ToOutcome};
   const std::vector<model::NodeId> &Ranked = m_Candidates.of(Shard);
   if (!Ranked.empty())
     Reply.m_Owner = Ranked.front();
--- a/Source/Core/Claims/ClaimTable.cpp
+++ b/Source/Core/Claims/ClaimTable.cpp
@@ -1,5 +1,7 @@
 #include "Core/Claims/ClaimTable.h"
 
+#include <algorithm>
+
 namespace bronzepass::core::claims {
 
 namespace {
@@ -7,18 +9,21 @@
 /// Field names, punctuation and the numbers at their longest.
 constexpr size_t FixedClaimBytes = 240;
 
-/// Length as a JSON string; CBOR's is never more.
+/// Length as a JSON string, or as hexadecimal digits in an object, which is how
+/// text that is not UTF-8 is kept; CBOR's is never more.
 size_t escapedBytes(const std::string &Text) {
+  constexpr size_t HexObjectBytes = 10;
   size_t Bytes = 0;
-  for (const char C : Text) {
+  bool Ascii = true;
+  for (const char Signed : Text) {
+    const unsigned char C = static_cast<unsigned char>(Signed);
+    Ascii = Ascii && C < 0x80;
     if (C == '"' || C == '\\')
       Bytes += 2;
-    else if (static_cast<unsigned char>(C) < 0x20)
-      Bytes += 6;
     else
-      Bytes += 1;
+      Bytes += C < 0x20 ? 6 : 1;
   }
-  return Bytes;
+  return Ascii ? Bytes : std::max(Bytes, 2 * Text.size() + HexObjectBytes);
 }
 
 } // namespace
--- a/Source/Core/Cli/IntentAccess.cpp
+++ b/Source/Core/Cli/IntentAccess.cpp
@@ -57,10 +57,9 @@
 } // namespace
 
 void addObjectApiOptions(po::options_description &Options) {
-  Options.add_options()("object-api",
-                        po::value<std::string>()->default_value(
-                            "127.0.0.1:18001"),
-                        "address of the platform's object API")(
+  Options.add_options()(
+      "object-api", po::value<std::string>()->default_value("127.0.0.1:18001"),
+      "address of the platform's object API")(
       "namespace", po::value<std::string>()->default_value("default"),
       "namespace of the deployment's objects")(
       "patience", po::value<std::string>()->default_value("10s"),
@@ -86,7 +85,8 @@
                   << "', expected an IP number and a port\n";
   if (!Patience)
     Context.m_Err << "bronzepass " << Command << ": --patience is '"
-                  << Context.text("patience") << "', expected a time, e.g. 10s\n";
+                  << Context.text("patience")
+                  << "', expected a time, e.g. 10s\n";
   if (!Address || !Patience)
     return nullptr;
   return std::make_unique<adapters::object_api::BlockingObjectApi>(
@@ -132,11 +132,10 @@
   return exitCodeOf(Outcome.m_Status);
 }
 
-ExitCode
-editIntent(const CommandContext &Context, const std::string &Command,
-           const std::function<std::optional<std::string>(
-               const std::string &Text, const model::Intent &Current,
-               std::string &Reason)> &Edit) {
+ExitCode editIntent(const CommandContext &Context, const std::string &Command,
+                    const std::function<std::optional<std::string>(
+                        const std::string &Text, const model::Intent &Current,
+                        std::string &Reason)> &Edit) {
   const std::unique_ptr<adapters::object_api::BlockingObjectApi> Session =
       openObjectApi(Context, Command);
   if (!Session)
@@ -165,9 +164,8 @@
       return ExitCode::Findings;
     const std::string Summary =
         model::summarize(model::diffIntents(*Before, *After));
-    const ApplyOutcome Outcome =
-        Intents.apply({*Text, Current->m_Head.m_Generation, authorOf(Context),
-                       Summary});
+    const ApplyOutcome Outcome = Intents.apply(
+        {*Text, Current->m_Head.m_Generation, authorOf(Context), Summary});
     if (Outcome.m_Status != ApplyStatus::Conflict || Try == MaxEditTries)
       return reportApply(Outcome, Summary, Context);
   }
--- a/Source/Core/Cli/IntentAccess.h
+++ b/Source/Core/Cli/IntentAccess.h
@@ -35,16 +35,14 @@
 
 /// Prints what became of a change.
 ExitCode reportApply(const intent_store::ApplyOutcome &Outcome,
-                     const std::string &Summary,
-                     const CommandContext &Context);
+                     const std::string &Summary, const CommandContext &Context);
 
 /// Changes the intent's text by \p Edit and applies it, again from the newest
 /// generation where another change came first.
-ExitCode
-editIntent(const CommandContext &Context, const std::string &Command,
-           const std::function<std::optional<std::string>(
-               const std::string &Text, const model::Intent &Current,
-               std::string &Reason)> &Edit);
+ExitCode editIntent(const CommandContext &Context, const std::string &Command,
+                    const std::function<std::optional<std::string>(
+                        const std::string &Text, const model::Intent &Current,
+                        std::string &Reason)> &Edit);
 
 /// Who makes a change: --author, else the user's name.
 std::string authorOf(const CommandContext &Context);
--- a/Source/Core/IntentStore/IntentStore.cpp
+++ b/Source/Core/IntentStore/IntentStore.cpp
@@ -171,13 +171,12 @@
 ApplyOutcome IntentStore::replaceHead(const ReadOutcome &Before,
                                       const model::IntentHead &After) {
   const bool First = Before.m_Status == ReadStatus::None;
-  const StoreCall Write{
-      .m_Verb = First ? StoreVerb::Create : StoreVerb::Update,
-      .m_Key = membership::intentHeadKey(),
-      .m_Expected = Before.m_Current.m_Version,
-      .m_Record = After,
-      .m_Priority = ports::StorePriority::Intent,
-      .m_Timeout = CallTimeout};
+  const StoreCall Write{.m_Verb = First ? StoreVerb::Create : StoreVerb::Update,
+                        .m_Key = membership::intentHeadKey(),
+                        .m_Expected = Before.m_Current.m_Version,
+                        .m_Record = After,
+                        .m_Priority = ports::StorePriority::Intent,
+                        .m_Timeout = CallTimeout};
   const ApplyOutcome Accepted{.m_Status = ApplyStatus::Accepted,
                               .m_Generation = After.m_Generation};
   bool MayHaveLeft = false;
@@ -236,7 +235,8 @@
   const model::IntentHead &Old = Before.m_Current.m_Head;
   if (Request.m_Base && *Request.m_Base != Old.m_Generation)
     return conflictWith(Old, *Request.m_Base);
-  const model::IntentDocument Document = membership::splitIntent(Request.m_Text);
+  const model::IntentDocument Document =
+      membership::splitIntent(Request.m_Text);
   if (Before.m_Status == ReadStatus::Found &&
       Document.m_Head.m_PartHashes == Old.m_PartHashes)
     return {.m_Status = ApplyStatus::Unchanged,
--- /dev/null
+++ b/Source/Core/Leases/LeaseKeeper.cpp
@@ -0,0 +1,116 @@
+#include "Core/Leases/LeaseKeeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzepass::core::leases {
+
+LeaseKeeper::LeaseKeeper(const LeaseSettings &Settings,
+                         const model::NodeId &Self, StoreGovernor &Governor,
+                         ports::Random &Source)
+    : m_Settings(Settings), m_Self(Self), m_Governor(Governor),
+      m_Random(Source) {}
+
+void LeaseKeeper::setDuties(const std::vector<LeaseDuty> &Duties,
+                            model::TimePoint Now, ports::EffectList &Out) {
+  if (m_Stopping)
+    return;
+  std::map<model::LeaseName, uint32_t> Wanted;
+  for (const LeaseDuty &Duty : Duties)
+    Wanted[Duty.m_Name] = Duty.m_Rank;
+  for (auto &Entry : m_Trackers)
+    if (!Wanted.contains(Entry.first))
+      Entry.second.giveBack();
+  for (const auto &Entry : Wanted) {
+    auto Tracker =
+        m_Trackers
+            .try_emplace(Entry.first, Entry.first, m_Settings, m_Self, m_Random)
+            .first;
+    Tracker->second.setRank(Entry.second, Now);
+    advance(Tracker->second, Now, Out);
+  }
+}
+
+std::optional<model::HeldLease> LeaseKeeper::find(const model::LeaseName &Name,
+                                                  model::TimePoint Now) const {
+  auto Found = m_Trackers.find(Name);
+  if (Found == m_Trackers.end())
+    return std::nullopt;
+  return Found->second.heldAt(Now);
+}
+
+std::vector<model::HeldLease> LeaseKeeper::held(model::TimePoint Now) const {
+  std::vector<model::HeldLease> Held;
+  for (const auto &Entry : m_Trackers) {
+    const std::optional<model::HeldLease> Lease = Entry.second.heldAt(Now);
+    if (Lease)
+      Held.push_back(*Lease);
+  }
+  return Held;
+}
+
+std::vector<LeaseNotice> LeaseKeeper::tick(model::TimePoint Now,
+                                           ports::EffectList &Out) {
+  std::vector<LeaseNotice> Notices;
+  for (auto &Entry : m_Trackers) {
+    advance(Entry.second, Now, Out);
+    collect(Entry.second, Notices, Out);
+  }
+  std::erase_if(m_Trackers, [](const TrackerMap::value_type &Entry) {
+    return Entry.second.isFinished();
+  });
+  return Notices;
+}
+
+std::vector<LeaseNotice>
+LeaseKeeper::onStoreAnswer(const ports::StoreAnswer &Answer,
+                           model::TimePoint Now, ports::EffectList &Out) {
+  std::vector<LeaseNotice> Notices;
+  auto Call = m_Calls.find(Answer.m_Id);
+  if (Call == m_Calls.end())
+    return Notices;
+  auto Tracker = m_Trackers.find(Call->second);
+  m_Calls.erase(Call);
+  if (Tracker == m_Trackers.end())
+    return Notices;
+  Tracker->second.onAnswer(Answer, Now);
+  advance(Tracker->second, Now, Out);
+  collect(Tracker->second, Notices, Out);
+  return Notices;
+}
+
+void LeaseKeeper::stop(model::TimePoint Now, ports::EffectList &Out) {
+  m_Stopping = true;
+  for (auto &Entry : m_Trackers) {
+    Entry.second.giveBack();
+    advance(Entry.second, Now, Out);
+  }
+}
+
+void LeaseKeeper::advance(LeaseTracker &Tracker, model::TimePoint Now,
+                          ports::EffectList &Out) {
+  std::optional<ports::StoreCall> Call = Tracker.advance(Now);
+  if (!Call)
+    return;
+  const model::CallId Id =
+      m_Governor.submit(StoreClient::Leases, std::move(*Call), Now, Out);
+  m_Calls[Id] = Tracker.name();
+}
+
+void LeaseKeeper::collect(LeaseTracker &Tracker,
+                          std::vector<LeaseNotice> &Notices,
+                          ports::EffectList &Out) {
+  for (LeaseNotice &Notice : Tracker.takeNotices()) {
+    const bool Gained = Notice.m_Change == LeaseChange::Gained;
+    Out.push_back(model::Decision{
+        .m_Kind = model::DecisionKind::Membership,
+        .m_Subject = Tracker.name().m_Duty,
+        .m_Action = Gained ? "acquire" : "lose",
+        .m_Chosen = m_Self.str(),
+        .m_Reason = "token " + std::to_string(Notice.m_Lease.m_Token.m_Value) +
+                    ": " + Notice.m_Reason});
+    Notices.push_back(std::move(Notice));
+  }
+}
+
+} // namespace bronzepass::core::leases
--- a/Source/Core/Ports/PeerMessage.h
+++ b/Source/Core/Ports/PeerMessage.h
@@ -113,12 +113,12 @@
 /// NotOwner once a release is.
 struct ClaimReply {
   uint64_t m_AskId = 0;
-  /// Answers a ClaimOutcome, not a ClaimAsk.
-  bool m_ToOutcome = false;
   ClaimVerdictKind m_Verdict = ClaimVerdictKind::Unavailable;
   uint16_t m_Status = 0;
   std::string m_Answer;
   model::NodeId m_Owner;
+  /// Answers a ClaimOutcome, not a ClaimAsk.
+  bool m_ToOutcome = false;
 
   friend auto operator<=>(const ClaimReply &, const ClaimReply &) = default;
 };
--- a/Source/UnitTests/Adapters/Codec/PeerCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Codec/PeerCodecTest.cpp
@@ -49,7 +49,7 @@
       ports::IntentPartSent{{model::stableHash(Text), Text}},
       ports::ClaimAsk{1, 2, 3, {4}, 5},
       ports::ClaimReply{1, ports::ClaimVerdictKind::NotOwner, 200, "\xff",
-                        model::NodeId("n2")},
+                        model::NodeId("n2"), true},
       ports::ClaimOutcome{1, {2}, model::ClaimState::Released, 0, ""},
       ports::DemandShare{model::PoolId("p"), {{Artifact, 1, 2, 3, 4, 0.25}}},
       ports::UsageShare{{{model::CallerId("c"), 1.5, 2.5, 3}}},
