--- a/Source/Core/Adapters/Codec/MessageFields.h
+++ b/Source/Core/Adapters/Codec/MessageFields.h
@@ -65,11 +65,11 @@
 template <> struct Fields<ports::ClaimReply> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("askId", Value.m_AskId);
-    Visitor.optional("toOutcome", Value.m_ToOutcome);
     Visitor.required("verdict", Value.m_Verdict);
     Visitor.optional("status", Value.m_Status);
     Visitor.bytes("answer", Value.m_Answer);
     Visitor.optional("owner", Value.m_Owner);
+    Visitor.optional("toOutcome", Value.m_ToOutcome);
   }
 };
 
@@ -111,6 +111,20 @@
   }
 };
 
+template <> struct Fields<ports::FenceAsk> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("lease", Value.m_Lease);
+    Visitor.required("token", Value.m_Token);
+  }
+};
+
+template <> struct Fields<ports::FenceAck> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("lease", Value.m_Lease);
+    Visitor.required("token", Value.m_Token);
+  }
+};
+
 } // namespace bronzepass::core::adapters::codec
 
 #endif // BRONZEPASS_CORE_ADAPTERS_CODEC_MESSAGEFIELDS_H
--- a/Source/Core/Ports/PeerMessage.h
+++ b/Source/Core/Ports/PeerMessage.h
@@ -5,6 +5,7 @@
 #include "Core/Model/Demand.h"
 #include "Core/Model/Id.h"
 #include "Core/Model/IntentDocument.h"
+#include "Core/Model/Lease.h"
 #include "Core/Model/Node.h"
 #include "Core/Model/Residency.h"
 
@@ -113,12 +114,12 @@
 /// NotOwner once a release is.
 struct ClaimReply {
   uint64_t m_AskId = 0;
-  /// Answers a ClaimOutcome, not a ClaimAsk.
-  bool m_ToOutcome = false;
   ClaimVerdictKind m_Verdict = ClaimVerdictKind::Unavailable;
   uint16_t m_Status = 0;
   std::string m_Answer;
   model::NodeId m_Owner;
+  /// Answers a ClaimOutcome, not a ClaimAsk.
+  bool m_ToOutcome = false;
 
   friend auto operator<=>(const ClaimReply &, const ClaimReply &) = default;
 };
@@ -167,10 +168,27 @@
                           const ResidencyShare &) = default;
 };
 
+/// A lease's holder asks a former one to send nothing more under it.
+struct FenceAsk {
+  model::LeaseName m_Lease;
+  /// The lowest token that may still act.
+  model::FencingToken m_Token;
+
+  friend auto operator<=>(const FenceAsk &, const FenceAsk &) = default;
+};
+
+/// The sender sends nothing under a lower token of the lease any more.
+struct FenceAck {
+  model::LeaseName m_Lease;
+  model::FencingToken m_Token;
+
+  friend auto operator<=>(const FenceAck &, const FenceAck &) = default;
+};
+
 using PeerMessage =
     std::variant<Hello, Heartbeat, IntentOffer, IntentPartsWanted,
                  IntentPartSent, ClaimAsk, ClaimReply, ClaimOutcome,
-                 DemandShare, UsageShare, ResidencyShare>;
+                 DemandShare, UsageShare, ResidencyShare, FenceAsk, FenceAck>;
 
 /// Links to peers, numbered by the node at the other end. Messages that come
 /// in, and links that break, are posted as events.
