--- a/Source/Core/Membership/IntentWatch.cpp
+++ b/Source/Core/Membership/IntentWatch.cpp
@@ -12,6 +12,9 @@
 constexpr model::Duration WatchTimeout = std::chrono::seconds(30);
 /// An answer that is later than its timeout by this much will not come.
 constexpr model::Duration AnswerGrace = std::chrono::seconds(5);
+/// A watch that ends sooner with nothing new was refused in its body, e.g. for
+/// a version that is too old.
+constexpr model::Duration ShortestWatch = std::chrono::seconds(1);
 constexpr model::Duration RetryBase = std::chrono::milliseconds(500);
 constexpr model::Duration RetryCap = std::chrono::seconds(5);
 
@@ -41,6 +44,7 @@
   if (Waits)
     Call.m_Expected = m_Version;
   m_Verb = Verb;
+  m_SentAt = Now;
   m_LostAt = Now + Call.m_Timeout + AnswerGrace;
   m_Call = m_Submit(std::move(Call));
 }
@@ -61,11 +65,20 @@
     fail(Now);
     return Seen;
   }
+  const bool Refused = m_Verb == ports::StoreVerb::Watch &&
+                       Answer.m_Objects.empty() &&
+                       Now - m_SentAt < ShortestWatch;
+  if (Refused) {
+    fail(Now);
+    return Seen;
+  }
   m_Call = model::CallId();
   m_NeedsList = false;
   m_HasRead = true;
   m_Version = Answer.m_ListVersion;
-  m_Backoff.reset();
+  // A list that succeeds does not prove that the watch after it will.
+  if (m_Verb == ports::StoreVerb::Watch)
+    m_Backoff.reset();
   for (const ports::StoredObject &Object : Answer.m_Objects)
     if (Object.m_Key == intentHeadKey())
       if (const auto *Head = std::get_if<model::IntentHead>(&Object.m_Record))
--- a/Source/Core/Membership/IntentWatch.h
+++ b/Source/Core/Membership/IntentWatch.h
@@ -49,6 +49,7 @@
   ports::StoreVerb m_Verb = ports::StoreVerb::List;
   model::ObjectVersion m_Version;
   model::CallId m_Call;
+  model::TimePoint m_SentAt;
   model::TimePoint m_LostAt;
   model::TimePoint m_NextAt;
 };
--- a/Source/UnitTests/Membership/IntentDistributionTest.cpp
+++ b/Source/UnitTests/Membership/IntentDistributionTest.cpp
@@ -93,6 +93,21 @@
   CHECK(Watches <= 4 * 21);
 }
 
+TEST_CASE("watches that end at once do not become a flood of calls") {
+  MembershipSystem System;
+  System.boot("vm-1", "cartagena");
+  System.apply(1, "engine e1 vm-e1\n");
+  System.run(5s);
+  // The fake answers a watch at once where its version is unknown to it.
+  System.m_Tamper = [](ports::StoreAnswer &Answer) {
+    Answer.m_ListVersion = {};
+    Answer.m_Objects.clear();
+  };
+  const uint64_t Before = System.m_Store.callCount();
+  System.run(10min);
+  CHECK(System.m_Store.callCount() - Before <= 10 * 60);
+}
+
 TEST_CASE("the object API is down for an hour") {
   MembershipSystem System;
   bootFive(System);
--- a/Source/Core/Membership/MembershipCore.cpp
+++ b/Source/UnitTests/Membership/MembershipPair.cpp
@@ -1,22 +1,25 @@
-#include "Core/Membership/MembershipCore.h"
+#include "UnitTests/Membership/MembershipPair.h"
 
 #include <variant>
 
-namespace bronzepass::core::membership {
+using namespace bronzepass::core;
 
-MembershipCore::MembershipCore(model::NodeInfo Self,
+namespace bronzepass::unit_tests::membership {
+
+MembershipPair::MembershipPair(model::NodeInfo Self,
                                const ports::IntentReader &Reader,
-                               StoreSubmitter Submit, ports::Random &Random)
+                               core::membership::StoreSubmitter Submit,
+                               ports::Random &Random)
     : m_View(std::move(Self), Random),
       m_Intent(Reader, std::move(Submit), Random) {}
 
-void MembershipCore::start(model::TimePoint Now, ports::EffectList &Out) {
+void MembershipPair::start(model::TimePoint Now, ports::EffectList &Out) {
   m_View.start(Now, Out);
   m_Intent.start(Now, Out);
   passOnChanges(Now, Out);
 }
 
-bool MembershipCore::handle(const ports::Event &Incoming, model::TimePoint Now,
+bool MembershipPair::handle(const ports::Event &Incoming, model::TimePoint Now,
                             ports::EffectList &Out) {
   bool WasOwn = false;
   m_View.observe(Now, Out);
@@ -46,16 +49,16 @@
   return WasOwn;
 }
 
-void MembershipCore::leave(model::TimePoint Now, ports::EffectList &Out) {
+void MembershipPair::leave(model::TimePoint Now, ports::EffectList &Out) {
   m_View.leave(Now, Out);
 }
 
-bool MembershipCore::isReady(model::TimePoint Now) const {
+bool MembershipPair::isReady(model::TimePoint Now) const {
   return !m_View.isLeaving() && !m_View.isReplaced() &&
          m_Intent.isSettled(Now, m_View.hasOthers());
 }
 
-void MembershipCore::passOnChanges(model::TimePoint Now,
+void MembershipPair::passOnChanges(model::TimePoint Now,
                                    ports::EffectList &Out) {
   if (m_SeenDuties != m_View.dutiesVersion()) {
     m_SeenDuties = m_View.dutiesVersion();
@@ -67,4 +70,4 @@
   m_View.sendDueHeartbeats(Now, Out);
 }
 
-} // namespace bronzepass::core::membership
+} // namespace bronzepass::unit_tests::membership
--- a/Source/UnitTests/Membership/MembershipSystem.cpp
+++ b/Source/UnitTests/Membership/MembershipSystem.cpp
@@ -33,7 +33,7 @@
                   .m_PeerAddress = Info.m_PeerAddress};
   m_Nodes[Vm].reset(new Node{Info, fakes::FixedRandom(Number)});
   Node &Booted = *m_Nodes[Vm];
-  Booted.m_Core = std::make_unique<core::membership::MembershipCore>(
+  Booted.m_Core = std::make_unique<MembershipPair>(
       Info, m_Reader,
       [this, &Booted](ports::StoreCall Call) {
         Call.m_Id = {++Booted.m_LastCall};
--- a/Source/UnitTests/Membership/MembershipSystem.h
+++ b/Source/UnitTests/Membership/MembershipSystem.h
@@ -1,11 +1,11 @@
 #ifndef BRONZEPASS_UNITTESTS_MEMBERSHIP_MEMBERSHIPSYSTEM_H
 #define BRONZEPASS_UNITTESTS_MEMBERSHIP_MEMBERSHIPSYSTEM_H
 
-#include "Core/Membership/MembershipCore.h"
 #include "UnitTests/Fakes/FakeIntentReader.h"
 #include "UnitTests/Fakes/FakePeerNetwork.h"
 #include "UnitTests/Fakes/FakeStore.h"
 #include "UnitTests/Fakes/FixedRandom.h"
+#include "UnitTests/Membership/MembershipPair.h"
 
 #include <deque>
 #include <functional>
@@ -22,7 +22,7 @@
   struct Node {
     core::model::NodeInfo m_Info;
     fakes::FixedRandom m_Random;
-    std::unique_ptr<core::membership::MembershipCore> m_Core;
+    std::unique_ptr<MembershipPair> m_Core;
     uint64_t m_LastCall = 0;
     /// Events wait while the process is paused.
     core::model::TimePoint m_PausedUntil;
@@ -48,9 +48,7 @@
   void apply(uint64_t Generation, const std::string &Text);
 
   Node &node(const std::string &Vm) { return *m_Nodes.at(Vm); }
-  core::membership::MembershipCore &core(const std::string &Vm) {
-    return *node(Vm).m_Core;
-  }
+  MembershipPair &core(const std::string &Vm) { return *node(Vm).m_Core; }
   bool allAt(uint64_t Generation) const;
   /// Whether every node counts exactly the running ones as live.
   bool allAgree() const;
