--- a/Source/Core/Adapters/Codec/PeerCodec.cpp
+++ b/Source/Core/Adapters/Codec/PeerCodec.cpp
@@ -16,9 +16,10 @@
 /// In the order of the variant's alternatives.
 constexpr std::array<std::string_view, std::variant_size_v<ports::PeerMessage>>
     TypeNames = {
-        "hello",          "heartbeat",  "intentOffer",   "intentPartsWanted",
-        "intentPartSent", "claimAsk",   "claimReply",    "claimOutcome",
-        "demandShare",    "usageShare", "residencyShare"};
+        "hello",          "heartbeat",  "intentOffer",    "intentPartsWanted",
+        "intentPartSent", "claimAsk",   "claimReply",     "claimOutcome",
+        "demandShare",    "usageShare", "residencyShare", "fenceAsk",
+        "fenceAck"};
 
 /// The message around its body.
 struct Envelope {
--- /dev/null
+++ b/Source/Core/Adapters/Daemon/Daemon.cpp
@@ -0,0 +1,151 @@
+#include "Core/Adapters/Daemon/Daemon.h"
+
+#include "Core/Adapters/Callers/CallerFront.h"
+#include "Core/Adapters/Curl/CurlEngineClient.h"
+#include "Core/Adapters/Daemon/ControlThread.h"
+#include "Core/Adapters/Daemon/CoreDecider.h"
+#include "Core/Adapters/Daemon/DecisionRing.h"
+#include "Core/Adapters/Daemon/EffectCarrier.h"
+#include "Core/Adapters/Daemon/NodeSetup.h"
+#include "Core/Adapters/Daemon/StatusPages.h"
+#include "Core/Adapters/Daemon/StopSignals.h"
+#include "Core/Adapters/Daemon/SystemPorts.h"
+#include "Core/Adapters/Log/SpdlogDecisionLog.h"
+#include "Core/Adapters/Net/LoopThread.h"
+#include "Core/Adapters/ObjectApi/ObjectApiClient.h"
+#include "Core/Adapters/Operator/OperatorServer.h"
+#include "Core/Adapters/Prometheus/PrometheusMetrics.h"
+#include "Core/Adapters/Traffic/TrafficDriver.h"
+#include "Core/Adapters/WebSocket/WebSocketPeerLink.h"
+#include "Core/Adapters/Yaml/YamlIntentReader.h"
+#include "Core/Node/ControlCore.h"
+
+#include <utility>
+
+namespace bronzepass::core::adapters::daemon {
+
+class Daemon::Impl : private ports::EventSink {
+public:
+  explicit Impl(const settings::NodeSettings &Settings)
+      : m_Settings(Settings), m_Self(makeSelf(Settings, m_Clock.now())),
+        m_Log(Settings), m_Decisions(m_Log),
+        m_Core(makeNodeConfig(Settings, m_Self), m_Random, m_Reader),
+        m_Traffic(makeTrafficOptions(m_Self),
+                  std::make_unique<CoreDecider>(makeTrafficSettings(Settings),
+                                                m_Self),
+                  {m_Clock, *this, m_Decisions, m_Metrics}),
+        m_Front(makeFrontOptions(Settings), m_Traffic, m_Clock),
+        m_Operators(
+            makeOperatorOptions(Settings), [this] { return m_Metrics.text(); },
+            [this](pistache::HttpRequest Request,
+                   operators::OperatorServer::PageDone Done) {
+              servePage(std::move(Request), std::move(Done));
+            }),
+        m_Store(m_StoreThread.loop(), makeObjectApiSettings(Settings), *this),
+        m_Engines({}, m_Clock, *this,
+                  [this](routing::TrafficEvent Event) {
+                    m_Traffic.post(std::move(Event));
+                  }),
+        m_Peers(m_Self, *this, m_Metrics),
+        m_Carrier({m_Store, m_Store, m_Engines, m_Peers, m_Decisions, m_Metrics,
+                   m_Traffic, m_Front, m_Operators,
+                   [this] { m_Signals.stopFinished(); }}),
+        m_Control(m_Core, m_Clock, [this](const ports::Effect &Each) {
+          m_Carrier.carryOut(Each);
+        }) {}
+
+  ~Impl() override { stop(); }
+
+  std::optional<std::string> start() {
+    m_StoreThread.start();
+    m_Traffic.start();
+    if (std::optional<std::string> Reason = m_Peers.start())
+      return "peers: " + *Reason;
+    if (std::optional<std::string> Reason = m_Operators.start())
+      return "operators: " + *Reason;
+    if (std::optional<std::string> Reason = m_Front.start())
+      return "callers: " + *Reason;
+    m_Control.start();
+    return std::nullopt;
+  }
+
+  bool runUntilStopped() {
+    m_Signals.waitForStop();
+    note("stop", "a signal asked for a graceful stop");
+    post(ports::StopWanted());
+    const StopEnd End =
+        m_Signals.waitForEnd(m_Settings.get(settings::TimeoutStop));
+    if (End == StopEnd::Finished)
+      note("stopped", "every request in progress was answered");
+    else
+      note("cut", End == StopEnd::SecondSignal
+                      ? "a second signal came: what was in progress is cut"
+                      : "the upper time of a stop has passed: what was in "
+                        "progress is cut");
+    m_Log.flush();
+    return End == StopEnd::Finished;
+  }
+
+private:
+  void post(ports::Event Incoming) override {
+    m_Control.post(std::move(Incoming));
+  }
+
+  void note(const std::string &Action, const std::string &Reason) {
+    m_Decisions.write({.m_Kind = model::DecisionKind::Membership,
+                       .m_Subject = m_Self.m_Node.str(),
+                       .m_Action = Action,
+                       .m_Reason = Reason});
+  }
+
+  void servePage(pistache::HttpRequest Request,
+                 operators::OperatorServer::PageDone Done) {
+    m_Control.runTask([this, Request = std::move(Request),
+                       Done = std::move(Done)](const node::ControlCore &Core) {
+      Done(makePage(Request, Core, m_Decisions, m_Clock.now()));
+    });
+  }
+
+  /// From the outside in: nothing is called that has gone already.
+  void stop() {
+    m_Front.stop();
+    m_Operators.stop();
+    m_Control.stop();
+    m_Peers.stop();
+    m_Traffic.stop();
+    m_StoreThread.stop();
+  }
+
+  const settings::NodeSettings m_Settings;
+  SystemClock m_Clock;
+  SystemRandom m_Random;
+  yaml::YamlIntentReader m_Reader;
+  StopSignals m_Signals;
+  const model::NodeInfo m_Self;
+  log::SpdlogDecisionLog m_Log;
+  DecisionRing m_Decisions;
+  prometheus::PrometheusMetrics m_Metrics;
+  node::ControlCore m_Core;
+  traffic::TrafficDriver m_Traffic;
+  callers::CallerFront m_Front;
+  operators::OperatorServer m_Operators;
+  net::LoopThread m_StoreThread;
+  object_api::ObjectApiClient m_Store;
+  curl::CurlEngineClient m_Engines;
+  web_socket::WebSocketPeerLink m_Peers;
+  EffectCarrier m_Carrier;
+  ControlThread m_Control;
+};
+
+Daemon::Daemon(const settings::NodeSettings &Settings)
+    : m_Impl(std::make_unique<Impl>(Settings)) {}
+
+Daemon::~Daemon() = default;
+
+std::optional<std::string> Daemon::start() { return m_Impl->start(); }
+
+bool Daemon::runUntilStopped() { return m_Impl->runUntilStopped(); }
+
+void Daemon::blockSignals() { StopSignals::block(); }
+
+} // namespace bronzepass::core::adapters::daemon
--- /dev/null
+++ b/Source/Core/Adapters/Daemon/EffectCarrier.h
@@ -0,0 +1,58 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_DAEMON_EFFECTCARRIER_H
+#define BRONZEPASS_CORE_ADAPTERS_DAEMON_EFFECTCARRIER_H
+
+#include "Core/Adapters/Callers/CallerFront.h"
+#include "Core/Adapters/Operator/OperatorServer.h"
+#include "Core/Adapters/Traffic/TrafficDriver.h"
+#include "Core/Ports/Effect.h"
+#include "Core/Ports/Ports.h"
+
+#include <functional>
+
+namespace bronzepass::core::adapters::daemon {
+
+/// What effects act on; all outlive the carrier.
+struct EffectTargets {
+  ports::ObjectStore &m_Store;
+  ports::VmList &m_VmList;
+  ports::EngineClient &m_Engines;
+  ports::PeerLink &m_Peers;
+  ports::DecisionLog &m_Log;
+  ports::Metrics &m_Metrics;
+  traffic::TrafficDriver &m_Traffic;
+  callers::CallerFront &m_Front;
+  operators::OperatorServer &m_Operators;
+  /// Called once, when the process may exit.
+  std::function<void()> m_OnStopped;
+};
+
+/// Carries out each of the control core's effects, without waiting for any.
+class EffectCarrier {
+public:
+  explicit EffectCarrier(EffectTargets Targets)
+      : m_Targets(std::move(Targets)) {}
+
+  void carryOut(const ports::Effect &Which);
+
+private:
+  void on(const ports::StoreCall &Call);
+  void on(const ports::OrderSend &Send);
+  void on(const ports::ReportWanted &Wanted);
+  void on(const ports::PeerSend &Send);
+  void on(const ports::PeerConnect &Connect);
+  void on(const ports::PeerDisconnect &Disconnect);
+  void on(const ports::VmListWanted &);
+  void on(const ports::ClaimVerdict &Verdict);
+  void on(const ports::TablePublished &Published);
+  void on(const ports::UsageSeen &Seen);
+  void on(const ports::ReadinessChanged &Change);
+  void on(const ports::TrafficStop &);
+  void on(const ports::StopFinished &);
+  void on(const model::Decision &Line);
+
+  EffectTargets m_Targets;
+};
+
+} // namespace bronzepass::core::adapters::daemon
+
+#endif // BRONZEPASS_CORE_ADAPTERS_DAEMON_EFFECTCARRIER_H
--- /dev/null
+++ b/Source/Core/Adapters/Daemon/NodeSetup.h
@@ -0,0 +1,33 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_DAEMON_NODESETUP_H
+#define BRONZEPASS_CORE_ADAPTERS_DAEMON_NODESETUP_H
+
+#include "Core/Adapters/Callers/CallerFront.h"
+#include "Core/Adapters/ObjectApi/ObjectApiSettings.h"
+#include "Core/Adapters/Pistache/HttpServer.h"
+#include "Core/Adapters/Traffic/TrafficDriver.h"
+#include "Core/Node/NodeConfig.h"
+#include "Core/Routing/TrafficSettings.h"
+#include "Core/Settings/NodeSettings.h"
+
+namespace bronzepass::core::adapters::daemon {
+
+// What each part of a node is told, from the settings.
+
+/// A process that starts at \p Now.
+model::NodeInfo makeSelf(const settings::NodeSettings &Settings,
+                         model::TimePoint Now);
+node::NodeConfig makeNodeConfig(const settings::NodeSettings &Settings,
+                                const model::NodeInfo &Self);
+routing::TrafficSettings
+makeTrafficSettings(const settings::NodeSettings &Settings);
+traffic::TrafficOptions makeTrafficOptions(const model::NodeInfo &Self);
+callers::CallerFrontOptions
+makeFrontOptions(const settings::NodeSettings &Settings);
+pistache::HttpServerOptions
+makeOperatorOptions(const settings::NodeSettings &Settings);
+object_api::ObjectApiSettings
+makeObjectApiSettings(const settings::NodeSettings &Settings);
+
+} // namespace bronzepass::core::adapters::daemon
+
+#endif // BRONZEPASS_CORE_ADAPTERS_DAEMON_NODESETUP_H
--- a/Source/Core/Adapters/Daemon/StatusPages.cpp
+++ b/Source/Core/Adapters/Daemon/StatusPages.cpp
@@ -120,8 +120,8 @@
 ordered_json copiesJson(const std::vector<model::Copy> &Copies) {
   ordered_json List = ordered_json::array();
   for (const model::Copy &Each : Copies)
-    List.push_back({{"endpoint", Each.m_Endpoint.str()},
-                    {"state", nameOf(Each.m_State)}});
+    List.push_back(
+        {{"endpoint", Each.m_Endpoint.str()}, {"state", nameOf(Each.m_State)}});
   return List;
 }
 
--- a/Source/Core/Model/Node.h
+++ b/Source/Core/Model/Node.h
@@ -8,7 +8,6 @@
 #include <compare>
 #include <cstdint>
 #include <string>
-#include <cstdint>
 
 namespace bronzepass::core::model {
 
--- a/Source/Core/Node/ControlCore.cpp
+++ b/Source/Core/Node/ControlCore.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Routing/RoutingTable.h"
 
+#include <algorithm>
 #include <variant>
 
 namespace bronzepass::core::node {
@@ -23,13 +24,16 @@
             return submit(leases::StoreClient::Intent, std::move(Call));
           },
           Random),
+      m_Leases(Config.m_Leases, Config.m_Self.m_Node, m_Governor, Random),
+      m_Claims(Config.m_Claims, Config.m_Self.m_Node, m_Governor, Random),
       m_Placement(
           Config.m_Self.m_Node,
           [this](ports::StoreCall Call) {
             return submit(leases::StoreClient::Placement, std::move(Call));
           },
           Config.m_Placement),
-      m_Poller(Config.m_ReportPeriod), m_Shares(m_View, Config.m_SharePeriod) {}
+      m_Poller(Config.m_ReportPeriod), m_Shares(m_View, Config.m_SharePeriod),
+      m_Fences(m_View, m_Placement) {}
 
 model::CallId ControlCore::submit(leases::StoreClient Client,
                                   ports::StoreCall Call) {
@@ -63,7 +67,10 @@
     routeAnswer(Each);
   m_View.tick(m_Now, *m_Out);
   m_Intent.tick(m_Now, *m_Out);
-  m_Placement.tick(m_Now, *m_Out);
+  takeNotices(m_Leases.tick(m_Now, *m_Out));
+  m_Claims.tick(m_Now, *m_Out);
+  renewPlacement();
+  m_Fences.tick(m_Now, *m_Out);
   m_Poller.tick(m_Now, *m_Out);
   if (!m_Intent.inForce())
     return;
@@ -89,7 +96,11 @@
     m_Placement.storeAnswered(Routed.m_Answer, m_Now, *m_Out);
     return;
   case leases::StoreClient::Leases:
+    takeNotices(m_Leases.onStoreAnswer(Routed.m_Answer, m_Now, *m_Out));
+    return;
   case leases::StoreClient::Claims:
+    m_Claims.onStoreAnswer(Routed.m_Answer, m_Now, *m_Out);
+    return;
   case leases::StoreClient::Status:
     return;
   }
@@ -132,17 +143,25 @@
 void ControlCore::on(const ports::PeerReceived &Received) {
   m_View.peerReceived(Received, m_Now, *m_Out);
   m_Intent.peerReceived(Received, m_Now, *m_Out);
-  if (const auto *Share =
-          std::get_if<ports::ResidencyShare>(&Received.m_Message)) {
+  const model::NodeId &From = Received.m_From;
+  const ports::PeerMessage &Message = Received.m_Message;
+  if (const auto *Share = std::get_if<ports::ResidencyShare>(&Message))
     for (const model::EngineReport &Report : Share->m_Reports)
-      takeReport(Report, &Received.m_From);
-  } else if (const auto *Demand =
-                 std::get_if<ports::DemandShare>(&Received.m_Message)) {
+      takeReport(Report, &From);
+  else if (const auto *Demand = std::get_if<ports::DemandShare>(&Message))
     m_Placement.demandSeen(Demand->m_Samples, m_Now);
-  } else if (const auto *Usage =
-                 std::get_if<ports::UsageShare>(&Received.m_Message)) {
-    m_Shares.usageReceived(Received.m_From, *Usage, m_Now, *m_Out);
-  }
+  else if (const auto *Usage = std::get_if<ports::UsageShare>(&Message))
+    m_Shares.usageReceived(From, *Usage, m_Now, *m_Out);
+  else if (const auto *Ask = std::get_if<ports::ClaimAsk>(&Message))
+    m_Claims.onAsk(From, *Ask, m_Now, *m_Out);
+  else if (const auto *Reply = std::get_if<ports::ClaimReply>(&Message))
+    m_Claims.onReply(From, *Reply, m_Now, *m_Out);
+  else if (const auto *Outcome = std::get_if<ports::ClaimOutcome>(&Message))
+    m_Claims.onOutcome(From, *Outcome, m_Now, *m_Out);
+  else if (const auto *Fence = std::get_if<ports::FenceAsk>(&Message))
+    m_Fences.askReceived(From, *Fence, *m_Out);
+  else if (const auto *Ack = std::get_if<ports::FenceAck>(&Message))
+    m_Fences.ackReceived(From, *Ack, m_Now, *m_Out);
 }
 
 void ControlCore::on(const ports::PeerLinkChanged &Change) {
@@ -161,14 +180,41 @@
 
 void ControlCore::on(const ports::VmListSeen &Seen) {
   m_View.vmListSeen(Seen, m_Now, *m_Out);
+  m_Fences.vmListSeen(Seen);
 }
 
 void ControlCore::on(const ports::ClaimWanted &Wanted) {
-  m_Out->push_back(ports::ClaimVerdict{
-      Wanted.m_Request, ports::ClaimVerdictKind::Unavailable, 0, {}});
+  m_Claims.onWanted(Wanted, m_Now, *m_Out);
+}
+
+void ControlCore::on(const ports::ClaimEnded &Ended) {
+  m_Claims.onEnded(Ended, m_Now, *m_Out);
 }
 
-void ControlCore::on(const ports::ClaimEnded &) {}
+void ControlCore::takeNotices(const std::vector<leases::LeaseNotice> &Notices) {
+  for (const leases::LeaseNotice &Each : Notices) {
+    if (Each.m_Change == leases::LeaseChange::Lost)
+      m_Placement.leaseLost(Each.m_Lease.m_Name);
+    else if (!m_Fences.isFenced(Each.m_Lease))
+      m_Placement.leaseHeld(Each.m_Lease, m_Now, *m_Out);
+  }
+  if (!Notices.empty())
+    refreshPolls();
+}
+
+void ControlCore::renewPlacement() {
+  // A node that was paused acts on nothing until its peers count it in again.
+  if (!m_View.mayAct())
+    return;
+  for (const model::HeldLease &Lease : m_Leases.held(m_Now))
+    if (!m_Fences.isFenced(Lease))
+      m_Placement.leaseHeld(Lease, m_Now, *m_Out);
+  m_Placement.tick(m_Now, *m_Out);
+}
+
+std::vector<model::HeldLease> ControlCore::heldLeases() const {
+  return m_Leases.held(m_Now);
+}
 
 void ControlCore::on(const ports::TrafficSeen &Seen) {
   if (m_Intent.inForce())
@@ -187,6 +233,7 @@
       Declared.insert(Endpoint.m_Name);
   m_Residency.keepOnly(Declared);
   m_Placement.intentChanged(Value, m_Now, *m_Out);
+  refreshLeaseDuties();
   refreshPolls();
   m_TableDirty = true;
 }
@@ -199,6 +246,11 @@
          m_View.duties().watchersOf(m_View.self().m_Domain))
       Watches = Watches || Node == m_View.self().m_Node;
     m_Intent.setWatching(Watches);
+    std::vector<model::NodeId> Nodes;
+    for (const model::NodeInfo &Node : m_View.duties().nodes())
+      Nodes.push_back(Node.m_Node);
+    m_Claims.setNodes(Nodes, m_Now, *m_Out);
+    refreshLeaseDuties();
     refreshPolls();
   }
   if (m_SeenMembers != m_View.members().version()) {
@@ -221,6 +273,21 @@
   }
 }
 
+void ControlCore::refreshLeaseDuties() {
+  if (!m_Intent.inForce() || m_Stop != StopPhase::Running)
+    return;
+  std::vector<leases::LeaseDuty> Duties;
+  for (const model::PoolSpec &Pool : m_Intent.inForce()->m_Pools) {
+    if (Pool.m_Kind != model::PoolKind::Engine)
+      continue;
+    const model::LeaseName Lease = placement::poolLease(Pool.m_Name);
+    const size_t Rank =
+        m_View.duties().preferenceFor(Lease, m_View.self().m_Node);
+    Duties.push_back({Lease, static_cast<uint32_t>(Rank)});
+  }
+  m_Leases.setDuties(Duties, m_Now, *m_Out);
+}
+
 void ControlCore::refreshPolls() {
   if (!m_Intent.inForce())
     return;
@@ -228,10 +295,16 @@
   for (const model::PoolSpec &Pool : m_Intent.inForce()->m_Pools) {
     if (Pool.m_Kind != model::PoolKind::Engine)
       continue;
-    for (const model::EndpointSpec &Endpoint : Pool.m_Endpoints)
-      for (const model::NodeId &Node : m_View.duties().pollersOf(Endpoint))
-        if (Node == m_View.self().m_Node)
-          Engines.emplace(Endpoint.m_Name, Endpoint.m_Address);
+    // The pool's placer asks for itself: reports are its evidence.
+    const bool Places =
+        m_Leases.find(placement::poolLease(Pool.m_Name), m_Now).has_value();
+    for (const model::EndpointSpec &Endpoint : Pool.m_Endpoints) {
+      const std::vector<model::NodeId> Pollers =
+          m_View.duties().pollersOf(Endpoint);
+      if (Places || std::find(Pollers.begin(), Pollers.end(),
+                              m_View.self().m_Node) != Pollers.end())
+        Engines.emplace(Endpoint.m_Name, Endpoint.m_Address);
+    }
   }
   m_Poller.setEngines(Engines, m_Now);
 }
--- a/Source/Core/Node/ControlCore.h
+++ b/Source/Core/Node/ControlCore.h
@@ -1,9 +1,12 @@
 #ifndef BRONZEPASS_CORE_NODE_CONTROLCORE_H
 #define BRONZEPASS_CORE_NODE_CONTROLCORE_H
 
+#include "Core/Claims/ClaimShards.h"
+#include "Core/Leases/LeaseKeeper.h"
 #include "Core/Leases/StoreGovernor.h"
 #include "Core/Membership/IntentKeeper.h"
 #include "Core/Membership/MembershipView.h"
+#include "Core/Node/FenceDesk.h"
 #include "Core/Node/NodeConfig.h"
 #include "Core/Node/ReportPoller.h"
 #include "Core/Node/ResidencyBook.h"
@@ -46,6 +49,9 @@
   const placement::PlacementCore &placement() const { return m_Placement; }
   const ResidencyBook &residency() const { return m_Residency; }
   const leases::StoreGovernor &governor() const { return m_Governor; }
+  /// The leases that this node may act on now.
+  std::vector<model::HeldLease> heldLeases() const;
+  const claims::ClaimShards &claims() const { return m_Claims; }
   bool isReady() const { return m_Ready; }
   const std::string &readinessReason() const { return m_ReadinessReason; }
 
@@ -70,9 +76,12 @@
   void sendResidency(const model::NodeId &To);
   model::CallId submit(leases::StoreClient Client, ports::StoreCall Call);
 
+  void takeNotices(const std::vector<leases::LeaseNotice> &Notices);
+  void renewPlacement();
   void followIntent();
   void followDuties();
   void followEndpoints();
+  void refreshLeaseDuties();
   void refreshPolls();
   void publishTable();
   void judgeReadiness();
@@ -83,10 +92,13 @@
   leases::StoreGovernor m_Governor;
   membership::MembershipView m_View;
   membership::IntentKeeper m_Intent;
+  leases::LeaseKeeper m_Leases;
+  claims::ClaimShards m_Claims;
   placement::PlacementCore m_Placement;
   ResidencyBook m_Residency;
   ReportPoller m_Poller;
   ShareDesk m_Shares;
+  FenceDesk m_Fences;
 
   // Valid during handle().
   model::TimePoint m_Now;
--- a/Source/Core/Node/ControlStop.cpp
+++ b/Source/Core/Node/ControlStop.cpp
@@ -43,11 +43,20 @@
   if (m_Stop == StopPhase::LameDuck && m_Now >= m_StopPhaseEnds) {
     m_Stop = StopPhase::Draining;
     m_Out->push_back(ports::TrafficStop());
+    // Traffic in hand needs no lease: others take over placement at once.
+    for (const model::HeldLease &Lease : m_Leases.held(m_Now))
+      m_Placement.leaseLost(Lease.m_Name);
+    m_Leases.stop(m_Now, *m_Out);
   }
-  if (m_Stop == StopPhase::HandingOver) {
-    m_Stop = StopPhase::Stopped;
-    m_Out->push_back(ports::StopFinished());
-  }
+  if (m_Stop != StopPhase::HandingOver)
+    return;
+  // A store that is out must not keep the process: leases lapse by
+  // themselves, and outcomes that were not recorded leave their keys claimed.
+  const bool HandedOver = m_Leases.isStopped() && m_Claims.isIdle();
+  if (!HandedOver && m_Now < m_StopPhaseEnds)
+    return;
+  m_Stop = StopPhase::Stopped;
+  m_Out->push_back(ports::StopFinished());
 }
 
 } // namespace bronzepass::core::node
--- a/Source/Core/Node/NodeConfig.h
+++ b/Source/Core/Node/NodeConfig.h
@@ -1,6 +1,8 @@
 #ifndef BRONZEPASS_CORE_NODE_NODECONFIG_H
 #define BRONZEPASS_CORE_NODE_NODECONFIG_H
 
+#include "Core/Claims/ClaimSettings.h"
+#include "Core/Leases/LeaseTracker.h"
 #include "Core/Leases/StoreGovernor.h"
 #include "Core/Model/Node.h"
 #include "Core/Placement/PlacementSettings.h"
@@ -14,6 +16,8 @@
 struct NodeConfig {
   model::NodeInfo m_Self;
   leases::GovernorSettings m_Governor;
+  leases::LeaseSettings m_Leases;
+  claims::ClaimSettings m_Claims;
   placement::PlacementSettings m_Placement;
   routing::TableSettings m_Table;
   /// Between two reports that this node asks of one engine.
--- a/Source/Core/Settings/NodeSettings.h
+++ b/Source/Core/Settings/NodeSettings.h
@@ -57,11 +57,16 @@
     "timeouts", "stop",
     120s,       1s,
     3600s,      "Upper time of a graceful stop; what is left then is cut"};
+inline const Setting<model::Duration> TimeoutLameDuck{
+    "timeouts",
+    "lame-duck",
+    3s,
+    0s,
+    60s,
+    "How long a stopping node still takes requests, so that the balancer sees "
+    "that it is not ready"};
 inline const Setting<model::Duration> PeriodReport{
     "periods", "report", 500ms, 50ms, 60s, "Between reports of one engine"};
-inline const Setting<model::Duration> PeriodVmList{
-    "periods", "vm-list", 2s, 100ms, 60s, "Between looks at the list of VMs"};
-
 // Limits.
 inline const Setting<Bytes> LimitBody{
     "limits",       "body",           Bytes{1 << 20},
