Adapters: Take all connection timers from Pistache

With Pistache's timers a stream of 3.5 s under 1 s time-outs was cut: it forgets a peer whose answer it does not write, set idle or not, and reads no further request from it. All timers now run on the answers' loop; a request whose lines come late gets a typed 408, also on a kept connection. An answer with a length ends with its last byte: a caller's next request could come before the attempt's end was noted, and was dropped.

--- a/Source/Core/Adapters/Callers/CallerFront.cpp
+++ b/Source/Core/Adapters/Callers/CallerFront.cpp
@@ -93,6 +93,8 @@
     return pistache::faultReply(413, "body_too_large", Message);
   case pistache::HttpFault::HeadersTooLarge:
     return pistache::faultReply(431, "headers_too_large", Message);
+  case pistache::HttpFault::TimedOut:
+    return pistache::faultReply(408, "request_timeout", Message);
   case pistache::HttpFault::Malformed:
     break;
   }
--- a/Source/Core/Adapters/Operator/OperatorServer.cpp
+++ b/Source/Core/Adapters/Operator/OperatorServer.cpp
@@ -89,9 +89,13 @@
 
 pistache::HttpReply OperatorServer::onFault(pistache::HttpFault Fault,
                                             const std::string &Message) {
-  const int Status = Fault == pistache::HttpFault::BodyTooLarge      ? 413
-                     : Fault == pistache::HttpFault::HeadersTooLarge ? 431
-                                                                     : 400;
+  int Status = 400;
+  if (Fault == pistache::HttpFault::BodyTooLarge)
+    Status = 413;
+  else if (Fault == pistache::HttpFault::HeadersTooLarge)
+    Status = 431;
+  else if (Fault == pistache::HttpFault::TimedOut)
+    Status = 408;
   return pistache::faultReply(Status, "malformed_request", Message);
 }
 
--- a/Source/Core/Adapters/Pistache/HttpAnswer.cpp
+++ b/Source/Core/Adapters/Pistache/HttpAnswer.cpp
@@ -77,9 +77,7 @@
   std::string Text = head(Reply.m_Status, Headers, Reply.m_Body.size());
   if (!m_HeadOnly)
     Text += Reply.m_Body;
-  // Before the last byte: the caller's next request may be here at once.
-  if (m_KeepAlive)
-    m_Connection->setBusy(false);
+  prepareEnd();
   m_Connection->write(Text);
   finish();
 }
@@ -92,6 +90,7 @@
   attach();
   m_Chunked = !ContentLength && m_Http11;
   m_KeepAlive = m_KeepAlive && (ContentLength || m_Chunked);
+  m_BytesLeft = ContentLength;
   m_Connection->write(head(Status, Headers, ContentLength));
 }
 
@@ -101,24 +100,41 @@
   // An empty chunk would end the answer.
   if (Piece.empty() || m_HeadOnly)
     return m_Connection->isOpen();
-  return m_Connection->write(m_Chunked ? chunkOf(Piece) : std::string(Piece));
+  if (m_Chunked)
+    return m_Connection->write(chunkOf(Piece));
+  if (!m_BytesLeft)
+    return m_Connection->write(Piece);
+  Piece = Piece.substr(0, *m_BytesLeft);
+  *m_BytesLeft -= Piece.size();
+  const bool IsLast = *m_BytesLeft == 0;
+  if (IsLast)
+    prepareEnd();
+  const bool Written = m_Connection->write(Piece);
+  if (IsLast)
+    finish();
+  return Written;
 }
 
 void HttpAnswer::end() {
   if (m_Ended)
     return;
-  if (m_KeepAlive)
-    m_Connection->setBusy(false);
+  prepareEnd();
   if (m_Chunked && !m_HeadOnly)
     m_Connection->write(LastChunk);
   finish();
 }
 
+void HttpAnswer::prepareEnd() {
+  // Before the last byte: the caller's next request may be here at once.
+  if (m_KeepAlive)
+    m_Connection->endBusy();
+}
+
 void HttpAnswer::finish() {
   m_Ended = true;
   if (!m_KeepAlive) {
     m_Connection->setDiscarding();
-    m_Connection->setBusy(false);
+    m_Connection->endBusy();
   }
   m_Connection->endAnswer(!m_KeepAlive);
 }
@@ -128,7 +144,7 @@
     return;
   m_Ended = true;
   m_Connection->setDiscarding();
-  m_Connection->setBusy(false);
+  m_Connection->endBusy();
   m_Connection->startAnswer(nullptr);
   m_Connection->cut();
 }
--- a/Source/Core/Adapters/Pistache/HttpAnswer.h
+++ b/Source/Core/Adapters/Pistache/HttpAnswer.h
@@ -34,7 +34,8 @@
   /// for HTTP/1.0, ended by the connection's end).
   void begin(int Status, const std::vector<HttpHeader> &Headers,
              std::optional<uint64_t> ContentLength);
-  /// False where the caller is gone.
+  /// False where the caller is gone. The piece that fills the ContentLength
+  /// ends the answer.
   bool write(std::string_view Piece);
   /// Ends it cleanly.
   void end();
@@ -49,6 +50,7 @@
   std::string head(int Status, const std::vector<HttpHeader> &Headers,
                    std::optional<uint64_t> ContentLength) const;
   void attach();
+  void prepareEnd();
   void finish();
 
   std::shared_ptr<HttpConnection> m_Connection;
@@ -59,6 +61,8 @@
   bool m_Chunked = false;
   bool m_Begun = false;
   bool m_Ended = false;
+  /// Of the ContentLength, if one was given.
+  std::optional<uint64_t> m_BytesLeft;
 };
 
 /// "Not Found" for 404; "Unknown" where there is no standard phrase.
--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -26,6 +26,13 @@
 
 HttpConnection::~HttpConnection() = default;
 
+void HttpConnection::expectInput(std::chrono::milliseconds Limit,
+                                 std::function<void()> OnTimeout) {
+  open();
+  if (m_Open)
+    startTimer(Limit, std::move(OnTimeout));
+}
+
 void HttpConnection::startAnswer(std::function<void()> OnGone) {
   open();
   stopTimer();
@@ -119,7 +126,7 @@
   if (!m_Open)
     return;
   m_CloseWhenSent = Close;
-  startTimer(Close ? LingerTime : m_Limits.m_KeepAlive);
+  startTimer(Close ? LingerTime : m_Limits.m_KeepAlive, nullptr);
   if (Close && m_Pending.empty())
     finishSending();
 }
@@ -132,17 +139,22 @@
 
 void HttpConnection::cut() { close(); }
 
-void HttpConnection::startTimer(std::chrono::milliseconds Delay) {
+void HttpConnection::startTimer(std::chrono::milliseconds Delay,
+                                std::function<void()> OnTimeout) {
   stopTimer();
   m_TimerRuns = true;
   const std::weak_ptr<HttpConnection> Weak = weak_from_this();
-  m_Timer = m_Loop.runAfter(Delay, [Weak] {
+  m_Timer = m_Loop.runAfter(Delay, [Weak, OnTimeout = std::move(OnTimeout)] {
     const std::shared_ptr<HttpConnection> Self = Weak.lock();
     if (!Self)
       return;
     Self->m_TimerRuns = false;
     // A request that is being handed over keeps the connection.
-    if (!Self->m_Busy)
+    if (!Self->becomeBusy())
+      return;
+    if (OnTimeout)
+      OnTimeout();
+    else
       Self->close();
   });
 }
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -35,6 +35,10 @@
   HttpConnection(const HttpConnection &) = delete;
   HttpConnection &operator=(const HttpConnection &) = delete;
 
+  /// The next request, or the rest of one, is to come within \p Limit; else
+  /// \p OnTimeout is called, or without one the connection is closed.
+  void expectInput(std::chrono::milliseconds Limit,
+                   std::function<void()> OnTimeout);
   /// A request has been read; \p OnGone is called once if the caller leaves
   /// before endAnswer().
   void startAnswer(std::function<void()> OnGone);
@@ -51,7 +55,9 @@
 
   /// A request is being answered: what comes in is a pipelined one.
   bool isBusy() const { return m_Busy; }
-  void setBusy(bool Busy) { m_Busy = Busy; }
+  /// False where it was busy already.
+  bool becomeBusy() { return !m_Busy.exchange(true); }
+  void endBusy() { m_Busy = false; }
   /// What still comes in is thrown away: the last answer told why.
   bool isDiscarding() const { return m_Discarding; }
   void setDiscarding() { m_Discarding = true; }
@@ -63,7 +69,8 @@
   void flush();
   void updateWatch();
   void finishSending();
-  void startTimer(std::chrono::milliseconds Delay);
+  void startTimer(std::chrono::milliseconds Delay,
+                  std::function<void()> OnTimeout);
   void stopTimer();
 
   net::EventLoop &m_Loop;
--- a/Source/Core/Adapters/Pistache/HttpServer.cpp
+++ b/Source/Core/Adapters/Pistache/HttpServer.cpp
@@ -20,12 +20,21 @@
   return Text;
 }
 
+/// Pistache's own timers are put beyond use. They know nothing of an answer
+/// that it does not write: it then forgets the connection (or, unless the peer
+/// is set idle, writes a 408 into the answer), and reads nothing more from it.
+constexpr std::chrono::hours NoTimeout(24 * 365);
+
+/// How far the request that is coming in has come.
+enum class InputPhase { None, Headers, Body };
+
 /// What a connection's reactor knows of it; freed with Pistache's peer, whose
 /// descriptor is closed by then: ours is to follow.
 struct PeerState {
   std::shared_ptr<HttpConnection> m_Connection;
   /// Of the request that is coming in.
   size_t m_BytesRead = 0;
+  InputPhase m_Phase = InputPhase::None;
 
   PeerState() = default;
   PeerState(const PeerState &) = delete;
@@ -93,43 +102,73 @@
 private:
   using Peer = std::shared_ptr<Pistache::Tcp::Peer>;
 
+  void onConnection(const Peer &Peer) override {
+    Peer->putData(ParserData, std::make_shared<Pistache::Http::RequestParser>(
+                                  getMaxRequestSize()));
+    const std::shared_ptr<PeerState> State = std::make_shared<PeerState>();
+    State->m_Connection = std::make_shared<HttpConnection>(
+        m_Loop, Peer->fd(), m_Options.m_Connections);
+    Peer->putData(ConnectionData, State);
+    m_Loop.post(
+        [Connection = State->m_Connection, Limit = m_Options.m_HeaderTimeout] {
+          Connection->expectInput(Limit, nullptr);
+        });
+  }
+
   void onInput(const char *Data, size_t Size, const Peer &Peer) override {
-    const std::shared_ptr<PeerState> State = stateOf(Peer);
-    HttpConnection &Connection = *State->m_Connection;
-    if (Connection.isDiscarding() || Connection.isBusy())
+    PeerState &State =
+        *std::static_pointer_cast<PeerState>(Peer->getData(ConnectionData));
+    if (State.m_Connection->isDiscarding() || State.m_Connection->isBusy())
       return;
     Pistache::Http::RequestParser &Parser = *getParser(Peer);
-    if (State->m_BytesRead == 0)
-      Parser.reset(); // Its timeouts count from here.
-    State->m_BytesRead += Size;
-    Peer->setIdle(false);
+    State.m_BytesRead += Size;
     try {
-      readInput({Data, Size}, Parser, Peer, *State);
+      readInput({Data, Size}, Parser, State);
     } catch (const Pistache::Http::HttpError &Error) {
-      answerFault(HttpFault::Malformed, Error.reason(), Peer, *State);
+      answerFault(HttpFault::Malformed, Error.reason(), Parser, State);
     } catch (const std::exception &Error) {
-      answerFault(HttpFault::Malformed, Error.what(), Peer, *State);
+      answerFault(HttpFault::Malformed, Error.what(), Parser, State);
     }
   }
 
   void readInput(std::string_view Data, Pistache::Http::RequestParser &Parser,
-                 const Peer &Peer, PeerState &State) {
+                 PeerState &State) {
     const bool Fits = Parser.feed(Data.data(), Data.size());
     const bool Done =
         Fits && Parser.parse() == Pistache::Http::Private::State::Done;
     if (Done && Parser.request.body().size() <= m_Options.m_MaxBodyBytes) {
-      takeRequest(Parser, Peer, State);
-      return;
-    }
-    if (!Done && inHeaders(Parser)) {
-      if (!Fits || State.m_BytesRead > m_Options.m_MaxHeaderBytes)
-        answerFault(HttpFault::HeadersTooLarge, "the headers are too large",
-                    Peer, State);
+      takeRequest(Parser, State);
       return;
     }
-    if (Done || !Fits || announcesTooMuch(Parser.request))
-      answerFault(HttpFault::BodyTooLarge, "the body is too large", Peer,
+    const bool InHeaders = !Done && inHeaders(Parser);
+    if (InHeaders && (!Fits || State.m_BytesRead > m_Options.m_MaxHeaderBytes))
+      answerFault(HttpFault::HeadersTooLarge, "the headers are too large",
+                  Parser, State);
+    else if (!InHeaders && (Done || !Fits || announcesTooMuch(Parser.request)))
+      answerFault(HttpFault::BodyTooLarge, "the body is too large", Parser,
                   State);
+    else
+      awaitRest(InHeaders ? InputPhase::Headers : InputPhase::Body, State);
+  }
+
+  /// Gives the rest of a request its time, once for each part.
+  void awaitRest(InputPhase Phase, PeerState &State) {
+    if (State.m_Phase == Phase)
+      return;
+    State.m_Phase = Phase;
+    const std::chrono::milliseconds Limit = Phase == InputPhase::Headers
+                                                ? m_Options.m_HeaderTimeout
+                                                : m_Options.m_BodyTimeout;
+    HttpReply Reply =
+        m_Handler.onFault(HttpFault::TimedOut, "the request came too slowly");
+    Reply.m_Close = true;
+    const std::shared_ptr<HttpConnection> Connection = State.m_Connection;
+    m_Loop.post([Connection, Limit, Reply = std::move(Reply)] {
+      Connection->expectInput(Limit, [Connection, Reply] {
+        Connection->setDiscarding();
+        HttpAnswer(Connection, true, false, false).send(Reply);
+      });
+    });
   }
 
   static bool inHeaders(Pistache::Http::RequestParser &Parser) {
@@ -142,50 +181,40 @@
     return Length && Length->value() > m_Options.m_MaxBodyBytes;
   }
 
-  void takeRequest(Pistache::Http::RequestParser &Parser, const Peer &Peer,
-                   PeerState &State) {
+  void takeRequest(Pistache::Http::RequestParser &Parser, PeerState &State) {
+    // Not so where its time has just run out.
+    if (!State.m_Connection->becomeBusy())
+      return;
     HttpRequest Request = copyRequest(Parser.request);
     const bool Http11 =
         Parser.request.version() == Pistache::Http::Version::Http11;
     std::shared_ptr<HttpAnswer> Answer = std::make_shared<HttpAnswer>(
         State.m_Connection, Http11, wantsKeepAlive(Parser.request),
         Request.m_Method == "HEAD");
-    prepareAnswer(Parser, Peer, State);
+    forgetInput(Parser, State);
     m_Handler.onRequest(std::move(Request), std::move(Answer));
   }
 
-  void prepareAnswer(Pistache::Http::RequestParser &Parser, const Peer &Peer,
-                     PeerState &State) {
+  static void forgetInput(Pistache::Http::RequestParser &Parser,
+                          PeerState &State) {
     Parser.reset();
     State.m_BytesRead = 0;
-    State.m_Connection->setBusy(true);
-    // Pistache's timers know nothing of an answer that it does not write;
-    // an idle peer is exempt from them.
-    Peer->setIdle(true);
+    State.m_Phase = InputPhase::None;
   }
 
   void answerFault(HttpFault Fault, const std::string &Message,
-                   const Peer &Peer, PeerState &State) {
+                   Pistache::Http::RequestParser &Parser, PeerState &State) {
+    if (!State.m_Connection->becomeBusy())
+      return;
+    State.m_Connection->setDiscarding();
+    forgetInput(Parser, State);
     HttpReply Reply = m_Handler.onFault(Fault, Message);
     Reply.m_Close = true;
-    std::shared_ptr<HttpAnswer> Answer =
+    const std::shared_ptr<HttpAnswer> Answer =
         std::make_shared<HttpAnswer>(State.m_Connection, true, false, false);
-    prepareAnswer(*getParser(Peer), Peer, State);
-    State.m_Connection->setDiscarding();
     m_Loop.post([Answer, Reply = std::move(Reply)] { Answer->send(Reply); });
   }
 
-  std::shared_ptr<PeerState> stateOf(const Peer &Peer) {
-    std::shared_ptr<void> Known = Peer->tryGetData(ConnectionData);
-    if (Known)
-      return std::static_pointer_cast<PeerState>(Known);
-    const std::shared_ptr<PeerState> State = std::make_shared<PeerState>();
-    State->m_Connection = std::make_shared<HttpConnection>(
-        m_Loop, Peer->fd(), m_Options.m_Connections);
-    Peer->putData(ConnectionData, State);
-    return State;
-  }
-
   HttpServerOptions m_Options;
   net::EventLoop &m_Loop;
   HttpHandler &m_Handler;
@@ -205,17 +234,16 @@
       m_Endpoint = std::make_unique<Pistache::Http::Endpoint>(
           Pistache::Address(m_Options.m_Address.m_Ip,
                             Pistache::Port(m_Options.m_Address.m_Port)));
-      m_Endpoint->init(
-          Pistache::Http::Endpoint::options()
-              .threads(m_Options.m_Threads)
-              .threadsName("http")
-              .flags(Pistache::Tcp::Options::ReuseAddr)
-              .backlog(ListenBacklog)
-              .maxRequestSize(m_Options.m_MaxHeaderBytes +
-                              m_Options.m_MaxBodyBytes)
-              .headerTimeout(m_Options.m_HeaderTimeout)
-              .bodyTimeout(m_Options.m_BodyTimeout)
-              .keepaliveTimeout(m_Options.m_Connections.m_KeepAlive));
+      m_Endpoint->init(Pistache::Http::Endpoint::options()
+                           .threads(m_Options.m_Threads)
+                           .threadsName("http")
+                           .flags(Pistache::Tcp::Options::ReuseAddr)
+                           .backlog(ListenBacklog)
+                           .maxRequestSize(m_Options.m_MaxHeaderBytes +
+                                           m_Options.m_MaxBodyBytes)
+                           .headerTimeout(NoTimeout)
+                           .bodyTimeout(NoTimeout)
+                           .keepaliveTimeout(NoTimeout));
       m_Endpoint->setHandler(m_Handler);
       m_Endpoint->serveThreaded();
     } catch (const std::exception &Error) {
--- a/Source/Core/Adapters/Pistache/HttpServer.h
+++ b/Source/Core/Adapters/Pistache/HttpServer.h
@@ -13,7 +13,7 @@
 namespace bronzepass::core::adapters::pistache {
 
 /// A request that was refused before it was read whole.
-enum class HttpFault { Malformed, BodyTooLarge, HeadersTooLarge };
+enum class HttpFault { Malformed, BodyTooLarge, HeadersTooLarge, TimedOut };
 
 /// What a server does with its requests.
 class HttpHandler {
--- a/Source/StandIns/StandIn.cpp
+++ b/Source/StandIns/StandIn.cpp
@@ -54,6 +54,8 @@
     return errorReply(413, Message);
   case HttpFault::HeadersTooLarge:
     return errorReply(431, Message);
+  case HttpFault::TimedOut:
+    return errorReply(408, Message);
   case HttpFault::Malformed:
     break;
   }
--- a/Source/UnitTests/Adapters/BadInputTest.cpp
+++ b/Source/UnitTests/Adapters/BadInputTest.cpp
@@ -90,12 +90,14 @@
   RawConnection Slow(Node.port());
   Slow.send("POST /v1/chat/comp");
   CHECK(Slow.readToEnd());
+  CHECK(Slow.text().starts_with("HTTP/1.1 408 "));
   // The same on a connection that has had an answer.
   RawConnection Kept(Node.port());
   Kept.send(postText(ChatPath, chatBody("a", 1, false)));
   REQUIRE(Kept.readUntil("a:0 "));
   Kept.send("POST /v1/chat/comp");
   CHECK(Kept.readToEnd());
+  CHECK(Kept.text().find("HTTP/1.1 408 ") != std::string::npos);
   CHECK(
       fetch(Node.port(), "POST", ChatPath, chatBody("a", 1, false)).m_Status ==
       200);
--- a/Source/UnitTests/Adapters/StreamTest.cpp
+++ b/Source/UnitTests/Adapters/StreamTest.cpp
@@ -130,6 +130,7 @@
     const std::string User = "user" + std::to_string(I);
     Kept.clearText();
     Kept.send(postText(ChatPath, chatBody(User, 2, I % 2 == 0)));
+    INFO(I, Kept.text());
     REQUIRE(Kept.readUntil(I % 2 == 0 ? "0\r\n\r\n" : "}}"));
     CHECK(countOf(Kept.text(), User + ":") == 2);
     CHECK(countOf(Kept.text(), ":1 ") == 1);
