Adapters: Give the listening socket its backlog

Pistache's Endpoint drops the option: 128 waited, and 2,000 connections opened one after another took 6.2 s with six of them waiting a second for a retry.

--- a/Source/Core/Adapters/Pistache/HttpServer.cpp
+++ b/Source/Core/Adapters/Pistache/HttpServer.cpp
@@ -244,6 +244,12 @@
                            .headerTimeout(NoTimeout)
                            .bodyTimeout(NoTimeout)
                            .keepaliveTimeout(NoTimeout));
+      // Its init() leaves out the backlog: 128 make callers wait a second for
+      // their connection's retry in a burst.
+      m_Endpoint->initArgs(static_cast<size_t>(m_Options.m_Threads),
+                           Pistache::Flags<Pistache::Tcp::Options>(
+                               Pistache::Tcp::Options::ReuseAddr),
+                           std::string("http"), ListenBacklog);
       m_Endpoint->setHandler(m_Handler);
       m_Endpoint->serveThreaded();
     } catch (const std::exception &Error) {
