--- a/Source/Core/Adapters/Callers/CallerFront.cpp
+++ b/Source/Core/Adapters/Callers/CallerFront.cpp
@@ -17,11 +17,11 @@
 
 } // namespace
 
-CallerFront::CallerFront(CallerFrontOptions Options,
+CallerFront::CallerFront(const CallerFrontOptions &Options,
                          traffic::TrafficDriver &Driver,
                          const ports::Clock &Clock)
     : m_Windows(Options.m_Windows), m_Driver(Driver), m_Clock(Clock),
-      m_Server(std::move(Options.m_Server), Driver.loop(), *this) {}
+      m_Server(Options.m_Server, Driver.loop(), *this) {}
 
 CallerFront::~CallerFront() { stop(); }
 
--- a/Source/Core/Adapters/Callers/CallerFront.h
+++ b/Source/Core/Adapters/Callers/CallerFront.h
@@ -24,7 +24,7 @@
 class CallerFront : private pistache::HttpHandler {
 public:
   /// \p Driver and \p Clock outlive it.
-  CallerFront(CallerFrontOptions Options, traffic::TrafficDriver &Driver,
+  CallerFront(const CallerFrontOptions &Options, traffic::TrafficDriver &Driver,
               const ports::Clock &Clock);
   ~CallerFront() override;
 
--- a/Source/Core/Adapters/Operator/OperatorServer.cpp
+++ b/Source/Core/Adapters/Operator/OperatorServer.cpp
@@ -27,10 +27,10 @@
 
 } // namespace
 
-OperatorServer::OperatorServer(pistache::HttpServerOptions Options,
+OperatorServer::OperatorServer(const pistache::HttpServerOptions &Options,
                                MetricsText Metrics, PageMaker Pages)
     : m_Metrics(std::move(Metrics)), m_Pages(std::move(Pages)),
-      m_Server(std::move(Options), m_Thread.loop(), *this) {}
+      m_Server(Options, m_Thread.loop(), *this) {}
 
 OperatorServer::~OperatorServer() { stop(); }
 
--- a/Source/Core/Adapters/Operator/OperatorServer.h
+++ b/Source/Core/Adapters/Operator/OperatorServer.h
@@ -25,8 +25,8 @@
   /// The text of /metrics.
   using MetricsText = std::function<std::string()>;
 
-  OperatorServer(pistache::HttpServerOptions Options, MetricsText Metrics,
-                 PageMaker Pages);
+  OperatorServer(const pistache::HttpServerOptions &Options,
+                 MetricsText Metrics, PageMaker Pages);
   ~OperatorServer() override;
 
   /// The reason where it can't listen.
--- a/Source/Core/Adapters/Pistache/HttpServer.cpp
+++ b/Source/Core/Adapters/Pistache/HttpServer.cpp
@@ -276,7 +276,7 @@
   std::unique_ptr<Pistache::Http::Endpoint> m_Endpoint;
 };
 
-HttpServer::HttpServer(HttpServerOptions Options, net::EventLoop &Loop,
+HttpServer::HttpServer(const HttpServerOptions &Options, net::EventLoop &Loop,
                        HttpHandler &Handler)
     : m_Impl(std::make_unique<Impl>(Options, Loop, Handler)) {}
 
--- a/Source/Core/Adapters/Pistache/HttpServer.h
+++ b/Source/Core/Adapters/Pistache/HttpServer.h
@@ -46,7 +46,7 @@
 class HttpServer {
 public:
   /// \p Loop and \p Handler outlive the server.
-  HttpServer(HttpServerOptions Options, net::EventLoop &Loop,
+  HttpServer(const HttpServerOptions &Options, net::EventLoop &Loop,
              HttpHandler &Handler);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
--- a/Source/StandIns/StandIn.cpp
+++ b/Source/StandIns/StandIn.cpp
@@ -5,7 +5,6 @@
 namespace bronzepass::stand_ins {
 
 using core::adapters::pistache::HttpFault;
-using core::adapters::pistache::HttpHandler;
 using core::adapters::pistache::HttpServer;
 using core::adapters::pistache::HttpServerOptions;
 
@@ -17,9 +16,10 @@
 std::optional<std::string> StandIn::start() {
   HttpServerOptions Options;
   Options.m_Address = m_Address;
-  m_Server = std::make_unique<HttpServer>(Options, m_Thread.loop(),
-                                          static_cast<HttpHandler &>(*this));
-  const std::optional<std::string> Error = m_Server->start();
+  m_Server = std::make_unique<HttpServer>(
+      Options, m_Thread.loop(),
+      static_cast<core::adapters::pistache::HttpHandler &>(*this));
+  std::optional<std::string> Error = m_Server->start();
   if (!Error)
     m_Thread.start();
   return Error;
--- a/Source/UnitTests/Adapters/RequestPathTest.cpp
+++ b/Source/UnitTests/Adapters/RequestPathTest.cpp
@@ -31,4 +31,50 @@
       "omar:0 omar:1 omar:2 ");
 }
 
+TEST_CASE("a request goes one hop on to the node that drives the engine") {
+  TestNode First({.m_Name = "node-1"});
+  TestNode Second({.m_Name = "node-2"});
+  const std::vector<core::model::NodeInfo> Nodes = {First.info(),
+                                                    Second.info()};
+  const bool FirstDrives = First.joinNodes(Nodes, 1);
+  CHECK(Second.joinNodes(Nodes, 1) != FirstDrives);
+  TestNode &Driving = FirstDrives ? First : Second;
+  TestNode &Other = FirstDrives ? Second : First;
+  const HttpResult Direct =
+      fetch(Driving.port(), "POST", ChatPath, chatBody("anna", 4, true));
+  const HttpResult Forwarded =
+      fetch(Other.port(), "POST", ChatPath, chatBody("anna", 4, true));
+  CHECK(Forwarded.m_Whole);
+  CHECK(Forwarded.m_Body == Direct.m_Body);
+  CHECK(Driving.engineCount("finished") == 2);
+  CHECK(Other.engineCount("started") == 0);
+}
+
+TEST_CASE("a stopping node refuses what is new and ends what it has") {
+  TestNode::Settings Settings;
+  Settings.m_Engine.m_Step = std::chrono::milliseconds(20);
+  TestNode Node(Settings);
+  RawConnection Running(Node.port());
+  Running.send(postText(ChatPath, chatBody("anna", 20, true)));
+  REQUIRE(Running.readUntil("anna:0 "));
+  Node.driver().post(core::routing::TrafficStopWanted{});
+  const HttpResult Refused =
+      fetch(Node.port(), "POST", ChatPath, chatBody("omar", 1, false));
+  CHECK(Refused.m_Status == 503);
+  CHECK(nlohmann::json::parse(Refused.m_Body)["error"]["reason"] == "stopping");
+  CHECK(Running.readUntil("data: [DONE]\n\n\r\n0\r\n\r\n"));
+  CHECK(waitFor([&Node] {
+    return Node.control().count<core::ports::TrafficDrained>() == 1;
+  }));
+}
+
+TEST_CASE("/v1/models lists what the caller may use") {
+  TestNode Node({});
+  const HttpResult Listed = fetch(Node.port(), "GET", "/v1/models");
+  const nlohmann::json Data = nlohmann::json::parse(Listed.m_Body)["data"];
+  REQUIRE(Data.size() == 1);
+  CHECK(Data[0]["id"] == "gas");
+  CHECK(Data[0]["ready"] == true);
+}
+
 } // namespace bronzepass::unit_tests::adapters
--- a/Source/UnitTests/Adapters/StreamTest.cpp
+++ b/Source/UnitTests/Adapters/StreamTest.cpp
@@ -146,6 +146,7 @@
   std::atomic<int> Crossed = 0;
   std::atomic<int> Missing = 0;
   std::vector<std::thread> Callers;
+  Callers.reserve(Threads);
   for (int T = 0; T < Threads; ++T)
     Callers.emplace_back([&Node, &Crossed, &Missing, T] {
       for (int I = 0; I < Rounds; ++I) {
--- a/Source/UnitTests/Adapters/TestNode.cpp
+++ b/Source/UnitTests/Adapters/TestNode.cpp
@@ -16,14 +16,6 @@
 const char *const Loopback = "127.0.0.1";
 constexpr uint64_t ModelBytes = 1 << 20;
 
-model::NodeInfo selfInfo() {
-  model::NodeInfo Self;
-  Self.m_Node = model::NodeId("node-1");
-  Self.m_Domain = model::DomainId("d1");
-  Self.m_Region = model::RegionId("r1");
-  return Self;
-}
-
 model::EndpointSpec
 endpointSpec(const char *Name, const model::Address &Address, uint32_t Slots) {
   model::EndpointSpec Spec;
@@ -70,17 +62,15 @@
       std::make_unique<stand_ins::ServiceStandIn>(model::Address{Loopback, 0});
   m_Service->start();
   m_Driver = std::make_unique<traffic::TrafficDriver>(
-      traffic::TrafficOptions{.m_Node = selfInfo().m_Node},
+      traffic::TrafficOptions{.m_Node = model::NodeId(m_Settings.m_Name)},
       std::make_unique<traffic::CoreDecider>(m_Settings.m_Traffic, m_Dice,
-                                             selfInfo()),
+                                             info()),
       traffic::TrafficPorts{m_Clock, m_Control, m_Log, m_Metrics});
   m_Control.m_Driver = m_Driver.get();
   m_Settings.m_Front.m_Server.m_Address = {Loopback, 0};
   m_Front = std::make_unique<callers::CallerFront>(m_Settings.m_Front,
                                                    *m_Driver, m_Clock);
-  const std::shared_ptr<const routing::RoutingTable> Table = makeTable();
-  m_Front->setTable(Table);
-  m_Driver->setTable(Table);
+  joinNodes({info()}, 1);
   m_Driver->start();
   m_Front->start();
 }
@@ -90,7 +80,27 @@
   m_Driver->stop();
 }
 
-std::shared_ptr<const routing::RoutingTable> TestNode::makeTable() const {
+model::NodeInfo TestNode::info() const {
+  model::NodeInfo Info;
+  Info.m_Node = model::NodeId(m_Settings.m_Name);
+  Info.m_Domain = model::DomainId("d1");
+  Info.m_Region = model::RegionId("r1");
+  Info.m_CallerAddress = {Loopback, m_Front ? m_Front->port() : uint16_t(0)};
+  return Info;
+}
+
+bool TestNode::joinNodes(const std::vector<model::NodeInfo> &Nodes,
+                         uint32_t Degree) {
+  const std::shared_ptr<const routing::RoutingTable> Table =
+      makeTable(Nodes, Degree);
+  m_Front->setTable(Table);
+  m_Driver->setTable(Table);
+  return Table->drives(model::EndpointId("engine-1"));
+}
+
+std::shared_ptr<const routing::RoutingTable>
+TestNode::makeTable(const std::vector<model::NodeInfo> &Nodes,
+                    uint32_t Degree) const {
   model::Intent Intent;
   Intent.m_Name = "test";
   Intent.m_Models.push_back(
@@ -115,8 +125,9 @@
   Inputs.m_Intent = std::make_shared<const model::Intent>(Intent);
   Inputs.m_Copies.push_back({testArtifact(), model::EndpointId("engine-1"),
                              model::CopyState::Serving});
-  Inputs.m_Self = selfInfo();
-  Inputs.m_Nodes.push_back(selfInfo());
+  Inputs.m_Self = info();
+  Inputs.m_Nodes = Nodes;
+  Inputs.m_Settings.m_DriveDegree = Degree;
   return routing::RoutingTable::build(Inputs);
 }
 
--- a/Source/UnitTests/Adapters/TestNode.h
+++ b/Source/UnitTests/Adapters/TestNode.h
@@ -85,6 +85,7 @@
 class TestNode {
 public:
   struct Settings {
+    std::string m_Name = "node-1";
     stand_ins::EngineOptions m_Engine;
     core::adapters::callers::CallerFrontOptions m_Front;
     core::routing::TrafficSettings m_Traffic;
@@ -95,6 +96,11 @@
   ~TestNode();
 
   uint16_t port() const { return m_Front->port(); }
+  core::model::NodeInfo info() const;
+  /// Routes from now on as one of \p Nodes, \p Degree of which drive each
+  /// endpoint. Whether this node drives its engine.
+  bool joinNodes(const std::vector<core::model::NodeInfo> &Nodes,
+                 uint32_t Degree);
   stand_ins::EngineStandIn &engine() { return *m_Engine; }
   stand_ins::ServiceStandIn &service() { return *m_Service; }
   core::adapters::traffic::TrafficDriver &driver() { return *m_Driver; }
@@ -108,7 +114,9 @@
                         const std::string &Json);
 
 private:
-  std::shared_ptr<const core::routing::RoutingTable> makeTable() const;
+  std::shared_ptr<const core::routing::RoutingTable>
+  makeTable(const std::vector<core::model::NodeInfo> &Nodes,
+            uint32_t Degree) const;
 
   Settings m_Settings;
   SteadyClock m_Clock;
