--- a/Source/Core/Model/Node.h
+++ b/Source/Core/Model/Node.h
@@ -6,6 +6,8 @@
 #include "Core/Model/Residency.h"
 
 #include <compare>
+#include <cstdint>
+#include <string>
 
 namespace bronzepass::core::model {
 
@@ -20,10 +22,24 @@
   /// Where it takes callers' and forwarded requests.
   Address m_CallerAddress;
   Liveness m_Liveness = Liveness::Live;
+  /// Raised by the node itself alone, to refute a suspicion. Of two statements
+  /// the one with the higher incarnation holds, then the worse liveness.
+  uint64_t m_Incarnation = 0;
 
   friend auto operator<=>(const NodeInfo &, const NodeInfo &) = default;
 };
 
+/// The id of a process that started at \p Incarnation on \p Vm: a restarted
+/// process never has the id of the one before it.
+inline NodeId makeNodeId(const VmId &Vm, uint64_t Incarnation) {
+  return NodeId(Vm.str() + "." + std::to_string(Incarnation));
+}
+
+/// The VM that \p Node runs, or ran, on.
+inline VmId vmOf(const NodeId &Node) {
+  return VmId(Node.str().substr(0, Node.str().rfind('.')));
+}
+
 } // namespace bronzepass::core::model
 
 #endif // BRONZEPASS_CORE_MODEL_NODE_H
--- a/Source/UnitTests/Adapters/BadInputTest.cpp
+++ b/Source/UnitTests/Adapters/Http/BadInputTest.cpp
@@ -4,7 +4,7 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace {
 
@@ -122,4 +122,4 @@
   CHECK(Served.m_Whole);
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/EngineClientTest.cpp
+++ b/Source/UnitTests/Adapters/Http/EngineClientTest.cpp
@@ -7,7 +7,7 @@
 #include <mutex>
 #include <vector>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace model = core::model;
 namespace ports = core::ports;
@@ -157,4 +157,4 @@
   CHECK(Bench.lastCache().m_Sequence == 2);
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/HttpClient.cpp
+++ b/Source/UnitTests/Adapters/Http/HttpClient.cpp
@@ -10,7 +10,7 @@
 #include <sys/socket.h>
 #include <thread>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace curl = core::adapters::curl;
 
@@ -126,4 +126,4 @@
          "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/OperatorServerTest.cpp
+++ b/Source/UnitTests/Adapters/Http/OperatorServerTest.cpp
@@ -6,7 +6,7 @@
 #include <doctest/doctest.h>
 #include <thread>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace model = core::model;
 namespace ports = core::ports;
@@ -75,4 +75,4 @@
   CHECK(HasRetryAfter);
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/RequestPathTest.cpp
+++ b/Source/UnitTests/Adapters/Http/RequestPathTest.cpp
@@ -4,7 +4,7 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace {
 
@@ -77,4 +77,4 @@
   CHECK(Data[0]["ready"] == true);
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/RequestReaderTest.cpp
+++ b/Source/UnitTests/Adapters/Http/RequestReaderTest.cpp
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace callers = core::adapters::callers;
 namespace model = core::model;
@@ -149,4 +149,4 @@
   CHECK(read(Request).m_Request.m_Repeatable);
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/StreamTest.cpp
+++ b/Source/UnitTests/Adapters/Http/StreamTest.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace {
 
@@ -172,4 +172,4 @@
   CHECK(Crossed == 0);
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/TestNode.cpp
+++ b/Source/UnitTests/Adapters/Http/TestNode.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace model = core::model;
 namespace routing = core::routing;
@@ -156,4 +156,4 @@
       .dump();
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/TestNode.h
+++ b/Source/UnitTests/Adapters/Http/TestNode.h
@@ -1,5 +1,5 @@
-#ifndef BRONZEPASS_UNITTESTS_ADAPTERS_TESTNODE_H
-#define BRONZEPASS_UNITTESTS_ADAPTERS_TESTNODE_H
+#ifndef BRONZEPASS_UNITTESTS_ADAPTERS_HTTP_TESTNODE_H
+#define BRONZEPASS_UNITTESTS_ADAPTERS_HTTP_TESTNODE_H
 
 #include "Core/Adapters/Callers/CallerFront.h"
 #include "Core/Adapters/Traffic/CoreDecider.h"
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 class SteadyClock : public core::ports::Clock {
 public:
@@ -133,6 +133,6 @@
 /// The body of a chat completion for testArtifact().
 std::string chatBody(const std::string &User, uint32_t Tokens, bool Stream);
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
 
-#endif // BRONZEPASS_UNITTESTS_ADAPTERS_TESTNODE_H
+#endif // BRONZEPASS_UNITTESTS_ADAPTERS_HTTP_TESTNODE_H
