--- a/Source/UnitTests/Adapters/OnceTest.cpp
+++ b/Source/UnitTests/Adapters/Http/OnceTest.cpp
@@ -9,7 +9,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace curl = core::adapters::curl;
 namespace net = core::adapters::net;
@@ -143,4 +143,4 @@
   Thread.stop();
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/StreamTest.cpp
+++ b/Source/UnitTests/Adapters/Http/StreamTest.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace {
 
@@ -130,6 +130,7 @@
     const std::string User = "user" + std::to_string(I);
     Kept.clearText();
     Kept.send(postText(ChatPath, chatBody(User, 2, I % 2 == 0)));
+    INFO(I, Kept.text());
     REQUIRE(Kept.readUntil(I % 2 == 0 ? "0\r\n\r\n" : "}}"));
     CHECK(countOf(Kept.text(), User + ":") == 2);
     CHECK(countOf(Kept.text(), ":1 ") == 1);
@@ -145,6 +146,7 @@
   std::atomic<int> Crossed = 0;
   std::atomic<int> Missing = 0;
   std::vector<std::thread> Callers;
+  Callers.reserve(Threads);
   for (int T = 0; T < Threads; ++T)
     Callers.emplace_back([&Node, &Crossed, &Missing, T] {
       for (int I = 0; I < Rounds; ++I) {
@@ -170,4 +172,4 @@
   CHECK(Crossed == 0);
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
