--- a/Source/Core/Adapters/Daemon/Daemon.cpp
+++ b/Source/Core/Adapters/Daemon/Daemon.cpp
@@ -16,7 +16,7 @@
 #include "Core/Adapters/Operator/OperatorServer.h"
 #include "Core/Adapters/Prometheus/PrometheusMetrics.h"
 #include "Core/Adapters/Traffic/TrafficDriver.h"
-#include "Core/Adapters/WebSocket/WebSocketPeerLink.h"
+#include "Core/Adapters/WebSocket/PeerSockets.h"
 #include "Core/Adapters/Yaml/YamlIntentReader.h"
 #include "Core/Node/ControlCore.h"
 
@@ -59,8 +59,8 @@
   std::optional<std::string> start() {
     m_StoreThread.start();
     m_Traffic.start();
-    if (std::optional<std::string> Reason = m_Peers.start())
-      return "peers: " + *Reason;
+    if (!m_Peers.listen())
+      return "peers: " + m_Peers.lastReason();
     if (std::optional<std::string> Reason = m_Operators.start())
       return "operators: " + *Reason;
     if (std::optional<std::string> Reason = m_Front.start())
@@ -111,7 +111,6 @@
     m_Front.stop();
     m_Operators.stop();
     m_Control.stop();
-    m_Peers.stop();
     m_Traffic.stop();
     m_StoreThread.stop();
   }
@@ -132,7 +131,7 @@
   net::LoopThread m_StoreThread;
   object_api::ObjectApiClient m_Store;
   curl::CurlEngineClient m_Engines;
-  web_socket::WebSocketPeerLink m_Peers;
+  web_socket::PeerSockets m_Peers;
   EffectCarrier m_Carrier;
   ControlThread m_Control;
 };
--- a/Source/Core/Adapters/Daemon/DecisionRing.cpp
+++ b/Source/Core/Adapters/Daemon/DecisionRing.cpp
@@ -15,7 +15,8 @@
   const std::lock_guard<std::mutex> Lock(m_Mutex);
   std::vector<model::Decision> Found;
   for (const model::Decision &Each : m_Decisions)
-    if (Each.m_Subject == Subject)
+    if (Each.m_Subject == Subject ||
+        Each.m_Subject.rfind(Subject + " ", 0) == 0)
       Found.push_back(Each);
   return Found;
 }
--- a/Source/Core/Adapters/Daemon/DecisionRing.h
+++ b/Source/Core/Adapters/Daemon/DecisionRing.h
@@ -18,7 +18,8 @@
 
   void write(const model::Decision &Line) override;
 
-  /// The decisions kept about \p Subject, oldest first.
+  /// The decisions kept whose subject is \p Subject, or begins with it as a
+  /// whole word, oldest first.
   std::vector<model::Decision> about(const std::string &Subject) const;
 
 private:
--- /dev/null
+++ b/Source/Core/Cli/ServeCommand.cpp
@@ -0,0 +1,46 @@
+#include "Core/Cli/ServeCommand.h"
+
+#include "Core/Adapters/Daemon/Daemon.h"
+#include "Core/Adapters/Yaml/SettingsReader.h"
+#include "Core/Cli/FileText.h"
+#include "Core/Cli/FindingPrinter.h"
+
+#include <ostream>
+
+namespace bronzepass::core::cli {
+
+namespace po = boost::program_options;
+
+void ServeCommand::addOptions(po::options_description &Options) const {
+  Options.add_options()("settings", po::value<std::string>(),
+                        "settings file of this node");
+}
+
+ExitCode ServeCommand::run(const CommandContext &Context) const {
+  const std::string Path = Context.text("settings");
+  if (Path.empty()) {
+    Context.m_Err << "bronzepass serve: name a settings file\n";
+    return ExitCode::Usage;
+  }
+  std::string Reason;
+  const std::optional<std::string> Text = readFile(Path, Reason);
+  if (!Text) {
+    Context.m_Err << "bronzepass serve: " << Reason << "\n";
+    return ExitCode::Failed;
+  }
+  const adapters::yaml::SettingsReading Reading =
+      adapters::yaml::readSettings(*Text, Path);
+  if (!Reading.m_Settings) {
+    printFindings(Reading.m_Findings, Context);
+    return ExitCode::Findings;
+  }
+  adapters::daemon::Daemon::blockSignals();
+  adapters::daemon::Daemon Node(*Reading.m_Settings);
+  if (const std::optional<std::string> Fault = Node.start()) {
+    Context.m_Err << "bronzepass serve: " << *Fault << "\n";
+    return ExitCode::Failed;
+  }
+  return Node.runUntilStopped() ? ExitCode::Ok : ExitCode::Failed;
+}
+
+} // namespace bronzepass::core::cli
