--- a/Source/Core/Adapters/Pistache/HttpServer.h
+++ b/Source/Core/Adapters/Pistache/HttpServer.h
@@ -13,7 +13,7 @@
 namespace bronzepass::core::adapters::pistache {
 
 /// A request that was refused before it was read whole.
-enum class HttpFault { Malformed, BodyTooLarge, HeadersTooLarge };
+enum class HttpFault { Malformed, BodyTooLarge, HeadersTooLarge, TimedOut };
 
 /// What a server does with its requests.
 class HttpHandler {
@@ -46,7 +46,7 @@
 class HttpServer {
 public:
   /// \p Loop and \p Handler outlive the server.
-  HttpServer(HttpServerOptions Options, net::EventLoop &Loop,
+  HttpServer(const HttpServerOptions &Options, net::EventLoop &Loop,
              HttpHandler &Handler);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
