--- a/Source/Core/Adapters/Codec/MessageFields.h
+++ b/Source/Core/Adapters/Codec/MessageFields.h
@@ -31,6 +31,7 @@
     Visitor.optional("progress", Value.m_Progress);
     Visitor.optional("echo", Value.m_Echo);
     Visitor.optional("membersDigest", Value.m_MembersDigest);
+    Visitor.optional("neighbour", Value.m_Neighbour);
   }
 };
 
--- a/Source/Core/Membership/IntentKeeper.cpp
+++ b/Source/Core/Membership/IntentKeeper.cpp
@@ -78,6 +78,7 @@
   else if (const auto *Beat =
                std::get_if<ports::Heartbeat>(&Received.m_Message)) {
     m_Peers[From].m_Heard = true;
+    m_Peers[From].m_IsNeighbour = Beat->m_Neighbour;
     offerIfBehind(From, Beat->m_Generation, Now, Out);
   } else if (const auto *Offer =
                  std::get_if<ports::IntentOffer>(&Received.m_Message))
@@ -194,7 +195,7 @@
                                                 ? "newer than the one before"
                                                 : "by " + m_Head.m_Author});
   for (const auto &[Peer, State] : m_Peers)
-    if (State.m_Generation < m_Head.m_Generation)
+    if (State.m_IsNeighbour && State.m_Generation < m_Head.m_Generation)
       offer(Peer, Now, Out);
 }
 
--- a/Source/Core/Membership/IntentKeeper.h
+++ b/Source/Core/Membership/IntentKeeper.h
@@ -84,6 +84,8 @@
   struct PeerState {
     model::Generation m_Generation;
     bool m_Heard = false;
+    /// It counts this node among its neighbours.
+    bool m_IsNeighbour = false;
     model::Generation m_Offered;
     model::TimePoint m_OfferedAt;
   };
--- a/Source/Core/Membership/MembershipJudgement.cpp
+++ b/Source/Core/Membership/MembershipJudgement.cpp
@@ -81,13 +81,17 @@
   return Listed || m_Members.present().size() > 1;
 }
 
-bool MembershipView::hasWitness() const {
-  return !m_Links.links().empty() ||
-         m_Members.present().size() <= SmallSystem + 1;
+bool MembershipView::hasWitness(model::TimePoint Now) const {
+  const auto &Links = m_Links.links();
+  const bool Heard =
+      std::any_of(Links.begin(), Links.end(), [Now](const auto &Entry) {
+        return Now - Entry.second.m_LastHeard < SilenceLimit;
+      });
+  return Heard || m_Members.present().size() <= SmallSystem + 1;
 }
 
 void MembershipView::judgeSilent(model::TimePoint Now, ports::EffectList &Out) {
-  if (m_Unsure || !hasWitness())
+  if (m_Unsure || !hasWitness(Now))
     return;
   for (const model::VmId &Vm : m_Links.unlinkedFor(SuspectAfter, Now)) {
     const MemberTable::Member *Known = m_Members.find(Vm);
@@ -131,6 +135,7 @@
   m_Links.setTargets(
       {m_Overlay.successors(), m_Overlay.predecessors(), m_Overlay.probes()},
       Now);
+  followNeighbours();
   refreshDuties();
 }
 
--- a/Source/Core/Membership/MembershipTiming.h
+++ b/Source/Core/Membership/MembershipTiming.h
@@ -13,6 +13,10 @@
 constexpr model::Duration NewsDelay = std::chrono::milliseconds(200);
 /// A link on which nothing was heard for this long is cut.
 constexpr model::Duration SilenceLimit = std::chrono::seconds(3);
+/// The same for links to nodes that are no neighbours: one node may have
+/// hundreds of them.
+constexpr model::Duration ExtraHeartbeatPeriod = std::chrono::seconds(10);
+constexpr model::Duration ExtraSilenceLimit = std::chrono::seconds(30);
 /// A neighbour that cannot be linked to for this long is suspect.
 constexpr model::Duration SuspectAfter = std::chrono::seconds(3);
 /// A suspect that does not speak up for this long is gone.
--- a/Source/Core/Membership/MembershipView.cpp
+++ b/Source/Core/Membership/MembershipView.cpp
@@ -92,14 +92,37 @@
     return;
   }
   m_Links.up(Change.m_Peer, Change.m_Vm, Now);
-  m_News.linkUp(Change.m_Peer);
-  m_Generations.linkUp(Change.m_Peer);
-  for (const model::EndpointState &Statement : m_Endpoints.statements())
-    m_News.addFor(Change.m_Peer, Statement.m_Endpoint);
+  followNeighbours();
   sendHeartbeat(Change.m_Peer, Now, Out);
 }
 
+void MembershipView::followNeighbours() {
+  for (const auto &[Peer, Link] : m_Links.links()) {
+    const bool Relays = relaysTo(Link);
+    if (Relays == m_Relays.contains(Peer))
+      continue;
+    if (!Relays) {
+      forgetLink(Peer);
+      continue;
+    }
+    m_Relays.insert(Peer);
+    m_News.linkUp(Peer);
+    m_Generations.linkUp(Peer);
+    for (const model::EndpointState &Statement : m_Endpoints.statements())
+      m_News.addFor(Peer, Statement.m_Endpoint);
+  }
+}
+
+bool MembershipView::relaysTo(const PeerLinks::Link &Link) const {
+  return Link.m_CountsUs || m_Links.isNeighbour(Link);
+}
+
+std::vector<model::NodeId> MembershipView::neighbours() const {
+  return {m_Relays.begin(), m_Relays.end()};
+}
+
 void MembershipView::forgetLink(const model::NodeId &Peer) {
+  m_Relays.erase(Peer);
   m_News.linkDown(Peer);
   m_Generations.linkDown(Peer);
   m_Mismatches.erase(Peer);
@@ -122,6 +145,7 @@
                                 const ports::Hello &Hello, model::TimePoint Now,
                                 ports::EffectList &Out) {
   m_Links.bind(From, Hello.m_Node.m_Vm);
+  followNeighbours();
   learn(Hello.m_Node, From, Now, Out);
   // A peer that others count out must hear of it to refute it.
   const MemberTable::Member *Known = m_Members.find(Hello.m_Node.m_Vm);
@@ -137,6 +161,8 @@
   if (Beat.m_Sequence <= Link->m_PeerSequence)
     return;
   Link->m_PeerSequence = Beat.m_Sequence;
+  Link->m_CountsUs = Beat.m_Neighbour;
+  followNeighbours();
   for (const model::NodeInfo &Statement : Beat.m_NodeNews)
     learn(Statement, From, Now, Out);
   for (const model::EndpointState &Statement : Beat.m_EndpointNews)
@@ -199,6 +225,8 @@
 
 void MembershipView::compareDigest(const model::NodeId &From, uint64_t Digest,
                                    model::TimePoint Now) {
+  if (!m_Relays.contains(From))
+    return;
   Mismatch &State = m_Mismatches[From];
   if (Digest == m_Members.digest()) {
     State.m_Beats = 0;
@@ -287,7 +315,9 @@
   for (auto &[Peer, Link] : m_Links.links()) {
     const bool HasNews = Link.m_Urgent || m_News.hasNewsFor(Peer) ||
                          m_Generations.hasNewsFor(Peer);
-    const model::Duration Wait = HasNews ? NewsDelay : HeartbeatPeriod;
+    const model::Duration Wait = HasNews          ? NewsDelay
+                                 : relaysTo(Link) ? HeartbeatPeriod
+                                                  : ExtraHeartbeatPeriod;
     if (Now - Link.m_LastSent >= Wait)
       sendHeartbeat(Peer, Now, Out);
   }
@@ -312,6 +342,7 @@
   Beat.m_Progress = m_Generations.take(To, MaxProgressPerHeartbeat);
   Beat.m_Echo = Link->m_PeerSequence;
   Beat.m_MembersDigest = m_Members.digest();
+  Beat.m_Neighbour = m_Links.isNeighbour(*Link);
   Link->m_LastSent = Now;
   Link->m_Urgent = false;
   Out.push_back(ports::PeerSend{To, std::move(Beat)});
--- a/Source/Core/Membership/MembershipView.h
+++ b/Source/Core/Membership/MembershipView.h
@@ -76,6 +76,9 @@
   const GenerationTracker &generations() const { return m_Generations; }
   bool isLinked(const model::NodeId &Peer) const;
   std::vector<model::NodeId> linkedPeers() const;
+  /// Linked peers to which news is relayed: a bounded number that together
+  /// reach everyone. What goes to all nodes goes to these alone.
+  std::vector<model::NodeId> neighbours() const;
   /// Whether the platform's list or peers name other nodes than this one.
   bool hasOthers() const;
   std::optional<model::NodeInfo> node(const model::NodeId &Node) const;
@@ -106,8 +109,10 @@
   void judge(const model::NodeInfo &Node, model::Liveness Liveness,
              const std::string &Reason, model::TimePoint Now,
              ports::EffectList &Out);
-  bool hasWitness() const;
+  bool hasWitness(model::TimePoint Now) const;
   void forgetLink(const model::NodeId &Peer);
+  void followNeighbours();
+  bool relaysTo(const PeerLinks::Link &Link) const;
   void refreshOverlay(model::TimePoint Now);
   void refreshDuties();
   void sendHeartbeat(const model::NodeId &To, model::TimePoint Now,
@@ -135,6 +140,7 @@
     model::TimePoint m_ToldAt;
   };
   std::map<model::NodeId, Mismatch> m_Mismatches;
+  std::set<model::NodeId> m_Relays;
 
   model::TimePoint m_LastSeen;
   model::TimePoint m_NextListAt;
--- a/Source/Core/Membership/PeerLinks.cpp
+++ b/Source/Core/Membership/PeerLinks.cpp
@@ -59,6 +59,11 @@
   });
 }
 
+bool PeerLinks::isNeighbour(const Link &Known) const {
+  return m_Targets.m_Dialled.contains(Known.m_Vm) ||
+         m_Targets.m_Expected.contains(Known.m_Vm);
+}
+
 PeerLinks::Link *PeerLinks::find(const model::NodeId &Peer) {
   const auto Found = m_Links.find(Peer);
   return Found == m_Links.end() ? nullptr : &Found->second;
@@ -149,7 +154,9 @@
     Link &Known = It->second;
     if (!Known.m_Dialled || isNeeded(Known.m_Vm, Now))
       Known.m_LastNeeded = Now;
-    const bool IsSilent = Now - Known.m_LastHeard >= SilenceLimit;
+    const bool IsSilent =
+        Now - Known.m_LastHeard >=
+        (isNeighbour(Known) ? SilenceLimit : ExtraSilenceLimit);
     const bool IsIdle = Now - Known.m_LastNeeded >= IdleLinkKept;
     if (!IsSilent && !IsIdle) {
       ++It;
--- a/Source/Core/Membership/PeerLinks.h
+++ b/Source/Core/Membership/PeerLinks.h
@@ -46,6 +46,8 @@
     model::TimePoint m_LastSent;
     bool m_Urgent = false;
     uint64_t m_PeerSequence = 0;
+    /// The peer counts this node among its neighbours.
+    bool m_CountsUs = false;
   };
 
   /// Address of a VM's node as far as known.
@@ -75,6 +77,8 @@
 
   Link *find(const model::NodeId &Peer);
   bool isLinked(const model::VmId &Vm) const;
+  /// Whether the overlay makes the VM at the other end a neighbour.
+  bool isNeighbour(const Link &Known) const;
   std::map<model::NodeId, Link> &links() { return m_Links; }
   const std::map<model::NodeId, Link> &links() const { return m_Links; }
 
--- a/Source/Core/Node/ControlCore.cpp
+++ b/Source/Core/Node/ControlCore.cpp
@@ -121,7 +121,7 @@
   if (News == ResidencyBook::News::Same)
     return;
   m_TableDirty = true;
-  for (const model::NodeId &Peer : m_View.linkedPeers())
+  for (const model::NodeId &Peer : m_View.neighbours())
     if (!From || Peer != *From)
       m_Out->push_back(ports::PeerSend{Peer, ports::ResidencyShare{{Report}}});
 }
--- a/Source/Core/Ports/PeerMessage.h
+++ b/Source/Core/Ports/PeerMessage.h
@@ -53,6 +53,9 @@
   uint64_t m_Echo = 0;
   /// Equal where sender and receiver know the same members.
   uint64_t m_MembersDigest = 0;
+  /// The sender counts the receiver among its neighbours, from whom it expects
+  /// news and frequent heartbeats; other links carry what they were made for.
+  bool m_Neighbour = false;
 
   friend auto operator<=>(const Heartbeat &, const Heartbeat &) = default;
 };
--- a/Source/UnitTests/Membership/MembershipTest.cpp
+++ b/Source/UnitTests/Membership/MembershipTest.cpp
@@ -247,6 +247,25 @@
           core::membership::Overlay::MaxDegree);
 }
 
+TEST_CASE("a link asked for by a node that is no neighbour carries no news") {
+  MembershipSystem System;
+  bootMany(System);
+  System.run(40s);
+  const std::vector<model::NodeId> Near =
+      System.core("vm-100").view().neighbours();
+  for (const auto &[Vm, Node] : System.nodes()) {
+    const model::NodeId &Far = Node->m_Info.m_Node;
+    if (Vm == "vm-100" ||
+        std::find(Near.begin(), Near.end(), Far) != Near.end())
+      continue;
+    System.core("vm-100").view().wantLink(Far, System.now());
+    System.run(20s);
+    CHECK(System.core("vm-100").view().isLinked(Far));
+    CHECK(System.core("vm-100").view().neighbours() == Near);
+    return;
+  }
+}
+
 TEST_CASE("an old process steps back for the new one on its VM") {
   MembershipSystem System;
   bootFive(System);
