--- a/Source/Core/Routing/EndpointPolicy.cpp
+++ b/Source/Core/Routing/EndpointPolicy.cpp
@@ -45,7 +45,7 @@
   }
 };
 
-/// The earliest predicted finish among those with room, or among all.
+/// The least predicted cost among those with room, or among all.
 class PredictivePolicy final : public EndpointPolicy {
 public:
   size_t pick(const std::vector<Candidate> &Candidates,
@@ -64,7 +64,7 @@
   static bool isBetter(const Candidate &Left, const Candidate &Right) {
     if (Left.m_HasRoom != Right.m_HasRoom)
       return Left.m_HasRoom;
-    return Left.m_Finish < Right.m_Finish;
+    return Left.m_Cost < Right.m_Cost;
   }
 };
 
--- a/Source/Core/Routing/EndpointPolicy.h
+++ b/Source/Core/Routing/EndpointPolicy.h
@@ -18,13 +18,16 @@
   EndpointView *m_View = nullptr;
   /// Requests inside it now, by everyone.
   double m_Load = 0;
-  /// It would start the request without queueing it for long.
+  /// It would start the request soon and end it inside the window.
   bool m_HasRoom = true;
   /// Leading prompt blocks that its cache holds.
   uint32_t m_CachedBlocks = 0;
   /// Predicted seconds until the answer is whole, and of that the service.
   double m_Finish = 0;
   double m_Service = 0;
+  /// Seconds to compare by: the finish and what it costs others; less is
+  /// better.
+  double m_Cost = 0;
 };
 
 /// Picks one of several candidates.
--- a/Source/Core/Routing/EndpointView.cpp
+++ b/Source/Core/Routing/EndpointView.cpp
@@ -32,6 +32,7 @@
 void EndpointView::started(model::TimePoint Now) {
   advance(Now);
   ++m_InFlight;
+  m_LastStart = Now;
 }
 
 void EndpointView::finished(model::TimePoint Now) {
--- a/Source/Core/Routing/EndpointView.h
+++ b/Source/Core/Routing/EndpointView.h
@@ -26,6 +26,7 @@
   void reported(const LoadHint &Load, model::TimePoint MadeAt);
 
   uint32_t inFlight() const { return m_InFlight; }
+  model::TimePoint lastStart() const { return m_LastStart; }
 
   /// Requests inside the endpoint now, by everyone: the last report, moved on
   /// by what this node has started and seen finished since, times \p Mirror
@@ -62,6 +63,7 @@
 
   const TrafficSettings *m_Settings;
   uint32_t m_InFlight = 0;
+  model::TimePoint m_LastStart;
   // In-flight count at the end of each of the last buckets of time.
   std::array<uint32_t, Buckets> m_History{};
   int64_t m_Bucket = 0;
--- a/Source/Core/Routing/TrafficChoice.cpp
+++ b/Source/Core/Routing/TrafficChoice.cpp
@@ -10,8 +10,6 @@
 /// Candidates looked at for one choice; a model on more endpoints is sampled.
 constexpr size_t MaxCandidates = 16;
 constexpr size_t MaxRunnersUp = 3;
-/// Share of an endpoint's slots that batch requests may fill.
-constexpr double BatchSlotShare = 0.75;
 
 std::string inMilliseconds(double Seconds) {
   return std::to_string(static_cast<int64_t>(Seconds * 1000)) + " ms";
@@ -76,24 +74,44 @@
   Value.m_CachedBlocks =
       m_Prefixes.matched(Live.m_Request.m_PrefixHashes, Record.m_Tag);
   uint32_t Slots = std::max(1U, Endpoint.m_Spec->m_Slots);
-  if (Live.m_Request.m_Priority == model::Priority::Batch) {
-    Value.m_HasRoom = Value.m_Load < Slots * BatchSlotShare;
-  } else {
-    // An own part is always free, however stale the news of the others is.
-    size_t Drivers = std::max<size_t>(1, Endpoint.m_Drivers.size());
-    bool InOwnPart =
-        Record.m_View.inFlight() < std::max<size_t>(1, Slots / Drivers);
-    Value.m_HasRoom =
-        InOwnPart || Value.m_Load < Slots * (1 + m_Settings.m_SlotSlack);
-  }
-  Value.m_Service = predictService(Live, Value, Stats);
+  double Prefill = predictPrefill(Live, Value);
+  Value.m_Service = predictService(Live, Value, Stats) + Prefill;
   double Excess = std::max(0.0, Value.m_Load + 1 - Slots);
   double Hops = Endpoint.m_Driven || Live.m_Request.m_Forwarded ? 1 : 2;
   Value.m_Finish = Value.m_Service + Excess / Slots * Value.m_Service +
                    2 * Hops * toSeconds(Endpoint.m_Delay);
+  Value.m_Cost = Value.m_Finish + m_Settings.m_PrefillBurden * Prefill *
+                                      std::min<double>(Value.m_Load, Slots);
+  Value.m_HasRoom = hasRoom(Live, Value);
   m_Candidates.push_back(Value);
 }
 
+bool TrafficCore::hasRoom(const LiveRequest &Live,
+                          const Candidate &Value) const {
+  if (!m_Settings.m_Admission)
+    return true;
+  bool Contended = m_Queue.size(Live.m_Lane) > 0;
+  double Margin = Contended ? m_Settings.m_ContendedMargin : 1;
+  if (Value.m_Finish * Margin > toSeconds(Live.m_Request.m_Deadline - m_Now))
+    return false;
+  const TableEndpoint &Endpoint = m_Table->endpoints()[Value.m_Index];
+  uint32_t Slots = std::max(1U, Endpoint.m_Spec->m_Slots);
+  if (Live.m_Request.m_Priority == model::Priority::Batch)
+    return Value.m_Load < Slots * m_Settings.m_BatchSlotShare;
+  // An own part is always free, however stale the news of the others is.
+  size_t Drivers = std::max<size_t>(1, Endpoint.m_Drivers.size());
+  return Value.m_View->inFlight() < std::max<size_t>(1, Slots / Drivers) ||
+         Value.m_Load < Slots * (1 + m_Settings.m_SlotSlack);
+}
+
+double TrafficCore::predictPrefill(const LiveRequest &Live,
+                                   const Candidate &Value) const {
+  double Cached = static_cast<double>(Value.m_CachedBlocks) *
+                  m_Settings.m_PrefixBlockTokens;
+  double Prompt = std::max(0.0, Live.m_Request.m_PromptTokens - Cached);
+  return Prompt * toSeconds(m_Settings.m_PromptTokenTime);
+}
+
 double TrafficCore::predictService(const LiveRequest &Live,
                                    const Candidate &Value,
                                    const LaneStats *Stats) const {
@@ -113,11 +131,7 @@
     Tokens = Stats->m_TokenRatio > 0
                  ? Stats->m_TokenRatio * Request.m_MaxTokens
                  : std::min<double>(Tokens, Request.m_MaxTokens);
-  double Cached = static_cast<double>(Value.m_CachedBlocks) *
-                  m_Settings.m_PrefixBlockTokens;
-  double Prompt = std::max(0.0, Request.m_PromptTokens - Cached);
-  return Tokens * TokenTime * batchFactor(Value.m_Load + 1, Slots) +
-         Prompt * toSeconds(m_Settings.m_PromptTokenTime);
+  return Tokens * TokenTime * batchFactor(Value.m_Load + 1, Slots);
 }
 
 double TrafficCore::predictWait(const LiveRequest &Live) const {
@@ -193,17 +207,18 @@
   Result.m_Advice = Advice::Send;
   if (!m_Settings.m_Admission)
     return Result;
-  double Left = toSeconds(Live.m_Request.m_Deadline - m_Now);
-  // An idle endpoint is always tried, or a wrong prediction could not be
-  // unlearnt.
-  bool Idle = Picked.m_View->inFlight() == 0 && Picked.m_Load < 1;
-  if (Picked.m_HasRoom && (Idle || Picked.m_Finish <= Left))
+  if (Picked.m_HasRoom)
     return Result;
+  double Left = toSeconds(Live.m_Request.m_Deadline - m_Now);
   double Need = predictWait(Live) + Picked.m_Service;
-  if (!Picked.m_HasRoom && Need <= Left) {
+  if (Need <= Left) {
     Result.m_Advice = Advice::Wait;
     return Result;
   }
+  if (std::optional<size_t> Idle = probe()) {
+    Result.m_Candidate = *Idle;
+    return Result;
+  }
   Result.m_Advice = Advice::Refuse;
   Result.m_Refusal = {model::RefusalReason::WindowTooShort,
                       model::RunState::NotRun,
@@ -212,6 +227,16 @@
   return Result;
 }
 
+std::optional<size_t> TrafficCore::probe() const {
+  for (size_t Index = 0; Index < m_Candidates.size(); ++Index) {
+    const Candidate &Each = m_Candidates[Index];
+    if (Each.m_View->inFlight() == 0 && Each.m_Load < 1 &&
+        m_Now - Each.m_View->lastStart() >= m_Settings.m_ProbePeriod)
+      return Index;
+  }
+  return std::nullopt;
+}
+
 void TrafficCore::place(LiveRequest &Live) {
   Choice Result = choose(Live);
   // Whoever waits already goes first, unless there is room for all.
--- a/Source/Core/Routing/TrafficCore.h
+++ b/Source/Core/Routing/TrafficCore.h
@@ -148,11 +148,14 @@
   void collect(const LiveRequest &Live, const TableCopies &Copies);
   void addCandidate(const LiveRequest &Live, EndpointIndex Index,
                     const LaneStats *Stats);
+  bool hasRoom(const LiveRequest &Live, const Candidate &Value) const;
+  double predictPrefill(const LiveRequest &Live, const Candidate &Value) const;
   double predictService(const LiveRequest &Live, const Candidate &Value,
                         const LaneStats *Stats) const;
   double predictWait(const LiveRequest &Live) const;
   Choice choose(const LiveRequest &Live);
   Choice chooseAmong(const LiveRequest &Live);
+  std::optional<size_t> probe() const;
   Choice noCandidate(const LiveRequest &Live, const TableCopies &Copies);
   void place(LiveRequest &Live);
   void enqueue(LiveRequest &Live, double Service);
--- /dev/null
+++ b/Source/UnitTests/Traces/Replay.cpp
@@ -0,0 +1,370 @@
+#include "UnitTests/Traces/Replay.h"
+
+#include "Core/Model/Hash.h"
+
+#include <algorithm>
+
+namespace bronzepass::unit_tests::traces {
+
+using namespace core;          // NOLINT: names of the code under test.
+using namespace core::routing; // NOLINT
+using unit_tests::routing::Millisecond;
+using unit_tests::routing::SeededRandom;
+using unit_tests::routing::StartTime;
+
+namespace {
+
+constexpr model::Duration SameDomainDelay = std::chrono::microseconds(200);
+constexpr model::Duration TickPeriod = std::chrono::milliseconds(20);
+constexpr model::Duration ReportPeriod = std::chrono::milliseconds(250);
+constexpr model::Duration ReportLag = std::chrono::milliseconds(100);
+constexpr model::Duration LateReportLag = std::chrono::seconds(2);
+constexpr model::Duration CacheLag = std::chrono::milliseconds(500);
+constexpr model::Duration ServiceTime = std::chrono::milliseconds(40);
+constexpr model::Duration ClaimTime = std::chrono::milliseconds(10);
+constexpr model::Duration LossNoticed = std::chrono::seconds(1);
+constexpr model::Duration LossAt = std::chrono::seconds(8);
+constexpr model::Duration StoreOutFrom = std::chrono::seconds(60);
+constexpr model::Duration StoreOutTo = std::chrono::seconds(660);
+constexpr model::Duration SettleTime = std::chrono::seconds(60);
+constexpr double SlowFactor = 4;
+constexpr uint32_t BlockTokens = 64;
+/// Every so many cache events one is lost.
+constexpr uint64_t CacheEventLoss = 10;
+constexpr size_t NoEngine = SIZE_MAX;
+
+/// Hashes of the prompt's blocks: one conversation's prompts begin alike.
+std::vector<uint64_t> prefixOf(const TraceLine &Line) {
+  std::string Text = std::to_string(Line.m_Model) + "/" +
+                     std::to_string(Line.m_Adapter) + "/" +
+                     std::to_string(Line.m_Conversation);
+  uint64_t First = model::stableHash(Text);
+  std::vector<uint64_t> Hashes;
+  for (uint32_t Block = 0; Block < Line.m_PromptTokens / BlockTokens; ++Block)
+    Hashes.push_back(model::stableHash("block", First + Block));
+  return Hashes;
+}
+
+} // namespace
+
+Replay::Replay(const Deployment &Of, const std::vector<TraceLine> &Lines,
+               ReplayFaults Faults, const TrafficSettings &Settings)
+    : m_Of(Of), m_Lines(Lines), m_Faults(Faults), m_Settings(Settings) {
+  for (const model::EndpointSpec &Spec :
+       Of.m_Inputs.m_Intent->m_Pools[0].m_Endpoints) {
+    m_Engines.emplace_back();
+    m_Engines.back().m_Name = Spec.m_Name;
+    m_Engines.back().m_Domain = Spec.m_Domain;
+  }
+  for (size_t Index = 0; Index < Of.m_Inputs.m_Nodes.size(); ++Index) {
+    Node Added;
+    Added.m_Dice = std::make_unique<SeededRandom>(Index + 1);
+    Added.m_Core = std::make_unique<TrafficCore>(Settings, *Added.m_Dice,
+                                                 Of.m_Inputs.m_Nodes[Index]);
+    m_Nodes.push_back(std::move(Added));
+  }
+  m_Outcomes.resize(Lines.size());
+  m_End = StartTime + Millisecond * Lines.back().m_AtMs + SettleTime;
+}
+
+void Replay::at(model::TimePoint When, std::function<void()> Do) {
+  m_Queue.push({When, ++m_Order, std::move(Do)});
+}
+
+void Replay::after(model::Duration Span, std::function<void()> Do) {
+  at(m_Now + Span, std::move(Do));
+}
+
+ReplayResult Replay::run() {
+  publish();
+  tick();
+  reportLoad();
+  for (size_t Line = 0; Line < m_Lines.size(); ++Line)
+    at(StartTime + Millisecond * m_Lines[Line].m_AtMs,
+       [this, Line] { arrive(Line); });
+  if (m_Faults.m_SlowEngine)
+    m_Engines[1].m_Fake.m_SlowFactor = SlowFactor;
+  if (m_Faults.m_EngineLost)
+    after(LossAt, [this] { loseEngine(); });
+  while (!m_Queue.empty() && m_Queue.top().m_At <= m_End) {
+    Due Next = m_Queue.top();
+    m_Queue.pop();
+    m_Now = Next.m_At;
+    Next.m_Do();
+  }
+  for (const Outcome &Each : m_Outcomes)
+    m_Result.m_Wrong += Each.m_Finals != 1;
+  m_Result.m_Requests = m_Lines.size();
+  m_Result.m_AttainedPerAccelerator =
+      static_cast<double>(m_Result.m_Attained) / m_Of.m_Engines;
+  return m_Result;
+}
+
+model::Duration Replay::delay(size_t Node, size_t Engine) const {
+  bool Same = Engine == NoEngine || m_Of.m_Inputs.m_Nodes[Node].m_Domain ==
+                                        m_Engines[Engine].m_Domain;
+  return Same ? SameDomainDelay : m_Of.m_Inputs.m_Settings.m_DomainDelay;
+}
+
+void Replay::publish() {
+  for (size_t Index = 0; Index < m_Nodes.size(); ++Index) {
+    RoutingInputs Inputs = m_Of.inputsOf(Index);
+    Inputs.m_EndpointStates = m_States;
+    deliver(Index, TableChanged{RoutingTable::build(Inputs)});
+  }
+}
+
+void Replay::tick() {
+  for (size_t Index = 0; Index < m_Nodes.size(); ++Index)
+    deliver(Index, TrafficTick());
+  after(TickPeriod, [this] { tick(); });
+}
+
+void Replay::reportLoad() {
+  model::Duration Lag = m_Faults.m_LateReports ? LateReportLag : ReportLag;
+  for (Engine &Each : m_Engines) {
+    if (Each.m_Lost)
+      continue;
+    LoadSeen Seen{
+        Each.m_Name, {Each.m_Fake.running(), Each.m_Fake.waiting()}, m_Now};
+    CacheSeen Cache{Each.m_Name, ++Each.m_CacheSequence,
+                    Each.m_News.m_CacheAdded, Each.m_News.m_CacheRemoved};
+    Each.m_News = fakes::StepResult();
+    for (size_t Index = 0; Index < m_Nodes.size(); ++Index) {
+      after(Lag, [this, Index, Seen] { deliver(Index, Seen); });
+      if (Cache.m_Sequence % CacheEventLoss != 0)
+        after(CacheLag, [this, Index, Cache] { deliver(Index, Cache); });
+    }
+  }
+  after(ReportPeriod, [this] { reportLoad(); });
+}
+
+void Replay::loseEngine() {
+  m_Engines[0].m_Lost = true;
+  m_Engines[0].m_Fake.clear();
+  for (auto &[Name, Each] : m_Attempts) {
+    if (Each.m_Engine == 0 && !Each.m_Over)
+      tell(Name, AttemptEnded{Each.m_Id, AttemptEnd::Broken, 0, ""});
+  }
+  m_States.push_back({m_Engines[0].m_Name, model::Liveness::Gone});
+  after(LossNoticed, [this] { publish(); });
+}
+
+void Replay::arrive(size_t Index) {
+  const TraceLine &Line = m_Lines[Index];
+  const model::Intent &Intent = *m_Of.m_Inputs.m_Intent;
+  RequestArrived Event;
+  model::Request &Request = Event.m_Request;
+  Request.m_Id = {Index + 1};
+  Request.m_Caller = model::CallerId("caller-" + std::to_string(Line.m_Caller));
+  Request.m_Priority =
+      Line.m_Batch ? model::Priority::Batch : model::Priority::Interactive;
+  Request.m_Deadline = m_Now + Millisecond * Line.m_WindowMs;
+  Request.m_PromptTokens = Line.m_PromptTokens;
+  Request.m_MaxTokens = Line.m_MaxTokens;
+  Request.m_BodyBytes = Line.m_PromptTokens * 4;
+  if (Line.m_Model < 0) {
+    Request.m_ServicePool = model::PoolId("service");
+    Request.m_IdempotencyKey = "key-" + std::to_string(Index);
+    Request.m_Repeatable = false;
+    Event.m_KeyHash = Index + 1;
+    ++m_Result.m_KeyedRequests;
+  } else {
+    Request.m_Model = Intent.m_Models[Line.m_Model].m_Name;
+    Request.m_Stream = true;
+    if (Line.m_Adapter >= 0)
+      Request.m_Adapter = Intent.m_Adapters[Line.m_Adapter].m_Name;
+    Request.m_PrefixHashes = prefixOf(Line);
+  }
+  // The platform's balancer knows nothing of load.
+  deliver(model::stableHash("balancer", Index) % m_Nodes.size(), Event);
+}
+
+void Replay::deliver(size_t Node, const TrafficEvent &Event) {
+  TrafficEffectList Effects;
+  m_Nodes[Node].m_Core->handle(Event, m_Now, Effects);
+  for (const TrafficEffect &Effect : Effects)
+    std::visit([this, Node](const auto &Each) { carryOut(Node, Each); },
+               Effect);
+}
+
+void Replay::carryOut(size_t Node, const StartAttempt &Effect) {
+  uint64_t Name =
+      (static_cast<uint64_t>(Node) << 48) | Effect.m_Attempt.m_Value;
+  Attempt Added;
+  Added.m_Node = Node;
+  Added.m_Id = Effect.m_Attempt;
+  Added.m_Line = Effect.m_Request.m_Value - 1;
+  Added.m_Engine = NoEngine;
+  for (size_t Index = 0; Index < m_Engines.size(); ++Index) {
+    if (m_Engines[Index].m_Name == Effect.m_Endpoint)
+      Added.m_Engine = Index;
+  }
+  m_Attempts[Name] = Added;
+  after(delay(Node, Added.m_Engine), [this, Name] { reach(Name); });
+}
+
+void Replay::carryOut(size_t Node, const CancelAttempt &Effect) {
+  uint64_t Name =
+      (static_cast<uint64_t>(Node) << 48) | Effect.m_Attempt.m_Value;
+  Attempt &Each = m_Attempts[Name];
+  Each.m_Over = true;
+  if (Each.m_Engine != NoEngine)
+    after(delay(Node, Each.m_Engine), [this, Name, Engine = Each.m_Engine] {
+      m_Engines[Engine].m_Fake.cancel(Name);
+    });
+}
+
+void Replay::reach(uint64_t Name) {
+  Attempt &Each = m_Attempts[Name];
+  if (Each.m_Over)
+    return;
+  if (Each.m_Engine != NoEngine && m_Engines[Each.m_Engine].m_Lost) {
+    tell(Name, AttemptEnded{Each.m_Id, AttemptEnd::NotSent, 0, ""});
+    return;
+  }
+  Outcome &Truth = m_Outcomes[Each.m_Line];
+  ++Truth.m_Runs;
+  const TraceLine &Line = m_Lines[Each.m_Line];
+  bool RanTwice = Line.m_Model < 0 && Truth.m_Runs > 1;
+  m_Result.m_Wrong += RanTwice || Truth.m_ToldNotRun;
+  if (Each.m_Engine == NoEngine) {
+    after(ServiceTime, [this, Name] {
+      tell(Name, AttemptHead{m_Attempts[Name].m_Id, 200});
+      answer(Name);
+    });
+    return;
+  }
+  fakes::Sequence Sequence;
+  Sequence.m_Name = Name;
+  Sequence.m_Priority =
+      Line.m_Batch ? model::Priority::Batch : model::Priority::Interactive;
+  Sequence.m_PromptTokens = Line.m_PromptTokens;
+  Sequence.m_Tokens = Line.m_Tokens;
+  Sequence.m_Prefix = prefixOf(Line);
+  m_Engines[Each.m_Engine].m_Fake.submit(std::move(Sequence));
+  if (!m_Engines[Each.m_Engine].m_Stepping)
+    beginStep(Each.m_Engine);
+}
+
+void Replay::beginStep(size_t Index) {
+  Engine &Each = m_Engines[Index];
+  Each.m_Stepping = !Each.m_Fake.idle();
+  if (Each.m_Stepping)
+    after(Each.m_Fake.beginStep(Each.m_News),
+          [this, Index] { endStep(Index); });
+}
+
+void Replay::endStep(size_t Index) {
+  Engine &Each = m_Engines[Index];
+  fakes::StepResult Result;
+  Each.m_Fake.endStep(Result);
+  LoadHint Load{Each.m_Fake.running(), Each.m_Fake.waiting()};
+  for (uint64_t Name : Result.m_Begun)
+    tell(Name, AttemptHead{m_Attempts[Name].m_Id, 200, Load});
+  for (uint64_t Name : Result.m_Done)
+    answer(Name);
+  beginStep(Index);
+}
+
+void Replay::answer(uint64_t Name) {
+  const Attempt &Each = m_Attempts[Name];
+  uint32_t Tokens = m_Lines[Each.m_Line].m_Tokens;
+  if (Tokens > 0)
+    tell(Name, AttemptChunk{Each.m_Id, 0, Tokens, Tokens});
+  tell(Name, AttemptEnded{Each.m_Id, AttemptEnd::Whole, 200, "answer"});
+}
+
+void Replay::tell(uint64_t Name, const TrafficEvent &Event) {
+  const Attempt &Each = m_Attempts[Name];
+  after(delay(Each.m_Node, Each.m_Engine), [this, Name, Event] {
+    if (std::holds_alternative<AttemptEnded>(Event))
+      m_Attempts[Name].m_Over = true;
+    deliver(m_Attempts[Name].m_Node, Event);
+  });
+}
+
+bool Replay::storeIsOut() const {
+  model::Duration Since = m_Now - StartTime;
+  return m_Faults.m_StoreOut && Since >= StoreOutFrom && Since < StoreOutTo;
+}
+
+void Replay::carryOut(size_t Node, const ports::ClaimWanted &Effect) {
+  if (storeIsOut())
+    return;
+  ports::ClaimVerdict Verdict{Effect.m_Request,
+                              ports::ClaimVerdictKind::Granted};
+  after(ClaimTime, [this, Node, Verdict] { deliver(Node, Verdict); });
+}
+
+void Replay::carryOut(size_t Node, const RelayChunk &Effect) {
+  uint64_t Name =
+      (static_cast<uint64_t>(Node) << 48) | Effect.m_Attempt.m_Value;
+  const Attempt &From = m_Attempts[Name];
+  m_Result.m_Wrong += From.m_Line + 1 != Effect.m_Request.m_Value;
+  m_Outcomes[Effect.m_Request.m_Value - 1].m_Relayed +=
+      m_Lines[From.m_Line].m_Tokens;
+}
+
+Replay::Outcome &Replay::ended(model::RequestId Request) {
+  Outcome &Truth = m_Outcomes[Request.m_Value - 1];
+  ++Truth.m_Finals;
+  return Truth;
+}
+
+void Replay::carryOut(size_t /*Node*/, const FinishAnswer &Effect) {
+  Outcome &Truth = ended(Effect.m_Request);
+  const TraceLine &Line = m_Lines[Effect.m_Request.m_Value - 1];
+  m_Result.m_Wrong += Truth.m_Relayed != Line.m_Tokens;
+  model::TimePoint Deadline =
+      StartTime + Millisecond * (Line.m_AtMs + Line.m_WindowMs);
+  if (m_Now > Deadline)
+    return;
+  ++m_Result.m_Attained;
+  m_Result.m_KeyedAttained += Line.m_Model < 0;
+}
+
+void Replay::carryOut(size_t /*Node*/, const RefuseRequest &Effect) {
+  Outcome &Truth = ended(Effect.m_Request);
+  ++m_Result.m_Refused;
+  m_Result.m_RefusedLate +=
+      Effect.m_Refusal.m_Reason == model::RefusalReason::DeadlinePassed;
+  Truth.m_ToldNotRun = Effect.m_Refusal.m_RunState == model::RunState::NotRun;
+  m_Result.m_Wrong += Truth.m_ToldNotRun && Truth.m_Runs > 0;
+}
+
+void Replay::carryOut(size_t /*Node*/, const BreakAnswer &Effect) {
+  ended(Effect.m_Request);
+  ++m_Result.m_Broken;
+}
+
+std::vector<Scenario> scenarios() {
+  return {{"steady", "steady", {}},
+          {"burst", "burst", {}},
+          {"turns", "turns", {}},
+          {"engine-lost", "steady", {.m_EngineLost = true}},
+          {"slow-engine", "steady", {.m_SlowEngine = true}},
+          {"late-reports", "burst", {.m_LateReports = true}},
+          {"store-out", "quiet", {.m_StoreOut = true}}};
+}
+
+ReplayResult replay(const Deployment &Of, const Scenario &What,
+                    const std::string &Folder,
+                    const TrafficSettings &Settings) {
+  std::vector<TraceLine> Lines =
+      readTrace(Folder + "/" + Of.m_Name + "-" + What.m_Trace + ".csv");
+  return Replay(Of, Lines, What.m_Faults, Settings).run();
+}
+
+TrafficSettings settingsOf(PolicyKind Kind) {
+  TrafficSettings Settings;
+  Settings.m_Policy = Kind;
+  Settings.m_LogDecisions = false;
+  if (Kind == PolicyKind::Predictive)
+    return Settings;
+  Settings.m_Admission = false;
+  Settings.m_MirrorFactor = 0;
+  return Settings;
+}
+
+} // namespace bronzepass::unit_tests::traces
