--- a/Source/Core/Routing/EndpointView.cpp
+++ b/Source/Core/Routing/EndpointView.cpp
@@ -58,16 +58,15 @@
   return std::max(Own, m_Reported + Since * Mirror);
 }
 
-void EndpointView::answered(uint32_t Tokens, model::Duration ToHead,
-                            model::Duration Took, uint32_t Slots,
-                            model::TimePoint Now) {
+void EndpointView::grew(uint32_t Tokens, model::Duration Took, uint32_t Slots) {
+  double PerToken = toSeconds(Took) / std::max(1U, Tokens);
+  mixInto(m_TokenTime, PerToken / batchFactor(load(1), Slots),
+          m_Settings->m_AverageWeight);
+}
+
+void EndpointView::answered(model::Duration Took, model::TimePoint Now) {
   m_Failures = 0;
-  double Weight = m_Settings->m_AverageWeight;
-  mixInto(m_ServiceTime, toSeconds(Took), Weight);
-  if (Tokens > 1) {
-    double PerToken = toSeconds(Took - ToHead) / (Tokens - 1);
-    mixInto(m_TokenTime, PerToken / batchFactor(load(1), Slots), Weight);
-  }
+  mixInto(m_ServiceTime, toSeconds(Took), m_Settings->m_AverageWeight);
   if (m_Ejections == 0 || Now < m_EjectedUntil)
     return;
   if (m_ProbationLeft > 0)
--- a/Source/Core/Routing/EndpointView.h
+++ b/Source/Core/Routing/EndpointView.h
@@ -33,9 +33,10 @@
   /// (1 for itself alone, more where other nodes do as much unseen).
   double load(double Mirror) const;
 
-  /// A whole answer of \p Tokens took \p Took, the first of it \p ToHead.
-  void answered(uint32_t Tokens, model::Duration ToHead, model::Duration Took,
-                uint32_t Slots, model::TimePoint Now);
+  /// An answer under way grew by \p Tokens in \p Took.
+  void grew(uint32_t Tokens, model::Duration Took, uint32_t Slots);
+  /// A whole answer took \p Took.
+  void answered(model::Duration Took, model::TimePoint Now);
   /// The attempt failed; a refused connection weighs more than a broken one.
   void failed(bool Refused, model::TimePoint Now);
 
--- a/Source/Core/Routing/LiveRequest.h
+++ b/Source/Core/Routing/LiveRequest.h
@@ -46,6 +46,9 @@
   bool m_Resuming = false;
   uint16_t m_Status = 0;
   uint32_t m_Tokens = 0;
+  /// Tokens, and when, at the last measurement of the answer's speed.
+  uint32_t m_MarkTokens = 0;
+  model::TimePoint m_MarkAt;
 
   /// The head has been passed on to the caller.
   bool m_HeadRelayed = false;
--- a/Source/Core/Routing/TrafficAttempts.cpp
+++ b/Source/Core/Routing/TrafficAttempts.cpp
@@ -9,6 +9,8 @@
 constexpr uint16_t StatusOk = 200;
 constexpr uint16_t StatusPartial = 206;
 constexpr uint16_t StatusServerError = 500;
+/// An answer's speed is measured over at least so many tokens.
+constexpr uint32_t MeasuredTokens = 8;
 
 /// The endpoint, or what stands before it, could not serve the request now.
 bool saysTryElsewhere(uint16_t Status) {
@@ -141,6 +143,9 @@
   }
   Live->m_HeadSeen = true;
   Live->m_HeadAt = m_Now;
+  // The first token comes with the head: its time is the prefill's.
+  Live->m_MarkAt = m_Now;
+  Live->m_MarkTokens = 1;
   Live->m_Status = Event.m_Status;
   Live->m_MayHaveRun = true;
   Live->m_Ran |= Event.m_Status < StatusServerError;
@@ -157,6 +162,7 @@
   if (Event.m_Offset == Live->m_Offset && Live->m_HeadSeen) {
     Live->m_Offset += Event.m_Bytes;
     Live->m_Tokens += Event.m_Tokens;
+    measureSpeed(*Live);
     if (!Live->m_Answered)
       m_Out->push_back(RelayChunk{Live->m_Request.m_Id, Event.m_Attempt});
     return;
@@ -171,6 +177,19 @@
   endBroken(*Live);
 }
 
+void TrafficCore::measureSpeed(LiveRequest &Live) {
+  const TableEndpoint *Endpoint = m_Table->findEndpoint(Live.m_Endpoint);
+  if (Live.m_Resuming || Endpoint == nullptr ||
+      Live.m_Tokens < Live.m_MarkTokens + MeasuredTokens)
+    return;
+  EndpointView &View = record(Live.m_Endpoint).m_View;
+  View.grew(Live.m_Tokens - Live.m_MarkTokens, m_Now - Live.m_MarkAt,
+            Endpoint->m_Spec->m_Slots);
+  Live.m_MarkTokens = Live.m_Tokens;
+  Live.m_MarkAt = m_Now;
+  mixInto(m_MeanTokenTime, View.tokenTime(), m_Settings.m_AverageWeight);
+}
+
 void TrafficCore::on(const AttemptEnded &Event) {
   LiveRequest *Live = liveAttempt(Event.m_Attempt);
   if (Live == nullptr)
@@ -229,8 +248,7 @@
   if (Live.m_Resuming)
     return;
   model::Duration Took = m_Now - Live.m_AttemptAt;
-  Record.m_View.answered(Live.m_Tokens, Live.m_HeadAt - Live.m_AttemptAt, Took,
-                         Endpoint->m_Spec->m_Slots, m_Now);
+  Record.m_View.answered(Took, m_Now);
   double Weight = m_Settings.m_AverageWeight;
   LaneStats &Stats = m_LaneStats[Live.m_Lane];
   mixInto(Stats.m_Service, toSeconds(Took), Weight);
@@ -241,8 +259,6 @@
     mixInto(Stats.m_TokenRatio,
             static_cast<double>(Live.m_Tokens) / Live.m_Request.m_MaxTokens,
             Weight);
-  if (Record.m_View.tokenTime() > 0)
-    mixInto(m_MeanTokenTime, Record.m_View.tokenTime(), Weight);
 }
 
 void TrafficCore::endNotRun(LiveRequest &Live, bool Refused) {
--- a/Source/Core/Routing/TrafficChoice.cpp
+++ b/Source/Core/Routing/TrafficChoice.cpp
@@ -90,12 +90,15 @@
                           const Candidate &Value) const {
   if (!m_Settings.m_Admission)
     return true;
-  bool Contended = m_Queue.size(Live.m_Lane) > 0;
-  double Margin = Contended ? m_Settings.m_ContendedMargin : 1;
-  if (Value.m_Finish * Margin > toSeconds(Live.m_Request.m_Deadline - m_Now))
-    return false;
   const TableEndpoint &Endpoint = m_Table->endpoints()[Value.m_Index];
   uint32_t Slots = std::max(1U, Endpoint.m_Spec->m_Slots);
+  double Margin = 1;
+  if (m_Queue.size(Live.m_Lane) > 0)
+    Margin = m_Settings.m_ContendedMargin;
+  else if (Value.m_Load < Slots * m_Settings.m_SpareShare)
+    Margin = m_Settings.m_SpareMargin;
+  if (Value.m_Finish * Margin > toSeconds(Live.m_Request.m_Deadline - m_Now))
+    return false;
   if (Live.m_Request.m_Priority == model::Priority::Batch)
     return Value.m_Load < Slots * m_Settings.m_BatchSlotShare;
   // An own part is always free, however stale the news of the others is.
--- a/Source/Core/Routing/TrafficCore.h
+++ b/Source/Core/Routing/TrafficCore.h
@@ -142,6 +142,7 @@
   void retry(LiveRequest &Live);
   void resume(LiveRequest &Live, const TableEndpoint &Endpoint);
   void noteAnswered(LiveRequest &Live);
+  void measureSpeed(LiveRequest &Live);
 
   // TrafficChoice.cpp: prediction, choice and the queue.
   const TableCopies *copiesOf(const LaneKey &Lane) const;
--- a/Source/Core/Routing/TrafficSettings.h
+++ b/Source/Core/Routing/TrafficSettings.h
@@ -40,23 +40,27 @@
 
   /// How much another node's unseen starts are taken to mirror one's own since
   /// the last load report: 0 not at all, 1 fully.
-  double m_MirrorFactor = 0.5;
+  double m_MirrorFactor = 0.25;
   /// Requests sent to an endpoint beyond its slots, as a share of them, so that
   /// it never idles while an answer travels.
   double m_SlotSlack = 0.125;
   /// What a predicted finish is taken times where others wait too: a request
   /// that may miss its window then takes a slot from one that would not.
-  double m_ContendedMargin = 1.1;
+  double m_ContendedMargin = 1.2;
+  /// The same where the endpoint is filled to less than this share of its
+  /// slots: trying costs the others little, and a prediction may be too long.
+  double m_SpareShare = 0.75;
+  double m_SpareMargin = 0.4;
   /// How much of the time by which a prefill holds up the endpoint's other
   /// requests counts as the request's own.
-  double m_PrefillBurden = 0.5;
+  double m_PrefillBurden = 1;
   /// An endpoint that is predicted to be too slow is still tried this often, or
   /// a wrong prediction could not be unlearnt.
   model::Duration m_ProbePeriod = std::chrono::seconds(2);
   /// Share of an endpoint's slots that batch requests may fill.
   double m_BatchSlotShare = 0.75;
   /// Weight of the newest value in moving averages.
-  double m_AverageWeight = 0.1;
+  double m_AverageWeight = 0.05;
   /// Assumed before anything was measured.
   model::Duration m_FirstServiceGuess = std::chrono::milliseconds(500);
   /// Compute time of one prompt token that no cache holds.
--- a/Source/UnitTests/Fakes/FakeEngine.h
+++ b/Source/UnitTests/Fakes/FakeEngine.h
@@ -23,9 +23,14 @@
   std::vector<uint64_t> m_Prefix;
 };
 
+/// Tokens that an engine passes on at once, while it makes more.
+constexpr uint32_t ProgressTokens = 16;
+
 /// What one step brought.
 struct StepResult {
   std::vector<uint64_t> m_Begun;
+  /// Sequences whose next ProgressTokens tokens are made, and not yet all.
+  std::vector<uint64_t> m_Grown;
   std::vector<uint64_t> m_Done;
   std::vector<uint64_t> m_CacheAdded;
   std::vector<uint64_t> m_CacheRemoved;
@@ -95,6 +100,8 @@
         Result.m_Begun.push_back(Each.m_Name);
       if (Each.m_Made >= Each.m_Tokens)
         Result.m_Done.push_back(Each.m_Name);
+      else if (Each.m_Made % ProgressTokens == 0)
+        Result.m_Grown.push_back(Each.m_Name);
     }
     std::erase_if(m_Running, [](const Sequence &Each) {
       return Each.m_Made >= Each.m_Tokens;
--- a/Source/UnitTests/Traces/Replay.cpp
+++ b/Source/UnitTests/Traces/Replay.cpp
@@ -32,6 +32,7 @@
 /// Every so many cache events one is lost.
 constexpr uint64_t CacheEventLoss = 10;
 constexpr size_t NoEngine = SIZE_MAX;
+constexpr uint64_t Seeds = 3;
 
 /// Hashes of the prompt's blocks: one conversation's prompts begin alike.
 std::vector<uint64_t> prefixOf(const TraceLine &Line) {
@@ -48,7 +49,8 @@
 } // namespace
 
 Replay::Replay(const Deployment &Of, const std::vector<TraceLine> &Lines,
-               ReplayFaults Faults, const TrafficSettings &Settings)
+               ReplayFaults Faults, const TrafficSettings &Settings,
+               uint64_t Seed)
     : m_Of(Of), m_Lines(Lines), m_Faults(Faults), m_Settings(Settings) {
   for (const model::EndpointSpec &Spec :
        Of.m_Inputs.m_Intent->m_Pools[0].m_Endpoints) {
@@ -58,7 +60,7 @@
   }
   for (size_t Index = 0; Index < Of.m_Inputs.m_Nodes.size(); ++Index) {
     Node Added;
-    Added.m_Dice = std::make_unique<SeededRandom>(Index + 1);
+    Added.m_Dice = std::make_unique<SeededRandom>(Seed * 1000 + Index);
     Added.m_Core = std::make_unique<TrafficCore>(Settings, *Added.m_Dice,
                                                  Of.m_Inputs.m_Nodes[Index]);
     m_Nodes.push_back(std::move(Added));
@@ -182,6 +184,8 @@
 
 void Replay::deliver(size_t Node, const TrafficEvent &Event) {
   TrafficEffectList Effects;
+  if (const auto *Piece = std::get_if<AttemptChunk>(&Event))
+    m_PieceTokens = Piece->m_Tokens;
   m_Nodes[Node].m_Core->handle(Event, m_Now, Effects);
   for (const TrafficEffect &Effect : Effects)
     std::visit([this, Node](const auto &Each) { carryOut(Node, Each); },
@@ -262,16 +266,23 @@
   LoadHint Load{Each.m_Fake.running(), Each.m_Fake.waiting()};
   for (uint64_t Name : Result.m_Begun)
     tell(Name, AttemptHead{m_Attempts[Name].m_Id, 200, Load});
+  for (uint64_t Name : Result.m_Grown)
+    grow(Name, fakes::ProgressTokens);
   for (uint64_t Name : Result.m_Done)
     answer(Name);
   beginStep(Index);
 }
 
+void Replay::grow(uint64_t Name, uint32_t Tokens) {
+  Attempt &Each = m_Attempts[Name];
+  if (Tokens > 0)
+    tell(Name, AttemptChunk{Each.m_Id, Each.m_Told, Tokens, Tokens});
+  Each.m_Told += Tokens;
+}
+
 void Replay::answer(uint64_t Name) {
   const Attempt &Each = m_Attempts[Name];
-  uint32_t Tokens = m_Lines[Each.m_Line].m_Tokens;
-  if (Tokens > 0)
-    tell(Name, AttemptChunk{Each.m_Id, 0, Tokens, Tokens});
+  grow(Name, m_Lines[Each.m_Line].m_Tokens - Each.m_Told);
   tell(Name, AttemptEnded{Each.m_Id, AttemptEnd::Whole, 200, "answer"});
 }
 
@@ -302,8 +313,7 @@
       (static_cast<uint64_t>(Node) << 48) | Effect.m_Attempt.m_Value;
   const Attempt &From = m_Attempts[Name];
   m_Result.m_Wrong += From.m_Line + 1 != Effect.m_Request.m_Value;
-  m_Outcomes[Effect.m_Request.m_Value - 1].m_Relayed +=
-      m_Lines[From.m_Line].m_Tokens;
+  m_Outcomes[Effect.m_Request.m_Value - 1].m_Relayed += m_PieceTokens;
 }
 
 Replay::Outcome &Replay::ended(model::RequestId Request) {
@@ -353,7 +363,20 @@
                     const TrafficSettings &Settings) {
   std::vector<TraceLine> Lines =
       readTrace(Folder + "/" + Of.m_Name + "-" + What.m_Trace + ".csv");
-  return Replay(Of, Lines, What.m_Faults, Settings).run();
+  ReplayResult Sum;
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    ReplayResult One = Replay(Of, Lines, What.m_Faults, Settings, Seed).run();
+    Sum.m_Requests += One.m_Requests;
+    Sum.m_Attained += One.m_Attained;
+    Sum.m_KeyedRequests += One.m_KeyedRequests;
+    Sum.m_KeyedAttained += One.m_KeyedAttained;
+    Sum.m_Refused += One.m_Refused;
+    Sum.m_RefusedLate += One.m_RefusedLate;
+    Sum.m_Broken += One.m_Broken;
+    Sum.m_Wrong += One.m_Wrong;
+    Sum.m_AttainedPerAccelerator += One.m_AttainedPerAccelerator / Seeds;
+  }
+  return Sum;
 }
 
 TrafficSettings settingsOf(PolicyKind Kind) {
--- a/Source/UnitTests/Traces/Replay.h
+++ b/Source/UnitTests/Traces/Replay.h
@@ -50,7 +50,8 @@
 class Replay {
 public:
   Replay(const Deployment &Of, const std::vector<TraceLine> &Lines,
-         ReplayFaults Faults, const core::routing::TrafficSettings &Settings);
+         ReplayFaults Faults, const core::routing::TrafficSettings &Settings,
+         uint64_t Seed);
 
   ReplayResult run();
 
@@ -73,6 +74,8 @@
     core::model::AttemptId m_Id;
     size_t m_Line = 0;
     size_t m_Engine = 0;
+    /// Tokens passed on so far.
+    uint32_t m_Told = 0;
     bool m_Over = false;
   };
   struct Outcome {
@@ -114,6 +117,7 @@
   void callService(uint64_t Name);
   void beginStep(size_t Index);
   void endStep(size_t Index);
+  void grow(uint64_t Name, uint32_t Tokens);
   void answer(uint64_t Name);
   void tell(uint64_t Name, const core::routing::TrafficEvent &Event);
   Outcome &ended(core::model::RequestId Request);
@@ -127,6 +131,8 @@
   core::model::TimePoint m_End;
   std::priority_queue<Due> m_Queue;
   uint64_t m_Order = 0;
+  // Size of the piece just delivered.
+  uint64_t m_PieceTokens = 0;
   std::vector<core::model::EndpointState> m_States;
   std::vector<Engine> m_Engines;
   std::vector<Node> m_Nodes;
@@ -145,7 +151,8 @@
 
 std::vector<Scenario> scenarios();
 
-/// Reads the trace from \p Folder and replays it.
+/// Reads the trace from \p Folder and replays it once for each of several
+/// seeds of the nodes' dice; the counts are sums, the rate is a mean.
 ReplayResult replay(const Deployment &Of, const Scenario &What,
                     const std::string &Folder,
                     const core::routing::TrafficSettings &Settings);
