--- a/Source/Core/Routing/TrafficChoice.cpp
+++ b/Source/Core/Routing/TrafficChoice.cpp
@@ -93,7 +93,7 @@
   const TableEndpoint &Endpoint = m_Table->endpoints()[Value.m_Index];
   uint32_t Slots = std::max(1U, Endpoint.m_Spec->m_Slots);
   double Margin = 1;
-  if (m_Queue.size(Live.m_Lane) > 0)
+  if (!m_Queue.empty(Live.m_Lane))
     Margin = m_Settings.m_ContendedMargin;
   else if (Value.m_Load < Slots * m_Settings.m_SpareShare)
     Margin = m_Settings.m_SpareMargin;
--- a/Source/Core/Routing/WaitQueue.cpp
+++ b/Source/Core/Routing/WaitQueue.cpp
@@ -160,9 +160,4 @@
   return Ahead;
 }
 
-uint32_t WaitQueue::size(const LaneKey &Key) const {
-  auto Found = m_Lanes.find(Key);
-  return Found == m_Lanes.end() ? 0 : Found->second.m_Count;
-}
-
 } // namespace bronzepass::core::routing
--- a/Source/Core/Routing/WaitQueue.h
+++ b/Source/Core/Routing/WaitQueue.h
@@ -63,8 +63,8 @@
                model::Priority Class) const;
 
   bool empty() const { return m_Count == 0; }
+  bool empty(const LaneKey &Key) const { return !m_Lanes.contains(Key); }
   uint32_t size() const { return m_Count; }
-  uint32_t size(const LaneKey &Key) const;
 
 private:
   struct Line {
--- a/Source/UnitTests/Traces/Replay.cpp
+++ b/Source/UnitTests/Traces/Replay.cpp
@@ -164,7 +164,7 @@
   Request.m_Deadline = m_Now + Millisecond * Line.m_WindowMs;
   Request.m_PromptTokens = Line.m_PromptTokens;
   Request.m_MaxTokens = Line.m_MaxTokens;
-  Request.m_BodyBytes = Line.m_PromptTokens * 4;
+  Request.m_BodyBytes = uint64_t(4) * Line.m_PromptTokens;
   if (Line.m_Model < 0) {
     Request.m_ServicePool = model::PoolId("service");
     Request.m_IdempotencyKey = "key-" + std::to_string(Index);
