--- a/Source/Core/Ports/PeerMessage.h
+++ b/Source/Core/Ports/PeerMessage.h
@@ -5,6 +5,7 @@
 #include "Core/Model/Demand.h"
 #include "Core/Model/Id.h"
 #include "Core/Model/IntentDocument.h"
+#include "Core/Model/Lease.h"
 #include "Core/Model/Node.h"
 #include "Core/Model/Residency.h"
 
@@ -26,6 +27,17 @@
   friend auto operator<=>(const Hello &, const Hello &) = default;
 };
 
+/// Which nodes hold a generation or a newer one, as far as the sender heard and
+/// has not said on this link before.
+struct GenerationProgress {
+  model::Generation m_Generation;
+  /// stableHash of the nodes' ids.
+  std::vector<uint64_t> m_NodeHashes;
+
+  friend auto operator<=>(const GenerationProgress &,
+                          const GenerationProgress &) = default;
+};
+
 /// Sent on every link each heartbeat period.
 struct Heartbeat {
   uint64_t m_Sequence = 0;
@@ -35,6 +47,12 @@
   /// Changes of liveness that the sender learnt lately, nodes and endpoints.
   std::vector<model::NodeInfo> m_NodeNews;
   std::vector<model::EndpointState> m_EndpointNews;
+  GenerationProgress m_Progress;
+  /// Sequence of the last heartbeat taken from the receiver: what came before
+  /// this message on the link was sent with that one in mind.
+  uint64_t m_Echo = 0;
+  /// Equal where sender and receiver know the same members.
+  uint64_t m_MembersDigest = 0;
 
   friend auto operator<=>(const Heartbeat &, const Heartbeat &) = default;
 };
@@ -63,10 +81,13 @@
 
 /// Asks a claim shard's owner for the right to run a request.
 struct ClaimAsk {
+  /// Unique on the asking node; kept when the same ask is sent again.
   uint64_t m_AskId = 0;
   uint64_t m_KeyHash = 0;
   uint64_t m_BodyHash = 0;
-  model::RequestId m_Request;
+  /// Which of the shard's candidates the asker takes the receiver for: 0 for
+  /// the owner, else it is to step in for those before it, which are silent.
+  uint32_t m_Rank = 0;
   /// How much of the caller's window is left, microseconds.
   uint64_t m_WindowMicros = 0;
 
@@ -88,20 +109,26 @@
   NotOwner,
 };
 
+/// What the shard's record says of an ask's key, to that ask. The answer to a
+/// ClaimOutcome too: Done once a run is recorded, anything but Granted or
+/// NotOwner once a release is.
 struct ClaimReply {
   uint64_t m_AskId = 0;
   ClaimVerdictKind m_Verdict = ClaimVerdictKind::Unavailable;
   uint16_t m_Status = 0;
   std::string m_Answer;
   model::NodeId m_Owner;
+  /// Answers a ClaimOutcome, not a ClaimAsk.
+  bool m_ToOutcome = false;
 
   friend auto operator<=>(const ClaimReply &, const ClaimReply &) = default;
 };
 
-/// Tells the owner how a granted run ended.
+/// Tells the owner how a granted run ended, or that the ask was given up
+/// without a run. Sent again until it is answered.
 struct ClaimOutcome {
+  uint64_t m_AskId = 0;
   uint64_t m_KeyHash = 0;
-  model::RequestId m_Request;
   model::ClaimState m_State = model::ClaimState::Done;
   uint16_t m_Status = 0;
   std::string m_Answer;
@@ -141,10 +168,27 @@
                           const ResidencyShare &) = default;
 };
 
+/// A lease's holder asks a former one to send nothing more under it.
+struct FenceAsk {
+  model::LeaseName m_Lease;
+  /// The lowest token that may still act.
+  model::FencingToken m_Token;
+
+  friend auto operator<=>(const FenceAsk &, const FenceAsk &) = default;
+};
+
+/// The sender sends nothing under a lower token of the lease any more.
+struct FenceAck {
+  model::LeaseName m_Lease;
+  model::FencingToken m_Token;
+
+  friend auto operator<=>(const FenceAck &, const FenceAck &) = default;
+};
+
 using PeerMessage =
     std::variant<Hello, Heartbeat, IntentOffer, IntentPartsWanted,
                  IntentPartSent, ClaimAsk, ClaimReply, ClaimOutcome,
-                 DemandShare, UsageShare, ResidencyShare>;
+                 DemandShare, UsageShare, ResidencyShare, FenceAsk, FenceAck>;
 
 /// Links to peers, numbered by the node at the other end. Messages that come
 /// in, and links that break, are posted as events.
--- a/Source/UnitTests/Fakes/FakeEngine.h
+++ b/Source/UnitTests/Fakes/FakeEngine.h
@@ -2,140 +2,137 @@
 #define BRONZEPASS_UNITTESTS_FAKES_FAKEENGINE_H
 
 #include "Core/Model/Intent.h"
-#include "Core/Model/Time.h"
+#include "Core/Model/Order.h"
+#include "Core/Model/Residency.h"
 
 #include <algorithm>
-#include <cstdint>
-#include <deque>
-#include <list>
-#include <unordered_map>
-#include <vector>
+#include <map>
 
 namespace bronzepass::unit_tests::fakes {
 
-/// One answer being made, named by whoever submitted it.
-struct Sequence {
-  uint64_t m_Name = 0;
-  core::model::Priority m_Priority = core::model::Priority::Interactive;
-  uint32_t m_PromptTokens = 0;
-  uint32_t m_Tokens = 1;
-  uint32_t m_Made = 0;
-  std::vector<uint64_t> m_Prefix;
-};
-
-/// Tokens that an engine passes on at once, while it makes more.
-constexpr uint32_t ProgressTokens = 16;
-
-/// What one step brought.
-struct StepResult {
-  std::vector<uint64_t> m_Begun;
-  /// Sequences whose next ProgressTokens tokens are made, and not yet all.
-  std::vector<uint64_t> m_Grown;
-  std::vector<uint64_t> m_Done;
-  std::vector<uint64_t> m_CacheAdded;
-  std::vector<uint64_t> m_CacheRemoved;
-};
-
-struct EngineShape {
-  uint32_t m_Slots = 16;
-  core::model::Duration m_StepTime = std::chrono::milliseconds(5);
-  /// Time of a full batch's step over an empty one's.
-  double m_FullBatchFactor = 2;
-  core::model::Duration m_PromptTokenTime = std::chrono::microseconds(100);
-  uint32_t m_BlockTokens = 64;
-  size_t m_CacheBlocks = 600;
-};
-
-/// A model engine under virtual time: batches continuously, one token for each
-/// running sequence a step; prefills what its prefix cache lacks; takes
-/// interactive sequences before batch ones.
+/// A model engine under virtual time. It takes every load it is told, so that
+/// memory promised twice shows as m_PeakBytes above its memory.
 class FakeEngine {
 public:
-  explicit FakeEngine(EngineShape Shape) : m_Shape(Shape) {}
+  struct Copy {
+    core::model::CopyState m_State = core::model::CopyState::Loading;
+    uint64_t m_MemoryBytes = 0;
+    core::model::TimePoint m_NextAt;
+  };
+
+  core::model::EndpointSpec m_Spec;
+  core::model::FencingMode m_Fencing = core::model::FencingMode::Refuses;
+  core::model::Duration m_LoadTime = std::chrono::seconds(50);
+  core::model::Duration m_DrainTime = std::chrono::seconds(1);
+  std::map<core::model::ArtifactId, Copy> m_Copies;
+  uint64_t m_PeakBytes = 0;
+  uint64_t m_LoadsStarted = 0;
+
+  /// Carries out one order that reached the engine at \p Now.
+  core::model::OrderAnswer apply(const core::model::EngineOrder &Order,
+                                 core::model::TimePoint Now) {
+    using core::model::OrderKind;
+    core::model::OrderAnswer Answer{.m_Id = Order.m_Id,
+                                    .m_Endpoint = m_Spec.m_Name};
+    const bool Stale = m_Fencing == core::model::FencingMode::Refuses &&
+                       Order.m_Token < m_Highest;
+    m_Highest = std::max(m_Highest, Order.m_Token);
+    Answer.m_HighestToken = m_Highest;
+    Answer.m_Status = Stale ? core::model::OrderStatus::StaleToken
+                            : core::model::OrderStatus::Accepted;
+    if (!Stale && Order.m_Kind == OrderKind::Load)
+      load(Order, Now);
+    if (!Stale && Order.m_Kind == OrderKind::Unload)
+      unload(Order.m_Artifact, Now);
+    if (!Stale && Order.m_Kind == OrderKind::SetRole)
+      m_Spec.m_Role = Order.m_Role;
+    return Answer;
+  }
 
-  /// Steps take so many times as long.
-  double m_SlowFactor = 1;
+  /// Ends loads and drains that are due.
+  void advance(core::model::TimePoint Now) {
+    using core::model::CopyState;
+    for (auto It = m_Copies.begin(); It != m_Copies.end();) {
+      const bool Due = It->second.m_NextAt <= Now;
+      if (Due && It->second.m_State == CopyState::Draining) {
+        It = m_Copies.erase(It);
+        continue;
+      }
+      if (Due && It->second.m_State == CopyState::Loading)
+        It->second.m_State = CopyState::Serving;
+      ++It;
+    }
+  }
 
-  void submit(Sequence Value) {
-    auto Place = std::find_if(m_Waiting.begin(), m_Waiting.end(),
-                              [&Value](const Sequence &Each) {
-                                return Value.m_Priority < Each.m_Priority;
-                              });
-    m_Waiting.insert(Place, std::move(Value));
+  core::model::EngineReport report(core::model::TimePoint Now) {
+    core::model::EngineReport Report{.m_Endpoint = m_Spec.m_Name,
+                                     .m_Sequence = ++m_Sequence,
+                                     .m_MadeAt = Now,
+                                     .m_MemoryBytes = m_Spec.m_MemoryBytes,
+                                     .m_UsedBytes = usedBytes(),
+                                     .m_HighestToken = m_Highest};
+    for (const auto &Entry : m_Copies)
+      Report.m_Copies.push_back(
+          {Entry.first, Entry.second.m_State, Entry.second.m_MemoryBytes});
+    return Report;
   }
 
-  void cancel(uint64_t Name) {
-    auto IsIt = [Name](const Sequence &Each) { return Each.m_Name == Name; };
-    std::erase_if(m_Waiting, IsIt);
-    std::erase_if(m_Running, IsIt);
+  /// The process is replaced: memory, sequence and fence start anew.
+  void restart() {
+    m_Copies.clear();
+    m_Sequence = 0;
+    m_Highest = {};
   }
 
-  void clear() {
-    m_Waiting.clear();
-    m_Running.clear();
+  uint64_t usedBytes() const {
+    uint64_t Sum = 0;
+    for (const auto &Entry : m_Copies)
+      Sum += Entry.second.m_MemoryBytes;
+    return Sum;
   }
 
-  bool idle() const { return m_Waiting.empty() && m_Running.empty(); }
-  uint32_t running() const { return static_cast<uint32_t>(m_Running.size()); }
-  uint32_t waiting() const { return static_cast<uint32_t>(m_Waiting.size()); }
-
-  /// Fills the batch and says how long the step takes that begins now.
-  core::model::Duration beginStep(StepResult &Result) {
-    uint32_t Prefill = 0;
-    while (m_Running.size() < m_Shape.m_Slots && !m_Waiting.empty()) {
-      Prefill += prefillTokens(m_Waiting.front(), Result);
-      m_Running.push_back(std::move(m_Waiting.front()));
-      m_Waiting.pop_front();
-    }
-    double Filled = static_cast<double>(m_Running.size()) / m_Shape.m_Slots;
-    double Factor = 1 + (m_Shape.m_FullBatchFactor - 1) * Filled;
-    return std::chrono::duration_cast<core::model::Duration>(
-        (m_Shape.m_StepTime * Factor + Prefill * m_Shape.m_PromptTokenTime) *
-        m_SlowFactor);
+  bool serves(const core::model::ArtifactId &Artifact) const {
+    auto Found = m_Copies.find(Artifact);
+    return Found != m_Copies.end() &&
+           Found->second.m_State == core::model::CopyState::Serving;
   }
 
-  void endStep(StepResult &Result) {
-    for (Sequence &Each : m_Running) {
-      if (++Each.m_Made == 1)
-        Result.m_Begun.push_back(Each.m_Name);
-      if (Each.m_Made >= Each.m_Tokens)
-        Result.m_Done.push_back(Each.m_Name);
-      else if (Each.m_Made % ProgressTokens == 0)
-        Result.m_Grown.push_back(Each.m_Name);
-    }
-    std::erase_if(m_Running, [](const Sequence &Each) {
-      return Each.m_Made >= Each.m_Tokens;
-    });
+  uint32_t loading() const {
+    return static_cast<uint32_t>(
+        std::count_if(m_Copies.begin(), m_Copies.end(), [](const auto &Entry) {
+          return Entry.second.m_State == core::model::CopyState::Loading;
+        }));
   }
 
 private:
-  uint32_t prefillTokens(const Sequence &Value, StepResult &Result) {
-    uint32_t Cached = 0;
-    bool Leading = true;
-    for (uint64_t Block : Value.m_Prefix) {
-      auto Found = m_Cache.find(Block);
-      Leading &= Found != m_Cache.end();
-      if (Found != m_Cache.end())
-        m_Recent.erase(Found->second);
-      else
-        Result.m_CacheAdded.push_back(Block);
-      m_Recent.push_front(Block);
-      m_Cache[Block] = m_Recent.begin();
-      Cached += Leading ? m_Shape.m_BlockTokens : 0;
+  void load(const core::model::EngineOrder &Order, core::model::TimePoint Now) {
+    using core::model::CopyState;
+    auto Found = m_Copies.find(Order.m_Artifact);
+    if (Found != m_Copies.end()) {
+      if (Found->second.m_State == CopyState::Draining)
+        Found->second.m_State = CopyState::Serving;
+      return;
     }
-    while (m_Cache.size() > m_Shape.m_CacheBlocks) {
-      Result.m_CacheRemoved.push_back(m_Recent.back());
-      m_Cache.erase(m_Recent.back());
-      m_Recent.pop_back();
-    }
-    return Value.m_PromptTokens - std::min(Value.m_PromptTokens, Cached);
+    const core::model::Duration Time =
+        Order.m_Artifact.isAdapter() ? m_LoadTime / 10 : m_LoadTime;
+    m_Copies[Order.m_Artifact] = {CopyState::Loading, Order.m_MemoryBytes,
+                                  Now + Time};
+    ++m_LoadsStarted;
+    m_PeakBytes = std::max(m_PeakBytes, usedBytes());
+  }
+
+  void unload(const core::model::ArtifactId &Artifact,
+              core::model::TimePoint Now) {
+    auto Found = m_Copies.find(Artifact);
+    if (Found == m_Copies.end() ||
+        Found->second.m_State == core::model::CopyState::Draining)
+      return;
+    Found->second.m_State = core::model::CopyState::Draining;
+    Found->second.m_NextAt = Now + m_DrainTime;
   }
 
-  EngineShape m_Shape;
-  std::deque<Sequence> m_Waiting;
-  std::vector<Sequence> m_Running;
-  std::list<uint64_t> m_Recent;
-  std::unordered_map<uint64_t, std::list<uint64_t>::iterator> m_Cache;
+  uint64_t m_Sequence = 0;
+  core::model::FencingToken m_Highest;
 };
 
 } // namespace bronzepass::unit_tests::fakes
--- a/Source/UnitTests/Traces/Replay.h
+++ b/Source/UnitTests/Traces/Replay.h
@@ -2,7 +2,7 @@
 #define BRONZEPASS_UNITTESTS_TRACES_REPLAY_H
 
 #include "Core/Routing/TrafficCore.h"
-#include "UnitTests/Fakes/FakeEngine.h"
+#include "UnitTests/Fakes/FakeBatchEngine.h"
 #include "UnitTests/Routing/TrafficFixture.h"
 #include "UnitTests/Traces/Deployment.h"
 #include "UnitTests/Traces/Trace.h"
@@ -57,7 +57,7 @@
 
 private:
   struct Engine {
-    fakes::FakeEngine m_Fake{fakes::EngineShape()};
+    fakes::FakeBatchEngine m_Fake{fakes::EngineShape()};
     core::model::EndpointId m_Name;
     core::model::DomainId m_Domain;
     bool m_Lost = false;
