--- a/Source/Core/Routing/EndpointView.h
+++ b/Source/Core/Routing/EndpointView.h
@@ -26,15 +26,17 @@
   void reported(const LoadHint &Load, model::TimePoint MadeAt);
 
   uint32_t inFlight() const { return m_InFlight; }
+  model::TimePoint lastStart() const { return m_LastStart; }
 
   /// Requests inside the endpoint now, by everyone: the last report, moved on
   /// by what this node has started and seen finished since, times \p Mirror
   /// (1 for itself alone, more where other nodes do as much unseen).
   double load(double Mirror) const;
 
-  /// A whole answer of \p Tokens took \p Took, the first of it \p ToHead.
-  void answered(uint32_t Tokens, model::Duration ToHead, model::Duration Took,
-                uint32_t Slots, model::TimePoint Now);
+  /// An answer under way grew by \p Tokens in \p Took.
+  void grew(uint32_t Tokens, model::Duration Took, uint32_t Slots);
+  /// A whole answer took \p Took.
+  void answered(model::Duration Took, model::TimePoint Now);
   /// The attempt failed; a refused connection weighs more than a broken one.
   void failed(bool Refused, model::TimePoint Now);
 
@@ -62,6 +64,7 @@
 
   const TrafficSettings *m_Settings;
   uint32_t m_InFlight = 0;
+  model::TimePoint m_LastStart;
   // In-flight count at the end of each of the last buckets of time.
   std::array<uint32_t, Buckets> m_History{};
   int64_t m_Bucket = 0;
