Placement: Check memory and last copies over 10,000 interleavings

Orders may be lost, late or duplicated, holders paused and replaced, store answers lost. A property test drives two to five cores over one store and three engines, 5,000 interleavings for engines that refuse old tokens and 5,000 for those that ignore them, and checks promised and physical memory, the last answering copy, and that every model answers at rest.

It found, and this mends: an answered order may still arrive a second time, so that every send leaves a doubt on engines that ignore tokens; a restarted engine's reports look late for two seconds, in which its copies must not count as answering; adapters left without their model blocked an engine.

The codec follows the ledger's new fields.

--- a/Source/Core/Adapters/Codec/EnumNames.h
+++ b/Source/Core/Adapters/Codec/EnumNames.h
@@ -28,6 +28,11 @@
                                                             "setRole"};
 };
 
+template <> struct EnumNames<model::EngineRole> {
+  static constexpr std::array<std::string_view, 3> Names = {"mixed", "prefill",
+                                                            "decode"};
+};
+
 template <> struct EnumNames<model::ClaimState> {
   static constexpr std::array<std::string_view, 3> Names = {"claimed", "done",
                                                             "released"};
--- a/Source/Core/Adapters/Codec/ModelFields.h
+++ b/Source/Core/Adapters/Codec/ModelFields.h
@@ -59,6 +59,22 @@
   }
 };
 
+template <> struct Fields<model::LedgerDoubt> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("writer", Value.m_Writer);
+    Visitor.required("token", Value.m_Token);
+    Visitor.required("kind", Value.m_Kind);
+  }
+};
+
+template <> struct Fields<model::LedgerRole> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("role", Value.m_Role);
+    Visitor.required("token", Value.m_Token);
+    Visitor.required("settled", Value.m_Settled);
+  }
+};
+
 template <> struct Fields<model::LedgerEntry> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("artifact", Value.m_Artifact);
@@ -66,7 +82,9 @@
     Visitor.required("lastOrder", Value.m_LastOrder);
     Visitor.required("orderId", Value.m_OrderId);
     Visitor.required("token", Value.m_Token);
+    Visitor.required("writer", Value.m_Writer);
     Visitor.required("settled", Value.m_Settled);
+    Visitor.required("doubts", Value.m_Doubts);
   }
 };
 
@@ -75,6 +93,9 @@
     Visitor.required("endpoint", Value.m_Endpoint);
     Visitor.required("memoryBytes", Value.m_MemoryBytes);
     Visitor.required("token", Value.m_Token);
+    Visitor.required("writer", Value.m_Writer);
+    Visitor.required("revision", Value.m_Revision);
+    Visitor.required("role", Value.m_Role);
     Visitor.required("entries", Value.m_Entries);
   }
 };
--- a/Source/Core/Placement/LedgerBook.cpp
+++ b/Source/Core/Placement/LedgerBook.cpp
@@ -4,11 +4,10 @@
 
 namespace bronzepass::core::placement {
 
-bool EntryState::doubtsUnload() const {
-  return std::any_of(m_Entry.m_Doubts.begin(), m_Entry.m_Doubts.end(),
-                     [](const model::LedgerDoubt &Doubt) {
-                       return Doubt.m_Kind == model::OrderKind::Unload;
-                     });
+bool EntryState::doubts(model::OrderKind Kind) const {
+  return std::any_of(
+      m_Entry.m_Doubts.begin(), m_Entry.m_Doubts.end(),
+      [Kind](const model::LedgerDoubt &Doubt) { return Doubt.m_Kind == Kind; });
 }
 
 LedgerBook::LedgerBook(model::NodeId Self, const model::PoolId &Pool,
--- a/Source/Core/Placement/LedgerBook.h
+++ b/Source/Core/Placement/LedgerBook.h
@@ -23,9 +23,8 @@
   /// Ledger revision that recorded the order; it leaves no earlier than that
   /// revision is known to be stored.
   uint64_t m_Revision = 0;
-  /// Sends of the order by this node, and those whose outcome is known.
+  /// Times that this node sent the order.
   uint32_t m_Sends = 0;
-  uint32_t m_Answers = 0;
   model::TimePoint m_LastSend;
   /// Reports made before this (and the clocks' skew) prove no absence.
   model::TimePoint m_Since;
@@ -42,7 +41,8 @@
   bool isLoading() const {
     return isLoad() && !(m_Reported && m_State == model::CopyState::Serving);
   }
-  bool doubtsUnload() const;
+  /// Whether an order of this kind may still arrive besides the recorded one.
+  bool doubts(model::OrderKind Kind) const;
 };
 
 /// The memory ledger of one engine: what is recorded, what is known to be
@@ -117,6 +117,8 @@
   /// After the engine said that it has no room, until when to believe it.
   model::TimePoint noMemoryUntil() const { return m_NoMemoryUntil; }
   model::TimePoint reportedAt() const { return m_ReportedAt; }
+  /// Whether what the last report showed may have ended with its process.
+  bool mayHaveRestarted() const { return m_MayHaveRestarted; }
   uint32_t loadingCount() const;
   /// Whether time alone may settle something.
   bool isOpen() const;
@@ -181,6 +183,7 @@
   model::TimePoint m_RetryAt;
 
   bool m_HasReport = false;
+  bool m_MayHaveRestarted = false;
   model::EngineReport m_Report;
   model::TimePoint m_ReportedAt;
   model::FencingToken m_Highest;
--- a/Source/Core/Placement/LedgerEvidence.cpp
+++ b/Source/Core/Placement/LedgerEvidence.cpp
@@ -15,8 +15,9 @@
   State.m_Entry.m_Doubts.push_back(Doubt);
 }
 
+// Also an answered order may have been duplicated on its way.
 void LedgerBook::doubtOwnSends(EntryState &State) {
-  if (State.m_Sends <= State.m_Answers)
+  if (State.m_Sends == 0)
     return;
   addDoubt(State, {m_Self, State.m_Entry.m_Token, State.m_Entry.m_LastOrder});
   State.m_OwnDoubtUntil = std::max(
@@ -35,8 +36,12 @@
   const bool Restarted =
       m_HasReport && Report.m_Sequence <= m_Report.m_Sequence &&
       Report.m_MadeAt > m_Report.m_MadeAt + m_Settings.m_ReportSkew;
-  if (m_HasReport && Report.m_Sequence <= m_Report.m_Sequence && !Restarted)
+  if (m_HasReport && Report.m_Sequence <= m_Report.m_Sequence && !Restarted) {
+    // Late, or of a process that has just replaced the one known.
+    m_MayHaveRestarted |= Report.m_MadeAt > m_Report.m_MadeAt;
     return false;
+  }
+  m_MayHaveRestarted = false;
   if (Restarted)
     m_Highest = {};
   m_HasReport = true;
@@ -156,7 +161,13 @@
   };
   Doubts.erase(std::remove_if(Doubts.begin(), Doubts.end(), IsOver),
                Doubts.end());
-  return Doubts.size() != Before;
+  const bool HoldsNothing = State.isInDoubt() && !State.m_Reported &&
+                            !State.doubts(model::OrderKind::Load) &&
+                            State.m_Entry.m_MemoryBytes != 0;
+  // A late unload alone takes no memory.
+  if (HoldsNothing)
+    State.m_Entry.m_MemoryBytes = 0;
+  return HoldsNothing || Doubts.size() != Before;
 }
 
 } // namespace bronzepass::core::placement
--- a/Source/Core/Placement/LedgerOrders.cpp
+++ b/Source/Core/Placement/LedgerOrders.cpp
@@ -13,7 +13,6 @@
   State.m_Entry.m_Writer = m_Self;
   State.m_Entry.m_Settled = false;
   State.m_Sends = 0;
-  State.m_Answers = 0;
   State.m_Since = std::max(State.m_Since, Now);
   changed(State);
 }
@@ -24,7 +23,8 @@
     return false;
   if (!State->isLoad() && !State->m_Entry.m_Settled)
     return true;
-  return m_Fencing == model::FencingMode::Ignores && State->doubtsUnload();
+  return m_Fencing == model::FencingMode::Ignores &&
+         State->doubts(model::OrderKind::Unload);
 }
 
 bool LedgerBook::recordLoad(const model::ArtifactId &Artifact, uint64_t Bytes,
@@ -45,7 +45,7 @@
   }
   Known->m_Entry.m_MemoryBytes = std::max(Bytes, Held);
   doubtOwnSends(*Known);
-  Known->m_Sends = Known->m_Answers = 0;
+  Known->m_Sends = 0;
   Known->m_Entry.m_LastOrder = model::OrderKind::Load;
   Known->m_Reason = Reason;
   renumber(*Known, Numbers, Now);
@@ -59,7 +59,7 @@
   if (!Known || !Known->isLoad() || m_Phase != Phase::Held)
     return;
   doubtOwnSends(*Known);
-  Known->m_Sends = Known->m_Answers = 0;
+  Known->m_Sends = 0;
   Known->m_Entry.m_LastOrder = model::OrderKind::Unload;
   Known->m_Reason = Reason;
   renumber(*Known, Numbers, Now);
@@ -77,7 +77,7 @@
   const bool Sent = State.m_Sends > 0;
   const bool Reliable = !Sent && State.m_Reported;
   doubtOwnSends(State);
-  State.m_Sends = State.m_Answers = 0;
+  State.m_Sends = 0;
   State.m_Entry.m_LastOrder = model::OrderKind::Load;
   renumber(State, Numbers, Now);
   State.m_Entry.m_Settled = Reliable;
@@ -202,17 +202,9 @@
       Answer.m_Status == model::OrderStatus::Unknown)
     return;
   EntryState &State = *Found;
-  ++State.m_Answers;
-  if (State.m_Sends <= State.m_Answers) {
-    // All sends are accounted for: none can arrive any more.
-    std::vector<model::LedgerDoubt> &Doubts = State.m_Entry.m_Doubts;
-    Doubts.erase(std::remove_if(Doubts.begin(), Doubts.end(),
-                                [&](const model::LedgerDoubt &Doubt) {
-                                  return Doubt.m_Writer == m_Self &&
-                                         Doubt.m_Token == State.m_Entry.m_Token;
-                                }),
-                 Doubts.end());
-  }
+  // Any other answer leaves open that the order arrives a second time.
+  if (Answer.m_Status == model::OrderStatus::NotSent && State.m_Sends > 0)
+    --State.m_Sends;
   if (State.m_Entry.m_Settled)
     return;
   if (Answer.m_Status == model::OrderStatus::StaleToken)
@@ -223,9 +215,11 @@
 
 void LedgerBook::loadRefused(EntryState &State, model::TimePoint Now) {
   m_NoMemoryUntil = Now + m_Settings.m_FlapHold;
-  if (!State.isLoad() || State.m_Reported || State.m_Sends > State.m_Answers)
+  if (!State.isLoad() || State.m_Reported)
     return;
-  // No send of it is left; what former holders sent keeps it in doubt.
+  // It may go elsewhere; a second arrival of the order keeps it in doubt here.
+  doubtOwnSends(State);
+  State.m_Sends = 0;
   State.m_Entry.m_LastOrder = model::OrderKind::Unload;
   State.m_Entry.m_Settled = true;
   changed(State);
--- a/Source/Core/Placement/Planner.cpp
+++ b/Source/Core/Placement/Planner.cpp
@@ -195,6 +195,10 @@
       unloadFrom(Engine, Spec.m_Base, CopyReason::Drained, Now);
     else if (Group.m_LeaveEngines.count(Engine))
       unloadFrom(Engine, Spec.m_Base, CopyReason::MakesRoom, Now);
+    else if (!m_Pool.entry(Engine, Spec.m_Base) &&
+             !contains(queuedEngines(Spec.m_Base, Group), Engine))
+      // The engine lost the model and kept its adapters.
+      unloadFrom(Engine, Spec.m_Base, CopyReason::Spare, Now);
     // Adapters that the intent no longer names.
     for (const EntryState &State : m_Pool.m_Engines[Engine].m_Book.entries()) {
       const model::ArtifactId &Id = State.m_Entry.m_Artifact;
--- a/Source/Core/Placement/Planner.h
+++ b/Source/Core/Placement/Planner.h
@@ -71,8 +71,7 @@
                                        model::TimePoint Now) const;
   int64_t bytesOn(EngineIndex Engine, const model::ArtifactId &Base) const;
   bool isSpare(const GroupSpec &Spec, const GroupState &Group) const;
-  bool fitsElsewhere(const GroupSpec &Spec, const GroupState &Group,
-                     EngineIndex Engine, int64_t Bytes,
+  bool fitsElsewhere(const GroupSpec &Spec, EngineIndex Engine, int64_t Bytes,
                      model::TimePoint Now) const;
   void carryOut(const Eviction &Plan, model::TimePoint Now);
   bool unloadFrom(EngineIndex Engine, const model::ArtifactId &Base,
--- a/Source/Core/Placement/PlannerRoom.cpp
+++ b/Source/Core/Placement/PlannerRoom.cpp
@@ -86,17 +86,14 @@
 bool Planner::placeCopy(const GroupSpec &Spec, GroupState &Group,
                         CopyReason Reason, uint32_t MostMoves,
                         model::TimePoint Now) {
-  std::vector<EngineIndex> Taken = Group.m_Engines;
-  for (EngineIndex Engine : queuedEngines(Spec.m_Base, Group))
-    Taken.push_back(Engine);
-  // A copy that is only in doubt keeps its room for its own return.
-  Taken.erase(std::remove_if(Taken.begin(), Taken.end(),
-                             [&](EngineIndex Engine) {
-                               const EntryState *State =
-                                   m_Pool.entry(Engine, Spec.m_Base);
-                               return State && State->isInDoubt();
-                             }),
-              Taken.end());
+  // An engine with only its adapters, or with a doubt that keeps the room for
+  // its return, is as good as any.
+  std::vector<EngineIndex> Taken = queuedEngines(Spec.m_Base, Group);
+  for (EngineIndex Engine : Group.m_Engines) {
+    const EntryState *State = m_Pool.entry(Engine, Spec.m_Base);
+    if (State && !State->isInDoubt())
+      Taken.push_back(Engine);
+  }
   const std::vector<Candidate> Fits =
       candidates(Spec, Spec.totalBytes(), Taken, true, Now);
   if (!Fits.empty()) {
@@ -150,13 +147,13 @@
          keptEngines(Spec.m_Base, Group).size() > Spec.m_MinCopies;
 }
 
-bool Planner::fitsElsewhere(const GroupSpec &Spec, const GroupState &Group,
-                            EngineIndex Engine, int64_t Bytes,
-                            model::TimePoint Now) const {
+bool Planner::fitsElsewhere(const GroupSpec &Spec, EngineIndex Engine,
+                            int64_t Bytes, model::TimePoint Now) const {
   for (EngineIndex I = 0; I < m_Pool.m_Engines.size(); ++I) {
     if (I == Engine || !m_Pool.takesLoads(I, Now) || m_Pool.roomOn(I) < Bytes)
       continue;
-    if (std::binary_search(Group.m_Engines.begin(), Group.m_Engines.end(), I))
+    const EntryState *State = m_Pool.entry(I, Spec.m_Base);
+    if (State && !State->isInDoubt())
       continue;
     if (isApart(Spec, I))
       return true;
@@ -184,7 +181,7 @@
         return Plan;
       continue;
     }
-    if (MostMoves > 0 && fitsElsewhere(*Spec, Group, Engine, Bytes, Now))
+    if (MostMoves > 0 && fitsElsewhere(*Spec, Engine, Bytes, Now))
       Movable.emplace_back(Bytes, Base);
   }
   // The smallest that suffices, else the largest first: fewest moves.
--- a/Source/Core/Placement/PoolState.cpp
+++ b/Source/Core/Placement/PoolState.cpp
@@ -46,10 +46,12 @@
     return false;
   const EntryState *State = entry(Engine, Artifact);
   if (!State || !State->isLoad() || !State->m_Reported ||
-      State->m_State != model::CopyState::Serving || State->doubtsUnload())
+      State->m_State != model::CopyState::Serving ||
+      State->doubts(model::OrderKind::Unload))
     return false;
-  return Now <=
-         m_Engines[Engine].m_Book.reportedAt() + m_Settings.m_ReportFreshness;
+  const LedgerBook &Book = m_Engines[Engine].m_Book;
+  return !Book.mayHaveRestarted() &&
+         Now <= Book.reportedAt() + m_Settings.m_ReportFreshness;
 }
 
 uint32_t PoolState::answeringCopies(const model::ArtifactId &Artifact,
--- a/Source/UnitTests/Adapters/Codec/RecordCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Codec/RecordCodecTest.cpp
@@ -27,12 +27,17 @@
       model::EndpointId("engine-1"),
       80'000'000'000,
       {7},
+      model::NodeId("n1"),
+      12,
+      {model::EngineRole::Decode, {7}, false},
       {{{model::ModelId("gas"), "2", model::AdapterId("barge")},
         12'000'000,
         model::OrderKind::Unload,
         {3},
         {7},
-        true}}};
+        model::NodeId("n1"),
+        true,
+        {{model::NodeId("n2"), {6}, model::OrderKind::Load}}}}};
   const model::ClaimRecord Claim{
       UINT64_MAX,
       5,
--- a/Source/UnitTests/Placement/PlacementWorld.h
+++ b/Source/UnitTests/Placement/PlacementWorld.h
@@ -35,6 +35,7 @@
     model::FencingToken m_Token;
     /// Orders that the core emitted and a pause keeps from leaving.
     std::vector<ports::OrderSend> m_Held;
+    std::vector<ports::StoreAnswer> m_Answers;
   };
   struct InTransit {
     model::TimePoint m_At;
@@ -107,25 +108,17 @@
     for (const ports::OrderSend &Send : Woken.m_Held)
       send(Index, Send.m_Order);
     Woken.m_Held.clear();
+    passAnswers(Index);
     run(Index, [&](auto &Core, auto &Effects) { Core.tick(m_Now, Effects); });
     if (Index == m_Holder)
       return;
     Woken.m_Core->leaseLost(core::placement::poolLease(pool().m_Name));
-    run(m_Holder, [&](auto &Core, auto &Effects) {
-      Core.predecessorFenced(core::placement::poolLease(pool().m_Name),
-                             nodeId(Index), m_Nodes[m_Holder].m_Token, m_Now,
-                             Effects);
-    });
   }
 
   /// The VM leaves the list; what it kept never leaves.
   void kill(size_t Index) {
     m_Nodes[Index].m_Gone = true;
     m_Nodes[Index].m_Held.clear();
-    for (size_t I = 0; I < m_Nodes.size(); ++I)
-      run(I, [&](auto &Core, auto &Effects) {
-        Core.nodeGone(nodeId(Index), m_Now, Effects);
-      });
   }
 
   void changeIntent(std::shared_ptr<const model::Intent> Value) {
@@ -154,6 +147,7 @@
     renew();
     for (size_t I = 0; I < m_Nodes.size(); ++I)
       run(I, [&](auto &Core, auto &Effects) { Core.tick(m_Now, Effects); });
+    askFormerHolders();
     if (m_AfterStep)
       m_AfterStep();
   }
@@ -256,13 +250,43 @@
       });
   }
 
+  /// Whoever composes the core asks the nodes that it names, or looks them up
+  /// in the list of VMs. A node answers after what it kept has left.
+  void askFormerHolders() {
+    for (const core::placement::UnfencedNode &Asked : holder().unfenced())
+      for (size_t I = 0; I < m_Nodes.size(); ++I) {
+        if (nodeId(I) != Asked.m_Node || m_Nodes[I].m_Paused)
+          continue;
+        run(m_Holder, [&](auto &Core, auto &Effects) {
+          if (m_Nodes[I].m_Gone)
+            Core.nodeGone(Asked.m_Node, m_Now, Effects);
+          else
+            Core.predecessorFenced(Asked.m_Lease, Asked.m_Node, Asked.m_Token,
+                                   m_Now, Effects);
+        });
+      }
+  }
+
   void answerStoreCalls() {
-    for (const fakes::FakeStore::DueAnswer &Due : m_Store.takeDue(m_Now))
+    for (fakes::FakeStore::DueAnswer &Due : m_Store.takeDue(m_Now))
       for (size_t I = 0; I < m_Nodes.size(); ++I)
         if (nodeId(I) == Due.m_Caller)
-          run(I, [&](auto &Core, auto &Effects) {
-            Core.storeAnswered(Due.m_Answer, m_Now, Effects);
-          });
+          m_Nodes[I].m_Answers.push_back(std::move(Due.m_Answer));
+    for (size_t I = 0; I < m_Nodes.size(); ++I)
+      passAnswers(I);
+  }
+
+  /// A paused node finds its answers when it goes on.
+  void passAnswers(size_t Index) {
+    if (m_Nodes[Index].m_Paused || m_Nodes[Index].m_Gone)
+      return;
+    const std::vector<ports::StoreAnswer> Answers =
+        std::move(m_Nodes[Index].m_Answers);
+    m_Nodes[Index].m_Answers.clear();
+    for (const ports::StoreAnswer &Answer : Answers)
+      run(Index, [&](auto &Core, auto &Effects) {
+        Core.storeAnswered(Answer, m_Now, Effects);
+      });
   }
 
   uint64_t m_LastCall = 0;
