--- a/Source/Core/Adapters/Codec/MessageFields.h
+++ b/Source/Core/Adapters/Codec/MessageFields.h
@@ -29,6 +29,8 @@
     Visitor.optional("nodeNews", Value.m_NodeNews);
     Visitor.optional("endpointNews", Value.m_EndpointNews);
     Visitor.optional("progress", Value.m_Progress);
+    Visitor.optional("echo", Value.m_Echo);
+    Visitor.optional("membersDigest", Value.m_MembersDigest);
   }
 };
 
@@ -67,6 +69,7 @@
     Visitor.optional("status", Value.m_Status);
     Visitor.bytes("answer", Value.m_Answer);
     Visitor.optional("owner", Value.m_Owner);
+    Visitor.optional("toOutcome", Value.m_ToOutcome);
   }
 };
 
@@ -108,6 +111,20 @@
   }
 };
 
+template <> struct Fields<ports::FenceAsk> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("lease", Value.m_Lease);
+    Visitor.required("token", Value.m_Token);
+  }
+};
+
+template <> struct Fields<ports::FenceAck> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("lease", Value.m_Lease);
+    Visitor.required("token", Value.m_Token);
+  }
+};
+
 } // namespace bronzepass::core::adapters::codec
 
 #endif // BRONZEPASS_CORE_ADAPTERS_CODEC_MESSAGEFIELDS_H
--- a/Source/Core/Adapters/Codec/ModelFields.h
+++ b/Source/Core/Adapters/Codec/ModelFields.h
@@ -27,12 +27,23 @@
   }
 };
 
+template <> struct Fields<model::IntentRevision> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("generation", Value.m_Generation);
+    Visitor.optional("author", Value.m_Author);
+    Visitor.optional("summary", Value.m_Summary);
+    Visitor.optionalHash("text", Value.m_TextHash);
+  }
+};
+
 template <> struct Fields<model::IntentHead> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("generation", Value.m_Generation);
     Visitor.hash("parts", Value.m_PartHashes);
     Visitor.optional("author", Value.m_Author);
     Visitor.optional("summary", Value.m_Summary);
+    Visitor.optionalHash("text", Value.m_TextHash);
+    Visitor.optional("earlier", Value.m_Earlier);
   }
 };
 
@@ -63,7 +74,7 @@
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("writer", Value.m_Writer);
     Visitor.required("token", Value.m_Token);
-    Visitor.required("kind", Value.m_Kind);
+    Visitor.required("order", Value.m_Kind);
   }
 };
 
@@ -84,7 +95,7 @@
     Visitor.required("token", Value.m_Token);
     Visitor.required("writer", Value.m_Writer);
     Visitor.required("settled", Value.m_Settled);
-    Visitor.required("doubts", Value.m_Doubts);
+    Visitor.optional("doubts", Value.m_Doubts);
   }
 };
 
@@ -95,7 +106,7 @@
     Visitor.required("token", Value.m_Token);
     Visitor.required("writer", Value.m_Writer);
     Visitor.required("revision", Value.m_Revision);
-    Visitor.required("role", Value.m_Role);
+    Visitor.optional("role", Value.m_Role);
     Visitor.required("entries", Value.m_Entries);
   }
 };
--- a/Source/StandIns/StandIn.cpp
+++ b/Source/StandIns/StandIn.cpp
@@ -5,7 +5,6 @@
 namespace bronzepass::stand_ins {
 
 using core::adapters::pistache::HttpFault;
-using core::adapters::pistache::HttpHandler;
 using core::adapters::pistache::HttpServer;
 using core::adapters::pistache::HttpServerOptions;
 
@@ -17,9 +16,10 @@
 std::optional<std::string> StandIn::start() {
   HttpServerOptions Options;
   Options.m_Address = m_Address;
-  m_Server = std::make_unique<HttpServer>(Options, m_Thread.loop(),
-                                          static_cast<HttpHandler &>(*this));
-  const std::optional<std::string> Error = m_Server->start();
+  m_Server = std::make_unique<HttpServer>(
+      Options, m_Thread.loop(),
+      static_cast<core::adapters::pistache::HttpHandler &>(*this));
+  std::optional<std::string> Error = m_Server->start();
   if (!Error)
     m_Thread.start();
   return Error;
@@ -40,7 +40,11 @@
 void StandIn::onRequest(HttpRequest Request,
                         std::shared_ptr<HttpAnswer> Answer) {
   loop().post([this, Request = std::move(Request), Answer = std::move(Answer)] {
-    handle(Request, Answer);
+    try {
+      handle(Request, Answer);
+    } catch (const nlohmann::json::exception &Error) {
+      Answer->send(errorReply(400, Error.what()));
+    }
   });
 }
 
@@ -50,6 +54,8 @@
     return errorReply(413, Message);
   case HttpFault::HeadersTooLarge:
     return errorReply(431, Message);
+  case HttpFault::TimedOut:
+    return errorReply(408, Message);
   case HttpFault::Malformed:
     break;
   }
--- a/Source/UnitTests/Adapters/Codec/PeerCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Codec/PeerCodecTest.cpp
@@ -41,17 +41,21 @@
                        true,
                        {sampleNode()},
                        {{model::EndpointId("e1"), model::Liveness::Leaving, 2}},
-                       {{9}, {1, UINT64_MAX}}},
+                       {{9}, {1, UINT64_MAX}},
+                       4,
+                       5},
       ports::IntentOffer{{{9}, {1, 2}, "ana", "s"}},
       ports::IntentPartsWanted{{1, UINT64_MAX}},
       ports::IntentPartSent{{model::stableHash(Text), Text}},
       ports::ClaimAsk{1, 2, 3, {4}, 5},
       ports::ClaimReply{1, ports::ClaimVerdictKind::NotOwner, 200, "\xff",
-                        model::NodeId("n2")},
+                        model::NodeId("n2"), true},
       ports::ClaimOutcome{1, {2}, model::ClaimState::Released, 0, ""},
       ports::DemandShare{model::PoolId("p"), {{Artifact, 1, 2, 3, 4, 0.25}}},
       ports::UsageShare{{{model::CallerId("c"), 1.5, 2.5, 3}}},
-      ports::ResidencyShare{{Report}}};
+      ports::ResidencyShare{{Report}},
+      ports::FenceAsk{{"pool/assistants"}, {8}},
+      ports::FenceAck{{"pool/assistants"}, {8}}};
 }
 
 std::string cbor(const nlohmann::json &Json) {
--- /dev/null
+++ b/Source/UnitTests/Placement/PausedHolderTest.cpp
@@ -0,0 +1,96 @@
+#include "UnitTests/Placement/PlacementWorld.h"
+
+#include <doctest/doctest.h>
+
+namespace bronzepass::unit_tests::placement {
+
+namespace {
+
+model::ArtifactId version(const std::string &Model) {
+  return {model::ModelId(Model), "v1", {}};
+}
+
+/// Two models that do not fit beside each other on the one engine there is.
+std::shared_ptr<const model::Intent> oneOfTwo(const std::string &Declared,
+                                              uint64_t Generation) {
+  model::Intent Value = smallIntent(1, 0, model::FencingMode::Ignores);
+  Value.m_Generation = {Generation};
+  Value.m_Models.push_back(
+      {.m_Name = model::ModelId(Declared),
+       .m_Versions = {{.m_Version = "v1", .m_MemoryBytes = 60 * GiB}}});
+  return share(std::move(Value));
+}
+
+uint64_t promisedIn(const PlacementWorld &World) {
+  const ports::StoredObject *Object =
+      World.m_Store.find({ports::ObjectKind::Ledger, "engines.e0"});
+  uint64_t Sum = 0;
+  for (const model::LedgerEntry &Entry :
+       std::get<model::EngineLedger>(Object->m_Record).m_Entries)
+    Sum += Entry.m_MemoryBytes;
+  return Sum;
+}
+
+/// The holder records the load of "old" and is paused before it leaves. A
+/// successor takes over, and then the intent wants "new" in its place.
+struct PausedHolder {
+  PlacementWorld m_World{oneOfTwo("old", 1), 2};
+
+  PausedHolder() {
+    m_World.giveLease(0);
+    while (m_World.m_Nodes[0].m_Held.empty())
+      m_World.step(1s);
+    m_World.pause(0);
+    m_World.pass(PlacementWorld::LeaseTerm);
+    m_World.giveLease(1);
+    m_World.pass(2min);
+    m_World.changeIntent(oneOfTwo("new", 2));
+    m_World.pass(10min);
+  }
+};
+
+} // namespace
+
+TEST_CASE("memory that a paused holder's order may take is not given away") {
+  PausedHolder Case;
+  PlacementWorld &World = Case.m_World;
+  // The successor repeated the load, then unloaded it; the room stays promised.
+  CHECK(World.serving(version("old")) == 0);
+  CHECK(World.serving(version("new")) == 0);
+  CHECK(promisedIn(World) == 60 * GiB);
+  REQUIRE(World.holder().unfenced().size() == 1);
+  CHECK(World.holder().unfenced().front().m_Node == World.nodeId(0));
+  REQUIRE_FALSE(World.holder().findings().empty());
+
+  // It wakes and sends: the late load is seen, undone, and then the room goes.
+  World.wake(0);
+  World.pass(2s);
+  CHECK(World.m_Engines[0].m_Copies.count(version("old")) == 1);
+  World.pass(6min);
+  CHECK(World.serving(version("new")) == 1);
+  CHECK(World.m_Engines[0].m_PeakBytes == 60 * GiB);
+}
+
+TEST_CASE("the room is free once the paused holder's VM is gone") {
+  PausedHolder Case;
+  PlacementWorld &World = Case.m_World;
+  World.kill(0);
+  World.pass(5min);
+  CHECK(World.serving(version("new")) == 1);
+  CHECK(World.m_Engines[0].m_PeakBytes == 60 * GiB);
+  CHECK(World.holder().unfenced().empty());
+}
+
+TEST_CASE("a take-over in mid-move goes on from the ledger alone") {
+  PlacementWorld World(oneOfTwo("old", 1), 2);
+  World.giveLease(0);
+  World.pass(10s);
+  REQUIRE(World.m_Engines[0].loading() == 1);
+  World.kill(0);
+  World.giveLease(1);
+  World.pass(1min);
+  CHECK(World.serving(version("old")) == 1);
+  CHECK(World.m_Engines[0].m_LoadsStarted == 1);
+}
+
+} // namespace bronzepass::unit_tests::placement
