Placement: Show the paused holder that wakes after its successor acted

On engines that ignore fencing tokens a former holder may be paused between its last check and its send. The test pauses it there, lets a successor take over, load, unload and want another model in the room: the room stays promised until the former holder acknowledged the newer token or its VM is gone, and the late load is undone first.

A version that left the intent now also waits for its adapters' successors.

--- a/Source/Core/Placement/PoolState.cpp
+++ b/Source/Core/Placement/PoolState.cpp
@@ -90,21 +90,27 @@
     const uint32_t Others = answeringCopies(Artifact, Now, Engine);
     return Others >= Spec->m_MinCopies;
   }
-  if (Artifact.isAdapter() || (Spec && Spec->m_Retired))
+  if (Spec && (Artifact.isAdapter() || Spec->m_Retired))
     return true;
-  // A version that left the intent: another version has to answer before.
-  bool ModelDeclared = false;
+  return successorAnswers(Artifact, Now);
+}
+
+bool PoolState::successorAnswers(const model::ArtifactId &Artifact,
+                                 model::TimePoint Now) const {
+  bool Declared = false;
   auto First = m_Catalog->groups().lower_bound({Artifact.m_Model, {}, {}});
   for (auto It = First;
        It != m_Catalog->groups().end() && It->first.m_Model == Artifact.m_Model;
        ++It) {
-    if (It->second.m_Retired)
+    model::ArtifactId Successor = It->first;
+    Successor.m_Adapter = Artifact.m_Adapter;
+    if (!m_Catalog->declares(Successor))
       continue;
-    ModelDeclared = true;
-    if (answeringCopies(It->first, Now) > 0 || answersElsewhere(It->first, Now))
+    Declared = true;
+    if (answeringCopies(Successor, Now) > 0 || answersElsewhere(Successor, Now))
       return true;
   }
-  return !ModelDeclared;
+  return !Declared;
 }
 
 void PoolState::reindex(EngineIndex Engine) {
--- a/Source/Core/Placement/PoolState.h
+++ b/Source/Core/Placement/PoolState.h
@@ -120,6 +120,10 @@
   /// Whether an unload leaves every declared artifact answering.
   bool mayUnload(EngineIndex Engine, const model::ArtifactId &Artifact,
                  model::TimePoint Now) const;
+  /// Whether another declared version answers in the place of an artifact that
+  /// left the intent; also where none is declared.
+  bool successorAnswers(const model::ArtifactId &Artifact,
+                        model::TimePoint Now) const;
   /// Indexes an engine's entries; marks the groups dirty that changed.
   void reindex(EngineIndex Engine);
   void dropQueued(GroupState &Group, size_t Position);
--- a/Source/UnitTests/Placement/PlacementWorld.h
+++ b/Source/UnitTests/Placement/PlacementWorld.h
@@ -118,6 +118,7 @@
   /// The VM leaves the list; what it kept never leaves.
   void kill(size_t Index) {
     m_Nodes[Index].m_Gone = true;
+    m_Nodes[Index].m_Paused = false;
     m_Nodes[Index].m_Held.clear();
   }
 
