--- a/Source/UnitTests/Adapters/Http/BadInputTest.cpp
+++ b/Source/UnitTests/Adapters/Http/BadInputTest.cpp
@@ -1,5 +1,5 @@
-#include "UnitTests/Adapters/HttpClient.h"
-#include "UnitTests/Adapters/TestNode.h"
+#include "UnitTests/Adapters/Http/HttpClient.h"
+#include "UnitTests/Adapters/Http/TestNode.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
--- a/Source/UnitTests/Adapters/Http/EngineClientTest.cpp
+++ b/Source/UnitTests/Adapters/Http/EngineClientTest.cpp
@@ -1,6 +1,6 @@
 #include "Core/Adapters/Curl/CurlEngineClient.h"
-#include "UnitTests/Adapters/HttpClient.h"
-#include "UnitTests/Adapters/TestNode.h"
+#include "UnitTests/Adapters/Http/HttpClient.h"
+#include "UnitTests/Adapters/Http/TestNode.h"
 
 #include <doctest/doctest.h>
 #include <memory>
--- a/Source/UnitTests/Adapters/Http/HttpClient.cpp
+++ b/Source/UnitTests/Adapters/Http/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Adapters/HttpClient.h"
+#include "UnitTests/Adapters/Http/HttpClient.h"
 
 #include "Core/Adapters/Curl/CurlMulti.h"
 #include "Core/Adapters/Net/LoopThread.h"
--- a/Source/UnitTests/Adapters/Http/OperatorServerTest.cpp
+++ b/Source/UnitTests/Adapters/Http/OperatorServerTest.cpp
@@ -1,7 +1,7 @@
 #include "Core/Adapters/Operator/OperatorServer.h"
 #include "Core/Adapters/Pistache/ErrorReply.h"
 #include "Core/Adapters/Prometheus/PrometheusMetrics.h"
-#include "UnitTests/Adapters/HttpClient.h"
+#include "UnitTests/Adapters/Http/HttpClient.h"
 
 #include <doctest/doctest.h>
 #include <thread>
--- a/Source/UnitTests/Adapters/Http/TestNode.cpp
+++ b/Source/UnitTests/Adapters/Http/TestNode.cpp
@@ -1,6 +1,6 @@
-#include "UnitTests/Adapters/TestNode.h"
+#include "UnitTests/Adapters/Http/TestNode.h"
 
-#include "UnitTests/Adapters/HttpClient.h"
+#include "UnitTests/Adapters/Http/HttpClient.h"
 
 #include <nlohmann/json.hpp>
 
