--- a/Source/Benchmarks/Traffic/LoadRun.cpp
+++ b/Source/Benchmarks/Traffic/LoadRun.cpp
@@ -52,6 +52,9 @@
       m_Result.m_Whole.push_back(since(m_Start));
     } else {
       ++m_Result.m_Broken;
+      if (m_Result.m_FirstBreak.empty())
+        m_Result.m_FirstBreak =
+            std::to_string(m_Status) + " " + Result.m_Error + " " + m_Text;
     }
     if (--m_Left == 0)
       m_Loop.stop();
@@ -117,8 +120,9 @@
 
   void sendDue(size_t I) {
     const LoadPlan &Plan = m_Plans[I];
-    const std::chrono::microseconds Period(std::chrono::seconds(1) /
-                                           Plan.m_RequestsPerSecond);
+    const std::chrono::microseconds Period =
+        std::chrono::microseconds(std::chrono::seconds(1)) /
+        Plan.m_RequestsPerSecond;
     const SteadyTime Now = std::chrono::steady_clock::now();
     while (m_Sent[I] < Plan.m_Requests && m_Start + Period * m_Sent[I] <= Now) {
       const std::string User =
--- a/Source/Benchmarks/Traffic/LoadRun.h
+++ b/Source/Benchmarks/Traffic/LoadRun.h
@@ -25,6 +25,8 @@
   /// To the answer's end.
   std::vector<std::chrono::microseconds> m_Whole;
   uint32_t m_Broken = 0;
+  /// Of the first broken one: its status and text, or libcurl's error.
+  std::string m_FirstBreak;
   /// Answers that carry another request's text.
   uint32_t m_Crossed = 0;
 };
--- a/Source/Benchmarks/Traffic/Main.cpp
+++ b/Source/Benchmarks/Traffic/Main.cpp
@@ -67,6 +67,8 @@
               millis(traffic::percentile(Result.m_FirstPiece, 99)),
               millis(traffic::percentile(Result.m_Whole, 50)),
               millis(traffic::percentile(Result.m_Whole, 99)));
+  if (Result.m_Broken != 0)
+    std::printf("  first broken: %s\n", Result.m_FirstBreak.c_str());
 }
 
 void printAdded(const traffic::LoadResult &Node,
