--- a/Source/Core/Adapters/Daemon/EffectCarrier.cpp
+++ b/Source/Core/Adapters/Daemon/EffectCarrier.cpp
@@ -70,8 +70,7 @@
 void EffectCarrier::on(const ports::TablePublished &Published) {
   m_Targets.m_Metrics.set(
       ports::Metric::GenerationInForce, "",
-      static_cast<double>(
-          Published.m_Table->intent().m_Generation.m_Value));
+      static_cast<double>(Published.m_Table->intent().m_Generation.m_Value));
   m_Targets.m_Traffic.setTable(Published.m_Table);
   m_Targets.m_Front.setTable(Published.m_Table);
 }
@@ -88,9 +87,7 @@
   m_Targets.m_Traffic.post(routing::TrafficStopWanted());
 }
 
-void EffectCarrier::on(const ports::StopFinished &) {
-  m_Targets.m_OnStopped();
-}
+void EffectCarrier::on(const ports::StopFinished &) { m_Targets.m_OnStopped(); }
 
 void EffectCarrier::on(const model::Decision &Line) {
   m_Targets.m_Log.write(Line);
--- a/Source/Core/Adapters/Daemon/NodeSetup.cpp
+++ b/Source/Core/Adapters/Daemon/NodeSetup.cpp
@@ -26,12 +26,11 @@
       static_cast<double>(Settings.get(settings::PlatformCallsPerSecond));
   Config.m_Governor.m_CallsPerSecond = Rate;
   Config.m_Governor.m_Burst = Rate;
-  Config.m_Governor.m_DefaultTimeout =
-      Settings.get(settings::TimeoutObjectApi);
+  Config.m_Governor.m_DefaultTimeout = Settings.get(settings::TimeoutObjectApi);
   Config.m_Claims.m_StoreTimeout = Settings.get(settings::TimeoutObjectApi);
   Config.m_Placement.m_StoreTimeout = Settings.get(settings::TimeoutObjectApi);
-  Config.m_Table.m_DriveDegree = static_cast<uint32_t>(
-      Settings.get(settings::LimitEngineDrivers));
+  Config.m_Table.m_DriveDegree =
+      static_cast<uint32_t>(Settings.get(settings::LimitEngineDrivers));
   Config.m_ReportPeriod = Settings.get(settings::PeriodReport);
   Config.m_LameDuck = Settings.get(settings::TimeoutLameDuck);
   return Config;
@@ -56,8 +55,7 @@
   Options.m_Server.m_Address = Settings.get(settings::ListenCallers);
   Options.m_Server.m_Threads =
       static_cast<int>(Settings.get(settings::LimitReactorThreads));
-  Options.m_Server.m_MaxBodyBytes =
-      Settings.get(settings::LimitBody).m_Value;
+  Options.m_Server.m_MaxBodyBytes = Settings.get(settings::LimitBody).m_Value;
   Options.m_Server.m_Connections.m_BufferBytes =
       Settings.get(settings::LimitCallerBuffer).m_Value;
   Options.m_Windows.m_Default = Settings.get(settings::TimeoutWindow);
--- a/Source/Core/Cli/ExplainCommand.cpp
+++ b/Source/Core/Cli/ExplainCommand.cpp
@@ -61,8 +61,8 @@
     return ExitCode::Usage;
   }
   ExitCode Code = ExitCode::Ok;
-  const std::string Path = Model.empty() ? "/explain?request=" + Request
-                                         : "/explain?model=" + Model;
+  const std::string Path =
+      Model.empty() ? "/explain?request=" + Request : "/explain?model=" + Model;
   const std::optional<ordered_json> Page =
       fetchPage(Context, name(), Path, Code);
   if (!Page)
--- a/Source/Core/Cli/ExplainCommand.h
+++ b/Source/Core/Cli/ExplainCommand.h
@@ -9,7 +9,9 @@
 class ExplainCommand : public Command {
 public:
   std::string name() const override { return "explain"; }
-  std::string summary() const override { return "say why a model is where it is, or why a request went where it did"; }
+  std::string summary() const override {
+    return "say why a model is where it is, or why a request went where it did";
+  }
   std::string argument() const override { return "model"; }
   void addOptions(
       boost::program_options::options_description &Options) const override;
--- a/Source/Core/Cli/MovesCommand.h
+++ b/Source/Core/Cli/MovesCommand.h
@@ -9,7 +9,9 @@
 class MovesCommand : public Command {
 public:
   std::string name() const override { return "moves"; }
-  std::string summary() const override { return "list loads and unloads that are under way"; }
+  std::string summary() const override {
+    return "list loads and unloads that are under way";
+  }
 
   void addOptions(
       boost::program_options::options_description &Options) const override;
--- a/Source/Core/Cli/StatusCommand.cpp
+++ b/Source/Core/Cli/StatusCommand.cpp
@@ -15,8 +15,8 @@
 void printNode(const ordered_json &Page, std::ostream &Out) {
   Out << "node " << cell(Page["node"], "node") << ", generation "
       << cell(Page, "generation") << ", "
-      << (Page.value("ready", false) ? "ready" : "not ready: " +
-                                                     cell(Page, "reason"))
+      << (Page.value("ready", false) ? "ready"
+                                     : "not ready: " + cell(Page, "reason"))
       << "\n\n";
   Table Nodes({"Node", "Failure-domain", "Region", "Liveness"});
   for (const ordered_json &Each : Page["nodes"])
@@ -26,8 +26,8 @@
 }
 
 void printEndpoints(const ordered_json &Page, std::ostream &Out) {
-  Table Endpoints({"Endpoint", "Liveness", "Copies", "Memory", "Used",
-                   "Promised"});
+  Table Endpoints(
+      {"Endpoint", "Liveness", "Copies", "Memory", "Used", "Promised"});
   for (const ordered_json &Each : Page)
     Endpoints.add({cell(Each, "endpoint"), cell(Each, "liveness"),
                    cell(Each, "copies"), cell(Each, "memory_bytes"),
--- a/Source/Core/Cli/StatusCommand.h
+++ b/Source/Core/Cli/StatusCommand.h
@@ -9,7 +9,9 @@
 class StatusCommand : public Command {
 public:
   std::string name() const override { return "status"; }
-  std::string summary() const override { return "say what a node knows of nodes, leases and what waits"; }
+  std::string summary() const override {
+    return "say what a node knows of nodes, leases and what waits";
+  }
 
   void addOptions(
       boost::program_options::options_description &Options) const override;
--- a/Source/StandIns/EngineStandIn.cpp
+++ b/Source/StandIns/EngineStandIn.cpp
@@ -190,7 +190,10 @@
   if (Running.m_BreakAt == UINT32_MAX)
     return true;
   if (Running.m_BreakAt == Running.m_Done) {
-    Running.m_Answer->abort();
+    if (m_EndCleanly)
+      Running.m_Answer->end();
+    else
+      Running.m_Answer->abort();
     return false;
   }
   const uint32_t Index = Running.m_Done++;
@@ -334,6 +337,7 @@
   m_BreakNext = static_cast<uint32_t>(numberOr(Json, "break_next", 0));
   m_BreakAfterTokens =
       static_cast<uint32_t>(numberOr(Json, "break_after_tokens", 0));
+  m_EndCleanly = Json.value("end_cleanly", false);
   m_StallNext = static_cast<uint32_t>(numberOr(Json, "stall_next", 0));
   m_Options.m_Step = std::chrono::microseconds(numberOr(
       Json, "step_us", static_cast<uint64_t>(m_Options.m_Step.count())));
--- a/Source/StandIns/EngineStandIn.h
+++ b/Source/StandIns/EngineStandIn.h
@@ -103,6 +103,8 @@
   /// The next streams that break, and behind how many tokens.
   uint32_t m_BreakNext = 0;
   uint32_t m_BreakAfterTokens = 0;
+  /// End them as if they were whole, without their terminal marker.
+  bool m_EndCleanly = false;
   /// The next requests that get no answer at all.
   uint32_t m_StallNext = 0;
 };
--- a/Source/UnitTests/Adapters/Http/StreamTest.cpp
+++ b/Source/UnitTests/Adapters/Http/StreamTest.cpp
@@ -69,6 +69,17 @@
   CHECK(Broken.m_Body.find("[DONE]") == std::string::npos);
 }
 
+TEST_CASE("a stream that ends without its terminal marker is not whole") {
+  TestNode Node({});
+  TestNode::setFaults(
+      Node.engine(),
+      R"({"break_next": 1, "break_after_tokens": 3, "end_cleanly": true})");
+  const HttpResult Short =
+      fetch(Node.port(), "POST", ChatPath, chatBody("anna", 10, true));
+  CHECK_FALSE(Short.m_Whole);
+  CHECK(Short.m_Body.find("anna:2 ") != std::string::npos);
+}
+
 TEST_CASE("half a stream goes on at the exact byte where engines resume") {
   TestNode::Settings Settings;
   Settings.m_CanResume = true;
