--- a/Source/Core/Placement/Planner.cpp
+++ b/Source/Core/Placement/Planner.cpp
@@ -179,10 +179,15 @@
   const model::TimePoint Quiet =
       std::max(*Group.m_UndeclaredSince, Demand.m_LastArrival) +
       m_Pool.m_Settings.m_RetireIdle;
+  const bool Replaced = m_Pool.successorAnswers(Base, Now);
   const std::vector<EngineIndex> Engines = Group.m_Engines;
-  for (EngineIndex Engine : Engines)
-    if (Now >= Quiet)
+  for (EngineIndex Engine : Engines) {
+    if (Replaced && Now >= Quiet)
       unloadFrom(Engine, Base, CopyReason::Retired, Now);
+    // All but its last copy give way to what has none, its successor too.
+    if (!Replaced && !m_Pool.m_Waiting.empty())
+      unloadFrom(Engine, Base, CopyReason::MakesRoom, Now);
+  }
 }
 
 void Planner::planLeaving(const GroupSpec &Spec, GroupState &Group,
--- a/Source/Core/Placement/Planner.h
+++ b/Source/Core/Placement/Planner.h
@@ -64,13 +64,17 @@
                  const std::vector<Candidate> &Others, model::TimePoint Now);
   std::optional<Eviction> findRoom(const GroupSpec &Spec, uint64_t Bytes,
                                    const std::vector<EngineIndex> &Taken,
-                                   uint32_t MostMoves,
+                                   uint32_t MostMoves, bool Needed,
                                    model::TimePoint Now) const;
   std::optional<Eviction> evictionFrom(EngineIndex Engine, int64_t Need,
-                                       uint32_t MostMoves,
+                                       uint32_t MostMoves, bool Needed,
                                        model::TimePoint Now) const;
   int64_t bytesOn(EngineIndex Engine, const model::ArtifactId &Base) const;
-  bool isSpare(const GroupSpec &Spec, const GroupState &Group) const;
+  /// The only engine that has room for the largest group, if there is but one:
+  /// while it is kept, any copy can be made before another is broken.
+  std::optional<EngineIndex> lastHole(model::TimePoint Now) const;
+  bool maySpare(const GroupSpec &Spec, const GroupState &Group,
+                EngineIndex Engine, bool Needed, model::TimePoint Now) const;
   bool fitsElsewhere(const GroupSpec &Spec, EngineIndex Engine, int64_t Bytes,
                      model::TimePoint Now) const;
   void carryOut(const Eviction &Plan, model::TimePoint Now);
--- a/Source/Core/Placement/PlannerRoom.cpp
+++ b/Source/Core/Placement/PlannerRoom.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 /// Weights of an engine's score against a full use of its slots, which is 1.
+constexpr double LastHoleCost = 8;
 constexpr double SameDomainCost = 4;
 constexpr double TogetherGain = 2;
 constexpr double MemoryCost = 1;
@@ -60,11 +61,25 @@
   return Score;
 }
 
+std::optional<EngineIndex> Planner::lastHole(model::TimePoint Now) const {
+  std::optional<EngineIndex> Hole;
+  for (EngineIndex I = 0; I < m_Pool.m_Engines.size(); ++I) {
+    if (!m_Pool.takesLoads(I, Now) ||
+        m_Pool.roomOn(I) < int64_t(m_Pool.m_LargestGroup))
+      continue;
+    if (Hole)
+      return std::nullopt;
+    Hole = I;
+  }
+  return Hole;
+}
+
 std::vector<Planner::Candidate>
 Planner::candidates(const GroupSpec &Spec, uint64_t Bytes,
                     const std::vector<EngineIndex> &Taken, bool NeedsRoom,
                     model::TimePoint Now) const {
   std::vector<Candidate> All;
+  const std::optional<EngineIndex> Hole = lastHole(Now);
   for (EngineIndex I = 0; I < m_Pool.m_Engines.size(); ++I) {
     if (!m_Pool.takesLoads(I, Now) ||
         (NeedsRoom && m_Pool.roomOn(I) < int64_t(Bytes)))
@@ -75,6 +90,8 @@
         !isApart(Spec, I))
       continue;
     All.push_back({I, score(Spec, I, Taken)});
+    if (Hole == I)
+      All.back().m_Score += LastHoleCost;
   }
   std::stable_sort(All.begin(), All.end(),
                    [](const Candidate &A, const Candidate &B) {
@@ -101,7 +118,8 @@
     return true;
   }
   const std::optional<Eviction> Room =
-      findRoom(Spec, Spec.totalBytes(), Taken, MostMoves, Now);
+      findRoom(Spec, Spec.totalBytes(), Taken, MostMoves,
+               Reason != CopyReason::Burst, Now);
   if (!Room)
     return false;
   queueCopy(Spec, Room->m_Engine, Reason, {}, Now);
@@ -142,9 +160,22 @@
   return Sum;
 }
 
-bool Planner::isSpare(const GroupSpec &Spec, const GroupState &Group) const {
-  return Group.m_SpareSince.has_value() &&
-         keptEngines(Spec.m_Base, Group).size() > Spec.m_MinCopies;
+bool Planner::maySpare(const GroupSpec &Spec, const GroupState &Group,
+                       EngineIndex Engine, bool Needed,
+                       model::TimePoint Now) const {
+  if (keptEngines(Spec.m_Base, Group).size() <= Spec.m_MinCopies)
+    return false;
+  // A further copy that demand uses gives way only to one that is needed.
+  if (!Needed && !Group.m_SpareSince)
+    return false;
+  const std::vector<EntryState> &Entries =
+      m_Pool.m_Engines[Engine].m_Book.entries();
+  return std::all_of(Entries.begin(), Entries.end(),
+                     [&](const EntryState &State) {
+                       const model::ArtifactId &Id = State.m_Entry.m_Artifact;
+                       return Id.base() != Spec.m_Base || !State.isLoad() ||
+                              m_Pool.mayUnload(Engine, Id, Now);
+                     });
 }
 
 bool Planner::fitsElsewhere(const GroupSpec &Spec, EngineIndex Engine,
@@ -163,7 +194,7 @@
 
 std::optional<Planner::Eviction>
 Planner::evictionFrom(EngineIndex Engine, int64_t Need, uint32_t MostMoves,
-                      model::TimePoint Now) const {
+                      bool Needed, model::TimePoint Now) const {
   Eviction Plan{.m_Engine = Engine};
   std::vector<std::pair<int64_t, model::ArtifactId>> Movable;
   for (const model::ArtifactId &Base : m_Pool.m_Engines[Engine].m_Groups) {
@@ -174,7 +205,7 @@
         Group.m_LeaveEngines.count(Engine) || !Group.m_Queue.empty())
       continue;
     const int64_t Bytes = bytesOn(Engine, Base);
-    if (isSpare(*Spec, Group) && m_Pool.mayUnload(Engine, Base, Now)) {
+    if (maySpare(*Spec, Group, Engine, Needed, Now)) {
       Plan.m_Spare.push_back(Base);
       Need -= Bytes;
       if (Need <= 0)
@@ -203,14 +234,14 @@
 std::optional<Planner::Eviction>
 Planner::findRoom(const GroupSpec &Spec, uint64_t Bytes,
                   const std::vector<EngineIndex> &Taken, uint32_t MostMoves,
-                  model::TimePoint Now) const {
+                  bool Needed, model::TimePoint Now) const {
   std::optional<Eviction> Best;
   for (const Candidate &Place : candidates(Spec, Bytes, Taken, false, Now)) {
     const int64_t Need = int64_t(Bytes) - m_Pool.roomOn(Place.m_Engine);
     if (Best && Best->m_Moved.empty())
       break;
     std::optional<Eviction> Plan =
-        evictionFrom(Place.m_Engine, Need, MostMoves, Now);
+        evictionFrom(Place.m_Engine, Need, MostMoves, Needed, Now);
     if (!Plan || (Best && Best->m_Moved.size() <= Plan->m_Moved.size()))
       continue;
     Best = std::move(Plan);
--- a/Source/Core/Placement/PoolShard.cpp
+++ b/Source/Core/Placement/PoolShard.cpp
@@ -32,7 +32,11 @@
   m_State.m_Catalog = std::move(Value);
   describeEngines(Liveness, Now);
   // Only groups that differ are planned anew; engines mark theirs themselves.
+  m_State.m_LargestGroup = 0;
   for (const auto &Entry : m_State.m_Catalog->groups()) {
+    if (Entry.second.m_Pool == m_State.m_Pool)
+      m_State.m_LargestGroup =
+          std::max(m_State.m_LargestGroup, Entry.second.totalBytes());
     const GroupSpec *Old = Before ? Before->find(Entry.first) : nullptr;
     const bool Concerned = Entry.second.m_Pool == m_State.m_Pool ||
                            m_State.m_Groups.count(Entry.first) != 0;
--- a/Source/Core/Placement/PoolState.cpp
+++ b/Source/Core/Placement/PoolState.cpp
@@ -92,7 +92,8 @@
   }
   if (Spec && (Artifact.isAdapter() || Spec->m_Retired))
     return true;
-  return successorAnswers(Artifact, Now);
+  return answeringCopies(Artifact, Now, Engine) > 0 ||
+         successorAnswers(Artifact, Now);
 }
 
 bool PoolState::successorAnswers(const model::ArtifactId &Artifact,
--- a/Source/Core/Placement/PoolState.h
+++ b/Source/Core/Placement/PoolState.h
@@ -85,6 +85,8 @@
   std::vector<EngineSlot> m_Engines;
   std::map<model::ArtifactId, GroupState> m_Groups;
   DemandTracker m_Demand;
+  /// Memory of the largest group that the pool is to hold, bytes.
+  uint64_t m_LargestGroup = 0;
   const ElsewhereMap *m_Elsewhere = nullptr;
   /// Groups to be planned anew.
   std::set<model::ArtifactId> m_Dirty;
