--- a/Source/Benchmarks/Placement/PlacementReplay.cpp
+++ b/Source/Benchmarks/Placement/PlacementReplay.cpp
@@ -1,179 +1,14 @@
 // Replays a day and the great changes at both deployments' sizes, and prints
 // one line for each policy.
-#include "Benchmarks/Placement/Fleet.h"
+#include "Benchmarks/Placement/Replay.h"
 
-#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
-#include <functional>
 
 namespace bronzepass::benchmarks::placement {
 
 namespace {
 
-constexpr uint64_t Seed = 4711;
-constexpr model::Duration SamplePeriod = std::chrono::seconds(10);
-constexpr model::Duration WarmUp = std::chrono::minutes(15);
-/// Use of all engines' slots outside bursts.
-constexpr double MeanUse = 0.2;
-
-struct Scenario {
-  std::string m_Name;
-  model::Duration m_Length;
-  /// What happens after the warm-up and a quarter of the length.
-  std::function<void(Fleet &, const model::Intent &)> m_Event;
-};
-
-struct Outcome {
-  double m_Attained = 0;
-  double m_InTimePerAccelerator = 0;
-  uint64_t m_Moves = 0;
-  uint64_t m_AdapterLoads = 0;
-  /// Seconds in which a model declared from the start had no answering copy
-  /// of any version.
-  double m_UnreachableSeconds = 0;
-  /// From the event until all that is declared answers, adapters too; negative:
-  /// not within the replay.
-  double m_RecoverySeconds = -1;
-  double m_GreatestPromise = 0;
-};
-
-/// Plays one scenario to one fleet.
-class Replay {
-public:
-  Replay(const model::Intent &Value, Fleet &Engines)
-      : m_Intent(Value), m_Fleet(Engines),
-        m_Models(static_cast<uint32_t>(Value.m_Models.size())),
-        m_Demand(m_Models, totalRate(Value), Seed),
-        m_Serving(m_Models, uint32_t(Value.m_Pools.front().m_Endpoints.size()),
-                  Value.m_Pools.front().m_Endpoints.front().m_Slots) {}
-
-  Outcome run(const Scenario &Played) {
-    pass(WarmUp, false);
-    const uint64_t Loads = m_Fleet.modelLoads();
-    const uint64_t Adapters = m_Fleet.adapterLoads();
-    const uint64_t Arrived = m_Serving.arrivals();
-    const uint64_t InTime = m_Serving.inTime();
-    pass(Played.m_Length / 4, true);
-    if (Played.m_Event) {
-      Played.m_Event(m_Fleet, m_Intent);
-      m_EventAt = m_Fleet.now();
-    }
-    pass(Played.m_Length - Played.m_Length / 4, true);
-    const double Answered = double(m_Serving.inTime() - InTime);
-    m_Outcome.m_Attained = Answered / double(m_Serving.arrivals() - Arrived);
-    m_Outcome.m_InTimePerAccelerator = Answered / accelerators();
-    m_Outcome.m_Moves = m_Fleet.modelLoads() - Loads;
-    m_Outcome.m_AdapterLoads = m_Fleet.adapterLoads() - Adapters;
-    m_Outcome.m_GreatestPromise = m_Fleet.greatestPromise();
-    return m_Outcome;
-  }
-
-private:
-  static double totalRate(const model::Intent &Value) {
-    double Slots = 0;
-    for (const model::EndpointSpec &Engine : Value.m_Pools.front().m_Endpoints)
-      Slots += Engine.m_Slots;
-    return MeanUse * Slots / std::chrono::duration<double>(ServiceTime).count();
-  }
-
-  double accelerators() const {
-    double Sum = 0;
-    for (const model::EndpointSpec &Engine :
-         m_Intent.m_Pools.front().m_Endpoints)
-      Sum += Engine.m_Accelerators;
-    return Sum;
-  }
-
-  void pass(model::Duration Time, bool Counts) {
-    const double Seconds = std::chrono::duration<double>(Step).count();
-    for (model::Duration Passed{0}; Passed < Time; Passed += Step) {
-      m_Fleet.step();
-      const model::TimePoint Now = m_Fleet.now();
-      const double Second = std::chrono::duration<double>(m_Elapsed).count();
-      for (uint32_t I = 0; I < m_Models; ++I)
-        m_Serving.arrive(I, m_Demand.rate(I, Second) * Seconds, Now);
-      m_Serving.serve(
-          [this](uint32_t I) {
-            return m_Fleet.copies(m_Intent.m_Models[I].m_Name);
-          },
-          Now);
-      m_Elapsed += Step;
-      if (m_Elapsed % SamplePeriod == model::Duration(0))
-        for (uint32_t I = 0; I < m_Models; ++I)
-          m_Fleet.see(m_Intent.m_Models[I].m_Name, m_Serving.takeSample(I));
-      if (Counts)
-        watch(Now, Seconds);
-    }
-  }
-
-  void watch(model::TimePoint Now, double Seconds) {
-    const bool All = m_Fleet.answersAll();
-    const bool Reachable =
-        std::all_of(m_Intent.m_Models.begin(), m_Intent.m_Models.end(),
-                    [this](const model::ModelSpec &Model) {
-                      return !m_Fleet.copies(Model.m_Name).empty();
-                    });
-    if (!Reachable)
-      m_Outcome.m_UnreachableSeconds += Seconds;
-    if (m_EventAt && All && m_Outcome.m_RecoverySeconds < 0 && Now > *m_EventAt)
-      m_Outcome.m_RecoverySeconds =
-          std::chrono::duration<double>(Now - *m_EventAt).count();
-  }
-
-  const model::Intent &m_Intent;
-  Fleet &m_Fleet;
-  uint32_t m_Models;
-  Demand m_Demand;
-  ServingModel m_Serving;
-  model::Duration m_Elapsed{0};
-  std::optional<model::TimePoint> m_EventAt;
-  Outcome m_Outcome;
-};
-
-/// Loses the engine with the most models that answer nowhere else.
-void loseEngine(Fleet &Engines, const model::Intent &Value) {
-  std::map<uint32_t, uint32_t> Only;
-  for (const model::ModelSpec &Model : Value.m_Models) {
-    const std::vector<uint32_t> Copies = Engines.copies(Model.m_Name);
-    if (Copies.size() == 1)
-      ++Only[Copies.front()];
-  }
-  uint32_t Most = 0;
-  for (const auto &Entry : Only)
-    Most = Only[Most] < Entry.second ? Entry.first : Most;
-  Engines.lose(Most);
-}
-
-void loseDomain(Fleet &Engines, const model::Intent &Value) {
-  const std::vector<model::EndpointSpec> &All =
-      Value.m_Pools.front().m_Endpoints;
-  for (uint32_t I = 0; I < All.size(); ++I)
-    if (All[I].m_Domain == All.front().m_Domain)
-      Engines.lose(I);
-}
-
-void rollOut(Fleet &Engines, const model::Intent &Value) {
-  model::Intent Changed = Value;
-  Changed.m_Generation = {2};
-  for (model::ModelSpec &Model : Changed.m_Models)
-    Model.m_Versions.front().m_Version = "v2";
-  Engines.change(std::make_shared<const model::Intent>(std::move(Changed)));
-}
-
-void takeOver(Fleet &Engines, const model::Intent &Value) {
-  constexpr uint32_t Taken = 200;
-  model::Intent Changed = Value;
-  Changed.m_Generation = {2};
-  for (uint32_t I = 0; I < Taken; ++I)
-    Changed.m_Models.push_back(
-        {.m_Name = model::ModelId(numbered("taken", 1000 + I)),
-         .m_Versions = {{.m_Version = "v1",
-                         .m_MemoryBytes = GiB * 3 / 4,
-                         .m_LoadTime = std::chrono::seconds(50)}}});
-  Engines.change(std::make_shared<const model::Intent>(std::move(Changed)));
-}
-
 void print(const std::string &Deployment, const std::string &Name,
            const std::string &Policy, const Outcome &Value) {
   std::printf("%-12s %-12s %-14s %8.4f %10.1f %6lu %8lu %11.0f %9.0f %8.3f\n",
@@ -186,25 +21,10 @@
   std::fflush(stdout);
 }
 
-std::vector<std::unique_ptr<Fleet>>
-fleets(const std::shared_ptr<const model::Intent> &Value) {
-  std::vector<std::unique_ptr<Fleet>> All;
-  All.push_back(std::make_unique<PlacedFleet>(Value));
-  for (BaselineKind Kind :
-       {BaselineKind::Static, BaselineKind::MissLru, BaselineKind::BusyMissLru})
-    All.push_back(std::make_unique<BaselineFleet>(Kind, Value));
-  return All;
-}
-
 int runAll(double Hours) {
   const model::Duration Day = std::chrono::duration_cast<model::Duration>(
       std::chrono::duration<double, std::ratio<3600>>(Hours));
-  const std::vector<Scenario> Scenarios = {
-      {"day", Day, nullptr},
-      {"engine-lost", std::chrono::hours(2), loseEngine},
-      {"domain-lost", std::chrono::hours(2), loseDomain},
-      {"rollout", std::chrono::hours(2), rollOut},
-      {"takeover", std::chrono::hours(3), takeOver}};
+  const std::vector<Scenario> Scenarios = scenarios(Day);
   std::printf("%-12s %-12s %-14s %8s %10s %6s %8s %11s %9s %8s\n", "deployment",
               "scenario", "policy", "attained", "intime/acc", "moves",
               "adapters", "unreachable", "recovery", "promised");
@@ -217,7 +37,7 @@
         if (Played.m_Name == "rollout" && Engines->name() != "bronzepass")
           continue;
         print(Size.m_Name, Played.m_Name, Engines->name(),
-              Replay(*Value, *Engines).run(Played));
+              replay(Played, *Value, *Engines));
       }
     }
   return 0;
--- /dev/null
+++ b/Source/Benchmarks/Placement/Replay.h
@@ -0,0 +1,49 @@
+#ifndef BRONZEPASS_BENCHMARKS_PLACEMENT_REPLAY_H
+#define BRONZEPASS_BENCHMARKS_PLACEMENT_REPLAY_H
+
+#include "Benchmarks/Placement/Fleet.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bronzepass::benchmarks::placement {
+
+struct Scenario {
+  std::string m_Name;
+  model::Duration m_Length;
+  /// What happens after the warm-up and a quarter of the length.
+  std::function<void(Fleet &, const model::Intent &)> m_Event;
+};
+
+struct Outcome {
+  double m_Attained = 0;
+  double m_InTimePerAccelerator = 0;
+  uint64_t m_Moves = 0;
+  uint64_t m_AdapterLoads = 0;
+  /// Seconds in which a model declared from the start had no answering copy
+  /// of any version.
+  double m_UnreachableSeconds = 0;
+  /// From the event until all that is declared answers, adapters too; negative:
+  /// not within the replay.
+  double m_RecoverySeconds = -1;
+  double m_GreatestPromise = 0;
+};
+
+/// Plays \p Scene to \p Engines, which serve \p Value, with the demand of a
+/// fixed seed.
+Outcome replay(const Scenario &Scene, const model::Intent &Value,
+               Fleet &Engines);
+
+/// The day (of \p Day) and the great changes.
+std::vector<Scenario> scenarios(model::Duration Day);
+
+/// One fleet of each policy, ours first.
+std::vector<std::unique_ptr<Fleet>>
+fleets(const std::shared_ptr<const model::Intent> &Value);
+
+} // namespace bronzepass::benchmarks::placement
+
+#endif // BRONZEPASS_BENCHMARKS_PLACEMENT_REPLAY_H
