--- /dev/null
+++ b/Source/UnitTests/Placement/PlacementChangeTest.cpp
@@ -0,0 +1,227 @@
+#include "UnitTests/Placement/PlacementWorld.h"
+
+#include <doctest/doctest.h>
+
+namespace bronzepass::unit_tests::placement {
+
+namespace {
+
+model::ArtifactId version(uint32_t Model, const std::string &Version = "v1") {
+  return {model::ModelId("m" + std::to_string(Model)), Version, {}};
+}
+
+model::SelectorSpec selector(model::SelectorAction Action,
+                             const std::string &Key, const std::string &Value) {
+  return {
+      .m_Name = Key + Value, .m_Action = Action, .m_Models = {{{Key, Value}}}};
+}
+
+std::shared_ptr<const model::Intent> next(const PlacementWorld &World,
+                                          model::Intent Value) {
+  Value.m_Generation = {World.m_Intent->m_Generation.m_Value + 1};
+  return share(std::move(Value));
+}
+
+/// Engines that serve the artifact, by position.
+std::vector<size_t> where(const PlacementWorld &World,
+                          const model::ArtifactId &Artifact) {
+  std::vector<size_t> Found;
+  for (size_t I = 0; I < World.m_Engines.size(); ++I)
+    if (World.m_Engines[I].serves(Artifact))
+      Found.push_back(I);
+  return Found;
+}
+
+} // namespace
+
+TEST_CASE("models apart never share an engine, models together do") {
+  model::Intent Intent = smallIntent(3, 4, model::FencingMode::Refuses);
+  for (uint32_t I = 0; I < 4; ++I)
+    Intent.m_Models[I].m_Labels["group"] = I < 2 ? "apart" : "together";
+  Intent.m_Selectors = {
+      selector(model::SelectorAction::Apart, "group", "apart"),
+      selector(model::SelectorAction::Together, "group", "together")};
+  PlacementWorld World(share(Intent), 1);
+  World.giveLease(0);
+  World.pass(2min);
+  CHECK(where(World, version(0)) != where(World, version(1)));
+  CHECK(where(World, version(2)) == where(World, version(3)));
+}
+
+TEST_CASE("copies are spread over failure domains") {
+  model::Intent Intent = smallIntent(4, 1, model::FencingMode::Refuses);
+  Intent.m_Models[0].m_MinCopies = 2;
+  PlacementWorld World(share(Intent), 1);
+  World.giveLease(0);
+  World.pass(2min);
+  const std::vector<size_t> Copies = where(World, version(0));
+  REQUIRE(Copies.size() == 2);
+  CHECK(World.m_Engines[Copies[0]].m_Spec.m_Domain !=
+        World.m_Engines[Copies[1]].m_Spec.m_Domain);
+}
+
+TEST_CASE("a drained engine is emptied without a model going silent") {
+  model::Intent Intent = smallIntent(3, 4, model::FencingMode::Refuses);
+  PlacementWorld World(share(Intent), 1);
+  World.giveLease(0);
+  World.pass(2min);
+  Intent.m_Selectors.push_back({.m_Name = "drain",
+                                .m_Action = model::SelectorAction::Drain,
+                                .m_Endpoints = {model::EndpointId("e0")}});
+  bool Silent = false;
+  World.m_AfterStep = [&] {
+    for (uint32_t I = 0; I < 4; ++I)
+      Silent = Silent || World.serving(version(I)) == 0;
+  };
+  World.changeIntent(next(World, Intent));
+  World.pass(5min);
+  CHECK(World.m_Engines[0].m_Copies.empty());
+  CHECK_FALSE(Silent);
+}
+
+TEST_CASE("a new version answers before the old one goes") {
+  model::Intent Intent = smallIntent(2, 4, model::FencingMode::Ignores);
+  PlacementWorld World(share(Intent), 1);
+  World.giveLease(0);
+  World.pass(2min);
+  for (model::ModelSpec &Model : Intent.m_Models)
+    Model.m_Versions.front().m_Version = "v2";
+  bool Silent = false;
+  World.m_AfterStep = [&] {
+    for (uint32_t I = 0; I < 4; ++I)
+      Silent = Silent ||
+               World.serving(version(I)) + World.serving(version(I, "v2")) == 0;
+  };
+  World.changeIntent(next(World, Intent));
+  World.pass(20min);
+  for (uint32_t I = 0; I < 4; ++I) {
+    CHECK(World.serving(version(I)) == 0);
+    CHECK(World.serving(version(I, "v2")) == 1);
+  }
+  CHECK_FALSE(Silent);
+}
+
+TEST_CASE("a retired model goes once nobody asks for it") {
+  model::Intent Intent = smallIntent(2, 2, model::FencingMode::Refuses);
+  PlacementWorld World(share(Intent), 1);
+  World.giveLease(0);
+  World.pass(2min);
+  Intent.m_Selectors = {selector(model::SelectorAction::Retire, "name", "m0")};
+  World.changeIntent(next(World, Intent));
+  for (int I = 0; I < 12; ++I) {
+    World.holder().demandSeen({{.m_Artifact = version(0), .m_Arrivals = 1}},
+                              World.m_Now);
+    World.pass(10s);
+  }
+  CHECK(World.serving(version(0)) == 1);
+  World.pass(1min);
+  CHECK(World.serving(version(0)) == 0);
+  CHECK(World.serving(version(1)) == 1);
+}
+
+TEST_CASE("a role is changed by order") {
+  model::Intent Intent = smallIntent(2, 1, model::FencingMode::Refuses);
+  PlacementWorld World(share(Intent), 1);
+  World.giveLease(0);
+  World.pass(2min);
+  Intent.m_Pools.front().m_Endpoints[1].m_Role = model::EngineRole::Prefill;
+  World.changeIntent(next(World, Intent));
+  World.pass(20s);
+  CHECK(World.m_Engines[1].m_Spec.m_Role == model::EngineRole::Prefill);
+  CHECK(World.m_Engines[0].m_Spec.m_Role == model::EngineRole::Mixed);
+}
+
+TEST_CASE("where memory is short a finding names what waits and why") {
+  PlacementWorld World(share(smallIntent(2, 7, model::FencingMode::Refuses)),
+                       1);
+  World.giveLease(0);
+  World.pass(5min);
+  REQUIRE(World.holder().findings().size() == 1);
+  const std::string Message = World.holder().findings().front().m_Message;
+  CHECK(Message.find("waits") != std::string::npos);
+  CHECK(Message.find("32212254720 bytes") != std::string::npos);
+}
+
+TEST_CASE("the weight store's limits hold across a take-over") {
+  model::Intent Intent = smallIntent(6, 16, model::FencingMode::Refuses);
+  Intent.m_WeightStore = {2, 3};
+  PlacementWorld World(share(Intent), 2);
+  uint32_t MostLoading = 0;
+  World.m_AfterStep = [&] {
+    uint32_t Loading = 0;
+    for (const fakes::FakeEngine &Engine : World.m_Engines)
+      Loading += Engine.loading();
+    MostLoading = std::max(MostLoading, Loading);
+  };
+  World.giveLease(0);
+  World.pass(20s);
+  World.kill(0);
+  World.giveLease(1);
+  World.pass(8min);
+  CHECK(MostLoading == 3);
+  for (uint32_t I = 0; I < 16; ++I)
+    CHECK(World.serving(version(I)) == 1);
+}
+
+TEST_CASE("lost last copies are loaded in order of waiting demand") {
+  model::Intent Intent = smallIntent(3, 3, model::FencingMode::Refuses);
+  Intent.m_WeightStore = {2, 1};
+  PlacementWorld World(share(Intent), 1);
+  World.giveLease(0);
+  World.pass(200s);
+  const model::ArtifactId Wanted = version(2);
+  for (fakes::FakeEngine &Engine : World.m_Engines)
+    Engine.restart();
+  World.holder().demandSeen(
+      {{.m_Artifact = Wanted, .m_Arrivals = 50, .m_Waiting = 40}}, World.m_Now);
+  World.pass(75s);
+  CHECK(World.serving(Wanted) == 1);
+  CHECK(World.serving(version(0)) + World.serving(version(1)) == 0);
+}
+
+TEST_CASE("an engine that flaps is not loaded each time it comes back") {
+  PlacementWorld World(share(smallIntent(3, 3, model::FencingMode::Refuses)),
+                       1);
+  World.giveLease(0);
+  World.pass(2min);
+  const uint64_t Before = World.m_Engines[0].m_LoadsStarted;
+  for (int I = 0; I < 6; ++I) {
+    World.m_Engines[0].restart();
+    World.m_Reachable[0] = false;
+    World.pass(10s);
+    World.m_Reachable[0] = true;
+    World.pass(20s);
+  }
+  CHECK(World.m_Engines[0].m_LoadsStarted <= Before + 1);
+  for (uint32_t I = 0; I < 3; ++I)
+    CHECK(World.serving(version(I)) >= 1);
+}
+
+TEST_CASE("a copy that nobody ordered counts at once") {
+  PlacementWorld World(share(smallIntent(1, 3, model::FencingMode::Refuses)),
+                       1);
+  World.m_Engines[0].apply(
+      {.m_Artifact = version(9), .m_MemoryBytes = 40 * GiB}, World.m_Now);
+  World.giveLease(0);
+  World.pass(20s);
+  CHECK(World.m_Engines[0].m_PeakBytes <= 90 * GiB);
+  CHECK(World.holder().engines().front().m_PromisedBytes <= 100 * GiB);
+}
+
+TEST_CASE("all nodes lost at once: ledgers and reports are enough") {
+  PlacementWorld World(share(smallIntent(3, 5, model::FencingMode::Ignores)),
+                       2);
+  World.giveLease(0);
+  World.pass(5min);
+  World.kill(0);
+  World.kill(1);
+  World.addNode();
+  World.giveLease(2);
+  World.pass(1min);
+  CHECK(World.holder().counts().m_ModelLoads == 0);
+  CHECK(World.holder().moves().empty());
+  for (uint32_t I = 0; I < 5; ++I)
+    CHECK(World.holder().explain(version(I), World.m_Now).size() == 1);
+}
+
+} // namespace bronzepass::unit_tests::placement
