Tests: A copy that a paused holder may unload is not relied on

The former holder stops right before the unload of a moved copy; its successor keeps that copy, and must not empty the other engine meanwhile.

--- a/Source/Core/Placement/PlacementCore.h
+++ b/Source/Core/Placement/PlacementCore.h
@@ -87,7 +87,6 @@
   std::shared_ptr<const model::Intent> m_Intent;
   std::shared_ptr<const Catalog> m_Catalog;
   std::map<model::PoolId, PoolShard> m_Shards;
-  std::map<model::PoolId, model::HeldLease> m_Leases;
   std::map<model::EndpointId, model::PoolId> m_PoolOf;
   std::map<model::EndpointId, model::Liveness> m_Liveness;
   ElsewhereMap m_Elsewhere;
--- a/Source/UnitTests/Placement/PausedHolderTest.cpp
+++ b/Source/UnitTests/Placement/PausedHolderTest.cpp
@@ -81,6 +81,47 @@
   CHECK(World.holder().unfenced().empty());
 }
 
+TEST_CASE("a copy that a paused holder may unload is not relied on") {
+  const auto Draining = [](const std::string &Engine, uint64_t Generation) {
+    model::Intent Value = smallIntent(2, 1, model::FencingMode::Ignores);
+    Value.m_Generation = {Generation};
+    Value.m_Selectors.push_back({.m_Name = "drain",
+                                 .m_Action = model::SelectorAction::Drain,
+                                 .m_Endpoints = {model::EndpointId(Engine)}});
+    return share(std::move(Value));
+  };
+  const model::ArtifactId Model{model::ModelId("m0"), "v1", {}};
+  PlacementWorld World(share(smallIntent(2, 1, model::FencingMode::Ignores)),
+                       2);
+  World.giveLease(0);
+  World.pass(2min);
+  const size_t Old = World.m_Engines[0].serves(Model) ? 0 : 1;
+  const size_t New = 1 - Old;
+  // Its copy is moved, and the holder stops right before the old one's unload.
+  World.changeIntent(Draining(World.m_Engines[Old].m_Spec.m_Name.str(), 2));
+  while (World.serving(Model) < 2 || World.m_Nodes[0].m_Held.empty())
+    World.step(1s);
+  World.pause(0);
+  // The successor can't see the new copy, and so keeps the old one.
+  World.m_Reachable[New] = false;
+  World.pass(PlacementWorld::LeaseTerm);
+  World.giveLease(1);
+  World.pass(20s);
+  CHECK(World.serving(Model) == 2);
+  // Now the new copy's engine is to be emptied.
+  World.m_Reachable[New] = true;
+  World.changeIntent(Draining(World.m_Engines[New].m_Spec.m_Name.str(), 3));
+  World.pass(2min);
+  CHECK(World.m_Engines[New].serves(Model));
+  World.wake(0);
+  World.pass(5s);
+  CHECK_FALSE(World.m_Engines[Old].serves(Model));
+  CHECK(World.m_Engines[New].serves(Model));
+  World.pass(10min);
+  CHECK(World.m_Engines[Old].serves(Model));
+  CHECK_FALSE(World.m_Engines[New].serves(Model));
+}
+
 TEST_CASE("a take-over in mid-move goes on from the ledger alone") {
   PlacementWorld World(oneOfTwo("old", 1), 2);
   World.giveLease(0);
