Routing: Let batch requests yield their place in a full queue

- A full queue refused an interactive request while batch ones held it; the newest batch request now gives up its place, told "not run" at once.
- An endpoint that was gone comes back as another process: what was measured of it and its prefixes are dropped.
- A resumed stream that does not go on at its offset is broken at once; it was asked for again up to the limit of tries.
- News of others' use of a limit is kept until it says zero; it was dropped with an idle caller's bucket.

--- a/Source/Core/Routing/CallerLimiter.cpp
+++ b/Source/Core/Routing/CallerLimiter.cpp
@@ -122,7 +122,9 @@
       Usage.push_back(Value.m_LastOwn);
     bool Debt =
         Value.m_Requests.m_Available < 0 || Value.m_Tokens.m_Available < 0;
-    if (!Used && !UsedBefore && !Debt)
+    bool UsedElsewhere =
+        Value.m_Others.m_Requests > 0 || Value.m_Others.m_InFlight > 0;
+    if (!Used && !UsedBefore && !UsedElsewhere && !Debt)
       It = m_Entries.erase(It);
     else
       ++It;
--- a/Source/Core/Routing/TrafficAttempts.cpp
+++ b/Source/Core/Routing/TrafficAttempts.cpp
@@ -174,7 +174,10 @@
   if (Repeated)
     return;
   cancelAttempt(*Live);
-  endBroken(*Live);
+  if (Live->m_Resuming)
+    refuseBroken(*Live);
+  else
+    endBroken(*Live);
 }
 
 void TrafficCore::measureSpeed(LiveRequest &Live) {
@@ -304,6 +307,10 @@
     resume(Live, *Endpoint);
     return;
   }
+  refuseBroken(Live);
+}
+
+void TrafficCore::refuseBroken(LiveRequest &Live) {
   bool Begun = Live.m_HeadRelayed;
   refuse(Live, {Begun ? model::RefusalReason::StreamBroken
                       : model::RefusalReason::EndpointFailed,
--- a/Source/Core/Routing/TrafficChoice.cpp
+++ b/Source/Core/Routing/TrafficChoice.cpp
@@ -1,3 +1,4 @@
+#include "Core/Routing/Refusals.h"
 #include "Core/Routing/TrafficCore.h"
 
 #include <algorithm>
@@ -10,6 +11,8 @@
 /// Candidates looked at for one choice; a model on more endpoints is sampled.
 constexpr size_t MaxCandidates = 16;
 constexpr size_t MaxRunnersUp = 3;
+/// Seconds after which a refused caller comes back at the earliest.
+constexpr double MinRetry = 0.1;
 
 std::string inMilliseconds(double Seconds) {
   return std::to_string(static_cast<int64_t>(Seconds * 1000)) + " ms";
@@ -161,11 +164,8 @@
   const TableCopies *Copies = copiesOf(Live.m_Lane);
   if (Copies == nullptr) {
     m_Candidates.clear();
-    return {Advice::Refuse,
-            0,
-            0,
-            {model::RefusalReason::UnknownModel, model::RunState::NotRun,
-             "no longer declared", model::Duration(0)}};
+    return {Advice::Refuse, 0, 0,
+            notRun(model::RefusalReason::UnknownModel, "no longer declared")};
   }
   collect(Live, *Copies);
   if (m_Candidates.empty())
@@ -177,9 +177,8 @@
                                              const TableCopies &Copies) {
   model::Duration Left = Live.m_Request.m_Deadline - m_Now;
   Choice Result;
-  Result.m_Refusal = {model::RefusalReason::NoCopyAnswers,
-                      model::RunState::NotRun, "no copy answers now",
-                      Copies.m_LoadTime};
+  Result.m_Refusal = notRun(model::RefusalReason::NoCopyAnswers,
+                            "no copy answers now", Copies.m_LoadTime);
   bool Untried = false;
   model::TimePoint Back = model::TimePoint::max();
   for (EndpointIndex Index : Copies.m_Serving) {
@@ -191,8 +190,7 @@
     Back = std::min(Back, m_ByIndex[Index]->m_View.ejectedUntil());
   }
   if (Untried) {
-    Result.m_Refusal.m_RetryAfter =
-        std::max(Back - m_Now, model::Duration(std::chrono::seconds(1)));
+    Result.m_Refusal.m_RetryAfter = std::max(Back - m_Now, ShortRetry);
     bool InTime = Back < Live.m_Request.m_Deadline;
     Result.m_Advice = InTime ? Advice::Wait : Advice::Refuse;
   } else if (Copies.m_Serving.empty() && Left > Copies.m_LoadTime) {
@@ -223,10 +221,9 @@
     return Result;
   }
   Result.m_Advice = Advice::Refuse;
-  Result.m_Refusal = {model::RefusalReason::WindowTooShort,
-                      model::RunState::NotRun,
-                      "the answer could not be whole inside the window",
-                      fromSeconds(std::max(Need - Left, 0.1))};
+  Result.m_Refusal = notRun(model::RefusalReason::WindowTooShort,
+                            "the answer could not be whole inside the window",
+                            fromSeconds(std::max(Need - Left, MinRetry)));
   return Result;
 }
 
@@ -269,16 +266,33 @@
   Live.m_Queued = {
       Request.m_Id,       Request.m_Caller,    Caller ? Caller->m_Weight : 1,
       Request.m_Priority, Request.m_BodyBytes, Service};
-  if (!m_Queue.push(Live.m_Lane, Live.m_Queued)) {
+  if (!push(Live)) {
     Live.m_Queued = QueuedRequest();
-    refuse(Live, {model::RefusalReason::QueueFull, model::RunState::NotRun,
-                  "too much waits for this model", std::chrono::seconds(1)});
+    refuseFull(Live);
     return;
   }
   m_Demand.waits(Live.m_Lane.m_Artifact);
   setDue(Live, std::max(m_Now, Request.m_Deadline - fromSeconds(Service)));
 }
 
+bool TrafficCore::push(const LiveRequest &Live) {
+  if (m_Queue.push(Live.m_Lane, Live.m_Queued))
+    return true;
+  if (Live.m_Request.m_Priority == model::Priority::Batch)
+    return false;
+  // The batch request that came last gives up its place.
+  std::optional<QueuedRequest> Yields = m_Queue.newestBatch(Live.m_Lane);
+  if (!Yields)
+    return false;
+  refuseFull(m_Live.find(Yields->m_Request)->second);
+  return m_Queue.push(Live.m_Lane, Live.m_Queued);
+}
+
+void TrafficCore::refuseFull(LiveRequest &Live) {
+  refuse(Live, notRun(model::RefusalReason::QueueFull,
+                      "too much waits for this model", ShortRetry));
+}
+
 void TrafficCore::leaveQueue(LiveRequest &Live) {
   if (!Live.m_Queued.m_Request)
     return;
--- a/Source/Core/Routing/TrafficCore.cpp
+++ b/Source/Core/Routing/TrafficCore.cpp
@@ -1,4 +1,5 @@
 #include "Core/Routing/TrafficCore.h"
+#include "Core/Routing/Refusals.h"
 
 #include <algorithm>
 
@@ -6,15 +7,9 @@
 
 namespace {
 
-constexpr model::Duration ShortRetry = std::chrono::seconds(1);
 /// How long a claim is awaited whose request is already answered.
 constexpr model::Duration ClaimPatience = std::chrono::seconds(60);
 
-model::Refusal notRun(model::RefusalReason Reason, const char *Message,
-                      model::Duration RetryAfter = model::Duration(0)) {
-  return {Reason, model::RunState::NotRun, Message, RetryAfter};
-}
-
 } // namespace
 
 TrafficCore::TrafficCore(const TrafficSettings &Settings, ports::Random &Dice,
@@ -129,61 +124,6 @@
   return std::nullopt;
 }
 
-bool TrafficCore::needsClaim(const LiveRequest &Live) const {
-  const model::Request &Request = Live.m_Request;
-  // A forwarded request was claimed by the node that took it in.
-  if (Request.m_Repeatable || !Request.m_IdempotencyKey || Request.m_Forwarded)
-    return false;
-  const TableService *Service = m_Table->findService(Request.m_ServicePool);
-  return Service == nullptr || !Service->m_Pool->m_HonoursIdempotencyKeys;
-}
-
-void TrafficCore::on(const ports::ClaimVerdict &Event) {
-  auto Abandoned = m_AbandonedClaims.find(Event.m_Request);
-  if (Abandoned != m_AbandonedClaims.end()) {
-    if (Event.m_Kind == ports::ClaimVerdictKind::Granted)
-      m_Out->push_back(ports::ClaimEnded{Event.m_Request,
-                                         Abandoned->second.m_KeyHash,
-                                         model::ClaimState::Released, 0, ""});
-    m_AbandonedClaims.erase(Abandoned);
-    return;
-  }
-  auto Found = m_Live.find(Event.m_Request);
-  if (Found == m_Live.end() ||
-      Found->second.m_Phase != RequestPhase::AwaitingClaim) {
-    ++m_Counts.m_StaleDropped;
-    return;
-  }
-  LiveRequest &Live = Found->second;
-  Live.m_Phase = RequestPhase::Queued;
-  switch (Event.m_Kind) {
-  case ports::ClaimVerdictKind::Granted:
-    Live.m_Claimed = true;
-    place(Live);
-    return;
-  case ports::ClaimVerdictKind::Done:
-    m_Out->push_back(
-        ReplayAnswer{Event.m_Request, Event.m_Status, Event.m_Answer});
-    ++m_Counts.m_Answered;
-    forget(Live);
-    return;
-  case ports::ClaimVerdictKind::Pending:
-    refuse(Live,
-           {model::RefusalReason::ClaimPending, model::RunState::Unknown,
-            "another run of this key has no known outcome yet", ShortRetry});
-    return;
-  case ports::ClaimVerdictKind::Mismatch:
-    refuse(Live, notRun(model::RefusalReason::KeyMismatch,
-                        "the key was used for another request"));
-    return;
-  case ports::ClaimVerdictKind::Unavailable:
-  case ports::ClaimVerdictKind::NotOwner:
-    refuse(Live, notRun(model::RefusalReason::ClaimStoreDown,
-                        "the claim could not be recorded", ShortRetry));
-    return;
-  }
-}
-
 void TrafficCore::on(const CallerGone &Event) {
   auto Found = m_Live.find(Event.m_Request);
   if (Found == m_Live.end() || Found->second.m_Answered)
@@ -208,6 +148,11 @@
   m_ByIndex.clear();
   for (const TableEndpoint &Each : m_Table->endpoints())
     m_ByIndex.push_back(&record(Each.m_Spec->m_Name));
+  for (const TableEndpoint &Each : m_Table->endpoints())
+    noteLiveness(Each);
+  std::erase_if(m_AvoidedNodes, [this](const auto &Avoided) {
+    return Avoided.second <= m_Now;
+  });
   for (auto It = m_Endpoints.begin(); It != m_Endpoints.end();) {
     bool Declared = m_Table->findEndpoint(It->first) != nullptr;
     if (Declared || It->second.m_View.inFlight() > 0)
@@ -223,6 +168,18 @@
   }
 }
 
+void TrafficCore::noteLiveness(const TableEndpoint &Endpoint) {
+  EndpointRecord &Record = record(Endpoint.m_Spec->m_Name);
+  bool Gone = Endpoint.m_Liveness == model::Liveness::Gone;
+  if (Gone && !Record.m_Gone) {
+    // Another process comes back under this name, with an empty cache.
+    Record.m_View.reset();
+    Record.m_CacheSequence = 0;
+    m_Prefixes.forget(Record.m_Tag);
+  }
+  Record.m_Gone = Gone;
+}
+
 void TrafficCore::on(const LoadSeen &Event) {
   if (m_Table && m_Table->findEndpoint(Event.m_Endpoint))
     record(Event.m_Endpoint).m_View.reported(Event.m_Load, Event.m_MadeAt);
@@ -299,6 +256,14 @@
                   "the claim was not recorded inside the window", ShortRetry));
     return;
   }
+  const TableCopies *Copies = copiesOf(Live.m_Lane);
+  bool NoCopy = Copies == nullptr || Copies->m_Serving.empty();
+  if (Live.m_Phase == RequestPhase::Queued && NoCopy) {
+    refuse(Live, notRun(model::RefusalReason::NoCopyAnswers,
+                        "no copy answered while the window could be met",
+                        Copies ? Copies->m_LoadTime : ShortRetry));
+    return;
+  }
   if (Live.m_Phase == RequestPhase::Queued) {
     refuse(Live, {model::RefusalReason::WindowTooShort, model::RunState::NotRun,
                   "no endpoint had room while the window could be met",
@@ -357,14 +322,6 @@
   m_Out->push_back(RefuseRequest{Live.m_Request.m_Id, Refusal});
 }
 
-void TrafficCore::releaseClaim(LiveRequest &Live) {
-  if (!Live.m_Claimed || Live.m_MayHaveRun)
-    return;
-  Live.m_Claimed = false;
-  m_Out->push_back(ports::ClaimEnded{Live.m_Request.m_Id, Live.m_KeyHash,
-                                     model::ClaimState::Released, 0, ""});
-}
-
 void TrafficCore::forget(LiveRequest &Live) {
   leaveQueue(Live);
   if (Live.m_Metered)
--- a/Source/Core/Routing/TrafficCore.h
+++ b/Source/Core/Routing/TrafficCore.h
@@ -82,6 +82,7 @@
     EndpointTag m_Tag = 0;
     uint64_t m_CacheSequence = 0;
     bool m_ToldRefused = false;
+    bool m_Gone = false;
   };
   /// Sizes of a lane's answers, to predict the next one's.
   struct LaneStats {
@@ -103,29 +104,32 @@
   };
   using LiveMap = std::unordered_map<model::RequestId, LiveRequest>;
 
-  // TrafficCore.cpp: arrivals, claims, timers, final answers.
+  // TrafficCore.cpp: arrivals, timers, final answers.
   void on(const RequestArrived &Event);
   void on(const CallerGone &Event);
   void on(const TableChanged &Event);
   void on(const LoadSeen &Event);
   void on(const CacheSeen &Event);
-  void on(const ports::ClaimVerdict &Event);
   void on(const ports::UsageSeen &Event);
   void on(const TrafficTick &Event);
   void on(const TrafficStopWanted &Event);
+  void noteLiveness(const TableEndpoint &Endpoint);
   std::optional<model::Refusal> resolve(LiveRequest &Live);
   std::optional<model::Refusal> resolveModel(LiveRequest &Live);
-  bool needsClaim(const LiveRequest &Live) const;
   void setDue(LiveRequest &Live, model::TimePoint When);
   void runTimers();
   void timerDue(LiveRequest &Live);
   void report();
   void refuse(LiveRequest &Live, model::Refusal Refusal);
   void refuseUnknown(const LiveRequest &Live, const model::Refusal &Refusal);
-  void releaseClaim(LiveRequest &Live);
   void forget(LiveRequest &Live);
   void noteEmpty();
 
+  // TrafficClaims.cpp: the right to run what must not run twice.
+  void on(const ports::ClaimVerdict &Event);
+  bool needsClaim(const LiveRequest &Live) const;
+  void releaseClaim(LiveRequest &Live);
+
   // TrafficAttempts.cpp: attempts and streams.
   void on(const AttemptHead &Event);
   void on(const AttemptChunk &Event);
@@ -138,6 +142,7 @@
   void endWhole(LiveRequest &Live, const AttemptEnded &Event);
   void endNotRun(LiveRequest &Live, bool Refused);
   void endBroken(LiveRequest &Live);
+  void refuseBroken(LiveRequest &Live);
   bool mayRetry(const LiveRequest &Live);
   void retry(LiveRequest &Live);
   void resume(LiveRequest &Live, const TableEndpoint &Endpoint);
@@ -160,6 +165,8 @@
   Choice noCandidate(const LiveRequest &Live, const TableCopies &Copies);
   void place(LiveRequest &Live);
   void enqueue(LiveRequest &Live, double Service);
+  bool push(const LiveRequest &Live);
+  void refuseFull(LiveRequest &Live);
   void leaveQueue(LiveRequest &Live);
   void dispatchWaiting();
   bool dispatchFrom(const LaneKey &Lane, model::Priority Class);
--- a/Source/UnitTests/Routing/AdmissionTest.cpp
+++ b/Source/UnitTests/Routing/AdmissionTest.cpp
@@ -132,6 +132,22 @@
   CHECK(Core.last<RefuseRequest>() != nullptr);
 }
 
+TEST_CASE("a batch request gives up its place in a full queue") {
+  TrafficSettings Settings;
+  Settings.m_QueueRequests = 2;
+  TrafficFixture Core(smallInputs(1, 0), Settings);
+  uint64_t NextId = 1;
+  fill(Core, NextId);
+  model::Request Batch = Core.modelRequest(800);
+  Batch.m_Priority = model::Priority::Batch;
+  Core.send(RequestArrived{Batch});
+  Core.send(RequestArrived{Core.modelRequest(801)});
+  REQUIRE(Core.last<RefuseRequest>() != nullptr);
+  CHECK(Core.last<RefuseRequest>()->m_Request.m_Value == 800);
+  CHECK((Core.last<RefuseRequest>()->m_Refusal.m_RunState ==
+         model::RunState::NotRun));
+}
+
 TEST_CASE("an endpoint that refuses connections gets nothing new until it is "
           "tried again, one request at a time") {
   TrafficFixture Core(smallInputs(2, 0));
