--- a/Source/Benchmarks/Routing/RoutingBenchmark.cpp
+++ b/Source/Benchmarks/Routing/RoutingBenchmark.cpp
@@ -6,7 +6,10 @@
 
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
+#include <numeric>
 #include <random>
+#include <set>
 
 namespace bronzepass::benchmarks::routing {
 
@@ -165,6 +168,40 @@
 }
 BENCHMARK(rebuildTable)->Unit(benchmark::kMillisecond);
 
+/// How many engines a node drives, and how often a model's request lands on a
+/// node that drives none of its copies.
+void driverSpread(benchmark::State &State) {
+  RoutingInputs Inputs = largeInputs(Engines, Models);
+  std::shared_ptr<const RoutingTable> Table = RoutingTable::build(Inputs);
+  std::vector<uint32_t> Driven(Nodes);
+  uint64_t Hops = 0;
+  for (auto _ : State) {
+    std::fill(Driven.begin(), Driven.end(), 0);
+    Hops = 0;
+    for (const TableEndpoint &Endpoint : Table->endpoints()) {
+      for (uint32_t Node : Endpoint.m_Drivers)
+        ++Driven[Node];
+    }
+    for (const model::ModelSpec &Spec : Inputs.m_Intent->m_Models) {
+      const TableModel *Model = Table->findModel(Spec.m_Name);
+      std::set<uint32_t> Drivers;
+      for (EndpointIndex Index : Model->m_Versions[0].m_Copies.m_Serving) {
+        const TableEndpoint &Endpoint = Table->endpoints()[Index];
+        Drivers.insert(Endpoint.m_Drivers.begin(), Endpoint.m_Drivers.end());
+      }
+      Hops += Nodes - Drivers.size();
+    }
+  }
+  State.counters["driven_mean"] =
+      static_cast<double>(std::accumulate(Driven.begin(), Driven.end(), 0U)) /
+      Nodes;
+  State.counters["driven_max"] =
+      *std::max_element(Driven.begin(), Driven.end());
+  State.counters["hop_share"] =
+      static_cast<double>(Hops) / (static_cast<double>(Nodes) * Models);
+}
+BENCHMARK(driverSpread)->Unit(benchmark::kMillisecond);
+
 int64_t tableBytes(uint32_t EngineCount, uint32_t ModelCount) {
   RoutingInputs Inputs = largeInputs(EngineCount, ModelCount);
   int64_t Before = allocatedBytes();
