--- a/Source/Core/Placement/PoolState.cpp
+++ b/Source/Core/Placement/PoolState.cpp
@@ -46,10 +46,12 @@
     return false;
   const EntryState *State = entry(Engine, Artifact);
   if (!State || !State->isLoad() || !State->m_Reported ||
-      State->m_State != model::CopyState::Serving || State->doubtsUnload())
+      State->m_State != model::CopyState::Serving ||
+      State->doubts(model::OrderKind::Unload))
     return false;
-  return Now <=
-         m_Engines[Engine].m_Book.reportedAt() + m_Settings.m_ReportFreshness;
+  const LedgerBook &Book = m_Engines[Engine].m_Book;
+  return !Book.mayHaveRestarted() &&
+         Now <= Book.reportedAt() + m_Settings.m_ReportFreshness;
 }
 
 uint32_t PoolState::answeringCopies(const model::ArtifactId &Artifact,
@@ -88,21 +90,27 @@
     const uint32_t Others = answeringCopies(Artifact, Now, Engine);
     return Others >= Spec->m_MinCopies;
   }
-  if (Artifact.isAdapter() || (Spec && Spec->m_Retired))
+  if (Spec && (Artifact.isAdapter() || Spec->m_Retired))
     return true;
-  // A version that left the intent: another version has to answer before.
-  bool ModelDeclared = false;
+  return successorAnswers(Artifact, Now);
+}
+
+bool PoolState::successorAnswers(const model::ArtifactId &Artifact,
+                                 model::TimePoint Now) const {
+  bool Declared = false;
   auto First = m_Catalog->groups().lower_bound({Artifact.m_Model, {}, {}});
   for (auto It = First;
        It != m_Catalog->groups().end() && It->first.m_Model == Artifact.m_Model;
        ++It) {
-    if (It->second.m_Retired)
+    model::ArtifactId Successor = It->first;
+    Successor.m_Adapter = Artifact.m_Adapter;
+    if (!m_Catalog->declares(Successor))
       continue;
-    ModelDeclared = true;
-    if (answeringCopies(It->first, Now) > 0 || answersElsewhere(It->first, Now))
+    Declared = true;
+    if (answeringCopies(Successor, Now) > 0 || answersElsewhere(Successor, Now))
       return true;
   }
-  return !ModelDeclared;
+  return !Declared;
 }
 
 void PoolState::reindex(EngineIndex Engine) {
