Routing: Look at the queue only where room may have come

Every event walked through all waiting lanes, also the pieces of answers, which are by far the most events and never make room. Now an ended attempt, a load report, a new table, a tick or a new waiting request does.

--- a/Source/Core/Routing/TrafficAttempts.cpp
+++ b/Source/Core/Routing/TrafficAttempts.cpp
@@ -103,6 +103,7 @@
     return;
   m_Attempts.erase(Live.m_Attempt);
   record(Live.m_Endpoint).m_View.finished(m_Now);
+  m_MayHaveRoom = true;
   if (!Live.m_Request.m_Forwarded)
     m_Demand.usedSlot(Live.m_Lane.m_Artifact, m_Now - Live.m_AttemptAt);
   Live.m_Attempt = model::AttemptId();
@@ -123,6 +124,7 @@
   EndpointRecord &Record = record(Live->m_Endpoint);
   if (Event.m_Load)
     Record.m_View.reported(*Event.m_Load, m_Now);
+  m_MayHaveRoom |= Event.m_Load.has_value();
   if (Live->m_HeadSeen) {
     ++m_Counts.m_StaleDropped;
     return;
--- a/Source/Core/Routing/TrafficChoice.cpp
+++ b/Source/Core/Routing/TrafficChoice.cpp
@@ -271,6 +271,7 @@
     refuseFull(Live);
     return;
   }
+  m_MayHaveRoom = true;
   m_Demand.waits(Live.m_Lane.m_Artifact);
   setDue(Live, std::max(m_Now, Request.m_Deadline - fromSeconds(Service)));
 }
--- a/Source/Core/Routing/TrafficCore.cpp
+++ b/Source/Core/Routing/TrafficCore.cpp
@@ -27,7 +27,9 @@
   m_Out = &Out;
   std::visit([this](const auto &Each) { on(Each); }, Event);
   runTimers();
-  dispatchWaiting();
+  if (m_MayHaveRoom)
+    dispatchWaiting();
+  m_MayHaveRoom = false;
   noteEmpty();
   m_Out = nullptr;
 }
@@ -145,6 +147,7 @@
 
 void TrafficCore::on(const TableChanged &Event) {
   m_Table = Event.m_Table;
+  m_MayHaveRoom = true;
   m_ByIndex.clear();
   for (const TableEndpoint &Each : m_Table->endpoints())
     m_ByIndex.push_back(&record(Each.m_Spec->m_Name));
@@ -181,8 +184,10 @@
 }
 
 void TrafficCore::on(const LoadSeen &Event) {
-  if (m_Table && m_Table->findEndpoint(Event.m_Endpoint))
-    record(Event.m_Endpoint).m_View.reported(Event.m_Load, Event.m_MadeAt);
+  if (!m_Table || !m_Table->findEndpoint(Event.m_Endpoint))
+    return;
+  record(Event.m_Endpoint).m_View.reported(Event.m_Load, Event.m_MadeAt);
+  m_MayHaveRoom = true;
 }
 
 void TrafficCore::on(const CacheSeen &Event) {
@@ -205,6 +210,7 @@
 }
 
 void TrafficCore::on(const TrafficTick & /*Event*/) {
+  m_MayHaveRoom = true;
   for (auto It = m_AbandonedClaims.begin(); It != m_AbandonedClaims.end();) {
     // Without a verdict the claim stays taken, which is the safe side.
     if (It->second.m_Expires <= m_Now)
--- a/Source/Core/Routing/TrafficCore.h
+++ b/Source/Core/Routing/TrafficCore.h
@@ -208,6 +208,9 @@
   LiveRequest m_Preview;
 
   WaitQueue m_Queue;
+  // Something has happened since the last dispatch that may make room; pieces
+  // of answers, by far the most events, don't.
+  bool m_MayHaveRoom = false;
   CallerLimiter m_Limiter;
   DemandMeter m_Demand;
   RetryBudget m_Retries;
