Routing: Blame the node and not the endpoint where a hop fails

A forwarded request whose node broke counted as the endpoint's failure, and the next try could go to the same node; a node that declined was left alone for all requests.

--- a/Source/Core/Routing/TrafficAttempts.cpp
+++ b/Source/Core/Routing/TrafficAttempts.cpp
@@ -214,12 +214,26 @@
     endNotRun(*Live, false);
     return;
   case AttemptEnd::Broken:
-    record(Live->m_Endpoint).m_View.failed(false, m_Now);
+    noteFailed(*Live, false);
     endBroken(*Live);
     return;
   }
 }
 
+void TrafficCore::noteFailed(const LiveRequest &Live, bool Refused) {
+  // A node that fails says nothing of the endpoint behind it.
+  if (!Live.m_ToNode.empty()) {
+    m_AvoidedNodes[Live.m_ToNode] = m_Now + m_Settings.m_EjectTime;
+    return;
+  }
+  EndpointRecord &Record = record(Live.m_Endpoint);
+  Record.m_View.failed(Refused, m_Now);
+  if (!Refused)
+    return;
+  Record.m_ToldRefused = true;
+  m_Out->push_back(ports::EndpointSeen{Live.m_Endpoint, true});
+}
+
 void TrafficCore::endWhole(LiveRequest &Live, const AttemptEnded &Event) {
   noteAnswered(Live);
   if (Live.m_Claimed)
@@ -267,14 +281,11 @@
 }
 
 void TrafficCore::endNotRun(LiveRequest &Live, bool Refused) {
-  EndpointRecord &Record = record(Live.m_Endpoint);
-  if (!Live.m_ToNode.empty()) {
-    m_AvoidedNodes[Live.m_ToNode] = m_Now + m_Settings.m_EjectTime;
-  } else if (Refused) {
-    Record.m_View.failed(true, m_Now);
-    Record.m_ToldRefused = true;
-    m_Out->push_back(ports::EndpointSeen{Live.m_Endpoint, true});
-  }
+  if (Refused)
+    noteFailed(Live, true);
+  // A node that declines speaks for the endpoint: it is full, or too slow.
+  else if (!Live.m_ToNode.empty())
+    Live.m_Tried.push_back(Live.m_Endpoint);
   // What is proven not to have run may be tried again whatever it is, but a
   // stream that has begun can't start anew.
   bool Allowed = Live.m_Tries < m_Settings.m_MaxAttempts &&
@@ -330,7 +341,6 @@
 
 void TrafficCore::retry(LiveRequest &Live) {
   ++m_Counts.m_Retries;
-  // A node that failed to take it says nothing of the endpoint behind it.
   if (Live.m_ToNode.empty())
     Live.m_Tried.push_back(Live.m_Endpoint);
   Live.m_Phase = RequestPhase::Queued;
--- a/Source/Core/Routing/TrafficCore.h
+++ b/Source/Core/Routing/TrafficCore.h
@@ -138,6 +138,7 @@
   void start(LiveRequest &Live, const Candidate &Chosen);
   const model::NodeInfo *chooseDriver(const TableEndpoint &Endpoint);
   void endAttempt(LiveRequest &Live);
+  void noteFailed(const LiveRequest &Live, bool Refused);
   void cancelAttempt(LiveRequest &Live);
   void endWhole(LiveRequest &Live, const AttemptEnded &Event);
   void endNotRun(LiveRequest &Live, bool Refused);
--- a/Source/UnitTests/Routing/AdmissionTest.cpp
+++ b/Source/UnitTests/Routing/AdmissionTest.cpp
@@ -241,6 +241,10 @@
   REQUIRE(Core.last<StartAttempt>() != nullptr);
   CHECK(Core.last<StartAttempt>()->m_ToNode);
   CHECK(Core.last<StartAttempt>()->m_Address != First);
+  // A node that breaks is left alone as well, and its endpoint not blamed.
+  Core.send(AttemptEnded{Core.started(), AttemptEnd::Broken, 0, ""});
+  REQUIRE(Core.last<StartAttempt>() != nullptr);
+  CHECK_FALSE(Core.last<StartAttempt>()->m_ToNode);
   model::Request Forwarded = Core.modelRequest(2);
   Forwarded.m_Forwarded = true;
   Core.send(RequestArrived{Forwarded});
