Claims: Set old claims aside in segments, so that a commit writes little

One object of at most 1 MB held a shard's claims of 24 hours: some 5,000 claims a shard, 4 a second over all, and every commit wrote them all again.

Past 128 KB the owner writes its claims to a segment, an object that never changes, and names it in the shard's object by the next commit; an owner that takes over loads the segments before it answers. Segments expire whole. ShardObject now holds the calls and the fence, ClaimHistory the claims; ClaimShard keeps what waits. A shard may make three writes in a row after a rest, since an outcome's write else kept the next claim waiting; waiting asks are judged again only when the state or the time has changed.

Not seen to fail: a segment kept over another state, since its commit follows at once.

--- a/Source/Core/Adapters/Codec/ModelFields.h
+++ b/Source/Core/Adapters/Codec/ModelFields.h
@@ -124,6 +124,14 @@
   }
 };
 
+template <> struct Fields<model::ClaimSegment> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("epoch", Value.m_Epoch);
+    Visitor.required("number", Value.m_Number);
+    Visitor.required("newestTakenAtMicros", Value.m_NewestTakenAt);
+  }
+};
+
 template <> struct Fields<model::ClaimShardRecord> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("shard", Value.m_Shard);
@@ -131,6 +139,7 @@
     Visitor.required("writer", Value.m_Writer);
     Visitor.required("epoch", Value.m_Epoch);
     Visitor.required("sequence", Value.m_Sequence);
+    Visitor.optional("segments", Value.m_Segments);
     Visitor.required("claims", Value.m_Claims);
   }
 };
--- a/Source/Core/Claims/ClaimAsks.cpp
+++ b/Source/Core/Claims/ClaimAsks.cpp
@@ -3,6 +3,7 @@
 #include "Core/Leases/CircuitBreaker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bronzepass::core::claims {
 
@@ -16,6 +17,9 @@
 /// nodes that point at each other do not keep the link busy.
 constexpr uint32_t PromptRedirects = 3;
 
+/// Resends and time-outs are looked for at most this often, whatever comes in.
+constexpr model::Duration ScanPeriod = std::chrono::milliseconds(10);
+
 } // namespace
 
 void ClaimAsks::onWanted(const ports::ClaimWanted &Wanted, model::TimePoint Now,
@@ -39,7 +43,7 @@
   Ask.m_Deadline = Deadline;
   m_AskOf[Wanted.m_Request] = ++m_LastAskId;
   m_Asks.emplace(m_LastAskId, Ask);
-  wakeAt(Now);
+  m_NewAsks.push_back(m_LastAskId);
 }
 
 void ClaimAsks::onEnded(const ports::ClaimEnded &Ended, model::TimePoint Now) {
@@ -187,34 +191,51 @@
 
 void ClaimAsks::advance(const ShardCandidates &Candidates, model::TimePoint Now,
                         Sends &ToOwners, ports::EffectList &Out) {
-  if (Now < m_WakeAt)
+  sendNew(Candidates, Now, ToOwners);
+  if (Now < m_WakeAt || Now < m_NextScanAt)
     return;
   m_WakeAt = model::TimePoint::max();
+  m_NextScanAt = Now + ScanPeriod;
   expireAsks(Now, Out);
   expireDormant(Now);
   sendAsks(Candidates, Now, ToOwners);
   sendOutcomes(Candidates, Now, ToOwners);
 }
 
+void ClaimAsks::sendNew(const ShardCandidates &Candidates, model::TimePoint Now,
+                        Sends &ToOwners) {
+  for (const uint64_t AskId : std::exchange(m_NewAsks, {})) {
+    auto Ask = m_Asks.find(AskId);
+    if (Ask != m_Asks.end())
+      sendAsk(*Ask, Candidates, Now, ToOwners);
+  }
+}
+
+void ClaimAsks::sendAsk(AskMap::value_type &Entry,
+                        const ShardCandidates &Candidates, model::TimePoint Now,
+                        Sends &ToOwners) {
+  OpenAsk &Ask = Entry.second;
+  wakeAt(Ask.m_Deadline);
+  ports::ClaimAsk Message;
+  const model::NodeId To =
+      target(Ask.m_Delivery, Candidates, Message.m_Rank, Now);
+  scheduleResend(Ask.m_Delivery, Now);
+  if (To.empty())
+    return;
+  Message.m_AskId = Entry.first;
+  Message.m_KeyHash = Ask.m_Delivery.m_KeyHash;
+  Message.m_BodyHash = Ask.m_BodyHash;
+  Message.m_WindowMicros =
+      static_cast<uint64_t>((Ask.m_Deadline - Now).count());
+  ToOwners.push_back({To, Message});
+}
+
 void ClaimAsks::sendAsks(const ShardCandidates &Candidates,
                          model::TimePoint Now, Sends &ToOwners) {
-  for (auto &Entry : m_Asks) {
-    OpenAsk &Ask = Entry.second;
-    wakeAt(Ask.m_Deadline);
-    if (!isDue(Ask.m_Delivery, Now))
-      continue;
-    ports::ClaimAsk Message;
-    const model::NodeId To =
-        target(Ask.m_Delivery, Candidates, Message.m_Rank, Now);
-    scheduleResend(Ask.m_Delivery, Now);
-    if (To.empty())
-      continue;
-    Message.m_AskId = Entry.first;
-    Message.m_KeyHash = Ask.m_Delivery.m_KeyHash;
-    Message.m_BodyHash = Ask.m_BodyHash;
-    Message.m_WindowMicros =
-        static_cast<uint64_t>((Ask.m_Deadline - Now).count());
-    ToOwners.push_back({To, Message});
+  for (AskMap::value_type &Entry : m_Asks) {
+    wakeAt(Entry.second.m_Deadline);
+    if (isDue(Entry.second.m_Delivery, Now))
+      sendAsk(Entry, Candidates, Now, ToOwners);
   }
 }
 
--- a/Source/Core/Claims/ClaimAsks.h
+++ b/Source/Core/Claims/ClaimAsks.h
@@ -99,6 +99,10 @@
   /// The outcome that is missed least: one not sent, else a release, else the
   /// oldest.
   OutcomeMap::iterator leastMissed();
+  void sendNew(const ShardCandidates &Candidates, model::TimePoint Now,
+               Sends &ToOwners);
+  void sendAsk(AskMap::value_type &Entry, const ShardCandidates &Candidates,
+               model::TimePoint Now, Sends &ToOwners);
   void sendAsks(const ShardCandidates &Candidates, model::TimePoint Now,
                 Sends &ToOwners);
   void sendOutcomes(const ShardCandidates &Candidates, model::TimePoint Now,
@@ -120,8 +124,11 @@
   OutcomeMap m_Outcomes;
   std::map<model::RequestId, uint64_t> m_AskOf;
   std::map<model::RequestId, Run> m_Running;
-  /// Before this, advance() has nothing to do.
+  /// Not yet sent for the first time.
+  std::vector<uint64_t> m_NewAsks;
+  /// Before this, advance() has nothing to do but to send m_NewAsks.
   model::TimePoint m_WakeAt = model::TimePoint::max();
+  model::TimePoint m_NextScanAt;
   ClaimCounts m_Counts;
 };
 
--- a/Source/Core/Claims/ClaimSettings.h
+++ b/Source/Core/Claims/ClaimSettings.h
@@ -17,6 +17,8 @@
   /// Conditional updates that all owners together make at most; each shard
   /// gets an equal share of it.
   double m_FleetWritesPerSecond = 150;
+  /// Writes that a shard may make at once after it has rested.
+  int m_CommitBurst = 3;
   /// How long an outcome waits for other changes of its shard to be written
   /// with.
   model::Duration m_OutcomeDelay = std::chrono::milliseconds(200);
@@ -43,7 +45,15 @@
   /// How long an ask that was given up is remembered, to release a late grant.
   model::Duration m_AbandonedFor = std::chrono::seconds(60);
 
-  /// Encoded size of one shard's object; the platform holds values up to 1 MB.
+  /// Encoded claims in a shard's own object past which they are set aside in a
+  /// segment, so that each commit writes little.
+  size_t m_SealBytes = 128'000;
+  /// Segments of one shard; past them its own object fills up.
+  size_t m_MaxSegments = 100;
+  /// After a segment could not be written, the next try waits this long.
+  model::Duration m_SealRetry = std::chrono::seconds(10);
+  /// Encoded claims in a shard's own object past which claims are refused; the
+  /// platform holds values up to 1 MB.
   size_t m_MaxShardBytes = 900'000;
   /// From here on answers are no longer kept, claims still are.
   size_t m_AnswerShardBytes = 600'000;
@@ -55,7 +65,7 @@
   size_t m_MaxOpenAsks = 10'000;
   size_t m_MaxOpenOutcomes = 2'000;
 
-  /// Least time between two writes of one shard.
+  /// Time between two writes of one shard, on average.
   model::Duration commitSpacing() const {
     const double Seconds = m_ShardCount / m_FleetWritesPerSecond;
     return model::Duration(static_cast<int64_t>(Seconds * 1e6));
--- a/Source/Core/Claims/ClaimShard.cpp
+++ b/Source/Core/Claims/ClaimShard.cpp
@@ -1,7 +1,5 @@
 #include "Core/Claims/ClaimShard.h"
 
-#include "Core/Leases/CircuitBreaker.h"
-
 #include <algorithm>
 
 namespace bronzepass::core::claims {
@@ -9,18 +7,9 @@
 using model::ClaimState;
 using ports::ClaimReply;
 using ports::ClaimVerdictKind;
-using ports::StoreStatus;
-using ports::StoreVerb;
 
 namespace {
 
-ports::ObjectKey keyOf(uint32_t Shard) {
-  std::string Digits = std::to_string(Shard);
-  if (Digits.size() < 4)
-    Digits.insert(0, 4 - Digits.size(), '0');
-  return {ports::ObjectKind::ClaimShard, "shard-" + Digits};
-}
-
 ClaimReply replyTo(const WaitingAsk &Ask, ClaimVerdictKind Verdict) {
   return {.m_AskId = Ask.m_Ask.m_AskId, .m_Verdict = Verdict};
 }
@@ -35,25 +24,30 @@
   return Claim.m_AskId == Ask.m_AskId && Claim.m_Runner == Ask.m_Runner;
 }
 
+/// Removes those of \p Waiting that \p Answer says are answered; the first
+/// \p Judged of them were judged before.
+template <typename T, typename Answerer>
+void judge(std::vector<T> &Waiting, size_t &Judged, Answerer Answer) {
+  const auto First = Waiting.begin() + std::min(Judged, Waiting.size());
+  Waiting.erase(std::remove_if(First, Waiting.end(), Answer), Waiting.end());
+  Judged = Waiting.size();
+}
+
 } // namespace
 
 ClaimShard::ClaimShard(uint32_t Shard, const ClaimSettings &Settings,
                        const model::NodeId &Self, ports::Random &Source)
-    : m_Shard(Shard), m_Settings(Settings), m_Self(Self), m_Random(Source),
-      m_Key(keyOf(Shard)) {}
+    : m_Settings(Settings), m_Object(Shard, Settings, Self, Source) {}
 
-bool ClaimShard::isIdle() const { return !hasWork() && !isCalling(); }
+bool ClaimShard::isIdle() const { return !hasWork() && !m_Object.isCalling(); }
 
 bool ClaimShard::isFresh(model::TimePoint Now) const {
-  return Now - m_VerifiedAt <= m_Settings.m_FreshFor;
+  return Now - m_Object.verifiedAt() <= m_Settings.m_FreshFor;
 }
 
 const model::ClaimRecord *ClaimShard::findCurrent(uint64_t KeyHash,
                                                   model::TimePoint Now) const {
-  const model::ClaimRecord *Claim = m_Table.find(KeyHash);
-  if (Claim && Claim->m_TakenAt + m_Settings.m_Expiry < Now)
-    return nullptr;
-  return Claim;
+  return m_Object.history().find(KeyHash, Now - m_Settings.m_Expiry);
 }
 
 void ClaimShard::addAsk(const WaitingAsk &Ask, model::TimePoint Now,
@@ -79,6 +73,7 @@
   if (Outcome.m_State == ClaimState::Claimed)
     return;
   m_LastUsedAt = Now;
+  m_JudgedAsks = 0;
   std::erase_if(m_Asks, [&Outcome](const WaitingAsk &Ask) {
     return Ask.m_Ask == Outcome.m_Ask;
   });
@@ -91,25 +86,32 @@
 
 void ClaimShard::advance(model::TimePoint Now, const LivePredicate &IsLive,
                          ShardOutput &Out) {
-  if (m_Foreign)
+  if (m_Object.isForeign())
     refuseAll(Out);
   dropLateAsks(Now, Out);
-  if (!hasWork() || isCalling())
+  if (m_Object.isCalling() || (!hasWork() && !m_Object.isSealed()))
     return;
   m_LastUsedAt = Now;
-  if (m_Phase == Phase::Known) {
-    m_ReadWanted = false;
+  m_ReadWanted = false;
+  if (m_Object.isKnown()) {
     answerAsks(Now, IsLive, Out);
     answerOutcomes(Out);
-    if (isWriteDue(Now))
-      startWrite(Now, Out);
   }
-  const bool Read =
-      m_Phase == Phase::Unread || (m_Phase == Phase::Known && m_ReadWanted);
-  if (Read && hasWork() && Now >= m_RetryAt) {
-    m_CallStartedAt = Now;
-    startRead(Out);
+  if (m_Object.mayCall(Now))
+    startCall(Now, Out);
+}
+
+void ClaimShard::startCall(model::TimePoint Now, ShardOutput &Out) {
+  if (m_Object.isKnown()) {
+    if (m_Object.isSealDue(Now))
+      Out.m_Call = m_Object.seal();
+    else if (m_Object.isSealed() || isCommitDue(Now))
+      startCommit(Now, Out);
   }
+  if (Out.m_Call || !hasWork())
+    return;
+  if (!m_Object.isKnown() || m_ReadWanted)
+    Out.m_Call = m_Object.read(Now);
 }
 
 void ClaimShard::refuseAll(ShardOutput &Out) {
@@ -121,11 +123,12 @@
 }
 
 void ClaimShard::dropLateAsks(model::TimePoint Now, ShardOutput &Out) {
-  std::erase_if(m_Asks, [&](const WaitingAsk &Ask) {
+  const size_t Dropped = std::erase_if(m_Asks, [&](const WaitingAsk &Ask) {
     if (Now < Ask.m_Until)
       return false;
     // Its grant is sent all the same: the asker will release it.
-    if (m_Phase == Phase::Known && m_Table.isHeldBy(Ask.m_KeyHash, Ask.m_Ask))
+    if (m_Object.isKnown() &&
+        m_Object.history().isHeldBy(Ask.m_KeyHash, Ask.m_Ask))
       return false;
     // While its claim may yet be written, only the asker can give it up.
     if (!Ask.m_MayBeWritten)
@@ -133,11 +136,13 @@
           {Ask.m_Ask.m_Runner, replyTo(Ask, ClaimVerdictKind::Unavailable)});
     return true;
   });
+  if (Dropped > 0)
+    m_JudgedAsks = 0;
 }
 
 void ClaimShard::answerAsks(model::TimePoint Now, const LivePredicate &IsLive,
                             ShardOutput &Out) {
-  std::erase_if(m_Asks, [&](const WaitingAsk &Ask) {
+  judge(m_Asks, m_JudgedAsks, [&](const WaitingAsk &Ask) {
     const std::optional<ClaimReply> Reply = verdictOf(Ask, Now, IsLive);
     if (Reply)
       Out.m_Replies.push_back({Ask.m_Ask.m_Runner, *Reply});
@@ -151,7 +156,7 @@
   const model::ClaimRecord *Claim = findCurrent(Ask.m_KeyHash, Now);
   if (!Claim)
     return std::nullopt;
-  if (m_Table.isHeldBy(Ask.m_KeyHash, Ask.m_Ask))
+  if (m_Object.history().isHeldBy(Ask.m_KeyHash, Ask.m_Ask))
     return replyTo(Ask, ClaimVerdictKind::Granted);
   const bool Same = Claim->m_BodyHash == Ask.m_BodyHash;
   if (Same && Claim->m_State == ClaimState::Done) {
@@ -173,7 +178,7 @@
 }
 
 void ClaimShard::answerOutcomes(ShardOutput &Out) {
-  std::erase_if(m_Outcomes, [&](const WaitingOutcome &Outcome) {
+  judge(m_Outcomes, m_JudgedOutcomes, [&](const WaitingOutcome &Outcome) {
     const std::optional<ClaimReply> Reply = verdictOf(Outcome);
     if (Reply)
       Out.m_Replies.push_back({Outcome.m_Ask.m_Runner, *Reply});
@@ -182,231 +187,101 @@
 }
 
 std::optional<ClaimReply> ClaimShard::verdictOf(const WaitingOutcome &Outcome) {
-  if (m_Table.isHeldBy(Outcome.m_KeyHash, Outcome.m_Ask))
+  const ClaimHistory &History = m_Object.history();
+  if (History.isHeldBy(Outcome.m_KeyHash, Outcome.m_Ask))
     return std::nullopt;
-  const model::ClaimRecord *Claim = m_Table.find(Outcome.m_KeyHash);
+  const model::ClaimRecord *Claim =
+      History.find(Outcome.m_KeyHash, model::TimePoint());
   if (Claim && isOf(*Claim, Outcome.m_Ask))
     return replyTo(Outcome, ClaimVerdictKind::Done);
   // That the ask holds nothing is believed only of a state read since, and
   // once no lost write can change it.
-  if (m_VerifiedAt < Outcome.m_ArrivedAt)
-    m_ReadWanted = true;
-  if (m_VerifiedAt < Outcome.m_ArrivedAt || m_LostWrite)
+  const bool Older = m_Object.verifiedAt() < Outcome.m_ArrivedAt;
+  m_ReadWanted = m_ReadWanted || Older;
+  if (Older || m_Object.hasLostWrite())
     return std::nullopt;
   return replyTo(Outcome, ClaimVerdictKind::Unavailable);
 }
 
-bool ClaimShard::isWriteDue(model::TimePoint Now) const {
-  if (Now < m_NextWriteAt || Now < m_RetryAt)
+bool ClaimShard::isCommitDue(model::TimePoint Now) const {
+  if (!m_Object.mayWrite(Now))
     return false;
   for (const WaitingAsk &Ask : m_Asks)
     if (!findCurrent(Ask.m_KeyHash, Now))
       return true;
   for (const WaitingOutcome &Outcome : m_Outcomes) {
-    if (!m_Table.isHeldBy(Outcome.m_KeyHash, Outcome.m_Ask)) {
-      if (m_LostWrite)
-        return true;
-      continue;
-    }
-    if (Now >= Outcome.m_ArrivedAt + m_Settings.m_OutcomeDelay)
+    const bool Holds =
+        m_Object.history().isHeldBy(Outcome.m_KeyHash, Outcome.m_Ask);
+    const bool Waited = Now >= Outcome.m_ArrivedAt + m_Settings.m_OutcomeDelay;
+    if (Holds ? Waited : m_Object.hasLostWrite())
       return true;
   }
   return false;
 }
 
-void ClaimShard::startRead(ShardOutput &Out) {
-  ports::StoreCall Call;
-  Call.m_Verb = StoreVerb::Get;
-  Call.m_Key = m_Key;
-  Call.m_Priority = ports::StorePriority::Claim;
-  Call.m_Timeout = m_Settings.m_StoreTimeout;
-  Out.m_Call = std::move(Call);
-  m_Phase = Phase::Reading;
-}
-
-void ClaimShard::startWrite(model::TimePoint Now, ShardOutput &Out) {
-  m_Draft = m_Table;
+void ClaimShard::startCommit(model::TimePoint Now, ShardOutput &Out) {
+  ClaimHistory Draft = m_Object.makeDraft(Now);
+  const bool Ended = draftOutcomes(Draft);
+  const bool Taken = draftAsks(Draft, Now, Out);
   // A lost write is made harmless by any later one, be it without a change.
-  m_DraftChanged = m_LostWrite;
-  m_Draft.expire(Now - m_Settings.m_Expiry);
-  draftOutcomes();
-  draftAsks(Now, Out);
-  if (!m_DraftChanged)
-    return;
-  m_DraftEpoch = {m_Held ? m_Epoch.m_Value : m_Epoch.m_Value + 1};
-  model::ClaimShardRecord Record;
-  Record.m_Shard = m_Shard;
-  Record.m_ShardCount = m_Settings.m_ShardCount;
-  Record.m_Writer = m_Self;
-  Record.m_Epoch = m_DraftEpoch;
-  Record.m_Sequence = ++m_Sequence;
-  Record.m_Claims = m_Draft.claims();
-  ports::StoreCall Call;
-  Call.m_Verb = m_Version ? StoreVerb::Update : StoreVerb::Create;
-  Call.m_Key = m_Key;
-  Call.m_Expected = m_Version;
-  Call.m_Record = std::move(Record);
-  Call.m_Priority = ports::StorePriority::Claim;
-  Call.m_Timeout = m_Settings.m_StoreTimeout;
-  Out.m_Call = std::move(Call);
-  m_CallStartedAt = Now;
-  m_NextWriteAt = Now + m_Settings.commitSpacing();
-  m_Phase = Phase::Writing;
+  if (Ended || Taken || m_Object.hasLostWrite() || m_Object.isSealed())
+    Out.m_Call = m_Object.commit(std::move(Draft), Now);
+  else
+    m_Object.spendWrite(Now);
 }
 
-void ClaimShard::draftOutcomes() {
+bool ClaimShard::draftOutcomes(ClaimHistory &Draft) {
+  bool Changed = false;
   for (const WaitingOutcome &Outcome : m_Outcomes) {
-    if (!m_Draft.isHeldBy(Outcome.m_KeyHash, Outcome.m_Ask))
+    const uint64_t Key = Outcome.m_KeyHash;
+    if (!Draft.isHeldBy(Key, Outcome.m_Ask))
       continue;
-    m_DraftChanged = true;
-    if (Outcome.m_State == ClaimState::Done)
-      m_Draft.complete(Outcome.m_KeyHash, Outcome.m_Status, Outcome.m_Answer,
-                       m_Settings);
-    else if (Outcome.m_State == ClaimState::Released)
-      m_Draft.release(Outcome.m_KeyHash);
+    const bool Recorded = Outcome.m_State == ClaimState::Done
+                              ? Draft.complete(Key, Outcome.m_Status,
+                                               Outcome.m_Answer, m_Settings)
+                              : Draft.release(Key, m_Settings);
+    Changed = Changed || Recorded;
   }
+  return Changed;
 }
 
-void ClaimShard::draftAsks(model::TimePoint Now, ShardOutput &Out) {
+bool ClaimShard::draftAsks(ClaimHistory &Draft, model::TimePoint Now,
+                           ShardOutput &Out) {
+  bool Changed = false;
+  m_JudgedAsks = 0;
   std::erase_if(m_Asks, [&](WaitingAsk &Ask) {
-    if (m_Draft.find(Ask.m_KeyHash))
+    if (Draft.find(Ask.m_KeyHash, Now - m_Settings.m_Expiry))
       return false;
     const model::ClaimRecord Claim{.m_KeyHash = Ask.m_KeyHash,
                                    .m_BodyHash = Ask.m_BodyHash,
                                    .m_Runner = Ask.m_Ask.m_Runner,
                                    .m_AskId = Ask.m_Ask.m_AskId,
                                    .m_TakenAt = Now};
-    if (m_Draft.take(Claim, m_Settings)) {
+    if (Draft.take(Claim, m_Settings)) {
       Ask.m_MayBeWritten = true;
-      m_DraftChanged = true;
+      Changed = true;
       return false;
     }
-    Out.m_Decisions.push_back(decision("refuse", "the shard's object is full"));
+    Out.m_Decisions.push_back(m_Object.decision("refuse", "the shard is full"));
     if (!Ask.m_MayBeWritten)
       Out.m_Replies.push_back(
           {Ask.m_Ask.m_Runner, replyTo(Ask, ClaimVerdictKind::Unavailable)});
     return true;
   });
+  return Changed;
 }
 
 void ClaimShard::onAnswer(const ports::StoreAnswer &Answer,
                           model::TimePoint Now, ShardOutput &Out) {
-  if (m_Phase == Phase::Reading)
-    onRead(Answer, Now, Out);
-  else if (m_Phase == Phase::Writing)
-    onWritten(Answer, Now, Out);
-}
-
-void ClaimShard::onRead(const ports::StoreAnswer &Answer, model::TimePoint Now,
-                        ShardOutput &Out) {
-  m_Phase = Phase::Unread;
-  if (Answer.m_Status == StoreStatus::Ok && !Answer.m_Objects.empty())
-    adopt(Answer.m_Objects.front(), Out);
-  else if (Answer.m_Status == StoreStatus::NotFound)
-    adoptAbsent();
-  else
-    backOff(Now);
-}
-
-void ClaimShard::onWritten(const ports::StoreAnswer &Answer,
-                           model::TimePoint Now, ShardOutput &Out) {
-  m_Phase = Phase::Unread;
-  switch (Answer.m_Status) {
-  case StoreStatus::Ok:
-    if (Answer.m_Objects.empty())
-      break;
-    m_Version = Answer.m_Objects.front().m_Version;
-    m_Table = std::move(m_Draft);
-    m_Epoch = m_DraftEpoch;
-    m_VerifiedAt = m_CallStartedAt;
-    m_Failures = 0;
-    m_Phase = Phase::Known;
-    forgetLostWrite();
-    setHeld(true, "this node's write was accepted", Out);
-    return;
-  case StoreStatus::Conflict:
-  case StoreStatus::NotFound:
-    // The version has moved on, so that no lost write on it can take effect
-    // any more; whether one did, the read will show.
-    m_LostWrite = false;
-    setHeld(false, "another write came first", Out);
-    return;
-  case StoreStatus::NotSent:
-  case StoreStatus::Rejected:
-    m_Phase = Phase::Known;
-    if (!m_LostWrite)
-      forgetLostWrite();
-    backOff(Now);
-    return;
-  case StoreStatus::Unknown:
-    break;
-  }
-  m_LostWrite = true;
-  backOff(Now);
-}
-
-void ClaimShard::adopt(const ports::StoredObject &Object, ShardOutput &Out) {
-  const model::ClaimShardRecord *Record =
-      std::get_if<model::ClaimShardRecord>(&Object.m_Record);
-  m_Foreign = !Record || Record->m_ShardCount != m_Settings.m_ShardCount;
-  if (m_Foreign) {
-    Out.m_Decisions.push_back(
-        decision("refuse", "the object belongs to another count of shards"));
+  judgeAnew();
+  m_Object.onAnswer(Answer, Now);
+  for (model::Decision &Line : m_Object.takeDecisions())
+    Out.m_Decisions.push_back(std::move(Line));
+  Out.m_Deletions = m_Object.takeDeletions();
+  if (!m_Object.isKnown() || m_Object.hasLostWrite())
     return;
-  }
-  setVersion(Object.m_Version);
-  m_Table = ClaimTable(Record->m_Claims);
-  m_Epoch = Record->m_Epoch;
-  m_Sequence = Record->m_Sequence;
-  setHeld(Record->m_Writer == m_Self,
-          "written by " + Record->m_Writer.str() + " since", Out);
-}
-
-void ClaimShard::adoptAbsent() {
-  setVersion({});
-  m_Table = ClaimTable();
-  m_Held = false;
-}
-
-void ClaimShard::setVersion(model::ObjectVersion Version) {
-  if (Version != m_Version)
-    m_LostWrite = false;
-  m_Version = Version;
-  m_VerifiedAt = m_CallStartedAt;
-  m_Phase = Phase::Known;
-  if (!m_LostWrite)
-    forgetLostWrite();
-}
-
-void ClaimShard::forgetLostWrite() {
-  m_LostWrite = false;
   for (WaitingAsk &Ask : m_Asks)
     Ask.m_MayBeWritten = false;
 }
 
-void ClaimShard::setHeld(bool Held, const std::string &Why, ShardOutput &Out) {
-  if (Held != m_Held)
-    Out.m_Decisions.push_back(decision(Held ? "take" : "lose", Why));
-  m_Held = Held;
-}
-
-void ClaimShard::backOff(model::TimePoint Now) {
-  m_RetryAt =
-      Now + leases::fullJitter(
-                leases::exponential(m_Settings.m_StoreBackoffBase, m_Failures,
-                                    m_Settings.m_StoreBackoffMax),
-                m_Random);
-  ++m_Failures;
-}
-
-model::Decision ClaimShard::decision(const std::string &Action,
-                                     const std::string &Reason) const {
-  return {.m_Kind = model::DecisionKind::Claims,
-          .m_Subject = m_Key.m_Name,
-          .m_Action = Action,
-          .m_Chosen = m_Self.str(),
-          .m_Reason =
-              "epoch " + std::to_string(m_Epoch.m_Value) + ": " + Reason};
-}
-
 } // namespace bronzepass::core::claims
--- a/Source/Core/Claims/ClaimShards.cpp
+++ b/Source/Core/Claims/ClaimShards.cpp
@@ -104,8 +104,10 @@
 
 void ClaimShards::tick(model::TimePoint Now, ports::EffectList &Out) {
   sendDue(Now, Out);
-  for (auto &Entry : m_Shards)
+  for (auto &Entry : m_Shards) {
+    Entry.second.judgeAnew();
     advanceShard(Entry.first, Entry.second, Now, Out);
+  }
   forgetIdle(Now);
 }
 
@@ -153,6 +155,9 @@
         leases::StoreClient::Claims, std::move(*Output.m_Call), Now, Out);
     m_Calls[Id] = Index;
   }
+  for (ports::StoreCall &Deletion : Output.m_Deletions)
+    m_Governor.submit(leases::StoreClient::Claims, std::move(Deletion), Now,
+                      Out);
   for (const ShardReply &Answer : Output.m_Replies)
     reply(Answer.m_To, Answer.m_Reply, Now, Out);
 }
--- a/Source/Core/Claims/ClaimTable.cpp
+++ b/Source/Core/Claims/ClaimTable.cpp
@@ -9,8 +9,7 @@
 /// Field names, punctuation and the numbers at their longest.
 constexpr size_t FixedClaimBytes = 240;
 
-/// Length as a JSON string, or as hexadecimal digits in an object, which is how
-/// text that is not UTF-8 is kept; CBOR's is never more.
+/// Text that is not UTF-8 is kept as hexadecimal digits in an object.
 size_t escapedBytes(const std::string &Text) {
   constexpr size_t HexObjectBytes = 10;
   size_t Bytes = 0;
@@ -28,16 +27,18 @@
 
 } // namespace
 
+size_t encodedAnswerBytes(const std::string &Answer) {
+  return escapedBytes(Answer);
+}
+
 size_t encodedBytes(const model::ClaimRecord &Claim) {
   return FixedClaimBytes + escapedBytes(Claim.m_Runner.str()) +
          escapedBytes(Claim.m_Answer);
 }
 
 ClaimTable::ClaimTable(const std::vector<model::ClaimRecord> &Claims) {
-  for (const model::ClaimRecord &Claim : Claims) {
-    if (m_Claims.emplace(Claim.m_KeyHash, Claim).second)
-      m_Bytes += encodedBytes(Claim);
-  }
+  for (const model::ClaimRecord &Claim : Claims)
+    put(Claim);
 }
 
 const model::ClaimRecord *ClaimTable::find(uint64_t KeyHash) const {
@@ -45,37 +46,13 @@
   return Found == m_Claims.end() ? nullptr : &Found->second;
 }
 
-bool ClaimTable::take(const model::ClaimRecord &Claim,
-                      const ClaimSettings &Settings) {
-  const size_t Bytes = encodedBytes(Claim);
-  if (m_Bytes + Bytes > Settings.m_MaxShardBytes)
-    return false;
+void ClaimTable::put(const model::ClaimRecord &Claim) {
+  erase(Claim.m_KeyHash);
   m_Claims.emplace(Claim.m_KeyHash, Claim);
-  m_Bytes += Bytes;
-  return true;
+  m_Bytes += encodedBytes(Claim);
 }
 
-bool ClaimTable::isHeldBy(uint64_t KeyHash, const AskRef &Ask) const {
-  const model::ClaimRecord *Claim = find(KeyHash);
-  return Claim && Claim->m_State == model::ClaimState::Claimed &&
-         Claim->m_Runner == Ask.m_Runner && Claim->m_AskId == Ask.m_AskId;
-}
-
-void ClaimTable::complete(uint64_t KeyHash, uint16_t Status,
-                          const std::string &Answer,
-                          const ClaimSettings &Settings) {
-  model::ClaimRecord &Claim = m_Claims.at(KeyHash);
-  const size_t Bytes = escapedBytes(Answer);
-  Claim.m_State = model::ClaimState::Done;
-  Claim.m_Status = Status;
-  if (Bytes > Settings.m_MaxAnswerBytes ||
-      m_Bytes + Bytes > Settings.m_AnswerShardBytes)
-    return;
-  Claim.m_Answer = Answer;
-  m_Bytes += Bytes;
-}
-
-void ClaimTable::release(uint64_t KeyHash) {
+void ClaimTable::erase(uint64_t KeyHash) {
   auto Found = m_Claims.find(KeyHash);
   if (Found == m_Claims.end())
     return;
@@ -94,6 +71,13 @@
   }
 }
 
+model::TimePoint ClaimTable::newestTakenAt() const {
+  model::TimePoint Newest;
+  for (const auto &Entry : m_Claims)
+    Newest = std::max(Newest, Entry.second.m_TakenAt);
+  return Newest;
+}
+
 std::vector<model::ClaimRecord> ClaimTable::claims() const {
   std::vector<model::ClaimRecord> Claims;
   Claims.reserve(m_Claims.size());
--- a/Source/Core/Model/Claim.h
+++ b/Source/Core/Model/Claim.h
@@ -16,7 +16,8 @@
   Claimed,
   /// It ran; m_Status and m_Answer hold what the endpoint said.
   Done,
-  /// Proven not to have run; the key is free again.
+  /// Proven not to have run; the key is free again. Kept only where it replaces
+  /// a claim of a segment.
   Released,
 };
 
@@ -39,6 +40,18 @@
   friend auto operator<=>(const ClaimRecord &, const ClaimRecord &) = default;
 };
 
+/// An object of claims that its shard's owner has set aside: it is written once
+/// and never changes.
+struct ClaimSegment {
+  /// Its owner's, and that owner's number for it: together never used again.
+  FencingToken m_Epoch;
+  uint64_t m_Number = 0;
+  /// When the last of its claims was taken: it expires with that.
+  TimePoint m_NewestTakenAt;
+
+  friend auto operator<=>(const ClaimSegment &, const ClaimSegment &) = default;
+};
+
 /// One shard of claims: one object of the object API, written by conditional
 /// update alone.
 struct ClaimShardRecord {
@@ -50,6 +63,9 @@
   FencingToken m_Epoch;
   /// Rises with every write.
   uint64_t m_Sequence = 0;
+  /// Oldest first. What m_Claims or a later segment says of a key replaces what
+  /// an earlier one does.
+  std::vector<ClaimSegment> m_Segments;
   std::vector<ClaimRecord> m_Claims;
 
   friend auto operator<=>(const ClaimShardRecord &,
--- a/Source/UnitTests/Adapters/Codec/RecordCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Codec/RecordCodecTest.cpp
@@ -49,10 +49,10 @@
       model::TimePoint(std::chrono::seconds(1'800'000'000)),
       200,
       "\xff\x01\xfe"};
-  return {
-      model::IntentHead{{12}, {UINT64_MAX, 1}, "ana", "adds a model"},
-      model::IntentPart{model::stableHash(Text), Text}, Lease, Ledger,
-      model::ClaimShardRecord{4, 64, model::NodeId("n2"), {3}, 17, {Claim}}};
+  return {model::IntentHead{{12}, {UINT64_MAX, 1}, "ana", "adds a model"},
+          model::IntentPart{model::stableHash(Text), Text}, Lease, Ledger,
+          model::ClaimShardRecord{
+              4, 64, model::NodeId("n2"), {3}, 17, {{{3}, 1, {}}}, {Claim}}};
 }
 
 } // namespace
--- a/Source/UnitTests/Claims/ClaimNetwork.h
+++ b/Source/UnitTests/Claims/ClaimNetwork.h
@@ -30,6 +30,7 @@
 /// One request as a caller sees it.
 struct Asked {
   uint64_t m_Key = 0;
+  core::model::TimePoint m_AskedAt;
   core::model::TimePoint m_Deadline;
   std::optional<core::ports::ClaimVerdict> m_Verdict;
   core::model::TimePoint m_VerdictAt;
@@ -91,7 +92,7 @@
                uint64_t Body = 1) {
     const uint64_t Request = ++m_LastRequest;
     const core::model::TimePoint Deadline = m_Now + Window;
-    m_Nodes[Index].m_Asked[Request] = {Key, Deadline, std::nullopt, {}};
+    m_Nodes[Index].m_Asked[Request] = {Key, m_Now, Deadline, {}, {}};
     at(Index, m_Now, [=, this](core::ports::EffectList &Out) {
       m_Nodes[Index].m_Claims->onWanted({{Request}, Key, Body, Deadline}, m_Now,
                                         Out);
--- a/Source/UnitTests/Claims/ClaimPropertyTest.cpp
+++ b/Source/UnitTests/Claims/ClaimPropertyTest.cpp
@@ -110,6 +110,9 @@
     Settings.m_ShardCount = 2;
     Settings.m_FleetWritesPerSecond = 20;
     Settings.m_StoreTimeout = milliseconds(700);
+    // A segment after each claim or two.
+    Settings.m_SealBytes = 400;
+    Settings.m_SealRetry = milliseconds(500);
     return Settings;
   }
 
--- a/Source/UnitTests/Claims/ClaimShardsTest.cpp
+++ b/Source/UnitTests/Claims/ClaimShardsTest.cpp
@@ -272,6 +272,43 @@
   CHECK(Net.verdict(1, After) == ClaimVerdictKind::Granted);
 }
 
+TEST_CASE("A new owner knows the claims of all segments, and drops old ones") {
+  ClaimSettings Settings = oneShard();
+  Settings.m_SealBytes = 2000;
+  Settings.m_SealRetry = milliseconds(10);
+  Settings.m_Expiry = seconds(120);
+  ClaimNetwork Net(2, Settings);
+  for (uint64_t K = 1; K <= 60; ++K) {
+    Net.ask(K % 2, K);
+    Net.run(seconds(1));
+  }
+  const Roles R = rolesOf(Net);
+  Net.kill(R.m_Owner);
+  Net.setAllViews();
+  const ports::ObjectKey Object{ports::ObjectKind::ClaimShard, "shard-0000"};
+  const auto Segments = [&] {
+    return std::get<model::ClaimShardRecord>(Net.m_Store.find(Object)->m_Record)
+        .m_Segments;
+  };
+  CHECK(Segments().size() >= 5);
+  for (uint64_t K = 1; K <= 60; ++K)
+    Net.ask(R.m_Other, K);
+  Net.run(seconds(5));
+  for (uint64_t K = 1; K <= 60; ++K)
+    CHECK(Net.runsOf(K) == 1);
+  const model::ClaimSegment First = Segments().front();
+  const ports::ObjectKey Name{Object.m_Kind,
+                              Object.m_Name + "." +
+                                  std::to_string(First.m_Epoch.m_Value) + "." +
+                                  std::to_string(First.m_Number)};
+  CHECK(Net.m_Store.find(Name));
+  Net.run(seconds(120));
+  Net.ask(R.m_Other, 100);
+  Net.run(seconds(5));
+  CHECK(Segments().empty());
+  CHECK_FALSE(Net.m_Store.find(Name));
+}
+
 TEST_CASE("Nodes with another count of shards refuse rather than write") {
   ClaimNetwork Net(1, oneShard());
   Net.ask(0, Key);
