--- a/Source/Core/Adapters/Codec/MessageFields.h
+++ b/Source/Core/Adapters/Codec/MessageFields.h
@@ -111,6 +111,20 @@
   }
 };
 
+template <> struct Fields<ports::FenceAsk> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("lease", Value.m_Lease);
+    Visitor.required("token", Value.m_Token);
+  }
+};
+
+template <> struct Fields<ports::FenceAck> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("lease", Value.m_Lease);
+    Visitor.required("token", Value.m_Token);
+  }
+};
+
 } // namespace bronzepass::core::adapters::codec
 
 #endif // BRONZEPASS_CORE_ADAPTERS_CODEC_MESSAGEFIELDS_H
--- a/Source/Core/Model/Node.h
+++ b/Source/Core/Model/Node.h
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace bronzepass::core::model {
 
@@ -28,6 +29,17 @@
   friend auto operator<=>(const NodeInfo &, const NodeInfo &) = default;
 };
 
+/// The id of a process that started at \p Incarnation on \p Vm: a restarted
+/// process never has the id of the one before it.
+inline NodeId makeNodeId(const VmId &Vm, uint64_t Incarnation) {
+  return NodeId(Vm.str() + "." + std::to_string(Incarnation));
+}
+
+/// The VM that \p Node runs, or ran, on.
+inline VmId vmOf(const NodeId &Node) {
+  return VmId(Node.str().substr(0, Node.str().rfind('.')));
+}
+
 } // namespace bronzepass::core::model
 
 #endif // BRONZEPASS_CORE_MODEL_NODE_H
--- a/Source/Core/Routing/TrafficCore.h
+++ b/Source/Core/Routing/TrafficCore.h
@@ -142,17 +142,21 @@
   void retry(LiveRequest &Live);
   void resume(LiveRequest &Live, const TableEndpoint &Endpoint);
   void noteAnswered(LiveRequest &Live);
+  void measureSpeed(LiveRequest &Live);
 
   // TrafficChoice.cpp: prediction, choice and the queue.
   const TableCopies *copiesOf(const LaneKey &Lane) const;
   void collect(const LiveRequest &Live, const TableCopies &Copies);
   void addCandidate(const LiveRequest &Live, EndpointIndex Index,
                     const LaneStats *Stats);
+  bool hasRoom(const LiveRequest &Live, const Candidate &Value) const;
+  double predictPrefill(const LiveRequest &Live, const Candidate &Value) const;
   double predictService(const LiveRequest &Live, const Candidate &Value,
                         const LaneStats *Stats) const;
   double predictWait(const LiveRequest &Live) const;
   Choice choose(const LiveRequest &Live);
   Choice chooseAmong(const LiveRequest &Live);
+  std::optional<size_t> probe() const;
   Choice noCandidate(const LiveRequest &Live, const TableCopies &Copies);
   void place(LiveRequest &Live);
   void enqueue(LiveRequest &Live, double Service);
@@ -187,6 +191,7 @@
   // By position in the table.
   std::vector<EndpointRecord *> m_ByIndex;
   EndpointTag m_LastTag = 0;
+  bool m_TagsReused = false;
   std::map<model::NodeId, model::TimePoint> m_AvoidedNodes;
   std::map<LaneKey, LaneStats> m_LaneStats;
   double m_MeanTokenTime = 0;
--- a/Source/UnitTests/Adapters/HttpClient.cpp
+++ b/Source/UnitTests/Adapters/Http/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Adapters/HttpClient.h"
+#include "UnitTests/Adapters/Http/HttpClient.h"
 
 #include "Core/Adapters/Curl/CurlMulti.h"
 #include "Core/Adapters/Net/LoopThread.h"
@@ -10,7 +10,7 @@
 #include <sys/socket.h>
 #include <thread>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace curl = core::adapters::curl;
 
@@ -126,4 +126,4 @@
          "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/HttpClient.h
+++ b/Source/UnitTests/Adapters/Http/HttpClient.h
@@ -1,5 +1,5 @@
-#ifndef BRONZEPASS_UNITTESTS_ADAPTERS_HTTPCLIENT_H
-#define BRONZEPASS_UNITTESTS_ADAPTERS_HTTPCLIENT_H
+#ifndef BRONZEPASS_UNITTESTS_ADAPTERS_HTTP_HTTPCLIENT_H
+#define BRONZEPASS_UNITTESTS_ADAPTERS_HTTP_HTTPCLIENT_H
 
 #include "Core/Adapters/Net/FileDescriptor.h"
 
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 /// Generous: no test waits for it unless it is about to fail.
 constexpr std::chrono::seconds Patience(30);
@@ -65,6 +65,6 @@
 std::string postText(const std::string &Path, const std::string &Body,
                      const std::string &Headers = "");
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
 
-#endif // BRONZEPASS_UNITTESTS_ADAPTERS_HTTPCLIENT_H
+#endif // BRONZEPASS_UNITTESTS_ADAPTERS_HTTP_HTTPCLIENT_H
--- a/Source/UnitTests/Adapters/StreamTest.cpp
+++ b/Source/UnitTests/Adapters/Http/StreamTest.cpp
@@ -1,5 +1,5 @@
-#include "UnitTests/Adapters/HttpClient.h"
-#include "UnitTests/Adapters/TestNode.h"
+#include "UnitTests/Adapters/Http/HttpClient.h"
+#include "UnitTests/Adapters/Http/TestNode.h"
 
 #include <atomic>
 #include <doctest/doctest.h>
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 namespace {
 
@@ -69,6 +69,17 @@
   CHECK(Broken.m_Body.find("[DONE]") == std::string::npos);
 }
 
+TEST_CASE("a stream that ends without its terminal marker is not whole") {
+  TestNode Node({});
+  TestNode::setFaults(
+      Node.engine(),
+      R"({"break_next": 1, "break_after_tokens": 3, "end_cleanly": true})");
+  const HttpResult Short =
+      fetch(Node.port(), "POST", ChatPath, chatBody("anna", 10, true));
+  CHECK_FALSE(Short.m_Whole);
+  CHECK(Short.m_Body.find("anna:2 ") != std::string::npos);
+}
+
 TEST_CASE("half a stream goes on at the exact byte where engines resume") {
   TestNode::Settings Settings;
   Settings.m_CanResume = true;
@@ -130,6 +141,7 @@
     const std::string User = "user" + std::to_string(I);
     Kept.clearText();
     Kept.send(postText(ChatPath, chatBody(User, 2, I % 2 == 0)));
+    INFO(I, Kept.text());
     REQUIRE(Kept.readUntil(I % 2 == 0 ? "0\r\n\r\n" : "}}"));
     CHECK(countOf(Kept.text(), User + ":") == 2);
     CHECK(countOf(Kept.text(), ":1 ") == 1);
@@ -145,6 +157,7 @@
   std::atomic<int> Crossed = 0;
   std::atomic<int> Missing = 0;
   std::vector<std::thread> Callers;
+  Callers.reserve(Threads);
   for (int T = 0; T < Threads; ++T)
     Callers.emplace_back([&Node, &Crossed, &Missing, T] {
       for (int I = 0; I < Rounds; ++I) {
@@ -170,4 +183,4 @@
   CHECK(Crossed == 0);
 }
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
--- a/Source/UnitTests/Adapters/TestNode.h
+++ b/Source/UnitTests/Adapters/Http/TestNode.h
@@ -1,5 +1,5 @@
-#ifndef BRONZEPASS_UNITTESTS_ADAPTERS_TESTNODE_H
-#define BRONZEPASS_UNITTESTS_ADAPTERS_TESTNODE_H
+#ifndef BRONZEPASS_UNITTESTS_ADAPTERS_HTTP_TESTNODE_H
+#define BRONZEPASS_UNITTESTS_ADAPTERS_HTTP_TESTNODE_H
 
 #include "Core/Adapters/Callers/CallerFront.h"
 #include "Core/Adapters/Traffic/CoreDecider.h"
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace bronzepass::unit_tests::adapters {
+namespace bronzepass::unit_tests::adapters::http {
 
 class SteadyClock : public core::ports::Clock {
 public:
@@ -85,6 +85,7 @@
 class TestNode {
 public:
   struct Settings {
+    std::string m_Name = "node-1";
     stand_ins::EngineOptions m_Engine;
     core::adapters::callers::CallerFrontOptions m_Front;
     core::routing::TrafficSettings m_Traffic;
@@ -95,6 +96,11 @@
   ~TestNode();
 
   uint16_t port() const { return m_Front->port(); }
+  core::model::NodeInfo info() const;
+  /// Routes from now on as one of \p Nodes, \p Degree of which drive each
+  /// endpoint. Whether this node drives its engine.
+  bool joinNodes(const std::vector<core::model::NodeInfo> &Nodes,
+                 uint32_t Degree);
   stand_ins::EngineStandIn &engine() { return *m_Engine; }
   stand_ins::ServiceStandIn &service() { return *m_Service; }
   core::adapters::traffic::TrafficDriver &driver() { return *m_Driver; }
@@ -108,7 +114,9 @@
                         const std::string &Json);
 
 private:
-  std::shared_ptr<const core::routing::RoutingTable> makeTable() const;
+  std::shared_ptr<const core::routing::RoutingTable>
+  makeTable(const std::vector<core::model::NodeInfo> &Nodes,
+            uint32_t Degree) const;
 
   Settings m_Settings;
   SteadyClock m_Clock;
@@ -125,6 +133,6 @@
 /// The body of a chat completion for testArtifact().
 std::string chatBody(const std::string &User, uint32_t Tokens, bool Stream);
 
-} // namespace bronzepass::unit_tests::adapters
+} // namespace bronzepass::unit_tests::adapters::http
 
-#endif // BRONZEPASS_UNITTESTS_ADAPTERS_TESTNODE_H
+#endif // BRONZEPASS_UNITTESTS_ADAPTERS_HTTP_TESTNODE_H
