Claims: Do not wait at a stop for runs whose end is never told

Traffic tells how a run ended only where it knows; a run whose outcome was lost stayed in the table of runs, so that it grew and a graceful stop waited for its bound. isIdle() now looks at asks and outcomes alone, and runs are forgotten once their claim has expired.

--- a/Source/Core/Claims/ClaimAsks.cpp
+++ b/Source/Core/Claims/ClaimAsks.cpp
@@ -101,7 +101,7 @@
   const bool Granted = Reply.m_Verdict == ClaimVerdictKind::Granted;
   if (Granted && Now < Open.m_Deadline) {
     ++m_Counts.m_Granted;
-    m_Running[Open.m_Request] = {Ask->first, Open.m_Delivery.m_KeyHash};
+    m_Running[Open.m_Request] = {Ask->first, Open.m_Delivery.m_KeyHash, Now};
     m_AskOf.erase(Open.m_Request);
     m_Asks.erase(Ask);
     Out.push_back(std::move(Verdict));
@@ -198,6 +198,7 @@
   m_NextScanAt = Now + ScanPeriod;
   expireAsks(Now, Out);
   expireDormant(Now);
+  expireRuns(Now);
   sendAsks(Candidates, Now, ToOwners);
   sendOutcomes(Candidates, Now, ToOwners);
 }
@@ -278,6 +279,12 @@
   });
 }
 
+void ClaimAsks::expireRuns(model::TimePoint Now) {
+  std::erase_if(m_Running, [&](const auto &Entry) {
+    return Now - Entry.second.m_GrantedAt > m_Settings.m_Expiry;
+  });
+}
+
 bool ClaimAsks::isDue(Delivery &D, model::TimePoint Now) {
   if (Now >= D.m_NextSendAt)
     return true;
@@ -315,7 +322,7 @@
   const bool Unsent =
       std::any_of(m_Outcomes.begin(), m_Outcomes.end(),
                   [](const auto &Entry) { return !Entry.second.m_Dormant; });
-  return m_Asks.empty() && m_Running.empty() && !Unsent;
+  return m_Asks.empty() && !Unsent;
 }
 
 } // namespace bronzepass::core::claims
--- a/Source/Core/Claims/ClaimAsks.h
+++ b/Source/Core/Claims/ClaimAsks.h
@@ -47,7 +47,7 @@
   void advance(const ShardCandidates &Candidates, model::TimePoint Now,
                Sends &ToOwners, ports::EffectList &Out);
 
-  /// Whether every ask is answered and every outcome recorded.
+  /// Whether every ask is answered and every outcome told so far is recorded.
   bool isIdle() const;
   /// Runs granted to traffic that have not ended.
   size_t runningCount() const { return m_Running.size(); }
@@ -80,6 +80,7 @@
   struct Run {
     uint64_t m_AskId = 0;
     uint64_t m_KeyHash = 0;
+    model::TimePoint m_GrantedAt;
   };
   using AskMap = std::map<uint64_t, OpenAsk>;
   using OutcomeMap = std::map<uint64_t, OpenOutcome>;
@@ -111,6 +112,8 @@
   void wakeAt(model::TimePoint At) { m_WakeAt = std::min(m_WakeAt, At); }
   void expireAsks(model::TimePoint Now, ports::EffectList &Out);
   void expireDormant(model::TimePoint Now);
+  /// Forgets runs whose claim has expired and whose end was never told.
+  void expireRuns(model::TimePoint Now);
   bool isDue(Delivery &D, model::TimePoint Now);
   /// Where the next send goes; empty while no node is known.
   model::NodeId target(Delivery &D, const ShardCandidates &Candidates,
--- a/Source/Core/Claims/ClaimShards.h
+++ b/Source/Core/Claims/ClaimShards.h
@@ -46,8 +46,9 @@
                      ports::EffectList &Out);
   void tick(model::TimePoint Now, ports::EffectList &Out);
 
-  /// Whether no request of this node waits for a claim or runs under one, and
-  /// all outcomes are recorded: a graceful stop waits for it, within its bound.
+  /// Whether no request of this node waits for a claim and every outcome told
+  /// so far is recorded. A graceful stop waits for it, within its bound, once
+  /// traffic has ended all runs.
   bool isIdle() const { return m_Asks.isIdle(); }
   /// Shards whose state this node keeps.
   size_t shardsKept() const { return m_Shards.size(); }
