Traffic: Wait at a stop for callers that have not read their answers

A stop was told to be finished once every request had ended for the traffic core, while up to a caller's whole buffer was still kept for it; closing then cut the answer. The driver now waits until nothing is kept. The new test fails on the former driver: the stop ends before the caller reads.

--- a/Source/Benchmarks/Traffic/Main.cpp
+++ b/Source/Benchmarks/Traffic/Main.cpp
@@ -10,7 +10,6 @@
 
 namespace options = boost::program_options;
 namespace traffic = bronzepass::benchmarks::traffic;
-namespace model = bronzepass::core::model;
 
 constexpr int ExitUsage = 2;
 constexpr int ExitFailure = 1;
--- a/Source/Core/Adapters/Pistache/HttpAnswer.h
+++ b/Source/Core/Adapters/Pistache/HttpAnswer.h
@@ -42,6 +42,12 @@
   /// Ends it so that the caller can tell that it is not whole.
   void abort();
 
+  /// Calls \p OnSent once all that was written has left this process, or
+  /// can't any more.
+  void whenSent(std::function<void()> OnSent) {
+    m_Connection->whenSent(std::move(OnSent));
+  }
+
   bool hasBegun() const { return m_Begun; }
   bool hasEnded() const { return m_Ended; }
   net::EventLoop &loop() { return m_Connection->loop(); }
--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -68,6 +68,7 @@
   m_OnGone = nullptr;
   if (OnGone)
     OnGone();
+  tellSent();
 }
 
 void HttpConnection::onEvents(uint32_t Events) {
@@ -111,8 +112,25 @@
   }
   m_Pending.erase(0, Sent > 0 ? static_cast<size_t>(Sent) : 0);
   updateWatch();
-  if (m_Pending.empty() && m_CloseWhenSent)
+  if (!m_Pending.empty())
+    return;
+  if (m_CloseWhenSent)
     finishSending();
+  tellSent();
+}
+
+void HttpConnection::whenSent(std::function<void()> OnSent) {
+  if (!m_Open || m_Pending.empty())
+    OnSent();
+  else
+    m_OnSent.push_back(std::move(OnSent));
+}
+
+void HttpConnection::tellSent() {
+  const std::vector<std::function<void()>> OnSent = std::move(m_OnSent);
+  m_OnSent.clear();
+  for (const std::function<void()> &Each : OnSent)
+    Each();
 }
 
 void HttpConnection::updateWatch() {
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bronzepass::core::adapters::pistache {
 
@@ -48,6 +49,9 @@
   /// The answer has been written; the connection idles or, with \p Close,
   /// ends once all is sent.
   void endAnswer(bool Close);
+  /// Calls \p OnSent once nothing is kept for the caller any more, or the
+  /// connection is gone; at once where that is so already.
+  void whenSent(std::function<void()> OnSent);
   /// Ends it visibly: what is kept is dropped, nothing is ended cleanly.
   void cut();
   bool isOpen() const { return m_Open; }
@@ -68,6 +72,7 @@
   void onEvents(uint32_t Events);
   void flush();
   void updateWatch();
+  void tellSent();
   void finishSending();
   void startTimer(std::chrono::milliseconds Delay,
                   std::function<void()> OnTimeout);
@@ -84,6 +89,7 @@
   bool m_CloseWhenSent = false;
   std::string m_Pending;
   std::function<void()> m_OnGone;
+  std::vector<std::function<void()>> m_OnSent;
   bool m_TimerRuns = false;
   net::EventLoop::TimerId m_Timer;
 };
--- a/Source/Core/Adapters/Traffic/TrafficDriver.cpp
+++ b/Source/Core/Adapters/Traffic/TrafficDriver.cpp
@@ -283,7 +283,7 @@
       return;
     m_Ports.m_Metrics.add(ports::Metric::RequestsAnswered, "", 1);
     Request->m_Answer->end();
-    m_Requests.erase(Finish.m_Request);
+    release(Finish.m_Request);
   }
 
   void carryOut(const routing::RefuseRequest &Refuse) {
@@ -293,7 +293,7 @@
     m_Ports.m_Metrics.add(ports::Metric::RequestsRefused,
                           model::toString(Refuse.m_Refusal.m_Reason), 1);
     Request->m_Answer->send(pistache::refusalReply(Refuse.m_Refusal));
-    m_Requests.erase(Refuse.m_Request);
+    release(Refuse.m_Request);
   }
 
   void carryOut(const routing::BreakAnswer &Break) {
@@ -317,10 +317,30 @@
     Reply.m_Headers.push_back({"Bronzepass-Replayed", "true"});
     m_Ports.m_Metrics.add(ports::Metric::RequestsAnswered, "replayed", 1);
     Request->m_Answer->send(Reply);
-    m_Requests.erase(Replay.m_Request);
+    release(Replay.m_Request);
+  }
+
+  /// Its answer has ended for the decider; its caller may not have it all yet.
+  void release(const model::RequestId &Id) {
+    auto Found = m_Requests.find(Id);
+    const std::shared_ptr<pistache::HttpAnswer> Answer = Found->second.m_Answer;
+    m_Requests.erase(Found);
+    ++m_Unsent;
+    Answer->whenSent([this] {
+      --m_Unsent;
+      tellIfDrained();
+    });
   }
 
   void carryOut(const routing::TrafficEmpty & /*Empty*/) {
+    m_Empty = true;
+    tellIfDrained();
+  }
+
+  void tellIfDrained() {
+    if (!m_Empty || m_Unsent != 0)
+      return;
+    m_Empty = false;
     m_Ports.m_Control.post(ports::TrafficDrained{});
   }
 
@@ -340,6 +360,10 @@
   std::unordered_map<model::RequestId, CallerRequest> m_Requests;
   std::unordered_map<model::AttemptId, std::unique_ptr<Attempt>> m_Attempts;
   uint64_t m_NextRequest = 1;
+  /// Answers that have ended but are kept in part for slow callers.
+  size_t m_Unsent = 0;
+  /// The decider has nothing left after a TrafficStopWanted.
+  bool m_Empty = false;
   std::deque<routing::TrafficEvent> m_Waiting;
   bool m_Dispatching = false;
   std::string_view m_Piece;
--- a/Source/UnitTests/Adapters/Http/HttpClient.cpp
+++ b/Source/UnitTests/Adapters/Http/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "Core/Adapters/Curl/CurlMulti.h"
 #include "Core/Adapters/Net/LoopThread.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <future>
@@ -108,9 +109,12 @@
 }
 
 bool RawConnection::readUntil(const std::string &Marker) {
-  while (m_Text.find(Marker) == std::string::npos)
+  size_t From = 0;
+  while (m_Text.find(Marker, From) == std::string::npos) {
+    From = m_Text.size() - std::min(m_Text.size(), Marker.size());
     if (!readSome())
       return false;
+  }
   return true;
 }
 
--- a/Source/UnitTests/Adapters/Http/OperatorServerTest.cpp
+++ b/Source/UnitTests/Adapters/Http/OperatorServerTest.cpp
@@ -21,8 +21,8 @@
   Options.m_Address = {"127.0.0.1", 0};
   core::adapters::operators::OperatorServer Server(
       Options, [&Metrics] { return Metrics.text(); },
-      [](pistache::HttpRequest Request,
-         core::adapters::operators::OperatorServer::PageDone Done) {
+      [](const pistache::HttpRequest &Request,
+         const core::adapters::operators::OperatorServer::PageDone &Done) {
         // From another thread, as the control thread does.
         std::thread([Request, Done] {
           pistache::HttpReply Reply;
--- a/Source/UnitTests/Adapters/Http/RequestPathTest.cpp
+++ b/Source/UnitTests/Adapters/Http/RequestPathTest.cpp
@@ -68,6 +68,25 @@
   }));
 }
 
+TEST_CASE("a stop waits for callers that have not read their answers yet") {
+  constexpr uint32_t Tokens = 2000; // 8 MiB, more than the kernel keeps.
+  TestNode::Settings Settings;
+  Settings.m_Engine.m_Step = std::chrono::microseconds(100);
+  Settings.m_Front.m_Server.m_Connections.m_BufferBytes = 64 << 20;
+  TestNode Node(Settings);
+  RawConnection Slow(Node.port(), 4096);
+  Slow.send(postText(ChatPath, chatBody(std::string(4096, 's'), Tokens, true)));
+  REQUIRE(waitFor([&Node] { return Node.engineCount("finished") == 1; }));
+  Node.driver().post(core::routing::TrafficStopWanted{});
+  CHECK(fetch(Node.port(), "POST", ChatPath, chatBody("omar", 1, false))
+            .m_Status == 503);
+  CHECK(Node.control().count<core::ports::TrafficDrained>() == 0);
+  CHECK(Slow.readUntil("data: [DONE]\n\n\r\n0\r\n\r\n"));
+  CHECK(waitFor([&Node] {
+    return Node.control().count<core::ports::TrafficDrained>() == 1;
+  }));
+}
+
 TEST_CASE("/v1/models lists what the caller may use") {
   TestNode Node({});
   const HttpResult Listed = fetch(Node.port(), "GET", "/v1/models");
