--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -55,6 +55,8 @@
   /// Ends it visibly: what is kept is dropped, nothing is ended cleanly.
   void cut();
   bool isOpen() const { return m_Open; }
+  /// False where no descriptor was left for the duplicate.
+  bool hasDescriptor() const { return m_Fd.valid(); }
   net::EventLoop &loop() { return m_Loop; }
 
   /// A request is being answered: what comes in is a pipelined one.
--- a/Source/Core/Adapters/Pistache/HttpServer.cpp
+++ b/Source/Core/Adapters/Pistache/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <pistache/endpoint.h>
 #include <pistache/peer.h>
 #include <sstream>
+#include <sys/socket.h>
 
 namespace bronzepass::core::adapters::pistache {
 
@@ -109,6 +110,11 @@
     State->m_Connection = std::make_shared<HttpConnection>(
         m_Loop, Peer->fd(), m_Options.m_Connections);
     Peer->putData(ConnectionData, State);
+    if (!State->m_Connection->hasDescriptor()) {
+      // Nothing could be answered: Pistache sees the end and closes it.
+      ::shutdown(Peer->fd(), SHUT_RDWR);
+      return;
+    }
     m_Loop.post(
         [Connection = State->m_Connection, Limit = m_Options.m_HeaderTimeout] {
           Connection->expectInput(Limit, nullptr);
