--- a/Source/Core/Placement/Planner.cpp
+++ b/Source/Core/Placement/Planner.cpp
@@ -179,10 +179,15 @@
   const model::TimePoint Quiet =
       std::max(*Group.m_UndeclaredSince, Demand.m_LastArrival) +
       m_Pool.m_Settings.m_RetireIdle;
+  const bool Replaced = m_Pool.successorAnswers(Base, Now);
   const std::vector<EngineIndex> Engines = Group.m_Engines;
-  for (EngineIndex Engine : Engines)
-    if (Now >= Quiet)
+  for (EngineIndex Engine : Engines) {
+    if (Replaced && Now >= Quiet)
       unloadFrom(Engine, Base, CopyReason::Retired, Now);
+    // All but its last copy give way to what has none, its successor too.
+    if (!Replaced && !m_Pool.m_Waiting.empty())
+      unloadFrom(Engine, Base, CopyReason::MakesRoom, Now);
+  }
 }
 
 void Planner::planLeaving(const GroupSpec &Spec, GroupState &Group,
@@ -195,6 +200,10 @@
       unloadFrom(Engine, Spec.m_Base, CopyReason::Drained, Now);
     else if (Group.m_LeaveEngines.count(Engine))
       unloadFrom(Engine, Spec.m_Base, CopyReason::MakesRoom, Now);
+    else if (!m_Pool.entry(Engine, Spec.m_Base) &&
+             !contains(queuedEngines(Spec.m_Base, Group), Engine))
+      // The engine lost the model and kept its adapters.
+      unloadFrom(Engine, Spec.m_Base, CopyReason::Spare, Now);
     // Adapters that the intent no longer names.
     for (const EntryState &State : m_Pool.m_Engines[Engine].m_Book.entries()) {
       const model::ArtifactId &Id = State.m_Entry.m_Artifact;
--- a/Source/Core/Placement/PlannerRoom.cpp
+++ b/Source/Core/Placement/PlannerRoom.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 /// Weights of an engine's score against a full use of its slots, which is 1.
+constexpr double LastHoleCost = 8;
 constexpr double SameDomainCost = 4;
 constexpr double TogetherGain = 2;
 constexpr double MemoryCost = 1;
@@ -60,11 +61,25 @@
   return Score;
 }
 
+std::optional<EngineIndex> Planner::lastHole(model::TimePoint Now) const {
+  std::optional<EngineIndex> Hole;
+  for (EngineIndex I = 0; I < m_Pool.m_Engines.size(); ++I) {
+    if (!m_Pool.takesLoads(I, Now) ||
+        m_Pool.roomOn(I) < int64_t(m_Pool.m_LargestGroup))
+      continue;
+    if (Hole)
+      return std::nullopt;
+    Hole = I;
+  }
+  return Hole;
+}
+
 std::vector<Planner::Candidate>
 Planner::candidates(const GroupSpec &Spec, uint64_t Bytes,
                     const std::vector<EngineIndex> &Taken, bool NeedsRoom,
                     model::TimePoint Now) const {
   std::vector<Candidate> All;
+  const std::optional<EngineIndex> Hole = lastHole(Now);
   for (EngineIndex I = 0; I < m_Pool.m_Engines.size(); ++I) {
     if (!m_Pool.takesLoads(I, Now) ||
         (NeedsRoom && m_Pool.roomOn(I) < int64_t(Bytes)))
@@ -75,6 +90,8 @@
         !isApart(Spec, I))
       continue;
     All.push_back({I, score(Spec, I, Taken)});
+    if (Hole == I)
+      All.back().m_Score += LastHoleCost;
   }
   std::stable_sort(All.begin(), All.end(),
                    [](const Candidate &A, const Candidate &B) {
@@ -86,17 +103,14 @@
 bool Planner::placeCopy(const GroupSpec &Spec, GroupState &Group,
                         CopyReason Reason, uint32_t MostMoves,
                         model::TimePoint Now) {
-  std::vector<EngineIndex> Taken = Group.m_Engines;
-  for (EngineIndex Engine : queuedEngines(Spec.m_Base, Group))
-    Taken.push_back(Engine);
-  // A copy that is only in doubt keeps its room for its own return.
-  Taken.erase(std::remove_if(Taken.begin(), Taken.end(),
-                             [&](EngineIndex Engine) {
-                               const EntryState *State =
-                                   m_Pool.entry(Engine, Spec.m_Base);
-                               return State && State->isInDoubt();
-                             }),
-              Taken.end());
+  // An engine with only its adapters, or with a doubt that keeps the room for
+  // its return, is as good as any.
+  std::vector<EngineIndex> Taken = queuedEngines(Spec.m_Base, Group);
+  for (EngineIndex Engine : Group.m_Engines) {
+    const EntryState *State = m_Pool.entry(Engine, Spec.m_Base);
+    if (State && !State->isInDoubt())
+      Taken.push_back(Engine);
+  }
   const std::vector<Candidate> Fits =
       candidates(Spec, Spec.totalBytes(), Taken, true, Now);
   if (!Fits.empty()) {
@@ -104,7 +118,8 @@
     return true;
   }
   const std::optional<Eviction> Room =
-      findRoom(Spec, Spec.totalBytes(), Taken, MostMoves, Now);
+      findRoom(Spec, Spec.totalBytes(), Taken, MostMoves,
+               Reason != CopyReason::Burst, Now);
   if (!Room)
     return false;
   queueCopy(Spec, Room->m_Engine, Reason, {}, Now);
@@ -145,18 +160,31 @@
   return Sum;
 }
 
-bool Planner::isSpare(const GroupSpec &Spec, const GroupState &Group) const {
-  return Group.m_SpareSince.has_value() &&
-         keptEngines(Spec.m_Base, Group).size() > Spec.m_MinCopies;
+bool Planner::maySpare(const GroupSpec &Spec, const GroupState &Group,
+                       EngineIndex Engine, bool Needed,
+                       model::TimePoint Now) const {
+  if (keptEngines(Spec.m_Base, Group).size() <= Spec.m_MinCopies)
+    return false;
+  // A further copy that demand uses gives way only to one that is needed.
+  if (!Needed && !Group.m_SpareSince)
+    return false;
+  const std::vector<EntryState> &Entries =
+      m_Pool.m_Engines[Engine].m_Book.entries();
+  return std::all_of(Entries.begin(), Entries.end(),
+                     [&](const EntryState &State) {
+                       const model::ArtifactId &Id = State.m_Entry.m_Artifact;
+                       return Id.base() != Spec.m_Base || !State.isLoad() ||
+                              m_Pool.mayUnload(Engine, Id, Now);
+                     });
 }
 
-bool Planner::fitsElsewhere(const GroupSpec &Spec, const GroupState &Group,
-                            EngineIndex Engine, int64_t Bytes,
-                            model::TimePoint Now) const {
+bool Planner::fitsElsewhere(const GroupSpec &Spec, EngineIndex Engine,
+                            int64_t Bytes, model::TimePoint Now) const {
   for (EngineIndex I = 0; I < m_Pool.m_Engines.size(); ++I) {
     if (I == Engine || !m_Pool.takesLoads(I, Now) || m_Pool.roomOn(I) < Bytes)
       continue;
-    if (std::binary_search(Group.m_Engines.begin(), Group.m_Engines.end(), I))
+    const EntryState *State = m_Pool.entry(I, Spec.m_Base);
+    if (State && !State->isInDoubt())
       continue;
     if (isApart(Spec, I))
       return true;
@@ -166,7 +194,7 @@
 
 std::optional<Planner::Eviction>
 Planner::evictionFrom(EngineIndex Engine, int64_t Need, uint32_t MostMoves,
-                      model::TimePoint Now) const {
+                      bool Needed, model::TimePoint Now) const {
   Eviction Plan{.m_Engine = Engine};
   std::vector<std::pair<int64_t, model::ArtifactId>> Movable;
   for (const model::ArtifactId &Base : m_Pool.m_Engines[Engine].m_Groups) {
@@ -177,14 +205,14 @@
         Group.m_LeaveEngines.count(Engine) || !Group.m_Queue.empty())
       continue;
     const int64_t Bytes = bytesOn(Engine, Base);
-    if (isSpare(*Spec, Group) && m_Pool.mayUnload(Engine, Base, Now)) {
+    if (maySpare(*Spec, Group, Engine, Needed, Now)) {
       Plan.m_Spare.push_back(Base);
       Need -= Bytes;
       if (Need <= 0)
         return Plan;
       continue;
     }
-    if (MostMoves > 0 && fitsElsewhere(*Spec, Group, Engine, Bytes, Now))
+    if (MostMoves > 0 && fitsElsewhere(*Spec, Engine, Bytes, Now))
       Movable.emplace_back(Bytes, Base);
   }
   // The smallest that suffices, else the largest first: fewest moves.
@@ -206,14 +234,14 @@
 std::optional<Planner::Eviction>
 Planner::findRoom(const GroupSpec &Spec, uint64_t Bytes,
                   const std::vector<EngineIndex> &Taken, uint32_t MostMoves,
-                  model::TimePoint Now) const {
+                  bool Needed, model::TimePoint Now) const {
   std::optional<Eviction> Best;
   for (const Candidate &Place : candidates(Spec, Bytes, Taken, false, Now)) {
     const int64_t Need = int64_t(Bytes) - m_Pool.roomOn(Place.m_Engine);
     if (Best && Best->m_Moved.empty())
       break;
     std::optional<Eviction> Plan =
-        evictionFrom(Place.m_Engine, Need, MostMoves, Now);
+        evictionFrom(Place.m_Engine, Need, MostMoves, Needed, Now);
     if (!Plan || (Best && Best->m_Moved.size() <= Plan->m_Moved.size()))
       continue;
     Best = std::move(Plan);
--- a/Source/Core/Placement/PoolState.h
+++ b/Source/Core/Placement/PoolState.h
@@ -85,6 +85,8 @@
   std::vector<EngineSlot> m_Engines;
   std::map<model::ArtifactId, GroupState> m_Groups;
   DemandTracker m_Demand;
+  /// Memory of the largest group that the pool is to hold, bytes.
+  uint64_t m_LargestGroup = 0;
   const ElsewhereMap *m_Elsewhere = nullptr;
   /// Groups to be planned anew.
   std::set<model::ArtifactId> m_Dirty;
@@ -120,6 +122,10 @@
   /// Whether an unload leaves every declared artifact answering.
   bool mayUnload(EngineIndex Engine, const model::ArtifactId &Artifact,
                  model::TimePoint Now) const;
+  /// Whether another declared version answers in the place of an artifact that
+  /// left the intent; also where none is declared.
+  bool successorAnswers(const model::ArtifactId &Artifact,
+                        model::TimePoint Now) const;
   /// Indexes an engine's entries; marks the groups dirty that changed.
   void reindex(EngineIndex Engine);
   void dropQueued(GroupState &Group, size_t Position);
--- a/Source/Core/Routing/TrafficAttempts.cpp
+++ b/Source/Core/Routing/TrafficAttempts.cpp
@@ -9,6 +9,8 @@
 constexpr uint16_t StatusOk = 200;
 constexpr uint16_t StatusPartial = 206;
 constexpr uint16_t StatusServerError = 500;
+/// An answer's speed is measured over at least so many tokens.
+constexpr uint32_t MeasuredTokens = 8;
 
 /// The endpoint, or what stands before it, could not serve the request now.
 bool saysTryElsewhere(uint16_t Status) {
@@ -101,6 +103,7 @@
     return;
   m_Attempts.erase(Live.m_Attempt);
   record(Live.m_Endpoint).m_View.finished(m_Now);
+  m_MayHaveRoom = true;
   if (!Live.m_Request.m_Forwarded)
     m_Demand.usedSlot(Live.m_Lane.m_Artifact, m_Now - Live.m_AttemptAt);
   Live.m_Attempt = model::AttemptId();
@@ -121,6 +124,7 @@
   EndpointRecord &Record = record(Live->m_Endpoint);
   if (Event.m_Load)
     Record.m_View.reported(*Event.m_Load, m_Now);
+  m_MayHaveRoom |= Event.m_Load.has_value();
   if (Live->m_HeadSeen) {
     ++m_Counts.m_StaleDropped;
     return;
@@ -141,6 +145,9 @@
   }
   Live->m_HeadSeen = true;
   Live->m_HeadAt = m_Now;
+  // The first token comes with the head: its time is the prefill's.
+  Live->m_MarkAt = m_Now;
+  Live->m_MarkTokens = 1;
   Live->m_Status = Event.m_Status;
   Live->m_MayHaveRun = true;
   Live->m_Ran |= Event.m_Status < StatusServerError;
@@ -157,6 +164,7 @@
   if (Event.m_Offset == Live->m_Offset && Live->m_HeadSeen) {
     Live->m_Offset += Event.m_Bytes;
     Live->m_Tokens += Event.m_Tokens;
+    measureSpeed(*Live);
     if (!Live->m_Answered)
       m_Out->push_back(RelayChunk{Live->m_Request.m_Id, Event.m_Attempt});
     return;
@@ -168,7 +176,23 @@
   if (Repeated)
     return;
   cancelAttempt(*Live);
-  endBroken(*Live);
+  if (Live->m_Resuming)
+    refuseBroken(*Live);
+  else
+    endBroken(*Live);
+}
+
+void TrafficCore::measureSpeed(LiveRequest &Live) {
+  const TableEndpoint *Endpoint = m_Table->findEndpoint(Live.m_Endpoint);
+  if (Live.m_Resuming || Endpoint == nullptr ||
+      Live.m_Tokens < Live.m_MarkTokens + MeasuredTokens)
+    return;
+  EndpointView &View = record(Live.m_Endpoint).m_View;
+  View.grew(Live.m_Tokens - Live.m_MarkTokens, m_Now - Live.m_MarkAt,
+            Endpoint->m_Spec->m_Slots);
+  Live.m_MarkTokens = Live.m_Tokens;
+  Live.m_MarkAt = m_Now;
+  mixInto(m_MeanTokenTime, View.tokenTime(), m_Settings.m_AverageWeight);
 }
 
 void TrafficCore::on(const AttemptEnded &Event) {
@@ -190,12 +214,26 @@
     endNotRun(*Live, false);
     return;
   case AttemptEnd::Broken:
-    record(Live->m_Endpoint).m_View.failed(false, m_Now);
+    noteFailed(*Live, false);
     endBroken(*Live);
     return;
   }
 }
 
+void TrafficCore::noteFailed(const LiveRequest &Live, bool Refused) {
+  // A node that fails says nothing of the endpoint behind it.
+  if (!Live.m_ToNode.empty()) {
+    m_AvoidedNodes[Live.m_ToNode] = m_Now + m_Settings.m_EjectTime;
+    return;
+  }
+  EndpointRecord &Record = record(Live.m_Endpoint);
+  Record.m_View.failed(Refused, m_Now);
+  if (!Refused)
+    return;
+  Record.m_ToldRefused = true;
+  m_Out->push_back(ports::EndpointSeen{Live.m_Endpoint, true});
+}
+
 void TrafficCore::endWhole(LiveRequest &Live, const AttemptEnded &Event) {
   noteAnswered(Live);
   if (Live.m_Claimed)
@@ -229,8 +267,7 @@
   if (Live.m_Resuming)
     return;
   model::Duration Took = m_Now - Live.m_AttemptAt;
-  Record.m_View.answered(Live.m_Tokens, Live.m_HeadAt - Live.m_AttemptAt, Took,
-                         Endpoint->m_Spec->m_Slots, m_Now);
+  Record.m_View.answered(Took, m_Now);
   double Weight = m_Settings.m_AverageWeight;
   LaneStats &Stats = m_LaneStats[Live.m_Lane];
   mixInto(Stats.m_Service, toSeconds(Took), Weight);
@@ -241,19 +278,14 @@
     mixInto(Stats.m_TokenRatio,
             static_cast<double>(Live.m_Tokens) / Live.m_Request.m_MaxTokens,
             Weight);
-  if (Record.m_View.tokenTime() > 0)
-    mixInto(m_MeanTokenTime, Record.m_View.tokenTime(), Weight);
 }
 
 void TrafficCore::endNotRun(LiveRequest &Live, bool Refused) {
-  EndpointRecord &Record = record(Live.m_Endpoint);
-  if (!Live.m_ToNode.empty()) {
-    m_AvoidedNodes[Live.m_ToNode] = m_Now + m_Settings.m_EjectTime;
-  } else if (Refused) {
-    Record.m_View.failed(true, m_Now);
-    Record.m_ToldRefused = true;
-    m_Out->push_back(ports::EndpointSeen{Live.m_Endpoint, true});
-  }
+  if (Refused)
+    noteFailed(Live, true);
+  // A node that declines speaks for the endpoint: it is full, or too slow.
+  else if (!Live.m_ToNode.empty())
+    Live.m_Tried.push_back(Live.m_Endpoint);
   // What is proven not to have run may be tried again whatever it is, but a
   // stream that has begun can't start anew.
   bool Allowed = Live.m_Tries < m_Settings.m_MaxAttempts &&
@@ -288,6 +320,10 @@
     resume(Live, *Endpoint);
     return;
   }
+  refuseBroken(Live);
+}
+
+void TrafficCore::refuseBroken(LiveRequest &Live) {
   bool Begun = Live.m_HeadRelayed;
   refuse(Live, {Begun ? model::RefusalReason::StreamBroken
                       : model::RefusalReason::EndpointFailed,
@@ -305,7 +341,6 @@
 
 void TrafficCore::retry(LiveRequest &Live) {
   ++m_Counts.m_Retries;
-  // A node that failed to take it says nothing of the endpoint behind it.
   if (Live.m_ToNode.empty())
     Live.m_Tried.push_back(Live.m_Endpoint);
   Live.m_Phase = RequestPhase::Queued;
--- a/Source/UnitTests/Adapters/Http/OperatorServerTest.cpp
+++ b/Source/UnitTests/Adapters/Http/OperatorServerTest.cpp
@@ -1,7 +1,7 @@
 #include "Core/Adapters/Operator/OperatorServer.h"
 #include "Core/Adapters/Pistache/ErrorReply.h"
 #include "Core/Adapters/Prometheus/PrometheusMetrics.h"
-#include "UnitTests/Adapters/HttpClient.h"
+#include "UnitTests/Adapters/Http/HttpClient.h"
 
 #include <doctest/doctest.h>
 #include <thread>
@@ -21,8 +21,8 @@
   Options.m_Address = {"127.0.0.1", 0};
   core::adapters::operators::OperatorServer Server(
       Options, [&Metrics] { return Metrics.text(); },
-      [](pistache::HttpRequest Request,
-         core::adapters::operators::OperatorServer::PageDone Done) {
+      [](const pistache::HttpRequest &Request,
+         const core::adapters::operators::OperatorServer::PageDone &Done) {
         // From another thread, as the control thread does.
         std::thread([Request, Done] {
           pistache::HttpReply Reply;
