--- a/Source/Core/Adapters/Callers/RequestReader.cpp
+++ b/Source/Core/Adapters/Callers/RequestReader.cpp
@@ -150,7 +150,7 @@
   Read.m_Adapter = Artifact->m_Adapter;
   const std::string Prompt = json::promptText(Body.m_Json);
   Read.m_PromptTokens = static_cast<uint32_t>(Prompt.size() / BytesPerToken);
-  Read.m_PrefixHashes = json::prefixHashes(Prompt, Artifact->m_Model.str());
+  Read.m_PrefixHashes = json::prefixHashes(Prompt);
   traffic::CallerRequest Made = commonParts(Request, std::move(Read));
   Made.m_EndpointPath = Made.m_Path;
   Made.m_ContentType = "application/json";
--- a/Source/Core/Adapters/Json/PromptPrefix.cpp
+++ b/Source/Core/Adapters/Json/PromptPrefix.cpp
@@ -36,10 +36,9 @@
   return Text;
 }
 
-std::vector<uint64_t> prefixHashes(std::string_view Prompt,
-                                   std::string_view ModelName) {
+std::vector<uint64_t> prefixHashes(std::string_view Prompt) {
   std::vector<uint64_t> Hashes;
-  uint64_t Before = model::stableHash(ModelName);
+  uint64_t Before = 0;
   while (Prompt.size() >= PrefixBlockBytes && Hashes.size() < MaxPrefixBlocks) {
     Before = model::stableHash(Prompt.substr(0, PrefixBlockBytes), Before);
     Hashes.push_back(Before);
@@ -48,10 +47,13 @@
   return Hashes;
 }
 
-std::vector<uint64_t> prefixHashesOfBody(const std::string &Body,
-                                         std::string_view ModelName) {
-  return prefixHashes(promptText(nlohmann::json::parse(Body, nullptr, false)),
-                      ModelName);
+std::vector<uint64_t> cachedPrefixesOfBody(const std::string &Body,
+                                           std::string_view Artifact) {
+  std::vector<uint64_t> Hashes =
+      prefixHashes(promptText(nlohmann::json::parse(Body, nullptr, false)));
+  for (uint64_t &Hash : Hashes)
+    Hash = model::cachedPrefix(Hash, Artifact);
+  return Hashes;
 }
 
 } // namespace bronzepass::core::adapters::json
--- a/Source/Core/Adapters/Json/PromptPrefix.h
+++ b/Source/Core/Adapters/Json/PromptPrefix.h
@@ -19,14 +19,14 @@
 /// and content of each message.
 std::string promptText(const nlohmann::json &Body);
 
-/// Hash of each whole leading block together with all before it and the
-/// model's name, shortest prefix first.
-std::vector<uint64_t> prefixHashes(std::string_view Prompt,
-                                   std::string_view ModelName);
-
-/// As above, from a body's text; none where it is no JSON object.
-std::vector<uint64_t> prefixHashesOfBody(const std::string &Body,
-                                         std::string_view ModelName);
+/// Hash of each whole leading block together with all before it, shortest
+/// prefix first.
+std::vector<uint64_t> prefixHashes(std::string_view Prompt);
+
+/// The cached prefixes that \p Artifact holds after the request with \p Body;
+/// none where it is no JSON object.
+std::vector<uint64_t> cachedPrefixesOfBody(const std::string &Body,
+                                           std::string_view Artifact);
 
 } // namespace bronzepass::core::adapters::json
 
--- a/Source/Core/Model/Hash.h
+++ b/Source/Core/Model/Hash.h
@@ -13,6 +13,14 @@
   return XXH3_64bits_withSeed(Bytes.data(), Bytes.size(), Seed);
 }
 
+/// The name of one artifact's cached prompt prefix: caches of other versions
+/// and adapters hold other numbers for the same text.
+inline uint64_t cachedPrefix(uint64_t TextHash, std::string_view Artifact) {
+  const std::string_view Bytes(reinterpret_cast<const char *>(&TextHash),
+                               sizeof(TextHash));
+  return stableHash(Bytes, stableHash(Artifact));
+}
+
 /// Weight of \p Member for \p Duty in rendezvous hashing: the member with the
 /// greatest weight holds the duty, so that one that leaves moves only its own.
 inline uint64_t rendezvousWeight(std::string_view Duty,
--- a/Source/Core/Node/ControlCore.cpp
+++ b/Source/Core/Node/ControlCore.cpp
@@ -332,7 +332,7 @@
     if (State.m_Liveness != model::Liveness::Live)
       Inputs.m_EndpointStates.push_back(State);
   Inputs.m_Nodes = m_View.members().present();
-  m_Table = routing::RoutingTable::build(Inputs);
+  m_Table = routing::RoutingTable::build(Inputs, m_Table.get());
   m_TableAt = m_Now;
   m_TableDirty = false;
   m_Out->push_back(ports::TablePublished{m_Table});
--- a/Source/Core/Routing/TrafficCore.cpp
+++ b/Source/Core/Routing/TrafficCore.cpp
@@ -1,4 +1,5 @@
 #include "Core/Routing/TrafficCore.h"
+#include "Core/Model/Hash.h"
 #include "Core/Routing/Refusals.h"
 
 #include <algorithm>
@@ -123,6 +124,9 @@
                   "no such adapter is declared");
   Live.m_Lane.m_Artifact = {Request.m_Model, Version->m_Spec->m_Version,
                             Request.m_Adapter};
+  const std::string Artifact = model::toString(Live.m_Lane.m_Artifact);
+  for (uint64_t &Hash : Live.m_Request.m_PrefixHashes)
+    Hash = model::cachedPrefix(Hash, Artifact);
   return std::nullopt;
 }
 
--- a/Source/StandIns/EngineStandIn.cpp
+++ b/Source/StandIns/EngineStandIn.cpp
@@ -80,7 +80,7 @@
     return;
   }
   m_Cache.add(
-      adapters::json::prefixHashesOfBody(Request.m_Body, Spec->m_ModelName));
+      adapters::json::cachedPrefixesOfBody(Request.m_Body, Spec->m_ModelName));
   const std::shared_ptr<Completion> Added = std::make_shared<Completion>();
   Added->m_Spec = *Spec;
   Added->m_Artifact = Held->first;
--- a/Source/UnitTests/Routing/AdmissionTest.cpp
+++ b/Source/UnitTests/Routing/AdmissionTest.cpp
@@ -1,5 +1,7 @@
 #include "UnitTests/Routing/TrafficFixture.h"
 
+#include "Core/Model/Hash.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -199,6 +201,20 @@
   CHECK(Admitted <= Seconds * 5 + 10);
 }
 
+namespace {
+
+/// What an engine publishes of prompts with these hashes of text.
+std::vector<uint64_t> cachedOf(const model::Request &Request,
+                               std::vector<uint64_t> TextHashes) {
+  const std::string Artifact =
+      model::toString(model::ArtifactId{Request.m_Model, "1", {}});
+  for (uint64_t &Hash : TextHashes)
+    Hash = model::cachedPrefix(Hash, Artifact);
+  return TextHashes;
+}
+
+} // namespace
+
 TEST_CASE("a request goes where its prompt's beginning is cached, until the "
           "engine says that it is gone") {
   TrafficFixture Core(smallInputs(3, 0));
@@ -211,11 +227,14 @@
     answer(Core, Core.started());
     return Chosen;
   };
-  Core.send(CacheSeen{model::EndpointId("e2"), 1, {11, 12, 13}, {}, false});
+  const model::Request Sample = Core.modelRequest(9);
+  Core.send(CacheSeen{
+      model::EndpointId("e2"), 1, cachedOf(Sample, {11, 12, 13}), {}, false});
   CHECK(Ask(1) == model::EndpointId("e2"));
   CHECK(Ask(2) == model::EndpointId("e2"));
   Core.send(CacheSeen{model::EndpointId("e2"), 2, {}, {}, true});
-  Core.send(CacheSeen{model::EndpointId("e0"), 1, {11, 12}, {}, false});
+  Core.send(CacheSeen{
+      model::EndpointId("e0"), 1, cachedOf(Sample, {11, 12}), {}, false});
   CHECK(Ask(3) == model::EndpointId("e0"));
 }
 
--- a/Source/UnitTests/Traces/Replay.cpp
+++ b/Source/UnitTests/Traces/Replay.cpp
@@ -198,6 +198,7 @@
   Attempt Added;
   Added.m_Node = Node;
   Added.m_Id = Effect.m_Attempt;
+  Added.m_Artifact = Effect.m_Artifact;
   Added.m_Line = Effect.m_Request.m_Value - 1;
   Added.m_Engine = NoEngine;
   for (size_t Index = 0; Index < m_Engines.size(); ++Index) {
@@ -246,6 +247,8 @@
   Sequence.m_PromptTokens = Line.m_PromptTokens;
   Sequence.m_Tokens = Line.m_Tokens;
   Sequence.m_Prefix = prefixOf(Line);
+  for (uint64_t &Hash : Sequence.m_Prefix)
+    Hash = model::cachedPrefix(Hash, model::toString(Each.m_Artifact));
   m_Engines[Each.m_Engine].m_Fake.submit(std::move(Sequence));
   if (!m_Engines[Each.m_Engine].m_Stepping)
     beginStep(Each.m_Engine);
--- a/Source/UnitTests/Traces/Replay.h
+++ b/Source/UnitTests/Traces/Replay.h
@@ -73,6 +73,7 @@
     size_t m_Node = 0;
     core::model::AttemptId m_Id;
     size_t m_Line = 0;
+    core::model::ArtifactId m_Artifact;
     size_t m_Engine = 0;
     /// Tokens passed on so far.
     uint32_t m_Told = 0;
