--- a/Source/UnitTests/Node/ControlCoreTest.cpp
+++ b/Source/UnitTests/Node/ControlCoreTest.cpp
@@ -146,7 +146,7 @@
   REQUIRE(System.runUntil(
       [&] {
         const std::string Now = placer(System, "assistants");
-        return Now != "" && Now != First;
+        return !Now.empty() && Now != First;
       },
       2min));
   System.runFor(2min);
