Placement: Plan only once the engines are known; free what a restart lost

A new lease holder planned as soon as the first ledger was claimed: it put all models on that engine, and could load a second time what was only not known yet. It now waits until each engine is claimed and has reported or is known to be down, at most 10 s. Ledger calls follow each other without waiting for a tick meanwhile.

On engines that refuse old tokens a load in doubt was ended only by another order's higher token; an engine that restarted could keep one artifact's room promised for ever. An unload with a new token now ends it.

Models that belong together also find each other while they are queued.

--- a/Source/Core/Placement/LedgerBook.h
+++ b/Source/Core/Placement/LedgerBook.h
@@ -138,6 +138,8 @@
   void changed(EntryState &State);
   void addDoubt(EntryState &State, const model::LedgerDoubt &Doubt);
   void doubtOwnSends(EntryState &State);
+  /// Whether a report proves that the engine does not hold the artifact.
+  bool isAbsent(const EntryState &State) const;
   void settleEntry(EntryState &State, OrderNumbers &Numbers,
                    model::TimePoint Now);
   void settleLoad(EntryState &State, bool ProvesAbsence);
--- a/Source/Core/Placement/LedgerEvidence.cpp
+++ b/Source/Core/Placement/LedgerEvidence.cpp
@@ -61,6 +61,10 @@
   for (EntryState &State : m_Entries) {
     if (m_HasReport)
       settleEntry(State, Numbers, Now);
+    // An unload with a new token ends what may still arrive.
+    if (m_Phase == Phase::Held && m_Fencing == model::FencingMode::Refuses &&
+        State.isInDoubt() && State.doubts(model::OrderKind::Load))
+      renumber(State, Numbers, Now);
     if (dropDoubts(State, Fences, Numbers, Now))
       touch();
   }
@@ -97,15 +101,17 @@
   }
 }
 
+bool LedgerBook::isAbsent(const EntryState &State) const {
+  return m_HasReport && !m_MayHaveRestarted && !State.m_Reported &&
+         m_Report.m_MadeAt > State.m_Since + m_Settings.m_ReportSkew;
+}
+
 void LedgerBook::settleEntry(EntryState &State, OrderNumbers &Numbers,
                              model::TimePoint Now) {
-  const bool ProvesAbsence =
-      !State.m_Reported &&
-      m_Report.m_MadeAt > State.m_Since + m_Settings.m_ReportSkew;
   if (State.isLoad())
-    settleLoad(State, ProvesAbsence);
+    settleLoad(State, isAbsent(State));
   else
-    settleUnload(State, ProvesAbsence, Numbers, Now);
+    settleUnload(State, isAbsent(State), Numbers, Now);
 }
 
 void LedgerBook::settleLoad(EntryState &State, bool ProvesAbsence) {
--- a/Source/Core/Placement/LedgerOrders.cpp
+++ b/Source/Core/Placement/LedgerOrders.cpp
@@ -96,7 +96,8 @@
                      [&](const EntryState &Other) {
                        const model::ArtifactId &Id = Other.m_Entry.m_Artifact;
                        return Id.isAdapter() && Id.base() == Artifact &&
-                              (Other.m_Reported || !Other.m_Entry.m_Settled);
+                              (Other.m_Reported ||
+                               (!Other.isLoad() && !Other.m_Entry.m_Settled));
                      });
 }
 
@@ -157,9 +158,11 @@
     return Role;
   EntryState *First = nullptr;
   for (EntryState &State : m_Entries) {
-    if (!State.m_Entry.m_Settled && !State.isLoad() &&
-        !MayUnload(State.m_Entry.m_Artifact)) {
-      cancelUnload(State, Numbers, Now);
+    const bool IsUnload = !State.m_Entry.m_Settled && !State.isLoad();
+    if (IsUnload && !isAbsent(State) && !MayUnload(State.m_Entry.m_Artifact)) {
+      // Not shown yet is no reason to keep it, but one to wait.
+      if (State.m_Reported)
+        cancelUnload(State, Numbers, Now);
       continue;
     }
     if (!isDue(State, Now))
--- a/Source/Core/Placement/PlacementSettings.h
+++ b/Source/Core/Placement/PlacementSettings.h
@@ -28,6 +28,9 @@
   model::Duration m_ReportSkew = std::chrono::seconds(2);
   /// Reports missed in a row until an engine counts as lost.
   uint32_t m_MissedReports = 3;
+  /// A new lease holder plans at the latest this long after it has listed the
+  /// ledgers, also where some engine is neither claimed nor known to be down.
+  model::Duration m_StartGrace = std::chrono::seconds(10);
   /// Period of the plan's review of demand.
   model::Duration m_PlanPeriod = std::chrono::seconds(5);
   /// How long a burst is taken to last when a copy is weighed.
--- a/Source/Core/Placement/Planner.cpp
+++ b/Source/Core/Placement/Planner.cpp
@@ -190,6 +190,12 @@
   }
 }
 
+bool Planner::holdsBase(EngineIndex Engine,
+                        const model::ArtifactId &Base) const {
+  const EntryState *State = m_Pool.entry(Engine, Base);
+  return State && State->isLoad();
+}
+
 void Planner::planLeaving(const GroupSpec &Spec, GroupState &Group,
                           model::TimePoint Now) {
   const std::vector<EngineIndex> Engines = Group.m_Engines;
@@ -200,7 +206,7 @@
       unloadFrom(Engine, Spec.m_Base, CopyReason::Drained, Now);
     else if (Group.m_LeaveEngines.count(Engine))
       unloadFrom(Engine, Spec.m_Base, CopyReason::MakesRoom, Now);
-    else if (!m_Pool.entry(Engine, Spec.m_Base) &&
+    else if (!holdsBase(Engine, Spec.m_Base) &&
              !contains(queuedEngines(Spec.m_Base, Group), Engine))
       // The engine lost the model and kept its adapters.
       unloadFrom(Engine, Spec.m_Base, CopyReason::Spare, Now);
--- a/Source/Core/Placement/Planner.h
+++ b/Source/Core/Placement/Planner.h
@@ -3,6 +3,7 @@
 
 #include "Core/Placement/PoolState.h"
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -42,6 +43,7 @@
                    GroupState &Group, model::TimePoint Now);
   void planRemoval(const model::ArtifactId &Base, GroupState &Group,
                    model::TimePoint Now);
+  bool holdsBase(EngineIndex Engine, const model::ArtifactId &Base) const;
   void planLeaving(const GroupSpec &Spec, GroupState &Group,
                    model::TimePoint Now);
   void dropStale(const model::ArtifactId &Base, GroupState &Group,
@@ -52,6 +54,11 @@
                                        const GroupState &Group) const;
   std::vector<EngineIndex> queuedEngines(const model::ArtifactId &Artifact,
                                          const GroupState &Group) const;
+  /// Room for a copy of the group, what is in doubt of its own included.
+  int64_t roomFor(EngineIndex Engine, const model::ArtifactId &Base) const;
+  using GroupTest = std::function<bool(const model::ArtifactId &Base)>;
+  /// Whether a group that is on the engine or queued for it passes \p Test.
+  bool anyGroupOn(EngineIndex Engine, const GroupTest &Test) const;
   bool isApart(const GroupSpec &Spec, EngineIndex Engine) const;
   std::vector<Candidate> candidates(const GroupSpec &Spec, uint64_t Bytes,
                                     const std::vector<EngineIndex> &Taken,
--- a/Source/Core/Placement/PlannerRoom.cpp
+++ b/Source/Core/Placement/PlannerRoom.cpp
@@ -16,28 +16,30 @@
 
 } // namespace
 
+bool Planner::anyGroupOn(EngineIndex Engine, const GroupTest &Test) const {
+  const std::vector<model::ArtifactId> &Held =
+      m_Pool.m_Engines[Engine].m_Groups;
+  if (std::any_of(Held.begin(), Held.end(), Test))
+    return true;
+  return std::any_of(
+      m_Pool.m_Queued.begin(), m_Pool.m_Queued.end(),
+      [&](const model::ArtifactId &Base) {
+        const std::vector<QueuedLoad> &Queue = m_Pool.m_Groups.at(Base).m_Queue;
+        return Test(Base) && std::any_of(Queue.begin(), Queue.end(),
+                                         [Engine](const QueuedLoad &Load) {
+                                           return Load.m_Engine == Engine;
+                                         });
+      });
+}
+
 bool Planner::isApart(const GroupSpec &Spec, EngineIndex Engine) const {
   if (Spec.m_Apart.empty())
     return true;
-  const EngineSlot &Slot = m_Pool.m_Engines[Engine];
-  auto Clashes = [&](const model::ArtifactId &Base) {
+  return !anyGroupOn(Engine, [&](const model::ArtifactId &Base) {
     const GroupSpec *Other = m_Pool.m_Catalog->find(Base);
     return Other && Base.m_Model != Spec.m_Base.m_Model &&
            intersects(Other->m_Apart, Spec.m_Apart);
-  };
-  if (std::any_of(Slot.m_Groups.begin(), Slot.m_Groups.end(), Clashes))
-    return false;
-  return std::none_of(m_Pool.m_Queued.begin(), m_Pool.m_Queued.end(),
-                      [&](const model::ArtifactId &Base) {
-                        if (!Clashes(Base))
-                          return false;
-                        const std::vector<QueuedLoad> &Queue =
-                            m_Pool.m_Groups.at(Base).m_Queue;
-                        return std::any_of(Queue.begin(), Queue.end(),
-                                           [Engine](const QueuedLoad &Load) {
-                                             return Load.m_Engine == Engine;
-                                           });
-                      });
+  });
 }
 
 double Planner::score(const GroupSpec &Spec, EngineIndex Engine,
@@ -52,13 +54,22 @@
       Score += SameDomainCost;
   if (Spec.m_Together.empty())
     return Score;
-  for (const model::ArtifactId &Base : Slot.m_Groups) {
+  const bool HasOther = anyGroupOn(Engine, [&](const model::ArtifactId &Base) {
     const GroupSpec *Other = m_Pool.m_Catalog->find(Base);
-    if (Other && Base != Spec.m_Base &&
-        intersects(Other->m_Together, Spec.m_Together))
-      return Score - TogetherGain;
-  }
-  return Score;
+    return Other && Base != Spec.m_Base &&
+           intersects(Other->m_Together, Spec.m_Together);
+  });
+  return HasOther ? Score - TogetherGain : Score;
+}
+
+int64_t Planner::roomFor(EngineIndex Engine,
+                         const model::ArtifactId &Base) const {
+  int64_t Room = m_Pool.roomOn(Engine);
+  // What a doubt keeps promised serves its own artifact.
+  for (const EntryState &State : m_Pool.m_Engines[Engine].m_Book.entries())
+    if (State.isInDoubt() && State.m_Entry.m_Artifact.base() == Base)
+      Room += static_cast<int64_t>(State.m_Entry.m_MemoryBytes);
+  return Room;
 }
 
 std::optional<EngineIndex> Planner::lastHole(model::TimePoint Now) const {
@@ -82,7 +93,7 @@
   const std::optional<EngineIndex> Hole = lastHole(Now);
   for (EngineIndex I = 0; I < m_Pool.m_Engines.size(); ++I) {
     if (!m_Pool.takesLoads(I, Now) ||
-        (NeedsRoom && m_Pool.roomOn(I) < int64_t(Bytes)))
+        (NeedsRoom && roomFor(I, Spec.m_Base) < int64_t(Bytes)))
       continue;
     if (std::find(Taken.begin(), Taken.end(), I) != Taken.end())
       continue;
--- a/Source/Core/Placement/PoolShard.cpp
+++ b/Source/Core/Placement/PoolShard.cpp
@@ -143,6 +143,8 @@
   m_State.m_Engines[Engine].m_Book.storeAnswered(Answer, m_State.m_Numbers,
                                                  Now);
   serve(Engine, true, Now, Effects);
+  if (isValid(Now) && !m_Ready)
+    callStore(Now);
   plan(Now, Effects);
   return true;
 }
@@ -187,6 +189,7 @@
     Slot.m_Book.claim(Stored, m_State.m_Numbers, Now);
   }
   m_Listed = true;
+  m_ListedAt = Now;
 }
 
 void PoolShard::serve(EngineIndex Engine, bool Settle, model::TimePoint Now,
@@ -214,8 +217,33 @@
   m_State.reindex(Engine);
 }
 
+void PoolShard::callStore(model::TimePoint Now) {
+  const EngineIndex Count = static_cast<EngineIndex>(m_State.m_Engines.size());
+  for (EngineIndex I = 0;
+       I < Count && m_Calls.size() < m_State.m_Settings.m_StoreCallsAtOnce;
+       ++I) {
+    m_NextCaller = (m_NextCaller + 1) % Count;
+    LedgerBook &Book = m_State.m_Engines[m_NextCaller].m_Book;
+    if (std::optional<ports::StoreCall> Call = Book.nextCall(Now))
+      m_Calls[m_Gateway(std::move(*Call))] = m_NextCaller;
+  }
+}
+
+bool PoolShard::isReady(model::TimePoint Now) {
+  if (m_Ready)
+    return true;
+  const bool AllKnown =
+      std::all_of(m_State.m_Engines.begin(), m_State.m_Engines.end(),
+                  [](const EngineSlot &Slot) {
+                    return Slot.m_Book.phase() == LedgerBook::Phase::Held &&
+                           (Slot.m_Health.isUp() || Slot.m_Health.downSince());
+                  });
+  m_Ready = AllKnown || Now >= m_ListedAt + m_State.m_Settings.m_StartGrace;
+  return m_Ready;
+}
+
 void PoolShard::plan(model::TimePoint Now, ports::EffectList &Effects) {
-  if (!isValid(Now) || !m_Listed || !m_State.m_Catalog)
+  if (!isValid(Now) || !m_Listed || !m_State.m_Catalog || !isReady(Now))
     return;
   if (Now >= m_ReviewAt) {
     m_Planner.reviewDemand(Now);
--- a/Source/Core/Placement/PoolShard.h
+++ b/Source/Core/Placement/PoolShard.h
@@ -80,6 +80,11 @@
   void serve(EngineIndex Engine, bool Settle, model::TimePoint Now,
              ports::EffectList &Effects);
   void plan(model::TimePoint Now, ports::EffectList &Effects);
+  /// Whether enough is known of the engines to plan: a copy that is merely not
+  /// known yet must not be loaded a second time.
+  bool isReady(model::TimePoint Now);
+  /// Starts ledger calls while more may be out.
+  void callStore(model::TimePoint Now);
   void describeEngines(const LivenessMap &Liveness, model::TimePoint Now);
   void flushDecisions(ports::EffectList &Effects);
   MovePhase phaseOf(const LedgerBook &Book, const EntryState &State) const;
@@ -95,6 +100,10 @@
   std::map<model::CallId, EngineIndex> m_Calls;
   bool m_Listed = false;
   bool m_ListOut = false;
+  bool m_Ready = false;
+  model::TimePoint m_ListedAt;
+  /// Where callStore goes on.
+  EngineIndex m_NextCaller = 0;
   model::TimePoint m_ListRetryAt;
   model::TimePoint m_ReviewAt;
 };
--- a/Source/UnitTests/Fakes/FakeEngine.h
+++ b/Source/UnitTests/Fakes/FakeEngine.h
@@ -25,6 +25,8 @@
   core::model::Duration m_LoadTime = std::chrono::seconds(50);
   core::model::Duration m_DrainTime = std::chrono::seconds(1);
   std::map<core::model::ArtifactId, Copy> m_Copies;
+  /// It refuses every load for want of memory.
+  bool m_IsFull = false;
   uint64_t m_PeakBytes = 0;
   uint64_t m_LoadsStarted = 0;
 
@@ -40,7 +42,9 @@
     Answer.m_HighestToken = m_Highest;
     Answer.m_Status = Stale ? core::model::OrderStatus::StaleToken
                             : core::model::OrderStatus::Accepted;
-    if (!Stale && Order.m_Kind == OrderKind::Load)
+    if (!Stale && Order.m_Kind == OrderKind::Load && m_IsFull)
+      Answer.m_Status = core::model::OrderStatus::NoMemory;
+    else if (!Stale && Order.m_Kind == OrderKind::Load)
       load(Order, Now);
     if (!Stale && Order.m_Kind == OrderKind::Unload)
       unload(Order.m_Artifact, Now);
