--- a/Source/Core/Placement/PoolShard.h
+++ b/Source/Core/Placement/PoolShard.h
@@ -79,10 +79,12 @@
   /// Brings one engine's evidence, ledger and orders up to date.
   void serve(EngineIndex Engine, bool Settle, model::TimePoint Now,
              ports::EffectList &Effects);
-  /// Whether each engine's copies are known, or it is known to be down. A new
-  /// holder that planned before would load again what is there.
-  bool hasEvidence(model::TimePoint Now);
   void plan(model::TimePoint Now, ports::EffectList &Effects);
+  /// Whether enough is known of the engines to plan: a copy that is merely not
+  /// known yet must not be loaded a second time.
+  bool isReady(model::TimePoint Now);
+  /// Starts ledger calls while more may be out.
+  void callStore(model::TimePoint Now);
   void describeEngines(const LivenessMap &Liveness, model::TimePoint Now);
   void flushDecisions(ports::EffectList &Effects);
   MovePhase phaseOf(const LedgerBook &Book, const EntryState &State) const;
@@ -96,10 +98,12 @@
   FenceBook m_Fences;
   std::map<model::EndpointId, EngineIndex> m_Index;
   std::map<model::CallId, EngineIndex> m_Calls;
-  const model::TimePoint m_Since;
-  bool m_HasEvidence = false;
   bool m_Listed = false;
   bool m_ListOut = false;
+  bool m_Ready = false;
+  model::TimePoint m_ListedAt;
+  /// Where callStore goes on.
+  EngineIndex m_NextCaller = 0;
   model::TimePoint m_ListRetryAt;
   model::TimePoint m_ReviewAt;
 };
