Traffic: Never replay an answer that was not kept as an empty one

A repeat of a call whose first answer is longer than 4 KiB got the first status with an empty body, which passes for the whole answer. It now gets 409 answer_not_kept with run state ran. The new test fails on the former driver's reply (status 200, empty body).

--- a/Source/Core/Adapters/Pistache/ErrorReply.cpp
+++ b/Source/Core/Adapters/Pistache/ErrorReply.cpp
@@ -86,6 +86,20 @@
                    Refusal.m_Message, Refusal.m_RetryAfter);
 }
 
+HttpReply replayedReply(uint16_t Status, const std::string &Answer) {
+  // An empty body would pass for the whole answer.
+  if (Answer.empty())
+    return makeReply(409, "answer_not_kept", model::RunState::Ran,
+                     "the first run's answer, of status " +
+                         std::to_string(Status) + ", was not kept",
+                     model::Duration(0));
+  HttpReply Reply;
+  Reply.m_Status = Status;
+  Reply.m_Body = Answer;
+  Reply.m_Headers.push_back({"Bronzepass-Replayed", "true"});
+  return Reply;
+}
+
 HttpReply faultReply(int Status, const std::string &Reason,
                      const std::string &Message) {
   return makeReply(Status, Reason, model::RunState::NotRun, Message,
--- a/Source/Core/Adapters/Pistache/ErrorReply.h
+++ b/Source/Core/Adapters/Pistache/ErrorReply.h
@@ -4,6 +4,7 @@
 #include "Core/Adapters/Pistache/HttpMessage.h"
 #include "Core/Model/Request.h"
 
+#include <cstdint>
 #include <string>
 
 namespace bronzepass::core::adapters::pistache {
@@ -19,6 +20,11 @@
 /// {"error":{"type","reason","run_state","message","retry_after_ms"}}.
 HttpReply refusalReply(const model::Refusal &Refusal);
 
+/// The answer to a repeat of a request that ran under the same key: what its
+/// first run was answered with or, where that was not kept, a typed error that
+/// says that it ran.
+HttpReply replayedReply(uint16_t Status, const std::string &Answer);
+
 /// As refusalReply(), for a request that was refused before it was routed and
 /// so did not run. \p Reason is a snake-case name.
 HttpReply faultReply(int Status, const std::string &Reason,
--- a/Source/Core/Adapters/Traffic/TrafficDriver.cpp
+++ b/Source/Core/Adapters/Traffic/TrafficDriver.cpp
@@ -5,42 +5,14 @@
 #include "Core/Adapters/Pistache/ErrorReply.h"
 #include "Core/Adapters/Traffic/Attempt.h"
 #include "Core/Adapters/Traffic/AttemptRequest.h"
+#include "Core/Adapters/Traffic/RelayedHead.h"
 
-#include <algorithm>
 #include <deque>
 #include <optional>
 #include <unordered_map>
 
 namespace bronzepass::core::adapters::traffic {
 
-namespace {
-
-/// Headers of an endpoint's answer that are not the caller's.
-bool isRelayed(const std::string &LowerName) {
-  static const std::vector<std::string> Dropped = {
-      "connection", "keep-alive",         "transfer-encoding", "content-length",
-      "date",       "bronzepass-running", "bronzepass-waiting"};
-  return std::find(Dropped.begin(), Dropped.end(), LowerName) == Dropped.end();
-}
-
-std::vector<pistache::HttpHeader>
-relayedHeaders(const curl::TransferHead &Head) {
-  std::vector<pistache::HttpHeader> Headers;
-  for (const auto &Entry : Head.m_Headers)
-    if (isRelayed(Entry.first))
-      Headers.push_back({Entry.first, Entry.second});
-  return Headers;
-}
-
-std::optional<uint64_t> contentLength(const curl::TransferHead &Head) {
-  const std::string Text = Head.header("content-length");
-  if (Text.empty())
-    return std::nullopt;
-  return std::strtoull(Text.c_str(), nullptr, 10);
-}
-
-} // namespace
-
 class TrafficDriver::Impl {
 public:
   Impl(TrafficOptions Options, std::unique_ptr<TrafficDecider> Decider,
@@ -311,12 +283,9 @@
     CallerRequest *const Request = find(Replay.m_Request);
     if (Request == nullptr)
       return;
-    pistache::HttpReply Reply;
-    Reply.m_Status = Replay.m_Status;
-    Reply.m_Body = Replay.m_Answer;
-    Reply.m_Headers.push_back({"Bronzepass-Replayed", "true"});
     m_Ports.m_Metrics.add(ports::Metric::RequestsAnswered, "replayed", 1);
-    Request->m_Answer->send(Reply);
+    Request->m_Answer->send(
+        pistache::replayedReply(Replay.m_Status, Replay.m_Answer));
     release(Replay.m_Request);
   }
 
--- a/Source/UnitTests/Adapters/Http/OnceTest.cpp
+++ b/Source/UnitTests/Adapters/Http/OnceTest.cpp
@@ -84,6 +84,26 @@
   CHECK(Ended.m_Status == 200);
 }
 
+TEST_CASE("a repeat gets the first answer whole, or is told that it ran") {
+  TestNode Node({});
+  const std::vector<std::string> ShortKey = {"Idempotency-Key: short"};
+  const char *const Path = "/booking/certificates";
+  const HttpResult First = fetch(Node.port(), "POST", Path, "{}", ShortKey);
+  const HttpResult Repeat = fetch(Node.port(), "POST", Path, "{}", ShortKey);
+  CHECK(Repeat.m_Body == First.m_Body);
+  CHECK(Repeat.m_Headers.at("bronzepass-replayed") == "true");
+  // Its echo is longer than what is kept.
+  const std::vector<std::string> LongKey = {"Idempotency-Key: long"};
+  const std::string Body(16 << 10, 'x');
+  CHECK(fetch(Node.port(), "POST", Path, Body, LongKey).m_Status == 200);
+  const HttpResult NotKept = fetch(Node.port(), "POST", Path, Body, LongKey);
+  CHECK(NotKept.m_Status == 409);
+  const nlohmann::json Error = nlohmann::json::parse(NotKept.m_Body)["error"];
+  CHECK(Error["run_state"] == "ran");
+  CHECK(Error["reason"] == "answer_not_kept");
+  CHECK(Node.serviceRuns() == 2);
+}
+
 TEST_CASE("a reused connection that died is not proof that nothing ran") {
   stand_ins::ServiceStandIn Service({"127.0.0.1", 0});
   REQUIRE_FALSE(Service.start());
--- a/Source/UnitTests/Adapters/Http/TestNode.cpp
+++ b/Source/UnitTests/Adapters/Http/TestNode.cpp
@@ -32,15 +32,26 @@
 } // namespace
 
 void ControlStub::post(core::ports::Event Incoming) {
+  const std::lock_guard<std::mutex> Lock(m_Mutex);
   const core::ports::ClaimWanted *const Wanted =
       std::get_if<core::ports::ClaimWanted>(&Incoming);
   if (Wanted != nullptr && m_Driver != nullptr)
-    m_Driver.load()->post(core::ports::ClaimVerdict{
-        Wanted->m_Request, core::ports::ClaimVerdictKind::Granted, 0, ""});
-  const std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_Driver.load()->post(verdictOn(*Wanted));
   m_Events.push_back(std::move(Incoming));
 }
 
+core::ports::ClaimVerdict
+ControlStub::verdictOn(const core::ports::ClaimWanted &Wanted) const {
+  for (const core::ports::Event &Each : m_Events) {
+    const core::ports::ClaimEnded *const Ended =
+        std::get_if<core::ports::ClaimEnded>(&Each);
+    if (Ended != nullptr && Ended->m_KeyHash == Wanted.m_KeyHash)
+      return {Wanted.m_Request, core::ports::ClaimVerdictKind::Done,
+              Ended->m_Status, Ended->m_Answer};
+  }
+  return {Wanted.m_Request, core::ports::ClaimVerdictKind::Granted, 0, ""};
+}
+
 model::ArtifactId testArtifact() {
   return {model::ModelId("gas"), "1", model::AdapterId()};
 }
--- a/Source/UnitTests/Adapters/Http/TestNode.h
+++ b/Source/UnitTests/Adapters/Http/TestNode.h
@@ -32,7 +32,8 @@
   uint64_t m_Next = 0;
 };
 
-/// Grants each claim at once and keeps every event.
+/// Grants each claim at once, or tells of its first run's end, and keeps every
+/// event.
 class ControlStub : public core::ports::EventSink {
 public:
   void post(core::ports::Event Incoming) override;
@@ -56,6 +57,9 @@
   std::atomic<core::adapters::traffic::TrafficDriver *> m_Driver = nullptr;
 
 private:
+  core::ports::ClaimVerdict
+  verdictOn(const core::ports::ClaimWanted &Wanted) const;
+
   std::mutex m_Mutex;
   std::vector<core::ports::Event> m_Events;
 };
--- a/Source/UnitTests/Node/ControlCoreTest.cpp
+++ b/Source/UnitTests/Node/ControlCoreTest.cpp
@@ -33,8 +33,10 @@
 void trace(ControlSystem &System) {
   System.m_OnDecision = [&System](const model::NodeId &Node,
                                   const model::Decision &Line) {
-    const double At = static_cast<double>(
-        System.m_Now.time_since_epoch().count() % 3600000000LL) / 1e6;
+    const double At =
+        static_cast<double>(System.m_Now.time_since_epoch().count() %
+                            3600000000LL) /
+        1e6;
     MESSAGE(At << " " << Node.str() << " " << Line.m_Action << " "
                << Line.m_Subject << " -> " << Line.m_Chosen << ": "
                << Line.m_Reason);
--- a/Source/UnitTests/Node/ControlSystem.h
+++ b/Source/UnitTests/Node/ControlSystem.h
@@ -75,7 +75,8 @@
   std::function<void()> m_Invariant = [] {};
 
   /// Sees every decision.
-  std::function<void(const core::model::NodeId &, const core::model::Decision &)>
+  std::function<void(const core::model::NodeId &,
+                     const core::model::Decision &)>
       m_OnDecision;
 
   static constexpr core::model::Duration Hop = std::chrono::microseconds(1500);
