Callers: Keep callers' control characters from endpoints

An idempotency key with a bare line feed wrote a header of its own into the endpoint's request, and a path that libcurl refuses got no clear answer and counted as the endpoint's refusal. Both were seen in the new test with the checks taken out (the header reached the service; no malformed_request came).

--- a/Source/Core/Adapters/Callers/RequestReader.cpp
+++ b/Source/Core/Adapters/Callers/RequestReader.cpp
@@ -5,6 +5,7 @@
 #include "Core/Model/Hash.h"
 
 #include <algorithm>
+#include <cctype>
 #include <limits>
 #include <nlohmann/json.hpp>
 
@@ -102,6 +103,13 @@
   return Request.m_Path + Request.m_QueryText;
 }
 
+/// libcurl refuses such a path, and it would look as if the endpoint did.
+bool isSendable(const std::string &Path) {
+  return std::none_of(Path.begin(), Path.end(), [](unsigned char C) {
+    return C <= ' ' || C == '#' || std::iscntrl(C) != 0;
+  });
+}
+
 /// The parts that both kinds of request have.
 traffic::CallerRequest commonParts(const pistache::HttpRequest &Request,
                                    model::Request Read) {
@@ -186,6 +194,9 @@
   model::Request Read;
   std::vector<std::string> Errors;
   readHeaders(Request, Table, Windows, Now, Read, Errors);
+  if (!isSendable(pathWithQuery(Request)))
+    return refused(400, "malformed_request",
+                   "the path has bytes that must be percent-encoded");
   if (!Errors.empty())
     return refusedFor(400, "malformed_header", Errors);
   if (Request.m_Path == ChatPath || Request.m_Path == CompletionPath)
--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -160,6 +160,7 @@
     curl_easy_setopt(Easy, CURLOPT_URL, urlOf(Request).c_str());
     curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Request.m_Method.c_str());
     curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(Easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(Easy, CURLOPT_PROXY, "");
     curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
--- a/Source/Core/Adapters/Net/EventLoop.cpp
+++ b/Source/Core/Adapters/Net/EventLoop.cpp
@@ -91,7 +91,9 @@
   epoll_event Event{};
   Event.events = Events;
   Event.data.u64 = makeTag(Fd, Serial);
-  ::epoll_ctl(m_Epoll.get(), Known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, Fd, &Event);
+  // A descriptor that was closed while it was watched has left the set.
+  if (!Known || ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_MOD, Fd, &Event) != 0)
+    ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_ADD, Fd, &Event);
 }
 
 void EventLoop::rewatch(int Fd, uint32_t Events) {
--- a/Source/Core/Adapters/Traffic/AttemptRequest.cpp
+++ b/Source/Core/Adapters/Traffic/AttemptRequest.cpp
@@ -3,6 +3,7 @@
 #include "Core/Adapters/Traffic/Attempt.h"
 
 #include <algorithm>
+#include <cctype>
 #include <nlohmann/json.hpp>
 
 namespace bronzepass::core::adapters::traffic {
@@ -22,10 +23,17 @@
   return Value == model::Priority::Batch ? "batch" : "interactive";
 }
 
+/// A bare line feed in a caller's value would begin a header of its own.
+std::string headerLine(const char *Name, std::string Value) {
+  std::erase_if(Value, [](unsigned char C) { return std::iscntrl(C) != 0; });
+  return std::string(Name) + ": " + Value;
+}
+
 void addHopHeaders(const CallerRequest &Request, const std::string &RequestName,
                    std::vector<std::string> &Headers) {
   Headers.push_back("Bronzepass-Hop: " + RequestName);
-  Headers.push_back("Bronzepass-Caller: " + Request.m_Request.m_Caller.str());
+  Headers.push_back(
+      headerLine("Bronzepass-Caller", Request.m_Request.m_Caller.str()));
 }
 
 std::vector<std::string> headersOf(const routing::StartAttempt &Start,
@@ -42,10 +50,10 @@
           priorityName(Request.m_Request.m_Priority),
   };
   // An empty value takes out the header that libcurl adds by itself.
-  Headers.push_back("Content-Type: " + Request.m_ContentType);
+  Headers.push_back(headerLine("Content-Type", Request.m_ContentType));
   if (Request.m_Request.m_IdempotencyKey)
-    Headers.push_back("Idempotency-Key: " +
-                      *Request.m_Request.m_IdempotencyKey);
+    Headers.push_back(
+        headerLine("Idempotency-Key", *Request.m_Request.m_IdempotencyKey));
   if (Start.m_ResumeOffset != 0)
     Headers.push_back(std::string(ResumeHeader) + ": " +
                       std::to_string(Start.m_ResumeOffset));
--- a/Source/UnitTests/Adapters/Http/OnceTest.cpp
+++ b/Source/UnitTests/Adapters/Http/OnceTest.cpp
@@ -84,6 +84,22 @@
   CHECK(Ended.m_Status == 200);
 }
 
+TEST_CASE("a caller's control characters neither reach nor eject endpoints") {
+  TestNode Node({});
+  RawConnection Odd(Node.port());
+  Odd.send(postText("/booking/a\x01"
+                    "b",
+                    "{}"));
+  CHECK(Odd.readUntil("malformed_request"));
+  RawConnection Injecting(Node.port());
+  Injecting.send(postText("/booking/slots", "{}",
+                          "Idempotency-Key: k\nX-Injected: 1\r\n"));
+  Injecting.readUntil("\r\n\r\n");
+  CHECK(fetch(Node.port(), "POST", "/booking/slots", "{}").m_Status == 200);
+  const std::string Runs = fetch(Node.service().port(), "GET", "/runs").m_Body;
+  CHECK(Runs.find("\\n") == std::string::npos);
+}
+
 TEST_CASE("a repeat gets the first answer whole, or is told that it ran") {
   TestNode Node({});
   const std::vector<std::string> ShortKey = {"Idempotency-Key: short"};
