Node: Tell copies to neighbours alone, and look at what drains once a tick

Copies that placement drains were collected after every event. Tables are 200 ms apart at least instead of 50 ms: a leaving endpoint has 3 s.

--- a/Source/Core/Node/ControlCore.cpp
+++ b/Source/Core/Node/ControlCore.cpp
@@ -87,6 +87,8 @@
   m_Claims.tick(m_Now, *m_Out);
   renewPlacement();
   m_Fences.tick(m_Now, *m_Out);
+  followDraining();
+  greetNeighbours();
   m_Poller.tick(m_Now, *m_Out);
   if (!m_Intent.inForce())
     return;
@@ -183,8 +185,13 @@
 void ControlCore::on(const ports::PeerLinkChanged &Change) {
   m_View.peerLinkChanged(Change, m_Now, *m_Out);
   m_Intent.peerLinkChanged(Change, m_Now, *m_Out);
-  if (Change.m_Up)
-    sendResidency(Change.m_Peer);
+  m_Greeted.erase(Change.m_Peer);
+}
+
+void ControlCore::greetNeighbours() {
+  for (const model::NodeId &Peer : m_View.neighbours())
+    if (m_Greeted.insert(Peer).second)
+      sendResidency(Peer);
 }
 
 void ControlCore::sendResidency(const model::NodeId &To) {
@@ -283,6 +290,9 @@
       m_Placement.livenessChanged(State, m_Now, *m_Out);
     m_TableDirty = true;
   }
+}
+
+void ControlCore::followDraining() {
   const std::vector<model::Copy> Draining = m_Placement.drainingCopies();
   if (Draining != m_SeenDraining) {
     m_SeenDraining = Draining;
--- a/Source/Core/Node/ControlCore.h
+++ b/Source/Core/Node/ControlCore.h
@@ -18,6 +18,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace bronzepass::core::node {
@@ -73,6 +74,8 @@
 
   void routeAnswer(const leases::RoutedAnswer &Routed);
   void takeReport(const model::EngineReport &Report, const model::NodeId *From);
+  /// Tells a peer that has become a neighbour all that is known of copies.
+  void greetNeighbours();
   void sendResidency(const model::NodeId &To);
   model::CallId submit(leases::StoreClient Client, ports::StoreCall Call);
 
@@ -84,6 +87,7 @@
   /// \p From on.
   void wantClaimLinks(size_t From);
   void followEndpoints();
+  void followDraining();
   void refreshLeaseDuties();
   void refreshPolls();
   void publishTable();
@@ -113,6 +117,7 @@
   std::optional<uint64_t> m_SeenEndpoints;
   std::optional<uint64_t> m_SeenMembers;
   std::vector<model::Copy> m_SeenDraining;
+  std::set<model::NodeId> m_Greeted;
   bool m_TableDirty = false;
   std::optional<model::TimePoint> m_TableAt;
   std::shared_ptr<const routing::RoutingTable> m_Table;
--- a/Source/Core/Node/NodeConfig.h
+++ b/Source/Core/Node/NodeConfig.h
@@ -25,7 +25,7 @@
   /// Between two accounts of demand and of callers' use to other nodes.
   model::Duration m_SharePeriod = std::chrono::seconds(2);
   /// Between two routing tables at least.
-  model::Duration m_TableSpacing = std::chrono::milliseconds(50);
+  model::Duration m_TableSpacing = std::chrono::milliseconds(200);
   /// How long a stopping node still takes requests, so that the balancer can
   /// see that it is no longer ready.
   model::Duration m_LameDuck = std::chrono::seconds(3);
