--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bronzepass::core::adapters::pistache {
 
@@ -48,9 +49,14 @@
   /// The answer has been written; the connection idles or, with \p Close,
   /// ends once all is sent.
   void endAnswer(bool Close);
+  /// Calls \p OnSent once nothing is kept for the caller any more, or the
+  /// connection is gone; at once where that is so already.
+  void whenSent(std::function<void()> OnSent);
   /// Ends it visibly: what is kept is dropped, nothing is ended cleanly.
   void cut();
   bool isOpen() const { return m_Open; }
+  /// False where no descriptor was left for the duplicate.
+  bool hasDescriptor() const { return m_Fd.valid(); }
   net::EventLoop &loop() { return m_Loop; }
 
   /// A request is being answered: what comes in is a pipelined one.
@@ -68,6 +74,7 @@
   void onEvents(uint32_t Events);
   void flush();
   void updateWatch();
+  void tellSent();
   void finishSending();
   void startTimer(std::chrono::milliseconds Delay,
                   std::function<void()> OnTimeout);
@@ -84,6 +91,7 @@
   bool m_CloseWhenSent = false;
   std::string m_Pending;
   std::function<void()> m_OnGone;
+  std::vector<std::function<void()>> m_OnSent;
   bool m_TimerRuns = false;
   net::EventLoop::TimerId m_Timer;
 };
--- a/Source/Core/Placement/PoolShard.cpp
+++ b/Source/Core/Placement/PoolShard.cpp
@@ -232,12 +232,13 @@
 bool PoolShard::isReady(model::TimePoint Now) {
   if (m_Ready)
     return true;
-  const bool AllKnown =
-      std::all_of(m_State.m_Engines.begin(), m_State.m_Engines.end(),
-                  [](const EngineSlot &Slot) {
-                    return Slot.m_Book.phase() == LedgerBook::Phase::Held &&
-                           (Slot.m_Health.isUp() || Slot.m_Health.downSince());
-                  });
+  const bool AllKnown = std::all_of(
+      m_State.m_Engines.begin(), m_State.m_Engines.end(),
+      [](const EngineSlot &Slot) {
+        return !Slot.m_Declared ||
+               (Slot.m_Book.phase() == LedgerBook::Phase::Held &&
+                (Slot.m_Health.isUp() || Slot.m_Health.downSince()));
+      });
   m_Ready = AllKnown || Now >= m_ListedAt + m_State.m_Settings.m_StartGrace;
   return m_Ready;
 }
--- a/Source/Core/Routing/TrafficAttempts.cpp
+++ b/Source/Core/Routing/TrafficAttempts.cpp
@@ -103,6 +103,7 @@
     return;
   m_Attempts.erase(Live.m_Attempt);
   record(Live.m_Endpoint).m_View.finished(m_Now);
+  m_MayHaveRoom = true;
   if (!Live.m_Request.m_Forwarded)
     m_Demand.usedSlot(Live.m_Lane.m_Artifact, m_Now - Live.m_AttemptAt);
   Live.m_Attempt = model::AttemptId();
@@ -123,6 +124,7 @@
   EndpointRecord &Record = record(Live->m_Endpoint);
   if (Event.m_Load)
     Record.m_View.reported(*Event.m_Load, m_Now);
+  m_MayHaveRoom |= Event.m_Load.has_value();
   if (Live->m_HeadSeen) {
     ++m_Counts.m_StaleDropped;
     return;
@@ -174,7 +176,10 @@
   if (Repeated)
     return;
   cancelAttempt(*Live);
-  endBroken(*Live);
+  if (Live->m_Resuming)
+    refuseBroken(*Live);
+  else
+    endBroken(*Live);
 }
 
 void TrafficCore::measureSpeed(LiveRequest &Live) {
@@ -209,12 +214,26 @@
     endNotRun(*Live, false);
     return;
   case AttemptEnd::Broken:
-    record(Live->m_Endpoint).m_View.failed(false, m_Now);
+    noteFailed(*Live, false);
     endBroken(*Live);
     return;
   }
 }
 
+void TrafficCore::noteFailed(const LiveRequest &Live, bool Refused) {
+  // A node that fails says nothing of the endpoint behind it.
+  if (!Live.m_ToNode.empty()) {
+    m_AvoidedNodes[Live.m_ToNode] = m_Now + m_Settings.m_EjectTime;
+    return;
+  }
+  EndpointRecord &Record = record(Live.m_Endpoint);
+  Record.m_View.failed(Refused, m_Now);
+  if (!Refused)
+    return;
+  Record.m_ToldRefused = true;
+  m_Out->push_back(ports::EndpointSeen{Live.m_Endpoint, true});
+}
+
 void TrafficCore::endWhole(LiveRequest &Live, const AttemptEnded &Event) {
   noteAnswered(Live);
   if (Live.m_Claimed)
@@ -262,14 +281,11 @@
 }
 
 void TrafficCore::endNotRun(LiveRequest &Live, bool Refused) {
-  EndpointRecord &Record = record(Live.m_Endpoint);
-  if (!Live.m_ToNode.empty()) {
-    m_AvoidedNodes[Live.m_ToNode] = m_Now + m_Settings.m_EjectTime;
-  } else if (Refused) {
-    Record.m_View.failed(true, m_Now);
-    Record.m_ToldRefused = true;
-    m_Out->push_back(ports::EndpointSeen{Live.m_Endpoint, true});
-  }
+  if (Refused)
+    noteFailed(Live, true);
+  // A node that declines speaks for the endpoint: it is full, or too slow.
+  else if (!Live.m_ToNode.empty())
+    Live.m_Tried.push_back(Live.m_Endpoint);
   // What is proven not to have run may be tried again whatever it is, but a
   // stream that has begun can't start anew.
   bool Allowed = Live.m_Tries < m_Settings.m_MaxAttempts &&
@@ -304,6 +320,10 @@
     resume(Live, *Endpoint);
     return;
   }
+  refuseBroken(Live);
+}
+
+void TrafficCore::refuseBroken(LiveRequest &Live) {
   bool Begun = Live.m_HeadRelayed;
   refuse(Live, {Begun ? model::RefusalReason::StreamBroken
                       : model::RefusalReason::EndpointFailed,
@@ -321,7 +341,6 @@
 
 void TrafficCore::retry(LiveRequest &Live) {
   ++m_Counts.m_Retries;
-  // A node that failed to take it says nothing of the endpoint behind it.
   if (Live.m_ToNode.empty())
     Live.m_Tried.push_back(Live.m_Endpoint);
   Live.m_Phase = RequestPhase::Queued;
