--- a/Source/Core/Adapters/Daemon/Daemon.cpp
+++ b/Source/Core/Adapters/Daemon/Daemon.cpp
@@ -3,7 +3,6 @@
 #include "Core/Adapters/Callers/CallerFront.h"
 #include "Core/Adapters/Curl/CurlEngineClient.h"
 #include "Core/Adapters/Daemon/ControlThread.h"
-#include "Core/Adapters/Daemon/CoreDecider.h"
 #include "Core/Adapters/Daemon/DecisionRing.h"
 #include "Core/Adapters/Daemon/EffectCarrier.h"
 #include "Core/Adapters/Daemon/NodeSetup.h"
@@ -15,6 +14,7 @@
 #include "Core/Adapters/ObjectApi/ObjectApiClient.h"
 #include "Core/Adapters/Operator/OperatorServer.h"
 #include "Core/Adapters/Prometheus/PrometheusMetrics.h"
+#include "Core/Adapters/Traffic/CoreDecider.h"
 #include "Core/Adapters/Traffic/TrafficDriver.h"
 #include "Core/Adapters/WebSocket/PeerSockets.h"
 #include "Core/Adapters/Yaml/YamlIntentReader.h"
@@ -31,8 +31,8 @@
         m_Log(Settings), m_Decisions(m_Log),
         m_Core(makeNodeConfig(Settings, m_Self), m_Random, m_Reader),
         m_Traffic(makeTrafficOptions(m_Self),
-                  std::make_unique<CoreDecider>(makeTrafficSettings(Settings),
-                                                m_Self),
+                  std::make_unique<traffic::CoreDecider>(
+                      makeTrafficSettings(Settings), m_TrafficRandom, m_Self),
                   {m_Clock, *this, m_Decisions, m_Metrics}),
         m_Front(makeFrontOptions(Settings), m_Traffic, m_Clock),
         m_Operators(
@@ -117,7 +117,9 @@
 
   const settings::NodeSettings m_Settings;
   SystemClock m_Clock;
+  // One for each thread.
   SystemRandom m_Random;
+  SystemRandom m_TrafficRandom;
   yaml::YamlIntentReader m_Reader;
   StopSignals m_Signals;
   const model::NodeInfo m_Self;
--- a/Source/Core/Cli/CheckCommand.cpp
+++ b/Source/Core/Cli/CheckCommand.cpp
@@ -4,6 +4,8 @@
 #include "Core/Adapters/Yaml/YamlIntentReader.h"
 #include "Core/Cli/FileText.h"
 #include "Core/Cli/FindingPrinter.h"
+#include "Core/Cli/Table.h"
+#include "Core/Settings/NodeSettings.h"
 
 #include <ostream>
 
@@ -14,10 +16,33 @@
 void CheckCommand::addOptions(po::options_description &Options) const {
   Options.add_options()("file", po::value<std::string>(), "file to check")(
       "kind", po::value<std::string>()->default_value("intent"),
-      "intent or settings");
+      "intent or settings")("list-settings", po::bool_switch(),
+                            "list every setting of a node instead");
 }
 
+namespace {
+
+void listSettings(const CommandContext &Context) {
+  Table Rows({"Section", "Key", "Default", "Range", "Meaning"});
+  for (const settings::SettingInfo &Info : settings::allSettings()) {
+    const std::string Default =
+        Info.m_HasDefault ? settings::toString(Info.m_Sample) : "(required)";
+    const std::string Range = Info.m_Least
+                                  ? settings::toString(*Info.m_Least) + " to " +
+                                        settings::toString(*Info.m_Most)
+                                  : "";
+    Rows.add({Info.m_Section, Info.m_Key, Default, Range, Info.m_Meaning});
+  }
+  Rows.print(Context.m_Out, Context.wantsJson());
+}
+
+} // namespace
+
 ExitCode CheckCommand::run(const CommandContext &Context) const {
+  if (Context.m_Options["list-settings"].as<bool>()) {
+    listSettings(Context);
+    return ExitCode::Ok;
+  }
   const std::string Path = Context.text("file");
   const std::string Kind = Context.text("kind");
   if (Path.empty()) {
--- a/Source/Core/Settings/NodeSettings.h
+++ b/Source/Core/Settings/NodeSettings.h
@@ -80,10 +80,12 @@
     "Answer kept for a caller that reads "
     "slowly before its connection is cut"};
 inline const Setting<uint64_t> LimitQueueRequests{
-    "limits", "queue-requests", 2000, 1, 100000, "Requests waiting on a node"};
+    "limits", "queue-requests", 2000,
+    1,        100000,           "Requests for one model waiting on a node"};
 inline const Setting<Bytes> LimitQueueBytes{
-    "limits",       "queue-bytes",      Bytes{16U << 20},
-    Bytes{1 << 10}, Bytes{1024U << 20}, "Bodies of requests waiting on a node"};
+    "limits",           "queue-bytes",
+    Bytes{16U << 20},   Bytes{1 << 10},
+    Bytes{1024U << 20}, "Bodies of one model's requests waiting on a node"};
 inline const Setting<uint64_t> LimitReactorThreads{
     "limits", "reactor-threads", 2, 1, 64, "Threads that read from callers"};
 inline const Setting<uint64_t> LimitEngineDrivers{
