Placement: Give every engine pool a load of its own

A pool's share of the weight store's concurrent loads was cut from one line by engines: with 1, 20 and 60 engines and 8 loads the smallest got 0, and its models could never be loaded, without a finding. Each pool now gets one first, the rest by engines; more engine pools than loads is a finding at its place. Ruled out: sharing by demand, which needs the placers to agree while the weight store is full.

--- a/Source/Core/Adapters/Yaml/IntentChecks.cpp
+++ b/Source/Core/Adapters/Yaml/IntentChecks.cpp
@@ -145,6 +145,20 @@
   }
 }
 
+void checkLoadShares(const Intent &Value, const YAML::Node &Document,
+                     FindingSink &Sink) {
+  uint32_t EnginePools = 0;
+  for (const PoolSpec &Pool : Value.m_Pools)
+    EnginePools += Pool.m_Kind == PoolKind::Engine ? 1 : 0;
+  if (EnginePools <= Value.m_WeightStore.m_ConcurrentLoads)
+    return;
+  Sink.error(Document["pools"].Mark(),
+             std::to_string(EnginePools) + " engine pools share " +
+                 std::to_string(Value.m_WeightStore.m_ConcurrentLoads) +
+                 " concurrent loads of the weight store: a pool without a "
+                 "share could load nothing");
+}
+
 void checkSelectors(const Intent &Value, const YAML::Node &Document,
                     FindingSink &Sink) {
   std::vector<std::string> Endpoints;
@@ -175,6 +189,7 @@
   checkAdapters(Value, Document, Sink);
   checkPrefixes(Value, Document, Sink);
   checkSelectors(Value, Document, Sink);
+  checkLoadShares(Value, Document, Sink);
 }
 
 } // namespace bronzepass::core::adapters::yaml
--- a/Source/Core/Placement/Catalog.cpp
+++ b/Source/Core/Placement/Catalog.cpp
@@ -158,8 +158,13 @@
       continue;
     }
     const uint64_t Whole = m_Intent->m_WeightStore.m_ConcurrentLoads;
-    return static_cast<uint32_t>(After * Whole / m_LoadShareSum -
-                                 Before * Whole / m_LoadShareSum);
+    const uint64_t Pools = m_LoadShares.size();
+    // One for each pool first: a pool that could load nothing would leave its
+    // models without a copy. An intent with more pools than loads has findings.
+    const uint64_t First = Whole >= Pools ? 1 : 0;
+    const uint64_t Rest = Whole - First * Pools;
+    return static_cast<uint32_t>(First + After * Rest / m_LoadShareSum -
+                                 Before * Rest / m_LoadShareSum);
   }
   return 0;
 }
--- a/Source/UnitTests/Adapters/Yaml/IntentReaderTest.cpp
+++ b/Source/UnitTests/Adapters/Yaml/IntentReaderTest.cpp
@@ -86,6 +86,21 @@
         std::string::npos);
 }
 
+TEST_CASE("more engine pools than concurrent loads are refused") {
+  const ports::IntentReading Reading = read(R"(name: crowded
+weight-store: {concurrent-loads: 1}
+pools:
+  - name: first
+    endpoints:
+      - {name: e1, address: "10.0.0.1:1", failure-domain: a, memory: 100GiB}
+  - name: second
+    endpoints:
+      - {name: e2, address: "10.0.0.2:1", failure-domain: a, memory: 100GiB}
+)");
+  REQUIRE(Reading.m_Findings.size() == 1);
+  CHECK(Reading.m_Findings[0].m_Place.m_Line == 4);
+}
+
 TEST_CASE("both deployments' examples are accepted at their true sizes") {
   const std::string Dielectrica = fileText("Examples/dielectrica/intent.yaml");
   const ports::IntentReading First = read(Dielectrica);
