--- a/Source/Core/Node/ControlCore.cpp
+++ b/Source/Core/Node/ControlCore.cpp
@@ -177,7 +177,8 @@
   else if (const auto *Outcome = std::get_if<ports::ClaimOutcome>(&Message))
     m_Claims.onOutcome(From, *Outcome, m_Now, *m_Out);
   else if (const auto *Fence = std::get_if<ports::FenceAsk>(&Message))
-    m_Fences.askReceived(From, *Fence, *m_Out);
+    m_Fences.askReceived(From, *Fence, m_Leases.find(Fence->m_Lease, m_Now),
+                         *m_Out);
   else if (const auto *Ack = std::get_if<ports::FenceAck>(&Message))
     m_Fences.ackReceived(From, *Ack, m_Now, *m_Out);
 }
--- a/Source/Core/Node/FenceDesk.cpp
+++ b/Source/Core/Node/FenceDesk.cpp
@@ -15,11 +15,13 @@
 
 void FenceDesk::askReceived(const model::NodeId &From,
                             const ports::FenceAsk &Ask,
+                            const std::optional<model::HeldLease> &Held,
                             ports::EffectList &Out) {
   model::FencingToken &Fenced = m_Fenced[Ask.m_Lease];
   Fenced = std::max(Fenced, Ask.m_Token);
   // Its orders end here; the answer leaves behind those that went before.
-  m_Placement.leaseLost(Ask.m_Lease);
+  if (!Held || isFenced(*Held))
+    m_Placement.leaseLost(Ask.m_Lease);
   Out.push_back(ports::PeerSend{From, ports::FenceAck{Ask.m_Lease, Fenced}});
 }
 
--- a/Source/UnitTests/Node/ControlCoreTest.cpp
+++ b/Source/UnitTests/Node/ControlCoreTest.cpp
@@ -3,6 +3,7 @@
 #include "Core/Placement/PlacementCore.h"
 #include "Core/Routing/RoutingTable.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <fstream>
 #include <sstream>
@@ -209,6 +210,35 @@
   }
 }
 
+TEST_CASE("a later holder's ask ends a placer's orders; one that came late "
+          "does not") {
+  ControlSystem System;
+  bringUp(System, 3, Dielectrica);
+  ControlSystem::Node &Placer = System.on(placer(System, "interpretation"));
+  const model::HeldLease Lease = Placer.m_Core->heldLeases().at(0);
+  const model::NodeId Asker("vm-9.1");
+  const auto Ask = [&](uint64_t Token) {
+    ports::EffectList Effects;
+    Placer.m_Core->handle(
+        ports::PeerReceived{Asker, ports::FenceAsk{Lease.m_Name, {Token}}},
+        System.m_Now, Effects);
+    return std::any_of(Effects.begin(), Effects.end(),
+                       [&Asker](const ports::Effect &Each) {
+                         const auto *Send = std::get_if<ports::PeerSend>(&Each);
+                         return Send != nullptr && Send->m_To == Asker;
+                       });
+  };
+  CHECK(Ask(Lease.m_Token.m_Value));
+  CHECK_FALSE(Placer.m_Core->placement().engines().empty());
+  CHECK(Ask(Lease.m_Token.m_Value + 1));
+  CHECK(Placer.m_Core->placement().engines().empty());
+  const uint64_t Sent = Placer.m_OrdersSent;
+  System.m_DeadEngines.insert(model::EndpointId("interpretation-1"));
+  System.runFor(1min);
+  CHECK(Placer.m_Core->placement().engines().empty());
+  CHECK(Placer.m_OrdersSent == Sent);
+}
+
 TEST_CASE("a key at two nodes at the same instant is granted to one") {
   ControlSystem System;
   bringUp(System, 3, Dielectrica);
