Node: Offer changes of copies, and let neighbours fetch them once

Cause: every change of an engine's copies went whole to each neighbour; with 14 changes a second at 380 nodes and 840 engines a node sent 70,656 B/s where 27,000 are allowed. Ruled out: sending single copies (a later one may come first by another road, and the earlier would be dropped as old), and telling fewer neighbours (no longer reaches everyone for sure). Change: a node offers an engine's name and its report's time, 250 ms apart at least; who lacks it fetches it from the first that offered, or after 1 s from another. A new neighbour is offered everything instead of sent it.

--- a/Source/Benchmarks/Membership/DrivenNode.cpp
+++ b/Source/Benchmarks/Membership/DrivenNode.cpp
@@ -111,6 +111,7 @@
       m_Costs.m_BytesOut[Type] += Bytes->size() + FrameBytes;
       if (const auto *Beat = std::get_if<ports::Heartbeat>(&Send->m_Message))
         m_Echoes[Send->m_To] = Beat->m_Sequence;
+      answerResidency(Send->m_To, Send->m_Message);
     } else if (const auto *Call = std::get_if<ports::StoreCall>(&Effect)) {
       constexpr const char *Verbs[] = {"get",    "list",   "create",
                                        "update", "delete", "watch"};
@@ -210,17 +211,33 @@
   }
 }
 
+void DrivenNode::answerResidency(const model::NodeId &Peer,
+                                 const ports::PeerMessage &Message) {
+  if (const auto *Wanted = std::get_if<ports::ResidencyWanted>(&Message))
+    for (const model::EndpointId &Endpoint : Wanted->m_Endpoints)
+      m_Queue.emplace_back(ports::PeerReceived{
+          Peer, ports::ResidencyShare{{m_Offered.at(Endpoint)}}});
+  // Each node fetches a report once: of this node's neighbours one in all.
+  if (const auto *Offer = std::get_if<ports::ResidencyOffer>(&Message))
+    for (const ports::ResidencyNews &News : Offer->m_News)
+      if (m_Chance.next() % m_Core.view().neighbours().size() == 0)
+        m_Queue.emplace_back(ports::PeerReceived{
+            Peer, ports::ResidencyWanted{{News.m_Endpoint}}});
+}
+
 void DrivenNode::moveOne() {
   const int Engine = m_Chance.next() % m_Around.m_Engines;
   ++m_Moves[Engine];
-  const ports::ResidencyShare Share{{report(Engine)}};
+  const model::EngineReport Moved = report(Engine);
+  m_Offered[Moved.m_Endpoint] = Moved;
+  const ports::ResidencyOffer Offer{{{Moved.m_Endpoint, Moved.m_MadeAt}}};
   // Two neighbours pass it on before the others hear of it from this node.
   int Tellers = 2;
   const auto Linked = m_Linked;
   for (const auto &[Peer, Info] : Linked) {
     if (Tellers-- == 0)
       break;
-    receive(Peer, Share);
+    receive(Peer, Offer);
   }
 }
 
--- a/Source/Benchmarks/Membership/DrivenNode.h
+++ b/Source/Benchmarks/Membership/DrivenNode.h
@@ -67,6 +67,9 @@
   void step();
   void replaceOne();
   void moveOne();
+  /// What a neighbour answers to this node's news of copies.
+  void answerResidency(const core::model::NodeId &Peer,
+                       const core::ports::PeerMessage &Message);
   void applyNext();
   core::model::EngineReport report(int Engine);
 
@@ -86,6 +89,7 @@
   std::map<core::model::NodeId, uint64_t> m_Echoes;
   std::vector<uint64_t> m_ReportSequences;
   std::vector<int> m_Moves;
+  std::map<core::model::EndpointId, core::model::EngineReport> m_Offered;
   std::deque<core::ports::Event> m_Queue;
   uint64_t m_Generation = 0;
   uint64_t m_OperatorCalls = 0;
--- a/Source/Core/Adapters/Codec/MessageFields.h
+++ b/Source/Core/Adapters/Codec/MessageFields.h
@@ -106,6 +106,25 @@
   }
 };
 
+template <> struct Fields<ports::ResidencyNews> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("endpoint", Value.m_Endpoint);
+    Visitor.required("madeAtMicros", Value.m_MadeAt);
+  }
+};
+
+template <> struct Fields<ports::ResidencyOffer> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("news", Value.m_News);
+  }
+};
+
+template <> struct Fields<ports::ResidencyWanted> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("endpoints", Value.m_Endpoints);
+  }
+};
+
 template <> struct Fields<ports::ResidencyShare> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("reports", Value.m_Reports);
--- a/Source/Core/Adapters/Codec/PeerCodec.cpp
+++ b/Source/Core/Adapters/Codec/PeerCodec.cpp
@@ -18,8 +18,8 @@
     TypeNames = {
         "hello",          "heartbeat",  "intentOffer",    "intentPartsWanted",
         "intentPartSent", "claimAsk",   "claimReply",     "claimOutcome",
-        "demandShare",    "usageShare", "residencyShare", "fenceAsk",
-        "fenceAck"};
+        "demandShare",    "usageShare", "residencyOffer", "residencyWanted",
+        "residencyShare", "fenceAsk",   "fenceAck"};
 
 /// The message around its body.
 struct Envelope {
--- a/Source/Core/Node/ControlCore.cpp
+++ b/Source/Core/Node/ControlCore.cpp
@@ -7,13 +7,6 @@
 
 namespace bronzepass::core::node {
 
-namespace {
-
-/// Reports in one message: a few hundred bytes each, far below the limit.
-constexpr size_t ReportsPerMessage = 32;
-
-} // namespace
-
 ControlCore::ControlCore(const NodeConfig &Config, ports::Random &Random,
                          const ports::IntentReader &Reader)
     : m_Config(Config), m_Governor(Config.m_Governor, Random),
@@ -32,8 +25,8 @@
             return submit(leases::StoreClient::Placement, std::move(Call));
           },
           Config.m_Placement),
-      m_Poller(Config.m_ReportPeriod), m_Shares(m_View, Config.m_SharePeriod),
-      m_Fences(m_View, m_Placement) {}
+      m_Relay(m_Residency), m_Poller(Config.m_ReportPeriod),
+      m_Shares(m_View, Config.m_SharePeriod), m_Fences(m_View, m_Placement) {}
 
 model::CallId ControlCore::submit(leases::StoreClient Client,
                                   ports::StoreCall Call) {
@@ -88,7 +81,8 @@
   renewPlacement();
   m_Fences.tick(m_Now, *m_Out);
   followDraining();
-  greetNeighbours();
+  m_Relay.setNeighbours(m_View.neighbours());
+  m_Relay.tick(m_Now, *m_Out);
   m_Poller.tick(m_Now, *m_Out);
   if (!m_Intent.inForce())
     return;
@@ -136,12 +130,9 @@
     return;
   m_View.reportSeen(Report, m_Now);
   m_Placement.reportSeen(Report, m_Now, *m_Out);
-  if (News == ResidencyBook::News::Same)
-    return;
-  m_TableDirty = true;
-  for (const model::NodeId &Peer : m_View.neighbours())
-    if (!From || Peer != *From)
-      m_Out->push_back(ports::PeerSend{Peer, ports::ResidencyShare{{Report}}});
+  const bool Changed = News == ResidencyBook::News::Changed;
+  m_Relay.taken(Report.m_Endpoint, Changed, From);
+  m_TableDirty = m_TableDirty || Changed;
 }
 
 void ControlCore::on(const ports::ReportMissed &Missed) {
@@ -166,6 +157,10 @@
   if (const auto *Share = std::get_if<ports::ResidencyShare>(&Message))
     for (const model::EngineReport &Report : Share->m_Reports)
       takeReport(Report, &From);
+  else if (const auto *Offer = std::get_if<ports::ResidencyOffer>(&Message))
+    m_Relay.offerReceived(From, *Offer, m_Now, *m_Out);
+  else if (const auto *Wanted = std::get_if<ports::ResidencyWanted>(&Message))
+    m_Relay.wantedReceived(From, *Wanted, *m_Out);
   else if (const auto *Demand = std::get_if<ports::DemandShare>(&Message))
     m_Placement.demandSeen(Demand->m_Samples, m_Now);
   else if (const auto *Usage = std::get_if<ports::UsageShare>(&Message))
@@ -186,20 +181,7 @@
 void ControlCore::on(const ports::PeerLinkChanged &Change) {
   m_View.peerLinkChanged(Change, m_Now, *m_Out);
   m_Intent.peerLinkChanged(Change, m_Now, *m_Out);
-  m_Greeted.erase(Change.m_Peer);
-}
-
-void ControlCore::greetNeighbours() {
-  for (const model::NodeId &Peer : m_View.neighbours())
-    if (m_Greeted.insert(Peer).second)
-      sendResidency(Peer);
-}
-
-void ControlCore::sendResidency(const model::NodeId &To) {
-  for (std::vector<model::EngineReport> &List :
-       m_Residency.inLists(ReportsPerMessage))
-    m_Out->push_back(
-        ports::PeerSend{To, ports::ResidencyShare{std::move(List)}});
+  m_Relay.forget(Change.m_Peer);
 }
 
 void ControlCore::on(const ports::VmListSeen &Seen) {
--- a/Source/Core/Node/ControlCore.h
+++ b/Source/Core/Node/ControlCore.h
@@ -10,6 +10,7 @@
 #include "Core/Node/NodeConfig.h"
 #include "Core/Node/ReportPoller.h"
 #include "Core/Node/ResidencyBook.h"
+#include "Core/Node/ResidencyRelay.h"
 #include "Core/Node/ShareDesk.h"
 #include "Core/Placement/PlacementCore.h"
 #include "Core/Ports/Effect.h"
@@ -18,7 +19,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace bronzepass::core::node {
@@ -74,9 +74,6 @@
 
   void routeAnswer(const leases::RoutedAnswer &Routed);
   void takeReport(const model::EngineReport &Report, const model::NodeId *From);
-  /// Tells a peer that has become a neighbour all that is known of copies.
-  void greetNeighbours();
-  void sendResidency(const model::NodeId &To);
   model::CallId submit(leases::StoreClient Client, ports::StoreCall Call);
 
   void takeNotices(const std::vector<leases::LeaseNotice> &Notices);
@@ -103,6 +100,7 @@
   claims::ClaimShards m_Claims;
   placement::PlacementCore m_Placement;
   ResidencyBook m_Residency;
+  ResidencyRelay m_Relay;
   ReportPoller m_Poller;
   ShareDesk m_Shares;
   FenceDesk m_Fences;
@@ -117,7 +115,6 @@
   std::optional<uint64_t> m_SeenEndpoints;
   std::optional<uint64_t> m_SeenMembers;
   std::vector<model::Copy> m_SeenDraining;
-  std::set<model::NodeId> m_Greeted;
   bool m_TableDirty = false;
   std::optional<model::TimePoint> m_TableAt;
   std::shared_ptr<const routing::RoutingTable> m_Table;
--- a/Source/Core/Node/ResidencyBook.cpp
+++ b/Source/Core/Node/ResidencyBook.cpp
@@ -48,15 +48,11 @@
   return Found == m_Reports.end() ? nullptr : &Found->second;
 }
 
-std::vector<std::vector<model::EngineReport>>
-ResidencyBook::inLists(size_t MaxReports) const {
-  std::vector<std::vector<model::EngineReport>> Lists;
-  for (const auto &Entry : m_Reports) {
-    if (Lists.empty() || Lists.back().size() == MaxReports)
-      Lists.emplace_back();
-    Lists.back().push_back(Entry.second);
-  }
-  return Lists;
+std::set<model::EndpointId> ResidencyBook::endpoints() const {
+  std::set<model::EndpointId> Names;
+  for (const auto &Entry : m_Reports)
+    Names.insert(Entry.first);
+  return Names;
 }
 
 } // namespace bronzepass::core::node
--- a/Source/Core/Node/ResidencyBook.h
+++ b/Source/Core/Node/ResidencyBook.h
@@ -35,9 +35,8 @@
 
   const model::EngineReport *find(const model::EndpointId &Endpoint) const;
 
-  /// All reports, in lists of at most \p MaxReports.
-  std::vector<std::vector<model::EngineReport>>
-  inLists(size_t MaxReports) const;
+  /// The engines with a report.
+  std::set<model::EndpointId> endpoints() const;
 
   size_t size() const { return m_Reports.size(); }
 
--- a/Source/Core/Ports/PeerMessage.h
+++ b/Source/Core/Ports/PeerMessage.h
@@ -163,7 +163,32 @@
   friend auto operator<=>(const UsageShare &, const UsageShare &) = default;
 };
 
-/// Copies and load on engines that the sender drives, for those who don't.
+/// One engine's report by name and time.
+struct ResidencyNews {
+  model::EndpointId m_Endpoint;
+  model::TimePoint m_MadeAt;
+
+  friend auto operator<=>(const ResidencyNews &,
+                          const ResidencyNews &) = default;
+};
+
+/// Engines whose copies have changed, as the sender knows them.
+struct ResidencyOffer {
+  std::vector<ResidencyNews> m_News;
+
+  friend auto operator<=>(const ResidencyOffer &,
+                          const ResidencyOffer &) = default;
+};
+
+/// Asks a peer for reports that it offered.
+struct ResidencyWanted {
+  std::vector<model::EndpointId> m_Endpoints;
+
+  friend auto operator<=>(const ResidencyWanted &,
+                          const ResidencyWanted &) = default;
+};
+
+/// Reports on engines, for a peer that wanted them.
 struct ResidencyShare {
   std::vector<model::EngineReport> m_Reports;
 
@@ -191,7 +216,8 @@
 using PeerMessage =
     std::variant<Hello, Heartbeat, IntentOffer, IntentPartsWanted,
                  IntentPartSent, ClaimAsk, ClaimReply, ClaimOutcome,
-                 DemandShare, UsageShare, ResidencyShare, FenceAsk, FenceAck>;
+                 DemandShare, UsageShare, ResidencyOffer, ResidencyWanted,
+                 ResidencyShare, FenceAsk, FenceAck>;
 
 /// Links to peers, numbered by the node at the other end. Messages that come
 /// in, and links that break, are posted as events.
--- a/Source/UnitTests/Adapters/Codec/PeerCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Codec/PeerCodecTest.cpp
@@ -54,6 +54,8 @@
       ports::ClaimOutcome{1, 2, model::ClaimState::Released, 0, ""},
       ports::DemandShare{model::PoolId("p"), {{Artifact, 1, 2, 3, 4, 0.25}}},
       ports::UsageShare{{{model::CallerId("c"), 1.5, 2.5, 3}}},
+      ports::ResidencyOffer{{{model::EndpointId("e1"), Report.m_MadeAt}}},
+      ports::ResidencyWanted{{model::EndpointId("e1")}},
       ports::ResidencyShare{{Report}},
       ports::FenceAsk{{"pool/assistants"}, {8}},
       ports::FenceAck{{"pool/assistants"}, {8}}};
