--- a/Source/Core/Adapters/Daemon/StatusPages.cpp
+++ b/Source/Core/Adapters/Daemon/StatusPages.cpp
@@ -1,5 +1,6 @@
 #include "Core/Adapters/Daemon/StatusPages.h"
 
+#include "Core/Adapters/Codec/EnumNames.h"
 #include "Core/Model/NearMatch.h"
 
 #include <charconv>
@@ -28,35 +29,10 @@
   return Reply;
 }
 
-const char *nameOf(model::Liveness Value) {
-  switch (Value) {
-  case model::Liveness::Live:
-    return "live";
-  case model::Liveness::Suspect:
-    return "suspect";
-  case model::Liveness::Leaving:
-    return "leaving";
-  case model::Liveness::Gone:
-    return "gone";
-  }
-  return "gone";
-}
-
-const char *nameOf(model::CopyState Value) {
-  switch (Value) {
-  case model::CopyState::Loading:
-    return "loading";
-  case model::CopyState::Serving:
-    return "serving";
-  case model::CopyState::Draining:
-    return "draining";
-  case model::CopyState::Unloading:
-    return "unloading";
-  }
-  return "loading";
-}
+using codec::nameOf;
 
-const char *nameOf(model::OrderKind Value) {
+/// The operators' word; the wire has another for a change of role.
+const char *orderName(model::OrderKind Value) {
   switch (Value) {
   case model::OrderKind::Load:
     return "load";
@@ -171,7 +147,7 @@
   for (const placement::MoveStatus &Each : Core.placement().moves())
     Moves.push_back({{"artifact", model::toString(Each.m_Artifact)},
                      {"endpoint", Each.m_Endpoint.str()},
-                     {"order", nameOf(Each.m_Kind)},
+                     {"order", orderName(Each.m_Kind)},
                      {"phase", placement::toString(Each.m_Phase)},
                      {"reason", placement::toString(Each.m_Reason)}});
   const placement::MoveCounts Counts = Core.placement().counts();
--- a/Source/Core/Adapters/Json/ControlJson.cpp
+++ b/Source/Core/Adapters/Json/ControlJson.cpp
@@ -1,5 +1,7 @@
 #include "Core/Adapters/Json/ControlJson.h"
 
+#include "Core/Adapters/Codec/EnumNames.h"
+
 #include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -10,38 +12,6 @@
 
 constexpr int HexBase = 16;
 
-const char *stateName(model::CopyState State) {
-  switch (State) {
-  case model::CopyState::Loading:
-    return "loading";
-  case model::CopyState::Serving:
-    return "serving";
-  case model::CopyState::Draining:
-    return "draining";
-  case model::CopyState::Unloading:
-    return "unloading";
-  }
-  return "unloading";
-}
-
-std::optional<model::CopyState> stateOf(const std::string &Name) {
-  for (const model::CopyState State :
-       {model::CopyState::Loading, model::CopyState::Serving,
-        model::CopyState::Draining, model::CopyState::Unloading})
-    if (Name == stateName(State))
-      return State;
-  return std::nullopt;
-}
-
-std::optional<model::EngineRole> roleOf(const std::string &Name) {
-  for (const model::EngineRole Role :
-       {model::EngineRole::Mixed, model::EngineRole::Prefill,
-        model::EngineRole::Decode})
-    if (Name == roleName(Role))
-      return Role;
-  return std::nullopt;
-}
-
 nlohmann::ordered_json artifactToJson(const model::ArtifactId &Artifact) {
   nlohmann::ordered_json Json = {{"model", Artifact.m_Model.str()},
                                  {"version", Artifact.m_Version}};
@@ -91,10 +61,11 @@
   Report.m_Waiting = Json.at("waiting").get<uint32_t>();
   Report.m_HighestToken.m_Value = Json.at("highest_token").get<uint64_t>();
   for (const nlohmann::json &Copy : Json.at("copies"))
-    Report.m_Copies.push_back({artifactFromJson(Copy.at("artifact")),
-                               stateOf(Copy.at("state").get<std::string>())
-                                   .value_or(model::CopyState::Unloading),
-                               Copy.at("memory_bytes").get<uint64_t>()});
+    Report.m_Copies.push_back(
+        {artifactFromJson(Copy.at("artifact")),
+         codec::valueOf<model::CopyState>(Copy.at("state").get<std::string>())
+             .value_or(model::CopyState::Unloading),
+         Copy.at("memory_bytes").get<uint64_t>()});
   if (!Json.contains("cache"))
     return Reading;
   const nlohmann::json &Cache = Json.at("cache");
@@ -107,18 +78,6 @@
 
 } // namespace
 
-const char *roleName(model::EngineRole Role) {
-  switch (Role) {
-  case model::EngineRole::Mixed:
-    return "mixed";
-  case model::EngineRole::Prefill:
-    return "prefill";
-  case model::EngineRole::Decode:
-    return "decode";
-  }
-  return "mixed";
-}
-
 const char *orderPath(model::OrderKind Kind) {
   switch (Kind) {
   case model::OrderKind::Load:
@@ -135,7 +94,7 @@
   nlohmann::ordered_json Json = {{"order", Order.m_Id.m_Value},
                                  {"token", Order.m_Token.m_Value}};
   if (Order.m_Kind == model::OrderKind::SetRole) {
-    Json["role"] = roleName(Order.m_Role);
+    Json["role"] = codec::nameOf(Order.m_Role);
     return Json.dump();
   }
   Json["artifact"] = artifactToJson(Order.m_Artifact);
@@ -160,7 +119,7 @@
     Order.m_Token.m_Value = Json.at("token").get<uint64_t>();
     if (Order.m_Kind == model::OrderKind::SetRole) {
       const std::optional<model::EngineRole> Role =
-          roleOf(Json.at("role").get<std::string>());
+          codec::valueOf<model::EngineRole>(Json.at("role").get<std::string>());
       if (!Role)
         return std::nullopt;
       Order.m_Role = *Role;
@@ -180,7 +139,7 @@
   nlohmann::ordered_json Copies = nlohmann::ordered_json::array();
   for (const model::CopyReport &Copy : Report.m_Copies)
     Copies.push_back({{"artifact", artifactToJson(Copy.m_Artifact)},
-                      {"state", stateName(Copy.m_State)},
+                      {"state", codec::nameOf(Copy.m_State)},
                       {"memory_bytes", Copy.m_MemoryBytes}});
   return {{"endpoint", Report.m_Endpoint.str()},
           {"sequence", Report.m_Sequence},
--- a/Source/Core/Adapters/Json/ControlJson.h
+++ b/Source/Core/Adapters/Json/ControlJson.h
@@ -11,9 +11,6 @@
 
 namespace bronzepass::core::adapters::json {
 
-/// "mixed", "prefill" or "decode".
-const char *roleName(model::EngineRole Role);
-
 /// "/control/load", "/control/unload" or "/control/role".
 const char *orderPath(model::OrderKind Kind);
 std::string orderToJson(const model::EngineOrder &Order);
--- a/Source/StandIns/EngineStandIn.cpp
+++ b/Source/StandIns/EngineStandIn.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/EngineStandIn.h"
 
+#include "Core/Adapters/Codec/EnumNames.h"
 #include "Core/Adapters/Json/ControlJson.h"
 #include "Core/Adapters/Json/PromptPrefix.h"
 
@@ -245,7 +246,7 @@
   } else if (Order->m_Kind == model::OrderKind::Unload) {
     Answer->send(unload(Order->m_Artifact));
   } else {
-    m_Role = adapters::json::roleName(Order->m_Role);
+    m_Role = adapters::codec::nameOf(Order->m_Role);
     Answer->send(accepted());
   }
 }
