Node: Find a pool's preferred placer in one pass

Each 2 s a node asked for every node whether it is first for a pool's lease, each answer a pass over all nodes: 380 x 380 hashes. Duties::preferredFor finds it in one, with the same weights; the test compares the two.

--- a/Source/Core/Membership/Duties.cpp
+++ b/Source/Core/Membership/Duties.cpp
@@ -19,6 +19,10 @@
   return model::stableHash(Node.m_Vm.str(), DutyHash);
 }
 
+std::string dutyOf(const model::LeaseName &Lease) {
+  return "lease/" + Lease.m_Duty;
+}
+
 /// The \p Count best, best first.
 std::vector<model::NodeId> best(std::vector<Score> Scores, size_t Count) {
   Count = std::min(Count, Scores.size());
@@ -77,7 +81,7 @@
 
 size_t Duties::preferenceFor(const model::LeaseName &Lease,
                              const model::NodeId &Node) const {
-  const uint64_t Duty = model::stableHash("lease/" + Lease.m_Duty);
+  const uint64_t Duty = model::stableHash(dutyOf(Lease));
   const auto Own =
       std::find_if(m_Nodes.begin(), m_Nodes.end(),
                    [&Node](const auto &N) { return N.m_Node == Node; });
@@ -90,6 +94,10 @@
                        });
 }
 
+model::NodeId Duties::preferredFor(const model::LeaseName &Lease) const {
+  return ownerOf(dutyOf(Lease));
+}
+
 model::NodeId Duties::ownerOf(const std::string &Duty) const {
   const uint64_t Hash = model::stableHash(Duty);
   uint64_t BestWeight = 0;
--- a/Source/Core/Membership/Duties.h
+++ b/Source/Core/Membership/Duties.h
@@ -39,6 +39,9 @@
   size_t preferenceFor(const model::LeaseName &Lease,
                        const model::NodeId &Node) const;
 
+  /// The node whose preference for \p Lease is 0, or none without nodes.
+  model::NodeId preferredFor(const model::LeaseName &Lease) const;
+
   /// The node that should own \p Duty, or none without nodes.
   model::NodeId ownerOf(const std::string &Duty) const;
 
--- a/Source/Core/Node/ShareDesk.cpp
+++ b/Source/Core/Node/ShareDesk.cpp
@@ -100,10 +100,10 @@
   for (const model::PoolSpec &Pool : Intent.m_Pools) {
     if (Pool.m_Kind != model::PoolKind::Engine)
       continue;
-    const model::LeaseName Lease = placement::poolLease(Pool.m_Name);
-    for (const model::NodeInfo &Node : m_View.duties().nodes())
-      if (m_View.duties().preferenceFor(Lease, Node.m_Node) == 0)
-        Placers.emplace(Node.m_Node, Pool.m_Name);
+    const model::NodeId Placer =
+        m_View.duties().preferredFor(placement::poolLease(Pool.m_Name));
+    if (!Placer.empty())
+      Placers.emplace(Placer, Pool.m_Name);
   }
   bool Own = false;
   for (const auto &Entry : Placers) {
--- a/Source/UnitTests/Membership/DutiesTest.cpp
+++ b/Source/UnitTests/Membership/DutiesTest.cpp
@@ -80,6 +80,11 @@
     Taken[Spread.preferenceFor({"pool/assistants"}, Node.m_Node)] = true;
   CHECK(std::count(Taken.begin(), Taken.end(), true) == 20);
   CHECK(Spread.preferenceFor({"pool/a"}, model::NodeId("unknown")) == 20);
+  for (int Pool = 0; Pool < 100; ++Pool) {
+    const model::LeaseName Lease{"pool/" + std::to_string(Pool)};
+    CHECK(Spread.preferenceFor(Lease, Spread.preferredFor(Lease)) == 0);
+  }
+  CHECK(Duties({}).preferredFor({"pool/a"}).empty());
 }
 
 } // namespace bronzepass::unit_tests::membership
