--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <cctype>
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 
 namespace bronzepass::core::adapters::curl {
 
@@ -35,6 +38,9 @@
   std::shared_ptr<TransferListener> m_Listener;
   TransferHead m_Head;
   bool m_Cancelled = false;
+  bool m_HeadSeen = false;
+  /// libcurl has had a connection ready and was about to send.
+  bool m_SendBegan = false;
   /// Without a length or chunks, the end of the body can't be told from a
   /// broken connection.
   bool m_Delimited = false;
@@ -56,7 +62,9 @@
   std::transform(Name.begin(), Name.end(), Name.begin(), [](unsigned char C) {
     return static_cast<char>(std::tolower(C));
   });
-  Head.m_Headers[Name] = std::string(trimmed(Line.substr(Colon + 1)));
+  const std::string Value(trimmed(Line.substr(Colon + 1)));
+  Head.m_Lines.emplace_back(Line.substr(0, Colon), Value);
+  Head.m_Headers[Name] = Value;
 }
 
 bool isDelimited(const TransferHead &Head) {
@@ -72,12 +80,42 @@
   const std::string Host =
       IsV6 ? "[" + Request.m_Address.m_Ip + "]" : Request.m_Address.m_Ip;
   return "http://" + Host + ":" + std::to_string(Request.m_Address.m_Port) +
-         Request.m_Path;
+         "/";
+}
+
+/// libcurl sends a request again by itself when a used connection turns out
+/// dead, although the other end may have run it: the second time is refused.
+int onSendBegins(void *User, char *, char *, int, int) {
+  Transfer &Running = *static_cast<Transfer *>(User);
+  if (Running.m_SendBegan)
+    return CURL_PREREQFUNC_ABORT;
+  Running.m_SendBegan = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+int onSocketMade(void *User, curl_socket_t Socket, curlsocktype) {
+  const TransferRequest &Request = static_cast<Transfer *>(User)->m_Request;
+  if (Request.m_PeerLostAfter.count() == 0)
+    return CURL_SOCKOPT_OK;
+  const unsigned Millis = static_cast<unsigned>(Request.m_PeerLostAfter.count());
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &Millis, sizeof(Millis));
+  // The kernel counts probes in whole seconds.
+  const int On = 1;
+  const int Second = 1;
+  const int Probes = std::max(1, static_cast<int>(Millis / 1000));
+  ::setsockopt(Socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof(On));
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_KEEPIDLE, &Second, sizeof(Second));
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_KEEPINTVL, &Second, sizeof(Second));
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof(Probes));
+  return CURL_SOCKOPT_OK;
 }
 
 size_t onHeaderLine(char *Data, size_t Size, size_t Count, void *User) {
   Transfer &Running = *static_cast<Transfer *>(User);
   const std::string_view Line(Data, Size * Count);
+  // What follows the head is a trailer.
+  if (Running.m_HeadSeen)
+    return Size * Count;
   if (Line.substr(0, 5) == "HTTP/")
     Running.m_Head = {};
   if (!trimmed(Line).empty()) {
@@ -88,6 +126,7 @@
   curl_easy_getinfo(Running.m_Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
   if (Status < FirstFinalStatus || Running.m_Cancelled)
     return Size * Count;
+  Running.m_HeadSeen = true;
   Running.m_Head.m_Status = static_cast<int>(Status);
   Running.m_Delimited = isDelimited(Running.m_Head);
   Running.m_Listener->onHead(Running.m_Head);
@@ -160,7 +199,8 @@
     curl_easy_setopt(Easy, CURLOPT_URL, urlOf(Request).c_str());
     curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Request.m_Method.c_str());
     curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(Easy, CURLOPT_PATH_AS_IS, 1L);
+    // Not by way of the URL, which libcurl would tidy up.
+    curl_easy_setopt(Easy, CURLOPT_REQUEST_TARGET, Request.m_Path.c_str());
     curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(Easy, CURLOPT_PROXY, "");
     curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -170,6 +210,13 @@
     const long Fresh = Request.m_FreshConnection ? 1L : 0L;
     curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, Fresh);
     curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, Fresh);
+    if (Request.m_MaxIdleAge.count() > 0)
+      curl_easy_setopt(Easy, CURLOPT_MAXAGE_CONN,
+                       static_cast<long>(Request.m_MaxIdleAge.count()));
+    curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, onSendBegins);
+    curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &Added);
+    curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION, onSocketMade);
+    curl_easy_setopt(Easy, CURLOPT_SOCKOPTDATA, &Added);
     setBody(Added);
     setHeaders(Added);
     curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, onHeaderLine);
@@ -294,6 +341,7 @@
     curl_easy_getinfo(Easy, CURLINFO_NUM_CONNECTS, &Connects);
     TransferResult Result;
     Result.m_Whole = Code == CURLE_OK && Ended.m_Delimited;
+    Result.m_EndedByClose = Code == CURLE_OK && !Ended.m_Delimited;
     Result.m_BytesSent = static_cast<uint64_t>(Sent);
     Result.m_Connects = static_cast<uint32_t>(Connects);
     Result.m_Refused = Code == CURLE_COULDNT_CONNECT;
--- a/Source/Core/Adapters/Curl/CurlMulti.h
+++ b/Source/Core/Adapters/Curl/CurlMulti.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace bronzepass::core::adapters::curl {
@@ -29,12 +30,21 @@
   std::chrono::milliseconds m_Timeout{0};
   /// Neither take a connection that was used before nor leave one behind.
   bool m_FreshConnection = false;
+  /// Don't take a connection that idled longer than this; zero: libcurl's own
+  /// bound of 118 s.
+  std::chrono::seconds m_MaxIdleAge{0};
+  /// How long sent bytes may go without the other end's acknowledgement, and
+  /// how long it may leave the kernel's probes unanswered; zero: the kernel's
+  /// own bounds.
+  std::chrono::milliseconds m_PeerLostAfter{0};
 };
 
 /// How an answer begins; header names in lower case.
 struct TransferHead {
   int m_Status = 0;
   std::map<std::string, std::string> m_Headers;
+  /// Each line's name and value as they came.
+  std::vector<std::pair<std::string, std::string>> m_Lines;
 
   std::string header(const std::string &LowerName) const {
     auto Found = m_Headers.find(LowerName);
@@ -45,11 +55,13 @@
 struct TransferResult {
   /// The answer came whole, by its Content-Length or chunked encoding.
   bool m_Whole = false;
+  /// The answer had neither length nor chunks, and its connection was closed
+  /// without an error.
+  bool m_EndedByClose = false;
   /// Bytes of the request that were handed to connections; 0 proves that
   /// nothing ran.
   uint64_t m_BytesSent = 0;
-  /// Connections that were opened for it. A request that went out on a used
-  /// connection, which died, counts 1 although it may have been sent twice.
+  /// Connections that were opened for it.
   uint32_t m_Connects = 0;
   /// The other end refused the connection.
   bool m_Refused = false;
--- /dev/null
+++ b/Source/Core/Adapters/Front/FrontConnection.h
@@ -0,0 +1,46 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_FRONT_FRONTCONNECTION_H
+#define BRONZEPASS_CORE_ADAPTERS_FRONT_FRONTCONNECTION_H
+
+#include "Core/Adapters/Front/FrontServer.h"
+#include "Core/Adapters/Front/RequestReading.h"
+#include "Core/Adapters/Net/FileDescriptor.h"
+#include "Core/Adapters/Pistache/HttpConnection.h"
+
+#include <memory>
+
+namespace bronzepass::core::adapters::front {
+
+/// The reading side of one caller's connection. It reads one request at a time;
+/// what a caller sends ahead stays in the kernel until its turn.
+class FrontConnection : public std::enable_shared_from_this<FrontConnection> {
+public:
+  FrontConnection(FrontServer &Server, net::FileDescriptor Fd);
+
+  /// False where no descriptor was left for it.
+  bool start();
+  /// No request is being read or answered.
+  bool isIdle() const;
+  void close();
+  /// The server is going: forget it and close.
+  void detach();
+
+private:
+  void onReadable(uint32_t Events);
+  void readOn(std::string_view Bytes);
+  void awaitRest();
+  void handOver();
+  void refuse();
+  void goOn();
+
+  FrontServer *m_Server;
+  net::EventLoop &m_Loop;
+  net::FileDescriptor m_Fd;
+  std::shared_ptr<pistache::HttpConnection> m_Writer;
+  RequestReading m_Reading;
+  ReadingPhase m_Awaited = ReadingPhase::Nothing;
+  bool m_Answering = false;
+};
+
+} // namespace bronzepass::core::adapters::front
+
+#endif // BRONZEPASS_CORE_ADAPTERS_FRONT_FRONTCONNECTION_H
--- /dev/null
+++ b/Source/Core/Adapters/Front/FrontRequest.h
@@ -0,0 +1,44 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_FRONT_FRONTREQUEST_H
+#define BRONZEPASS_CORE_ADAPTERS_FRONT_FRONTREQUEST_H
+
+#include "Core/Adapters/Pistache/HttpMessage.h"
+
+#include <chrono>
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bronzepass::core::adapters::front {
+
+/// One request exactly as it was read: nothing is decoded, joined or reordered.
+struct FrontRequest {
+  std::string m_Method;
+  /// Path and query, byte for byte.
+  std::string m_Target;
+  /// In the order and spelling in which they came.
+  std::vector<pistache::HttpHeader> m_Headers;
+  /// Without chunk framing.
+  std::string m_Body;
+  /// HTTP/1.0 callers understand no chunks.
+  bool m_Http11 = true;
+  bool m_KeepAlive = true;
+  /// When its first byte was read.
+  std::chrono::steady_clock::time_point m_BeganAt;
+
+  /// The first header of that name in any spelling; nullopt where there is
+  /// none.
+  std::optional<std::string> header(std::string_view Name) const;
+  /// The target up to the query.
+  std::string_view path() const;
+
+  friend bool operator==(const FrontRequest &, const FrontRequest &) = default;
+};
+
+/// Whether \p Left and \p Right name the same header.
+bool equalsIgnoringCase(std::string_view Left, std::string_view Right);
+
+} // namespace bronzepass::core::adapters::front
+
+#endif // BRONZEPASS_CORE_ADAPTERS_FRONT_FRONTREQUEST_H
--- /dev/null
+++ b/Source/Core/Adapters/Front/FrontServer.cpp
@@ -0,0 +1,95 @@
+#include "Core/Adapters/Front/FrontServer.h"
+
+#include "Core/Adapters/Front/FrontConnection.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <vector>
+
+namespace bronzepass::core::adapters::front {
+
+namespace {
+
+/// A full queue makes callers wait a second for their connection's retry.
+constexpr int ListenBacklog = 1024;
+
+std::string systemReason(const model::Address &Address) {
+  return "cannot listen on " + Address.m_Ip + ":" +
+         std::to_string(Address.m_Port) + ": " + std::strerror(errno);
+}
+
+} // namespace
+
+FrontServer::FrontServer(net::EventLoop &Loop, FrontHandler &Handler)
+    : m_Loop(Loop), m_Handler(Handler) {}
+
+FrontServer::~FrontServer() {
+  if (m_Listener.valid())
+    m_Loop.unwatch(m_Listener.get());
+  const std::set<std::shared_ptr<FrontConnection>> Connections =
+      std::move(m_Connections);
+  for (const std::shared_ptr<FrontConnection> &Each : Connections)
+    Each->detach();
+}
+
+std::optional<std::string> FrontServer::listen(const model::Address &Address) {
+  net::FileDescriptor Listener(
+      ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int On = 1;
+  ::setsockopt(Listener.get(), SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in Name{};
+  Name.sin_family = AF_INET;
+  Name.sin_port = htons(Address.m_Port);
+  if (::inet_pton(AF_INET, Address.m_Ip.c_str(), &Name.sin_addr) != 1)
+    return "cannot listen on " + Address.m_Ip + ": not an IP number";
+  if (::bind(Listener.get(), reinterpret_cast<sockaddr *>(&Name),
+             sizeof(Name)) != 0 ||
+      ::listen(Listener.get(), ListenBacklog) != 0)
+    return systemReason(Address);
+  m_Listener = std::move(Listener);
+  m_Loop.watch(m_Listener.get(), EPOLLIN, [this](uint32_t) { acceptAll(); });
+  return std::nullopt;
+}
+
+uint16_t FrontServer::port() const {
+  sockaddr_in Name{};
+  socklen_t Size = sizeof(Name);
+  ::getsockname(m_Listener.get(), reinterpret_cast<sockaddr *>(&Name), &Size);
+  return ntohs(Name.sin_port);
+}
+
+void FrontServer::acceptAll() {
+  for (;;) {
+    net::FileDescriptor Accepted(::accept4(
+        m_Listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!Accepted.valid())
+      return;
+    const std::shared_ptr<FrontConnection> Connection =
+        std::make_shared<FrontConnection>(*this, std::move(Accepted));
+    if (Connection->start())
+      m_Connections.insert(Connection);
+  }
+}
+
+void FrontServer::closeIdle() {
+  if (m_Listener.valid()) {
+    m_Loop.unwatch(m_Listener.get());
+    m_Listener.reset();
+  }
+  std::vector<std::shared_ptr<FrontConnection>> Idle;
+  for (const std::shared_ptr<FrontConnection> &Each : m_Connections)
+    if (Each->isIdle())
+      Idle.push_back(Each);
+  for (const std::shared_ptr<FrontConnection> &Each : Idle)
+    Each->close();
+}
+
+void FrontServer::forget(const std::shared_ptr<FrontConnection> &Connection) {
+  m_Connections.erase(Connection);
+}
+
+} // namespace bronzepass::core::adapters::front
--- /dev/null
+++ b/Source/Core/Adapters/Front/RequestReading.cpp
@@ -0,0 +1,177 @@
+#include "Core/Adapters/Front/RequestReading.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cctype>
+#include <utility>
+
+namespace bronzepass::core::adapters::front {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int BadRequest = 400;
+constexpr int ContentTooLarge = 413;
+constexpr int HeadersTooLarge = 431;
+
+std::string text(boost::beast::string_view View) {
+  return {View.data(), View.size()};
+}
+
+bool isToken(std::string_view Name) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return !Name.empty() &&
+         std::all_of(Name.begin(), Name.end(), [&](unsigned char C) {
+           return std::isalnum(C) != 0 ||
+                  Marks.find(static_cast<char>(C)) != std::string_view::npos;
+         });
+}
+
+int statusOf(const boost::system::error_code &Error) {
+  if (Error == http::error::header_limit)
+    return HeadersTooLarge;
+  if (Error == http::error::body_limit)
+    return ContentTooLarge;
+  return BadRequest;
+}
+
+} // namespace
+
+std::optional<std::string> FrontRequest::header(std::string_view Name) const {
+  for (const pistache::HttpHeader &Each : m_Headers)
+    if (equalsIgnoringCase(Each.m_Name, Name))
+      return Each.m_Value;
+  return std::nullopt;
+}
+
+std::string_view FrontRequest::path() const {
+  return std::string_view(m_Target).substr(0, m_Target.find('?'));
+}
+
+bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [](unsigned char A, unsigned char B) {
+                      return std::tolower(A) == std::tolower(B);
+                    });
+}
+
+class RequestReading::Parser : public http::request_parser<http::string_body> {
+};
+
+RequestReading::RequestReading(ReadingLimits Limits) : m_Limits(Limits) {}
+
+RequestReading::~RequestReading() = default;
+
+void RequestReading::start() {
+  m_Parser = std::make_unique<Parser>();
+  m_Parser->eager(true);
+  m_Parser->header_limit(m_Limits.m_MaxHeaderBytes);
+  m_Parser->body_limit(m_Limits.m_MaxBodyBytes);
+  m_BeganAt = std::chrono::steady_clock::now();
+  m_CheckedBytes = 0;
+  m_WantsContinue = false;
+  m_Phase = ReadingPhase::Headers;
+}
+
+ReadingPhase RequestReading::fail(int Status, std::string Reason) {
+  m_Fault = {Status, std::move(Reason)};
+  m_Phase = ReadingPhase::Faulty;
+  return m_Phase;
+}
+
+/// The library joins folded lines; a peer behind may read them otherwise.
+bool RequestReading::checkHeaderLines() {
+  for (; m_CheckedBytes < m_Buffer.size(); ++m_CheckedBytes) {
+    const char C = m_Buffer[m_CheckedBytes];
+    const char Before = m_CheckedBytes > 0 ? m_Buffer[m_CheckedBytes - 1] : 0;
+    if ((C == '\n' && Before != '\r') || C == '\0')
+      return false;
+    if ((C == ' ' || C == '\t') && Before == '\n')
+      return false;
+    const size_t End = m_CheckedBytes;
+    if (C == '\n' && End >= 3 && m_Buffer.compare(End - 3, 4, "\r\n\r\n") == 0)
+      return true;
+  }
+  return true;
+}
+
+ReadingPhase RequestReading::feed(std::string_view Bytes) {
+  if (m_Phase == ReadingPhase::Complete || m_Phase == ReadingPhase::Faulty) {
+    m_Buffer.append(Bytes);
+    return m_Phase;
+  }
+  m_Buffer.append(Bytes);
+  if (m_Phase == ReadingPhase::Nothing) {
+    // An empty line before a request line is allowed.
+    while (m_Buffer.rfind("\r\n", 0) == 0)
+      m_Buffer.erase(0, 2);
+    if (m_Buffer.empty() || m_Buffer == "\r")
+      return m_Phase;
+    start();
+  }
+  return parse();
+}
+
+ReadingPhase RequestReading::parse() {
+  if (m_Phase == ReadingPhase::Headers && !checkHeaderLines())
+    return fail(BadRequest, "a header line does not end as HTTP/1.1 asks");
+  boost::system::error_code Error;
+  const size_t Taken =
+      m_Parser->put(boost::asio::buffer(m_Buffer.data(), m_Buffer.size()), Error);
+  m_Buffer.erase(0, Taken);
+  if (Error && Error != http::error::need_more)
+    return fail(statusOf(Error), Error.message());
+  if (!m_Parser->is_header_done()) {
+    if (m_Buffer.size() > m_Limits.m_MaxHeaderBytes)
+      return fail(HeadersTooLarge, "the headers are too large");
+    return m_Phase;
+  }
+  if (m_Phase == ReadingPhase::Headers && noteHeaders() == ReadingPhase::Faulty)
+    return m_Phase;
+  if (m_Parser->is_done())
+    m_Phase = ReadingPhase::Complete;
+  return m_Phase;
+}
+
+ReadingPhase RequestReading::noteHeaders() {
+  m_Phase = ReadingPhase::Body;
+  const http::request<http::string_body> &Message = m_Parser->get();
+  for (const auto &Field : Message)
+    if (!isToken(text(Field.name_string())))
+      return fail(BadRequest, "a header's name is not a token");
+  const bool HasChunks = Message.count(http::field::transfer_encoding) != 0;
+  if (HasChunks && !m_Parser->chunked())
+    return fail(BadRequest, "a transfer encoding other than chunked");
+  if (HasChunks && Message.count(http::field::content_length) != 0)
+    return fail(BadRequest, "both a length and chunks");
+  if (Message.count(http::field::transfer_encoding) > 1 ||
+      Message.count(http::field::host) > 1)
+    return fail(BadRequest, "a header that may come once came twice");
+  m_WantsContinue =
+      equalsIgnoringCase(text(Message[http::field::expect]), "100-continue");
+  return m_Phase;
+}
+
+FrontRequest RequestReading::take() {
+  FrontRequest Taken;
+  http::request<http::string_body> Message = m_Parser->release();
+  Taken.m_Method = text(Message.method_string());
+  Taken.m_Target = text(Message.target());
+  for (const auto &Field : Message)
+    Taken.m_Headers.push_back(
+        {text(Field.name_string()), text(Field.value())});
+  constexpr unsigned Http11 = 11;
+  Taken.m_Http11 = Message.version() >= Http11;
+  Taken.m_KeepAlive = Message.keep_alive();
+  Taken.m_Body = std::move(Message.body());
+  Taken.m_BeganAt = m_BeganAt;
+  m_Parser.reset();
+  m_Phase = ReadingPhase::Nothing;
+  return Taken;
+}
+
+} // namespace bronzepass::core::adapters::front
--- /dev/null
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -0,0 +1,76 @@
+#include "Core/Adapters/Gateway/GatewayLog.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace bronzepass::core::adapters::gateway {
+
+namespace {
+
+/// Lines kept for a slow reader: some seconds of a node's busiest time.
+constexpr size_t QueueLines = 4096;
+/// Only the message: it is a whole JSON object but for the time.
+constexpr const char *LinePattern = R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z",%v})";
+constexpr int64_t MicrosPerMilli = 1000;
+
+} // namespace
+
+GatewayLog::GatewayLog(std::string Node) : m_Node(std::move(Node)) {
+  m_Pool = std::make_shared<spdlog::details::thread_pool>(QueueLines, 1);
+  m_Logger = std::make_shared<spdlog::async_logger>(
+      "gateway", std::make_shared<spdlog::sinks::stdout_sink_mt>(), m_Pool,
+      spdlog::async_overflow_policy::overrun_oldest);
+  m_Logger->set_pattern(LinePattern);
+  m_Logger->flush_on(spdlog::level::info);
+}
+
+GatewayLog::~GatewayLog() { flush(); }
+
+uint64_t GatewayLog::dropped() const { return m_Pool->overrun_counter(); }
+
+void GatewayLog::flush() { m_Logger->flush(); }
+
+void GatewayLog::write(const char *Category, const std::string &Action,
+                       std::initializer_list<LogField> Fields) {
+  nlohmann::ordered_json Line = {
+      {"node", m_Node}, {"category", Category}, {"action", Action}};
+  for (const LogField &Each : Fields) {
+    const std::string *const Text = std::get_if<std::string>(&Each.second);
+    if (!Text)
+      Line[Each.first] = std::get<int64_t>(Each.second);
+    else if (!Text->empty())
+      Line[Each.first] = *Text;
+  }
+  const uint64_t Dropped = dropped();
+  if (m_DroppedTold.exchange(Dropped) != Dropped)
+    Line["lines_dropped"] = Dropped;
+  const std::string Json =
+      Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  // Without the outer braces, which the pattern writes.
+  m_Logger->info("{}", std::string_view(Json).substr(1, Json.size() - 2));
+}
+
+void GatewayLog::write(const core::gateway::RelayNote &Note) {
+  write("request", Note.m_Action,
+        {{"request", Note.m_CallerRequestId},
+         {"route", Note.m_Route},
+         {"endpoint", Note.m_Endpoint},
+         {"status", Note.m_Status},
+         {"sends", Note.m_Sends},
+         {"elapsed_ms", Note.m_Elapsed.count() / MicrosPerMilli},
+         {"config", static_cast<int64_t>(Note.m_ConfigVersion)},
+         {"reason", Note.m_Reason}});
+}
+
+void GatewayLog::write(const residency::ResidencyNote &Note) {
+  write("placement", Note.m_Action,
+        {{"endpoint", Note.m_Endpoint},
+         {"artifact", Note.m_Artifact},
+         {"token", static_cast<int64_t>(Note.m_Token)},
+         {"count", static_cast<int64_t>(Note.m_Count)},
+         {"reason", Note.m_Reason}});
+}
+
+} // namespace bronzepass::core::adapters::gateway
--- /dev/null
+++ b/Source/Core/Adapters/Gateway/GatewayLog.h
@@ -0,0 +1,57 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_GATEWAY_GATEWAYLOG_H
+#define BRONZEPASS_CORE_ADAPTERS_GATEWAY_GATEWAYLOG_H
+
+#include "Core/Gateway/RelayTypes.h"
+#include "Core/Residency/ResidencyTypes.h"
+
+#include <atomic>
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace spdlog {
+class logger;
+namespace details {
+class thread_pool;
+} // namespace details
+} // namespace spdlog
+
+namespace bronzepass::core::adapters::gateway {
+
+using LogValue = std::variant<std::string, int64_t>;
+using LogField = std::pair<const char *, LogValue>;
+
+/// One JSON object a line on standard output; the fields are listed in
+/// docs/LOGS.md. Callable from any thread. A line never waits for a slow
+/// reader: past the queue's length the oldest lines are dropped and counted.
+class GatewayLog {
+public:
+  explicit GatewayLog(std::string Node);
+  ~GatewayLog();
+  GatewayLog(const GatewayLog &) = delete;
+  GatewayLog &operator=(const GatewayLog &) = delete;
+
+  /// \p Category: "request", "placement", "config", "endpoint", "dependency",
+  /// "process". Empty texts are left out.
+  void write(const char *Category, const std::string &Action,
+             std::initializer_list<LogField> Fields);
+  void write(const core::gateway::RelayNote &Note);
+  void write(const residency::ResidencyNote &Note);
+
+  /// Lines that were dropped because nobody read them.
+  uint64_t dropped() const;
+  void flush();
+
+private:
+  std::string m_Node;
+  std::shared_ptr<spdlog::details::thread_pool> m_Pool;
+  std::shared_ptr<spdlog::logger> m_Logger;
+  std::atomic<uint64_t> m_DroppedTold = 0;
+};
+
+} // namespace bronzepass::core::adapters::gateway
+
+#endif // BRONZEPASS_CORE_ADAPTERS_GATEWAY_GATEWAYLOG_H
--- /dev/null
+++ b/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
@@ -0,0 +1,89 @@
+#include "Core/Adapters/Gateway/PeerNoticeCodec.h"
+
+#include "Core/Adapters/Codec/FieldReader.h"
+#include "Core/Adapters/Codec/FieldWriter.h"
+#include "Core/Adapters/Codec/JsonParser.h"
+
+namespace bronzepass::core::adapters::codec {
+
+template <> struct Fields<core::gateway::ModelUse> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("m", Value.m_Model);
+    Visitor.optional("a", Value.m_Adapter);
+  }
+};
+
+template <> struct Fields<core::gateway::EndpointLoad> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("e", Value.m_Endpoint);
+    Visitor.required("n", Value.m_InFlight);
+  }
+};
+
+template <> struct Fields<core::gateway::UseCount> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("s", Value.m_Service);
+    Visitor.required("u", Value.m_Use);
+    Visitor.required("r", Value.m_Requests);
+    Visitor.required("t", Value.m_Tokens);
+  }
+};
+
+template <> struct Fields<core::gateway::CopyNews> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("e", Value.m_Endpoint);
+    Visitor.required("u", Value.m_Use);
+    Visitor.optional("l", Value.m_Leaving);
+  }
+};
+
+template <> struct Fields<core::gateway::CopyWanted> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("s", Value.m_Service);
+    Visitor.required("u", Value.m_Use);
+  }
+};
+
+template <> struct Fields<core::gateway::PeerNotice> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("from", Value.m_From);
+    Visitor.required("start", Value.m_Start);
+    Visitor.required("number", Value.m_Sequence);
+    Visitor.optional("loads", Value.m_Loads);
+    Visitor.optional("uses", Value.m_Uses);
+    Visitor.optional("copies", Value.m_Copies);
+    Visitor.optional("wanted", Value.m_Wanted);
+    Visitor.optional("holder", Value.m_HoldsLease);
+  }
+};
+
+} // namespace bronzepass::core::adapters::codec
+
+namespace bronzepass::core::adapters::gateway {
+
+using core::gateway::PeerNotice;
+
+std::optional<std::string> encodeNotice(const PeerNotice &Notice) {
+  const nlohmann::json Json =
+      codec::FieldWriter::writeObject(Notice, codec::WireFormat::Binary);
+  std::string Bytes;
+  nlohmann::json::to_cbor(Json, Bytes);
+  if (Bytes.size() > MaxNoticeBytes)
+    return std::nullopt;
+  return Bytes;
+}
+
+std::optional<PeerNotice> decodeNotice(std::string_view Bytes,
+                                       std::string &Reason) {
+  Reason.clear();
+  const std::optional<nlohmann::json> Json = codec::parseJson(
+      Bytes, codec::WireFormat::Binary, MaxNoticeBytes, Reason);
+  if (!Json)
+    return std::nullopt;
+  PeerNotice Notice = codec::FieldReader::readObject<PeerNotice>(*Json, Reason);
+  if (!Reason.empty())
+    return std::nullopt;
+  return Notice;
+}
+
+} // namespace bronzepass::core::adapters::gateway
--- /dev/null
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -0,0 +1,412 @@
+#include "Core/Adapters/Gateway/RelayDriver.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace bronzepass::core::adapters::gateway {
+
+namespace gateway = core::gateway;
+using gateway::HeaderLine;
+using gateway::HeaderLines;
+using gateway::SendEnd;
+
+namespace {
+
+/// Over all endpoints; each costs a descriptor.
+constexpr long MaxIdleConnections = 600;
+/// Two round trips between failure domains and the endpoint's own time, and
+/// one packet that has to be sent again.
+constexpr std::chrono::milliseconds ConnectTimeout(450);
+/// A packet that is lost twice in a row is acknowledged by then; an endpoint
+/// without power never does.
+constexpr std::chrono::milliseconds PeerLostAfter(2000);
+/// The core ends requests itself; this only bounds what it might forget.
+constexpr std::chrono::milliseconds TimeoutSlack(2000);
+/// Until an endpoint says how long it keeps idle connections.
+constexpr std::chrono::seconds UnknownKeepAlive(2);
+/// A larger answer is passed on as it comes.
+constexpr size_t MostCollected = 512 << 10;
+
+bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
+
+std::optional<uint64_t> lengthOf(const HeaderLines &Headers) {
+  for (const HeaderLine &Each : Headers) {
+    if (!front::equalsIgnoringCase(Each.first, "Content-Length"))
+      continue;
+    uint64_t Length = 0;
+    const char *const End = Each.second.data() + Each.second.size();
+    if (std::from_chars(Each.second.data(), End, Length).ec == std::errc())
+      return Length;
+  }
+  return std::nullopt;
+}
+
+HeaderLines linesOf(const std::vector<pistache::HttpHeader> &Headers) {
+  HeaderLines Lines;
+  for (const pistache::HttpHeader &Each : Headers)
+    Lines.emplace_back(Each.m_Name, Each.m_Value);
+  return Lines;
+}
+
+std::vector<pistache::HttpHeader> headersOf(const HeaderLines &Lines) {
+  std::vector<pistache::HttpHeader> Headers;
+  for (const HeaderLine &Each : Lines)
+    Headers.push_back({Each.first, Each.second});
+  return Headers;
+}
+
+} // namespace
+
+/// Hands a transfer's events to the driver under the attempt's number.
+class RelayDriver::Listener : public curl::TransferListener {
+public:
+  Listener(RelayDriver &Driver, model::AttemptId Attempt)
+      : m_Driver(Driver), m_Attempt(Attempt) {}
+
+  void onHead(const curl::TransferHead &Head) override {
+    m_Driver.headCame(m_Attempt, Head);
+  }
+  void onPiece(std::string_view Piece) override {
+    m_Driver.pieceCame(m_Attempt, Piece);
+  }
+  void onDone(const curl::TransferResult &Result) override {
+    m_Driver.sendDone(m_Attempt, Result);
+  }
+
+private:
+  RelayDriver &m_Driver;
+  model::AttemptId m_Attempt;
+};
+
+RelayDriver::RelayDriver(net::EventLoop &Loop, const gateway::Dialect &Dialect,
+                         gateway::RelayCore &Core, const ports::Clock &Clock,
+                         GatewayLog &Log, CopyHook OnCopyWanted)
+    : m_Loop(Loop), m_Dialect(Dialect), m_Core(Core), m_Clock(Clock),
+      m_Log(Log), m_OnCopyWanted(std::move(OnCopyWanted)),
+      m_Curl(Loop, MaxIdleConnections) {}
+
+RelayDriver::~RelayDriver() { *m_Alive = false; }
+
+void RelayDriver::decide(
+    const std::function<void(gateway::RelayCore &, model::TimePoint,
+                             gateway::RelayEffectList &)> &Decide) {
+  gateway::RelayEffectList Effects;
+  Decide(m_Core, m_Clock.now(), Effects);
+  carryOut(Effects);
+}
+
+void RelayDriver::onRequest(front::FrontRequest Request,
+                            std::shared_ptr<pistache::HttpAnswer> Answer) {
+  const model::RequestId Number{++m_LastRequest};
+  gateway::RelayRequest Asked;
+  Asked.m_Number = Number;
+  Asked.m_Host = Request.header("Host").value_or("");
+  Asked.m_Path = std::string(Request.path());
+  const model::Duration Reading =
+      std::chrono::duration_cast<model::Duration>(
+          std::chrono::steady_clock::now() - Request.m_BeganAt);
+  Asked.m_BeganAt = m_Clock.now() - Reading;
+  Exchange &Added = m_Exchanges[Number];
+  Added.m_Headers = linesOf(Request.m_Headers);
+  m_Dialect.readRequest(Added.m_Headers, Asked);
+  Added.m_CallerRequestId = Asked.m_CallerRequestId;
+  Added.m_Request = std::move(Request);
+  Added.m_Answer = Answer;
+  if (m_Closing)
+    Answer->closeAfter();
+  const std::weak_ptr<bool> Alive = m_Alive;
+  Answer->onGone([this, Alive, Number] {
+    if (Alive.expired())
+      return;
+    // Not from inside a write to the caller.
+    m_Loop.post([this, Alive, Number] {
+      if (Alive.expired() || !m_Exchanges.contains(Number))
+        return;
+      decide([&](gateway::RelayCore &Core, model::TimePoint Now,
+                 gateway::RelayEffectList &Out) {
+        Core.callerGone(Number, Now, Out);
+      });
+      m_Exchanges.erase(Number);
+    });
+  });
+  decide([&](gateway::RelayCore &Core, model::TimePoint Now,
+             gateway::RelayEffectList &Out) {
+    Core.requestArrived(std::move(Asked), Now, Out);
+  });
+}
+
+void RelayDriver::carryOut(const gateway::RelayEffectList &Effects) {
+  for (const gateway::RelayEffect &Each : Effects)
+    std::visit([this](const auto &Effect) { on(Effect); }, Each);
+}
+
+void RelayDriver::on(const gateway::SendRequest &Effect) {
+  const auto Found = m_Exchanges.find(Effect.m_Request);
+  if (Found == m_Exchanges.end())
+    return;
+  Exchange &From = Found->second;
+  std::optional<std::string> LastEvent;
+  if (Effect.m_Resume) {
+    From.m_Splicer.dropPart();
+    LastEvent = From.m_Splicer.lastId();
+  }
+  const HeaderLines Lines =
+      m_Dialect.headersToSend(From.m_Headers, Effect, LastEvent);
+  curl::TransferRequest Request;
+  Request.m_Method = From.m_Request.m_Method;
+  Request.m_Address = Effect.m_Address;
+  Request.m_Path = From.m_Request.m_Target;
+  Request.m_Body = From.m_Request.m_Body;
+  // libcurl adds these by itself unless they are emptied.
+  bool HasAccept = false;
+  bool HasType = false;
+  for (const HeaderLine &Each : Lines) {
+    HasAccept |= front::equalsIgnoringCase(Each.first, "Accept");
+    HasType |= front::equalsIgnoringCase(Each.first, "Content-Type");
+    // An empty value is written with a semicolon.
+    Request.m_Headers.push_back(Each.second.empty()
+                                    ? Each.first + ";"
+                                    : Each.first + ": " + Each.second);
+  }
+  if (!HasAccept)
+    Request.m_Headers.emplace_back("Accept:");
+  if (!HasType)
+    Request.m_Headers.emplace_back("Content-Type:");
+  const auto KeepAlive = m_KeepAlive.find(Effect.m_Service);
+  Request.m_MaxIdleAge =
+      KeepAlive == m_KeepAlive.end() ? UnknownKeepAlive : KeepAlive->second;
+  Request.m_PeerLostAfter = PeerLostAfter;
+  Request.m_ConnectTimeout = ConnectTimeout;
+  Request.m_Timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          Effect.m_Remaining) +
+                      TimeoutSlack;
+  Send &Added = m_Sends[Effect.m_Attempt];
+  Added.m_Request = Effect.m_Request;
+  Added.m_Service = Effect.m_Service;
+  Added.m_IsStream = Effect.m_Stream;
+  const uint64_t Transfer = m_Curl.start(
+      std::move(Request), std::make_shared<Listener>(*this, Effect.m_Attempt));
+  // The transfer may have ended by now.
+  const auto Started = m_Sends.find(Effect.m_Attempt);
+  if (Started != m_Sends.end())
+    Started->second.m_Transfer = Transfer;
+}
+
+void RelayDriver::on(const gateway::AbandonSend &Effect) {
+  const auto Found = m_Sends.find(Effect.m_Attempt);
+  if (Found == m_Sends.end())
+    return;
+  const uint64_t Transfer = Found->second.m_Transfer;
+  m_Sends.erase(Found);
+  m_Curl.cancel(Transfer);
+}
+
+void RelayDriver::on(const gateway::PassAnswer &Effect) {
+  const auto Found = m_Exchanges.find(Effect.m_Request);
+  if (Found == m_Exchanges.end())
+    return;
+  Exchange &To = Found->second;
+  if (!To.m_Begun) {
+    const bool IsHead = To.m_Request.m_Method == "HEAD";
+    beginAnswer(To, To.m_Status, To.m_AnswerHeaders,
+                IsHead ? lengthOf(To.m_AnswerHeaders).value_or(0)
+                       : To.m_Body.size());
+    To.m_Answer->write(To.m_Body);
+  }
+  To.m_Answer->end();
+  endExchange(Effect.m_Request);
+}
+
+void RelayDriver::on(const gateway::RefuseAnswer &Effect) {
+  const auto Found = m_Exchanges.find(Effect.m_Request);
+  if (Found == m_Exchanges.end())
+    return;
+  Exchange &To = Found->second;
+  pistache::HttpReply Reply;
+  Reply.m_Status = Effect.m_Status;
+  Reply.m_ContentType = "text/plain";
+  Reply.m_Body = Effect.m_Reason + "\n";
+  Reply.m_Headers = headersOf(
+      m_Dialect.refusalHeaders(To.m_CallerRequestId, Effect.m_RetryAfter));
+  if (m_Closing)
+    To.m_Answer->closeAfter();
+  To.m_Answer->send(Reply);
+  endExchange(Effect.m_Request);
+}
+
+void RelayDriver::on(const gateway::CutAnswer &Effect) {
+  const auto Found = m_Exchanges.find(Effect.m_Request);
+  if (Found == m_Exchanges.end())
+    return;
+  Found->second.m_Answer->abort();
+  m_Exchanges.erase(Found);
+}
+
+void RelayDriver::on(const gateway::CopyWanted &Effect) {
+  m_OnCopyWanted(Effect);
+}
+
+void RelayDriver::on(const gateway::RelayNote &Effect) { m_Log.write(Effect); }
+
+void RelayDriver::endExchange(model::RequestId Request) {
+  const auto Found = m_Exchanges.find(Request);
+  const std::shared_ptr<pistache::HttpAnswer> Answer = Found->second.m_Answer;
+  m_Exchanges.erase(Found);
+  ++m_Unsent;
+  const std::weak_ptr<bool> Alive = m_Alive;
+  Answer->whenSent([this, Alive] {
+    if (!Alive.expired())
+      --m_Unsent;
+  });
+}
+
+void RelayDriver::beginAnswer(Exchange &To, int Status,
+                              const HeaderLines &Headers,
+                              std::optional<uint64_t> Length) {
+  if (m_Closing)
+    To.m_Answer->closeAfter();
+  To.m_Begun = true;
+  To.m_Answer->begin(Status, headersOf(m_Dialect.headersToPass(Headers)),
+                     Length);
+}
+
+void RelayDriver::headCame(model::AttemptId Attempt,
+                           const curl::TransferHead &Head) {
+  const auto Found = m_Sends.find(Attempt);
+  if (Found == m_Sends.end())
+    return;
+  Send &From = Found->second;
+  const auto To = m_Exchanges.find(From.m_Request);
+  From.m_HeadSeen = true;
+  From.m_Status = Head.m_Status;
+  From.m_Headers = Head.m_Lines;
+  From.m_Head = m_Dialect.readHead(
+      Head.m_Status, Head.m_Lines,
+      To == m_Exchanges.end() ? "" : To->second.m_CallerRequestId);
+  if (From.m_Head.m_KeepAlive) {
+    // Closed by the endpoint just as a request leaves: keep a second's margin.
+    const std::chrono::seconds Kept =
+        std::max(std::chrono::seconds(1),
+                 *From.m_Head.m_KeepAlive - std::chrono::seconds(1));
+    const auto Known = m_KeepAlive.emplace(From.m_Service, Kept);
+    Known.first->second = std::min(Known.first->second, Kept);
+  }
+  const bool Success = isSuccess(Head.m_Status);
+  if (To != m_Exchanges.end() && From.m_Head.m_Foreign) {
+    abandonForeign(Attempt, "an answer to another request");
+    return;
+  }
+  if (Success && !From.m_Head.m_Sealed) {
+    abandonForeign(Attempt, "a success without the endpoint's seal");
+    return;
+  }
+  From.m_Passes = From.m_IsStream && Success;
+}
+
+void RelayDriver::abandonForeign(model::AttemptId Attempt,
+                                 const std::string &Reason) {
+  const auto Found = m_Sends.find(Attempt);
+  const uint64_t Transfer = Found->second.m_Transfer;
+  m_Sends.erase(Found);
+  m_Curl.cancel(Transfer);
+  decide([&](gateway::RelayCore &Core, model::TimePoint Now,
+             gateway::RelayEffectList &Out) {
+    Core.sendEnded(Attempt, {SendEnd::Broken, 0, false, Reason}, Now, Out);
+  });
+}
+
+void RelayDriver::pieceCame(model::AttemptId Attempt, std::string_view Piece) {
+  const auto Found = m_Sends.find(Attempt);
+  if (Found == m_Sends.end())
+    return;
+  Send &From = Found->second;
+  m_Core.answerBegan(Attempt, m_Clock.now());
+  const auto To = m_Exchanges.find(From.m_Request);
+  if (To == m_Exchanges.end())
+    return; // The caller is gone; the endpoint is let end its work.
+  if (From.m_Passes) {
+    passPiece(From, To->second, Piece);
+    return;
+  }
+  From.m_Body.append(Piece);
+  if (From.m_Body.size() <= MostCollected || !isSuccess(From.m_Status))
+    return;
+  From.m_Passes = true;
+  From.m_Raw = true;
+  m_Core.callerAnswered(From.m_Request);
+  beginAnswer(To->second, From.m_Status, From.m_Headers,
+              lengthOf(From.m_Headers));
+  To->second.m_Answer->write(From.m_Body);
+}
+
+void RelayDriver::passPiece(Send &From, Exchange &To, std::string_view Piece) {
+  if (From.m_Raw) {
+    To.m_Answer->write(Piece);
+    return;
+  }
+  const std::string Events = To.m_Splicer.feed(Piece);
+  if (Events.empty())
+    return;
+  if (!To.m_Begun) {
+    m_Core.callerAnswered(From.m_Request);
+    beginAnswer(To, From.m_Status, From.m_Headers, std::nullopt);
+  }
+  To.m_Answer->write(Events);
+}
+
+gateway::SendOutcome
+RelayDriver::outcomeOf(const Send &Ended,
+                       const curl::TransferResult &Result) const {
+  if (!Ended.m_HeadSeen) {
+    if (Result.m_BytesSent == 0)
+      return {SendEnd::NotSent, 0, Result.m_TimedOut, Result.m_Error};
+    return {SendEnd::Broken, 0, Result.m_TimedOut, Result.m_Error};
+  }
+  if (Ended.m_Head.m_Misdirected)
+    return {SendEnd::Misdirected, Ended.m_Status, false, ""};
+  if (Ended.m_Head.m_NotRun)
+    return {SendEnd::NotRun, Ended.m_Status, false,
+            "status " + std::to_string(Ended.m_Status)};
+  if (!Result.m_Whole && !Result.m_EndedByClose)
+    return {SendEnd::Broken, Ended.m_Status, Result.m_TimedOut, Result.m_Error};
+  if (isSuccess(Ended.m_Status))
+    return {SendEnd::Whole, Ended.m_Status, false, ""};
+  if (Ended.m_Head.m_Sealed)
+    return {SendEnd::Failed, Ended.m_Status, false,
+            "status " + std::to_string(Ended.m_Status)};
+  return {SendEnd::Broken, Ended.m_Status, false, "a failure without a seal"};
+}
+
+void RelayDriver::sendDone(model::AttemptId Attempt,
+                           const curl::TransferResult &Result) {
+  const auto Found = m_Sends.find(Attempt);
+  if (Found == m_Sends.end())
+    return;
+  Send Ended = std::move(Found->second);
+  m_Sends.erase(Found);
+  const gateway::SendOutcome Outcome = outcomeOf(Ended, Result);
+  const auto To = m_Exchanges.find(Ended.m_Request);
+  if (To != m_Exchanges.end()) {
+    Exchange &Answered = To->second;
+    if (Ended.m_Passes && !Ended.m_Raw) {
+      const std::string Rest = Answered.m_Splicer.takePart();
+      if (Outcome.m_End == SendEnd::Whole) {
+        if (!Answered.m_Begun)
+          beginAnswer(Answered, Ended.m_Status, Ended.m_Headers, std::nullopt);
+        Answered.m_Answer->write(Rest);
+      }
+    }
+    if (!Ended.m_Passes) {
+      Answered.m_Status = Ended.m_Status;
+      Answered.m_AnswerHeaders = std::move(Ended.m_Headers);
+      Answered.m_Body = std::move(Ended.m_Body);
+    }
+  }
+  decide([&](gateway::RelayCore &Core, model::TimePoint Now,
+             gateway::RelayEffectList &Out) {
+    Core.sendEnded(Attempt, Outcome, Now, Out);
+  });
+}
+
+} // namespace bronzepass::core::adapters::gateway
--- /dev/null
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -0,0 +1,124 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_GATEWAY_RELAYDRIVER_H
+#define BRONZEPASS_CORE_ADAPTERS_GATEWAY_RELAYDRIVER_H
+
+#include "Core/Adapters/Curl/CurlMulti.h"
+#include "Core/Adapters/Front/FrontServer.h"
+#include "Core/Adapters/Gateway/GatewayLog.h"
+#include "Core/Adapters/Net/EventLoop.h"
+#include "Core/Gateway/Dialect.h"
+#include "Core/Gateway/RelayCore.h"
+#include "Core/Gateway/StreamSplicer.h"
+#include "Core/Ports/Ports.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace bronzepass::core::adapters::gateway {
+
+/// Carries out what a RelayCore decides: sends callers' requests to endpoints
+/// and passes the answers on. On one loop's thread.
+class RelayDriver : public front::FrontHandler {
+public:
+  /// Called with what a request lacks.
+  using CopyHook = std::function<void(const core::gateway::CopyWanted &)>;
+
+  /// All outlive the driver.
+  RelayDriver(net::EventLoop &Loop, const core::gateway::Dialect &Dialect,
+              core::gateway::RelayCore &Core, const ports::Clock &Clock,
+              GatewayLog &Log, CopyHook OnCopyWanted);
+  ~RelayDriver() override;
+
+  void onRequest(front::FrontRequest Request,
+                 std::shared_ptr<pistache::HttpAnswer> Answer) override;
+
+  /// Runs \p Decide on the core and carries out what it decides.
+  void decide(const std::function<void(core::gateway::RelayCore &,
+                                       model::TimePoint,
+                                       core::gateway::RelayEffectList &)>
+                  &Decide);
+  /// Answers close their connections from now on.
+  void closeBehindAnswers() { m_Closing = true; }
+  /// Calls \p OnSent once what was written has left, of all answers ended.
+  size_t unfinishedAnswers() const { return m_Unsent; }
+
+private:
+  class Listener;
+
+  /// A caller's request with its answer.
+  struct Exchange {
+    front::FrontRequest m_Request;
+    core::gateway::HeaderLines m_Headers;
+    std::string m_CallerRequestId;
+    std::shared_ptr<pistache::HttpAnswer> m_Answer;
+    core::gateway::StreamSplicer m_Splicer;
+    bool m_Begun = false;
+    /// The collected answer that PassAnswer passes on.
+    int m_Status = 0;
+    core::gateway::HeaderLines m_AnswerHeaders;
+    std::string m_Body;
+  };
+  /// One send to an endpoint.
+  struct Send {
+    model::RequestId m_Request;
+    std::string m_Service;
+    uint64_t m_Transfer = 0;
+    bool m_IsStream = false;
+    bool m_HeadSeen = false;
+    int m_Status = 0;
+    core::gateway::AnswerHead m_Head;
+    core::gateway::HeaderLines m_Headers;
+    std::string m_Body;
+    /// Pieces are passed on as they come.
+    bool m_Passes = false;
+    /// Passed on without looking for events.
+    bool m_Raw = false;
+  };
+  using SendMap = std::unordered_map<model::AttemptId, Send>;
+
+  void carryOut(const core::gateway::RelayEffectList &Effects);
+  void on(const core::gateway::SendRequest &Effect);
+  void on(const core::gateway::AbandonSend &Effect);
+  void on(const core::gateway::PassAnswer &Effect);
+  void on(const core::gateway::RefuseAnswer &Effect);
+  void on(const core::gateway::CutAnswer &Effect);
+  void on(const core::gateway::CopyWanted &Effect);
+  void on(const core::gateway::RelayNote &Effect);
+
+  void headCame(model::AttemptId Attempt, const curl::TransferHead &Head);
+  void pieceCame(model::AttemptId Attempt, std::string_view Piece);
+  void sendDone(model::AttemptId Attempt, const curl::TransferResult &Result);
+  core::gateway::SendOutcome outcomeOf(const Send &Ended,
+                                       const curl::TransferResult &Result) const;
+  void passPiece(Send &From, Exchange &To, std::string_view Piece);
+  void beginAnswer(Exchange &To, int Status,
+                   const core::gateway::HeaderLines &Headers,
+                   std::optional<uint64_t> Length);
+  void endExchange(model::RequestId Request);
+  void abandonForeign(model::AttemptId Attempt, const std::string &Reason);
+
+  net::EventLoop &m_Loop;
+  const core::gateway::Dialect &m_Dialect;
+  core::gateway::RelayCore &m_Core;
+  const ports::Clock &m_Clock;
+  GatewayLog &m_Log;
+  CopyHook m_OnCopyWanted;
+  std::unordered_map<model::RequestId, Exchange> m_Exchanges;
+  SendMap m_Sends;
+  /// Shortest time that a service's endpoints keep idle connections.
+  std::map<std::string, std::chrono::seconds> m_KeepAlive;
+  uint64_t m_LastRequest = 0;
+  bool m_Closing = false;
+  size_t m_Unsent = 0;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+  curl::CurlMulti m_Curl;
+};
+
+} // namespace bronzepass::core::adapters::gateway
+
+#endif // BRONZEPASS_CORE_ADAPTERS_GATEWAY_RELAYDRIVER_H
--- a/Source/Core/Adapters/Pistache/HttpAnswer.h
+++ b/Source/Core/Adapters/Pistache/HttpAnswer.h
@@ -27,6 +27,9 @@
   /// \p OnGone runs at once where it has left already.
   void onGone(std::function<void()> OnGone);
 
+  /// Close the connection behind the answer. Before it begins.
+  void closeAfter() { m_KeepAlive = false; }
+
   /// The whole answer at once.
   void send(const HttpReply &Reply);
 
--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -147,6 +147,8 @@
   startTimer(Close ? LingerTime : m_Limits.m_KeepAlive, nullptr);
   if (Close && m_Pending.empty())
     finishSending();
+  if (m_OnIdle)
+    m_OnIdle();
 }
 
 void HttpConnection::finishSending() {
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -52,6 +52,13 @@
   /// Calls \p OnSent once nothing is kept for the caller any more, or the
   /// connection is gone; at once where that is so already.
   void whenSent(std::function<void()> OnSent);
+  /// Calls \p OnIdle each time that an answer has ended, so that whoever reads
+  /// from the connection goes on.
+  void setOnIdle(std::function<void()> OnIdle) { m_OnIdle = std::move(OnIdle); }
+  /// From the next answer's end on.
+  void setKeepAlive(std::chrono::milliseconds Limit) {
+    m_Limits.m_KeepAlive = Limit;
+  }
   /// Ends it visibly: what is kept is dropped, nothing is ended cleanly.
   void cut();
   bool isOpen() const { return m_Open; }
@@ -91,6 +98,7 @@
   bool m_CloseWhenSent = false;
   std::string m_Pending;
   std::function<void()> m_OnGone;
+  std::function<void()> m_OnIdle;
   std::vector<std::function<void()>> m_OnSent;
   bool m_TimerRuns = false;
   net::EventLoop::TimerId m_Timer;
--- a/Source/Core/Adapters/Yaml/SettingsReader.cpp
+++ b/Source/Core/Adapters/Yaml/SettingsReader.cpp
@@ -26,6 +26,10 @@
     return Section.count(Key, std::get<uint64_t>(Info.m_Sample),
                          std::get<uint64_t>(*Info.m_Least),
                          std::get<uint64_t>(*Info.m_Most));
+  if (std::holds_alternative<double>(Info.m_Sample))
+    return Section.number(Key, std::get<double>(Info.m_Sample),
+                          std::get<double>(*Info.m_Least),
+                          std::get<double>(*Info.m_Most));
   if (std::holds_alternative<Bytes>(Info.m_Sample))
     return Bytes{Section.bytes(Key, std::get<Bytes>(Info.m_Sample).m_Value)};
   if (std::holds_alternative<model::Duration>(Info.m_Sample))
@@ -35,8 +39,9 @@
 
 void checkRange(MapReader &Section, const SettingInfo &Info,
                 const SettingValue &Value) {
-  // A count's range is checked as it is read.
-  if (!Info.m_Least || std::holds_alternative<uint64_t>(Value))
+  // A count's or a number's range is checked as it is read.
+  if (!Info.m_Least || std::holds_alternative<uint64_t>(Value) ||
+      std::holds_alternative<double>(Value))
     return;
   if (Value < *Info.m_Least || *Info.m_Most < Value)
     Section.error(Info.m_Key, "is " + settings::toString(Value) +
@@ -52,9 +57,10 @@
   Section.choice(Info.m_Key, 0, Choices);
 }
 
-std::map<std::string, std::vector<std::string>> keysOfSections() {
+std::map<std::string, std::vector<std::string>>
+keysOfSections(const std::vector<SettingInfo> &Table) {
   std::map<std::string, std::vector<std::string>> Keys;
-  for (const SettingInfo &Info : settings::allSettings())
+  for (const SettingInfo &Info : Table)
     Keys[Info.m_Section].push_back(Info.m_Key);
   return Keys;
 }
@@ -62,7 +68,8 @@
 } // namespace
 
 SettingsReading readSettings(const std::string &Text,
-                             const std::string &FileName) {
+                             const std::string &FileName,
+                             const std::vector<SettingInfo> &Table) {
   FindingSink Sink(FileName);
   const YAML::Node Document = parseDocument(Text, Sink);
   SettingsReading Reading;
@@ -73,7 +80,8 @@
           {model::Severity::Error, {FileName, 0, 0}, "the file is empty"});
     return Reading;
   }
-  const std::map<std::string, std::vector<std::string>> Keys = keysOfSections();
+  const std::map<std::string, std::vector<std::string>> Keys =
+      keysOfSections(Table);
   std::vector<std::string> SectionNames;
   for (const auto &Entry : Keys)
     SectionNames.push_back(Entry.first);
@@ -88,7 +96,7 @@
                      MapReader(Node, Entry.first, Entry.second, Sink));
   }
   std::map<settings::NodeSettings::Key, SettingValue> Values;
-  for (const SettingInfo &Info : settings::allSettings()) {
+  for (const SettingInfo &Info : Table) {
     MapReader &Section = Sections.at(Info.m_Section);
     if (!Section.has(Info.m_Key)) {
       if (!Info.m_HasDefault)
--- a/Source/Core/Adapters/Yaml/SettingsReader.h
+++ b/Source/Core/Adapters/Yaml/SettingsReader.h
@@ -15,9 +15,12 @@
   model::FindingList m_Findings;
 };
 
-/// Reads a settings file's text; \p FileName stands in the findings.
-SettingsReading readSettings(const std::string &Text,
-                             const std::string &FileName);
+/// Reads a settings file's text by the settings of \p Table; \p FileName
+/// stands in the findings.
+SettingsReading
+readSettings(const std::string &Text, const std::string &FileName,
+             const std::vector<settings::SettingInfo> &Table =
+                 settings::allSettings());
 
 } // namespace bronzepass::core::adapters::yaml
 
--- a/Source/Core/Cli/AllCommands.cpp
+++ b/Source/Core/Cli/AllCommands.cpp
@@ -4,6 +4,7 @@
 #include "Core/Cli/DiffCommand.h"
 #include "Core/Cli/DrainCommand.h"
 #include "Core/Cli/ExplainCommand.h"
+#include "Core/Cli/GatewayCommand.h"
 #include "Core/Cli/GetCommand.h"
 #include "Core/Cli/MovesCommand.h"
 #include "Core/Cli/RetireCommand.h"
@@ -16,6 +17,7 @@
 std::vector<std::unique_ptr<Command>> allCommands() {
   std::vector<std::unique_ptr<Command>> Commands;
   Commands.push_back(std::make_unique<ServeCommand>());
+  Commands.push_back(std::make_unique<GatewayCommand>());
   Commands.push_back(std::make_unique<CheckCommand>());
   Commands.push_back(std::make_unique<ApplyCommand>());
   Commands.push_back(std::make_unique<GetCommand>());
--- /dev/null
+++ b/Source/Core/Gateway/EndpointRegistry.h
@@ -0,0 +1,51 @@
+#ifndef BRONZEPASS_CORE_GATEWAY_ENDPOINTREGISTRY_H
+#define BRONZEPASS_CORE_GATEWAY_ENDPOINTREGISTRY_H
+
+#include "Core/Gateway/EndpointEntry.h"
+#include "Core/Model/Time.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bronzepass::core::gateway {
+
+/// The endpoints that are registered. An entry that lapses while the store is
+/// disturbed, or just after, is kept for a while: endpoints that live write
+/// theirs again.
+class EndpointRegistry {
+public:
+  /// \p KeepLapsed: within this time of the store's return, entries that
+  /// endpoints could not renew are back.
+  explicit EndpointRegistry(model::Duration KeepLapsed)
+      : m_KeepLapsed(KeepLapsed) {}
+
+  void set(EndpointEntry Entry);
+  /// The entry is gone. \p Disturbed: the store may have missed its
+  /// renewals.
+  void remove(const model::EndpointId &Endpoint, bool Disturbed,
+              model::TimePoint Now);
+  /// The store has answered again at \p RecoveredAt: drops what has not come
+  /// back in time. True where anything changed.
+  bool dropLapsed(model::TimePoint RecoveredAt, bool Failing,
+                  model::TimePoint Now);
+
+  std::vector<EndpointEntry> entries() const;
+  const EndpointEntry *find(const model::EndpointId &Endpoint) const;
+  bool empty() const { return m_Entries.empty(); }
+
+private:
+  struct Kept {
+    EndpointEntry m_Entry;
+    /// When its entry was found missing.
+    std::optional<model::TimePoint> m_LapsedAt;
+  };
+
+  model::Duration m_KeepLapsed;
+  std::map<model::EndpointId, Kept> m_Entries;
+};
+
+} // namespace bronzepass::core::gateway
+
+#endif // BRONZEPASS_CORE_GATEWAY_ENDPOINTREGISTRY_H
--- /dev/null
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -0,0 +1,313 @@
+#include "Core/Gateway/RelayCore.h"
+
+#include "Core/Model/Hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzepass::core::gateway {
+
+namespace {
+
+constexpr int NotFound = 404;
+constexpr int ServiceUnavailable = 503;
+constexpr int GatewayTimeout = 504;
+/// Prompt parts remembered, over all endpoints: 4 bytes to 32 each.
+constexpr uint32_t PrefixEntries = 16384;
+/// Until a stopping node's callers should come back: by then the balancer
+/// sends them elsewhere.
+constexpr model::Duration StoppingRetryAfter = std::chrono::milliseconds(50);
+constexpr model::Duration UnreadyRetryAfter = std::chrono::milliseconds(500);
+/// A batch reads about this many prompt tokens in the time in which each of its
+/// requests gets one: both are counted in steps.
+constexpr uint32_t PromptTokensPerStep = 100;
+/// How long a copy's news is believed before the endpoint's own entry: two of
+/// the periods at which engines write theirs.
+constexpr model::Duration CopyNewsFor = std::chrono::seconds(3);
+
+} // namespace
+
+const char *toString(SendEnd Value) {
+  switch (Value) {
+  case SendEnd::NotSent:
+    return "not_sent";
+  case SendEnd::NotRun:
+    return "not_run";
+  case SendEnd::Misdirected:
+    return "misdirected";
+  case SendEnd::Failed:
+    return "failed";
+  case SendEnd::Whole:
+    return "whole";
+  case SendEnd::Broken:
+    return "broken";
+  }
+  return "broken";
+}
+
+RelayCore::RelayCore(const RelaySettings &Settings, ports::Random &Dice)
+    : m_Settings(Settings), m_Dice(Dice), m_Prefixes(PrefixEntries),
+      m_Retries(Settings.m_Retries) {}
+
+bool RelayCore::setTable(std::shared_ptr<const RouteTable> Table) {
+  if (m_Table && Table->config().m_Version <= m_Table->config().m_Version)
+    return false;
+  m_Table = std::move(Table);
+  return true;
+}
+
+void RelayCore::setEndpoints(const std::vector<EndpointEntry> &Entries,
+                             model::TimePoint Now, RelayEffectList &Out) {
+  m_Now = Now;
+  for (auto &Known : m_Endpoints)
+    Known.second.m_Listed = false;
+  for (const EndpointEntry &Entry : Entries) {
+    EndpointView &View = m_Endpoints[Entry.m_Id];
+    const bool Reborn = View.m_Tag != 0 &&
+                        View.m_Entry.m_BornMs != Entry.m_BornMs;
+    if (View.m_Tag == 0 || Reborn) {
+      if (View.m_Tag != 0)
+        m_Prefixes.forget(View.m_Tag);
+      const uint32_t InFlight = View.m_InFlight;
+      View = EndpointView();
+      View.m_InFlight = InFlight;
+      View.m_Tag = ++m_LastTag == 0 ? ++m_LastTag : m_LastTag;
+    }
+    View.m_Entry = Entry;
+    View.m_Listed = true;
+  }
+  std::erase_if(m_Endpoints, [](const auto &Known) {
+    return !Known.second.m_Listed && Known.second.m_InFlight == 0;
+  });
+  for (auto &Service : m_Services)
+    Service.second.m_Endpoints.clear();
+  for (auto &Known : m_Endpoints)
+    if (Known.second.m_Listed)
+      m_Services[Known.second.m_Entry.m_Service].m_Endpoints.push_back(
+          &Known.second);
+  placeWaiting(Out);
+}
+
+void RelayCore::peerNotice(const PeerNotice &Notice, model::TimePoint Now,
+                           RelayEffectList &Out) {
+  m_Now = Now;
+  PeerLoads &Peer = m_Peers[Notice.m_From];
+  if (Peer.m_Start == Notice.m_Start && Peer.m_Sequence >= Notice.m_Sequence)
+    return;
+  for (const EndpointLoad &Old : Peer.m_Loads)
+    if (EndpointView *const Known = view(Old.m_Endpoint))
+      Known->m_PeersInFlight -= std::min(Known->m_PeersInFlight, Old.m_InFlight);
+  for (const EndpointLoad &New : Notice.m_Loads)
+    if (EndpointView *const Known = view(New.m_Endpoint))
+      Known->m_PeersInFlight += New.m_InFlight;
+  Peer = {Now, Notice.m_Start, Notice.m_Sequence, Notice.m_Loads};
+  for (const CopyNews &News : Notice.m_Copies)
+    if (EndpointView *const Known = view(News.m_Endpoint))
+      Known->m_News[News.m_Use] = {!News.m_Leaving, Now + CopyNewsFor};
+  if (!Notice.m_Copies.empty())
+    placeWaiting(Out);
+}
+
+std::vector<uint64_t>
+RelayCore::promptHashes(const RelayRequest &Request) const {
+  std::vector<uint64_t> Hashes;
+  uint64_t Chain = model::stableHash(
+      Request.m_Use.m_Adapter, model::stableHash(Request.m_Use.m_Model));
+  for (const PromptPart &Part : Request.m_Prompt) {
+    Chain = model::stableHash(
+        {reinterpret_cast<const char *>(&Part.m_Id), sizeof(Part.m_Id)}, Chain);
+    Hashes.push_back(Chain);
+  }
+  return Hashes;
+}
+
+void RelayCore::requestArrived(RelayRequest Request, model::TimePoint Now,
+                               RelayEffectList &Out) {
+  m_Now = Now;
+  ++m_Counts.m_Arrived;
+  const model::RequestId Number = Request.m_Number;
+  Live &Value = m_Live[Number];
+  Value.m_Request = std::move(Request);
+  const RelayRequest &Asked = Value.m_Request;
+  if (!m_Table || m_Services.empty()) {
+    refuse(Value, ServiceUnavailable, jittered(UnreadyRetryAfter),
+           "no configuration is known yet", Out);
+    return;
+  }
+  Value.m_Table = m_Table;
+  Value.m_Route = m_Table->find(Asked.m_Host, Asked.m_Path);
+  if (!Value.m_Route || Value.m_Route->m_Services.empty()) {
+    refuse(Value, NotFound, std::nullopt, "no route", Out);
+    return;
+  }
+  if (m_Stopping) {
+    refuse(Value, ServiceUnavailable, jittered(StoppingRetryAfter),
+           "this node is stopping", Out);
+    return;
+  }
+  const RouteSpec &Route = *Value.m_Route;
+  Value.m_Service = RouteTable::pickService(Route, m_Dice.next());
+  model::Duration Window =
+      Route.m_Timeout > model::Duration::zero() ? Route.m_Timeout
+                                                : m_Settings.m_DefaultWindow;
+  Window = std::min(Window, Asked.m_Window.value_or(Window));
+  Value.m_Deadline = Asked.m_BeganAt + Window;
+  Value.m_PromptHashes = promptHashes(Asked);
+  m_Retries.noteRequest(Value.m_Service, Now);
+  if (!Asked.m_Use.m_Model.empty()) {
+    for (const ModelUse &Use :
+         {Asked.m_Use, ModelUse{Asked.m_Use.m_Model, ""}}) {
+      UseCount &Count = m_Uses[Use];
+      Count.m_Service = Value.m_Service;
+      Count.m_Use = Use;
+      ++Count.m_Requests;
+      Count.m_Tokens +=
+          Asked.m_PromptTokens / PromptTokensPerStep + Asked.m_OutputTokens;
+      if (Asked.m_Use.m_Adapter.empty())
+        break;
+    }
+  }
+  place(Value, Out);
+}
+
+void RelayCore::callerGone(model::RequestId Request, model::TimePoint Now,
+                           RelayEffectList &Out) {
+  m_Now = Now;
+  const auto Found = m_Live.find(Request);
+  if (Found == m_Live.end())
+    return;
+  Live &Value = Found->second;
+  ++m_Counts.m_Gone;
+  note(Value, "gone", 0, "the caller left", Out);
+  // What must not be repeated is let run to its end: cut off in the middle,
+  // nobody would know its outcome.
+  const bool LetRun = Value.m_Attempt && Value.m_Route &&
+                      !Value.m_Route->m_Repeatable && !Value.m_Route->m_Stream;
+  if (LetRun) {
+    Value.m_CallerGone = true;
+    return;
+  }
+  if (Value.m_Attempt)
+    Out.push_back(AbandonSend{Value.m_Attempt});
+  forget(Value);
+}
+
+void RelayCore::callerAnswered(model::RequestId Request) {
+  const auto Found = m_Live.find(Request);
+  if (Found != m_Live.end())
+    Found->second.m_CallerAnswered = true;
+}
+
+void RelayCore::tick(model::TimePoint Now, RelayEffectList &Out) {
+  m_Now = Now;
+  std::vector<model::RequestId> Due;
+  for (const auto &Entry : m_Live)
+    if (Entry.second.m_Route && Now >= Entry.second.m_Deadline)
+      Due.push_back(Entry.first);
+  for (const model::RequestId &Number : Due)
+    timeOut(m_Live.at(Number), Out);
+  for (auto Peer = m_Peers.begin(); Peer != m_Peers.end();) {
+    if (Now - Peer->second.m_At < m_Settings.m_PeerFreshness) {
+      ++Peer;
+      continue;
+    }
+    for (const EndpointLoad &Old : Peer->second.m_Loads)
+      if (EndpointView *const Known = view(Old.m_Endpoint))
+        Known->m_PeersInFlight -=
+            std::min(Known->m_PeersInFlight, Old.m_InFlight);
+    Peer = m_Peers.erase(Peer);
+  }
+  placeWaiting(Out);
+}
+
+void RelayCore::timeOut(Live &Value, RelayEffectList &Out) {
+  if (Value.m_Attempt) {
+    if (EndpointView *const Known = view(Value.m_Endpoint))
+      judgeEndpoint(Value, *Known,
+                    {SendEnd::Broken, 0, !Value.m_BeganSeen, "timed out"});
+    Out.push_back(AbandonSend{Value.m_Attempt});
+  }
+  if (Value.m_CallerGone)
+    forget(Value);
+  else if (Value.m_CallerAnswered)
+    cut(Value, "its time is up", Out);
+  else if (Value.m_Runs > 0 || Value.m_Attempt)
+    refuse(Value, GatewayTimeout, std::nullopt, "its time is up", Out);
+  else
+    refuse(Value, ServiceUnavailable, jittered(UnreadyRetryAfter),
+           "its time is up before it was sent", Out);
+}
+
+void RelayCore::refuse(Live &Value, int Status,
+                       std::optional<model::Duration> RetryAfter,
+                       const std::string &Reason, RelayEffectList &Out) {
+  ++m_Counts.m_Refused;
+  note(Value, "refuse", Status, Reason, Out);
+  Out.push_back(
+      RefuseAnswer{Value.m_Request.m_Number, Status, RetryAfter, Reason});
+  forget(Value);
+}
+
+void RelayCore::cut(Live &Value, const std::string &Reason,
+                    RelayEffectList &Out) {
+  ++m_Counts.m_Cut;
+  note(Value, "cut", 0, Reason, Out);
+  Out.push_back(CutAnswer{Value.m_Request.m_Number, Reason});
+  forget(Value);
+}
+
+void RelayCore::forget(Live &Value) {
+  endSend(Value);
+  const model::RequestId Number = Value.m_Request.m_Number;
+  m_Live.erase(Number);
+}
+
+void RelayCore::note(const Live &Value, const char *Action, int Status,
+                     const std::string &Reason, RelayEffectList &Out) const {
+  Out.push_back(RelayNote{
+      .m_Request = Value.m_Request.m_Number,
+      .m_CallerRequestId = Value.m_Request.m_CallerRequestId,
+      .m_Action = Action,
+      .m_Route = Value.m_Route ? Value.m_Route->m_Name : std::string(),
+      .m_Endpoint = Value.m_Endpoint.str(),
+      .m_ConfigVersion =
+          Value.m_Table ? Value.m_Table->config().m_Version : 0,
+      .m_Status = Status,
+      .m_Sends = Value.m_Sends,
+      .m_Elapsed = m_Now - Value.m_Request.m_BeganAt,
+      .m_Reason = Reason});
+}
+
+EndpointView *RelayCore::view(const model::EndpointId &Endpoint) {
+  const auto Found = m_Endpoints.find(Endpoint);
+  return Found == m_Endpoints.end() ? nullptr : &Found->second;
+}
+
+void RelayCore::dropIfUnused(const model::EndpointId &Endpoint) {
+  const auto Found = m_Endpoints.find(Endpoint);
+  if (Found != m_Endpoints.end() && !Found->second.m_Listed &&
+      Found->second.m_InFlight == 0)
+    m_Endpoints.erase(Found);
+}
+
+std::vector<EndpointLoad> RelayCore::loads() const {
+  std::vector<EndpointLoad> Loads;
+  for (const auto &Known : m_Endpoints)
+    if (Known.second.m_InFlight > 0)
+      Loads.push_back({Known.first, Known.second.m_InFlight});
+  return Loads;
+}
+
+std::vector<UseCount> RelayCore::takeUses() {
+  std::vector<UseCount> Risen;
+  for (const auto &Use : m_Uses) {
+    uint64_t &Told = m_ToldUses[Use.first];
+    if (Told == Use.second.m_Requests)
+      continue;
+    Told = Use.second.m_Requests;
+    Risen.push_back(Use.second);
+  }
+  return Risen;
+}
+
+} // namespace bronzepass::core::gateway
--- /dev/null
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -0,0 +1,183 @@
+#include "Core/Gateway/RelayCore.h"
+
+#include "Core/Routing/Seconds.h"
+
+#include <algorithm>
+
+namespace bronzepass::core::gateway {
+
+namespace {
+
+constexpr int BadGateway = 502;
+constexpr int ServiceUnavailable = 503;
+constexpr double MicrosPerMilli = 1e3;
+/// Weight of the newest answer in moving averages of an endpoint and of a
+/// service: some ten and some thirty answers.
+constexpr double EndpointWeight = 0.1;
+constexpr double ServiceWeight = 0.03;
+constexpr double MostSlowness = 20;
+constexpr model::Duration NotRunRetryAfter = std::chrono::milliseconds(150);
+/// A copy that the endpoint said it lacks is looked for elsewhere this long;
+/// its own entry is to follow meanwhile.
+constexpr model::Duration AbsentCopyFor = std::chrono::seconds(1);
+
+} // namespace
+
+void RelayCore::answerBegan(model::AttemptId Attempt, model::TimePoint Now) {
+  const auto Found = m_Attempts.find(Attempt);
+  if (Found == m_Attempts.end())
+    return;
+  Live &Value = m_Live.at(Found->second);
+  EndpointView *const Endpoint = view(Value.m_Endpoint);
+  if (Value.m_BeganSeen || !Endpoint)
+    return;
+  Value.m_BeganSeen = true;
+  const double Millis =
+      std::max(0.1, static_cast<double>((Now - Value.m_SentAt).count()) /
+                        MicrosPerMilli);
+  ServiceView &Service = m_Services[Value.m_Service];
+  routing::mixInto(Service.m_FirstMs, Millis, ServiceWeight);
+  const double Ratio = std::min(MostSlowness, Millis / Service.m_FirstMs);
+  Endpoint->m_Slowness += EndpointWeight * (Ratio - Endpoint->m_Slowness);
+  Endpoint->m_SlownessSeenAt = Now;
+}
+
+void RelayCore::judgeEndpoint(const Live &Value, EndpointView &Endpoint,
+                              const SendOutcome &Outcome) {
+  const bool Answered =
+      Outcome.m_End == SendEnd::Whole || Outcome.m_End == SendEnd::Failed ||
+      Outcome.m_End == SendEnd::NotRun || Outcome.m_End == SendEnd::Misdirected;
+  if (Outcome.m_End == SendEnd::Misdirected) {
+    // It may hold the model no longer, or be another endpoint by now.
+    Endpoint.m_News[Value.m_Request.m_Use] = {false, m_Now + AbsentCopyFor};
+    if (Value.m_Request.m_Use.m_Model.empty())
+      Endpoint.m_EjectedUntil = m_Now + AbsentCopyFor;
+  }
+  if (Outcome.m_End != SendEnd::Misdirected) {
+    const bool Failure =
+        Outcome.m_End == SendEnd::Failed || Outcome.m_End == SendEnd::Broken;
+    const double Old =
+        Endpoint.failureShareAt(m_Now, m_Settings.m_FailureHalfLife);
+    Endpoint.m_FailureShare = Old + EndpointWeight * ((Failure ? 1 : 0) - Old);
+    Endpoint.m_FailureSeenAt = m_Now;
+  }
+  if (Answered) {
+    Endpoint.m_FailuresInRow = 0;
+    return;
+  }
+  ++Endpoint.m_FailuresInRow;
+  const bool Refused = Outcome.m_End == SendEnd::NotSent;
+  if (!Refused && Endpoint.m_FailuresInRow < m_Settings.m_EjectAfter)
+    return;
+  const uint32_t Doublings = std::min(Endpoint.m_FailuresInRow - 1, 3U);
+  Endpoint.m_EjectedUntil =
+      m_Now + std::min(m_Settings.m_EjectFor * (1 << Doublings),
+                       m_Settings.m_EjectMost);
+}
+
+void RelayCore::endSend(Live &Value) {
+  if (!Value.m_Attempt)
+    return;
+  m_Attempts.erase(Value.m_Attempt);
+  Value.m_Attempt = {};
+  if (EndpointView *const Endpoint = view(Value.m_Endpoint))
+    Endpoint->m_InFlight -= std::min(Endpoint->m_InFlight, 1U);
+  dropIfUnused(Value.m_Endpoint);
+}
+
+bool RelayCore::mayGoOn(const Live &Value, const SendOutcome &Outcome) {
+  if (Value.m_CallerGone || Value.m_Sends >= m_Settings.m_MaxSends ||
+      Value.m_Deadline - m_Now < m_Settings.m_LeastRemaining)
+    return false;
+  const RouteSpec &Route = *Value.m_Route;
+  const bool MayHaveRun =
+      Outcome.m_End == SendEnd::Broken || Outcome.m_End == SendEnd::Failed;
+  if (MayHaveRun) {
+    const bool MayRepeat =
+        Route.m_Repeatable || (Route.m_Stream && Route.m_Resumable);
+    if (!MayRepeat || Value.m_Runs >= Route.m_MaxAttempts)
+      return false;
+    // A whole failure was an answer; a stream that has begun can't be replaced
+    // by one.
+    if (Outcome.m_End == SendEnd::Failed && Value.m_CallerAnswered)
+      return false;
+  } else if (Value.m_CallerAnswered && Value.m_Runs >= Route.m_MaxAttempts) {
+    return false;
+  }
+  // A send that reached nobody is no arrival anywhere.
+  return Outcome.m_End == SendEnd::NotSent ||
+         m_Retries.take(Value.m_Service, m_Now);
+}
+
+void RelayCore::sendEnded(model::AttemptId Attempt, const SendOutcome &Outcome,
+                          model::TimePoint Now, RelayEffectList &Out) {
+  m_Now = Now;
+  const auto Found = m_Attempts.find(Attempt);
+  if (Found == m_Attempts.end())
+    return;
+  Live &Value = m_Live.at(Found->second);
+  if (EndpointView *const Endpoint = view(Value.m_Endpoint))
+    judgeEndpoint(Value, *Endpoint, Outcome);
+  if (Outcome.m_End == SendEnd::Whole)
+    routing::mixInto(m_Services[Value.m_Service].m_WholeMs,
+                     static_cast<double>((Now - Value.m_SentAt).count()) /
+                         MicrosPerMilli,
+                     ServiceWeight);
+  endSend(Value);
+  Value.m_LastDetail = std::string(toString(Outcome.m_End)) +
+                       (Outcome.m_Detail.empty() ? "" : ": ") +
+                       Outcome.m_Detail;
+  const bool MayHaveRun = Outcome.m_End == SendEnd::Broken ||
+                          Outcome.m_End == SendEnd::Failed ||
+                          Outcome.m_End == SendEnd::Whole;
+  if (MayHaveRun)
+    ++Value.m_Runs;
+  Value.m_HasFailure = Outcome.m_End == SendEnd::Failed;
+  if (Value.m_CallerGone) {
+    note(Value, "end", Outcome.m_Status, Value.m_LastDetail, Out);
+    forget(Value);
+    return;
+  }
+  if (Outcome.m_End == SendEnd::Whole) {
+    ++m_Counts.m_Passed;
+    note(Value, "answer", Outcome.m_Status, "", Out);
+    Out.push_back(PassAnswer{Value.m_Request.m_Number});
+    forget(Value);
+    return;
+  }
+  if (mayGoOn(Value, Outcome)) {
+    // A whole failure is still better than none if nobody else can be asked.
+    const bool OthersLeft = choose(Value).m_Endpoint != nullptr;
+    if (OthersLeft || Outcome.m_End != SendEnd::Failed) {
+      place(Value, Out);
+      return;
+    }
+  }
+  finishAfter(Value, Outcome, Out);
+}
+
+void RelayCore::finishAfter(Live &Value, const SendOutcome &Outcome,
+                            RelayEffectList &Out) {
+  if (Value.m_CallerAnswered) {
+    cut(Value, Value.m_LastDetail, Out);
+    return;
+  }
+  if (Value.m_HasFailure) {
+    ++m_Counts.m_Passed;
+    note(Value, "answer", Outcome.m_Status, "the endpoint failed it", Out);
+    Out.push_back(PassAnswer{Value.m_Request.m_Number});
+    forget(Value);
+    return;
+  }
+  if (Value.m_Runs > 0) {
+    refuse(Value, BadGateway, std::nullopt, Value.m_LastDetail, Out);
+    return;
+  }
+  const model::Duration Left = Value.m_Deadline - m_Now;
+  refuse(Value, ServiceUnavailable,
+         std::min(jittered(NotRunRetryAfter),
+                  std::max(model::Duration::zero(), Left / 3)),
+         Value.m_LastDetail, Out);
+}
+
+} // namespace bronzepass::core::gateway
--- /dev/null
+++ b/Source/Core/Gateway/StreamSplicer.cpp
@@ -0,0 +1,91 @@
+#include "Core/Gateway/StreamSplicer.h"
+
+#include <charconv>
+#include <utility>
+
+namespace bronzepass::core::gateway {
+
+namespace {
+
+/// Length of the event at the front with its blank line; npos where it is not
+/// whole.
+size_t eventLength(std::string_view Bytes) {
+  size_t LineStart = 0;
+  for (;;) {
+    const size_t LineEnd = Bytes.find('\n', LineStart);
+    if (LineEnd == std::string_view::npos)
+      return std::string_view::npos;
+    std::string_view Line = Bytes.substr(LineStart, LineEnd - LineStart);
+    if (!Line.empty() && Line.back() == '\r')
+      Line.remove_suffix(1);
+    LineStart = LineEnd + 1;
+    if (Line.empty())
+      return LineStart;
+  }
+}
+
+std::string_view idOf(std::string_view Event) {
+  constexpr std::string_view Field = "id:";
+  size_t LineStart = 0;
+  while (LineStart < Event.size()) {
+    const size_t LineEnd = Event.find('\n', LineStart);
+    std::string_view Line = Event.substr(LineStart, LineEnd - LineStart);
+    if (!Line.empty() && Line.back() == '\r')
+      Line.remove_suffix(1);
+    if (Line.substr(0, Field.size()) == Field) {
+      Line.remove_prefix(Field.size());
+      if (!Line.empty() && Line.front() == ' ')
+        Line.remove_prefix(1);
+      return Line;
+    }
+    if (LineEnd == std::string_view::npos)
+      break;
+    LineStart = LineEnd + 1;
+  }
+  return {};
+}
+
+std::optional<uint64_t> numberOf(std::string_view Text) {
+  uint64_t Number = 0;
+  const std::from_chars_result Result =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  if (Result.ec != std::errc() || Result.ptr != Text.data() + Text.size())
+    return std::nullopt;
+  return Number;
+}
+
+} // namespace
+
+std::string StreamSplicer::feed(std::string_view Bytes) {
+  m_Part.append(Bytes);
+  std::string Whole;
+  size_t Start = 0;
+  for (;;) {
+    const std::string_view Rest = std::string_view(m_Part).substr(Start);
+    const size_t Length = eventLength(Rest);
+    if (Length == std::string_view::npos)
+      break;
+    if (isNew(Rest.substr(0, Length)))
+      Whole.append(Rest.substr(0, Length));
+    Start += Length;
+  }
+  m_Part.erase(0, Start);
+  return Whole;
+}
+
+bool StreamSplicer::isNew(std::string_view Event) {
+  const std::string_view Id = idOf(Event);
+  if (!Id.empty()) {
+    const std::optional<uint64_t> Number = numberOf(Id);
+    if (Number && m_LastNumber && *Number <= *m_LastNumber)
+      return false;
+    m_LastNumber = Number;
+    m_LastId = std::string(Id);
+  }
+  ++m_Events;
+  return true;
+}
+
+std::string StreamSplicer::takePart() { return std::exchange(m_Part, {}); }
+
+} // namespace bronzepass::core::gateway
--- /dev/null
+++ b/Source/Core/Residency/DemandBook.h
@@ -0,0 +1,67 @@
+#ifndef BRONZEPASS_CORE_RESIDENCY_DEMANDBOOK_H
+#define BRONZEPASS_CORE_RESIDENCY_DEMANDBOOK_H
+
+#include "Core/Gateway/PeerNotice.h"
+#include "Core/Model/Time.h"
+
+#include <chrono>
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace bronzepass::core::residency {
+
+/// What callers ask of each model, in tokens a second, summed over nodes and
+/// averaged over the last seconds.
+class DemandBook {
+public:
+  /// Demand moves between models within seconds: long enough to pass over the
+  /// gaps between single requests, short enough to follow.
+  static constexpr double AverageSeconds = 2;
+
+  void add(const model::NodeId &Node, uint64_t Start,
+           const gateway::UseCount &Count, model::TimePoint Now) {
+    Counter &Last = m_Counters[{Node, Count.m_Use}];
+    const bool SameStart = Last.m_Start == Start && Last.m_Seen;
+    // Of a node that was not heard of before, what it counted so far came at
+    // some time in the past.
+    const uint64_t New =
+        SameStart && Count.m_Tokens >= Last.m_Tokens
+            ? Count.m_Tokens - Last.m_Tokens
+            : 0;
+    Last = {Start, Count.m_Tokens, true};
+    Rate &Known = m_Rates[Count.m_Use];
+    Known.m_PerSecond = decayed(Known, Now) +
+                        static_cast<double>(New) / AverageSeconds;
+    Known.m_At = Now;
+  }
+
+  double perSecond(const gateway::ModelUse &Use, model::TimePoint Now) const {
+    const auto Found = m_Rates.find(Use);
+    return Found == m_Rates.end() ? 0 : decayed(Found->second, Now);
+  }
+
+private:
+  struct Counter {
+    uint64_t m_Start = 0;
+    uint64_t m_Tokens = 0;
+    bool m_Seen = false;
+  };
+  struct Rate {
+    double m_PerSecond = 0;
+    model::TimePoint m_At;
+  };
+
+  static double decayed(const Rate &Known, model::TimePoint Now) {
+    const double Seconds =
+        std::chrono::duration<double>(Now - Known.m_At).count();
+    return Known.m_PerSecond * std::exp(-Seconds / AverageSeconds);
+  }
+
+  std::map<std::pair<model::NodeId, gateway::ModelUse>, Counter> m_Counters;
+  std::map<gateway::ModelUse, Rate> m_Rates;
+};
+
+} // namespace bronzepass::core::residency
+
+#endif // BRONZEPASS_CORE_RESIDENCY_DEMANDBOOK_H
--- /dev/null
+++ b/Source/Core/Residency/EngineBook.cpp
@@ -0,0 +1,209 @@
+#include "Core/Residency/EngineBook.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzepass::core::residency {
+
+using gateway::HeldModel;
+using gateway::ModelUse;
+using gateway::OrderReply;
+using gateway::OrderVerb;
+
+namespace {
+
+const HeldModel *find(const std::vector<HeldModel> &Models,
+                      const std::string &Name) {
+  for (const HeldModel &Each : Models)
+    if (Each.m_Name == Name)
+      return &Each;
+  return nullptr;
+}
+
+bool holdsUse(const std::vector<HeldModel> &Models, const ModelUse &Use) {
+  const HeldModel *const Model = find(Models, Use.m_Model);
+  return Model && (Use.m_Adapter.empty() || Model->hasAdapter(Use.m_Adapter));
+}
+
+} // namespace
+
+EngineBook::EngineBook(gateway::EndpointEntry Entry)
+    : m_Entry(std::move(Entry)) {
+  reset(m_Entry);
+}
+
+void EngineBook::reset(const gateway::EndpointEntry &Entry) {
+  m_Entry = Entry;
+  m_Known = false;
+  m_Busy = false;
+  m_OrderCount = Entry.m_OrderCount;
+  m_Models = Entry.m_Models;
+  m_LocalWeights = Entry.m_LocalWeights;
+  m_Pending.clear();
+}
+
+bool EngineBook::holds(const ModelUse &Use) const {
+  return holdsUse(m_Models, Use);
+}
+
+bool EngineBook::hasLocalWeights(const std::string &Model) const {
+  return std::find(m_LocalWeights.begin(), m_LocalWeights.end(), Model) !=
+         m_LocalWeights.end();
+}
+
+int64_t EngineBook::freeMb(const gateway::EngineSpec &Spec) const {
+  int64_t Free = static_cast<int64_t>(Spec.m_WeightsMb);
+  const auto Take = [&](const ModelUse &Use) {
+    const gateway::ServedModel *const Model = Spec.model(Use.m_Model);
+    // What is not declared is of unknown size: nothing fits beside it.
+    if (!Model)
+      Free = 0;
+    else
+      Free -= static_cast<int64_t>(Use.m_Adapter.empty() ? Model->m_WeightsMb
+                                                         : Model->m_AdapterMb);
+  };
+  for (const HeldModel &Each : m_Models) {
+    Take({Each.m_Name, ""});
+    for (const std::string &Adapter : Each.m_Adapters)
+      Take({Each.m_Name, Adapter});
+  }
+  for (const ModelUse &Each : m_Pending)
+    if (!holds(Each))
+      Take(Each);
+  if (m_Open && m_Open->m_Order.m_Verb == OrderVerb::Load &&
+      !holds(m_Open->m_Order.m_Use))
+    Take(m_Open->m_Order.m_Use);
+  return Free;
+}
+
+int32_t
+EngineBook::freeAdapterPlaces(const gateway::EngineSpec &Spec) const {
+  int32_t Free = static_cast<int32_t>(Spec.m_AdapterPlaces);
+  for (const HeldModel &Each : m_Models)
+    Free -= static_cast<int32_t>(Each.m_Adapters.size());
+  for (const ModelUse &Each : m_Pending)
+    if (!holds(Each))
+      --Free;
+  const bool LoadsAdapter = m_Open &&
+                            m_Open->m_Order.m_Verb == OrderVerb::Load &&
+                            !m_Open->m_Order.m_Use.m_Adapter.empty() &&
+                            !holds(m_Open->m_Order.m_Use);
+  return LoadsAdapter ? Free - 1 : Free;
+}
+
+bool EngineBook::shows(const std::vector<HeldModel> &Models) const {
+  const gateway::PlacementOrder &Order = m_Open->m_Order;
+  return holdsUse(Models, Order.m_Use) == (Order.m_Verb == OrderVerb::Load);
+}
+
+bool EngineBook::setEntry(const gateway::EndpointEntry &Entry) {
+  if (Entry.m_BornMs != m_Entry.m_BornMs) {
+    // Another process under the same id. An order that is still on its way to
+    // it keeps what it would load promised until a report settles it.
+    reset(Entry);
+    return false;
+  }
+  const uint64_t CountBefore = m_OrderCount;
+  m_Entry = Entry;
+  if (Entry.m_OrderCount < CountBefore)
+    return false;
+  if (Entry.m_OrderCount > CountBefore) {
+    m_Known = false;
+    return false;
+  }
+  if (m_Open) {
+    if (m_Open->m_Phase != OrderPhase::Running || !shows(Entry.m_Models))
+      return false;
+    m_Open.reset();
+    m_Busy = false;
+  }
+  if (m_Known && !m_Busy) {
+    m_Models = Entry.m_Models;
+    m_LocalWeights = Entry.m_LocalWeights;
+  }
+  return true;
+}
+
+void EngineBook::orderSent(uint64_t Number, gateway::PlacementOrder Order,
+                           model::TimePoint Now) {
+  m_Open = OpenOrder{Number, std::move(Order), OrderPhase::Asked, Now};
+}
+
+void EngineBook::apply(const gateway::PlacementOrder &Order) {
+  const ModelUse &Use = Order.m_Use;
+  for (HeldModel &Each : m_Models) {
+    if (Each.m_Name != Use.m_Model)
+      continue;
+    std::erase(Each.m_Adapters, Use.m_Adapter);
+    if (Order.m_Verb == OrderVerb::Load)
+      Each.m_Adapters.push_back(Use.m_Adapter);
+  }
+}
+
+bool EngineBook::orderAnswered(OrderReply Reply) {
+  if (!m_Open)
+    return false;
+  const bool IsAdapter = !m_Open->m_Order.m_Use.m_Adapter.empty();
+  switch (Reply) {
+  case OrderReply::Accepted:
+    m_OrderCount = m_Open->m_Order.m_ExpectedCount + 1;
+    if (!IsAdapter) {
+      m_Open->m_Phase = OrderPhase::Running;
+      return false;
+    }
+    apply(m_Open->m_Order);
+    m_Open.reset();
+    return true;
+  case OrderReply::Held:
+    // Whether it counted differs from order to order.
+    m_Known = false;
+    if (IsAdapter)
+      apply(m_Open->m_Order);
+    m_Open.reset();
+    return true;
+  case OrderReply::Unknown:
+    m_Open->m_Phase = OrderPhase::Doubtful;
+    m_Known = false;
+    return false;
+  case OrderReply::Busy:
+  case OrderReply::StaleToken:
+  case OrderReply::Misdirected:
+  case OrderReply::Rejected:
+    m_Known = false;
+    m_Open.reset();
+    return true;
+  case OrderReply::NotSent:
+    m_Open.reset();
+    return true;
+  }
+  return false;
+}
+
+bool EngineBook::reported(const gateway::EngineState &State,
+                          model::TimePoint /*Now*/) {
+  if (State.m_BornMs == m_Entry.m_BornMs && State.m_OrderCount < m_OrderCount)
+    return false;
+  bool Ended = false;
+  if (m_Open) {
+    const uint64_t Expected = m_Open->m_Order.m_ExpectedCount;
+    // Unanswered and not counted yet: it may still come.
+    if (m_Open->m_Phase != OrderPhase::Running &&
+        State.m_BornMs == m_Entry.m_BornMs && State.m_OrderCount <= Expected)
+      return false;
+    if (State.m_Busy) {
+      m_Open->m_Phase = OrderPhase::Running;
+    } else {
+      m_Open.reset();
+      Ended = true;
+    }
+  }
+  m_Known = true;
+  m_Busy = State.m_Busy;
+  m_OrderCount = State.m_OrderCount;
+  m_Models = State.m_Models;
+  m_Pending = State.m_Pending;
+  m_LocalWeights = State.m_LocalWeights;
+  return Ended;
+}
+
+} // namespace bronzepass::core::residency
--- /dev/null
+++ b/Source/Core/Residency/LoadRate.h
@@ -0,0 +1,44 @@
+#ifndef BRONZEPASS_CORE_RESIDENCY_LOADRATE_H
+#define BRONZEPASS_CORE_RESIDENCY_LOADRATE_H
+
+#include "Core/Model/Time.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace bronzepass::core::residency {
+
+/// Keeps loads from the weight store within its rate: a token bucket that
+/// begins empty, so that a new lease holder adds nothing to what the one before
+/// has used up.
+class LoadRate {
+public:
+  /// Loads that may begin together.
+  static constexpr double Burst = 2;
+
+  void setRate(double PerSecond) { m_PerSecond = PerSecond; }
+
+  void restart(model::TimePoint Now) {
+    m_Tokens = 0;
+    m_FilledAt = Now;
+  }
+
+  bool canTake(model::TimePoint Now) {
+    const double Seconds =
+        std::chrono::duration<double>(Now - m_FilledAt).count();
+    m_FilledAt = Now;
+    m_Tokens = std::min(Burst, m_Tokens + m_PerSecond * std::max(0.0, Seconds));
+    return m_Tokens >= 1;
+  }
+
+  void take() { m_Tokens -= 1; }
+
+private:
+  double m_PerSecond = 0;
+  double m_Tokens = 0;
+  model::TimePoint m_FilledAt;
+};
+
+} // namespace bronzepass::core::residency
+
+#endif // BRONZEPASS_CORE_RESIDENCY_LOADRATE_H
--- a/Source/Core/Settings/NodeSettings.cpp
+++ b/Source/Core/Settings/NodeSettings.cpp
@@ -1,26 +1,11 @@
 #include "Core/Settings/NodeSettings.h"
 
+#include "Core/Settings/SettingTable.h"
+
 namespace bronzepass::core::settings {
 
 namespace {
 
-template <typename ValueT>
-std::optional<SettingValue> widen(const std::optional<ValueT> &Value) {
-  if (!Value)
-    return std::nullopt;
-  return SettingValue(*Value);
-}
-
-template <typename ValueT> SettingInfo describe(const Setting<ValueT> &Which) {
-  return {Which.m_Section,
-          Which.m_Key,
-          SettingValue(Which.m_Default.value_or(ValueT())),
-          Which.m_Default.has_value(),
-          widen(Which.m_Least),
-          widen(Which.m_Most),
-          Which.m_Meaning};
-}
-
 std::string durationText(model::Duration Value) {
   using namespace std::chrono;
   if (Value % seconds(1) == model::Duration::zero())
@@ -43,6 +28,11 @@
 struct TextOf {
   std::string operator()(const std::string &Value) const { return Value; }
   std::string operator()(uint64_t Value) const { return std::to_string(Value); }
+  std::string operator()(double Value) const {
+    std::string Text = std::to_string(Value);
+    Text.erase(Text.find_last_not_of('0') + 1);
+    return Text.back() == '.' ? Text + "0" : Text;
+  }
   std::string operator()(Bytes Value) const { return bytesText(Value.m_Value); }
   std::string operator()(model::Duration Value) const {
     return durationText(Value);
--- a/Source/Core/Settings/NodeSettings.h
+++ b/Source/Core/Settings/NodeSettings.h
@@ -105,7 +105,8 @@
 inline const Setting<std::string> LogIntent{
     "logs", "intent", "info", {}, {}, "Level of configuration changes"};
 
-/// Every setting there is, in the order of docs/SETTINGS.md.
+/// Every setting of a node of the product's own front, in the order of
+/// docs/SETTINGS.md.
 const std::vector<SettingInfo> &allSettings();
 
 /// "40s", "64KiB", "127.0.0.1:80": the value as a settings file writes it.
--- a/Source/Core/Settings/Setting.h
+++ b/Source/Core/Settings/Setting.h
@@ -19,7 +19,8 @@
 };
 
 using SettingValue =
-    std::variant<std::string, uint64_t, Bytes, model::Duration, model::Address>;
+    std::variant<std::string, uint64_t, double, Bytes, model::Duration,
+                 model::Address>;
 
 /// One named, typed setting of a node. With no default it must be given.
 template <typename ValueT> struct Setting {
