--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -24,6 +24,8 @@
 constexpr model::Duration LapsedKept = std::chrono::milliseconds(2700);
 /// How long after the store's return its lapsed entries are not believed.
 constexpr model::Duration DisturbedFor = std::chrono::milliseconds(2500);
+/// A fifth of the time in which an endpoint's leaving is to be known.
+constexpr model::Duration EndpointGather = std::chrono::milliseconds(400);
 /// Nodes come and go rarely and tell each other themselves.
 constexpr model::Duration NodeListPeriod = std::chrono::seconds(5);
 /// A connection that may have been closed for idling is not used again.
@@ -39,6 +41,14 @@
   return Settings;
 }
 
+gateway::FeedSettings endpointFeedSettings() {
+  gateway::FeedSettings Settings;
+  // Adapters that come and go change entries often; what has to be known at
+  // once is told between nodes.
+  Settings.m_Gather = EndpointGather;
+  return Settings;
+}
+
 leases::GovernorSettings governorSettings() {
   leases::GovernorSettings Settings;
   // A write that is refused is looked at anew, not repeated blindly.
@@ -83,7 +93,8 @@
       m_Residency(m_Options.m_Residency, m_Options.m_Self.m_Node),
       m_Registry(LapsedKept),
       m_ConfigFeed(gateway::FeedKind::Config, "config", {}, *m_Dice),
-      m_EndpointFeed(gateway::FeedKind::Endpoints, "endpoints", {}, *m_Dice),
+      m_EndpointFeed(gateway::FeedKind::Endpoints, "endpoints",
+                     endpointFeedSettings(), *m_Dice),
       m_NodeFeed(gateway::FeedKind::Nodes, "nodes", nodeFeedSettings(),
                  *m_Dice),
       m_Curl(m_Thread.loop(), MaxIdleConnections) {}
@@ -233,7 +244,8 @@
                 {{"endpoint", Change.m_Name},
                  {"service", Reading.m_Value->m_Service},
                  {"born_ms", Reading.m_Value->m_BornMs}});
-  m_Registry.set(std::move(*Reading.m_Value));
+  if (!m_Registry.set(std::move(*Reading.m_Value)))
+    m_Log.write("endpoint", "stale", {{"endpoint", Change.m_Name}});
 }
 
 void GatewayControl::publishEndpoints() {
--- a/Source/Core/Gateway/EndpointEntry.h
+++ b/Source/Core/Gateway/EndpointEntry.h
@@ -43,8 +43,8 @@
   std::vector<HeldModel> m_Models;
   /// Weights that it can load without the weight store.
   std::vector<std::string> m_LocalWeights;
-  /// Orders that it has accepted since its start.
-  uint64_t m_OrderCount = 0;
+  /// Rises with each renewal of the entry.
+  uint64_t m_Renewals = 0;
 
   const HeldModel *model(const std::string &Name) const {
     for (const HeldModel &Each : m_Models)
--- a/Source/Core/Gateway/EndpointRegistry.cpp
+++ b/Source/Core/Gateway/EndpointRegistry.cpp
@@ -5,9 +5,16 @@
 
 namespace bronzepass::core::gateway {
 
-void EndpointRegistry::set(EndpointEntry Entry) {
-  const model::EndpointId Id = Entry.m_Id;
-  m_Entries[Id] = {std::move(Entry), std::nullopt};
+bool EndpointRegistry::set(EndpointEntry Entry) {
+  Kept &Known = m_Entries[Entry.m_Id];
+  // A renewal that was long on its way must not undo a later one.
+  const bool IsStale = Known.m_Entry.m_Id == Entry.m_Id &&
+                       Known.m_Entry.m_BornMs == Entry.m_BornMs &&
+                       Entry.m_Renewals < Known.m_Entry.m_Renewals;
+  if (IsStale)
+    return false;
+  Known = {std::move(Entry), std::nullopt};
+  return true;
 }
 
 void EndpointRegistry::remove(const model::EndpointId &Endpoint,
--- a/Source/Core/Gateway/EndpointRegistry.h
+++ b/Source/Core/Gateway/EndpointRegistry.h
@@ -21,7 +21,8 @@
   explicit EndpointRegistry(model::Duration KeepLapsed)
       : m_KeepLapsed(KeepLapsed) {}
 
-  void set(EndpointEntry Entry);
+  /// False where \p Entry is older than what is known of the same start.
+  bool set(EndpointEntry Entry);
   /// The entry is gone. \p Disturbed: the store may have missed its
   /// renewals.
   void remove(const model::EndpointId &Endpoint, bool Disturbed,
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -76,9 +76,9 @@
 struct FeedSettings {
   /// A watch waits in short turns: a connection that has gone silent is found
   /// at a turn's end. Below the time in which a change is to be known.
-  model::Duration m_WatchTurn = std::chrono::milliseconds(2000);
+  model::Duration m_WatchTurn = std::chrono::milliseconds(2400);
   /// Beyond a watch's turn, or for a list.
-  model::Duration m_AnswerTime = std::chrono::milliseconds(800);
+  model::Duration m_AnswerTime = std::chrono::milliseconds(600);
   model::Duration m_BackoffBase = std::chrono::milliseconds(100);
   model::Duration m_BackoffMost = std::chrono::milliseconds(1500);
   /// After changes, so that several are fetched with one call.
--- a/Source/Core/Residency/EngineBook.cpp
+++ b/Source/Core/Residency/EngineBook.cpp
@@ -36,7 +36,7 @@
   m_Entry = Entry;
   m_Known = false;
   m_Busy = false;
-  m_OrderCount = Entry.m_OrderCount;
+  m_OrderCount = 0;
   m_Models = Entry.m_Models;
   m_LocalWeights = Entry.m_LocalWeights;
   m_Pending.clear();
@@ -103,24 +103,16 @@
     reset(Entry);
     return false;
   }
-  const uint64_t CountBefore = m_OrderCount;
   m_Entry = Entry;
-  if (Entry.m_OrderCount < CountBefore)
-    return false;
-  if (Entry.m_OrderCount > CountBefore) {
-    m_Known = false;
+  m_LocalWeights = Entry.m_LocalWeights;
+  // An entry may be older than an order that was accepted since: it only shows
+  // that a running order is done, never what else is there.
+  if (!m_Open || m_Open->m_Phase != OrderPhase::Running ||
+      !shows(Entry.m_Models))
     return false;
-  }
-  if (m_Open) {
-    if (m_Open->m_Phase != OrderPhase::Running || !shows(Entry.m_Models))
-      return false;
-    m_Open.reset();
-    m_Busy = false;
-  }
-  if (m_Known && !m_Busy) {
-    m_Models = Entry.m_Models;
-    m_LocalWeights = Entry.m_LocalWeights;
-  }
+  apply(m_Open->m_Order);
+  m_Open.reset();
+  m_Busy = false;
   return true;
 }
 
@@ -131,11 +123,20 @@
 
 void EngineBook::apply(const gateway::PlacementOrder &Order) {
   const ModelUse &Use = Order.m_Use;
+  const bool IsLoad = Order.m_Verb == OrderVerb::Load;
+  if (Use.m_Adapter.empty()) {
+    std::erase_if(m_Models, [&](const HeldModel &Each) {
+      return !IsLoad && Each.m_Name == Use.m_Model;
+    });
+    if (IsLoad && !find(m_Models, Use.m_Model))
+      m_Models.push_back({Use.m_Model, {}});
+    return;
+  }
   for (HeldModel &Each : m_Models) {
     if (Each.m_Name != Use.m_Model)
       continue;
     std::erase(Each.m_Adapters, Use.m_Adapter);
-    if (Order.m_Verb == OrderVerb::Load)
+    if (IsLoad)
       Each.m_Adapters.push_back(Use.m_Adapter);
   }
 }
--- a/Source/Core/Residency/ResidencyCore.cpp
+++ b/Source/Core/Residency/ResidencyCore.cpp
@@ -41,6 +41,7 @@
     const auto Found = m_Engines.find(Entry.m_Id);
     if (Found == m_Engines.end()) {
       m_Engines.emplace(Entry.m_Id, Engine(Entry));
+      m_EngineAddedAt = Now;
       continue;
     }
     Engine &Known = Found->second;
@@ -122,7 +123,13 @@
 }
 
 bool ResidencyCore::isSettled(model::TimePoint Now) const {
-  if (Now >= m_LeaseSince + m_Settings.m_SettleTime)
+  // Engines register one after the other: a model that none of them is known to
+  // hold may lie on the next one.
+  const model::TimePoint Quiet =
+      std::max(m_LeaseSince, m_EngineAddedAt) + m_Settings.m_SettleTime;
+  if (Now < Quiet)
+    return false;
+  if (Now >= Quiet + m_Settings.m_SettleTime)
     return true;
   return std::all_of(m_Engines.begin(), m_Engines.end(), [&](const auto &Each) {
     return Each.second.m_Book.isKnown() ||
@@ -329,6 +336,9 @@
   Target.m_ReportAt = Now + m_Settings.m_ReportRepeat;
   if (!State || !m_Lease)
     return;
+  Out.push_back(ResidencyNote{
+      "report", Endpoint.str(), "", m_Lease->m_Token.m_Value,
+      State->m_OrderCount, State->m_Busy ? "busy" : "not busy"});
   const std::optional<OpenOrder> Before = Target.m_Book.open();
   const bool Ended = Target.m_Book.reported(*State, Now);
   if (Ended && Before)
--- a/Source/Core/Residency/ResidencyCore.h
+++ b/Source/Core/Residency/ResidencyCore.h
@@ -93,6 +93,8 @@
   std::shared_ptr<const gateway::RouteTable> m_Table;
   std::optional<model::HeldLease> m_Lease;
   model::TimePoint m_LeaseSince;
+  /// When an engine last came into the list.
+  model::TimePoint m_EngineAddedAt;
   model::TimePoint m_PlanAt;
   DemandBook m_Demand;
   AdapterDesk m_Adapters;
--- a/Source/Core/Residency/ResidencyPlan.cpp
+++ b/Source/Core/Residency/ResidencyPlan.cpp
@@ -17,6 +17,10 @@
 /// Copies by which a model must fall short of its share, and another be above
 /// its own, before one is moved: shares that waver must not move copies.
 constexpr double MoveThreshold = 0.6;
+/// Demand below this many tokens a second for each slot of the service is noise:
+/// it is filled up in proportion to the copies that are there, so that single
+/// requests move nothing. A busy slot makes ten times as many.
+constexpr double NoisePerSlot = 5;
 /// Room kept for adapters beside the models, in adapters of the largest size.
 constexpr int64_t AdaptersKept = 8;
 
@@ -103,6 +107,7 @@
     double Weights = 0;
     for (const ServedModel &Each : m_Spec.m_Models) {
       Weights += static_cast<double>(Each.m_WeightsMb);
+      m_CopySum += copies(Each.m_Name);
       m_DemandSum += demand(Each.m_Name);
       m_AdapterMb = std::max(m_AdapterMb,
                              static_cast<int64_t>(Each.m_AdapterMb));
@@ -121,7 +126,13 @@
     return Found == m_Inputs.m_Demand.end() ? 0 : Found->second;
   }
   double share(const std::string &Model) const {
-    return m_DemandSum > 0 ? demand(Model) / m_DemandSum : 0;
+    const double Noise = NoisePerSlot * m_Spec.m_Slots *
+                         static_cast<double>(m_Inputs.m_Engines.size());
+    const double Filled = std::max(0.0, Noise - m_DemandSum);
+    const double Sum = m_DemandSum + Filled;
+    if (Sum <= 0 || m_CopySum <= 0)
+      return 0;
+    return (demand(Model) + Filled * copies(Model) / m_CopySum) / Sum;
   }
   double copies(const std::string &Model) const {
     const auto Found = m_Copies.find(Model);
@@ -244,6 +255,7 @@
   const EngineSpec &m_Spec;
   std::map<std::string, double> m_Copies;
   double m_DemandSum = 0;
+  double m_CopySum = 0;
   double m_Spare = 0;
   int64_t m_AdapterMb = 0;
 };
--- a/Source/Core/Residency/ResidencyTypes.h
+++ b/Source/Core/Residency/ResidencyTypes.h
@@ -26,7 +26,9 @@
   /// this after an order.
   model::Duration m_ReportDelay = std::chrono::milliseconds(400);
   model::Duration m_ReportRepeat = std::chrono::milliseconds(700);
-  /// A new lease holder plans once every engine has reported, or after this.
+  /// A new lease holder plans once no engine has been added for this long and
+  /// every engine has reported, or after twice this. Above the period at which
+  /// engines renew their entries.
   model::Duration m_SettleTime = std::chrono::milliseconds(1500);
   /// An adapter's load takes some milliseconds after it was accepted.
   model::Duration m_AdapterLoadTime = std::chrono::milliseconds(12);
