Gateway: Find the store's return within its lapsed entries' time

Now the first call that is answered wakes the other feeds, back-off ends at 0.7 s, and lapsed entries are dropped 2.15 s after the return.

--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -21,9 +21,7 @@
 constexpr model::Duration RegisterTimeout = std::chrono::milliseconds(1500);
 constexpr model::Duration RegisterRetry = std::chrono::milliseconds(1500);
 /// Endpoints that could not renew their entries have them back by then.
-constexpr model::Duration LapsedKept = std::chrono::milliseconds(2700);
-/// How long after the store's return its lapsed entries are not believed.
-constexpr model::Duration DisturbedFor = std::chrono::milliseconds(2500);
+constexpr model::Duration LapsedKept = std::chrono::milliseconds(2150);
 /// A fifth of the time in which an endpoint's leaving is to be known.
 constexpr model::Duration EndpointGather = std::chrono::milliseconds(400);
 /// Nodes come and go rarely and tell each other themselves.
@@ -112,9 +110,7 @@
   runFeed(m_ConfigFeed);
   runFeed(m_EndpointFeed);
   runFeed(m_NodeFeed);
-  const gateway::ObjectFeed &Endpoints = m_EndpointFeed.m_Feed;
-  if (m_Registry.dropLapsed(Endpoints.recoveredAt(), Endpoints.isFailing(),
-                            m_Clock.now()))
+  if (m_Registry.dropLapsed(m_Store, m_Clock.now()))
     publishEndpoints();
   registerSelf();
   tickLease();
@@ -159,13 +155,14 @@
                                   const gateway::HttpResult &Result) {
   const model::TimePoint Now = m_Clock.now();
   const gateway::FeedAnswer Answer = m_Dialect.readFeed(Call, Result);
-  const bool Disturbed =
-      Each.m_Feed.isFailing() ||
-      (Each.m_Feed.recoveredAt() != model::TimePoint() &&
-       Now < Each.m_Feed.recoveredAt() + DisturbedFor);
   const bool WasComplete = Each.m_Feed.isComplete();
   const std::vector<gateway::FeedChange> Changes =
       Each.m_Feed.answered(Answer, Now);
+  if (Answer.m_Status == gateway::FeedStatus::Failed)
+    m_Store.failed();
+  else if (m_Store.answered(Now))
+    for (Feed *const Other : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
+      Other->m_Feed.storeAnswers(Now);
   if (Each.m_Feed.isFailing() != Each.m_ToldFailing) {
     Each.m_ToldFailing = Each.m_Feed.isFailing();
     m_Log.write("dependency", Each.m_ToldFailing ? "lost" : "regained",
@@ -173,7 +170,7 @@
                  {"reason", Answer.m_Reason}});
   }
   for (const gateway::FeedChange &Change : Changes)
-    takeChange(Each, Change, Disturbed);
+    takeChange(Each, Change);
   const bool IsNews =
       !Changes.empty() || (Each.m_Feed.isComplete() && !WasComplete);
   if (IsNews && Each.m_Kind == gateway::FeedKind::Endpoints &&
@@ -185,15 +182,14 @@
 }
 
 void GatewayControl::takeChange(const Feed &From,
-                                const gateway::FeedChange &Change,
-                                bool Disturbed) {
+                                const gateway::FeedChange &Change) {
   switch (From.m_Kind) {
   case gateway::FeedKind::Config:
     if (Change.m_Content)
       takeConfig(*Change.m_Content);
     return;
   case gateway::FeedKind::Endpoints:
-    takeEndpoint(Change, Disturbed);
+    takeEndpoint(Change);
     return;
   case gateway::FeedKind::Nodes:
     m_Nodes.erase(model::NodeId(Change.m_Name));
@@ -221,20 +217,20 @@
   m_Traffic->setTable(Table);
 }
 
-void GatewayControl::takeEndpoint(const gateway::FeedChange &Change,
-                                  bool Disturbed) {
+void GatewayControl::takeEndpoint(const gateway::FeedChange &Change) {
   const model::EndpointId Id(Change.m_Name);
   if (!Change.m_Content) {
-    m_Log.write("endpoint", Disturbed ? "lapsed" : "gone",
+    m_Registry.remove(Id, m_Store, m_Clock.now());
+    m_Log.write("endpoint", m_Registry.find(Id) ? "lapsed" : "gone",
                 {{"endpoint", Change.m_Name}});
-    m_Registry.remove(Id, Disturbed, m_Clock.now());
     return;
   }
   gateway::Decoded<gateway::EndpointEntry> Reading =
       m_Dialect.readEndpoint(Change.m_Name, *Change.m_Content);
   logFindings("endpoint", Change.m_Name, Reading.m_Findings);
   if (!Reading.m_Value) {
-    m_Registry.remove(Id, false, m_Clock.now());
+    // Whoever wrote it, no endpoint is named there any more.
+    m_Registry.remove(Id, gateway::StoreHealth(), m_Clock.now());
     return;
   }
   const gateway::EndpointEntry *const Old = m_Registry.find(Id);
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -68,10 +68,9 @@
   void runFeed(Feed &Each);
   void feedAnswered(Feed &Each, const core::gateway::FeedCall &Call,
                     const core::gateway::HttpResult &Result);
-  void takeChange(const Feed &From, const core::gateway::FeedChange &Change,
-                  bool Disturbed);
+  void takeChange(const Feed &From, const core::gateway::FeedChange &Change);
   void takeConfig(const std::string &Content);
-  void takeEndpoint(const core::gateway::FeedChange &Change, bool Disturbed);
+  void takeEndpoint(const core::gateway::FeedChange &Change);
   void publishEndpoints();
   void publishNodes();
   void registerSelf();
@@ -103,6 +102,7 @@
   leases::StoreGovernor m_Governor;
   leases::LeaseKeeper m_Keeper;
   residency::ResidencyCore m_Residency;
+  core::gateway::StoreHealth m_Store;
   core::gateway::EndpointRegistry m_Registry;
   std::map<model::NodeId, core::gateway::NodeEntry> m_Nodes;
   uint64_t m_ConfigVersion = 0;
--- a/Source/Core/Gateway/EndpointRegistry.cpp
+++ b/Source/Core/Gateway/EndpointRegistry.cpp
@@ -1,6 +1,6 @@
 #include "Core/Gateway/EndpointRegistry.h"
 
-#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace bronzepass::core::gateway {
@@ -13,30 +13,32 @@
                        Entry.m_Renewals < Known.m_Entry.m_Renewals;
   if (IsStale)
     return false;
-  Known = {std::move(Entry), std::nullopt};
+  Known = {std::move(Entry), false};
   return true;
 }
 
 void EndpointRegistry::remove(const model::EndpointId &Endpoint,
-                              bool Disturbed, model::TimePoint Now) {
+                              const StoreHealth &Store, model::TimePoint Now) {
   const auto Found = m_Entries.find(Endpoint);
   if (Found == m_Entries.end())
     return;
+  const std::optional<model::TimePoint> Returned = Store.returnedAt();
+  const bool MayComeBack =
+      Store.isFailing() || (Returned && Now < *Returned + m_KeepLapsed);
   // One that was leaving has left.
-  if (Disturbed && !Found->second.m_Entry.m_Draining)
-    Found->second.m_LapsedAt = Now;
+  if (MayComeBack && !Found->second.m_Entry.m_Draining)
+    Found->second.m_Lapsed = true;
   else
     m_Entries.erase(Found);
 }
 
-bool EndpointRegistry::dropLapsed(model::TimePoint RecoveredAt, bool Failing,
+bool EndpointRegistry::dropLapsed(const StoreHealth &Store,
                                   model::TimePoint Now) {
-  if (Failing)
+  const std::optional<model::TimePoint> Returned = Store.returnedAt();
+  if (Store.isFailing() || !Returned || Now < *Returned + m_KeepLapsed)
     return false;
-  return std::erase_if(m_Entries, [&](const auto &Entry) {
-           const std::optional<model::TimePoint> &At =
-               Entry.second.m_LapsedAt;
-           return At && Now >= std::max(*At, RecoveredAt) + m_KeepLapsed;
+  return std::erase_if(m_Entries, [](const auto &Entry) {
+           return Entry.second.m_Lapsed;
          }) != 0;
 }
 
--- a/Source/Core/Gateway/EndpointRegistry.h
+++ b/Source/Core/Gateway/EndpointRegistry.h
@@ -2,10 +2,10 @@
 #define BRONZEPASS_CORE_GATEWAY_ENDPOINTREGISTRY_H
 
 #include "Core/Gateway/EndpointEntry.h"
+#include "Core/Gateway/StoreHealth.h"
 #include "Core/Model/Time.h"
 
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,14 +23,12 @@
 
   /// False where \p Entry is older than what is known of the same start.
   bool set(EndpointEntry Entry);
-  /// The entry is gone. \p Disturbed: the store may have missed its
-  /// renewals.
-  void remove(const model::EndpointId &Endpoint, bool Disturbed,
+  /// The entry is gone. While the store does not answer, or within the time
+  /// for which lapsed entries are kept after its return, it may be back.
+  void remove(const model::EndpointId &Endpoint, const StoreHealth &Store,
               model::TimePoint Now);
-  /// The store has answered again at \p RecoveredAt: drops what has not come
-  /// back in time. True where anything changed.
-  bool dropLapsed(model::TimePoint RecoveredAt, bool Failing,
-                  model::TimePoint Now);
+  /// Drops what has not come back in time. True where anything changed.
+  bool dropLapsed(const StoreHealth &Store, model::TimePoint Now);
 
   std::vector<EndpointEntry> entries() const;
   const EndpointEntry *find(const model::EndpointId &Endpoint) const;
@@ -39,8 +37,8 @@
 private:
   struct Kept {
     EndpointEntry m_Entry;
-    /// When its entry was found missing.
-    std::optional<model::TimePoint> m_LapsedAt;
+    /// Its entry is missing.
+    bool m_Lapsed = false;
   };
 
   model::Duration m_KeepLapsed;
--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -35,9 +35,6 @@
     m_DueAt = Now + m_Backoff.next(m_Dice);
     return Changes;
   }
-  m_AnsweredAt = Now;
-  if (m_Failing)
-    m_RecoveredAt = Now;
   m_Failing = false;
   m_Backoff.reset();
   m_DueAt = Now;
@@ -70,6 +67,11 @@
   return Changes;
 }
 
+void ObjectFeed::storeAnswers(model::TimePoint Now) {
+  if (m_Failing)
+    m_DueAt = std::min(m_DueAt, Now);
+}
+
 void ObjectFeed::apply(const FeedObject &Object,
                        std::vector<FeedChange> &Changes) {
   Known &Seen = m_Known[Object.m_Name];
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -80,7 +80,9 @@
   /// Beyond a watch's turn, or for a list.
   model::Duration m_AnswerTime = std::chrono::milliseconds(600);
   model::Duration m_BackoffBase = std::chrono::milliseconds(100);
-  model::Duration m_BackoffMost = std::chrono::milliseconds(1500);
+  /// A store that is back must be found so while its lapsed entries are still
+  /// waited for.
+  model::Duration m_BackoffMost = std::chrono::milliseconds(700);
   /// After changes, so that several are fetched with one call.
   model::Duration m_Gather = std::chrono::milliseconds(50);
   /// Set: list anew after this long, instead of watching.
@@ -103,14 +105,13 @@
   std::vector<FeedChange> answered(const FeedAnswer &Answer,
                                    model::TimePoint Now);
 
+  /// Another call has shown that the store answers again: no waiting.
+  void storeAnswers(model::TimePoint Now);
+
   /// A list has come whole since the start.
   bool isComplete() const { return m_Complete; }
   /// The last call failed.
   bool isFailing() const { return m_Failing; }
-  /// When a call first succeeded after the last failure; the start of time
-  /// where none failed yet.
-  model::TimePoint recoveredAt() const { return m_RecoveredAt; }
-  model::TimePoint answeredAt() const { return m_AnsweredAt; }
 
 private:
   void apply(const FeedObject &Object, std::vector<FeedChange> &Changes);
@@ -124,8 +125,6 @@
   bool m_Complete = false;
   bool m_Failing = false;
   model::TimePoint m_DueAt;
-  model::TimePoint m_RecoveredAt;
-  model::TimePoint m_AnsweredAt;
   uint64_t m_Revision = 0;
   std::string m_After;
   std::set<std::string> m_ListedNames;
