--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -111,6 +111,10 @@
       send(Value, *Chosen.m_Endpoint, Out);
       return;
     }
+    if (Value.m_Runs > 0) {
+      finishAfter(Value, {SendEnd::Broken, 0, false, Value.m_LastDetail}, Out);
+      return;
+    }
     const model::Duration Wait(
         static_cast<int64_t>(Chosen.m_WaitMs / MillisPerMicro));
     refuse(Value, ServiceUnavailable,
--- /dev/null
+++ b/Source/UnitTests/Gateway/StreamSplicerTest.cpp
@@ -0,0 +1,58 @@
+#include "Core/Gateway/StreamSplicer.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+namespace bronzepass::core::gateway {
+
+namespace {
+
+std::string event(int Id) {
+  return "id: " + std::to_string(Id) + "\ndata: " +
+         std::string(static_cast<size_t>(Id % 5), 'x') + "\n\n";
+}
+
+} // namespace
+
+TEST_CASE("only whole events are passed on, wherever the bytes are cut") {
+  std::string Stream;
+  for (int Id = 1; Id <= 20; ++Id)
+    Stream += event(Id);
+  std::mt19937 Random(3);
+  for (int Run = 0; Run < 500; ++Run) {
+    StreamSplicer Splicer;
+    std::string Passed;
+    size_t Start = 0;
+    while (Start < Stream.size()) {
+      const size_t Length = 1 + Random() % 9;
+      const std::string Out = Splicer.feed(Stream.substr(Start, Length));
+      if (!Out.empty())
+        CHECK(Out.substr(Out.size() - 2) == "\n\n");
+      Passed += Out;
+      Start += Length;
+    }
+    REQUIRE(Passed == Stream);
+    CHECK(Splicer.lastId() == "20");
+    CHECK(Splicer.eventCount() == 20);
+  }
+}
+
+TEST_CASE("a stream that goes on at another endpoint has each event once") {
+  StreamSplicer Splicer;
+  std::string Passed = Splicer.feed(event(1) + event(2) + "id: 3\ndata: pa");
+  CHECK(Splicer.hasPart());
+  Splicer.dropPart();
+  CHECK(Splicer.lastId() == "2");
+  // An endpoint that begins too early repeats what was passed on.
+  Passed += Splicer.feed(event(2) + event(3) + event(4));
+  CHECK(Passed == event(1) + event(2) + event(3) + event(4));
+}
+
+TEST_CASE("line ends may be CRLF, and events without an id are passed on") {
+  StreamSplicer Splicer;
+  const std::string Bytes = ": comment\r\n\r\nid: 7\r\ndata: a\r\n\r\n";
+  CHECK(Splicer.feed(Bytes) == Bytes);
+  CHECK(Splicer.lastId() == "7");
+}
+
+} // namespace bronzepass::core::gateway
--- /dev/null
+++ b/Source/UnitTests/Platform/ConfigReaderTest.cpp
@@ -0,0 +1,54 @@
+#include "platform/ConfigReader.h"
+
+#include <doctest/doctest.h>
+
+namespace bronzepass::platform {
+
+namespace {
+
+const char *const Config = R"({"Version":7,
+"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","Kind":"stream","TimeoutMs":20000,
+  "SloMs":3000,"Priority":1,"Service":"s","MaxAttempts":2,"SessionAffinity":true,
+  "AllowResume":true,"GapTargetMs":250},
+ {"Name":"q","Host":"h","PathPrefix":"/q/","Kind":"non_idempotent","TimeoutMs":600,
+  "Split":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}]}],
+"Services":[{"Name":"s","MaxConns":290,"Engine":{"Slots":48,"WeightsMb":200000.0,
+  "AdapterSlots":8,"LoadsPerS":2.2,"Models":[{"Name":"m","WeightsMb":65099.99999999999,
+  "LoadTimeS":3.8,"Adapters":37,"AdapterMb":40.0}]}},{"Name":"t"}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
+  "IdleTimeoutMs":15000},"SomethingNew":[1]})";
+
+} // namespace
+
+TEST_CASE("a configuration is read whole; fields of later releases are passed "
+          "over") {
+  const core::gateway::Decoded<core::gateway::GatewayConfig> Reading =
+      readConfig(Config);
+  REQUIRE(Reading.m_Value);
+  const core::gateway::GatewayConfig &Read = *Reading.m_Value;
+  CHECK(Read.m_Version == 7);
+  CHECK(Read.m_Routes[0].m_Stream);
+  CHECK(Read.m_Routes[0].m_Resumable);
+  CHECK(Read.m_Routes[0].m_LongestPause == std::chrono::milliseconds(250));
+  CHECK_FALSE(Read.m_Routes[1].m_Repeatable);
+  CHECK(Read.m_Routes[1].m_Services.size() == 2);
+  const core::gateway::EngineSpec &Engine = *Read.m_Services[0].m_Engine;
+  // Never less than it takes.
+  CHECK(Engine.m_Models[0].m_WeightsMb == 65100);
+  CHECK(Engine.m_Models[0].m_LoadTime == std::chrono::milliseconds(3800));
+  CHECK_FALSE(Read.m_Services[1].m_Engine);
+}
+
+TEST_CASE("every fault of a configuration is told with its place") {
+  const core::gateway::Decoded<core::gateway::GatewayConfig> Reading = readConfig(
+      R"({"Version":"x","Routes":[{"Host":"h","PathPrefix":"/p/","Kind":"odd"}]})");
+  CHECK_FALSE(Reading.m_Value);
+  REQUIRE(Reading.m_Findings.size() == 3);
+  CHECK(Reading.m_Findings[0].m_Place.m_File == "config/Version");
+  CHECK(Reading.m_Findings[1].m_Place.m_File == "config/Routes/0/Kind");
+  CHECK(Reading.m_Findings[2].m_Place.m_File == "config/Routes/0/Service");
+  CHECK_FALSE(readConfig("{").m_Value);
+  CHECK_FALSE(readConfig("[]").m_Value);
+}
+
+} // namespace bronzepass::platform
--- /dev/null
+++ b/Source/UnitTests/Platform/RequestHeadersTest.cpp
@@ -0,0 +1,109 @@
+#include "platform/RequestHeaders.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+namespace bronzepass::platform {
+
+namespace {
+
+using core::gateway::HeaderLine;
+using core::gateway::HeaderLines;
+using core::gateway::SendRequest;
+
+std::vector<std::string> valuesOf(const HeaderLines &Lines,
+                                  const std::string &Name) {
+  std::vector<std::string> Values;
+  for (const HeaderLine &Each : Lines)
+    if (Each.first == Name)
+      Values.push_back(Each.second);
+  return Values;
+}
+
+SendRequest sendTo(const char *Endpoint) {
+  SendRequest Send;
+  Send.m_Endpoint = core::model::EndpointId(Endpoint);
+  Send.m_Remaining = std::chrono::milliseconds(1234);
+  Send.m_Rank = 2;
+  Send.m_Stream = true;
+  return Send;
+}
+
+} // namespace
+
+TEST_CASE("what decides is read from a request's headers") {
+  core::gateway::RelayRequest Request;
+  readRequest({{"x-request-id", "9c41"},
+               {"X-Model", "m/a3"},
+               {"X-Token-Count", "1460,80"},
+               {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+               {"X-Deadline-Ms", "12000"}},
+              Request);
+  CHECK(Request.m_CallerRequestId == "9c41");
+  CHECK(Request.m_Use == core::gateway::ModelUse{"m", "a3"});
+  CHECK(Request.m_PromptTokens == 1460);
+  CHECK(Request.m_OutputTokens == 80);
+  CHECK(Request.m_Prompt[1] == core::gateway::PromptPart{0x91bd3f06, 410});
+  CHECK(*Request.m_Window == std::chrono::seconds(12));
+}
+
+TEST_CASE("headers that are the system's to set are not taken from callers") {
+  const HeaderLines Sent = headersToSend({{"Host", "h"},
+                                          {"X-Hold", "1"},
+                                          {"x-pin-ms", "9"},
+                                          {"X-Kv-Backup", "10.0.0.1:1"},
+                                          {"Kv-From", "10.0.0.1:1/x"},
+                                          {"X-Expect-Instance", "evil"},
+                                          {"X-Request-Priority", "0"},
+                                          {"X-Deadline-Ms", "999999"},
+                                          {"X-Custom", "kept"}},
+                                         sendTo("i-1"), std::nullopt);
+  CHECK(valuesOf(Sent, "X-Hold").empty());
+  CHECK(valuesOf(Sent, "x-pin-ms").empty());
+  CHECK(valuesOf(Sent, "X-Kv-Backup").empty());
+  CHECK(valuesOf(Sent, "Kv-From").empty());
+  CHECK(valuesOf(Sent, "X-Expect-Instance") == std::vector<std::string>{"i-1"});
+  CHECK(valuesOf(Sent, "X-Deadline-Ms") == std::vector<std::string>{"1234"});
+  CHECK(valuesOf(Sent, "X-Request-Priority") == std::vector<std::string>{"2"});
+  CHECK(valuesOf(Sent, "X-Custom") == std::vector<std::string>{"kept"});
+  CHECK(valuesOf(Sent, "Host") == std::vector<std::string>{"h"});
+}
+
+TEST_CASE("headers of one connection stay behind, and no caller can have the "
+          "request's own dropped") {
+  const HeaderLines Sent =
+      headersToSend({{"Connection", "close, X-Secret, X-Request-Id"},
+                     {"X-Secret", "1"},
+                     {"X-Request-Id", "9c41"},
+                     {"Keep-Alive", "timeout=5"},
+                     {"Transfer-Encoding", "chunked"},
+                     {"Content-Length", "5"}},
+                    sendTo("i-1"), std::nullopt);
+  CHECK(valuesOf(Sent, "X-Secret").empty());
+  CHECK(valuesOf(Sent, "Keep-Alive").empty());
+  CHECK(valuesOf(Sent, "Transfer-Encoding").empty());
+  CHECK(valuesOf(Sent, "Content-Length").empty());
+  CHECK(valuesOf(Sent, "X-Request-Id") == std::vector<std::string>{"9c41"});
+}
+
+TEST_CASE("a stream that goes on names its last event once") {
+  const HeaderLines Sent = headersToSend({{"last-event-id", "3"}},
+                                         sendTo("i-1"), std::string("17"));
+  CHECK(valuesOf(Sent, "last-event-id").empty());
+  CHECK(valuesOf(Sent, "Last-Event-Id") == std::vector<std::string>{"17"});
+}
+
+TEST_CASE("an answer's head tells whose it is and whether the request ran") {
+  CHECK(readHead(200, {{"X-Server-Seal", "s"}, {"X-Request-Id", "9c41"}},
+                 "9c41")
+            .m_Sealed);
+  CHECK(readHead(200, {{"X-Request-Id", "other"}}, "9c41").m_Foreign);
+  CHECK_FALSE(readHead(200, {}, "9c41").m_Foreign);
+  CHECK(readHead(503, {{"X-Not-Run", "1"}}, "9c41").m_NotRun);
+  CHECK_FALSE(readHead(503, {}, "9c41").m_NotRun);
+  CHECK(readHead(421, {{"X-Instance-Id", "i-2"}}, "9c41").m_Misdirected);
+  CHECK(*readHead(200, {{"Keep-Alive", "timeout=5"}}, "").m_KeepAlive ==
+        std::chrono::seconds(5));
+}
+
+} // namespace bronzepass::platform
--- /dev/null
+++ b/Source/UnitTests/Residency/ResidencyPlanTest.cpp
@@ -0,0 +1,99 @@
+#include "Core/Residency/ResidencyPlan.h"
+
+#include <doctest/doctest.h>
+#include <memory>
+
+namespace bronzepass::core::residency {
+
+namespace {
+
+using gateway::OrderVerb;
+
+/// Engines of two places each, for models of one size.
+class PlanFixture {
+public:
+  explicit PlanFixture(const std::vector<std::vector<std::string>> &Held) {
+    m_Spec.m_Slots = 10;
+    m_Spec.m_WeightsMb = 210;
+    m_Spec.m_AdapterPlaces = 8;
+    for (const char *const Name : {"hot", "warm", "cold", "rare"})
+      m_Spec.m_Models.push_back({Name, 100, std::chrono::seconds(4), 2, 1});
+    for (size_t I = 0; I < Held.size(); ++I) {
+      gateway::EndpointEntry Entry;
+      Entry.m_Id = model::EndpointId("e" + std::to_string(I));
+      m_Books.push_back(std::make_unique<EngineBook>(Entry));
+      gateway::EngineState State;
+      for (const std::string &Model : Held[I])
+        State.m_Models.push_back({Model, {}});
+      m_Books.back()->reported(State, model::TimePoint());
+    }
+  }
+
+  std::optional<PlanStep> next(std::map<std::string, double> Demand) {
+    PlanInputs Inputs;
+    Inputs.m_Spec = &m_Spec;
+    for (const std::unique_ptr<EngineBook> &Each : m_Books)
+      Inputs.m_Engines.push_back(Each.get());
+    Inputs.m_Demand = std::move(Demand);
+    Inputs.m_Reserved = m_Reserved;
+    Inputs.m_StoreLoadAllowed = m_StoreLoadAllowed;
+    return planStep(Inputs);
+  }
+
+  gateway::EngineSpec m_Spec;
+  std::vector<std::unique_ptr<EngineBook>> m_Books;
+  std::map<model::EndpointId, std::string> m_Reserved;
+  bool m_StoreLoadAllowed = true;
+};
+
+} // namespace
+
+TEST_CASE("a model without a copy is loaded first, whatever demand says") {
+  PlanFixture Plan({{"hot", "warm"}, {"hot", "cold"}, {"hot"}});
+  const std::optional<PlanStep> Step = Plan.next({{"hot", 90000}});
+  REQUIRE(Step);
+  CHECK(Step->m_Verb == OrderVerb::Load);
+  CHECK(Step->m_Model == "rare");
+  CHECK(Step->m_Endpoint == model::EndpointId("e2"));
+}
+
+TEST_CASE("demand that moves to another model takes copies of the one that "
+          "fell silent, and never a last copy") {
+  PlanFixture Plan({{"hot", "warm"}, {"hot", "cold"}, {"hot", "rare"}});
+  const std::optional<PlanStep> Step = Plan.next({{"warm", 90000}});
+  REQUIRE(Step);
+  CHECK(Step->m_Verb == OrderVerb::Unload);
+  CHECK(Step->m_Model == "hot");
+  CHECK(Step->m_For == "warm");
+  PlanFixture Full({{"hot", "warm"}, {"cold", "rare"}});
+  CHECK_FALSE(Full.next({{"warm", 90000}}));
+}
+
+TEST_CASE("room that was made is filled with the model it was made for") {
+  PlanFixture Plan({{"hot", "warm"}, {"cold"}, {"hot", "rare"}});
+  Plan.m_Reserved[model::EndpointId("e1")] = "warm";
+  const std::optional<PlanStep> Step = Plan.next({{"warm", 90000}});
+  REQUIRE(Step);
+  CHECK(Step->m_Verb == OrderVerb::Load);
+  CHECK(Step->m_Model == "warm");
+  CHECK(Step->m_Endpoint == model::EndpointId("e1"));
+}
+
+TEST_CASE("single requests on idle engines move nothing") {
+  PlanFixture Plan({{"hot", "warm"}, {"hot", "cold"}, {"hot", "rare"}});
+  CHECK_FALSE(Plan.next({{"warm", 10}}));
+  CHECK_FALSE(Plan.next({}));
+}
+
+TEST_CASE("the weight store's rate holds loads up, not those from elsewhere") {
+  PlanFixture Plan({{"hot", "warm"}, {"hot", "cold"}, {"hot"}});
+  Plan.m_StoreLoadAllowed = false;
+  CHECK_FALSE(Plan.next({}));
+}
+
+TEST_CASE("demand that holds still ends in a plan that holds still") {
+  PlanFixture Plan({{"hot", "warm"}, {"hot", "cold"}, {"warm", "rare"}});
+  CHECK_FALSE(Plan.next({{"hot", 50000}, {"warm", 50000}}));
+}
+
+} // namespace bronzepass::core::residency
--- /dev/null
+++ b/Source/UnitTests/Residency/ResidencyPropertyTest.cpp
@@ -0,0 +1,293 @@
+#include "Core/Residency/ResidencyCore.h"
+
+#include <algorithm>
+#include <deque>
+#include <doctest/doctest.h>
+#include <map>
+#include <random>
+
+namespace bronzepass::core::residency {
+
+namespace {
+
+using namespace std::chrono_literals;
+using gateway::EngineState;
+using gateway::HeldModel;
+using gateway::OrderReply;
+using gateway::OrderVerb;
+using gateway::PlacementOrder;
+
+constexpr uint64_t WeightsMb = 210;
+constexpr uint32_t AdapterPlaces = 2;
+constexpr double LoadsPerSecond = 2;
+constexpr model::Duration LoadTime = 2s;
+
+/// An engine as the platform describes it: one order at a time, the expected
+/// count checked when the order is carried out, fencing tokens checked.
+struct World {
+  struct Engine {
+    std::vector<HeldModel> m_Models;
+    uint64_t m_Count = 0;
+    uint64_t m_Token = 0;
+    int64_t m_Born = 1;
+    std::optional<PlacementOrder> m_Running;
+    model::TimePoint m_DoneAt;
+  };
+  struct Late {
+    model::TimePoint m_At;
+    PlacementOrder m_Order;
+  };
+
+  OrderReply carryOut(const PlacementOrder &Order, model::TimePoint Now) {
+    Engine &Target = m_Engines.at(Order.m_Endpoint);
+    if (Order.m_Token.m_Value < Target.m_Token)
+      return OrderReply::StaleToken;
+    Target.m_Token = Order.m_Token.m_Value;
+    if (Target.m_Running || Order.m_ExpectedCount != Target.m_Count)
+      return OrderReply::Busy;
+    HeldModel *Held = nullptr;
+    for (HeldModel &Each : Target.m_Models)
+      if (Each.m_Name == Order.m_Use.m_Model)
+        Held = &Each;
+    const bool IsAdapter = !Order.m_Use.m_Adapter.empty();
+    if (IsAdapter && !Held)
+      return OrderReply::Misdirected;
+    ++Target.m_Count;
+    if (IsAdapter) {
+      std::erase(Held->m_Adapters, Order.m_Use.m_Adapter);
+      if (Order.m_Verb == OrderVerb::Load)
+        Held->m_Adapters.push_back(Order.m_Use.m_Adapter);
+      checkRoom(Target, std::nullopt);
+      return OrderReply::Accepted;
+    }
+    if (Order.m_Verb == OrderVerb::Load) {
+      m_LoadStarts.push_back(Now);
+      checkRoom(Target, Order.m_Use.m_Model);
+    }
+    Target.m_Running = Order;
+    Target.m_DoneAt =
+        Now + (Order.m_Verb == OrderVerb::Load ? LoadTime : 100ms);
+    return OrderReply::Accepted;
+  }
+
+  void checkRoom(const Engine &Target, std::optional<std::string> Coming) {
+    uint64_t Used = Coming ? 100 : 0;
+    uint32_t Adapters = 0;
+    for (const HeldModel &Each : Target.m_Models) {
+      Used += Each.m_Name == Coming ? 0 : 100;
+      Used += Each.m_Adapters.size();
+      Adapters += static_cast<uint32_t>(Each.m_Adapters.size());
+    }
+    CHECK(Used <= WeightsMb);
+    CHECK(Adapters <= AdapterPlaces);
+  }
+
+  void pass(model::TimePoint Now) {
+    for (auto &Each : m_Engines) {
+      Engine &Target = Each.second;
+      if (!Target.m_Running || Now < Target.m_DoneAt)
+        continue;
+      const std::string &Model = Target.m_Running->m_Use.m_Model;
+      std::erase_if(Target.m_Models, [&](const HeldModel &Held) {
+        return Held.m_Name == Model;
+      });
+      if (Target.m_Running->m_Verb == OrderVerb::Load)
+        Target.m_Models.push_back({Model, {}});
+      Target.m_Running.reset();
+    }
+    while (!m_Late.empty() && m_Late.front().m_At <= Now) {
+      carryOut(m_Late.front().m_Order, Now);
+      m_Late.pop_front();
+    }
+  }
+
+  void checkCeiling() const {
+    constexpr model::Duration Window = 5s;
+    for (size_t First = 0; First < m_LoadStarts.size(); ++First) {
+      size_t Last = First;
+      while (Last < m_LoadStarts.size() &&
+             m_LoadStarts[Last] < m_LoadStarts[First] + Window)
+        ++Last;
+      CHECK(static_cast<double>(Last - First) <=
+            LoadsPerSecond * 5 * 1.1 + 3);
+    }
+  }
+
+  std::map<model::EndpointId, Engine> m_Engines;
+  std::deque<Late> m_Late;
+  std::vector<model::TimePoint> m_LoadStarts;
+};
+
+/// Two nodes that hold the lease in turn, engines whose answers get lost or
+/// whose orders come late, restarts, and demand that moves.
+class ResidencyRun {
+public:
+  explicit ResidencyRun(uint64_t Seed)
+      : m_Random(Seed), m_First({}, model::NodeId("n1")),
+        m_Second({}, model::NodeId("n2")) {
+    gateway::GatewayConfig Config;
+    Config.m_Version = 1;
+    gateway::ServiceSpec Service;
+    Service.m_Name = "s";
+    Service.m_Engine = gateway::EngineSpec();
+    Service.m_Engine->m_Slots = 4;
+    Service.m_Engine->m_WeightsMb = WeightsMb;
+    Service.m_Engine->m_AdapterPlaces = AdapterPlaces;
+    Service.m_Engine->m_LoadsPerSecond = LoadsPerSecond;
+    for (const char *const Name : {"a", "b", "c", "d"})
+      Service.m_Engine->m_Models.push_back({Name, 100, LoadTime, 3, 1});
+    Config.m_Services = {Service};
+    const std::shared_ptr<const gateway::RouteTable> Table =
+        std::make_shared<gateway::RouteTable>(Config);
+    m_First.setTable(Table);
+    m_Second.setTable(Table);
+    const char *const Held[] = {"a", "b", "c", "d"};
+    for (int I = 0; I < 4; ++I)
+      m_World.m_Engines[model::EndpointId("e" + std::to_string(I))].m_Models = {
+          {Held[I], {}}, {Held[(I + 1) % 2], {}}};
+    for (auto &Each : m_World.m_Engines)
+      std::sort(Each.second.m_Models.begin(), Each.second.m_Models.end());
+    for (auto &Each : m_World.m_Engines)
+      Each.second.m_Models.erase(std::unique(Each.second.m_Models.begin(),
+                                             Each.second.m_Models.end()),
+                                 Each.second.m_Models.end());
+  }
+
+  void play() {
+    constexpr int Steps = 400;
+    for (int I = 0; I < Steps; ++I) {
+      m_Now += 50ms;
+      m_World.pass(m_Now);
+      step();
+    }
+    m_World.checkCeiling();
+  }
+
+private:
+  ResidencyCore &holder() { return m_HolderIsFirst ? m_First : m_Second; }
+
+  void step() {
+    if (m_Token == 0 || m_Random() % 90 == 0)
+      changeHolder();
+    model::HeldLease Lease{{"placement"}, {m_Token}, m_Now + 2s};
+    ResidencyEffectList Out;
+    holder().setLease(Lease, m_Now, Out);
+    if (m_Random() % 3 == 0)
+      holder().setEndpoints(entries(), m_Now, Out);
+    const std::string Model(1, static_cast<char>('a' + (m_Now.time_since_epoch() / 4s) % 4));
+    m_Tokens += 400;
+    holder().demandSeen(model::NodeId("n"), 1,
+                        {{"s", {Model, ""}, m_Tokens, m_Tokens}}, m_Now);
+    if (m_Random() % 4 == 0)
+      holder().copyWanted(
+          {"s", {Model, "a" + std::to_string(m_Random() % 3)}}, m_Now, Out);
+    if (m_Random() % 150 == 0)
+      restartOne();
+    holder().tick(m_Now, Out);
+    carryOut(Out);
+  }
+
+  void changeHolder() {
+    ResidencyEffectList Out;
+    holder().setLease(std::nullopt, m_Now, Out);
+    m_HolderIsFirst = !m_HolderIsFirst;
+    ++m_Token;
+    holder().setEndpoints(entries(), m_Now, Out);
+    carryOut(Out);
+  }
+
+  void restartOne() {
+    auto Chosen = m_World.m_Engines.begin();
+    std::advance(Chosen, m_Random() % m_World.m_Engines.size());
+    const int64_t Born = Chosen->second.m_Born + 1;
+    Chosen->second = World::Engine();
+    Chosen->second.m_Born = Born;
+  }
+
+  std::vector<gateway::EndpointEntry> entries() {
+    std::vector<gateway::EndpointEntry> Entries;
+    for (const auto &Each : m_World.m_Engines) {
+      gateway::EndpointEntry Entry;
+      Entry.m_Id = Each.first;
+      Entry.m_BornMs = Each.second.m_Born;
+      Entry.m_Service = "s";
+      Entry.m_Models = Each.second.m_Models;
+      Entry.m_Renewals = ++m_Renewals;
+      Entries.push_back(Entry);
+    }
+    return Entries;
+  }
+
+  void carryOut(ResidencyEffectList Effects) {
+    while (!Effects.empty()) {
+      ResidencyEffectList More;
+      for (const ResidencyEffect &Each : Effects) {
+        if (const OrderSend *const Order = std::get_if<OrderSend>(&Each))
+          answer(*Order, More);
+        if (const ReportAsk *const Ask = std::get_if<ReportAsk>(&Each))
+          holder().reported(Ask->m_Endpoint, report(Ask->m_Endpoint), m_Now,
+                            More);
+      }
+      Effects = std::move(More);
+    }
+  }
+
+  void answer(const OrderSend &Sent, ResidencyEffectList &Out) {
+    OrderReply Reply = OrderReply::Unknown;
+    switch (m_Random() % 6) {
+    case 0: // Lost on the way, and carried out 2 to 12 s later.
+      m_World.m_Late.push_back(
+          {m_Now + 2s + std::chrono::milliseconds(m_Random() % 10000),
+           Sent.m_Order});
+      std::sort(m_World.m_Late.begin(), m_World.m_Late.end(),
+                [](const World::Late &Left, const World::Late &Right) {
+                  return Left.m_At < Right.m_At;
+                });
+      break;
+    case 1: // Carried out, the answer lost.
+      m_World.carryOut(Sent.m_Order, m_Now);
+      break;
+    case 2:
+      Reply = OrderReply::NotSent;
+      break;
+    default:
+      Reply = m_World.carryOut(Sent.m_Order, m_Now);
+    }
+    holder().orderAnswered(Sent.m_Number, Reply, m_Now, Out);
+  }
+
+  std::optional<EngineState> report(const model::EndpointId &Endpoint) {
+    if (m_Random() % 5 == 0)
+      return std::nullopt;
+    const World::Engine &Asked = m_World.m_Engines.at(Endpoint);
+    EngineState State;
+    State.m_BornMs = Asked.m_Born;
+    State.m_OrderCount = Asked.m_Count;
+    State.m_Busy = Asked.m_Running.has_value();
+    State.m_Models = Asked.m_Models;
+    return State;
+  }
+
+  std::mt19937_64 m_Random;
+  World m_World;
+  ResidencyCore m_First;
+  ResidencyCore m_Second;
+  bool m_HolderIsFirst = true;
+  uint64_t m_Token = 0;
+  uint64_t m_Tokens = 0;
+  uint64_t m_Renewals = 0;
+  model::TimePoint m_Now = model::TimePoint(1s);
+};
+
+} // namespace
+
+TEST_CASE("no engine is promised more than it has, and no window more loads, "
+          "over 2,000 runs of late, lost and repeated orders") {
+  constexpr uint64_t Seeds = 2000;
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    CAPTURE(Seed);
+    ResidencyRun(Seed).play();
+  }
+}
+
+} // namespace bronzepass::core::residency
