Gateway: Choose by the prompt tokens that wait at each engine

Cause: most late streams had their first piece in time (p50 75 ms) and paused: a batch stands still while prompts are read, and several long ones went to one engine. Ruled out: our own delay (no event later than PassMs), processor time (0.03 cores).

--- a/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
+++ b/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
@@ -17,6 +17,7 @@
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("e", Value.m_Endpoint);
     Visitor.required("n", Value.m_InFlight);
+    Visitor.optional("p", Value.m_PrefillTokens);
   }
 };
 
--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -23,6 +23,9 @@
   uint32_t m_InFlight = 0;
   /// Of the other nodes, as they told last.
   uint32_t m_PeersInFlight = 0;
+  /// Prompt tokens sent whose answer has not begun: own and of the others.
+  uint32_t m_PrefillTokens = 0;
+  uint32_t m_PeersPrefillTokens = 0;
   uint32_t m_FailuresInRow = 0;
   model::TimePoint m_EjectedUntil;
   /// Share of its answers that were failures, moving average.
@@ -41,6 +44,9 @@
   std::map<ModelUse, CopyBelief> m_News;
 
   uint32_t load() const { return m_InFlight + m_PeersInFlight; }
+  uint32_t prefillTokens() const {
+    return m_PrefillTokens + m_PeersPrefillTokens;
+  }
 
   bool holds(const ModelUse &Use, model::TimePoint Now) const {
     const std::optional<bool> Base = newsOf({Use.m_Model, ""}, Now);
--- a/Source/Core/Gateway/PeerNotice.h
+++ b/Source/Core/Gateway/PeerNotice.h
@@ -15,6 +15,8 @@
 struct EndpointLoad {
   model::EndpointId m_Endpoint;
   uint32_t m_InFlight = 0;
+  /// Prompt tokens of those whose answer has not begun.
+  uint32_t m_PrefillTokens = 0;
 
   friend auto operator<=>(const EndpointLoad &, const EndpointLoad &) = default;
 };
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -17,8 +17,13 @@
 constexpr double FullBatchMs = 150;
 /// The same for a plain service, whose calls do not share a batch.
 constexpr double FullServiceMs = 20;
-/// Reading one prompt token that the engine's cache lacks.
-constexpr double PrefillMsPerToken = 0.03;
+/// A batch stands still while a prompt is read: what each millisecond of it
+/// costs, for each request that runs there.
+constexpr double HoldUpShare = 0.03;
+/// Prompts that wait to be read follow each other without a pause: beyond this
+/// many milliseconds of them, streams that run there exceed their pause.
+constexpr double LongPrefillMs = 120;
+constexpr double LongPrefillWeight = 2;
 /// Another failure domain: its way there and back, and the bytes' price.
 constexpr double OtherDomainMs = 6;
 /// An endpoint that fails every answer.
@@ -57,12 +62,23 @@
           Endpoint.failureShareAt(m_Now, m_Settings.m_FailureHalfLife);
   if (Endpoint.m_Entry.m_Domain != m_Settings.m_Domain)
     Cost += OtherDomainMs;
+  const double OwnMs =
+      Service.m_PrefillMsPerToken * missingTokens(Value, Endpoint) * Slowness;
+  const double AheadMs =
+      Service.m_PrefillMsPerToken * Endpoint.prefillTokens() * Slowness;
+  Cost += AheadMs + OwnMs * (1 + HoldUpShare * Load);
+  return Cost +
+         LongPrefillWeight * std::max(0.0, AheadMs + OwnMs - LongPrefillMs);
+}
+
+uint32_t RelayCore::missingTokens(const Live &Value,
+                                  const EndpointView &Endpoint) const {
   const uint32_t Matched =
       m_Prefixes.matched(Value.m_PromptHashes, Endpoint.m_Tag);
   uint32_t Missing = Value.m_Request.m_PromptTokens;
   for (uint32_t I = 0; I < Matched; ++I)
     Missing -= std::min(Missing, Value.m_Request.m_Prompt[I].m_Tokens);
-  return Cost + PrefillMsPerToken * Missing;
+  return Missing;
 }
 
 RelayCore::Choice RelayCore::choose(const Live &Value) const {
@@ -195,6 +211,9 @@
   Value.m_BeganSeen = false;
   Value.m_Tried.push_back(Endpoint.m_Entry.m_Id);
   ++Endpoint.m_InFlight;
+  Value.m_PrefillTokens = missingTokens(Value, Endpoint);
+  Endpoint.m_PrefillTokens += Value.m_PrefillTokens;
+  Value.m_TokensAhead = Endpoint.prefillTokens();
   m_Attempts[Value.m_Attempt] = Value.m_Request.m_Number;
   for (const uint64_t Hash : Value.m_PromptHashes)
     m_Prefixes.add(Hash, Endpoint.m_Tag);
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -94,13 +94,13 @@
   PeerLoads &Peer = m_Peers[Notice.m_From];
   if (Peer.m_Start == Notice.m_Start && Peer.m_Sequence >= Notice.m_Sequence)
     return;
-  for (const EndpointLoad &Old : Peer.m_Loads)
-    if (EndpointView *const Known = view(Old.m_Endpoint))
-      Known->m_PeersInFlight -=
-          std::min(Known->m_PeersInFlight, Old.m_InFlight);
-  for (const EndpointLoad &New : Notice.m_Loads)
-    if (EndpointView *const Known = view(New.m_Endpoint))
+  forgetPeerLoads(Peer.m_Loads);
+  for (const EndpointLoad &New : Notice.m_Loads) {
+    if (EndpointView *const Known = view(New.m_Endpoint)) {
       Known->m_PeersInFlight += New.m_InFlight;
+      Known->m_PeersPrefillTokens += New.m_PrefillTokens;
+    }
+  }
   Peer = {Now, Notice.m_Start, Notice.m_Sequence, Notice.m_Loads};
   for (const CopyNews &News : Notice.m_Copies)
     if (EndpointView *const Known = view(News.m_Endpoint))
@@ -212,10 +212,7 @@
       ++Peer;
       continue;
     }
-    for (const EndpointLoad &Old : Peer->second.m_Loads)
-      if (EndpointView *const Known = view(Old.m_Endpoint))
-        Known->m_PeersInFlight -=
-            std::min(Known->m_PeersInFlight, Old.m_InFlight);
+    forgetPeerLoads(Peer->second.m_Loads);
     Peer = m_Peers.erase(Peer);
   }
   placeWaiting(Out);
@@ -283,6 +280,17 @@
   return Found == m_Endpoints.end() ? nullptr : &Found->second;
 }
 
+void RelayCore::forgetPeerLoads(const std::vector<EndpointLoad> &Loads) {
+  for (const EndpointLoad &Old : Loads) {
+    EndpointView *const Known = view(Old.m_Endpoint);
+    if (!Known)
+      continue;
+    Known->m_PeersInFlight -= std::min(Known->m_PeersInFlight, Old.m_InFlight);
+    Known->m_PeersPrefillTokens -=
+        std::min(Known->m_PeersPrefillTokens, Old.m_PrefillTokens);
+  }
+}
+
 void RelayCore::dropIfUnused(const model::EndpointId &Endpoint) {
   const auto Found = m_Endpoints.find(Endpoint);
   if (Found != m_Endpoints.end() && !Found->second.m_Listed &&
@@ -294,7 +302,8 @@
   std::vector<EndpointLoad> Loads;
   for (const auto &Known : m_Endpoints)
     if (Known.second.m_InFlight > 0)
-      Loads.push_back({Known.first, Known.second.m_InFlight});
+      Loads.push_back({Known.first, Known.second.m_InFlight,
+                       Known.second.m_PrefillTokens});
   return Loads;
 }
 
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -96,6 +96,10 @@
     model::EndpointId m_Endpoint;
     model::TimePoint m_SentAt;
     bool m_BeganSeen = false;
+    /// Prompt tokens that the endpoint is taken to read for it, until its
+    /// answer begins; and with all that waited there when it was sent.
+    uint32_t m_PrefillTokens = 0;
+    uint32_t m_TokensAhead = 0;
     uint32_t m_Sends = 0;
     /// Sends that may have run.
     uint32_t m_Runs = 0;
@@ -108,10 +112,16 @@
     /// The last whole failure that an endpoint answered is kept by the adapter.
     bool m_HasFailure = false;
   };
+  /// Until the first long prompts were answered: a few tens of tokens a
+  /// millisecond are common for models of this size.
+  static constexpr double FirstPrefillMsPerToken = 0.03;
   struct ServiceView {
     /// Moving averages: to the first piece, and of the whole answer.
     double m_FirstMs = 0;
     double m_WholeMs = 0;
+    /// Time in which an engine reads one prompt token, learned from the first
+    /// pieces of answers.
+    double m_PrefillMsPerToken = FirstPrefillMsPerToken;
     std::vector<EndpointView *> m_Endpoints;
   };
   struct Choice {
@@ -140,6 +150,7 @@
                 const EndpointView &Endpoint, double &WaitMs) const;
   void place(Live &Value, RelayEffectList &Out);
   void send(Live &Value, EndpointView &Endpoint, RelayEffectList &Out);
+  uint32_t missingTokens(const Live &Value, const EndpointView &Endpoint) const;
   void waitForCopy(Live &Value, RelayEffectList &Out);
   void placeWaiting(RelayEffectList &Out);
   model::Duration jittered(model::Duration Base) const;
@@ -147,12 +158,15 @@
   // RelayOutcomes.cpp: what an ended send means.
   void judgeEndpoint(const Live &Value, EndpointView &Endpoint,
                      const SendOutcome &Outcome);
+  void learnPrefill(ServiceView &Service, const Live &Value, double FirstMs);
+  void endPrefill(Live &Value, EndpointView &Endpoint);
   void endSend(Live &Value);
   bool mayGoOn(const Live &Value, const SendOutcome &Outcome);
   void finishAfter(Live &Value, const SendOutcome &Outcome,
                    RelayEffectList &Out);
 
   EndpointView *view(const model::EndpointId &Endpoint);
+  void forgetPeerLoads(const std::vector<EndpointLoad> &Loads);
   void dropIfUnused(const model::EndpointId &Endpoint);
 
   const RelaySettings m_Settings;
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -16,6 +16,10 @@
 constexpr double EndpointWeight = 0.1;
 constexpr double ServiceWeight = 0.03;
 constexpr double MostSlowness = 20;
+/// Shorter prompts tell more of the network than of the engine.
+constexpr uint32_t LeastTokensToLearn = 500;
+constexpr double FasterWeight = 0.1;
+constexpr double SlowerWeight = 0.005;
 constexpr model::Duration NotRunRetryAfter = std::chrono::milliseconds(150);
 /// A copy that the endpoint said it lacks is looked for elsewhere this long;
 /// its own entry is to follow meanwhile.
@@ -40,6 +44,26 @@
   const double Ratio = std::min(MostSlowness, Millis / Service.m_FirstMs);
   Endpoint->m_Slowness += EndpointWeight * (Ratio - Endpoint->m_Slowness);
   Endpoint->m_SlownessSeenAt = Now;
+  learnPrefill(Service, Value, Millis);
+  endPrefill(Value, *Endpoint);
+}
+
+void RelayCore::learnPrefill(ServiceView &Service, const Live &Value,
+                             double FirstMs) {
+  if (Value.m_TokensAhead < LeastTokensToLearn)
+    return;
+  const double Sample = FirstMs / Value.m_TokensAhead;
+  // Waiting for a slot only ever adds to it.
+  const double Weight =
+      Sample < Service.m_PrefillMsPerToken ? FasterWeight : SlowerWeight;
+  Service.m_PrefillMsPerToken +=
+      Weight * (Sample - Service.m_PrefillMsPerToken);
+}
+
+void RelayCore::endPrefill(Live &Value, EndpointView &Endpoint) {
+  Endpoint.m_PrefillTokens -=
+      std::min(Endpoint.m_PrefillTokens, Value.m_PrefillTokens);
+  Value.m_PrefillTokens = 0;
 }
 
 void RelayCore::judgeEndpoint(const Live &Value, EndpointView &Endpoint,
@@ -80,8 +104,10 @@
     return;
   m_Attempts.erase(Value.m_Attempt);
   Value.m_Attempt = {};
-  if (EndpointView *const Endpoint = view(Value.m_Endpoint))
+  if (EndpointView *const Endpoint = view(Value.m_Endpoint)) {
     Endpoint->m_InFlight -= std::min(Endpoint->m_InFlight, 1U);
+    endPrefill(Value, *Endpoint);
+  }
   dropIfUnused(Value.m_Endpoint);
 }
 
