--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -15,8 +15,9 @@
 constexpr std::chrono::milliseconds TickPeriod(20);
 constexpr long MaxIdleConnections = 64;
 constexpr std::chrono::milliseconds StoreConnectTimeout(700);
-/// Orders and reports are answered within some milliseconds.
-constexpr model::Duration OrderTimeout = std::chrono::milliseconds(1000);
+/// Orders and reports are answered within some milliseconds. An order that is
+/// not is settled by the engine's count: the sooner, the better.
+constexpr model::Duration OrderTimeout = std::chrono::milliseconds(300);
 constexpr model::Duration ReportTimeout = std::chrono::milliseconds(800);
 constexpr model::Duration RegisterTimeout = std::chrono::milliseconds(1500);
 constexpr model::Duration RegisterRetry = std::chrono::milliseconds(1500);
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -19,7 +19,7 @@
 constexpr double FullServiceMs = 20;
 /// A batch stands still while a prompt is read: what each millisecond of it
 /// costs, for each request that runs there.
-constexpr double HoldUpShare = 0.03;
+constexpr double HoldUpShare = 0.15;
 /// Prompts that wait to be read follow each other without a pause: beyond this
 /// many milliseconds of them, streams that run there exceed their pause.
 constexpr double LongPrefillMs = 120;
@@ -35,6 +35,9 @@
 
 constexpr model::Duration LeastRetryAfter = std::chrono::milliseconds(60);
 constexpr model::Duration NoEndpointRetryAfter = std::chrono::milliseconds(400);
+/// An endpoint that refuses connections is back, or replaced, within seconds.
+constexpr model::Duration LostEndpointRetryAfter =
+    std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -149,7 +152,8 @@
     waitForCopy(Value, Out);
     return;
   }
-  refuse(Value, ServiceUnavailable, jittered(NoEndpointRetryAfter),
+  refuse(Value, ServiceUnavailable,
+         std::min(jittered(LostEndpointRetryAfter), Left / 3),
          "no endpoint can take it", Out);
 }
 
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -302,8 +302,8 @@
   std::vector<EndpointLoad> Loads;
   for (const auto &Known : m_Endpoints)
     if (Known.second.m_InFlight > 0)
-      Loads.push_back({Known.first, Known.second.m_InFlight,
-                       Known.second.m_PrefillTokens});
+      Loads.push_back(
+          {Known.first, Known.second.m_InFlight, Known.second.m_PrefillTokens});
   return Loads;
 }
 
--- a/Source/Core/Residency/ResidencyCore.cpp
+++ b/Source/Core/Residency/ResidencyCore.cpp
@@ -190,8 +190,10 @@
     }
     const bool OnItsWay =
         std::any_of(Engines.begin(), Engines.end(), [&](const EngineBook *E) {
+          // One that was not answered may come much later: ask elsewhere too.
           return E->open() && E->open()->m_Order.m_Use == Use &&
-                 E->open()->m_Order.m_Verb == OrderVerb::Load;
+                 E->open()->m_Order.m_Verb == OrderVerb::Load &&
+                 E->open()->m_Phase != OrderPhase::Doubtful;
         });
     if (Found) {
       m_Adapters.granted(Use);
