--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -31,7 +31,7 @@
 /// Readiness and metrics.
 class GatewayTraffic::PagesHandler : public front::FrontHandler {
 public:
-  explicit PagesHandler(const GatewayTraffic &Traffic) : m_Traffic(Traffic) {}
+  explicit PagesHandler(GatewayTraffic &Traffic) : m_Traffic(Traffic) {}
 
   void onRequest(front::FrontRequest Request,
                  std::shared_ptr<pistache::HttpAnswer> Answer) override {
@@ -49,7 +49,7 @@
   }
 
 private:
-  const GatewayTraffic &m_Traffic;
+  GatewayTraffic &m_Traffic;
 };
 
 GatewayTraffic::GatewayTraffic(const TrafficAddresses &Addresses,
@@ -62,7 +62,7 @@
       m_Log(Log), m_Events(Events),
       m_Dice(std::make_unique<daemon::SystemRandom>()),
       m_Core(Settings, *m_Dice), m_Pages(std::make_unique<PagesHandler>(*this)),
-      m_Driver(m_Thread.loop(), Dialect, m_Core, Clock, Log,
+      m_Driver(m_Thread.loop(), Dialect, m_Core, Clock, Log, m_Counts,
                [this](const gateway::CopyWanted &Wanted) { wantCopy(Wanted); }),
       m_Callers(m_Thread.loop(), m_Driver), m_Ready(m_Thread.loop(), *m_Pages),
       m_Metrics(m_Thread.loop(), *m_Pages),
@@ -294,25 +294,12 @@
   m_Thread.loop().runAfter(TickPeriod, [this] { watchForEmpty(); });
 }
 
-std::string GatewayTraffic::metricsText() const {
-  const gateway::RelayCounts &Counts = m_Core.counts();
-  std::string Text;
-  const auto Add = [&](const char *Name, const char *Type, uint64_t Value) {
-    Text += "# TYPE " + std::string(Name) + " " + Type + "\n" + Name + " " +
-            std::to_string(Value) + "\n";
-  };
-  Add("bronzepass_requests_total", "counter", Counts.m_Arrived);
-  Add("bronzepass_answers_passed_total", "counter", Counts.m_Passed);
-  Add("bronzepass_refusals_total", "counter", Counts.m_Refused);
-  Add("bronzepass_answers_cut_total", "counter", Counts.m_Cut);
-  Add("bronzepass_callers_gone_total", "counter", Counts.m_Gone);
-  Add("bronzepass_sends_total", "counter", Counts.m_Sends);
-  Add("bronzepass_retries_total", "counter", Counts.m_Retries);
-  Add("bronzepass_requests_live", "gauge", m_Core.live());
-  Add("bronzepass_log_lines_dropped_total", "counter", m_Log.dropped());
-  Add("bronzepass_config_version", "gauge",
-      m_Core.table() ? m_Core.table()->config().m_Version : 0);
-  return Text;
+std::string GatewayTraffic::metricsText() {
+  m_Counts.setLive(m_Core.live(), m_Callers.connectionCount());
+  m_Counts.setLinesDropped(m_Log.dropped());
+  m_Counts.setConfigVersion(m_Core.table() ? m_Core.table()->config().m_Version
+                                           : 0);
+  return m_Counts.text();
 }
 
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -3,6 +3,7 @@
 
 #include "Core/Adapters/Front/FrontServer.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
+#include "Core/Adapters/Gateway/GatewayMetrics.h"
 #include "Core/Adapters/Gateway/PeerDatagrams.h"
 #include "Core/Adapters/Gateway/RelayDriver.h"
 #include "Core/Adapters/Net/LoopThread.h"
@@ -83,7 +84,7 @@
                   const model::Address &From);
   void wantCopy(const core::gateway::CopyWanted &Wanted);
   void watchForEmpty();
-  std::string metricsText() const;
+  std::string metricsText();
 
   TrafficAddresses m_Addresses;
   model::NodeId m_Self;
@@ -93,6 +94,7 @@
   TrafficEvents &m_Events;
   std::unique_ptr<ports::Random> m_Dice;
   core::gateway::RelayCore m_Core;
+  GatewayMetrics m_Counts;
   bool m_HasEndpoints = false;
   bool m_Stopping = false;
   bool m_HoldsLease = false;
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -81,9 +81,10 @@
 
 RelayDriver::RelayDriver(net::EventLoop &Loop, const gateway::Dialect &Dialect,
                          gateway::RelayCore &Core, const ports::Clock &Clock,
-                         GatewayLog &Log, CopyHook OnCopyWanted)
+                         GatewayLog &Log, GatewayMetrics &Metrics,
+                         CopyHook OnCopyWanted)
     : m_Loop(Loop), m_Dialect(Dialect), m_Core(Core), m_Clock(Clock),
-      m_Log(Log), m_OnCopyWanted(std::move(OnCopyWanted)),
+      m_Log(Log), m_Metrics(Metrics), m_OnCopyWanted(std::move(OnCopyWanted)),
       m_Curl(Loop, MaxIdleConnections) {}
 
 RelayDriver::~RelayDriver() { *m_Alive = false; }
@@ -246,7 +247,10 @@
   m_OnCopyWanted(Effect);
 }
 
-void RelayDriver::on(const gateway::RelayNote &Effect) { m_Log.write(Effect); }
+void RelayDriver::on(const gateway::RelayNote &Effect) {
+  m_Log.write(Effect);
+  m_Metrics.count(Effect);
+}
 
 void RelayDriver::endExchange(model::RequestId Request) {
   const auto Found = m_Exchanges.find(Request);
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -4,6 +4,7 @@
 #include "Core/Adapters/Curl/CurlMulti.h"
 #include "Core/Adapters/Front/FrontServer.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
+#include "Core/Adapters/Gateway/GatewayMetrics.h"
 #include "Core/Adapters/Net/EventLoop.h"
 #include "Core/Gateway/Dialect.h"
 #include "Core/Gateway/RelayCore.h"
@@ -31,7 +32,7 @@
   /// All outlive the driver.
   RelayDriver(net::EventLoop &Loop, const core::gateway::Dialect &Dialect,
               core::gateway::RelayCore &Core, const ports::Clock &Clock,
-              GatewayLog &Log, CopyHook OnCopyWanted);
+              GatewayLog &Log, GatewayMetrics &Metrics, CopyHook OnCopyWanted);
   ~RelayDriver() override;
 
   void onRequest(front::FrontRequest Request,
@@ -106,6 +107,7 @@
   core::gateway::RelayCore &m_Core;
   const ports::Clock &m_Clock;
   GatewayLog &m_Log;
+  GatewayMetrics &m_Metrics;
   CopyHook m_OnCopyWanted;
   std::unordered_map<model::RequestId, Exchange> m_Exchanges;
   SendMap m_Sends;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -25,6 +25,12 @@
 /// the periods at which engines write theirs.
 constexpr model::Duration CopyNewsFor = std::chrono::seconds(3);
 
+const char *kindOf(const RouteSpec &Route) {
+  if (Route.m_Stream)
+    return "stream";
+  return Route.m_Repeatable ? "repeatable" : "once";
+}
+
 } // namespace
 
 const char *toString(SendEnd Value) {
@@ -266,6 +272,7 @@
       .m_Request = Value.m_Request.m_Number,
       .m_CallerRequestId = Value.m_Request.m_CallerRequestId,
       .m_Action = Action,
+      .m_Kind = Value.m_Route ? kindOf(*Value.m_Route) : "",
       .m_Route = Value.m_Route ? Value.m_Route->m_Name : std::string(),
       .m_Endpoint = Value.m_Endpoint.str(),
       .m_ConfigVersion = Value.m_Table ? Value.m_Table->config().m_Version : 0,
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -143,6 +143,8 @@
   std::string m_CallerRequestId;
   /// One word: "send", "retry", "wait", "refuse", "cut", "gone", "answer".
   std::string m_Action;
+  /// "once", "repeatable" or "stream"; empty where no route fits.
+  std::string m_Kind;
   std::string m_Route;
   std::string m_Endpoint;
   uint64_t m_ConfigVersion = 0;
--- a/Source/UnitTests/Adapters/Gateway/RelayDriverTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/RelayDriverTest.cpp
@@ -27,7 +27,7 @@
 public:
   explicit RelayNode(const std::vector<uint16_t> &Ports)
       : m_Log("test"), m_Core({}, m_Dice),
-        m_Driver(m_Thread.loop(), m_Dialect, m_Core, m_Clock, m_Log,
+        m_Driver(m_Thread.loop(), m_Dialect, m_Core, m_Clock, m_Log, m_Metrics,
                  [](const relay::CopyWanted &) {}),
         m_Server(m_Thread.loop(), m_Driver) {
     REQUIRE_FALSE(m_Server.listen({"127.0.0.1", 0}));
@@ -81,6 +81,7 @@
   core::adapters::daemon::SystemRandom m_Dice;
   core::adapters::gateway::BootClock m_Clock;
   core::adapters::gateway::GatewayLog m_Log;
+  core::adapters::gateway::GatewayMetrics m_Metrics;
   platform::PlatformDialect m_Dialect;
   relay::RelayCore m_Core;
   core::adapters::net::LoopThread m_Thread;
--- a/Source/UnitTests/Adapters/Gateway/ScriptedEndpoint.cpp
+++ b/Source/UnitTests/Adapters/Gateway/ScriptedEndpoint.cpp
@@ -58,8 +58,9 @@
   Name.sin_family = AF_INET;
   Name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t Size = sizeof(Name);
-  ::bind(m_Listener.get(), reinterpret_cast<sockaddr *>(&Name), Size);
-  ::listen(m_Listener.get(), 64);
+  static_cast<void>(
+      ::bind(m_Listener.get(), reinterpret_cast<sockaddr *>(&Name), Size));
+  static_cast<void>(::listen(m_Listener.get(), 64));
   ::getsockname(m_Listener.get(), reinterpret_cast<sockaddr *>(&Name), &Size);
   m_Port = ntohs(Name.sin_port);
   m_Acceptor = std::thread([this] { acceptAll(); });
--- a/Source/UnitTests/Gateway/RelayFixture.h
+++ b/Source/UnitTests/Gateway/RelayFixture.h
@@ -18,7 +18,8 @@
 /// "/resume/") and what it has decided.
 class RelayFixture {
 public:
-  explicit RelayFixture(uint64_t Seed = 1, gateway::RelaySettings Settings = {})
+  explicit RelayFixture(uint64_t Seed = 1,
+                        const gateway::RelaySettings &Settings = {})
       : m_Dice(Seed), m_Core(Settings, m_Dice) {}
 
   static gateway::RouteSpec route(const char *Prefix) {
--- a/Source/UnitTests/Residency/EngineBookTest.cpp
+++ b/Source/UnitTests/Residency/EngineBookTest.cpp
@@ -8,7 +8,6 @@
 
 using gateway::EngineState;
 using gateway::OrderReply;
-using gateway::OrderVerb;
 
 gateway::EngineSpec spec() {
   gateway::EngineSpec Spec;
--- a/Source/UnitTests/Residency/ResidencyPropertyTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyPropertyTest.cpp
@@ -70,7 +70,8 @@
     return OrderReply::Accepted;
   }
 
-  void checkRoom(const Engine &Target, std::optional<std::string> Coming) {
+  void checkRoom(const Engine &Target,
+                 const std::optional<std::string> &Coming) {
     uint64_t Used = Coming ? 100 : 0;
     uint32_t Adapters = 0;
     for (const HeldModel &Each : Target.m_Models) {
