--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -144,7 +144,8 @@
     cut(Value, "no endpoint is left to go on with it", Out);
     return;
   }
-  if (Value.m_Runs > 0) {
+  // Every endpoint that could run it was asked: they are busy, not gone.
+  if (Value.m_Runs > 0 || (Value.m_Sends > 0 && Chosen.m_CopyExists)) {
     finishAfter(Value, {SendEnd::Broken, 0, false, Value.m_LastDetail}, Out);
     return;
   }
