--- a/Source/Core/Cli/CheckCommand.cpp
+++ b/Source/Core/Cli/CheckCommand.cpp
@@ -5,8 +5,11 @@
 #include "Core/Cli/FileText.h"
 #include "Core/Cli/FindingPrinter.h"
 #include "Core/Cli/Table.h"
+#include "Core/Settings/GatewaySettings.h"
 #include "Core/Settings/NodeSettings.h"
+#include "platform/PlatformDialect.h"
 
+#include <optional>
 #include <ostream>
 
 namespace bronzepass::core::cli {
@@ -16,15 +19,36 @@
 void CheckCommand::addOptions(po::options_description &Options) const {
   Options.add_options()("file", po::value<std::string>(), "file to check")(
       "kind", po::value<std::string>()->default_value("intent"),
-      "intent or settings")("list-settings", po::bool_switch(),
-                            "list every setting of a node instead");
+      "intent, settings, gateway (settings of a gateway node) or "
+      "platform-config (a configuration object of the platform)")(
+      "list-settings", po::bool_switch(),
+      "list every setting of a node instead (with --kind gateway: of a gateway "
+      "node)");
 }
 
 namespace {
 
+const std::vector<settings::SettingInfo> &tableOf(const std::string &Kind) {
+  return Kind == "gateway" ? settings::gateway::allSettings()
+                           : settings::allSettings();
+}
+
+/// nullopt where there is no such kind.
+std::optional<model::FindingList> findingsOf(const std::string &Kind,
+                                             const std::string &Text,
+                                             const std::string &Path) {
+  if (Kind == "intent")
+    return adapters::yaml::YamlIntentReader().read(Text, Path).m_Findings;
+  if (Kind == "settings" || Kind == "gateway")
+    return adapters::yaml::readSettings(Text, Path, tableOf(Kind)).m_Findings;
+  if (Kind == "platform-config")
+    return platform::PlatformDialect().readConfig(Text).m_Findings;
+  return std::nullopt;
+}
+
 void listSettings(const CommandContext &Context) {
   Table Rows({"Section", "Key", "Default", "Range", "Meaning"});
-  for (const settings::SettingInfo &Info : settings::allSettings()) {
+  for (const settings::SettingInfo &Info : tableOf(Context.text("kind"))) {
     const std::string Default =
         Info.m_HasDefault ? settings::toString(Info.m_Sample) : "(required)";
     const std::string Range = Info.m_Least
@@ -49,23 +73,22 @@
     Context.m_Err << "bronzepass check: name a file\n";
     return ExitCode::Usage;
   }
-  if (Kind != "intent" && Kind != "settings") {
-    Context.m_Err << "bronzepass check: --kind is '" << Kind
-                  << "', expected intent or settings\n";
-    return ExitCode::Usage;
-  }
   std::string Reason;
   const std::optional<std::string> Text = readFile(Path, Reason);
   if (!Text) {
     Context.m_Err << "bronzepass check: " << Reason << "\n";
     return ExitCode::Failed;
   }
-  const model::FindingList Findings =
-      Kind == "intent"
-          ? adapters::yaml::YamlIntentReader().read(*Text, Path).m_Findings
-          : adapters::yaml::readSettings(*Text, Path).m_Findings;
-  printFindings(Findings, Context);
-  return model::hasErrors(Findings) ? ExitCode::Findings : ExitCode::Ok;
+  const std::optional<model::FindingList> Findings =
+      findingsOf(Kind, *Text, Path);
+  if (!Findings) {
+    Context.m_Err << "bronzepass check: --kind is '" << Kind
+                  << "', expected intent, settings, gateway or "
+                     "platform-config\n";
+    return ExitCode::Usage;
+  }
+  printFindings(*Findings, Context);
+  return model::hasErrors(*Findings) ? ExitCode::Findings : ExitCode::Ok;
 }
 
 } // namespace bronzepass::core::cli
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -37,7 +37,7 @@
 constexpr model::Duration NoEndpointRetryAfter = std::chrono::milliseconds(400);
 /// An endpoint that refuses connections is back, or replaced, within seconds.
 constexpr model::Duration LostEndpointRetryAfter =
-    std::chrono::milliseconds(1500);
+    std::chrono::milliseconds(800);
 
 } // namespace
 
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -9,8 +9,8 @@
       describe(NodeName),      describe(NodeDomain),  describe(ListenCallers),
       describe(ListenReady),   describe(ListenPeers), describe(ListenMetrics),
       describe(PlatformStore), describe(RetryRatio),  describe(RetrySlack),
-      describe(RetryWindow),   describe(LeaseTerm),   describe(LoadWindow),
-      describe(LoadBurst),     describe(StopGrace),   describe(StopLameDuck),
+      describe(RetryWindow),   describe(LeaseTerm),   describe(StopGrace),
+      describe(StopLameDuck),
   };
   return All;
 }
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -43,14 +43,6 @@
     "retries", "window", 10s, 100ms, 600s, "Window of both"};
 inline const Setting<model::Duration> LeaseTerm{
     "lease", "term", 3s, 500ms, 60s, "Term of the placement lease"};
-inline const Setting<model::Duration> LoadWindow{
-    "loads", "window",
-    5s,      100ms,
-    600s,    "Window in which loads from the weight store are counted"};
-inline const Setting<double> LoadBurst{
-    "loads", "burst",
-    1.0,     0.1,
-    100.0,   "Loads allowed in a window, as a multiple of the store's rate"};
 inline const Setting<model::Duration> StopGrace{
     "stop", "grace",
     10s,    1s,
