Residency: Count demand from a model's first request, and keep copies where it proves little

Before traffic, spare places were filled with second copies of idle models by unloading the busiest. Ruled out: lost notices (all nodes' counts had come), the lease (held since -9.9 s).

--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -137,7 +137,7 @@
   gateway::PeerNotice Notice;
   Notice.m_Loads = m_Core.loads();
   Notice.m_Uses = m_Core.takeUses();
-  if (!Notice.m_Uses.empty())
+  if (!Notice.m_Uses.empty() || m_Sequence == 0)
     m_Events.demandSeen(m_Self, m_Start, Notice.m_Uses);
   sendNotice(std::move(Notice), noticeTargets());
 }
@@ -163,11 +163,15 @@
     return;
   const model::TimePoint Now = m_Clock.now();
   Peer &Sender = m_Peers[Notice.m_From];
-  Sender = {From, Now, Notice.m_HoldsLease};
+  Sender.m_Address = From;
+  Sender.m_HeardAt = Now;
+  Sender.m_HoldsLease = Notice.m_HoldsLease;
   m_Driver.decide(
       [&](gateway::RelayCore &Core, model::TimePoint At,
           gateway::RelayEffectList &Out) { Core.peerNotice(Notice, At, Out); });
-  if (!Notice.m_Uses.empty())
+  const bool IsNew = Sender.m_Start != Notice.m_Start;
+  Sender.m_Start = Notice.m_Start;
+  if (IsNew || !Notice.m_Uses.empty())
     m_Events.demandSeen(Notice.m_From, Notice.m_Start, Notice.m_Uses);
   if (m_HoldsLease)
     for (const gateway::CopyWanted &Each : Notice.m_Wanted)
@@ -230,9 +234,9 @@
         continue;
       const auto Old = m_Peers.find(Each.m_Node);
       // What a peer was heard from is newer than what it registered.
-      Known[Each.m_Node] = Old == m_Peers.end()
-                               ? Peer{Each.m_PeerAddress, std::nullopt, false}
-                               : Old->second;
+      Known[Each.m_Node] = Old == m_Peers.end() ? Peer{Each.m_PeerAddress,
+                                                       std::nullopt, false, 0}
+                                                : Old->second;
       Peer &Value = Known[Each.m_Node];
       if (!Value.m_HeardAt || Now - *Value.m_HeardAt > PeerAliveFor)
         Value.m_Address = Each.m_PeerAddress;
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -72,6 +72,8 @@
     model::Address m_Address;
     std::optional<model::TimePoint> m_HeardAt;
     bool m_HoldsLease = false;
+    /// Of the process that was heard last.
+    uint64_t m_Start = 0;
   };
 
   bool isReady() const;
--- a/Source/Core/Residency/DemandBook.h
+++ b/Source/Core/Residency/DemandBook.h
@@ -22,13 +22,15 @@
   void add(const model::NodeId &Node, uint64_t Start,
            const gateway::UseCount &Count, model::TimePoint Now) {
     Counter &Last = m_Counters[{Node, Count.m_Use}];
-    const bool SameStart = Last.m_Start == Start && Last.m_Seen;
-    // Of a node that was not heard of before, what it counted so far came at
-    // some time in the past.
-    const uint64_t New = SameStart && Count.m_Tokens >= Last.m_Tokens
-                             ? Count.m_Tokens - Last.m_Tokens
-                             : 0;
-    Last = {Start, Count.m_Tokens, true};
+    if (Last.m_Start != Start)
+      Last = {Start, 0};
+    const uint64_t New =
+        Count.m_Tokens >= Last.m_Tokens ? Count.m_Tokens - Last.m_Tokens : 0;
+    Last.m_Tokens = Count.m_Tokens;
+    // What a node had counted before it was first heard came at some time in
+    // the past.
+    if (!isHeard(Node, Start, Now))
+      return;
     Rate &Known = m_Rates[Count.m_Use];
     Known.m_PerSecond =
         decayed(Known, Now) + static_cast<double>(New) / AverageSeconds;
@@ -40,11 +42,29 @@
     return Found == m_Rates.end() ? 0 : decayed(Found->second, Now);
   }
 
+  /// Something of \p Node has come in: what it counts from now on is new.
+  void heard(const model::NodeId &Node, uint64_t Start, model::TimePoint Now) {
+    const auto Known = m_Heard.find(Node);
+    if (Known == m_Heard.end() || Known->second.m_Start != Start)
+      m_Heard[Node] = {Start, Now};
+  }
+
 private:
+  struct Heard {
+    uint64_t m_Start = 0;
+    model::TimePoint m_Since;
+  };
+
+  bool isHeard(const model::NodeId &Node, uint64_t Start,
+               model::TimePoint Now) const {
+    const auto Known = m_Heard.find(Node);
+    return Known != m_Heard.end() && Known->second.m_Start == Start &&
+           Known->second.m_Since < Now;
+  }
+
   struct Counter {
     uint64_t m_Start = 0;
     uint64_t m_Tokens = 0;
-    bool m_Seen = false;
   };
   struct Rate {
     double m_PerSecond = 0;
@@ -57,6 +77,7 @@
     return Known.m_PerSecond * std::exp(-Seconds / AverageSeconds);
   }
 
+  std::map<model::NodeId, Heard> m_Heard;
   std::map<std::pair<model::NodeId, gateway::ModelUse>, Counter> m_Counters;
   std::map<gateway::ModelUse, Rate> m_Rates;
 };
--- a/Source/Core/Residency/ResidencyCore.cpp
+++ b/Source/Core/Residency/ResidencyCore.cpp
@@ -86,6 +86,7 @@
 void ResidencyCore::demandSeen(const model::NodeId &Node, uint64_t Start,
                                const std::vector<gateway::UseCount> &Uses,
                                model::TimePoint Now) {
+  m_Demand.heard(Node, Start, Now);
   for (const gateway::UseCount &Each : Uses) {
     m_Demand.add(Node, Start, Each, Now);
     if (!Each.m_Use.m_Adapter.empty())
--- a/Source/Core/Residency/ResidencyPlan.cpp
+++ b/Source/Core/Residency/ResidencyPlan.cpp
@@ -17,10 +17,11 @@
 /// Copies by which a model must fall short of its share, and another be above
 /// its own, before one is moved: shares that waver must not move copies.
 constexpr double MoveThreshold = 0.6;
-/// Demand below this many tokens a second for each slot of the service is
-/// noise: it is filled up in proportion to the copies that are there, so that
-/// single requests move nothing. A busy slot makes ten times as many.
-constexpr double NoisePerSlot = 5;
+/// Demand below this many tokens a second for each slot of the service proves
+/// little: it is filled up in proportion to the spare copies that are there, so
+/// that the first requests of a busy time move nothing. A busy slot makes some
+/// hundred.
+constexpr double ProofPerSlot = 30;
 /// Room kept for adapters beside the models, in adapters of the largest size.
 constexpr int64_t AdaptersKept = 8;
 
@@ -106,7 +107,7 @@
     double Weights = 0;
     for (const ServedModel &Each : m_Spec.m_Models) {
       Weights += static_cast<double>(Each.m_WeightsMb);
-      m_CopySum += copies(Each.m_Name);
+      m_SpareCopies += spareCopies(Each.m_Name);
       m_DemandSum += demand(Each.m_Name);
       m_AdapterMb =
           std::max(m_AdapterMb, static_cast<int64_t>(Each.m_AdapterMb));
@@ -125,18 +126,24 @@
     return Found == m_Inputs.m_Demand.end() ? 0 : Found->second;
   }
   double share(const std::string &Model) const {
-    const double Noise = NoisePerSlot * m_Spec.m_Slots *
+    const double Proof = ProofPerSlot * m_Spec.m_Slots *
                          static_cast<double>(m_Inputs.m_Engines.size());
-    const double Filled = std::max(0.0, Noise - m_DemandSum);
+    const double Filled =
+        m_SpareCopies > 0 ? std::max(0.0, Proof - m_DemandSum) : 0;
     const double Sum = m_DemandSum + Filled;
-    if (Sum <= 0 || m_CopySum <= 0)
+    if (Sum <= 0)
       return 0;
-    return (demand(Model) + Filled * copies(Model) / m_CopySum) / Sum;
+    const double Inertia =
+        Filled > 0 ? Filled * spareCopies(Model) / m_SpareCopies : 0;
+    return (demand(Model) + Inertia) / Sum;
   }
   double copies(const std::string &Model) const {
     const auto Found = m_Copies.find(Model);
     return Found == m_Copies.end() ? 0 : Found->second;
   }
+  double spareCopies(const std::string &Model) const {
+    return std::max(0.0, copies(Model) - 1);
+  }
   double wanted(const std::string &Model) const {
     // No more than one on each engine.
     return std::min(1 + m_Spare * share(Model),
@@ -253,7 +260,7 @@
   const EngineSpec &m_Spec;
   std::map<std::string, double> m_Copies;
   double m_DemandSum = 0;
-  double m_CopySum = 0;
+  double m_SpareCopies = 0;
   double m_Spare = 0;
   int64_t m_AdapterMb = 0;
 };
--- a/Source/UnitTests/Residency/ResidencyPlanTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyPlanTest.cpp
@@ -85,6 +85,21 @@
   CHECK_FALSE(Plan.next({}));
 }
 
+TEST_CASE("without demand every copy stays where it is, however uneven") {
+  PlanFixture Plan({{"hot", "warm"},
+                    {"hot", "cold"},
+                    {"hot", "rare"},
+                    {"hot"},
+                    {"hot"},
+                    {"hot"}});
+  CHECK_FALSE(Plan.next({}));
+}
+
+TEST_CASE("the first requests of a busy time take no copy of the next model") {
+  PlanFixture Plan({{"hot", "warm"}, {"hot", "cold"}, {"warm", "rare"}});
+  CHECK_FALSE(Plan.next({{"hot", 140}}));
+}
+
 TEST_CASE("the weight store's rate holds loads up, not those from elsewhere") {
   PlanFixture Plan({{"hot", "warm"}, {"hot", "cold"}, {"hot"}});
   Plan.m_StoreLoadAllowed = false;
