--- a/Source/Core/Residency/ResidencyPlan.cpp
+++ b/Source/Core/Residency/ResidencyPlan.cpp
@@ -54,7 +54,7 @@
     for (const ServedModel *const Each : Short)
       if (std::optional<PlanStep> Step = planFor(*Each))
         return Step;
-    return std::nullopt;
+    return fillRoom();
   }
 
 private:
@@ -80,6 +80,24 @@
     return std::nullopt;
   }
 
+  /// Room that nobody needs takes a second copy of a model that has one: it
+  /// answers on when an engine is lost. No copy leaves for it.
+  std::optional<PlanStep> fillRoom() const {
+    for (const ServedModel &Each : m_Spec.m_Models) {
+      if (copies(Each.m_Name) != 1)
+        continue;
+      for (const EngineBook *const Engine : m_Inputs.m_Engines) {
+        const bool MayLoad =
+            m_Inputs.m_StoreLoadAllowed || Engine->hasLocalWeights(Each.m_Name);
+        if (Engine->isFree() && MayLoad &&
+            !m_Inputs.m_Reserved.contains(Engine->entry().m_Id) &&
+            !Engine->holds({Each.m_Name, ""}) && fits(*Engine, Each, 0))
+          return step(OrderVerb::Load, *Engine, Each.m_Name, Each.m_Name);
+      }
+    }
+    return std::nullopt;
+  }
+
   void countCopies() {
     for (const EngineBook *const Engine : m_Inputs.m_Engines) {
       for (const HeldModel &Each : Engine->models())
--- a/Source/UnitTests/Residency/ResidencyPlanTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyPlanTest.cpp
@@ -85,14 +85,20 @@
   CHECK_FALSE(Plan.next({}));
 }
 
-TEST_CASE("without demand every copy stays where it is, however uneven") {
+TEST_CASE("without demand every copy stays where it is, and free room takes "
+          "second copies") {
   PlanFixture Plan({{"hot", "warm"},
                     {"hot", "cold"},
                     {"hot", "rare"},
                     {"hot"},
                     {"hot"},
                     {"hot"}});
-  CHECK_FALSE(Plan.next({}));
+  const std::optional<PlanStep> Step = Plan.next({});
+  REQUIRE(Step);
+  CHECK(Step->m_Verb == OrderVerb::Load);
+  CHECK(Step->m_Model != "hot");
+  PlanFixture Full({{"hot", "warm"}, {"hot", "cold"}, {"hot", "rare"}});
+  CHECK_FALSE(Full.next({}));
 }
 
 TEST_CASE("the first requests of a busy time take no copy of the next model") {
