--- a/Source/Core/Residency/ResidencyPlan.cpp
+++ b/Source/Core/Residency/ResidencyPlan.cpp
@@ -18,9 +18,8 @@
 /// its own, before one is moved: shares that waver must not move copies.
 constexpr double MoveThreshold = 0.6;
 /// Demand below this many tokens a second for each slot of the service proves
-/// little: it is filled up in proportion to the spare copies that are there, so
-/// that the first requests of a busy time move nothing. A busy slot makes some
-/// hundred.
+/// little: the less there is, the more the copies that are there count as those
+/// wanted. A busy slot makes some hundred.
 constexpr double ProofPerSlot = 30;
 /// Room kept for adapters beside the models, in adapters of the largest size.
 constexpr int64_t AdaptersKept = 8;
@@ -125,7 +124,6 @@
     double Weights = 0;
     for (const ServedModel &Each : m_Spec.m_Models) {
       Weights += static_cast<double>(Each.m_WeightsMb);
-      m_SpareCopies += spareCopies(Each.m_Name);
       m_DemandSum += demand(Each.m_Name);
       m_AdapterMb =
           std::max(m_AdapterMb, static_cast<int64_t>(Each.m_AdapterMb));
@@ -144,28 +142,21 @@
     return Found == m_Inputs.m_Demand.end() ? 0 : Found->second;
   }
   double share(const std::string &Model) const {
-    const double Proof = ProofPerSlot * m_Spec.m_Slots *
-                         static_cast<double>(m_Inputs.m_Engines.size());
-    const double Filled =
-        m_SpareCopies > 0 ? std::max(0.0, Proof - m_DemandSum) : 0;
-    const double Sum = m_DemandSum + Filled;
-    if (Sum <= 0)
-      return 0;
-    const double Inertia =
-        Filled > 0 ? Filled * spareCopies(Model) / m_SpareCopies : 0;
-    return (demand(Model) + Inertia) / Sum;
+    return m_DemandSum > 0 ? demand(Model) / m_DemandSum : 0;
   }
   double copies(const std::string &Model) const {
     const auto Found = m_Copies.find(Model);
     return Found == m_Copies.end() ? 0 : Found->second;
   }
-  double spareCopies(const std::string &Model) const {
-    return std::max(0.0, copies(Model) - 1);
-  }
   double wanted(const std::string &Model) const {
+    const double Engines = static_cast<double>(m_Inputs.m_Engines.size());
+    const double Proof =
+        std::min(1.0, m_DemandSum / (ProofPerSlot * m_Spec.m_Slots * Engines));
+    const double ByDemand = 1 + m_Spare * share(Model);
+    const double Wanted =
+        Proof * ByDemand + (1 - Proof) * std::max(1.0, copies(Model));
     // No more than one on each engine.
-    return std::min(1 + m_Spare * share(Model),
-                    static_cast<double>(m_Inputs.m_Engines.size()));
+    return std::min(Wanted, Engines);
   }
   double deficit(const std::string &Model) const {
     return wanted(Model) - copies(Model);
@@ -278,7 +269,6 @@
   const EngineSpec &m_Spec;
   std::map<std::string, double> m_Copies;
   double m_DemandSum = 0;
-  double m_SpareCopies = 0;
   double m_Spare = 0;
   int64_t m_AdapterMb = 0;
 };
