--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -25,6 +25,7 @@
 constexpr model::Duration LapsedKept = std::chrono::milliseconds(2150);
 /// A fifth of the time in which an endpoint's leaving is to be known.
 constexpr model::Duration EndpointGather = std::chrono::milliseconds(400);
+const std::string NoAnswer = "no answer";
 /// Nodes come and go rarely and tell each other themselves.
 constexpr model::Duration NodeListPeriod = std::chrono::seconds(5);
 /// A connection that may have been closed for idling is not used again.
@@ -139,8 +140,6 @@
 // Configuration, endpoints and nodes.
 
 void GatewayControl::runFeed(Feed &Each) {
-  if (m_OnStopped)
-    return;
   const std::optional<gateway::FeedCall> Due =
       Each.m_Feed.nextCall(m_Clock.now());
   if (!Due)
@@ -458,8 +457,16 @@
 }
 
 void GatewayControl::finishStop() {
-  const std::function<void()> OnStopped = std::exchange(m_OnStopped, [] {});
-  OnStopped();
+  if (std::exchange(m_StopFinished, true))
+    return;
+  // The others are not to send notices to it for ever.
+  if (m_Registered)
+    call(m_Options.m_Store, m_Dialect.removeNode(m_Options.m_Self.m_Node),
+         RegisterTimeout, [this](const gateway::HttpResult &Result) {
+           if (Result.m_Status == 0)
+             m_Log.write("dependency", "entry_left", {{"reason", NoAnswer}});
+         });
+  m_OnStopped();
 }
 
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -112,7 +112,9 @@
   std::vector<model::NodeId> m_Heard;
   bool m_HoldsLease = false;
   std::optional<model::TimePoint> m_SuspendedUntil;
+  /// Set once the node is to stop.
   std::function<void()> m_OnStopped;
+  bool m_StopFinished = false;
   net::LoopThread m_Thread;
   Feed m_ConfigFeed;
   Feed m_EndpointFeed;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -21,6 +21,8 @@
 /// A batch reads about this many prompt tokens in the time in which each of its
 /// requests gets one: both are counted in steps.
 constexpr uint32_t PromptTokensPerStep = 100;
+/// Models and adapters counted: twice those of the largest deployment planned.
+constexpr size_t MostUses = 4096;
 /// How long a copy's news is believed before the endpoint's own entry: two of
 /// the periods at which engines write theirs.
 constexpr model::Duration CopyNewsFor = std::chrono::seconds(3);
@@ -161,7 +163,7 @@
   Value.m_Deadline = Asked.m_BeganAt + Window;
   Value.m_PromptHashes = promptHashes(Asked);
   m_Retries.noteRequest(Value.m_Service, Now);
-  if (!Asked.m_Use.m_Model.empty()) {
+  if (isDeclared(Value)) {
     for (const ModelUse &Use :
          {Asked.m_Use, ModelUse{Asked.m_Use.m_Model, ""}}) {
       UseCount &Count = m_Uses[Use];
@@ -177,6 +179,16 @@
   place(Value, Out);
 }
 
+/// Callers may name what they like: only what the service declares is counted,
+/// and of adapters no more than there is room to remember.
+bool RelayCore::isDeclared(const Live &Value) const {
+  const ModelUse &Use = Value.m_Request.m_Use;
+  const ServiceSpec *const Service = Value.m_Table->service(Value.m_Service);
+  const bool IsModel = !Use.m_Model.empty() && Service && Service->m_Engine &&
+                       Service->m_Engine->model(Use.m_Model);
+  return IsModel && (m_Uses.contains(Use) || m_Uses.size() < MostUses);
+}
+
 void RelayCore::callerGone(model::RequestId Request, model::TimePoint Now,
                            RelayEffectList &Out) {
   m_Now = Now;
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -142,6 +142,7 @@
   void note(const Live &Value, const char *Action, int Status,
             const std::string &Reason, RelayEffectList &Out) const;
   void timeOut(Live &Value, RelayEffectList &Out);
+  bool isDeclared(const Live &Value) const;
   std::vector<uint64_t> promptHashes(const RelayRequest &Request) const;
 
   // RelayChoice.cpp: which endpoint, now or later.
--- a/Source/Core/Residency/AdapterDesk.h
+++ b/Source/Core/Residency/AdapterDesk.h
@@ -31,6 +31,9 @@
   /// Drops what has been waited for too long.
   void expire(model::TimePoint Now);
   std::vector<gateway::ModelUse> wanted() const;
+  bool isWanted(const gateway::ModelUse &Use) const {
+    return m_Wanted.contains(Use);
+  }
   void granted(const gateway::ModelUse &Use) { m_Wanted.erase(Use); }
 
   /// The next order for \p Use among \p Engines; nothing where none can take
--- a/Source/Core/Residency/ResidencyCore.cpp
+++ b/Source/Core/Residency/ResidencyCore.cpp
@@ -142,6 +142,9 @@
     return;
   askDueReports(Now, Out);
   m_Adapters.expire(Now);
+  std::erase_if(m_WantedService, [&](const auto &Each) {
+    return !m_Adapters.isWanted(Each.first);
+  });
   serveWants(Now, Out);
   if (Now >= m_PlanAt && isSettled(Now)) {
     m_PlanAt = Now + m_Settings.m_PlanPeriod;
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -180,6 +180,18 @@
   CHECK(*Refused[0].m_RetryAfter >= model::Duration(3s));
 }
 
+TEST_CASE("names that no service declares are refused and not remembered") {
+  RelayFixture Relay;
+  Relay.start({"a"});
+  for (int I = 0; I < 100; ++I)
+    Relay.ask("/stream/", "made-up-" + std::to_string(I));
+  CHECK(Relay.take<RefuseAnswer>().size() == 100);
+  CHECK(Relay.m_Core.takeUses().empty());
+  for (int I = 0; I < 10000; ++I)
+    Relay.ask("/stream/", "m", "made-up-" + std::to_string(I));
+  CHECK(Relay.m_Core.takeUses().size() <= 4096);
+}
+
 TEST_CASE("a waiting request is refused before its caller has waited long") {
   RelayFixture Relay;
   Relay.start({"a"});
