Gateway: A service without any endpoint no longer ends the process

Cause: waitForCopy() looked its endpoints up with at(), which threw for a declared service none of whose engines has ever registered. The test failed with map::at before.

With it: slowness fades (it was remembered with a time nobody read, so an endpoint that was avoided never recovered); connections of one endpoint over all nodes stay within what the service declares; the longest pause comes from the routes instead of a constant of 120 ms; deadlines and waiting requests are kept in order instead of a walk over all live requests each 20 ms. Fields that nobody used are gone.

--- a/Source/Core/Gateway/EndpointEntry.h
+++ b/Source/Core/Gateway/EndpointEntry.h
@@ -3,12 +3,10 @@
 
 #include "Core/Model/Address.h"
 #include "Core/Model/Id.h"
-#include "Core/Model/Time.h"
 
 #include <algorithm>
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,8 +36,6 @@
   uint32_t m_Slots = 1;
   /// It is leaving: nothing new may be sent to it.
   bool m_Draining = false;
-  /// Until it is gone, whatever it runs; as of the entry.
-  std::optional<model::Duration> m_Remaining;
   std::vector<HeldModel> m_Models;
   /// Weights that it can load without the weight store.
   std::vector<std::string> m_LocalWeights;
--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -58,13 +58,24 @@
     return newsOf(Use, Now).value_or(Held && Held->hasAdapter(Use.m_Adapter));
   }
 
+  /// Slowness fades towards that of the others, so that an endpoint that was
+  /// avoided is tried again.
+  double slownessAt(model::TimePoint Now, model::Duration HalfLife) const {
+    return 1 + (m_Slowness - 1) * fadeSince(m_SlownessSeenAt, Now, HalfLife);
+  }
+
   double failureShareAt(model::TimePoint Now, model::Duration HalfLife) const {
-    const double Halves = static_cast<double>((Now - m_FailureSeenAt).count()) /
-                          static_cast<double>(HalfLife.count());
-    return m_FailureShare * std::exp2(-std::max(0.0, Halves));
+    return m_FailureShare * fadeSince(m_FailureSeenAt, Now, HalfLife);
   }
 
 private:
+  static double fadeSince(model::TimePoint Seen, model::TimePoint Now,
+                          model::Duration HalfLife) {
+    const double Halves = static_cast<double>((Now - Seen).count()) /
+                          static_cast<double>(HalfLife.count());
+    return std::exp2(-std::max(0.0, Halves));
+  }
+
   std::optional<bool> newsOf(const ModelUse &Use, model::TimePoint Now) const {
     const auto Found = m_News.find(Use);
     if (Found == m_News.end() || Now >= Found->second.m_Until)
--- a/Source/Core/Gateway/GatewayConfig.h
+++ b/Source/Core/Gateway/GatewayConfig.h
@@ -33,12 +33,8 @@
   bool m_Stream = false;
   /// A broken stream may go on at another endpoint behind its last event.
   bool m_Resumable = false;
-  /// Requests of one session share prompt parts.
-  bool m_SessionAffinity = false;
   /// The longest that a caller is kept waiting.
   model::Duration m_Timeout{0};
-  /// Within which an answer (of a stream: its first event) is wanted.
-  model::Duration m_Objective{0};
   /// Longest pause between two events that is still in time; zero where the
   /// route has no stream.
   model::Duration m_LongestPause{0};
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -20,9 +20,8 @@
 /// A batch stands still while a prompt is read: what each millisecond of it
 /// costs, for each request that runs there.
 constexpr double HoldUpShare = 0.15;
-/// Prompts that wait to be read follow each other without a pause: beyond this
-/// many milliseconds of them, streams that run there exceed their pause.
-constexpr double LongPrefillMs = 120;
+/// Prompts that wait to be read follow each other without a pause: what each
+/// millisecond of them beyond ServiceView::m_LongPrefillMs costs.
 constexpr double LongPrefillWeight = 2;
 /// Another failure domain: its way there and back, and the bytes' price.
 constexpr double OtherDomainMs = 6;
@@ -56,7 +55,8 @@
   const double Load = Endpoint.load();
   const double WholeMs =
       Service.m_WholeMs > 0 ? Service.m_WholeMs : UnmeasuredWholeMs;
-  const double Slowness = Endpoint.m_Slowness;
+  const double Slowness =
+      Endpoint.slownessAt(m_Now, m_Settings.m_SlownessHalfLife);
   WaitMs = std::max(0.0, Load + 1 - Slots) * WholeMs * Slowness / Slots;
   double Cost = WaitMs + (IsEngine ? FullBatchMs : FullServiceMs) * Load /
                              Slots * Slowness;
@@ -70,8 +70,8 @@
   const double AheadMs =
       Service.m_PrefillMsPerToken * Endpoint.prefillTokens() * Slowness;
   Cost += AheadMs + OwnMs * (1 + HoldUpShare * Load);
-  return Cost +
-         LongPrefillWeight * std::max(0.0, AheadMs + OwnMs - LongPrefillMs);
+  return Cost + LongPrefillWeight *
+                    std::max(0.0, AheadMs + OwnMs - Service.m_LongPrefillMs);
 }
 
 uint32_t RelayCore::missingTokens(const Live &Value,
@@ -90,6 +90,7 @@
   if (Service == m_Services.end())
     return Best;
   const std::vector<EndpointView *> &All = Service->second.m_Endpoints;
+  const uint32_t MaxConnections = Service->second.m_MaxConnections;
   double BestCost = std::numeric_limits<double>::max();
   bool BestTried = true;
   const size_t Start = All.empty() ? 0 : m_Dice.next() % All.size();
@@ -103,6 +104,9 @@
     Best.m_CopyExists = true;
     if (m_Now < Endpoint->m_EjectedUntil)
       continue;
+    // Beyond them it resets connections, also those of requests that run.
+    if (MaxConnections > 0 && Endpoint->load() >= MaxConnections)
+      continue;
     const bool Tried = std::find(Value.m_Tried.begin(), Value.m_Tried.end(),
                                  Endpoint->m_Entry.m_Id) != Value.m_Tried.end();
     if (Tried)
@@ -170,8 +174,7 @@
     return;
   }
   bool BaseExists = false;
-  for (const EndpointView *const Each :
-       m_Services.at(Value.m_Service).m_Endpoints)
+  for (const EndpointView *const Each : m_Services[Value.m_Service].m_Endpoints)
     BaseExists = BaseExists || (!Each->m_Entry.m_Draining &&
                                 Each->holds({Use.m_Model, ""}, m_Now));
   if (Value.m_WaitsUntil && m_Now < *Value.m_WaitsUntil)
@@ -189,15 +192,14 @@
   }
   Value.m_WaitsUntil =
       std::min(m_Now + m_Settings.m_AdapterWait, Value.m_Deadline);
+  m_Waiting.insert(Value.m_Request.m_Number);
   note(Value, "wait", 0, "an adapter is being loaded", Out);
 }
 
 void RelayCore::placeWaiting(RelayEffectList &Out) {
-  std::vector<model::RequestId> Waiting;
-  for (const auto &Entry : m_Live)
-    if (Entry.second.m_WaitsUntil && !Entry.second.m_Attempt)
-      Waiting.push_back(Entry.first);
-  std::sort(Waiting.begin(), Waiting.end());
+  // A request that is placed leaves the set.
+  const std::vector<model::RequestId> Waiting(m_Waiting.begin(),
+                                              m_Waiting.end());
   for (const model::RequestId &Number : Waiting)
     place(m_Live.at(Number), Out);
 }
@@ -210,6 +212,7 @@
   ++m_Counts.m_Sends;
   ++Value.m_Sends;
   Value.m_WaitsUntil.reset();
+  m_Waiting.erase(Value.m_Request.m_Number);
   Value.m_Attempt = {++m_LastAttempt};
   Value.m_Endpoint = Endpoint.m_Entry.m_Id;
   Value.m_SentAt = m_Now;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -27,6 +27,12 @@
 /// the periods at which engines write theirs.
 constexpr model::Duration CopyNewsFor = std::chrono::seconds(3);
 
+constexpr double MillisPerMicro = 1e-3;
+/// Part of a stream's longest pause that other prompts may take up: the rest
+/// is the batch's own steps and the way to the caller. Set by trials.
+constexpr double LongPrefillShare = 0.48;
+/// Where no route names its longest pause.
+constexpr model::Duration DefaultPause = std::chrono::milliseconds(250);
 const char *kindOf(const RouteSpec &Route) {
   if (Route.m_Stream)
     return "stream";
@@ -61,6 +67,14 @@
   if (m_Table && Table->config().m_Version <= m_Table->config().m_Version)
     return false;
   m_Table = std::move(Table);
+  for (const ServiceSpec &Each : m_Table->config().m_Services) {
+    ServiceView &Service = m_Services[Each.m_Name];
+    Service.m_MaxConnections = Each.m_MaxConnections;
+    Service.m_LongPrefillMs =
+        LongPrefillShare * MillisPerMicro *
+        static_cast<double>(
+            m_Table->shortestPause(Each.m_Name).value_or(DefaultPause).count());
+  }
   return true;
 }
 
@@ -84,6 +98,7 @@
     View.m_Entry = Entry;
     View.m_Listed = true;
   }
+  m_HasEndpoints = m_HasEndpoints || !Entries.empty();
   std::erase_if(m_Endpoints, [](const auto &Known) {
     return !Known.second.m_Listed && Known.second.m_InFlight == 0;
   });
@@ -138,7 +153,7 @@
   Live &Value = m_Live[Number];
   Value.m_Request = std::move(Request);
   const RelayRequest &Asked = Value.m_Request;
-  if (!m_Table || m_Services.empty()) {
+  if (!m_Table || !m_HasEndpoints) {
     refuse(Value, ServiceUnavailable, jittered(UnreadyRetryAfter),
            "no configuration is known yet", Out);
     return;
@@ -161,6 +176,7 @@
                                : m_Settings.m_DefaultWindow;
   Window = std::min(Window, Asked.m_Window.value_or(Window));
   Value.m_Deadline = Asked.m_BeganAt + Window;
+  m_Deadlines.emplace(Value.m_Deadline, Number);
   Value.m_PromptHashes = promptHashes(Asked);
   m_Retries.noteRequest(Value.m_Service, Now);
   if (isDeclared(Value)) {
@@ -219,12 +235,8 @@
 
 void RelayCore::tick(model::TimePoint Now, RelayEffectList &Out) {
   m_Now = Now;
-  std::vector<model::RequestId> Due;
-  for (const auto &Entry : m_Live)
-    if (Entry.second.m_Route && Now >= Entry.second.m_Deadline)
-      Due.push_back(Entry.first);
-  for (const model::RequestId &Number : Due)
-    timeOut(m_Live.at(Number), Out);
+  while (!m_Deadlines.empty() && m_Deadlines.begin()->first <= Now)
+    timeOut(m_Live.at(m_Deadlines.begin()->second), Out);
   for (auto Peer = m_Peers.begin(); Peer != m_Peers.end();) {
     if (Now - Peer->second.m_At < m_Settings.m_PeerFreshness) {
       ++Peer;
@@ -275,6 +287,8 @@
 void RelayCore::forget(Live &Value) {
   endSend(Value);
   const model::RequestId Number = Value.m_Request.m_Number;
+  m_Deadlines.erase({Value.m_Deadline, Number});
+  m_Waiting.erase(Number);
   m_Live.erase(Number);
 }
 
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -16,8 +16,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace bronzepass::core::gateway {
@@ -122,6 +124,11 @@
     /// Time in which an engine reads one prompt token, learned from the first
     /// pieces of answers.
     double m_PrefillMsPerToken = FirstPrefillMsPerToken;
+    /// Prompts read in a row beyond this make the streams that run beside them
+    /// late.
+    double m_LongPrefillMs = 0;
+    /// Connections that one endpoint accepts, over all nodes.
+    uint32_t m_MaxConnections = 0;
     std::vector<EndpointView *> m_Endpoints;
   };
   struct Choice {
@@ -176,8 +183,12 @@
   // The time of the call under way.
   model::TimePoint m_Now;
   bool m_Stopping = false;
+  bool m_HasEndpoints = false;
 
   LiveMap m_Live;
+  std::set<std::pair<model::TimePoint, model::RequestId>> m_Deadlines;
+  /// Those that wait for a copy, in the order of their arrival.
+  std::set<model::RequestId> m_Waiting;
   std::unordered_map<model::AttemptId, model::RequestId> m_Attempts;
   uint64_t m_LastAttempt = 0;
   std::map<model::EndpointId, EndpointView> m_Endpoints;
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -42,7 +42,8 @@
   ServiceView &Service = m_Services[Value.m_Service];
   routing::mixInto(Service.m_FirstMs, Millis, ServiceWeight);
   const double Ratio = std::min(MostSlowness, Millis / Service.m_FirstMs);
-  Endpoint->m_Slowness += EndpointWeight * (Ratio - Endpoint->m_Slowness);
+  const double Old = Endpoint->slownessAt(Now, m_Settings.m_SlownessHalfLife);
+  Endpoint->m_Slowness = Old + EndpointWeight * (Ratio - Old);
   Endpoint->m_SlownessSeenAt = Now;
   learnPrefill(Service, Value, Millis);
   endPrefill(Value, *Endpoint);
--- a/Source/Core/Gateway/RelaySettings.h
+++ b/Source/Core/Gateway/RelaySettings.h
@@ -30,6 +30,9 @@
   /// An endpoint's failure share halves in this time without news, so that it
   /// is tried again.
   model::Duration m_FailureHalfLife = std::chrono::seconds(2);
+  /// Likewise for what it is slower than the others: engines that have just
+  /// started are slow for some seconds.
+  model::Duration m_SlownessHalfLife = std::chrono::seconds(4);
   /// A peer's counts are left out when older than this: four of its periods.
   model::Duration m_PeerFreshness = std::chrono::seconds(1);
   /// Part of a request's window that it may be predicted to wait for a slot.
--- a/Source/Core/Gateway/RouteTable.cpp
+++ b/Source/Core/Gateway/RouteTable.cpp
@@ -24,6 +24,16 @@
            [m_Config.m_Routes[I].m_PathPrefix] = I;
   for (size_t I = 0; I < m_Config.m_Services.size(); ++I)
     m_Services[m_Config.m_Services[I].m_Name] = I;
+  for (const RouteSpec &Route : m_Config.m_Routes) {
+    if (Route.m_LongestPause <= model::Duration::zero())
+      continue;
+    for (const ServiceShare &Each : Route.m_Services) {
+      model::Duration &Known =
+          m_ShortestPauses.emplace(Each.m_Service, Route.m_LongestPause)
+              .first->second;
+      Known = std::min(Known, Route.m_LongestPause);
+    }
+  }
 }
 
 const RouteSpec *RouteTable::find(std::string_view Host,
@@ -50,6 +60,14 @@
                                    : &m_Config.m_Services[Found->second];
 }
 
+std::optional<model::Duration>
+RouteTable::shortestPause(const std::string &Service) const {
+  const auto Found = m_ShortestPauses.find(Service);
+  if (Found == m_ShortestPauses.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 const std::string &RouteTable::pickService(const RouteSpec &Route,
                                            uint64_t Draw) {
   uint64_t Sum = 0;
--- a/Source/Core/Gateway/RouteTable.h
+++ b/Source/Core/Gateway/RouteTable.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -23,7 +24,10 @@
   /// fits. \p Host may have a port, and any spelling.
   const RouteSpec *find(std::string_view Host, std::string_view Path) const;
   const ServiceSpec *service(const std::string &Name) const;
-
+  /// Of the streams that \p Service answers, the shortest of the longest pauses
+  /// still in time; nullopt where no route names one.
+  std::optional<model::Duration>
+  shortestPause(const std::string &Service) const;
   /// The service that \p Draw (uniform over all values) falls to, by weight.
   static const std::string &pickService(const RouteSpec &Route, uint64_t Draw);
 
@@ -33,6 +37,7 @@
   GatewayConfig m_Config;
   std::unordered_map<std::string, PrefixMap> m_Hosts;
   std::map<std::string, size_t> m_Services;
+  std::map<std::string, model::Duration> m_ShortestPauses;
 };
 
 } // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -231,4 +231,73 @@
   CHECK(Relay.take<SendRequest>()[0].m_Endpoint == model::EndpointId("a"));
 }
 
+TEST_CASE("a declared service without any endpoint refuses, with a time to "
+          "come back") {
+  RelayFixture Relay;
+  gateway::GatewayConfig Config = RelayFixture::config();
+  gateway::ServiceSpec Other = Config.m_Services[0];
+  Other.m_Name = "t";
+  Config.m_Services.push_back(Other);
+  gateway::RouteSpec Route = RelayFixture::route("/other/");
+  Route.m_Services = {{"t", 1}};
+  Config.m_Routes.push_back(Route);
+  Relay.m_Core.setTable(std::make_shared<gateway::RouteTable>(Config));
+  Relay.setEndpoints({RelayFixture::endpoint("a")});
+  Relay.ask("/other/", "m");
+  Relay.ask("/other/");
+  const std::vector<RefuseAnswer> Refused = Relay.take<RefuseAnswer>();
+  REQUIRE(Refused.size() == 2);
+  for (const RefuseAnswer &Each : Refused) {
+    CHECK(Each.m_Status == 503);
+    CHECK(Each.m_RetryAfter);
+  }
+}
+
+TEST_CASE("an endpoint that was slow is asked again once that is long ago") {
+  RelayFixture Relay;
+  Relay.start({"a", "b"});
+  const model::EndpointId Slow("a");
+  for (int I = 0; I < 30; ++I) {
+    Relay.ask("/once/");
+    const SendRequest Sent = Relay.take<SendRequest>()[0];
+    Relay.pass(Sent.m_Endpoint == Slow ? 400ms : 10ms);
+    Relay.m_Core.answerBegan(Sent.m_Attempt, Relay.m_Now);
+    Relay.end(Sent.m_Attempt, SendEnd::Whole);
+  }
+  // Of two at a time, none goes to it even beside one that is at work.
+  const auto AskTwo = [&] {
+    Relay.ask("/once/");
+    Relay.ask("/once/");
+    uint32_t ToSlow = 0;
+    for (const SendRequest &Sent : Relay.take<SendRequest>()) {
+      ToSlow += Sent.m_Endpoint == Slow ? 1 : 0;
+      Relay.end(Sent.m_Attempt, SendEnd::Whole);
+    }
+    return ToSlow;
+  };
+  CHECK(AskTwo() == 0);
+  Relay.pass(10 * gateway::RelaySettings().m_SlownessHalfLife);
+  CHECK(AskTwo() == 1);
+}
+
+TEST_CASE("an endpoint gets no more connections than it accepts from all "
+          "nodes") {
+  RelayFixture Relay;
+  gateway::GatewayConfig Config = RelayFixture::config();
+  Config.m_Services[0].m_MaxConnections = 5;
+  Relay.m_Core.setTable(std::make_shared<gateway::RouteTable>(Config));
+  Relay.setEndpoints({RelayFixture::endpoint("a")});
+  gateway::PeerNotice Notice;
+  Notice.m_From = model::NodeId("peer");
+  Notice.m_Sequence = 1;
+  Notice.m_Loads = {{model::EndpointId("a"), 3}};
+  Relay.m_Core.peerNotice(Notice, Relay.m_Now, Relay.m_Out);
+  for (int I = 0; I < 3; ++I)
+    Relay.ask("/again/");
+  CHECK(Relay.take<SendRequest>().size() == 2);
+  const std::vector<RefuseAnswer> Refused = Relay.take<RefuseAnswer>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].m_Status == 503);
+}
+
 } // namespace bronzepass::unit_tests
--- a/Source/UnitTests/Gateway/RouteTableTest.cpp
+++ b/Source/UnitTests/Gateway/RouteTableTest.cpp
@@ -52,4 +52,24 @@
   CHECK(Counts[1] == 100);
 }
 
+TEST_CASE("a service's shortest pause is that of its strictest stream") {
+  GatewayConfig Config;
+  RouteSpec Route = route("one", "a.example", "/a/");
+  Route.m_Services = {{"s", 1}, {"t", 1}};
+  Route.m_LongestPause = std::chrono::milliseconds(300);
+  Config.m_Routes.push_back(Route);
+  Route = route("two", "a.example", "/b/");
+  Route.m_LongestPause = std::chrono::milliseconds(200);
+  Config.m_Routes.push_back(Route);
+  Route = route("three", "a.example", "/c/");
+  Route.m_Services = {{"u", 1}};
+  Config.m_Routes.push_back(Route);
+  const RouteTable Table(Config);
+  CHECK(Table.shortestPause("s") ==
+        model::Duration(std::chrono::milliseconds(200)));
+  CHECK(Table.shortestPause("t") ==
+        model::Duration(std::chrono::milliseconds(300)));
+  CHECK_FALSE(Table.shortestPause("u"));
+}
+
 } // namespace bronzepass::core::gateway
