--- a/Source/Core/Adapters/Curl/CurlEngineClient.cpp
+++ b/Source/Core/Adapters/Curl/CurlEngineClient.cpp
@@ -1,6 +1,7 @@
 #include "Core/Adapters/Curl/CurlEngineClient.h"
 
 #include "Core/Adapters/Curl/CurlMulti.h"
+#include "Core/Adapters/Curl/WholeAnswer.h"
 #include "Core/Adapters/Json/ControlJson.h"
 #include "Core/Adapters/Net/LoopThread.h"
 
@@ -15,36 +16,11 @@
 constexpr int StatusOk = 200;
 constexpr int StatusConflict = 409;
 constexpr int StatusNoRoom = 507;
-/// A report of some thousand copies with all its cache events stays below.
-constexpr size_t MaxAnswerBytes = 8 << 20;
 
 std::chrono::milliseconds toMillis(model::Duration Value) {
   return std::chrono::ceil<std::chrono::milliseconds>(Value);
 }
 
-/// Collects one short answer and hands it on.
-class WholeAnswer : public TransferListener {
-public:
-  using DoneCallback = std::function<void(const TransferResult &Result,
-                                          int Status, const std::string &Body)>;
-
-  explicit WholeAnswer(DoneCallback OnDone) : m_OnDone(std::move(OnDone)) {}
-
-  void onHead(const TransferHead &Head) override { m_Status = Head.m_Status; }
-  void onPiece(std::string_view Piece) override {
-    if (m_Body.size() + Piece.size() <= MaxAnswerBytes)
-      m_Body.append(Piece);
-  }
-  void onDone(const TransferResult &Result) override {
-    m_OnDone(Result, m_Status, m_Body);
-  }
-
-private:
-  DoneCallback m_OnDone;
-  int m_Status = 0;
-  std::string m_Body;
-};
-
 model::FencingToken highestToken(const std::string &Body) {
   const nlohmann::json Json = nlohmann::json::parse(Body, nullptr, false);
   if (!Json.is_object() || !Json.contains("highest_token") ||
--- a/Source/Core/Adapters/Front/FrontRequest.h
+++ b/Source/Core/Adapters/Front/FrontRequest.h
@@ -36,9 +36,6 @@
   friend bool operator==(const FrontRequest &, const FrontRequest &) = default;
 };
 
-/// Whether \p Left and \p Right name the same header.
-bool equalsIgnoringCase(std::string_view Left, std::string_view Right);
-
 } // namespace bronzepass::core::adapters::front
 
 #endif // BRONZEPASS_CORE_ADAPTERS_FRONT_FRONTREQUEST_H
--- a/Source/Core/Adapters/Front/RequestReading.cpp
+++ b/Source/Core/Adapters/Front/RequestReading.cpp
@@ -1,5 +1,7 @@
 #include "Core/Adapters/Front/RequestReading.h"
 
+#include "Core/Model/HeaderName.h"
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
@@ -43,7 +45,7 @@
 
 std::optional<std::string> FrontRequest::header(std::string_view Name) const {
   for (const pistache::HttpHeader &Each : m_Headers)
-    if (equalsIgnoringCase(Each.m_Name, Name))
+    if (model::isSameHeader(Each.m_Name, Name))
       return Each.m_Value;
   return std::nullopt;
 }
@@ -52,13 +54,6 @@
   return std::string_view(m_Target).substr(0, m_Target.find('?'));
 }
 
-bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
-  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
-                    [](unsigned char A, unsigned char B) {
-                      return std::tolower(A) == std::tolower(B);
-                    });
-}
-
 class RequestReading::Parser : public http::request_parser<http::string_body> {
 };
 
@@ -152,7 +147,7 @@
       Message.count(http::field::host) > 1)
     return fail(BadRequest, "a header that may come once came twice");
   m_WantsContinue =
-      equalsIgnoringCase(text(Message[http::field::expect]), "100-continue");
+      model::isSameHeader(text(Message[http::field::expect]), "100-continue");
   return m_Phase;
 }
 
--- /dev/null
+++ b/Source/Core/Adapters/Gateway/ControlCalls.cpp
@@ -0,0 +1,52 @@
+#include "Core/Adapters/Gateway/ControlCalls.h"
+
+#include "Core/Adapters/Curl/WholeAnswer.h"
+
+#include <memory>
+#include <utility>
+
+namespace bronzepass::core::adapters::gateway {
+
+namespace gateway = core::gateway;
+
+namespace {
+
+/// Of the store's and the engines' together: each costs a descriptor.
+constexpr long MaxIdleConnections = 64;
+/// One packet that has to be sent again fits in.
+constexpr std::chrono::milliseconds ConnectTimeout(700);
+/// A connection that may have been closed for idling is not used again.
+constexpr std::chrono::seconds IdleAge(8);
+
+} // namespace
+
+ControlCalls::ControlCalls(net::EventLoop &Loop)
+    : m_Curl(Loop, MaxIdleConnections) {}
+
+void ControlCalls::call(const model::Address &To, const gateway::HttpCall &Call,
+                        model::Duration Timeout, CallDone OnDone) {
+  curl::TransferRequest Request;
+  Request.m_Method = Call.m_Method;
+  Request.m_Address = To;
+  Request.m_Path = Call.m_Target;
+  Request.m_Body = Call.m_Body;
+  for (const gateway::HeaderLine &Each : Call.m_Headers)
+    Request.m_Headers.push_back(Each.first + ": " + Each.second);
+  Request.m_ConnectTimeout = ConnectTimeout;
+  Request.m_Timeout =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Timeout);
+  Request.m_MaxIdleAge = IdleAge;
+  m_Curl.start(
+      std::move(Request),
+      std::make_shared<curl::WholeAnswer>(
+          [OnDone = std::move(OnDone)](const curl::TransferResult &Result,
+                                       int Status, const std::string &Body) {
+            gateway::HttpResult Answer;
+            Answer.m_Status = Result.m_Whole ? Status : 0;
+            Answer.m_Body = Body;
+            Answer.m_NotSent = Result.m_BytesSent == 0 && !Result.m_Whole;
+            OnDone(Answer);
+          }));
+}
+
+} // namespace bronzepass::core::adapters::gateway
--- /dev/null
+++ b/Source/Core/Adapters/Gateway/ControlCalls.h
@@ -0,0 +1,34 @@
+#ifndef BRONZEPASS_CORE_ADAPTERS_GATEWAY_CONTROLCALLS_H
+#define BRONZEPASS_CORE_ADAPTERS_GATEWAY_CONTROLCALLS_H
+
+#include "Core/Adapters/Curl/CurlMulti.h"
+#include "Core/Adapters/Net/EventLoop.h"
+#include "Core/Gateway/Dialect.h"
+#include "Core/Model/Address.h"
+#include "Core/Model/Time.h"
+
+#include <functional>
+
+namespace bronzepass::core::adapters::gateway {
+
+/// The control thread's calls: to the store, and to engines for orders and
+/// reports.
+class ControlCalls {
+public:
+  using CallDone = std::function<void(const core::gateway::HttpResult &)>;
+
+  /// \p Loop outlives it.
+  explicit ControlCalls(net::EventLoop &Loop);
+
+  /// Calls \p OnDone once, with status 0 where no whole answer came within
+  /// \p Timeout.
+  void call(const model::Address &To, const core::gateway::HttpCall &Call,
+            model::Duration Timeout, CallDone OnDone);
+
+private:
+  curl::CurlMulti m_Curl;
+};
+
+} // namespace bronzepass::core::adapters::gateway
+
+#endif // BRONZEPASS_CORE_ADAPTERS_GATEWAY_CONTROLCALLS_H
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -1,23 +1,17 @@
 #ifndef BRONZEPASS_CORE_ADAPTERS_GATEWAY_GATEWAYCONTROL_H
 #define BRONZEPASS_CORE_ADAPTERS_GATEWAY_GATEWAYCONTROL_H
 
-#include "Core/Adapters/Curl/CurlMulti.h"
+#include "Core/Adapters/Gateway/ControlCalls.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
 #include "Core/Adapters/Gateway/GatewayTraffic.h"
+#include "Core/Adapters/Gateway/PlacementControl.h"
+#include "Core/Adapters/Gateway/StoreFeeds.h"
 #include "Core/Adapters/Net/LoopThread.h"
 #include "Core/Gateway/Dialect.h"
-#include "Core/Gateway/EndpointRegistry.h"
-#include "Core/Gateway/ObjectFeed.h"
-#include "Core/Leases/LeaseKeeper.h"
-#include "Core/Leases/StoreGovernor.h"
 #include "Core/Ports/Ports.h"
-#include "Core/Residency/ResidencyCore.h"
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <optional>
-#include <string>
 #include <vector>
 
 namespace bronzepass::core::adapters::gateway {
@@ -29,12 +23,16 @@
   residency::ResidencySettings m_Residency;
 };
 
-/// The control thread of a node: follows configuration, endpoints and nodes in
-/// the platform's store, tries for the placement lease, and places models while
-/// it holds it.
-class GatewayControl : public TrafficEvents {
+/// The control thread of a node: follows the platform's store, tries for the
+/// placement lease, and places models while it holds it. Hands to the traffic
+/// thread what it has to know, and takes from it what was asked for.
+class GatewayControl : public TrafficEvents,
+                       private StoreEvents,
+                       private PlacementEvents {
 public:
-  GatewayControl(ControlOptions Options, const core::gateway::Dialect &Dialect,
+  /// \p Dialect, \p Clock and \p Log outlive it.
+  GatewayControl(const ControlOptions &Options,
+                 const core::gateway::Dialect &Dialect,
                  const ports::Clock &Clock, GatewayLog &Log);
   ~GatewayControl() override;
 
@@ -50,76 +48,24 @@
   void peersHeard(std::vector<model::NodeId> Nodes) override;
 
 private:
-  using CallDone = std::function<void(const core::gateway::HttpResult &)>;
-  struct Feed {
-    Feed(core::gateway::FeedKind Kind, const char *Name,
-         const core::gateway::FeedSettings &Settings, ports::Random &Dice)
-        : m_Kind(Kind), m_Name(Name), m_Feed(Settings, Dice) {}
-    core::gateway::FeedKind m_Kind;
-    const char *m_Name;
-    core::gateway::ObjectFeed m_Feed;
-    bool m_ToldFailing = false;
-  };
+  void
+  tableCame(std::shared_ptr<const core::gateway::RouteTable> Table) override;
+  void endpointsCame(
+      const std::vector<core::gateway::EndpointEntry> &Entries) override;
+  void nodesCame(const std::vector<core::gateway::NodeEntry> &Nodes) override;
+  void holdsLease(bool Holds) override;
+  void copiesChanged(const std::vector<core::gateway::CopyNews> &News) override;
 
   void tick();
-  void call(const model::Address &To, const core::gateway::HttpCall &Call,
-            model::Duration Timeout, CallDone OnDone);
-  void runFeed(Feed &Each);
-  void feedAnswered(Feed &Each, const core::gateway::FeedCall &Call,
-                    const core::gateway::HttpResult &Result);
-  void takeChange(const Feed &From, const core::gateway::FeedChange &Change);
-  void takeConfig(const std::string &Content);
-  void takeEndpoint(const core::gateway::FeedChange &Change);
-  void publishEndpoints();
-  void publishNodes();
-  void registerSelf();
-  void logFindings(const char *Category, const std::string &Name,
-                   const model::FindingList &Findings);
-  void tickLease();
-  void takeStoreAnswer(const ports::StoreAnswer &Answer);
-  void submit(const ports::EffectList &Effects);
-  void noteLease(const std::vector<leases::LeaseNotice> &Notices);
-  void syncLease();
-  void carryOut(const residency::ResidencyEffectList &Effects);
-  void on(const residency::OrderSend &Effect);
-  void on(const residency::ReportAsk &Effect);
-  void on(const residency::CopiesTold &Effect);
-  void on(const residency::TokenRefused &Effect);
-  void on(const residency::ResidencyNote &Effect);
-  void
-  decide(const std::function<void(residency::ResidencyCore &, model::TimePoint,
-                                  residency::ResidencyEffectList &)> &Decide);
-  void finishStop();
 
-  const ControlOptions m_Options;
-  const core::gateway::Dialect &m_Dialect;
-  const ports::Clock &m_Clock;
-  GatewayLog &m_Log;
   GatewayTraffic *m_Traffic = nullptr;
   std::unique_ptr<ports::Random> m_Dice;
-  leases::StoreGovernor m_Governor;
-  leases::LeaseKeeper m_Keeper;
-  residency::ResidencyCore m_Residency;
-  core::gateway::StoreHealth m_Store;
-  core::gateway::EndpointRegistry m_Registry;
-  std::map<model::NodeId, core::gateway::NodeEntry> m_Nodes;
-  uint64_t m_ConfigVersion = 0;
-  bool m_EndpointsPublished = false;
-  bool m_Registered = false;
-  bool m_Registering = false;
-  bool m_RegisterAsNew = true;
-  model::TimePoint m_RegisterAt;
-  std::vector<model::NodeId> m_Heard;
-  bool m_HoldsLease = false;
-  std::optional<model::TimePoint> m_SuspendedUntil;
-  /// Set once the node is to stop.
+  /// Set from the call to stop() until the lease is given back.
   std::function<void()> m_OnStopped;
-  bool m_StopFinished = false;
   net::LoopThread m_Thread;
-  Feed m_ConfigFeed;
-  Feed m_EndpointFeed;
-  Feed m_NodeFeed;
-  curl::CurlMulti m_Curl;
+  ControlCalls m_Calls;
+  StoreFeeds m_Feeds;
+  PlacementControl m_Placement;
 };
 
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -73,4 +73,12 @@
          {"reason", Note.m_Reason}});
 }
 
+void GatewayLog::writeFindings(const char *Category, const std::string &Name,
+                               const model::FindingList &Findings) {
+  for (const model::Finding &Each : Findings)
+    write(Category, "unreadable",
+          {{"name", Name},
+           {"reason", Each.m_Place.m_File + " " + Each.m_Message}});
+}
+
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Gateway/GatewayLog.h
+++ b/Source/Core/Adapters/Gateway/GatewayLog.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_CORE_ADAPTERS_GATEWAY_GATEWAYLOG_H
 
 #include "Core/Gateway/RelayTypes.h"
+#include "Core/Model/Finding.h"
 #include "Core/Residency/ResidencyTypes.h"
 
 #include <atomic>
@@ -40,6 +41,9 @@
              std::initializer_list<LogField> Fields);
   void write(const core::gateway::RelayNote &Note);
   void write(const residency::ResidencyNote &Note);
+  /// One line for each finding in what the store or an engine told of \p Name.
+  void writeFindings(const char *Category, const std::string &Name,
+                     const model::FindingList &Findings);
 
   /// Lines that were dropped because nobody read them.
   uint64_t dropped() const;
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -1,5 +1,7 @@
 #include "Core/Adapters/Gateway/RelayDriver.h"
 
+#include "Core/Model/HeaderName.h"
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -32,7 +34,7 @@
 
 std::optional<uint64_t> lengthOf(const HeaderLines &Headers) {
   for (const HeaderLine &Each : Headers) {
-    if (!front::equalsIgnoringCase(Each.first, "Content-Length"))
+    if (!model::isSameHeader(Each.first, "Content-Length"))
       continue;
     uint64_t Length = 0;
     const char *const End = Each.second.data() + Each.second.size();
@@ -58,27 +60,6 @@
 
 } // namespace
 
-/// Hands a transfer's events to the driver under the attempt's number.
-class RelayDriver::Listener : public curl::TransferListener {
-public:
-  Listener(RelayDriver &Driver, model::AttemptId Attempt)
-      : m_Driver(Driver), m_Attempt(Attempt) {}
-
-  void onHead(const curl::TransferHead &Head) override {
-    m_Driver.headCame(m_Attempt, Head);
-  }
-  void onPiece(std::string_view Piece) override {
-    m_Driver.pieceCame(m_Attempt, Piece);
-  }
-  void onDone(const curl::TransferResult &Result) override {
-    m_Driver.sendDone(m_Attempt, Result);
-  }
-
-private:
-  RelayDriver &m_Driver;
-  model::AttemptId m_Attempt;
-};
-
 RelayDriver::RelayDriver(net::EventLoop &Loop, const gateway::Dialect &Dialect,
                          gateway::RelayCore &Core, const ports::Clock &Clock,
                          GatewayLog &Log, GatewayMetrics &Metrics,
@@ -162,8 +143,8 @@
   bool HasAccept = false;
   bool HasType = false;
   for (const HeaderLine &Each : Lines) {
-    HasAccept |= front::equalsIgnoringCase(Each.first, "Accept");
-    HasType |= front::equalsIgnoringCase(Each.first, "Content-Type");
+    HasAccept |= model::isSameHeader(Each.first, "Accept");
+    HasType |= model::isSameHeader(Each.first, "Content-Type");
     // An empty value is written with a semicolon.
     Request.m_Headers.push_back(Each.second.empty()
                                     ? Each.first + ";"
@@ -186,7 +167,9 @@
   Added.m_Service = Effect.m_Service;
   Added.m_IsStream = Effect.m_Stream;
   const uint64_t Transfer = m_Curl.start(
-      std::move(Request), std::make_shared<Listener>(*this, Effect.m_Attempt));
+      std::move(Request),
+      std::make_shared<curl::AttemptListener>(
+          static_cast<curl::AttemptEvents &>(*this), Effect.m_Attempt));
   // The transfer may have ended by now.
   const auto Started = m_Sends.find(Effect.m_Attempt);
   if (Started != m_Sends.end())
@@ -274,8 +257,8 @@
                      Length);
 }
 
-void RelayDriver::headCame(model::AttemptId Attempt,
-                           const curl::TransferHead &Head) {
+void RelayDriver::onHead(model::AttemptId Attempt,
+                         const curl::TransferHead &Head) {
   const auto Found = m_Sends.find(Attempt);
   if (Found == m_Sends.end())
     return;
@@ -319,7 +302,7 @@
   });
 }
 
-void RelayDriver::pieceCame(model::AttemptId Attempt, std::string_view Piece) {
+void RelayDriver::onPiece(model::AttemptId Attempt, std::string_view Piece) {
   const auto Found = m_Sends.find(Attempt);
   if (Found == m_Sends.end())
     return;
@@ -381,8 +364,8 @@
   return {SendEnd::Broken, Ended.m_Status, false, "a failure without a seal"};
 }
 
-void RelayDriver::sendDone(model::AttemptId Attempt,
-                           const curl::TransferResult &Result) {
+void RelayDriver::onDone(model::AttemptId Attempt,
+                         const curl::TransferResult &Result) {
   const auto Found = m_Sends.find(Attempt);
   if (Found == m_Sends.end())
     return;
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -1,6 +1,7 @@
 #ifndef BRONZEPASS_CORE_ADAPTERS_GATEWAY_RELAYDRIVER_H
 #define BRONZEPASS_CORE_ADAPTERS_GATEWAY_RELAYDRIVER_H
 
+#include "Core/Adapters/Curl/AttemptListener.h"
 #include "Core/Adapters/Curl/CurlMulti.h"
 #include "Core/Adapters/Front/FrontServer.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
@@ -24,7 +25,7 @@
 
 /// Carries out what a RelayCore decides: sends callers' requests to endpoints
 /// and passes the answers on. On one loop's thread.
-class RelayDriver : public front::FrontHandler {
+class RelayDriver : public front::FrontHandler, private curl::AttemptEvents {
 public:
   /// Called with what a request lacks.
   using CopyHook = std::function<void(const core::gateway::CopyWanted &)>;
@@ -44,12 +45,10 @@
                                   core::gateway::RelayEffectList &)> &Decide);
   /// Answers close their connections from now on.
   void closeBehindAnswers() { m_Closing = true; }
-  /// Calls \p OnSent once what was written has left, of all answers ended.
+  /// Answers that have ended and have not left whole yet.
   size_t unfinishedAnswers() const { return m_Unsent; }
 
 private:
-  class Listener;
-
   /// A caller's request with its answer.
   struct Exchange {
     front::FrontRequest m_Request;
@@ -90,9 +89,11 @@
   void on(const core::gateway::CopyWanted &Effect);
   void on(const core::gateway::RelayNote &Effect);
 
-  void headCame(model::AttemptId Attempt, const curl::TransferHead &Head);
-  void pieceCame(model::AttemptId Attempt, std::string_view Piece);
-  void sendDone(model::AttemptId Attempt, const curl::TransferResult &Result);
+  void onHead(model::AttemptId Attempt,
+              const curl::TransferHead &Head) override;
+  void onPiece(model::AttemptId Attempt, std::string_view Piece) override;
+  void onDone(model::AttemptId Attempt,
+              const curl::TransferResult &Result) override;
   core::gateway::SendOutcome
   outcomeOf(const Send &Ended, const curl::TransferResult &Result) const;
   void passPiece(Send &From, Exchange &To, std::string_view Piece);
--- a/Source/Core/Adapters/ObjectApi/ObjectApiClient.cpp
+++ b/Source/Core/Adapters/ObjectApi/ObjectApiClient.cpp
@@ -1,5 +1,6 @@
 #include "Core/Adapters/ObjectApi/ObjectApiClient.h"
 
+#include "Core/Adapters/Curl/WholeAnswer.h"
 #include "Core/Adapters/ObjectApi/ObjectExchange.h"
 
 #include <memory>
@@ -57,25 +58,6 @@
   bool m_Answered = false;
 };
 
-class VmListListener : public curl::TransferListener {
-public:
-  explicit VmListListener(ports::EventSink &Sink) : m_Sink(Sink) {}
-
-  void onHead(const curl::TransferHead &) override {}
-  void onPiece(std::string_view Piece) override { m_Body.append(Piece); }
-  void onDone(const curl::TransferResult &Result) override {
-    if (!Result.m_Whole)
-      return;
-    std::optional<ports::VmListSeen> Seen = readVmList(m_Body);
-    if (Seen)
-      m_Sink.post(std::move(*Seen));
-  }
-
-private:
-  ports::EventSink &m_Sink;
-  std::string m_Body;
-};
-
 } // namespace
 
 ObjectApiClient::ObjectApiClient(net::EventLoop &Loop,
@@ -100,7 +82,14 @@
 void ObjectApiClient::refresh() {
   m_Loop.post([this] {
     m_Curl.start(makeVmListTransfer(m_Settings),
-                 std::make_shared<VmListListener>(m_Sink));
+                 std::make_shared<curl::WholeAnswer>(
+                     [&Sink = m_Sink](const curl::TransferResult &Result,
+                                      int /*Status*/, const std::string &Body) {
+                       std::optional<ports::VmListSeen> Seen =
+                           Result.m_Whole ? readVmList(Body) : std::nullopt;
+                       if (Seen)
+                         Sink.post(std::move(*Seen));
+                     }));
   });
 }
 
--- a/Source/Core/Adapters/Traffic/TrafficDriver.cpp
+++ b/Source/Core/Adapters/Traffic/TrafficDriver.cpp
@@ -1,6 +1,6 @@
 #include "Core/Adapters/Traffic/TrafficDriver.h"
 
-#include "Core/Adapters/Curl/CurlMulti.h"
+#include "Core/Adapters/Curl/AttemptListener.h"
 #include "Core/Adapters/Net/LoopThread.h"
 #include "Core/Adapters/Pistache/ErrorReply.h"
 #include "Core/Adapters/Traffic/Attempt.h"
@@ -13,7 +13,7 @@
 
 namespace bronzepass::core::adapters::traffic {
 
-class TrafficDriver::Impl {
+class TrafficDriver::Impl : private curl::AttemptEvents {
 public:
   Impl(TrafficOptions Options, std::unique_ptr<TrafficDecider> Decider,
        TrafficPorts Ports)
@@ -21,7 +21,7 @@
         m_Ports(Ports),
         m_Curl(m_Thread.loop(), m_Options.m_MaxIdleConnections) {}
 
-  ~Impl() { stop(); }
+  ~Impl() override { stop(); }
 
   void start() {
     scheduleTick();
@@ -43,27 +43,6 @@
   }
 
 private:
-  /// Hands one attempt's answer to the driver.
-  class Listener : public curl::TransferListener {
-  public:
-    Listener(Impl &Driver, model::AttemptId Attempt)
-        : m_Driver(Driver), m_Attempt(Attempt) {}
-
-    void onHead(const curl::TransferHead &Head) override {
-      m_Driver.onHead(m_Attempt, Head);
-    }
-    void onPiece(std::string_view Piece) override {
-      m_Driver.onPiece(m_Attempt, Piece);
-    }
-    void onDone(const curl::TransferResult &Result) override {
-      m_Driver.onDone(m_Attempt, Result);
-    }
-
-  private:
-    Impl &m_Driver;
-    model::AttemptId m_Attempt;
-  };
-
   void scheduleTick() {
     loop().runAfter(m_Options.m_TickPeriod, [this] {
       dispatch(routing::TrafficTick{});
@@ -130,7 +109,7 @@
 
   // What endpoints say.
 
-  void onHead(const model::AttemptId &Id, const curl::TransferHead &Head) {
+  void onHead(model::AttemptId Id, const curl::TransferHead &Head) override {
     Attempt *const Running = find(Id);
     if (Running == nullptr)
       return;
@@ -142,7 +121,7 @@
       dispatch(*Event);
   }
 
-  void onPiece(const model::AttemptId &Id, std::string_view Piece) {
+  void onPiece(model::AttemptId Id, std::string_view Piece) override {
     Attempt *const Running = find(Id);
     if (Running == nullptr) {
       m_Ports.m_Metrics.add(ports::Metric::StaleAnswersDropped, "", 1);
@@ -158,7 +137,8 @@
     dispatch(*Event);
   }
 
-  void onDone(const model::AttemptId &Id, const curl::TransferResult &Result) {
+  void onDone(model::AttemptId Id,
+              const curl::TransferResult &Result) override {
     Attempt *const Running = find(Id);
     if (Running == nullptr)
       return;
@@ -201,10 +181,11 @@
     const size_t Kept =
         Request->m_Request.m_IdempotencyKey ? m_Options.m_KeptAnswerBytes : 0;
     std::unique_ptr<Attempt> Added = std::make_unique<Attempt>(Start, Kept);
-    Added->m_Transfer =
-        m_Curl.start(attemptRequest(Start, *Request, m_Options.m_Node,
-                                    m_Ports.m_Clock.now()),
-                     std::make_shared<Listener>(*this, Start.m_Attempt));
+    Added->m_Transfer = m_Curl.start(
+        attemptRequest(Start, *Request, m_Options.m_Node,
+                       m_Ports.m_Clock.now()),
+        std::make_shared<curl::AttemptListener>(
+            static_cast<curl::AttemptEvents &>(*this), Start.m_Attempt));
     startTimer(*Added);
     m_Attempts[Start.m_Attempt] = std::move(Added);
     m_Ports.m_Metrics.add(ports::Metric::AttemptsStarted,
