Residency: A new holder asks for few reports at a time and does not pause for single engines

Reports now go out 8 at a time, those in doubt and those that callers wait for first.

The planner counts copies by failure domain once instead of for each candidate.

--- a/Source/Core/Residency/ResidencyCore.cpp
+++ b/Source/Core/Residency/ResidencyCore.cpp
@@ -34,13 +34,14 @@
 void ResidencyCore::setEndpoints(
     const std::vector<gateway::EndpointEntry> &Entries, model::TimePoint Now,
     ResidencyEffectList &Out) {
+  size_t Added = 0;
   for (auto &Known : m_Engines)
     Known.second.m_Listed = false;
   for (const gateway::EndpointEntry &Entry : Entries) {
     const auto Found = m_Engines.find(Entry.m_Id);
     if (Found == m_Engines.end()) {
       m_Engines.emplace(Entry.m_Id, Engine(Entry));
-      m_EngineAddedAt = Now;
+      ++Added;
       continue;
     }
     Engine &Known = Found->second;
@@ -57,6 +58,7 @@
     m_Reserved.erase(Known.first);
     return true;
   });
+  enginesAdded(Added, Now);
 }
 
 void ResidencyCore::setLease(const std::optional<model::HeldLease> &Lease,
@@ -66,6 +68,7 @@
   m_Lease = Lease;
   if (IsNew) {
     m_LeaseSince = Now;
+    m_HasSettled = false;
     m_Reserved.clear();
     for (auto &Each : m_Engines) {
       Each.second.m_Book.restart();
@@ -120,19 +123,28 @@
   return Engines;
 }
 
-bool ResidencyCore::isSettled(model::TimePoint Now) const {
+void ResidencyCore::enginesAdded(size_t Added, model::TimePoint Now) {
+  const double Share =
+      static_cast<double>(Added) / static_cast<double>(m_Engines.size());
+  if (Added > 0 && (!m_HasSettled || Share > m_Settings.m_PauseShare))
+    m_EngineAddedAt = Now;
+}
+
+bool ResidencyCore::isSettled(model::TimePoint Now) {
   // Engines register one after the other: a model that none of them is known to
   // hold may lie on the next one.
   if (Now < m_EngineAddedAt + m_Settings.m_SettleTime)
     return false;
   // One that does not report is not waited for.
-  if (Now >=
-      std::max(m_LeaseSince, m_EngineAddedAt) + 2 * m_Settings.m_SettleTime)
-    return true;
-  return std::all_of(m_Engines.begin(), m_Engines.end(), [&](const auto &Each) {
-    return Each.second.m_Book.isKnown() ||
-           !specOf(Each.second.m_Book.entry().m_Service);
-  });
+  if (!m_HasSettled)
+    m_HasSettled =
+        Now >= std::max(m_LeaseSince, m_EngineAddedAt) +
+                   2 * m_Settings.m_SettleTime ||
+        std::all_of(m_Engines.begin(), m_Engines.end(), [&](const auto &Each) {
+          return Each.second.m_Book.isKnown() ||
+                 !specOf(Each.second.m_Book.entry().m_Service);
+        });
+  return m_HasSettled;
 }
 
 void ResidencyCore::tick(model::TimePoint Now, ResidencyEffectList &Out) {
@@ -155,8 +167,22 @@
   tellAnnouncements(Now, Out);
 }
 
+/// Orders in doubt hold memory back; adapters that callers wait for can only be
+/// ordered from engines that are known.
+uint32_t ResidencyCore::reportRank(const EngineBook &Book) const {
+  if (Book.open())
+    return 0;
+  const bool IsWanted = std::any_of(
+      m_WantedService.begin(), m_WantedService.end(), [&](const auto &Each) {
+        return Book.holds({Each.first.m_Model, ""});
+      });
+  return IsWanted ? 1 : 2;
+}
+
 void ResidencyCore::askDueReports(model::TimePoint Now,
                                   ResidencyEffectList &Out) {
+  std::vector<DueReport> Due;
+  size_t UnderWay = 0;
   for (auto &Each : m_Engines) {
     Engine &Target = Each.second;
     Target.m_Book.expireLate(Now);
@@ -173,10 +199,21 @@
       Target.m_ReportAt = Now + (Runs ? m_Settings.m_RunningReportPeriod
                                       : m_Settings.m_ReportDelay);
     }
-    if (Target.m_ReportAsked || Now < *Target.m_ReportAt)
-      continue;
-    Target.m_ReportAsked = true;
-    Out.push_back(ReportAsk{Each.first, Target.m_Book.entry().m_Address});
+    if (Target.m_ReportAsked)
+      ++UnderWay;
+    else if (Now >= *Target.m_ReportAt)
+      Due.push_back({reportRank(Target.m_Book), &Target});
+  }
+  std::stable_sort(Due.begin(), Due.end(),
+                   [](const DueReport &Left, const DueReport &Right) {
+                     return Left.m_Rank < Right.m_Rank;
+                   });
+  for (const DueReport &Each : Due) {
+    if (UnderWay++ >= m_Settings.m_MostReports)
+      return;
+    const gateway::EndpointEntry &Entry = Each.m_Engine->m_Book.entry();
+    Each.m_Engine->m_ReportAsked = true;
+    Out.push_back(ReportAsk{Entry.m_Id, Entry.m_Address});
   }
 }
 
--- a/Source/Core/Residency/ResidencyCore.h
+++ b/Source/Core/Residency/ResidencyCore.h
@@ -62,6 +62,12 @@
     bool m_ReportAsked = false;
     std::map<std::string, model::TimePoint> m_LoadedAt;
   };
+  /// An engine that a report is due of.
+  struct DueReport {
+    /// Lower goes first.
+    uint32_t m_Rank = 0;
+    Engine *m_Engine = nullptr;
+  };
   struct Announcement {
     gateway::CopyNews m_News;
     model::TimePoint m_From;
@@ -69,9 +75,10 @@
     bool m_Told = false;
   };
 
+  uint32_t reportRank(const EngineBook &Book) const;
   const gateway::EngineSpec *specOf(const std::string &Service) const;
   std::vector<const EngineBook *> enginesOf(const std::string &Service) const;
-  bool isSettled(model::TimePoint Now) const;
+  bool isSettled(model::TimePoint Now);
   void serveWants(model::TimePoint Now, ResidencyEffectList &Out);
   void planService(const gateway::ServiceSpec &Service, model::TimePoint Now,
                    ResidencyEffectList &Out);
@@ -80,6 +87,8 @@
              model::TimePoint Now, ResidencyEffectList &Out);
   void sendAgain(Engine &Target, model::TimePoint Now,
                  ResidencyEffectList &Out);
+  /// A new engine makes the holder wait for those that may come with it.
+  void enginesAdded(size_t Added, model::TimePoint Now);
   void askDueReports(model::TimePoint Now, ResidencyEffectList &Out);
   void orderEnded(Engine &Target, const gateway::PlacementOrder &Order,
                   model::TimePoint Now, ResidencyEffectList &Out);
@@ -95,6 +104,8 @@
   model::TimePoint m_LeaseSince;
   /// When an engine last came into the list.
   model::TimePoint m_EngineAddedAt;
+  /// This term's holder has planned.
+  bool m_HasSettled = false;
   model::TimePoint m_PlanAt;
   DemandBook m_Demand;
   AdapterDesk m_Adapters;
--- a/Source/Core/Residency/ResidencyPlan.cpp
+++ b/Source/Core/Residency/ResidencyPlan.cpp
@@ -99,9 +99,11 @@
 
   void countCopies() {
     for (const EngineBook *const Engine : m_Inputs.m_Engines) {
-      for (const HeldModel &Each : Engine->models())
+      for (const HeldModel &Each : Engine->models()) {
+        ++m_DomainCopies[{Engine->entry().m_Domain, Each.m_Name}];
         if (!isLeaving(*Engine, Each.m_Name))
           ++m_Copies[Each.m_Name];
+      }
       const auto Reserved = m_Inputs.m_Reserved.find(Engine->entry().m_Id);
       const std::optional<OpenOrder> &Open = Engine->open();
       if (Open && Open->m_Order.m_Verb == OrderVerb::Load &&
@@ -190,12 +192,8 @@
   }
 
   double sameDomain(const EngineBook &Engine, const std::string &Model) const {
-    double Count = 0;
-    for (const EngineBook *const Each : m_Inputs.m_Engines)
-      if (Each->entry().m_Domain == Engine.entry().m_Domain &&
-          Each->holds({Model, ""}))
-        ++Count;
-    return Count;
+    const auto Found = m_DomainCopies.find({Engine.entry().m_Domain, Model});
+    return Found == m_DomainCopies.end() ? 0 : Found->second;
   }
 
   double score(const EngineBook &Engine, const std::string &Model,
@@ -268,6 +266,7 @@
   const PlanInputs &m_Inputs;
   const EngineSpec &m_Spec;
   std::map<std::string, double> m_Copies;
+  std::map<std::pair<model::DomainId, std::string>, double> m_DomainCopies;
   double m_DemandSum = 0;
   double m_Spare = 0;
   int64_t m_AdapterMb = 0;
--- a/Source/Core/Residency/ResidencyTypes.h
+++ b/Source/Core/Residency/ResidencyTypes.h
@@ -28,10 +28,16 @@
   model::Duration m_ReportRepeat = std::chrono::milliseconds(700);
   /// Of an engine whose order runs; reports have a price, entries have none.
   model::Duration m_RunningReportPeriod = std::chrono::milliseconds(1800);
+  /// Asked for at a time: each takes a connection, and the holder's own
+  /// requests are not to wait. At one answer a turn of 20 ms some 400 a second.
+  uint32_t m_MostReports = 8;
   /// A new lease holder plans once no engine has been added for this long and
   /// every engine has reported, or after twice this. Above the period at which
   /// engines renew their entries.
   model::Duration m_SettleTime = std::chrono::milliseconds(1500);
+  /// Once it plans, it pauses for engines that come only where more than this
+  /// part of all come together, as after an outage: single ones come all day.
+  double m_PauseShare = 0.1;
   /// An adapter's load takes some milliseconds after it was accepted.
   model::Duration m_AdapterLoadTime = std::chrono::milliseconds(12);
   /// A request for an adapter is dropped after this; its caller was refused.
