--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -33,7 +33,7 @@
 void GatewayLog::flush() { m_Logger->flush(); }
 
 void GatewayLog::write(const char *Category, const std::string &Action,
-                       std::initializer_list<LogField> Fields) {
+                       const std::vector<LogField> &Fields) {
   nlohmann::ordered_json Line = {
       {"node", m_Node}, {"category", Category}, {"action", Action}};
   for (const LogField &Each : Fields) {
@@ -53,15 +53,30 @@
 }
 
 void GatewayLog::write(const core::gateway::RelayNote &Note) {
-  write("request", Note.m_Action,
-        {{"request", Note.m_CallerRequestId},
-         {"route", Note.m_Route},
-         {"endpoint", Note.m_Endpoint},
-         {"status", Note.m_Status},
-         {"sends", Note.m_Sends},
-         {"elapsed_ms", Note.m_Elapsed.count() / MicrosPerMilli},
-         {"config", static_cast<int64_t>(Note.m_ConfigVersion)},
-         {"reason", Note.m_Reason}});
+  std::vector<LogField> Fields = {
+      {"request", Note.m_CallerRequestId},
+      {"kind", Note.m_Kind},
+      {"route", Note.m_Route},
+      {"artifact", Note.m_Use.m_Adapter.empty()
+                       ? Note.m_Use.m_Model
+                       : Note.m_Use.m_Model + "/" + Note.m_Use.m_Adapter},
+      {"endpoint", Note.m_Endpoint},
+      {"status", Note.m_Status},
+      {"sends", Note.m_Sends},
+      {"elapsed_ms", Note.m_Elapsed.count() / MicrosPerMilli},
+      {"config", static_cast<int64_t>(Note.m_ConfigVersion)},
+      {"reason", Note.m_Reason}};
+  if (Note.m_Inputs)
+    for (const LogField &Each : std::initializer_list<LogField>{
+             {"candidates", Note.m_Inputs->m_Candidates},
+             {"own_load", Note.m_Inputs->m_OwnLoad},
+             {"peer_load", Note.m_Inputs->m_PeerLoad},
+             {"peer_age_ms", Note.m_Inputs->m_PeerAge.count() / MicrosPerMilli},
+             {"wait_ms", Note.m_Inputs->m_Wait.count() / MicrosPerMilli},
+             {"missing_tokens", Note.m_Inputs->m_MissingTokens},
+             {"tokens_ahead", Note.m_Inputs->m_TokensAhead}})
+      Fields.push_back(Each);
+  write("request", Note.m_Action, Fields);
 }
 
 void GatewayLog::write(const residency::ResidencyNote &Note) {
--- a/Source/Core/Adapters/Gateway/GatewayLog.h
+++ b/Source/Core/Adapters/Gateway/GatewayLog.h
@@ -7,11 +7,11 @@
 
 #include <atomic>
 #include <cstdint>
-#include <initializer_list>
 #include <memory>
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace spdlog {
 class logger;
@@ -38,7 +38,7 @@
   /// \p Category: "request", "placement", "config", "endpoint", "dependency",
   /// "process". Empty texts are left out.
   void write(const char *Category, const std::string &Action,
-             std::initializer_list<LogField> Fields);
+             const std::vector<LogField> &Fields);
   void write(const core::gateway::RelayNote &Note);
   void write(const residency::ResidencyNote &Note);
   /// One line for each finding in what the store or an engine told of \p Name.
--- a/Source/Core/Cli/AllCommands.cpp
+++ b/Source/Core/Cli/AllCommands.cpp
@@ -6,6 +6,7 @@
 #include "Core/Cli/ExplainCommand.h"
 #include "Core/Cli/GatewayCommand.h"
 #include "Core/Cli/GetCommand.h"
+#include "Core/Cli/LogsCommand.h"
 #include "Core/Cli/MovesCommand.h"
 #include "Core/Cli/RetireCommand.h"
 #include "Core/Cli/ServeCommand.h"
@@ -26,6 +27,7 @@
   Commands.push_back(std::make_unique<RetireCommand>());
   Commands.push_back(std::make_unique<StatusCommand>());
   Commands.push_back(std::make_unique<ExplainCommand>());
+  Commands.push_back(std::make_unique<LogsCommand>());
   Commands.push_back(std::make_unique<MovesCommand>());
   Commands.push_back(std::make_unique<VersionCommand>());
   return Commands;
--- a/Source/Core/Cli/Command.h
+++ b/Source/Core/Cli/Command.h
@@ -6,6 +6,7 @@
 #include <boost/program_options.hpp>
 #include <iosfwd>
 #include <string>
+#include <vector>
 
 namespace bronzepass::core::cli {
 
@@ -19,6 +20,8 @@
   bool wantsJson() const;
   /// The text given for \p Name, or empty.
   std::string text(const std::string &Name) const;
+  /// All texts given for \p Name.
+  std::vector<std::string> texts(const std::string &Name) const;
 };
 
 /// One subcommand.
@@ -30,6 +33,8 @@
   virtual std::string summary() const = 0;
   /// Name of the argument that needs no option, or empty; it is an option too.
   virtual std::string argument() const { return {}; }
+  /// How often that argument may stand; -1: as often as wanted.
+  virtual int argumentCount() const { return 1; }
   virtual void
   addOptions(boost::program_options::options_description &Options) const = 0;
   virtual ExitCode run(const CommandContext &Context) const = 0;
--- a/Source/Core/Cli/CommandLine.cpp
+++ b/Source/Core/Cli/CommandLine.cpp
@@ -35,6 +35,12 @@
   return m_Options[Name].as<std::string>();
 }
 
+std::vector<std::string> CommandContext::texts(const std::string &Name) const {
+  if (m_Options.count(Name) == 0)
+    return {};
+  return m_Options[Name].as<std::vector<std::string>>();
+}
+
 CommandLine::CommandLine(std::vector<std::unique_ptr<Command>> Commands)
     : m_Commands(std::move(Commands)) {}
 
@@ -85,7 +91,7 @@
   Which.addOptions(Options);
   po::positional_options_description Positional;
   if (!Which.argument().empty())
-    Positional.add(Which.argument().c_str(), 1);
+    Positional.add(Which.argument().c_str(), Which.argumentCount());
 
   po::variables_map Values;
   // Boost reports faults of the command line by exceptions alone.
--- a/Source/Core/Cli/ExplainCommand.cpp
+++ b/Source/Core/Cli/ExplainCommand.cpp
@@ -1,8 +1,11 @@
 #include "Core/Cli/ExplainCommand.h"
 
+#include "Core/Cli/LogFiles.h"
 #include "Core/Cli/NodePage.h"
 #include "Core/Cli/Table.h"
+#include "Core/Logs/RequestStory.h"
 
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <ostream>
 
@@ -44,18 +47,88 @@
   printDecisions(Version["decisions"], Out);
 }
 
+std::string offsetText(int64_t Millis) {
+  return (Millis < 0 ? "-" : "+") + std::to_string(std::abs(Millis)) + " ms";
+}
+
+void printStory(const logs::RequestStory &Story, std::ostream &Out) {
+  Table Steps({"After", "Node", "Line", "Fields"});
+  for (const logs::StoryStep &Each : Story.m_Steps)
+    Steps.add({offsetText(Each.m_OffsetMs), Each.m_Line.m_Node,
+               std::string(Each.m_IsOwn ? "* " : "  ") +
+                   Each.m_Line.m_Category + " " + Each.m_Line.m_Action,
+               fieldsText(Each.m_Line, {"request"})});
+  Steps.print(Out, false);
+  Out << "\nOutcome: "
+      << (Story.m_Outcome.empty() ? "none in these lines" : Story.m_Outcome)
+      << (Story.m_Status.empty() ? "" : " " + Story.m_Status) << "\n";
+  for (const std::string &Each : Story.m_Causes)
+    Out << "Cause: " << Each << "\n";
+}
+
+void printStoryJson(const logs::RequestStory &Story, const std::string &Request,
+                    std::ostream &Out) {
+  ordered_json Steps = ordered_json::array();
+  for (const logs::StoryStep &Each : Story.m_Steps)
+    Steps.push_back({{"after_ms", Each.m_OffsetMs},
+                     {"own", Each.m_IsOwn},
+                     {"time", timeText(Each.m_Line.m_TimeMs)},
+                     {"node", Each.m_Line.m_Node},
+                     {"category", Each.m_Line.m_Category},
+                     {"action", Each.m_Line.m_Action},
+                     {"fields", Each.m_Line.m_Fields}});
+  const ordered_json Page = {{"request", Request},
+                             {"outcome", Story.m_Outcome},
+                             {"status", Story.m_Status},
+                             {"causes", Story.m_Causes},
+                             {"lines", std::move(Steps)}};
+  Out << Page.dump(2, ' ', false, ordered_json::error_handler_t::replace)
+      << "\n";
+}
+
+ExitCode explainFromLogs(const CommandContext &Context,
+                         const std::vector<std::string> &Logs,
+                         const std::string &Request) {
+  if (Request.empty()) {
+    Context.m_Err << "bronzepass explain: name a request's id beside --logs\n";
+    return ExitCode::Usage;
+  }
+  const std::optional<adapters::json::LogReading> Reading =
+      readLogs(Context, "explain", Logs);
+  if (!Reading)
+    return ExitCode::Failed;
+  const logs::RequestStory Story =
+      logs::explainRequest(Reading->m_Lines, Request);
+  if (Story.m_Steps.empty()) {
+    Context.m_Err << "bronzepass explain: no line names request " << Request
+                  << "; its node's log may not be among these\n";
+    return ExitCode::Failed;
+  }
+  if (Context.wantsJson())
+    printStoryJson(Story, Request, Context.m_Out);
+  else
+    printStory(Story, Context.m_Out);
+  return ExitCode::Ok;
+}
+
 } // namespace
 
 void ExplainCommand::addOptions(po::options_description &Options) const {
-  Options.add_options()("model", po::value<std::string>(), "name of the model")(
+  Options.add_options()("subject", po::value<std::string>(),
+                        "name of a model; with --logs, a caller's request id")(
+      "logs", po::value<std::vector<std::string>>()->composing(),
+      "log of a gateway node, - for standard input; may stand more than once")(
       "request", po::value<std::string>(),
       "number of a request, as its decision line gives it");
   addNodeOptions(Options);
 }
 
 ExitCode ExplainCommand::run(const CommandContext &Context) const {
-  const std::string Model = Context.text("model");
+  const std::string Model = Context.text("subject");
   const std::string Request = Context.text("request");
+  const std::vector<std::string> Logs = Context.texts("logs");
+  if (!Logs.empty())
+    return explainFromLogs(Context, Logs, Model);
   if (Model.empty() == Request.empty()) {
     Context.m_Err << "bronzepass explain: name a model or --request\n";
     return ExitCode::Usage;
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -111,6 +111,7 @@
                                  Endpoint->m_Entry.m_Id) != Value.m_Tried.end();
     if (Tried)
       continue;
+    ++Best.m_Candidates;
     double WaitMs = 0;
     const double Cost = costOf(Value, Service->second, *Endpoint, WaitMs);
     if (Cost >= BestCost && !BestTried)
@@ -123,8 +124,27 @@
   return Best;
 }
 
+ChoiceInputs RelayCore::inputsOf(const Live &Value,
+                                 const Choice &Chosen) const {
+  const EndpointView &Endpoint = *Chosen.m_Endpoint;
+  ChoiceInputs Inputs;
+  Inputs.m_Candidates = Chosen.m_Candidates;
+  Inputs.m_OwnLoad = Endpoint.m_InFlight;
+  Inputs.m_PeerLoad = Endpoint.m_PeersInFlight;
+  for (const auto &Peer : m_Peers)
+    Inputs.m_PeerAge = std::max(Inputs.m_PeerAge, m_Now - Peer.second.m_At);
+  Inputs.m_Wait =
+      model::Duration(static_cast<int64_t>(Chosen.m_WaitMs / MillisPerMicro));
+  Inputs.m_MissingTokens = missingTokens(Value, Endpoint);
+  Inputs.m_TokensAhead = Endpoint.prefillTokens();
+  return Inputs;
+}
+
 void RelayCore::place(Live &Value, RelayEffectList &Out) {
   const Choice Chosen = choose(Value);
+  Value.m_Inputs.reset();
+  if (Chosen.m_Endpoint)
+    Value.m_Inputs = inputsOf(Value, Chosen);
   const model::Duration Left = Value.m_Deadline - m_Now;
   if (Chosen.m_Endpoint) {
     const double LeftMs = static_cast<double>(Left.count()) * MillisPerMicro;
@@ -137,11 +157,10 @@
       finishAfter(Value, {SendEnd::Broken, 0, false, Value.m_LastDetail}, Out);
       return;
     }
-    const model::Duration Wait(
-        static_cast<int64_t>(Chosen.m_WaitMs / MillisPerMicro));
-    refuse(Value, ServiceUnavailable,
-           std::max(LeastRetryAfter, std::min(Wait, Left / 3)),
-           "every endpoint that could run it is full", Out);
+    refuse(
+        Value, ServiceUnavailable,
+        std::max(LeastRetryAfter, std::min(Value.m_Inputs->m_Wait, Left / 3)),
+        "every endpoint that could run it is full", Out);
     return;
   }
   if (Value.m_CallerAnswered) {
@@ -226,6 +245,7 @@
   for (const uint64_t Hash : Value.m_PromptHashes)
     m_Prefixes.add(Hash, Endpoint.m_Tag);
   note(Value, First ? "send" : "retry", 0, Value.m_LastDetail, Out);
+  Value.m_Inputs.reset();
   Out.push_back(SendRequest{.m_Request = Value.m_Request.m_Number,
                             .m_Attempt = Value.m_Attempt,
                             .m_Endpoint = Endpoint.m_Entry.m_Id,
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -300,12 +300,14 @@
       .m_Action = Action,
       .m_Kind = Value.m_Route ? kindOf(*Value.m_Route) : "",
       .m_Route = Value.m_Route ? Value.m_Route->m_Name : std::string(),
+      .m_Use = Value.m_Request.m_Use,
       .m_Endpoint = Value.m_Endpoint.str(),
       .m_ConfigVersion = Value.m_Table ? Value.m_Table->config().m_Version : 0,
       .m_Status = Status,
       .m_Sends = Value.m_Sends,
       .m_Elapsed = m_Now - Value.m_Request.m_BeganAt,
-      .m_Reason = Reason});
+      .m_Reason = Reason,
+      .m_Inputs = Value.m_Inputs});
 }
 
 EndpointView *RelayCore::view(const model::EndpointId &Endpoint) {
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -111,6 +111,8 @@
     /// Set while it waits for a copy.
     std::optional<model::TimePoint> m_WaitsUntil;
     std::string m_LastDetail;
+    /// Of the decision under way; for its line in the log.
+    std::optional<ChoiceInputs> m_Inputs;
     /// The last whole failure that an endpoint answered is kept by the adapter.
     bool m_HasFailure = false;
   };
@@ -135,6 +137,8 @@
     EndpointView *m_Endpoint = nullptr;
     /// Predicted wait for a slot, ms.
     double m_WaitMs = 0;
+    /// Endpoints that hold what is asked for and may be used.
+    uint32_t m_Candidates = 0;
     /// Some listed endpoint holds what is asked for, used or not.
     bool m_CopyExists = false;
   };
@@ -156,6 +160,7 @@
   Choice choose(const Live &Value) const;
   double costOf(const Live &Value, const ServiceView &Service,
                 const EndpointView &Endpoint, double &WaitMs) const;
+  ChoiceInputs inputsOf(const Live &Value, const Choice &Chosen) const;
   void place(Live &Value, RelayEffectList &Out);
   void send(Live &Value, EndpointView &Endpoint, RelayEffectList &Out);
   uint32_t missingTokens(const Live &Value, const EndpointView &Endpoint) const;
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -137,6 +137,25 @@
   friend auto operator<=>(const CopyWanted &, const CopyWanted &) = default;
 };
 
+/// What a choice of an endpoint was made from.
+struct ChoiceInputs {
+  /// Endpoints that hold what is asked for and may be used.
+  uint32_t m_Candidates = 0;
+  /// Requests under way at the chosen one: this node's own, and the others' as
+  /// they told last.
+  uint32_t m_OwnLoad = 0;
+  uint32_t m_PeerLoad = 0;
+  /// Age of the oldest notice that counts; zero without peers.
+  model::Duration m_PeerAge{0};
+  /// Predicted wait for a slot.
+  model::Duration m_Wait{0};
+  /// Prompt tokens that it is taken to read, and those that wait there.
+  uint32_t m_MissingTokens = 0;
+  uint32_t m_TokensAhead = 0;
+
+  friend auto operator<=>(const ChoiceInputs &, const ChoiceInputs &) = default;
+};
+
 /// One line for the log about a request.
 struct RelayNote {
   model::RequestId m_Request;
@@ -146,6 +165,7 @@
   /// "once", "repeatable" or "stream"; empty where no route fits.
   std::string m_Kind;
   std::string m_Route;
+  ModelUse m_Use;
   std::string m_Endpoint;
   uint64_t m_ConfigVersion = 0;
   int m_Status = 0;
@@ -153,6 +173,8 @@
   /// Since the request began.
   model::Duration m_Elapsed{0};
   std::string m_Reason;
+  /// Of "send" and "retry", and of a refusal for lack of a slot.
+  std::optional<ChoiceInputs> m_Inputs;
 
   friend auto operator<=>(const RelayNote &, const RelayNote &) = default;
 };
--- a/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
@@ -4,6 +4,9 @@
 #include <chrono>
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <fstream>
+#include <functional>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -92,4 +95,84 @@
   CHECK(Text.find("lines_dropped") != std::string::npos);
 }
 
+namespace {
+
+/// The line that \p Write writes, without its time.
+nlohmann::ordered_json written(const std::function<void(GatewayLog &)> &Write) {
+  StdoutPipe Pipe;
+  {
+    GatewayLog Log("n1");
+    Write(Log);
+    Log.flush();
+  }
+  const std::string Text = Pipe.readUntil("\n");
+  Pipe.restore();
+  nlohmann::ordered_json Line =
+      nlohmann::ordered_json::parse(Text.substr(0, Text.find('\n')));
+  Line.erase("time");
+  return Line;
+}
+
+core::gateway::RelayNote sendNote() {
+  core::gateway::RelayNote Note;
+  Note.m_CallerRequestId = "9c41d07be2a35f68";
+  Note.m_Action = "send";
+  Note.m_Kind = "stream";
+  Note.m_Route = "r-1";
+  Note.m_Use = {"m1", "a3"};
+  Note.m_Endpoint = "e1";
+  Note.m_ConfigVersion = 4;
+  Note.m_Sends = 1;
+  Note.m_Elapsed = std::chrono::milliseconds(12);
+  Note.m_Inputs = core::gateway::ChoiceInputs{
+      3,   2, 5, std::chrono::milliseconds(180), std::chrono::milliseconds(7),
+      120, 40};
+  return Note;
+}
+
+} // namespace
+
+TEST_CASE("a line of each kind looks as it always did") {
+  CHECK(written([](GatewayLog &Log) { Log.write(sendNote()); }).dump() ==
+        R"({"node":"n1","category":"request","action":"send",)"
+        R"("request":"9c41d07be2a35f68","kind":"stream","route":"r-1",)"
+        R"("artifact":"m1/a3","endpoint":"e1","status":0,"sends":1,)"
+        R"("elapsed_ms":12,"config":4,"candidates":3,"own_load":2,)"
+        R"("peer_load":5,"peer_age_ms":180,"wait_ms":7,"missing_tokens":120,)"
+        R"("tokens_ahead":40})");
+  CHECK(written([](GatewayLog &Log) {
+          Log.write(residency::ResidencyNote{"load", "e1", "m1", 7, 2,
+                                             "m1 has 0 copies"});
+        }).dump() == R"({"node":"n1","category":"placement","action":"load",)"
+                     R"("endpoint":"e1","artifact":"m1","token":7,"count":2,)"
+                     R"("reason":"m1 has 0 copies"})");
+  CHECK(written([](GatewayLog &Log) {
+          Log.write("dependency", "lost",
+                    {{"dependency", std::string("store/config")},
+                     {"reason", std::string("no answer")}});
+        }).dump() == R"({"node":"n1","category":"dependency","action":"lost",)"
+                     R"("dependency":"store/config","reason":"no answer"})");
+}
+
+TEST_CASE("every field of a request's and an order's line is documented") {
+  std::ifstream File(std::string(BRONZEPASS_DOCS) + "/LOGS.md");
+  REQUIRE(File);
+  const std::string Documented((std::istreambuf_iterator<char>(File)),
+                               std::istreambuf_iterator<char>());
+  const nlohmann::ordered_json Lines = {
+      written([](GatewayLog &Log) {
+        core::gateway::RelayNote Note = sendNote();
+        Note.m_Reason = "why";
+        Log.write(Note);
+      }),
+      written([](GatewayLog &Log) {
+        Log.write(residency::ResidencyNote{"load", "e1", "m1", 7, 2, "why"});
+      })};
+  for (const nlohmann::ordered_json &Line : Lines)
+    for (const auto &Field : Line.items()) {
+      INFO(Field.key());
+      CHECK(Documented.find("`" + Field.key() + "`") != std::string::npos);
+    }
+}
+
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/UnitTests/Cli/CommandLineTest.cpp
+++ b/Source/UnitTests/Cli/CommandLineTest.cpp
@@ -1,6 +1,8 @@
 #include "Core/Cli/CommandLine.h"
 
+#include <cstdio>
 #include <doctest/doctest.h>
+#include <fstream>
 #include <sstream>
 
 namespace bronzepass::unit_tests::cli {
@@ -50,4 +52,44 @@
   CHECK(run({"check", "Examples/nile/intent.yaml"}).m_Code == ExitCode::Ok);
 }
 
+TEST_CASE("a request is followed through logs, and logs are summed up") {
+  const std::string Path = "command-line-test.log";
+  {
+    std::ofstream File(Path);
+    File << R"({"time":"2026-01-01T00:00:01.000+00:00","node":"n1",)"
+            R"("category":"config","action":"in_force","config":4})"
+            "\n"
+            R"({"time":"2026-01-01T00:00:02.000+00:00","node":"n1",)"
+            R"("category":"request","action":"refuse","request":"r1",)"
+            R"("kind":"once","status":503,"reason":"no endpoint can take it"})"
+            "\nhalf a li\n";
+  }
+  const Outcome Told = run({"explain", "--logs", Path, "r1"});
+  CHECK(Told.m_Code == ExitCode::Ok);
+  CHECK(Told.m_Out.find("Outcome: refuse 503\n"
+                        "Cause: no endpoint can take it\n") !=
+        std::string::npos);
+  CHECK(Told.m_Out.find("-1000 ms  n1      config in_force") !=
+        std::string::npos);
+  const Outcome Json =
+      run({"explain", "--logs", Path, "r1", "--output", "json"});
+  CHECK(Json.m_Out.find(R"("outcome": "refuse")") != std::string::npos);
+  CHECK(run({"explain", "--logs", Path, "r2"}).m_Err ==
+        "bronzepass explain: no line names request r2; its node's log may not "
+        "be among these\n");
+  CHECK(run({"explain", "--logs", Path}).m_Code == ExitCode::Usage);
+  const Outcome Sum = run({"logs", Path, Path});
+  CHECK(Sum.m_Code == ExitCode::Ok);
+  CHECK(Sum.m_Out.find("4 lines from 00:00:01.000 to 00:00:02.000 (1 s), 0 "
+                       "left out by the nodes, 2 unreadable") !=
+        std::string::npos);
+  CHECK(run({"logs", Path, "--output", "json"})
+            .m_Out.find(R"("reason": "no endpoint can take it")") !=
+        std::string::npos);
+  CHECK(run({"logs", "no-such.log"}).m_Err ==
+        "bronzepass logs: no-such.log can't be opened\n");
+  CHECK(run({"logs"}).m_Code == ExitCode::Usage);
+  std::remove(Path.c_str());
+}
+
 } // namespace bronzepass::unit_tests::cli
