--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -76,6 +76,14 @@
              {"missing_tokens", Note.m_Inputs->m_MissingTokens},
              {"tokens_ahead", Note.m_Inputs->m_TokensAhead}})
       Fields.push_back(Each);
+  if (Note.m_Pace)
+    for (const LogField &Each : std::initializer_list<LogField>{
+             {"first_ms", Note.m_Pace->m_First.count() / MicrosPerMilli},
+             {"longest_pause_ms",
+              Note.m_Pace->m_LongestPause.count() / MicrosPerMilli},
+             {"pause_end_ms",
+              Note.m_Pace->m_PauseEnd.count() / MicrosPerMilli}})
+      Fields.push_back(Each);
   write("request", Note.m_Action, Fields);
 }
 
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -307,7 +307,7 @@
   if (Found == m_Sends.end())
     return;
   Send &From = Found->second;
-  m_Core.answerBegan(Attempt, m_Clock.now());
+  m_Core.pieceCame(Attempt, m_Clock.now());
   const auto To = m_Exchanges.find(From.m_Request);
   if (To == m_Exchanges.end())
     return; // The caller is gone; the endpoint is let end its work.
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -307,7 +307,9 @@
       .m_Sends = Value.m_Sends,
       .m_Elapsed = m_Now - Value.m_Request.m_BeganAt,
       .m_Reason = Reason,
-      .m_Inputs = Value.m_Inputs});
+      .m_Inputs = Value.m_Inputs,
+      .m_Pace =
+          Value.m_BeganSeen ? std::optional(Value.m_Pace) : std::nullopt});
 }
 
 EndpointView *RelayCore::view(const model::EndpointId &Endpoint) {
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -67,8 +67,8 @@
                       RelayEffectList &Out);
   void callerGone(model::RequestId Request, model::TimePoint Now,
                   RelayEffectList &Out);
-  /// The first piece of a send's answer has come.
-  void answerBegan(model::AttemptId Attempt, model::TimePoint Now);
+  /// A piece of a send's answer has come.
+  void pieceCame(model::AttemptId Attempt, model::TimePoint Now);
   /// The answer's head, or a part of it, has been passed on to the caller.
   void callerAnswered(model::RequestId Request);
   void sendEnded(model::AttemptId Attempt, const SendOutcome &Outcome,
@@ -98,6 +98,8 @@
     model::EndpointId m_Endpoint;
     model::TimePoint m_SentAt;
     bool m_BeganSeen = false;
+    AnswerPace m_Pace;
+    model::TimePoint m_LastPieceAt;
     /// Prompt tokens that the endpoint is taken to read for it, until its
     /// answer begins; and with all that waited there when it was sent.
     uint32_t m_PrefillTokens = 0;
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -3,6 +3,7 @@
 #include "Core/Routing/Seconds.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bronzepass::core::gateway {
 
@@ -27,15 +28,24 @@
 
 } // namespace
 
-void RelayCore::answerBegan(model::AttemptId Attempt, model::TimePoint Now) {
+void RelayCore::pieceCame(model::AttemptId Attempt, model::TimePoint Now) {
   const auto Found = m_Attempts.find(Attempt);
   if (Found == m_Attempts.end())
     return;
   Live &Value = m_Live.at(Found->second);
   EndpointView *const Endpoint = view(Value.m_Endpoint);
-  if (Value.m_BeganSeen || !Endpoint)
+  if (!Endpoint)
     return;
+  const model::TimePoint Before = std::exchange(Value.m_LastPieceAt, Now);
+  if (Value.m_BeganSeen) {
+    if (Now - Before > Value.m_Pace.m_LongestPause) {
+      Value.m_Pace.m_LongestPause = Now - Before;
+      Value.m_Pace.m_PauseEnd = Now - Value.m_Request.m_BeganAt;
+    }
+    return;
+  }
   Value.m_BeganSeen = true;
+  Value.m_Pace.m_First = Now - Value.m_SentAt;
   const double Millis =
       std::max(0.1, static_cast<double>((Now - Value.m_SentAt).count()) /
                         MicrosPerMilli);
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -156,6 +156,17 @@
   friend auto operator<=>(const ChoiceInputs &, const ChoiceInputs &) = default;
 };
 
+/// How an answer's pieces came.
+struct AnswerPace {
+  /// From the send to the first piece.
+  model::Duration m_First{0};
+  /// The longest pause between two pieces, and its end since the request began.
+  model::Duration m_LongestPause{0};
+  model::Duration m_PauseEnd{0};
+
+  friend auto operator<=>(const AnswerPace &, const AnswerPace &) = default;
+};
+
 /// One line for the log about a request.
 struct RelayNote {
   model::RequestId m_Request;
@@ -175,6 +186,8 @@
   std::string m_Reason;
   /// Of "send" and "retry", and of a refusal for lack of a slot.
   std::optional<ChoiceInputs> m_Inputs;
+  /// Of an end, where pieces had come.
+  std::optional<AnswerPace> m_Pace;
 
   friend auto operator<=>(const RelayNote &, const RelayNote &) = default;
 };
--- a/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
@@ -163,6 +163,7 @@
       written([](GatewayLog &Log) {
         core::gateway::RelayNote Note = sendNote();
         Note.m_Reason = "why";
+        Note.m_Pace = core::gateway::AnswerPace();
         Log.write(Note);
       }),
       written([](GatewayLog &Log) {
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -261,7 +261,7 @@
     Relay.ask("/once/");
     const SendRequest Sent = Relay.take<SendRequest>()[0];
     Relay.pass(Sent.m_Endpoint == Slow ? 400ms : 10ms);
-    Relay.m_Core.answerBegan(Sent.m_Attempt, Relay.m_Now);
+    Relay.m_Core.pieceCame(Sent.m_Attempt, Relay.m_Now);
     Relay.end(Sent.m_Attempt, SendEnd::Whole);
   }
   // Of two at a time, none goes to it even beside one that is at work.
@@ -280,6 +280,22 @@
   CHECK(AskTwo() == 1);
 }
 
+TEST_CASE("the end of a stream tells its first piece and its longest pause") {
+  RelayFixture Relay;
+  Relay.start({"a"});
+  Relay.ask("/stream/");
+  const SendRequest Sent = Relay.take<SendRequest>()[0];
+  for (const model::Duration Pause : {30ms, 40ms, 300ms, 50ms}) {
+    Relay.pass(Pause);
+    Relay.m_Core.pieceCame(Sent.m_Attempt, Relay.m_Now);
+  }
+  Relay.take<gateway::RelayNote>();
+  Relay.end(Sent.m_Attempt, SendEnd::Whole);
+  const gateway::RelayNote Note = Relay.take<gateway::RelayNote>()[0];
+  REQUIRE(Note.m_Pace);
+  CHECK(*Note.m_Pace == gateway::AnswerPace{30ms, 300ms, 370ms});
+}
+
 TEST_CASE("an endpoint gets no more connections than it accepts from all "
           "nodes") {
   RelayFixture Relay;
