--- a/Source/UnitTests/Gateway/RelayPropertyTest.cpp
+++ b/Source/UnitTests/Gateway/RelayPropertyTest.cpp
@@ -93,7 +93,7 @@
         Request.m_Path == "/stream/" || Request.m_Path == "/resume/";
     if (Stream && m_Random() % 2 == 0) {
       // Its first events have come, then it ends one way or the other.
-      m_Relay.m_Core.answerBegan(Send.m_Attempt, m_Relay.m_Now);
+      m_Relay.m_Core.pieceCame(Send.m_Attempt, m_Relay.m_Now);
       if (!Request.m_Gone) {
         m_Relay.m_Core.callerAnswered(Send.m_Request);
         Request.m_Begun = true;
