Gateway: A prompt that would make running streams late costs each of them

The choice counted the wait, not the streams. Ruled out: our own processor time (0.016 of 0.25 cores), crossed zones, preemption (none).

UnitTests: a test's pipe no longer takes what the runner wrote before it.

--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -1,3 +1,4 @@
+#include "Core/Gateway/PromptHoldUp.h"
 #include "Core/Gateway/RelayCore.h"
 
 #include <algorithm>
@@ -17,12 +18,6 @@
 constexpr double FullBatchMs = 150;
 /// The same for a plain service, whose calls do not share a batch.
 constexpr double FullServiceMs = 20;
-/// A batch stands still while a prompt is read: what each millisecond of it
-/// costs, for each request that runs there.
-constexpr double HoldUpShare = 0.15;
-/// Prompts that wait to be read follow each other without a pause: what each
-/// millisecond of them beyond ServiceView::m_LongPrefillMs costs.
-constexpr double LongPrefillWeight = 2;
 /// Another failure domain: its way there and back, and the bytes' price.
 constexpr double OtherDomainMs = 6;
 /// An endpoint that fails every answer.
@@ -65,13 +60,13 @@
           Endpoint.failureShareAt(m_Now, m_Settings.m_FailureHalfLife);
   if (Endpoint.m_Entry.m_Domain != m_Settings.m_Domain)
     Cost += OtherDomainMs;
-  const double OwnMs =
-      Service.m_PrefillMsPerToken * missingTokens(Value, Endpoint) * Slowness;
-  const double AheadMs =
-      Service.m_PrefillMsPerToken * Endpoint.prefillTokens() * Slowness;
-  Cost += AheadMs + OwnMs * (1 + HoldUpShare * Load);
-  return Cost + LongPrefillWeight *
-                    std::max(0.0, AheadMs + OwnMs - Service.m_LongPrefillMs);
+  return Cost +
+         promptHoldUpMs({.m_OwnMs = Service.m_PrefillMsPerToken *
+                                    missingTokens(Value, Endpoint) * Slowness,
+                         .m_AheadMs = Service.m_PrefillMsPerToken *
+                                      Endpoint.prefillTokens() * Slowness,
+                         .m_Running = Load,
+                         .m_LongMs = Service.m_LongPrefillMs});
 }
 
 uint32_t RelayCore::missingTokens(const Live &Value,
--- a/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
@@ -2,10 +2,12 @@
 
 #include <array>
 #include <chrono>
+#include <cstdio>
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <fstream>
 #include <functional>
+#include <iostream>
 #include <iterator>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -18,6 +20,9 @@
 class StdoutPipe {
 public:
   StdoutPipe() : m_Saved(::dup(STDOUT_FILENO)) {
+    // What the test program wrote before belongs to its own output.
+    std::cout.flush();
+    std::fflush(stdout);
     std::array<int, 2> Ends{};
     REQUIRE(::pipe(Ends.data()) == 0);
     m_ReadEnd = Ends[0];
--- /dev/null
+++ b/Source/UnitTests/Gateway/PromptHoldUpTest.cpp
@@ -0,0 +1,144 @@
+#include "Core/Gateway/PromptHoldUp.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <functional>
+#include <random>
+#include <vector>
+
+namespace bronzepass::core::gateway {
+
+namespace {
+
+constexpr double LongMs = 120;
+constexpr double PauseMs = 250;
+
+struct Stream {
+  size_t m_Engine = 0;
+  double m_From = 0;
+  double m_Until = 0;
+  bool m_Late = false;
+};
+
+struct Engine {
+  double m_ReadsUntil = 0;
+};
+
+struct Asked {
+  double m_At = 0;
+  double m_PromptMs = 0;
+  double m_StreamMs = 0;
+};
+
+/// Streams of two seconds with short prompts, and some of one tenth of that
+/// with prompts whose sizes differ widely, in clumps of three.
+std::vector<Asked> load(uint64_t Seed) {
+  std::mt19937_64 Dice(Seed);
+  std::exponential_distribution<double> Gap(1 / 50.0);
+  std::lognormal_distribution<double> LongPrompt(4, 0.9);
+  std::vector<Asked> Load;
+  double At = 0;
+  for (int I = 0; I < 2000; ++I) {
+    if (I % 3 == 0)
+      At += Gap(Dice);
+    if (Dice() % 5 == 0)
+      Load.push_back({At, std::min(220.0, LongPrompt(Dice)), 200});
+    else
+      Load.push_back({At, 20, 2000});
+  }
+  return Load;
+}
+
+using Policy =
+    std::function<size_t(const std::vector<PromptReading> &Readings)>;
+
+/// Share of the streams that stood still for longer than their pause.
+double lateStreams(const std::vector<Asked> &Load, const Policy &Choose) {
+  std::vector<Engine> Engines(5);
+  std::vector<Stream> Streams;
+  for (const Asked &Each : Load) {
+    std::vector<PromptReading> Readings;
+    for (size_t I = 0; I < Engines.size(); ++I) {
+      const double Running = static_cast<double>(std::count_if(
+          Streams.begin(), Streams.end(), [&](const Stream &Known) {
+            return Known.m_Engine == I && Known.m_Until > Each.m_At;
+          }));
+      Readings.push_back({Each.m_PromptMs,
+                          std::max(0.0, Engines[I].m_ReadsUntil - Each.m_At),
+                          Running, LongMs});
+    }
+    const size_t Chosen = Choose(Readings);
+    const double Begins = std::max(Each.m_At, Engines[Chosen].m_ReadsUntil);
+    const double Ends = Begins + Each.m_PromptMs;
+    Engines[Chosen].m_ReadsUntil = Ends;
+    const bool Long = Ends - Each.m_At > PauseMs * 0.8;
+    for (Stream &Known : Streams)
+      if (Long && Known.m_Engine == Chosen && Known.m_From < Each.m_At &&
+          Known.m_Until > Each.m_At)
+        Known.m_Late = true;
+    Streams.push_back({Chosen, Ends, Ends + Each.m_StreamMs, false});
+  }
+  return static_cast<double>(
+             std::count_if(Streams.begin(), Streams.end(),
+                           [](const Stream &Each) { return Each.m_Late; })) /
+         static_cast<double>(Streams.size());
+}
+
+template <typename CostT> Policy cheapest(CostT Cost) {
+  return [Cost](const std::vector<PromptReading> &Readings) {
+    size_t Best = 0;
+    for (size_t I = 1; I < Readings.size(); ++I)
+      if (Cost(Readings[I]) < Cost(Readings[Best]))
+        Best = I;
+    return Best;
+  };
+}
+
+} // namespace
+
+TEST_CASE("single long prompts between many streams: fewer streams are late "
+          "than by least in flight, round robin or the sum of waits alone") {
+  double Ours = 0;
+  double LeastInFlight = 0;
+  double RoundRobin = 0;
+  double WaitsAlone = 0;
+  for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    const std::vector<Asked> Load = load(Seed);
+    Ours += lateStreams(Load, cheapest([](const PromptReading &Each) {
+                          return promptHoldUpMs(Each) + 3 * Each.m_Running;
+                        }));
+    LeastInFlight += lateStreams(Load, cheapest([](const PromptReading &Each) {
+                                   return Each.m_Running;
+                                 }));
+    size_t Turn = 0;
+    RoundRobin +=
+        lateStreams(Load, [&Turn](const std::vector<PromptReading> &Readings) {
+          return Turn++ % Readings.size();
+        });
+    // As it was before single streams counted.
+    WaitsAlone +=
+        lateStreams(Load, cheapest([](const PromptReading &Each) {
+                      const double Whole = Each.m_AheadMs + Each.m_OwnMs;
+                      return Whole + 0.15 * Each.m_OwnMs * Each.m_Running +
+                             2 * std::max(0.0, Whole - LongMs) +
+                             3 * Each.m_Running;
+                    }));
+  }
+  MESSAGE("late streams of 10 days, in days: ours "
+          << Ours << ", waits alone " << WaitsAlone << ", least in flight "
+          << LeastInFlight << ", round robin " << RoundRobin);
+  CHECK(Ours < WaitsAlone);
+  CHECK(Ours < LeastInFlight);
+  CHECK(Ours < RoundRobin);
+}
+
+TEST_CASE("a prompt that nobody stands still for costs its reading alone") {
+  CHECK(promptHoldUpMs({20, 0, 0, LongMs}) == doctest::Approx(20));
+  CHECK(promptHoldUpMs({20, 0, 10, LongMs}) >
+        promptHoldUpMs({20, 0, 1, LongMs}));
+  CHECK(lateShare(LongMs / 2, LongMs) == 0);
+  CHECK(lateShare(LongMs * 2, LongMs) == 1);
+  CHECK(lateShare(1000, 0) == 0);
+}
+
+} // namespace bronzepass::core::gateway
