--- a/Source/Core/Logs/RequestStory.cpp
+++ b/Source/Core/Logs/RequestStory.cpp
@@ -52,7 +52,9 @@
       // A caller may leave while what must not be repeated runs on.
       if (isEnd(*Line) && Story.m_Outcome != "gone") {
         Story.m_Outcome = Line->m_Action;
-        Story.m_Status = Line->field("status");
+        // Of a cut there is none.
+        const std::string Status = Line->field("status");
+        Story.m_Status = Status == "0" ? "" : Status;
       }
     }
     m_Endpoints.erase("");
@@ -89,7 +91,7 @@
   }
 
   void addContext(RequestStory &Story) {
-    // Of each node the version that was in force when it began there.
+    // Of each node the version that was in force at the request's end.
     std::map<std::string, const LogLine *> InForce;
     for (const LogLine &Line : m_Lines) {
       if (isContext(Line))
