--- a/Source/Core/Cli/ExplainCommand.cpp
+++ b/Source/Core/Cli/ExplainCommand.cpp
@@ -102,7 +102,7 @@
   if (Story.m_Steps.empty()) {
     Context.m_Err << "bronzepass explain: no line names request " << Request
                   << "; its node's log may not be among these\n";
-    return ExitCode::Failed;
+    return ExitCode::NotFound;
   }
   if (Context.wantsJson())
     printStoryJson(Story, Request, Context.m_Out);
--- a/Source/UnitTests/Cli/CommandLineTest.cpp
+++ b/Source/UnitTests/Cli/CommandLineTest.cpp
@@ -74,6 +74,7 @@
   const Outcome Json =
       run({"explain", "--logs", Path, "r1", "--output", "json"});
   CHECK(Json.m_Out.find(R"("outcome": "refuse")") != std::string::npos);
+  CHECK(run({"explain", "--logs", Path, "r2"}).m_Code == ExitCode::NotFound);
   CHECK(run({"explain", "--logs", Path, "r2"}).m_Err ==
         "bronzepass explain: no line names request r2; its node's log may not "
         "be among these\n");
