--- a/Source/UnitTests/Residency/ResidencyCoreTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyCoreTest.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 gateway::EndpointEntry engine(uint32_t Number,
-                              std::vector<std::string> Models) {
+                              const std::vector<std::string> &Models) {
   gateway::EndpointEntry Entry;
   Entry.m_Id = model::EndpointId("e" + std::to_string(1000 + Number));
   Entry.m_Service = "s";
