Model: One lowerCase() for four loops; Gateway, Residency: Remove what nobody reads

RelayCounts, GatewayConfig::service(), ResidencyCore::isHolder() and openOrders(), a flag of choose() and a parameter of EngineBook::reported() had no reader. A choice's missing tokens are matched once less for each send; findModel() serves the entry and the engine's book. No behaviour changes; tests lose the dropped argument alone.

--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -1,7 +1,8 @@
 #include "Core/Adapters/Curl/CurlMulti.h"
 
+#include "Core/Model/LowerCase.h"
+
 #include <algorithm>
-#include <cctype>
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -58,13 +59,9 @@
   const size_t Colon = Line.find(':');
   if (Colon == std::string_view::npos)
     return;
-  std::string Name(Line.substr(0, Colon));
-  std::transform(Name.begin(), Name.end(), Name.begin(), [](unsigned char C) {
-    return static_cast<char>(std::tolower(C));
-  });
   const std::string Value(trimmed(Line.substr(Colon + 1)));
   Head.m_Lines.emplace_back(Line.substr(0, Colon), Value);
-  Head.m_Headers[Name] = Value;
+  Head.m_Headers[model::lowerCase(Line.substr(0, Colon))] = Value;
 }
 
 bool isDelimited(const TransferHead &Head) {
--- a/Source/Core/Adapters/Pistache/HttpServer.cpp
+++ b/Source/Core/Adapters/Pistache/HttpServer.cpp
@@ -1,7 +1,7 @@
 #include "Core/Adapters/Pistache/HttpServer.h"
 
-#include <algorithm>
-#include <cctype>
+#include "Core/Model/LowerCase.h"
+
 #include <pistache/endpoint.h>
 #include <pistache/peer.h>
 #include <sstream>
@@ -14,13 +14,6 @@
 constexpr int ListenBacklog = 1024;
 const char *const ConnectionData = "bronzepass.connection";
 
-std::string lowerCase(std::string Text) {
-  std::transform(Text.begin(), Text.end(), Text.begin(), [](unsigned char C) {
-    return static_cast<char>(std::tolower(C));
-  });
-  return Text;
-}
-
 /// Pistache's own timers are put beyond use. They know nothing of an answer
 /// that it does not write: it then forgets the connection (or, unless the peer
 /// is set idle, writes a 408 into the answer), and reads nothing more from it.
@@ -57,9 +50,9 @@
 void copyHeaders(const Pistache::Http::Request &From, HttpRequest &To) {
   for (const std::shared_ptr<Pistache::Http::Header::Header> &Header :
        From.headers().list())
-    To.m_Headers[lowerCase(Header->name())] = valueOf(*Header);
+    To.m_Headers[model::lowerCase(Header->name())] = valueOf(*Header);
   for (const auto &Entry : From.headers().rawList())
-    To.m_Headers[lowerCase(Entry.first)] = Entry.second.value();
+    To.m_Headers[model::lowerCase(Entry.first)] = Entry.second.value();
 }
 
 HttpRequest copyRequest(const Pistache::Http::Request &From) {
--- a/Source/Core/Cli/Table.cpp
+++ b/Source/Core/Cli/Table.cpp
@@ -1,7 +1,8 @@
 #include "Core/Cli/Table.h"
 
+#include "Core/Model/LowerCase.h"
+
 #include <algorithm>
-#include <cctype>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <ostream>
@@ -44,13 +45,8 @@
   nlohmann::ordered_json List = nlohmann::ordered_json::array();
   for (const std::vector<std::string> &Row : m_Rows) {
     nlohmann::ordered_json Object = nlohmann::ordered_json::object();
-    for (size_t I = 0; I < Row.size(); ++I) {
-      std::string Key = m_Headings[I];
-      std::transform(Key.begin(), Key.end(), Key.begin(), [](unsigned char C) {
-        return static_cast<char>(std::tolower(C));
-      });
-      Object[Key] = Row[I];
-    }
+    for (size_t I = 0; I < Row.size(); ++I)
+      Object[model::lowerCase(m_Headings[I])] = Row[I];
     List.push_back(std::move(Object));
   }
   Out << List.dump(2, ' ', false, nlohmann::json::error_handler_t::replace)
--- a/Source/Core/Gateway/EndpointEntry.h
+++ b/Source/Core/Gateway/EndpointEntry.h
@@ -24,6 +24,15 @@
   friend auto operator<=>(const HeldModel &, const HeldModel &) = default;
 };
 
+/// Null where none of \p Models has that name.
+inline const HeldModel *findModel(const std::vector<HeldModel> &Models,
+                                  const std::string &Name) {
+  for (const HeldModel &Each : Models)
+    if (Each.m_Name == Name)
+      return &Each;
+  return nullptr;
+}
+
 /// What an endpoint says of itself where endpoints register.
 struct EndpointEntry {
   model::EndpointId m_Id;
@@ -43,10 +52,7 @@
   uint64_t m_Renewals = 0;
 
   const HeldModel *model(const std::string &Name) const {
-    for (const HeldModel &Each : m_Models)
-      if (Each.m_Name == Name)
-        return &Each;
-    return nullptr;
+    return findModel(m_Models, Name);
   }
   friend auto operator<=>(const EndpointEntry &,
                           const EndpointEntry &) = default;
--- a/Source/Core/Gateway/GatewayConfig.h
+++ b/Source/Core/Gateway/GatewayConfig.h
@@ -105,12 +105,6 @@
   std::vector<ServiceSpec> m_Services;
   CallerInputLimits m_Limits;
 
-  const ServiceSpec *service(const std::string &Name) const {
-    for (const ServiceSpec &Each : m_Services)
-      if (Each.m_Name == Name)
-        return &Each;
-    return nullptr;
-  }
   friend auto operator<=>(const GatewayConfig &,
                           const GatewayConfig &) = default;
 };
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -87,7 +87,6 @@
   const std::vector<EndpointView *> &All = Service->second.m_Endpoints;
   const uint32_t MaxConnections = Service->second.m_MaxConnections;
   double BestCost = std::numeric_limits<double>::max();
-  bool BestTried = true;
   const size_t Start = All.empty() ? 0 : m_Dice.next() % All.size();
   for (size_t I = 0; I < All.size(); ++I) {
     EndpointView *const Endpoint = All[(Start + I) % All.size()];
@@ -109,10 +108,9 @@
     ++Best.m_Candidates;
     double WaitMs = 0;
     const double Cost = costOf(Value, Service->second, *Endpoint, WaitMs);
-    if (Cost >= BestCost && !BestTried)
+    if (Cost >= BestCost)
       continue;
     BestCost = Cost;
-    BestTried = false;
     Best.m_Endpoint = Endpoint;
     Best.m_WaitMs = WaitMs;
   }
@@ -221,9 +219,6 @@
 void RelayCore::send(Live &Value, EndpointView &Endpoint,
                      RelayEffectList &Out) {
   const bool First = Value.m_Sends == 0;
-  if (!First)
-    ++m_Counts.m_Retries;
-  ++m_Counts.m_Sends;
   ++Value.m_Sends;
   Value.m_WaitsUntil.reset();
   m_Waiting.erase(Value.m_Request.m_Number);
@@ -233,7 +228,7 @@
   Value.m_BeganSeen = false;
   Value.m_Tried.push_back(Endpoint.m_Entry.m_Id);
   ++Endpoint.m_InFlight;
-  Value.m_PrefillTokens = missingTokens(Value, Endpoint);
+  Value.m_PrefillTokens = Value.m_Inputs->m_MissingTokens;
   Endpoint.m_PrefillTokens += Value.m_PrefillTokens;
   Value.m_TokensAhead = Endpoint.prefillTokens();
   m_Attempts[Value.m_Attempt] = Value.m_Request.m_Number;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -33,6 +33,7 @@
 constexpr double LongPrefillShare = 0.48;
 /// Where no route names its longest pause.
 constexpr model::Duration DefaultPause = std::chrono::milliseconds(250);
+
 const char *kindOf(const RouteSpec &Route) {
   if (Route.m_Stream)
     return "stream";
@@ -148,7 +149,6 @@
 void RelayCore::requestArrived(RelayRequest Request, model::TimePoint Now,
                                RelayEffectList &Out) {
   m_Now = Now;
-  ++m_Counts.m_Arrived;
   const model::RequestId Number = Request.m_Number;
   Live &Value = m_Live[Number];
   Value.m_Request = std::move(Request);
@@ -212,7 +212,6 @@
   if (Found == m_Live.end())
     return;
   Live &Value = Found->second;
-  ++m_Counts.m_Gone;
   note(Value, "gone", 0, "the caller left", Out);
   // What must not be repeated is let run to its end: cut off in the middle,
   // nobody would know its outcome.
@@ -269,7 +268,6 @@
 void RelayCore::refuse(Live &Value, int Status,
                        std::optional<model::Duration> RetryAfter,
                        const std::string &Reason, RelayEffectList &Out) {
-  ++m_Counts.m_Refused;
   note(Value, "refuse", Status, Reason, Out);
   Out.push_back(
       RefuseAnswer{Value.m_Request.m_Number, Status, RetryAfter, Reason});
@@ -278,7 +276,6 @@
 
 void RelayCore::cut(Live &Value, const std::string &Reason,
                     RelayEffectList &Out) {
-  ++m_Counts.m_Cut;
   note(Value, "cut", 0, Reason, Out);
   Out.push_back(CutAnswer{Value.m_Request.m_Number, Reason});
   forget(Value);
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -24,19 +24,6 @@
 
 namespace bronzepass::core::gateway {
 
-/// What a node has counted since it started.
-struct RelayCounts {
-  uint64_t m_Arrived = 0;
-  uint64_t m_Passed = 0;
-  uint64_t m_Refused = 0;
-  uint64_t m_Cut = 0;
-  uint64_t m_Gone = 0;
-  uint64_t m_Sends = 0;
-  uint64_t m_Retries = 0;
-
-  friend auto operator<=>(const RelayCounts &, const RelayCounts &) = default;
-};
-
 /// Decides for each caller's request of one node which endpoint it is sent to,
 /// whether it is sent again, and how it ends. A deterministic state machine: no
 /// clock, socket or thread; times come in with the calls and never run
@@ -78,7 +65,6 @@
 
   const RouteTable *table() const { return m_Table.get(); }
   size_t live() const { return m_Live.size(); }
-  const RelayCounts &counts() const { return m_Counts; }
   /// What this node tells its peers of its own requests.
   std::vector<EndpointLoad> loads() const;
   /// The counters that rose since the last call.
@@ -212,7 +198,6 @@
     std::vector<EndpointLoad> m_Loads;
   };
   std::map<model::NodeId, PeerLoads> m_Peers;
-  RelayCounts m_Counts;
 };
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -176,7 +176,6 @@
     return;
   }
   if (Outcome.m_End == SendEnd::Whole) {
-    ++m_Counts.m_Passed;
     note(Value, "answer", Outcome.m_Status, "", Out);
     Out.push_back(PassAnswer{Value.m_Request.m_Number});
     forget(Value);
@@ -200,7 +199,6 @@
     return;
   }
   if (Value.m_HasFailure) {
-    ++m_Counts.m_Passed;
     note(Value, "answer", Outcome.m_Status, "the endpoint failed it", Out);
     Out.push_back(PassAnswer{Value.m_Request.m_Number});
     forget(Value);
--- a/Source/Core/Gateway/RouteTable.cpp
+++ b/Source/Core/Gateway/RouteTable.cpp
@@ -1,7 +1,8 @@
 #include "Core/Gateway/RouteTable.h"
 
+#include "Core/Model/LowerCase.h"
+
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
 namespace bronzepass::core::gateway {
@@ -9,11 +10,7 @@
 namespace {
 
 std::string hostKey(std::string_view Host) {
-  std::string Key(Host.substr(0, Host.find(':')));
-  std::transform(Key.begin(), Key.end(), Key.begin(), [](unsigned char C) {
-    return static_cast<char>(std::tolower(C));
-  });
-  return Key;
+  return model::lowerCase(Host.substr(0, Host.find(':')));
 }
 
 } // namespace
--- a/Source/Core/Residency/EngineBook.cpp
+++ b/Source/Core/Residency/EngineBook.cpp
@@ -16,16 +16,8 @@
 /// platform names 12 s.
 constexpr model::Duration OrderLifetime = std::chrono::seconds(13);
 
-const HeldModel *find(const std::vector<HeldModel> &Models,
-                      const std::string &Name) {
-  for (const HeldModel &Each : Models)
-    if (Each.m_Name == Name)
-      return &Each;
-  return nullptr;
-}
-
 bool holdsUse(const std::vector<HeldModel> &Models, const ModelUse &Use) {
-  const HeldModel *const Model = find(Models, Use.m_Model);
+  const HeldModel *const Model = gateway::findModel(Models, Use.m_Model);
   return Model && (Use.m_Adapter.empty() || Model->hasAdapter(Use.m_Adapter));
 }
 
@@ -161,7 +153,7 @@
     std::erase_if(m_Models, [&](const HeldModel &Each) {
       return !IsLoad && Each.m_Name == Use.m_Model;
     });
-    if (IsLoad && !find(m_Models, Use.m_Model))
+    if (IsLoad && !gateway::findModel(m_Models, Use.m_Model))
       m_Models.push_back({Use.m_Model, {}});
     return;
   }
@@ -215,8 +207,7 @@
   return false;
 }
 
-bool EngineBook::reported(const gateway::EngineState &State,
-                          model::TimePoint /*Now*/) {
+bool EngineBook::reported(const gateway::EngineState &State) {
   if (State.m_BornMs == m_Entry.m_BornMs && State.m_OrderCount < m_OrderCount)
     return false;
   bool Ended = false;
--- a/Source/Core/Residency/EngineBook.h
+++ b/Source/Core/Residency/EngineBook.h
@@ -72,7 +72,7 @@
   bool orderAnswered(gateway::OrderReply Reply);
   /// True where an open order has ended by it. A report that is older than
   /// what is known is passed over.
-  bool reported(const gateway::EngineState &State, model::TimePoint Now);
+  bool reported(const gateway::EngineState &State);
   /// Forgets unanswered orders that can't be carried out any more.
   void expireLate(model::TimePoint Now);
 
--- a/Source/Core/Residency/ResidencyCore.cpp
+++ b/Source/Core/Residency/ResidencyCore.cpp
@@ -381,7 +381,7 @@
                               m_Lease->m_Token.m_Value, State->m_OrderCount,
                               State->m_Busy ? "busy" : "not busy"});
   const std::optional<OpenOrder> Before = Target.m_Book.open();
-  const bool Ended = Target.m_Book.reported(*State, Now);
+  const bool Ended = Target.m_Book.reported(*State);
   if (Ended && Before)
     orderEnded(Target, Before->m_Order, Now, Out);
   const std::optional<OpenOrder> &Open = Target.m_Book.open();
--- a/Source/Core/Residency/ResidencyCore.h
+++ b/Source/Core/Residency/ResidencyCore.h
@@ -49,10 +49,6 @@
   /// Every 20 ms or so.
   void tick(model::TimePoint Now, ResidencyEffectList &Out);
 
-  bool isHolder() const { return m_Lease.has_value(); }
-  /// Orders without a final answer, for a graceful stop.
-  size_t openOrders() const { return m_Orders.size(); }
-
 private:
   struct Engine {
     explicit Engine(const gateway::EndpointEntry &Entry) : m_Book(Entry) {}
--- a/Source/UnitTests/Residency/EngineBookTest.cpp
+++ b/Source/UnitTests/Residency/EngineBookTest.cpp
@@ -38,7 +38,7 @@
   Entry.m_Id = model::EndpointId("e");
   Entry.m_Models = {{"m", {}}};
   EngineBook Book(Entry);
-  Book.reported(state(3, {{"m", {}}}), {});
+  Book.reported(state(3, {{"m", {}}}));
   return Book;
 }
 
@@ -56,14 +56,14 @@
   CHECK(Book.freeMb(spec()) == 10);
   CHECK_FALSE(Book.orderAnswered(OrderReply::Unknown));
   // It may still be carried out: the same count is no proof.
-  CHECK_FALSE(Book.reported(state(3, {{"m", {}}}), {}));
+  CHECK_FALSE(Book.reported(state(3, {{"m", {}}})));
   CHECK(Book.freeMb(spec()) == 10);
   CHECK_FALSE(Book.isFree());
   CHECK(Book.open()->m_Phase == OrderPhase::Doubtful);
   // It was accepted and runs; then it is done.
-  CHECK_FALSE(Book.reported(state(4, {{"m", {}}}, true), {}));
+  CHECK_FALSE(Book.reported(state(4, {{"m", {}}}, true)));
   CHECK(Book.open()->m_Phase == OrderPhase::Running);
-  CHECK(Book.reported(state(4, {{"m", {}}, {"n", {}}}), {}));
+  CHECK(Book.reported(state(4, {{"m", {}}, {"n", {}}})));
   CHECK(Book.isFree());
   CHECK(Book.freeMb(spec()) == 10);
 }
@@ -73,7 +73,7 @@
   Book.orderSent(1, load({"m", "a1"}, 3), {});
   CHECK(Book.orderAnswered(OrderReply::Accepted));
   CHECK(Book.freeAdapterPlaces(spec()) == 1);
-  CHECK_FALSE(Book.reported(state(3, {{"m", {}}}), {}));
+  CHECK_FALSE(Book.reported(state(3, {{"m", {}}})));
   CHECK(Book.holds({"m", "a1"}));
 }
 
@@ -104,7 +104,7 @@
   CHECK_FALSE(Book.isFree());
   EngineState Fresh = state(0, {});
   Fresh.m_BornMs = 99;
-  Book.reported(Fresh, {});
+  Book.reported(Fresh);
   CHECK(Book.isFree());
   CHECK(Book.orderCount() == 0);
 }
@@ -122,7 +122,7 @@
   Book.setEntry(Reborn);
   EngineState Fresh = state(0, {});
   Fresh.m_BornMs = 99;
-  Book.reported(Fresh, {});
+  Book.reported(Fresh);
   CHECK(Book.freeMb(spec()) == 110);
   Book.expireLate(model::TimePoint(std::chrono::seconds(14)));
   CHECK(Book.freeMb(spec()) == 200);
@@ -130,7 +130,7 @@
 
 TEST_CASE("what is not declared leaves no room beside it") {
   EngineBook Book = book();
-  Book.reported(state(4, {{"strange", {}}}), {});
+  Book.reported(state(4, {{"strange", {}}}));
   CHECK(Book.freeMb(spec()) <= 0);
 }
 
