--- a/Source/Core/Adapters/Codec/ModelFields.h
+++ b/Source/Core/Adapters/Codec/ModelFields.h
@@ -67,6 +67,7 @@
     Visitor.required("token", Value.m_Token);
     Visitor.required("termMicros", Value.m_Term);
     Visitor.required("renewals", Value.m_Renewals);
+    Visitor.optional("era", Value.m_Era);
   }
 };
 
--- a/Source/Core/Adapters/Curl/AnswerCollector.h
+++ b/Source/Core/Adapters/Curl/AnswerCollector.h
@@ -10,25 +10,26 @@
 
 namespace bronzepass::core::adapters::curl {
 
-/// Collects the status and body of one answer and passes them to a callback.
+/// Collects the head and body of one answer and passes them to a callback.
 class AnswerCollector : public TransferListener {
 public:
-  /// \p Status is 0 if no head was received.
-  using DoneCallback = std::function<void(const TransferResult &Result,
-                                          int Status, const std::string &Body)>;
+  /// \p Head has status 0 if no head was received.
+  using DoneCallback =
+      std::function<void(const TransferResult &Result, const TransferHead &Head,
+                         const std::string &Body)>;
 
   /// Chunks that would make the body longer than \p MaxBytes are dropped.
   explicit AnswerCollector(DoneCallback OnDone,
                            size_t MaxBytes = DefaultMaxBytes)
       : m_OnDone(std::move(OnDone)), m_MaxBytes(MaxBytes) {}
 
-  void onHead(const TransferHead &Head) override { m_Status = Head.m_Status; }
+  void onHead(const TransferHead &Head) override { m_Head = Head; }
   void onChunk(std::string_view Chunk) override {
     if (m_Body.size() + Chunk.size() <= m_MaxBytes)
       m_Body.append(Chunk);
   }
   void onDone(const TransferResult &Result) override {
-    m_OnDone(Result, m_Status, m_Body);
+    m_OnDone(Result, m_Head, m_Body);
   }
 
 private:
@@ -37,7 +38,7 @@
 
   const DoneCallback m_OnDone;
   const size_t m_MaxBytes;
-  int m_Status = 0;
+  TransferHead m_Head;
   std::string m_Body;
 };
 
--- a/Source/Core/Adapters/Curl/BlockingGet.cpp
+++ b/Source/Core/Adapters/Curl/BlockingGet.cpp
@@ -21,9 +21,9 @@
   BlockingReply Reply;
   const std::shared_ptr<AnswerCollector> Listener =
       std::make_shared<AnswerCollector>([&](const TransferResult &Result,
-                                            int Status,
+                                            const TransferHead &Head,
                                             const std::string &Body) {
-        Reply.m_Status = Result.m_Complete ? Status : 0;
+        Reply.m_Status = Result.m_Complete ? Head.m_Status : 0;
         Reply.m_Body = Body;
         Reply.m_Error = Result.m_Error;
         Loop.stop();
--- a/Source/Core/Adapters/Curl/CurlEngineClient.cpp
+++ b/Source/Core/Adapters/Curl/CurlEngineClient.cpp
@@ -94,9 +94,10 @@
     m_Curl.start(std::move(Request),
                  std::make_shared<AnswerCollector>(
                      [this, Id, Endpoint](const TransferResult &Result,
-                                          int Status, const std::string &Body) {
+                                          const TransferHead &Head,
+                                          const std::string &Body) {
                        m_Control.post(model::OrderAnswer{
-                           Id, Endpoint, orderStatus(Result, Status),
+                           Id, Endpoint, orderStatus(Result, Head.m_Status),
                            highestToken(Body)});
                      }));
   }
@@ -109,13 +110,14 @@
     // The engine creates the report between request and answer. The earlier
     // time never makes a report look newer than it is.
     const model::TimePoint RequestedAt = m_Clock.now();
-    m_Curl.start(
-        std::move(Request),
-        std::make_shared<AnswerCollector>(
-            [this, Endpoint, RequestedAt](const TransferResult &Result,
-                                          int Status, const std::string &Body) {
-              handleReport(Endpoint, RequestedAt, Result, Status, Body);
-            }));
+    m_Curl.start(std::move(Request),
+                 std::make_shared<AnswerCollector>(
+                     [this, Endpoint, RequestedAt](const TransferResult &Result,
+                                                   const TransferHead &Head,
+                                                   const std::string &Body) {
+                       handleReport(Endpoint, RequestedAt, Result,
+                                    Head.m_Status, Body);
+                     }));
   }
 
   void handleReport(const model::EndpointId &Endpoint,
--- a/Source/Core/Adapters/Gateway/ControlCalls.cpp
+++ b/Source/Core/Adapters/Gateway/ControlCalls.cpp
@@ -40,9 +40,11 @@
       std::move(Request),
       std::make_shared<curl::AnswerCollector>(
           [OnDone = std::move(OnDone)](const curl::TransferResult &Result,
-                                       int Status, const std::string &Body) {
+                                       const curl::TransferHead &Head,
+                                       const std::string &Body) {
             gateway::HttpResult Answer;
-            Answer.m_Status = Result.m_Complete ? Status : 0;
+            Answer.m_Status = Result.m_Complete ? Head.m_Status : 0;
+            Answer.m_Headers = Head.m_Lines;
             Answer.m_Body = Body;
             Answer.m_NotSent = Result.m_BytesSent == 0 && !Result.m_Complete;
             OnDone(Answer);
--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -18,13 +18,12 @@
                                const gateway::Dialect &Dialect,
                                const ports::Clock &Clock, GatewayLog &Log)
     : m_Random(std::make_unique<daemon::SystemRandom>()),
-      m_Calls(m_Thread.loop()),
-      m_Feeds(Options.m_Store, Options.m_Self, Dialect, m_Calls, Clock,
-              *m_Random, Log, *this),
-      m_Placement({Options.m_Store, Options.m_Self.m_Node, Options.m_Lease,
-                   Options.m_Residency},
-                  Dialect, m_Calls, m_Thread.loop(), Clock, *m_Random, Log,
-                  *this) {}
+      m_Calls(m_Thread.loop()), m_Log(Log),
+      m_Store(Options.m_Store, Dialect, m_Calls, Log, *this),
+      m_Feeds(m_Store, Options.m_Self, Dialect, Clock, *m_Random, Log, *this),
+      m_Placement({Options.m_Self.m_Node, Options.m_Lease, Options.m_Residency},
+                  Dialect, m_Store, m_Calls, m_Thread.loop(), Clock, *m_Random,
+                  Log, *this) {}
 
 GatewayControl::~GatewayControl() { join(); }
 
@@ -68,6 +67,21 @@
   m_Traffic->setPeers(Nodes);
 }
 
+void GatewayControl::onStoreEraChanged(std::optional<model::StoreEra> Old,
+                                       model::StoreEra New) {
+  if (Old) {
+    m_Log.write("dependency", "store_restored",
+                {{"dependency", "store"},
+                 {"old_era", static_cast<int64_t>(Old->m_Value)},
+                 {"new_era", static_cast<int64_t>(New.m_Value)},
+                 {"reason", "all lists are read again, the lease is void, this "
+                            "node registers again"}});
+    m_Traffic->countStoreRestore();
+    m_Feeds.onStoreRestored();
+  }
+  m_Placement.onStoreEra(New);
+}
+
 void GatewayControl::onLeaseChanged(bool Holds) {
   m_Traffic->setHoldsLease(Holds);
 }
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -5,6 +5,7 @@
 #include "Core/Adapters/Gateway/GatewayLog.h"
 #include "Core/Adapters/Gateway/GatewayTraffic.h"
 #include "Core/Adapters/Gateway/PlacementControl.h"
+#include "Core/Adapters/Gateway/StoreClient.h"
 #include "Core/Adapters/Gateway/StoreFeeds.h"
 #include "Core/Adapters/Net/LoopThread.h"
 #include "Core/Gateway/Dialect.h"
@@ -12,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace bronzepass::core::adapters::gateway {
@@ -29,6 +31,7 @@
 /// reports and copy requests from it.
 class GatewayControl : public TrafficEvents,
                        private StoreEvents,
+                       private StoreEraEvents,
                        private PlacementEvents {
 public:
   /// \p Dialect, \p Clock and \p Log must outlive this object.
@@ -57,6 +60,8 @@
       const std::vector<core::gateway::EndpointEntry> &Entries) override;
   void
   onNodesChanged(const std::vector<core::gateway::NodeEntry> &Nodes) override;
+  void onStoreEraChanged(std::optional<model::StoreEra> Old,
+                         model::StoreEra New) override;
   void onLeaseChanged(bool Holds) override;
   void onCopiesChanged(
       const std::vector<core::gateway::CopyChange> &Changes) override;
@@ -69,6 +74,8 @@
   std::function<void()> m_OnStopped;
   net::LoopThread m_Thread;
   ControlCalls m_Calls;
+  GatewayLog &m_Log;
+  StoreClient m_Store;
   StoreFeeds m_Feeds;
   PlacementControl m_Placement;
 };
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -34,6 +34,11 @@
                     .Name("bronzepass_sends_total")
                     .Help("Sends to endpoints by kind of route; retries apart")
                     .Register(m_Registry)),
+        m_StoreRestores(
+            prom::BuildCounter()
+                .Name("bronzepass_store_restores_total")
+                .Help("Restores of the platform's store from a backup")
+                .Register(m_Registry)),
         m_Durations(prom::BuildHistogram()
                         .Name("bronzepass_request_duration_seconds")
                         .Help("From a request's first byte to its end")
@@ -46,6 +51,7 @@
   prom::Registry m_Registry;
   prom::Family<prom::Counter> &m_Requests;
   prom::Family<prom::Counter> &m_Sends;
+  prom::Family<prom::Counter> &m_StoreRestores;
   prom::Family<prom::Histogram> &m_Durations;
   prom::Family<prom::Gauge> &m_Gauges;
 };
@@ -72,6 +78,10 @@
       .Observe(std::chrono::duration<double>(Entry.m_Elapsed).count());
 }
 
+void GatewayMetrics::countStoreRestore() {
+  m_Impl->m_StoreRestores.Add({}).Increment();
+}
+
 void GatewayMetrics::setActive(size_t Requests, size_t Connections) {
   m_Impl->m_Gauges.Add({{"what", "requests_live"}})
       .Set(static_cast<double>(Requests));
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -23,6 +23,8 @@
   /// Counts the event that \p Entry logs: a send, a retry, or the end of a
   /// request with its duration.
   void count(const core::gateway::RelayLogEntry &Entry);
+  /// The platform's store has been restored from a backup.
+  void countStoreRestore();
   void setActive(size_t Requests, size_t Connections);
   void setConfigVersion(uint64_t Version);
   void setLinesDropped(uint64_t Lines);
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -64,6 +64,7 @@
   void setPeers(std::vector<core::gateway::NodeEntry> Peers);
   void announceCopyChanges(std::vector<core::gateway::CopyChange> Changes);
   void setHoldsLease(bool Holds);
+  void countStoreRestore() { m_GatewayMetrics.countStoreRestore(); }
   /// Reports not ready from now on, accepts no new requests after \p LameDuck,
   /// and calls \p OnDrained once every request has been answered.
   void stop(model::Duration LameDuck, std::function<void()> OnDrained);
--- a/Source/Core/Adapters/Gateway/PlacementControl.cpp
+++ b/Source/Core/Adapters/Gateway/PlacementControl.cpp
@@ -30,14 +30,12 @@
 
 } // namespace
 
-PlacementControl::PlacementControl(const Options &Values,
-                                   const gateway::Dialect &Dialect,
-                                   ControlCalls &Calls, net::EventLoop &Loop,
-                                   const ports::Clock &Clock,
-                                   ports::Random &Random, GatewayLog &Log,
-                                   PlacementEvents &Events)
-    : m_Options(Values), m_Dialect(Dialect), m_Calls(Calls), m_Loop(Loop),
-      m_Clock(Clock), m_Log(Log), m_Events(Events),
+PlacementControl::PlacementControl(
+    const Options &Values, const gateway::Dialect &Dialect, StoreClient &Store,
+    ControlCalls &Calls, net::EventLoop &Loop, const ports::Clock &Clock,
+    ports::Random &Random, GatewayLog &Log, PlacementEvents &Events)
+    : m_Options(Values), m_Dialect(Dialect), m_Store(Store), m_Calls(Calls),
+      m_Loop(Loop), m_Clock(Clock), m_Log(Log), m_Events(Events),
       m_Governor(governorSettings(), Random),
       m_LeaseManager(m_Options.m_Lease, m_Options.m_Self, m_Governor, Random),
       m_Residency(m_Options.m_Residency, m_Options.m_Self) {}
@@ -109,14 +107,16 @@
     if (!Call)
       continue;
     const std::optional<gateway::HttpCall> Encoded = m_Dialect.storeCall(*Call);
-    if (!Encoded) {
+    const bool IsOfEarlierEra =
+        Call->m_ExpectedEra && Call->m_ExpectedEra != m_Store.era();
+    if (!Encoded || IsOfEarlierEra) {
       m_Loop.post([this, Id = Call->m_Id] {
         handleStoreAnswer(
             {.m_Id = Id, .m_Status = ports::StoreStatus::Rejected});
       });
       continue;
     }
-    m_Calls.call(m_Options.m_Store, *Encoded, Call->m_Timeout,
+    m_Store.call(*Encoded, Call->m_Timeout, false,
                  [this, Call = *Call](const gateway::HttpResult &Result) {
                    handleStoreAnswer(m_Dialect.readStore(Call, Result));
                  });
@@ -135,6 +135,13 @@
   updateLease();
 }
 
+void PlacementControl::onStoreEra(model::StoreEra Era) {
+  ports::EffectList Effects;
+  logLeaseChanges(m_LeaseManager.setStoreEra(Era, m_Clock.now(), Effects));
+  submit(Effects);
+  updateLease();
+}
+
 void PlacementControl::logLeaseChanges(
     const std::vector<leases::LeaseNotice> &Notices) {
   for (const leases::LeaseNotice &Each : Notices)
--- a/Source/Core/Adapters/Gateway/PlacementControl.h
+++ b/Source/Core/Adapters/Gateway/PlacementControl.h
@@ -3,6 +3,7 @@
 
 #include "Core/Adapters/Gateway/ControlCalls.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
+#include "Core/Adapters/Gateway/StoreClient.h"
 #include "Core/Gateway/Dialect.h"
 #include "Core/Leases/LeaseManager.h"
 #include "Core/Leases/StoreGovernor.h"
@@ -30,7 +31,6 @@
 class PlacementControl {
 public:
   struct Options {
-    model::Address m_Store;
     model::NodeId m_Self;
     leases::LeaseSettings m_Lease;
     residency::ResidencySettings m_Residency;
@@ -38,9 +38,10 @@
 
   /// All arguments except \p Values must outlive this object.
   PlacementControl(const Options &Values, const core::gateway::Dialect &Dialect,
-                   ControlCalls &Calls, net::EventLoop &Loop,
-                   const ports::Clock &Clock, ports::Random &Random,
-                   GatewayLog &Log, PlacementEvents &Events);
+                   StoreClient &Store, ControlCalls &Calls,
+                   net::EventLoop &Loop, const ports::Clock &Clock,
+                   ports::Random &Random, GatewayLog &Log,
+                   PlacementEvents &Events);
 
   /// Call about every 20 ms.
   void tick();
@@ -52,6 +53,9 @@
   /// Sets the live peers. Of them and this node, the first in rendezvous order
   /// is the preferred lease holder.
   void onLivePeers(const std::vector<model::NodeId> &Nodes);
+  /// Takes the store's era. If it has changed, the store was restored from a
+  /// backup, and this node stops placing models until it gets the lease anew.
+  void onStoreEra(model::StoreEra Era);
   /// Starts releasing the lease; isStopped() is true once it is released.
   void stop();
   bool isStopped() const { return m_Stopping && m_LeaseManager.isStopped(); }
@@ -72,6 +76,7 @@
 
   const Options m_Options;
   const core::gateway::Dialect &m_Dialect;
+  StoreClient &m_Store;
   ControlCalls &m_Calls;
   net::EventLoop &m_Loop;
   const ports::Clock &m_Clock;
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -16,6 +16,9 @@
 constexpr model::Duration LapsedEntryLifetime = std::chrono::milliseconds(2150);
 /// A fifth of the time within which a leaving endpoint must be noticed.
 constexpr model::Duration EndpointBatchDelay = std::chrono::milliseconds(400);
+/// After a restore of the store each node waits a random part of this before it
+/// reads and registers again, so that not all nodes call at once.
+constexpr model::Duration RestoreSpread = std::chrono::milliseconds(300);
 /// Nodes rarely join or leave, and they also notify each other directly.
 constexpr model::Duration NodeListPeriod = std::chrono::seconds(5);
 
@@ -35,12 +38,12 @@
 
 } // namespace
 
-StoreFeeds::StoreFeeds(const model::Address &Store, gateway::NodeEntry Self,
-                       const gateway::Dialect &Dialect, ControlCalls &Calls,
+StoreFeeds::StoreFeeds(StoreClient &Store, gateway::NodeEntry Self,
+                       const gateway::Dialect &Dialect,
                        const ports::Clock &Clock, ports::Random &Random,
                        GatewayLog &Log, StoreEvents &Events)
     : m_Store(Store), m_Self(std::move(Self)), m_Dialect(Dialect),
-      m_Calls(Calls), m_Clock(Clock), m_Log(Log), m_Events(Events),
+      m_Clock(Clock), m_Log(Log), m_Events(Events),
       m_Registry(LapsedEntryLifetime),
       m_ConfigFeed(gateway::FeedKind::Config, "config", {}, Random),
       m_EndpointFeed(gateway::FeedKind::Endpoints, "endpoints",
@@ -62,12 +65,27 @@
       Source.m_Feed.nextCall(m_Clock.now());
   if (!Due)
     return;
-  m_Calls.call(m_Store, m_Dialect.feedCall(Source.m_Kind, *Due), Due->m_Timeout,
+  m_Store.call(m_Dialect.feedCall(Source.m_Kind, *Due), Due->m_Timeout,
+               Due->m_MayBeStale,
                [this, &Source, Due](const gateway::HttpResult &Result) {
                  onFeedAnswer(Source, *Due, Result);
                });
 }
 
+void StoreFeeds::onStoreRestored() {
+  const model::TimePoint Now = m_Clock.now();
+  m_Health.recordRestore(Now);
+  m_Registry.onStoreRestored(Now);
+  for (Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
+    Each->m_Feed.onStoreRestored(Now, RestoreSpread);
+  m_Registered = false;
+  m_RegisterAsNew = true;
+  m_RegisterAgain = true;
+  // The answer to a registration in flight is in doubt.
+  ++m_Registration;
+  m_Registering = false;
+}
+
 void StoreFeeds::onFeedAnswer(Feed &Source, const gateway::FeedCall &Call,
                               const gateway::HttpResult &Result) {
   const model::TimePoint Now = m_Clock.now();
@@ -149,7 +167,7 @@
                 {{"endpoint", Change.m_Name},
                  {"service", Parsed.m_Value->m_Service},
                  {"born_ms", Parsed.m_Value->m_StartedAtMs}});
-  if (!m_Registry.set(std::move(*Parsed.m_Value)))
+  if (!m_Registry.set(std::move(*Parsed.m_Value), m_Clock.now()))
     m_Log.write("endpoint", "stale", {{"endpoint", Change.m_Name}});
 }
 
@@ -178,24 +196,30 @@
 void StoreFeeds::registerSelf() {
   const model::TimePoint Now = m_Clock.now();
   if (m_Registered || m_Registering || m_Leaving || Now < m_RegisterAt ||
-      !m_NodeFeed.m_Feed.isComplete())
+      !m_NodeFeed.m_Feed.isCurrent())
     return;
   const auto Known = m_Nodes.find(m_Self.m_Node);
-  if (Known != m_Nodes.end() && Known->second == m_Self) {
+  const bool IsKnown = Known != m_Nodes.end() && !m_RegisterAgain;
+  if (IsKnown && Known->second == m_Self) {
     m_Registered = true;
     return;
   }
   m_Registering = true;
-  const bool Create = m_RegisterAsNew && Known == m_Nodes.end();
-  m_Calls.call(m_Store, m_Dialect.writeNode(m_Self, Create), RegisterTimeout,
-               [this, Create](const gateway::HttpResult &Result) {
+  const bool Create = m_RegisterAsNew && !IsKnown;
+  m_Store.call(m_Dialect.writeNode(m_Self, Create), RegisterTimeout, false,
+               [this, Create, Registration = ++m_Registration](
+                   const gateway::HttpResult &Result) {
                  constexpr int FirstFailure = 300;
                  constexpr int Conflict = 409;
+                 if (Registration != m_Registration)
+                   return;
                  m_Registering = false;
                  m_Registered =
                      Result.m_Status > 0 && Result.m_Status < FirstFailure;
                  // The entry already existed, or was removed meanwhile: the
                  // next attempt updates or creates it instead.
+                 if (m_Registered || Result.m_Status == Conflict)
+                   m_RegisterAgain = false;
                  m_RegisterAsNew = Create ? Result.m_Status != Conflict : true;
                  m_RegisterAt = m_Clock.now() + RegisterRetry;
                });
@@ -206,8 +230,8 @@
   if (!m_Registered)
     return;
   // Otherwise the peers would keep sending notices to this node.
-  m_Calls.call(
-      m_Store, m_Dialect.removeNode(m_Self.m_Node), RegisterTimeout,
+  m_Store.call(
+      m_Dialect.removeNode(m_Self.m_Node), RegisterTimeout, false,
       [this](const gateway::HttpResult &Result) {
         if (Result.m_Status == 0)
           m_Log.write("dependency", "entry_left", {{"reason", "no answer"}});
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -1,8 +1,8 @@
 #ifndef BRONZEPASS_CORE_ADAPTERS_GATEWAY_STOREFEEDS_H
 #define BRONZEPASS_CORE_ADAPTERS_GATEWAY_STOREFEEDS_H
 
-#include "Core/Adapters/Gateway/ControlCalls.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
+#include "Core/Adapters/Gateway/StoreClient.h"
 #include "Core/Gateway/Dialect.h"
 #include "Core/Gateway/EndpointRegistry.h"
 #include "Core/Gateway/ObjectFeed.h"
@@ -37,13 +37,15 @@
 class StoreFeeds {
 public:
   /// All arguments except \p Self must outlive this object.
-  StoreFeeds(const model::Address &Store, core::gateway::NodeEntry Self,
-             const core::gateway::Dialect &Dialect, ControlCalls &Calls,
-             const ports::Clock &Clock, ports::Random &Random, GatewayLog &Log,
-             StoreEvents &Events);
+  StoreFeeds(StoreClient &Store, core::gateway::NodeEntry Self,
+             const core::gateway::Dialect &Dialect, const ports::Clock &Clock,
+             ports::Random &Random, GatewayLog &Log, StoreEvents &Events);
 
   /// Call about every 20 ms; starts the store calls that are due.
   void tick();
+  /// The store has been restored from a backup: reads all objects again and
+  /// registers this node again, spread over a short time.
+  void onStoreRestored();
   /// Removes this node's entry from the store and writes no new one.
   void leave();
 
@@ -70,10 +72,9 @@
   void publishNodes();
   void registerSelf();
 
-  const model::Address m_Store;
+  StoreClient &m_Store;
   const core::gateway::NodeEntry m_Self;
   const core::gateway::Dialect &m_Dialect;
-  ControlCalls &m_Calls;
   const ports::Clock &m_Clock;
   GatewayLog &m_Log;
   StoreEvents &m_Events;
@@ -83,7 +84,11 @@
   uint64_t m_ConfigVersion = 0;
   bool m_Registered = false;
   bool m_Registering = false;
+  /// Numbers the registrations, to tell the answer to the last one.
+  uint64_t m_Registration = 0;
   bool m_RegisterAsNew = true;
+  /// A restore of the store may have lost this node's entry.
+  bool m_RegisterAgain = false;
   bool m_Leaving = false;
   model::TimePoint m_RegisterAt;
   Feed m_ConfigFeed;
--- a/Source/Core/Adapters/ObjectApi/ObjectApiClient.cpp
+++ b/Source/Core/Adapters/ObjectApi/ObjectApiClient.cpp
@@ -84,7 +84,8 @@
     m_Curl.start(makeVmListTransfer(m_Settings),
                  std::make_shared<curl::AnswerCollector>(
                      [&Sink = m_Sink](const curl::TransferResult &Result,
-                                      int /*Status*/, const std::string &Body) {
+                                      const curl::TransferHead & /*Head*/,
+                                      const std::string &Body) {
                        std::optional<ports::VmListReceived> Seen =
                            Result.m_Complete ? readVmList(Body) : std::nullopt;
                        if (Seen)
--- a/Source/Core/Gateway/Dialect.h
+++ b/Source/Core/Gateway/Dialect.h
@@ -40,6 +40,7 @@
   std::string m_Body;
   /// No byte of the call was written to a connection.
   bool m_NotSent = false;
+  HeaderLines m_Headers;
 
   friend auto operator<=>(const HttpResult &, const HttpResult &) = default;
 };
@@ -107,6 +108,10 @@
                  std::optional<model::Duration> RetryAfter) const = 0;
 
   // The store.
+  /// The era that the store's answer \p Result names; no value if it names
+  /// none, with a finding if what it names is not an era.
+  virtual Decoded<model::StoreEra>
+  readStoreEra(const HttpResult &Result) const = 0;
   virtual HttpCall feedCall(FeedKind Kind, const FeedCall &Call) const = 0;
   virtual FeedAnswer readFeed(const FeedCall &Call,
                               const HttpResult &Result) const = 0;
--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -1,6 +1,10 @@
 #include "Core/Gateway/ObjectFeed.h"
 
+#include "Core/Leases/CircuitBreaker.h"
+#include "Core/Model/Hash.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace bronzepass::core::gateway {
 
@@ -20,8 +24,8 @@
     Call.m_Wait = m_Settings.m_WatchTimeout;
   } else {
     Call.m_After = m_After;
-    // The first list has to be up to date; later ones may be stale.
-    Call.m_MayBeStale = m_Settings.m_ListPeriod && m_ListedOnce;
+    // The first list, and the first after a restore, has to be up to date.
+    Call.m_MayBeStale = m_Settings.m_ListPeriod && isCurrent();
   }
   Call.m_Timeout = Call.m_Wait + m_Settings.m_AnswerTimeout;
   return Call;
@@ -31,6 +35,8 @@
                                                  model::TimePoint Now) {
   std::vector<FeedChange> Changes;
   m_CallInProgress = false;
+  if (std::exchange(m_DiscardAnswer, false))
+    return Changes;
   if (Answer.m_Status == FeedStatus::Failed) {
     m_Failing = true;
     m_NextCallAt = Now + m_Backoff.next(m_Random);
@@ -40,10 +46,7 @@
   m_Backoff.reset();
   m_NextCallAt = Now;
   if (Answer.m_Status == FeedStatus::HistoryGone) {
-    m_Watching = false;
-    m_After.clear();
-    m_ListedNames.clear();
-    m_ListRevision.reset();
+    startList();
     return Changes;
   }
   for (const FeedObject &Object : Answer.m_Objects)
@@ -73,31 +76,61 @@
     m_NextCallAt = std::min(m_NextCallAt, Now);
 }
 
+void ObjectFeed::onStoreRestored(model::TimePoint Now,
+                                 model::Duration MaxDelay) {
+  m_DiscardAnswer = m_CallInProgress;
+  m_RestorePending = true;
+  m_Revision = 0;
+  startList();
+  for (auto &Entry : m_Seen)
+    Entry.second.m_Revision = 0;
+  m_NextCallAt = Now + leases::fullJitter(MaxDelay, m_Random);
+}
+
+void ObjectFeed::startList() {
+  m_Watching = false;
+  m_After.clear();
+  m_ListedNames.clear();
+  m_ListRevision.reset();
+}
+
 void ObjectFeed::apply(const FeedObject &Object,
                        std::vector<FeedChange> &Changes) {
-  SeenRevision &Seen = m_Revisions[Object.m_Name];
-  if (Object.m_Revision <= Seen.m_Revision)
+  const auto Inserted = m_Seen.try_emplace(Object.m_Name);
+  SeenObject &Seen = Inserted.first->second;
+  const bool IsNew = Inserted.second;
+  if (!IsNew && Object.m_Revision <= Seen.m_Revision)
     return;
-  const bool WasThere = Seen.m_Revision != 0 && !Seen.m_Deleted;
-  Seen = {Object.m_Revision, Object.m_Deleted};
-  if (!Object.m_Deleted)
+  const bool WasThere = !IsNew && !Seen.m_Deleted;
+  const bool WasSeenBeforeRestore = WasThere && Seen.m_Revision == 0;
+  const SeenObject Before = Seen;
+  Seen = {Object.m_Revision, Object.m_Deleted,
+          model::stableHash(Object.m_Content)};
+  if (Object.m_Deleted) {
+    if (WasThere)
+      Changes.push_back({Object.m_Name, std::nullopt});
+    return;
+  }
+  if (!WasSeenBeforeRestore || Before.m_ContentHash != Seen.m_ContentHash)
     Changes.push_back({Object.m_Name, Object.m_Content});
-  else if (WasThere)
-    Changes.push_back({Object.m_Name, std::nullopt});
 }
 
 void ObjectFeed::finishList(std::vector<FeedChange> &Changes) {
+  // With a list period, objects that a restore has lost stay for one period, in
+  // which their owners write them again.
+  const bool KeepsMissing = m_RestorePending && m_Settings.m_ListPeriod;
   // A list may be older than an event already seen: keeps objects newer than
   // the list.
-  for (auto &Entry : m_Revisions) {
+  for (auto &Entry : m_Seen) {
     if (Entry.second.m_Deleted || m_ListedNames.contains(Entry.first) ||
-        Entry.second.m_Revision > *m_ListRevision)
+        Entry.second.m_Revision > *m_ListRevision || KeepsMissing)
       continue;
     Entry.second.m_Deleted = true;
     Changes.push_back({Entry.first, std::nullopt});
   }
   m_Revision = std::max(m_Revision, *m_ListRevision);
   m_ListedOnce = true;
+  m_RestorePending = false;
   m_Watching = !m_Settings.m_ListPeriod;
   m_After.clear();
   m_ListedNames.clear();
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -96,6 +96,10 @@
 /// Tracks all objects of one kind in the store: lists them, then watches for
 /// changes. Never reports an older revision of an object after a newer one,
 /// even if a list is stale. Has one call in flight at a time.
+///
+/// After a restore of the store, revisions of before say nothing: the feed
+/// lists again and reports what differs in content. Whether content that went
+/// back is to be believed is for the receiver to decide.
 class ObjectFeed {
 public:
   /// \p Random must outlive the feed.
@@ -110,13 +114,20 @@
   /// Another call has shown that the store answers again: ends the backoff.
   void onStoreRecovered(model::TimePoint Now);
 
+  /// The store has been restored from a backup. Discards the answer of a call
+  /// in flight. The next list is made within \p MaxDelay, at a random time.
+  void onStoreRestored(model::TimePoint Now, model::Duration MaxDelay);
+
   /// At least one list has been completed.
   bool isComplete() const { return m_ListedOnce; }
+  /// The objects have been listed since the last restore.
+  bool isCurrent() const { return m_ListedOnce && !m_RestorePending; }
   /// The last call failed.
   bool isFailing() const { return m_Failing; }
 
 private:
   void apply(const FeedObject &Object, std::vector<FeedChange> &Changes);
+  void startList();
   void finishList(std::vector<FeedChange> &Changes);
 
   FeedSettings m_Settings;
@@ -131,12 +142,18 @@
   std::string m_After;
   std::set<std::string> m_ListedNames;
   std::optional<uint64_t> m_ListRevision;
-  /// The newest revision seen of an object, deleted ones included.
-  struct SeenRevision {
+  /// The call in flight was made before the last restore.
+  bool m_DiscardAnswer = false;
+  /// No list has been completed since the last restore.
+  bool m_RestorePending = false;
+  /// The newest state seen of an object, deleted ones included.
+  struct SeenObject {
+    /// Zero: seen before the last restore and not since.
     uint64_t m_Revision = 0;
     bool m_Deleted = false;
+    uint64_t m_ContentHash = 0;
   };
-  std::map<std::string, SeenRevision> m_Revisions;
+  std::map<std::string, SeenObject> m_Seen;
 };
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/StoreHealth.h
+++ b/Source/Core/Gateway/StoreHealth.h
@@ -22,8 +22,12 @@
     return true;
   }
 
+  /// The store has been restored from a backup. Like after an outage, endpoints
+  /// that are alive write the entries again that it has lost.
+  void recordRestore(model::TimePoint Now) { m_ReturnedAt = Now; }
+
   bool isFailing() const { return m_Failing; }
-  /// When it last recovered; nullopt if it never has.
+  /// When it last recovered or was restored; nullopt if it never was.
   std::optional<model::TimePoint> recoveredAt() const { return m_ReturnedAt; }
 
 private:
--- a/Source/Core/Leases/LeaseManager.cpp
+++ b/Source/Core/Leases/LeaseManager.cpp
@@ -27,6 +27,8 @@
         m_Trackers
             .try_emplace(Entry.first, Entry.first, m_Settings, m_Self, m_Random)
             .first;
+    if (m_Era)
+      Tracker->second.setStoreEra(*m_Era, Now);
     Tracker->second.setRank(Entry.second, Now);
     advance(Tracker->second, Now, Out);
   }
@@ -80,6 +82,22 @@
   return Notices;
 }
 
+std::vector<LeaseNotice> LeaseManager::setStoreEra(model::StoreEra Era,
+                                                   model::TimePoint Now,
+                                                   ports::EffectList &Out) {
+  std::vector<LeaseNotice> Notices;
+  if (m_Era == Era)
+    return Notices;
+  if (m_Era)
+    m_Calls.clear();
+  m_Era = Era;
+  for (auto &Entry : m_Trackers) {
+    Entry.second.setStoreEra(Era, Now);
+    collect(Entry.second, Notices, Out);
+  }
+  return Notices;
+}
+
 void LeaseManager::stop(model::TimePoint Now, ports::EffectList &Out) {
   m_Stopping = true;
   for (auto &Entry : m_Trackers) {
--- a/Source/Core/Leases/LeaseManager.h
+++ b/Source/Core/Leases/LeaseManager.h
@@ -61,6 +61,12 @@
                                          model::TimePoint Now,
                                          ports::EffectList &Out);
 
+  /// Sets the store's era, as named by an answer. In a new era all leases are
+  /// void, and answers to calls made before are ignored.
+  std::vector<LeaseNotice> setStoreEra(model::StoreEra Era,
+                                       model::TimePoint Now,
+                                       ports::EffectList &Out);
+
   /// Stops acting on all leases at once and releases them. The caller must have
   /// ended all work that it did under them.
   void stop(model::TimePoint Now, ports::EffectList &Out);
@@ -81,6 +87,7 @@
   ports::Random &m_Random;
   TrackerMap m_Trackers;
   std::map<model::CallId, model::LeaseName> m_Calls;
+  std::optional<model::StoreEra> m_Era;
   bool m_Stopping = false;
 };
 
--- a/Source/Core/Leases/LeaseTracker.cpp
+++ b/Source/Core/Leases/LeaseTracker.cpp
@@ -18,6 +18,15 @@
 constexpr int RenewalsPerTerm = 3;
 constexpr int64_t SpreadPercent = 40;
 
+/// A fencing token has room for the store's version of a record, and above it
+/// for the era; both together are exact in a JSON number.
+constexpr uint64_t VersionBits = 40;
+constexpr uint64_t EraBits = 13;
+
+uint64_t lowBits(uint64_t Value, uint64_t Bits) {
+  return std::min(Value, (uint64_t{1} << Bits) - 1);
+}
+
 ports::ObjectKey keyOf(const model::LeaseName &Name) {
   std::string Text = Name.m_Duty;
   std::replace(Text.begin(), Text.end(), '/', '.');
@@ -44,6 +53,24 @@
   stopActing("it is no longer this node's duty");
 }
 
+void LeaseTracker::setStoreEra(model::StoreEra Era, model::TimePoint Now) {
+  const bool IsRestored = m_Era && *m_Era != Era;
+  m_Era = Era;
+  if (!IsRestored)
+    return;
+  m_ActedAtRestore = heldAt(Now).has_value();
+  stopActing("the store was restored from a backup");
+  m_CallInFlight = Action::None;
+  m_PendingWrite.reset();
+  m_IsRecordKnown = false;
+  m_HasBeenRead = false;
+  m_RetryAt = {};
+}
+
+bool LeaseTracker::isFromBackup() const {
+  return m_Era && (!m_Version || m_Record.m_Era < *m_Era);
+}
+
 std::optional<model::HeldLease>
 LeaseTracker::heldAt(model::TimePoint Now) const {
   if (!m_Acting || Now >= m_ValidUntil)
@@ -71,7 +98,9 @@
   if (m_IsCandidate || m_CallInFlight != Action::None)
     return false;
   const bool NeverWrote = m_LastRenewals == 0;
-  return NeverWrote || (m_IsRecordKnown && !isHolder());
+  // A record from a backup is left alone: if it were released, the next node
+  // would not wait for a holder that has not learned of the restore yet.
+  return NeverWrote || (m_IsRecordKnown && (!isHolder() || isFromBackup()));
 }
 
 void LeaseTracker::stopActing(const std::string &Reason) {
@@ -101,7 +130,10 @@
     return Now >= m_RenewAt ? Action::Renew : Action::None;
   // The record names this node but it does not act on the lease: its term has
   // ended, or a write took effect after this node had given up on it.
-  return mayWatch() && !isHandOverDue(Now) ? Action::Acquire : Action::Release;
+  const bool GivesUp = !mayWatch() || isHandOverDue(Now);
+  if (!isFromBackup())
+    return GivesUp ? Action::Release : Action::Acquire;
+  return !GivesUp && isTakeOverDue(Now) ? Action::Acquire : Action::None;
 }
 
 LeaseTracker::Action LeaseTracker::actionAsWaiter(model::TimePoint Now) const {
@@ -109,14 +141,29 @@
     return Action::None;
   if (Now >= m_NextReadAt)
     return Action::Read;
-  const bool Free = m_Record.m_Holder.empty();
+  return isTakeOverDue(Now) ? Action::Acquire : Action::None;
+}
+
+bool LeaseTracker::isTakeOverDue(model::TimePoint Now) const {
+  if (isFromBackup() && m_ActedAtRestore)
+    return true;
+  const bool Free = m_Record.m_Holder.empty() && !isFromBackup();
+  const model::Duration Term = std::max(m_Record.m_Term, m_Settings.m_Term);
   // Each candidate before this node gets a term to acquire a free lease, and
   // half a term for an expired one.
-  const model::Duration Wait = Free ? m_Settings.m_Term * m_Rank
-                                    : m_Record.m_Term + m_Settings.m_Margin +
-                                          m_Settings.m_Term / 2 * m_Rank;
-  const bool TakeOver = Now >= m_UnchangedSince + Wait;
-  return TakeOver ? Action::Acquire : Action::None;
+  const model::Duration Wait =
+      Free ? m_Settings.m_Term * m_Rank
+           : Term + m_Settings.m_Margin + m_Settings.m_Term / 2 * m_Rank;
+  return Now >= m_UnchangedSince + Wait;
+}
+
+/// Above all tokens of earlier eras, and within an era above those of all
+/// earlier versions of the record, also of versions that a restore has lost.
+model::FencingToken LeaseTracker::nextToken() const {
+  const uint64_t Era = m_Era ? lowBits(m_Era->m_Value, EraBits) : 0;
+  const uint64_t OfEra =
+      m_Era ? Era << VersionBits | lowBits(m_Version.m_Value, VersionBits) : 0;
+  return {std::max(m_HighestToken.m_Value + 1, OfEra)};
 }
 
 model::Duration LeaseTracker::readPeriod() const {
@@ -146,8 +193,9 @@
   Record.m_Name = m_Name;
   Record.m_Term = m_Settings.m_Term;
   Record.m_Holder = Why == Action::Release ? model::NodeId() : m_Self;
+  Record.m_Era = m_Era.value_or(model::StoreEra());
   if (Why == Action::Acquire)
-    Record.m_Token = {m_HighestToken.m_Value + 1};
+    Record.m_Token = nextToken();
   m_LastRenewals = std::max(m_LastRenewals, m_Record.m_Renewals) + 1;
   Record.m_Renewals = m_LastRenewals;
   m_PendingWrite = Record;
@@ -156,6 +204,7 @@
   ports::StoreCall Call = readCall();
   Call.m_Verb = m_Version ? StoreVerb::Update : StoreVerb::Create;
   Call.m_Expected = m_Version;
+  Call.m_ExpectedEra = m_Era;
   Call.m_Record = std::move(Record);
   return Call;
 }
@@ -244,6 +293,7 @@
       !m_IsCandidate)
     return;
   m_Acting = true;
+  m_ActedAtRestore = false;
   m_RankSince = Now;
   m_ActingToken = Written.m_Token;
   m_ValidUntil = ValidUntil;
--- a/Source/Core/Leases/LeaseTracker.h
+++ b/Source/Core/Leases/LeaseTracker.h
@@ -51,6 +51,10 @@
   void setRank(uint32_t Rank, model::TimePoint Now);
   /// Stops acting at once, and then releases the lease.
   void release();
+  /// Sets the store's era, as named by an answer. A change of era means that
+  /// the store was restored from a backup: the lease is void, and the answer of
+  /// a call in flight must not be passed to onAnswer() any more.
+  void setStoreEra(model::StoreEra Era, model::TimePoint Now);
 
   /// The lease, if this node may act on it at \p Now.
   std::optional<model::HeldLease> heldAt(model::TimePoint Now) const;
@@ -68,6 +72,11 @@
   enum class Action { None, Read, Acquire, Renew, Release };
 
   bool isHolder() const { return m_Record.m_Holder == m_Self; }
+  /// The record, or its absence, may date from before a restore of the store.
+  /// Another node may act on a lease that the restore has lost.
+  bool isFromBackup() const;
+  bool isTakeOverDue(model::TimePoint Now) const;
+  model::FencingToken nextToken() const;
   void stopActing(const std::string &Reason);
   Action nextAction(model::TimePoint Now) const;
   Action actionAsHolder(model::TimePoint Now) const;
@@ -117,6 +126,10 @@
   /// identifies which write took effect.
   uint64_t m_LastRenewals = 0;
   model::FencingToken m_HighestToken;
+  std::optional<model::StoreEra> m_Era;
+  /// This node acted on the lease when it learned of the last restore, so that
+  /// no other node can have acted on it then.
+  bool m_ActedAtRestore = false;
   model::TimePoint m_RetryAt;
   uint32_t m_Failures = 0;
 
--- a/Source/Core/Model/Id.h
+++ b/Source/Core/Model/Id.h
@@ -60,6 +60,9 @@
 using CallId = Number<struct CallTag>;
 /// The object API's version of one object; never compared for order.
 using ObjectVersion = Number<struct ObjectVersionTag>;
+/// Rises each time the platform's store is restored from a backup and loses
+/// what it has accepted since. Versions are only comparable within one era.
+using StoreEra = Number<struct StoreEraTag>;
 
 } // namespace bronzepass::core::model
 
--- a/Source/Core/Model/Lease.h
+++ b/Source/Core/Model/Lease.h
@@ -26,6 +26,9 @@
   /// unchanged for a term on that node's own clock, so that clocks are never
   /// compared.
   uint64_t m_Renewals = 0;
+  /// The store's era when the record was written; zero in records of older
+  /// releases and in stores without eras.
+  StoreEra m_Era;
 
   friend auto operator<=>(const LeaseRecord &, const LeaseRecord &) = default;
 };
--- a/Source/Core/Ports/Store.h
+++ b/Source/Core/Ports/Store.h
@@ -63,6 +63,9 @@
   StoreVerb m_Verb = StoreVerb::Get;
   ObjectKey m_Key;
   model::ObjectVersion m_Expected;
+  /// The store's era in which m_Expected was read; nullopt if unknown. The call
+  /// is not sent in a later era, in which another write may have that version.
+  std::optional<model::StoreEra> m_ExpectedEra;
   std::optional<StoreRecord> m_Record;
   StorePriority m_Priority = StorePriority::Status;
   model::Duration m_Timeout{0};
--- a/Source/UnitTests/Fakes/FakeStore.h
+++ b/Source/UnitTests/Fakes/FakeStore.h
@@ -29,6 +29,8 @@
     core::model::TimePoint m_At;
     core::model::NodeId m_Caller;
     core::ports::StoreAnswer m_Answer;
+    /// The era that the answer names; nullopt if it never arrives.
+    std::optional<core::model::StoreEra> m_Era;
   };
 
   core::model::Duration m_Latency = std::chrono::milliseconds(5);
@@ -89,6 +91,18 @@
     return Taken;
   }
 
+  /// Takes a backup of all objects and the version counter.
+  void backUp() { m_Backup = {m_Objects, m_Version}; }
+  /// Restores the last backup under the next era; versions since are assigned
+  /// again. Late writes stay on their way, and answers keep their era.
+  void restore(core::model::TimePoint Now) {
+    applyLateWrites(Now);
+    m_Objects = m_Backup.m_Objects;
+    m_Version = m_Backup.m_Version;
+    ++m_Era.m_Value;
+  }
+  core::model::StoreEra era() const { return m_Era; }
+
   const core::ports::StoredObject *find(const core::ports::ObjectKey &K) const {
     auto Found = m_Objects.find(K);
     return Found == m_Objects.end() ? nullptr : &Found->second;
@@ -139,7 +153,10 @@
 
   void answer(const core::model::NodeId &Caller,
               core::ports::StoreAnswer Answer, core::model::TimePoint At) {
-    m_Due.push_back({At, Caller, std::move(Answer)});
+    const bool Arrives = Answer.m_Status != core::ports::StoreStatus::Unknown &&
+                         Answer.m_Status != core::ports::StoreStatus::NotSent;
+    m_Due.push_back({At, Caller, std::move(Answer),
+                     Arrives ? std::optional(m_Era) : std::nullopt});
   }
 
   bool hasChanges(const core::ports::StoreCall &Call) const {
@@ -227,6 +244,12 @@
   std::vector<LateWrite> m_LateWrites;
   core::model::ObjectVersion m_Version;
   uint64_t m_CallCount = 0;
+  struct Backup {
+    std::map<core::ports::ObjectKey, core::ports::StoredObject> m_Objects;
+    core::model::ObjectVersion m_Version;
+  };
+  Backup m_Backup;
+  core::model::StoreEra m_Era{1};
 };
 
 } // namespace bronzepass::unit_tests::fakes
--- a/Source/UnitTests/Gateway/EndpointRegistryTest.cpp
+++ b/Source/UnitTests/Gateway/EndpointRegistryTest.cpp
@@ -25,7 +25,7 @@
 
 TEST_CASE("an entry deleted while the store answers is removed at once") {
   EndpointRegistry Registry(LapsedRetention);
-  Registry.set(entry("a"));
+  Registry.set(entry("a"), at(1s));
   Registry.remove(model::EndpointId("a"), StoreHealth(), at(10s));
   CHECK(Registry.empty());
 }
@@ -34,7 +34,7 @@
     "an entry that lapsed during a store outage is kept for the retention "
     "time after the recovery, and no longer") {
   EndpointRegistry Registry(LapsedRetention);
-  Registry.set(entry("a"));
+  Registry.set(entry("a"), at(1s));
   StoreHealth Store;
   Store.recordFailure();
   Registry.remove(model::EndpointId("a"), Store, at(10s));
@@ -51,7 +51,7 @@
 TEST_CASE("the retention time of an entry missing from the first list after an "
           "outage starts at the store's recovery, not at that list") {
   EndpointRegistry Registry(LapsedRetention);
-  Registry.set(entry("a"));
+  Registry.set(entry("a"), at(1s));
   StoreHealth Store;
   Store.recordFailure();
   Store.recordAnswer(at(20s));
@@ -62,7 +62,7 @@
 
 TEST_CASE("a draining endpoint is removed at once, even during an outage") {
   EndpointRegistry Registry(LapsedRetention);
-  Registry.set(entry("a", 1, true));
+  Registry.set(entry("a", 1, true), at(1s));
   StoreHealth Store;
   Store.recordFailure();
   Registry.remove(model::EndpointId("a"), Store, at(10s));
@@ -71,25 +71,77 @@
 
 TEST_CASE("an entry that is written again after an outage is kept") {
   EndpointRegistry Registry(LapsedRetention);
-  Registry.set(entry("a", 5));
+  Registry.set(entry("a", 5), at(1s));
   StoreHealth Store;
   Store.recordFailure();
   Registry.remove(model::EndpointId("a"), Store, at(10s));
   Store.recordAnswer(at(11s));
-  CHECK(Registry.set(entry("a", 6)));
+  CHECK(Registry.set(entry("a", 6), at(1s)));
   CHECK_FALSE(Registry.dropLapsed(Store, at(60s)));
   CHECK(Registry.find(model::EndpointId("a")));
 }
 
 TEST_CASE("a delayed renewal does not overwrite a later one") {
   EndpointRegistry Registry(LapsedRetention);
-  Registry.set(entry("a", 7, true));
-  CHECK_FALSE(Registry.set(entry("a", 6, false)));
+  Registry.set(entry("a", 7, true), at(1s));
+  CHECK_FALSE(Registry.set(entry("a", 6, false), at(1s)));
   CHECK(Registry.find(model::EndpointId("a"))->m_Draining);
   EndpointEntry Restarted = entry("a", 1);
   Restarted.m_StartedAtMs = 1000;
-  CHECK(Registry.set(Restarted));
+  CHECK(Registry.set(Restarted, at(1s)));
   CHECK_FALSE(Registry.find(model::EndpointId("a"))->m_Draining);
 }
 
+TEST_CASE("a restored store does not bring back an endpoint that has left") {
+  EndpointRegistry Registry(LapsedRetention);
+  Registry.set(entry("a", 7), at(1s));
+  Registry.remove(model::EndpointId("a"), StoreHealth(), at(10s));
+  Registry.onStoreRestored(at(15s));
+  CHECK_FALSE(Registry.set(entry("a", 6), at(15s)));
+  CHECK_FALSE(Registry.set(entry("a", 7), at(15s)));
+  CHECK(Registry.empty());
+  SUBCASE("a renewal since shows that it is alive") {
+    CHECK(Registry.set(entry("a", 8), at(16s)));
+  }
+  SUBCASE("so does a new start") {
+    EndpointEntry Restarted = entry("a", 1);
+    Restarted.m_StartedAtMs = 1000;
+    CHECK(Registry.set(Restarted, at(16s)));
+  }
+}
+
+TEST_CASE("a restored store does not undo draining or a restart") {
+  EndpointRegistry Registry(LapsedRetention);
+  EndpointEntry Known = entry("a", 7, true);
+  Known.m_StartedAtMs = 2000;
+  Registry.set(Known, at(1s));
+  Registry.onStoreRestored(at(5s));
+  EndpointEntry Ready = entry("a", 7);
+  Ready.m_StartedAtMs = 2000;
+  CHECK_FALSE(Registry.set(Ready, at(5s)));
+  EndpointEntry EarlierStart = entry("a", 90);
+  EarlierStart.m_StartedAtMs = 1000;
+  CHECK_FALSE(Registry.set(EarlierStart, at(5s)));
+  CHECK(Registry.find(model::EndpointId("a"))->m_Draining);
+}
+
+TEST_CASE("an entry that a restore has lost is kept until its endpoint should "
+          "have written it again") {
+  EndpointRegistry Registry(LapsedRetention);
+  Registry.set(entry("a", 5), at(1s));
+  StoreHealth Store;
+  Store.recordRestore(at(10s));
+  Registry.onStoreRestored(at(10s));
+  Registry.remove(model::EndpointId("a"), Store, at(10100ms));
+  CHECK(Registry.find(model::EndpointId("a")));
+  SUBCASE("it is written again") {
+    CHECK(Registry.set(entry("a", 5), at(11s)));
+    CHECK_FALSE(Registry.dropLapsed(Store, at(13s)));
+  }
+  SUBCASE("it is not") {
+    CHECK(Registry.dropLapsed(Store, at(10s + LapsedRetention)));
+    CHECK(Registry.empty());
+  }
+}
+
 } // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Gateway/ObjectFeedTest.cpp
+++ b/Source/UnitTests/Gateway/ObjectFeedTest.cpp
@@ -1,4 +1,5 @@
 #include "Core/Gateway/ObjectFeed.h"
+#include "Core/Gateway/EndpointRegistry.h"
 
 #include "UnitTests/Fakes/FixedRandom.h"
 
@@ -40,6 +41,13 @@
     m_Log.push_back({Name, ++m_Revision, true, ""});
   }
   void compact() { m_OldestWatchable = m_Revision; }
+  void backUp() { m_BackedUp = m_Log.size(); }
+  /// Restores the last backup; revisions since are assigned again.
+  void restore() {
+    m_Log.resize(m_BackedUp);
+    m_Revision = m_Log.empty() ? 0 : m_Log.back().m_Revision;
+    m_OldestWatchable = std::min(m_OldestWatchable, m_Revision);
+  }
   uint64_t revision() const { return m_Revision; }
 
   std::map<std::string, FeedObject> stateAt(uint64_t Revision) const {
@@ -64,7 +72,7 @@
   }
 
   FeedAnswer watch(uint64_t From) const {
-    if (From < m_OldestWatchable) {
+    if (From < m_OldestWatchable || From > m_Revision) {
       FeedAnswer Gone;
       Gone.m_Status = FeedStatus::HistoryGone;
       return Gone;
@@ -80,6 +88,7 @@
   std::vector<FeedObject> m_Log;
   uint64_t m_Revision = 0;
   uint64_t m_OldestWatchable = 0;
+  size_t m_BackedUp = 0;
 };
 
 } // namespace
@@ -189,4 +198,204 @@
   }
 }
 
+TEST_CASE("after a restore a feed lists again and compares by content") {
+  unit_tests::fakes::FixedRandom FeedRandom(1);
+  ObjectFeed Feed({}, FeedRandom);
+  Feed.nextCall(at(0s));
+  Feed.handleAnswer(answer(20, {object("a", 3, "x"), object("b", 15, "new"),
+                                object("c", 16, "lost")}),
+                    at(0s));
+  // A watch is in flight when the store is restored.
+  REQUIRE(Feed.nextCall(at(1s)));
+  Feed.onStoreRestored(at(1s), 0ms);
+  CHECK_FALSE(Feed.isCurrent());
+  CHECK(Feed.handleAnswer(answer(30, {object("d", 25)}), at(1s)).empty());
+  const std::optional<FeedCall> List = Feed.nextCall(at(2s));
+  REQUIRE(List);
+  CHECK(List->m_Verb == FeedCall::Verb::List);
+  CHECK_FALSE(List->m_MayBeStale);
+  const std::vector<FeedChange> Changes = Feed.handleAnswer(
+      answer(12, {object("a", 3, "x"), object("b", 9, "old")}), at(2s));
+  REQUIRE(Changes.size() == 2);
+  CHECK(Changes[0] == FeedChange{"b", "old"});
+  CHECK(Changes[1] == FeedChange{"c", std::nullopt});
+  CHECK(Feed.isCurrent());
+  CHECK(Feed.nextCall(at(2s))->m_Revision == 12);
+}
+
+TEST_CASE("a feed that lists periodically keeps lost objects for one period") {
+  unit_tests::fakes::FixedRandom FeedRandom(1);
+  FeedSettings Settings;
+  Settings.m_ListPeriod = 5s;
+  ObjectFeed Feed(Settings, FeedRandom);
+  Feed.nextCall(at(0s));
+  Feed.handleAnswer(answer(20, {object("a", 3), object("b", 15)}), at(0s));
+  Feed.onStoreRestored(at(1s), 100ms);
+  REQUIRE(Feed.nextCall(at(1100ms)));
+  CHECK(Feed.handleAnswer(answer(12, {object("a", 3)}), at(1100ms)).empty());
+  REQUIRE(Feed.nextCall(at(6100ms)));
+  CHECK(Feed.handleAnswer(answer(14, {object("a", 3)}), at(6100ms)) ==
+        std::vector<FeedChange>{{"b", std::nullopt}});
+}
+
+namespace {
+
+/// An operator and endpoints that write to a store which is restored from
+/// backups, and a node that follows both kinds of object.
+class RestoreRun {
+public:
+  explicit RestoreRun(uint64_t Seed)
+      : m_Random(Seed), m_FeedRandom(Seed), m_Feed({}, m_FeedRandom) {}
+
+  void run() {
+    constexpr int Steps = 60;
+    for (int I = 0; I < Steps; ++I) {
+      m_Now += 300ms;
+      writeSomething();
+      if (m_Random() % 6 == 0)
+        m_Store.backUp();
+      if (m_Random() % 10 == 0)
+        restore();
+      if (m_Random() % 3 != 0)
+        answerCall();
+      check();
+    }
+    settle();
+  }
+
+private:
+  struct Endpoint {
+    uint64_t m_Renewals = 1;
+    bool m_Draining = false;
+    bool m_Gone = false;
+  };
+
+  void writeSomething() {
+    const std::string Name(1, static_cast<char>('a' + m_Random() % 3));
+    Endpoint &Chosen = m_Endpoints[Name];
+    if (Chosen.m_Gone)
+      return;
+    ++Chosen.m_Renewals;
+    const uint64_t Kind = m_Random() % 12;
+    Chosen.m_Draining = Chosen.m_Draining || Kind == 0;
+    Chosen.m_Gone = Chosen.m_Draining && Kind < 3;
+    if (Chosen.m_Gone)
+      m_Store.remove(Name);
+    else
+      write(Name);
+  }
+
+  void write(const std::string &Name) {
+    const Endpoint &Each = m_Endpoints[Name];
+    m_Store.write(Name, std::to_string(Each.m_Renewals) +
+                            (Each.m_Draining ? "d" : "r"));
+  }
+
+  void restore() {
+    m_Store.restore();
+    if (m_Random() % 2 == 0) // The node learns of it from another call.
+      m_RestoreUnknown = true;
+    else
+      onRestored();
+  }
+
+  void onRestored() {
+    m_RestoreUnknown = false;
+    m_Health.recordRestore(m_Now);
+    m_Registry.onStoreRestored(m_Now);
+    m_Feed.onStoreRestored(m_Now, 100ms);
+  }
+
+  void answerCall() {
+    const std::optional<FeedCall> Call = m_Feed.nextCall(m_Now);
+    if (!Call)
+      return;
+    const uint64_t Revision = m_Store.revision();
+    const FeedAnswer Answer = Call->m_Verb == FeedCall::Verb::List
+                                  ? m_Store.list(Revision)
+                                  : m_Store.watch(Call->m_Revision);
+    // The era of this answer tells of the restore before its content is used.
+    if (m_RestoreUnknown)
+      onRestored();
+    for (const FeedChange &Change : m_Feed.handleAnswer(Answer, m_Now))
+      take(Change);
+  }
+
+  void take(const FeedChange &Change) {
+    const model::EndpointId Id(Change.m_Name);
+    if (!Change.m_Content) {
+      m_Registry.remove(Id, m_Health, m_Now);
+      m_KnownGone[Change.m_Name] =
+          m_KnownGone[Change.m_Name] || !m_Registry.find(Id);
+      return;
+    }
+    EndpointEntry Entry;
+    Entry.m_Id = Id;
+    Entry.m_Renewals = std::stoull(*Change.m_Content);
+    Entry.m_Draining = Change.m_Content->back() == 'd';
+    m_KnownDraining[Change.m_Name] =
+        m_KnownDraining[Change.m_Name] || Entry.m_Draining;
+    m_Registry.set(Entry, m_Now);
+  }
+
+  void check() {
+    m_Registry.dropLapsed(m_Health, m_Now);
+    for (const EndpointEntry &Each : m_Registry.entries()) {
+      const std::string &Name = Each.m_Id.str();
+      CHECK(Each.m_Renewals >= m_NewestSeen[Name]);
+      m_NewestSeen[Name] = Each.m_Renewals;
+      CHECK((Each.m_Draining || !m_KnownDraining[Name]));
+      CHECK_FALSE((m_KnownGone[Name] && m_Endpoints[Name].m_Gone));
+    }
+  }
+
+  /// Endpoints that are alive write their entries again, once; the store drops
+  /// those of the others. Within seconds the node knows that state.
+  void settle() {
+    for (auto &Each : m_Endpoints) {
+      ++Each.second.m_Renewals;
+      if (Each.second.m_Gone)
+        m_Store.remove(Each.first);
+      else
+        write(Each.first);
+    }
+    for (int I = 0; I < 10; ++I) {
+      m_Now += 500ms;
+      answerCall();
+      check();
+    }
+    for (const auto &Each : m_Endpoints) {
+      const EndpointEntry *const Known =
+          m_Registry.find(model::EndpointId(Each.first));
+      CHECK((Known != nullptr) == !Each.second.m_Gone);
+      if (Known)
+        CHECK(Known->m_Renewals == Each.second.m_Renewals);
+    }
+  }
+
+  std::mt19937_64 m_Random;
+  unit_tests::fakes::FixedRandom m_FeedRandom;
+  ObjectFeed m_Feed;
+  VersionedStore m_Store;
+  StoreHealth m_Health;
+  EndpointRegistry m_Registry{2150ms};
+  std::map<std::string, Endpoint> m_Endpoints;
+  std::map<std::string, uint64_t> m_NewestSeen;
+  std::map<std::string, bool> m_KnownDraining;
+  std::map<std::string, bool> m_KnownGone;
+  bool m_RestoreUnknown = false;
+  model::TimePoint m_Now = at(100s);
+};
+
+} // namespace
+
+TEST_CASE("endpoints that left or drain stay so, and the store's state is "
+          "reached, over 10,000 runs with restores from a backup") {
+  constexpr uint64_t Seeds = 10000;
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    CAPTURE(Seed);
+    RestoreRun(Seed).run();
+  }
+}
+
 } // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Leases/LeaseManagerTest.cpp
+++ b/Source/UnitTests/Leases/LeaseManagerTest.cpp
@@ -260,4 +260,97 @@
   CHECK(Held > ScenarioCount / 2);
 }
 
+TEST_CASE("A holder stops when the store was restored, and acquires the lease "
+          "anew with a higher token") {
+  LeaseNetwork Net(2, true);
+  Net.m_Store.backUp();
+  Net.run(seconds(60));
+  REQUIRE(Net.held(0));
+  const model::FencingToken Before = Net.held(0)->m_Token;
+  Net.m_Store.restore(Net.now());
+  Net.run(seconds(5));
+  REQUIRE(Net.held(0));
+  CHECK(Net.held(0)->m_Token > Before);
+  CHECK(Net.held(0)->m_Token.m_Value < (uint64_t{1} << 53U));
+  CHECK(Net.maxHolders() == 1);
+}
+
+TEST_CASE("A new holder waits for one that is cut off and has not learned of "
+          "the restore, also if the backup holds no lease") {
+  LeaseNetwork Net(3, true);
+  Net.m_Store.backUp();
+  Net.run(seconds(30));
+  REQUIRE(Net.held(0));
+  Net.cut(0, seconds(60));
+  Net.m_Store.restore(Net.now());
+  // A node that starts after the restore cannot tell that there was one.
+  Net.restart(1);
+  Net.run(seconds(60));
+  CHECK(Net.holders() == 1);
+  CHECK(Net.maxHolders() == 1);
+  CHECK(Net.reusedTokens() == 0);
+}
+
+TEST_CASE("A conditional write that was sent before a restore gives no lease "
+          "if it takes effect after it") {
+  LeaseNetwork Net(2, true);
+  Net.run(seconds(20));
+  REQUIRE(Net.held(0));
+  Net.m_Store.backUp();
+  // The renewal is on its way for five seconds, and finds its version again.
+  failWrites(Net, StoreFault::LateWrite, 1);
+  Net.m_Store.m_LateDelay = seconds(5);
+  Net.run(seconds(4));
+  Net.m_Store.restore(Net.now());
+  Net.run(seconds(60));
+  CHECK(Net.holders() == 1);
+  CHECK(Net.maxHolders() == 1);
+  CHECK(Net.reusedTokens() == 0);
+}
+
+TEST_CASE("There is at most one holder at a time and tokens only increase "
+          "despite restores of the store from a backup") {
+  rc::detail::TestParams Params;
+  Params.seed = PropertySeed;
+  Params.maxSuccess = ScenarioCount;
+  Params.maxSize = MaxSteps;
+  uint64_t Held = 0;
+  uint64_t Restores = 0;
+  const auto Result = rc::detail::checkTestable(
+      [&] {
+        const uint32_t Nodes = *between(2, 5);
+        fakes::FixedRandom Random(*rc::gen::arbitrary<uint64_t>());
+        const auto Steps = *rc::gen::container<std::vector<Step>>(anyStep());
+        LeaseNetwork Net(Nodes, true);
+        model::TimePoint StoreFaultsUntil;
+        Net.m_Store.m_Fault = [&](const StoreCall &) {
+          return Net.now() < StoreFaultsUntil ? randomFault(Random, Net)
+                                              : StoreFault::None;
+        };
+        // A holder is there before the first restore.
+        Net.run(seconds(15));
+        for (const Step &S : Steps) {
+          if (Random.next() % 3 == 0)
+            Net.m_Store.backUp();
+          if (Random.next() % 3 == 0)
+            Net.cut(Random.next() % Nodes, milliseconds(Random.next() % 20000));
+          if (Random.next() % 4 == 0) {
+            Net.m_Store.restore(Net.now());
+            ++Restores;
+          }
+          apply(S, Net, StoreFaultsUntil);
+        }
+        RC_ASSERT(Net.maxHolders() <= 1U);
+        RC_ASSERT(Net.reusedTokens() == 0U);
+        RC_ASSERT(Net.lateGains() == 0U);
+        Held += Net.maxHolders();
+      },
+      rc::detail::TestMetadata(), Params);
+  if (!Result.template is<rc::detail::SuccessResult>())
+    rc::detail::printResultMessage(Result, std::cerr);
+  CHECK(Result.template is<rc::detail::SuccessResult>());
+  CHECK(Held > ScenarioCount / 2);
+  CHECK(Restores > ScenarioCount);
+}
+
 } // namespace bronzepass::unit_tests::leases
--- a/Source/UnitTests/Leases/LeaseNetwork.h
+++ b/Source/UnitTests/Leases/LeaseNetwork.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_UNITTESTS_LEASES_LEASENETWORK_H
 
 #include "Core/Leases/LeaseManager.h"
+#include "Core/Leases/StoreEraTracker.h"
 #include "Core/Leases/StoreGovernor.h"
 #include "UnitTests/Fakes/FakeStore.h"
 #include "UnitTests/Fakes/FixedRandom.h"
@@ -29,10 +30,16 @@
     /// Clock offset, and rate deviation from true time in thousandths.
     core::model::Duration m_Offset{0};
     int m_RatePerMille = 0;
-    std::vector<core::ports::StoreAnswer> m_UndeliveredAnswers;
+    std::vector<fakes::FakeStore::DueAnswer> m_UndeliveredAnswers;
+    core::leases::StoreEraTracker m_Eras;
+    std::map<core::model::CallId, core::leases::CallEra> m_CallEras;
+    /// Cut off from the store until then: calls are lost.
+    core::model::TimePoint m_CutUntil;
   };
 
-  explicit LeaseNetwork(size_t Nodes) {
+  /// \p WithEras: answers name the store's era, as on the users' platform.
+  explicit LeaseNetwork(size_t Nodes, bool WithEras = false)
+      : m_WithEras(WithEras) {
     for (size_t I = 0; I < Nodes; ++I)
       m_Nodes.push_back(makeNode(I));
     for (size_t I = 0; I < Nodes; ++I)
@@ -58,6 +65,9 @@
   void pause(size_t Index, core::model::Duration For) {
     m_Nodes[Index].m_PausedUntil = m_Now + For;
   }
+  void cut(size_t Index, core::model::Duration For) {
+    m_Nodes[Index].m_CutUntil = m_Now + For;
+  }
   void stop(size_t Index) {
     core::ports::EffectList Out;
     m_Nodes[Index].m_Manager->stop(clockOf(m_Nodes[Index]), Out);
@@ -118,7 +128,7 @@
     for (fakes::FakeStore::DueAnswer &Due : m_Store.takeDue(m_Now))
       for (Node &N : m_Nodes)
         if (N.m_Id == Due.m_Caller && N.m_Alive)
-          N.m_UndeliveredAnswers.push_back(std::move(Due.m_Answer));
+          N.m_UndeliveredAnswers.push_back(std::move(Due));
     for (Node &N : m_Nodes)
       if (N.m_Alive && N.m_PausedUntil <= m_Now)
         advanceNode(N);
@@ -128,9 +138,11 @@
   void advanceNode(Node &N) {
     core::ports::EffectList Out;
     const core::model::TimePoint Now = clockOf(N);
-    for (const core::ports::StoreAnswer &Answer :
+    for (fakes::FakeStore::DueAnswer &Due :
          std::exchange(N.m_UndeliveredAnswers, {})) {
-      const auto Routed = N.m_Governor->onAnswer(Answer, Now, Out);
+      if (m_WithEras)
+        checkEra(N, Due, Now, Out);
+      const auto Routed = N.m_Governor->onAnswer(Due.m_Answer, Now, Out);
       if (Routed)
         checkNotices(N.m_Manager->onStoreAnswer(Routed->m_Answer, Now, Out),
                      Now);
@@ -141,6 +153,22 @@
     carryOut(N, Out);
   }
 
+  /// What the adapter does with the era of an answer.
+  void checkEra(Node &N, fakes::FakeStore::DueAnswer &Due,
+                core::model::TimePoint Now, core::ports::EffectList &Out) {
+    if (!Due.m_Era)
+      return;
+    const std::optional<core::model::StoreEra> Old = N.m_Eras.current();
+    const core::leases::EraVerdict Verdict =
+        N.m_Eras.onAnswer(N.m_CallEras[Due.m_Answer.m_Id], Due.m_Era);
+    if (N.m_Eras.current() != Old)
+      checkNotices(N.m_Manager->setStoreEra(*N.m_Eras.current(), Now, Out),
+                   Now);
+    if (Verdict != core::leases::EraVerdict::Current)
+      Due.m_Answer = {.m_Id = Due.m_Answer.m_Id,
+                      .m_Status = core::ports::StoreStatus::Unknown};
+  }
+
   void checkNotices(const std::vector<core::leases::LeaseNotice> &Notices,
                     core::model::TimePoint Now) {
     for (const core::leases::LeaseNotice &Notice : Notices) {
@@ -153,11 +181,33 @@
   }
 
   void carryOut(Node &From, const core::ports::EffectList &Out) {
-    for (const core::ports::Effect &E : Out)
-      if (const auto *Call = std::get_if<core::ports::StoreCall>(&E))
+    for (const core::ports::Effect &E : Out) {
+      const auto *const Call = std::get_if<core::ports::StoreCall>(&E);
+      if (!Call)
+        continue;
+      From.m_CallEras[Call->m_Id] = From.m_Eras.onCall(false);
+      const bool IsOfEarlierEra =
+          Call->m_ExpectedEra && Call->m_ExpectedEra != From.m_Eras.current();
+      if (m_WithEras && IsOfEarlierEra)
+        From.m_UndeliveredAnswers.push_back(
+            {m_Now,
+             From.m_Id,
+             {.m_Id = Call->m_Id,
+              .m_Status = core::ports::StoreStatus::Rejected},
+             std::nullopt});
+      else if (m_Now < From.m_CutUntil)
+        From.m_UndeliveredAnswers.push_back(
+            {m_Now,
+             From.m_Id,
+             {.m_Id = Call->m_Id,
+              .m_Status = core::ports::StoreStatus::Unknown},
+             std::nullopt});
+      else
         m_Store.submit(From.m_Id, *Call, m_Now);
+    }
   }
 
+  bool m_WithEras = false;
   std::vector<Node> m_Nodes;
   uint64_t m_LastNode = 0;
   core::model::TimePoint m_Start{std::chrono::seconds(1'000'000)};
--- a/Source/UnitTests/Platform/RequestHeadersTest.cpp
+++ b/Source/UnitTests/Platform/RequestHeadersTest.cpp
@@ -106,4 +106,20 @@
         std::chrono::seconds(5));
 }
 
+TEST_CASE("the store's era is read from every answer, refusals included") {
+  core::gateway::HttpResult Answer;
+  Answer.m_Status = 503;
+  CHECK_FALSE(readStoreEra(Answer).m_Value);
+  CHECK(readStoreEra(Answer).m_Findings.empty());
+  Answer.m_Headers = {{"Content-Length", "0"}, {"store-era", " 12 "}};
+  CHECK(readStoreEra(Answer).m_Value == core::model::StoreEra{12});
+  for (const char *const Bad :
+       {"", "-1", "3x", "1.5", "99999999999999999999", "0x4"}) {
+    CAPTURE(Bad);
+    Answer.m_Headers = {{"Store-Era", Bad}};
+    CHECK_FALSE(readStoreEra(Answer).m_Value);
+    CHECK(readStoreEra(Answer).m_Findings.size() == 1);
+  }
+}
+
 } // namespace bronzepass::platform
