Gateway: Hold requests at the node while an engine's prefill queue is long

Hypothesis: half of the fleet idles while a few engines have two to four times the prompts that they can read; late is nearly worthless, and the prompts that queue there delay the streams that run. A request that waits at the node can still go to another engine, yields to more urgent ones, and can be refused while a refusal is of use.

Change: a request for an engine waits while the prefill queued at the best engine exceeds 0.8 of the streams' shortest event gap. It is refused at once if it can no longer be in time, by the prompts held before it.

--- a/Source/Core/Gateway/GatewayConfig.h
+++ b/Source/Core/Gateway/GatewayConfig.h
@@ -38,6 +38,9 @@
   /// The longest acceptable gap between two events; zero if the route has no
   /// stream.
   model::Duration m_EventGapTarget{0};
+  /// Time to the answer, or to a stream's first event, within which it has its
+  /// full value; zero if the route has no such target.
+  model::Duration m_LatencyTarget{0};
   /// 0 is the most urgent.
   uint32_t m_Priority = 0;
   /// Maximum number of sends that may have run one request.
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -148,7 +148,10 @@
     const double LeftMs = static_cast<double>(Left.count()) * MillisPerMicro;
     if (Chosen.m_WaitMs <= m_Settings.m_MaxWaitShare * LeftMs ||
         Active.m_ForwardingStarted) {
-      send(Active, *Chosen.m_Endpoint, Out);
+      if (mustHold(Active, *Chosen.m_Endpoint))
+        hold(Active, Chosen, Out);
+      else
+        send(Active, *Chosen.m_Endpoint, Out);
       return;
     }
     if (Active.m_PossibleRuns > 0) {
@@ -223,6 +226,7 @@
                                               m_Waiting.end());
   for (const model::RequestId &Number : Waiting)
     dispatch(m_ActiveRequests.at(Number), Out);
+  dispatchHeld(Out);
 }
 
 void RelayCore::send(ActiveRequest &Active, EndpointView &Endpoint,
@@ -231,6 +235,7 @@
   ++Active.m_Sends;
   Active.m_WaitsUntil.reset();
   m_Waiting.erase(Active.m_Request.m_Number);
+  releaseHold(Active);
   Active.m_Attempt = {++m_LastAttempt};
   Active.m_Endpoint = Endpoint.m_Entry.m_Id;
   Active.m_SentAt = m_Now;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -72,11 +72,14 @@
   for (const ServiceSpec &Each : m_Table->config().m_Services) {
     ServiceState &Service = m_Services[Each.m_Name];
     Service.m_MaxConnections = Each.m_MaxConnections;
-    Service.m_LongPrefillMs =
-        LongPrefillShareOfGap * MillisPerMicro *
+    const double GapTargetMs =
+        MillisPerMicro *
         static_cast<double>(m_Table->shortestEventGapTarget(Each.m_Name)
                                 .value_or(DefaultEventGapTarget)
                                 .count());
+    Service.m_LongPrefillMs = LongPrefillShareOfGap * GapTargetMs;
+    Service.m_MaxQueuedPrefillMs =
+        m_Settings.m_MaxQueuedShareOfGap * GapTargetMs;
   }
   return true;
 }
@@ -294,6 +297,7 @@
   const model::RequestId Number = Active.m_Request.m_Number;
   m_Deadlines.erase({Active.m_Deadline, Number});
   m_Waiting.erase(Number);
+  releaseHold(Active);
   m_ActiveRequests.erase(Number);
 }
 
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -46,7 +46,10 @@
                     model::TimePoint Now, RelayEffectList &Out);
   void onPeerNotice(const PeerNotice &Notice, model::TimePoint Now,
                     RelayEffectList &Out);
-  void setNodeCount(uint32_t Count) { m_Retries.setNodeCount(Count); }
+  void setNodeCount(uint32_t Count) {
+    m_Retries.setNodeCount(Count);
+    m_NodeCount = std::max(1U, Count);
+  }
   /// Refuses all requests received from now on.
   void stopAccepting() { m_Stopping = true; }
 
@@ -99,6 +102,8 @@
     bool m_CallerDisconnected = false;
     /// Set while it waits for a copy to be loaded.
     std::optional<model::TimePoint> m_WaitsUntil;
+    /// It waits until an engine's prefill queue is short enough.
+    bool m_IsHeld = false;
     std::string m_LastFailure;
     /// Inputs of the current choice, for the log line.
     std::optional<ChoiceInputs> m_Inputs;
@@ -119,6 +124,8 @@
     /// Consecutive prefill longer than this delays the streams running beside
     /// it beyond their target gap.
     double m_LongPrefillMs = 0;
+    /// Prefill that may be queued at one engine.
+    double m_MaxQueuedPrefillMs = 0;
     /// Connections that one endpoint accepts from all nodes together; 0: no
     /// limit.
     uint32_t m_MaxConnections = 0;
@@ -161,6 +168,14 @@
   uint32_t missingTokens(const ActiveRequest &Active,
                          const EndpointView &Endpoint) const;
   void waitForCopy(ActiveRequest &Active, RelayEffectList &Out);
+  // RelayHold.cpp: requests that wait at this node for a short prefill queue.
+  bool mustHold(const ActiveRequest &Active,
+                const EndpointView &Endpoint) const;
+  void hold(ActiveRequest &Active, const Choice &Chosen, RelayEffectList &Out);
+  void releaseHold(ActiveRequest &Active);
+  void dispatchHeld(RelayEffectList &Out);
+  double prefillMs(const ActiveRequest &Active, uint32_t Tokens) const;
+  double heldPrefillMs(const ActiveRequest &Active) const;
   void dispatchWaiting(RelayEffectList &Out);
   model::Duration jittered(model::Duration Base) const;
 
@@ -191,6 +206,10 @@
   std::set<std::pair<model::TimePoint, model::RequestId>> m_Deadlines;
   /// Requests that wait for a copy, oldest first.
   std::set<model::RequestId> m_Waiting;
+  /// Requests that are held, most urgent first, then oldest first.
+  using HoldKey = std::pair<uint32_t, model::RequestId>;
+  std::set<HoldKey> m_Held;
+  uint32_t m_NodeCount = 1;
   std::unordered_map<model::AttemptId, model::RequestId> m_Attempts;
   uint64_t m_LastAttempt = 0;
   std::map<model::EndpointId, EndpointView> m_Endpoints;
--- /dev/null
+++ b/Source/Core/Gateway/RelayHold.cpp
@@ -0,0 +1,109 @@
+#include "Core/Gateway/RelayCore.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bronzepass::core::gateway {
+
+namespace {
+
+constexpr int ServiceUnavailable = 503;
+constexpr double MillisPerMicro = 1e-3;
+constexpr double MicrosPerMilli = 1e3;
+constexpr model::Duration MinRetryAfter = std::chrono::milliseconds(150);
+/// The network, and the steps of the batch until the first event.
+constexpr double FirstEventMs = 60;
+
+double millis(model::Duration Value) {
+  return static_cast<double>(Value.count()) * MillisPerMicro;
+}
+
+model::Duration fromMillis(double Value) {
+  return model::Duration(static_cast<int64_t>(Value * MicrosPerMilli));
+}
+
+} // namespace
+
+double RelayCore::prefillMs(const ActiveRequest &Active,
+                            uint32_t Tokens) const {
+  const auto Service = m_Services.find(Active.m_Service);
+  return Service == m_Services.end()
+             ? 0
+             : Service->second.m_PrefillMsPerToken * Tokens;
+}
+
+/// A request for an engine waits at this node while the prefill that is queued
+/// at the best engine would delay its streams beyond their event gap, so that
+/// it can still go to another engine, and after more urgent ones. An engine
+/// without a queue takes any prompt.
+bool RelayCore::mustHold(const ActiveRequest &Active,
+                         const EndpointView &Endpoint) const {
+  const auto Service = m_Services.find(Active.m_Service);
+  const bool IsPaced = Service != m_Services.end() &&
+                       !Active.m_Request.m_ModelRef.m_Model.empty() &&
+                       !Active.m_ForwardingStarted &&
+                       Active.m_Route->m_LatencyTarget.count() > 0;
+  if (!IsPaced || Endpoint.prefillTokens() == 0)
+    return false;
+  const double Queued = prefillMs(Active, Endpoint.prefillTokens());
+  const double Own = prefillMs(Active, missingTokens(Active, Endpoint));
+  return Queued + Own > Service->second.m_MaxQueuedPrefillMs;
+}
+
+/// Prefill of the requests held here for the same model that go first.
+double RelayCore::heldPrefillMs(const ActiveRequest &Active) const {
+  double Sum = 0;
+  const HoldKey Own{Active.m_Route->m_Priority, Active.m_Request.m_Number};
+  for (const HoldKey &Key : m_Held) {
+    if (Key >= Own)
+      break;
+    const ActiveRequest &Other = m_ActiveRequests.at(Key.second);
+    if (Other.m_Request.m_ModelRef.m_Model ==
+        Active.m_Request.m_ModelRef.m_Model)
+      Sum += prefillMs(Other, Other.m_Request.m_PromptTokens);
+  }
+  return Sum;
+}
+
+void RelayCore::hold(ActiveRequest &Active, const Choice &Chosen,
+                     RelayEffectList &Out) {
+  const double Own =
+      prefillMs(Active, missingTokens(Active, *Chosen.m_Endpoint)) +
+      FirstEventMs;
+  // The other nodes hold requests for the same engines.
+  const double Ahead =
+      heldPrefillMs(Active) * m_NodeCount / std::max(1U, Chosen.m_Candidates);
+  const double Target = millis(Active.m_Route->m_LatencyTarget);
+  const double Waited = millis(m_Now - Active.m_Request.m_BeganAt);
+  const double Late = Waited + Ahead + Own - Target;
+  if (Late > 0) {
+    const model::Duration Left = Active.m_Deadline - m_Now;
+    reject(
+        Active, ServiceUnavailable,
+        std::min(std::max(MinRetryAfter, jittered(fromMillis(Late))), Left / 3),
+        "the engines that hold the model are behind by more than its time "
+        "to the first event",
+        Out);
+    return;
+  }
+  if (!Active.m_IsHeld)
+    log(Active, "wait", 0, "the engines' prefill queues are full", Out);
+  Active.m_IsHeld = true;
+  m_Held.insert({Active.m_Route->m_Priority, Active.m_Request.m_Number});
+}
+
+void RelayCore::releaseHold(ActiveRequest &Active) {
+  if (!Active.m_IsHeld)
+    return;
+  Active.m_IsHeld = false;
+  m_Held.erase({Active.m_Route->m_Priority, Active.m_Request.m_Number});
+}
+
+void RelayCore::dispatchHeld(RelayEffectList &Out) {
+  // A copy, because a dispatched request is removed from the set.
+  const std::vector<HoldKey> Held(m_Held.begin(), m_Held.end());
+  for (const HoldKey &Key : Held)
+    dispatch(m_ActiveRequests.at(Key.second), Out);
+}
+
+} // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/RelaySettings.h
+++ b/Source/Core/Gateway/RelaySettings.h
@@ -36,6 +36,10 @@
   model::Duration m_SlownessHalfLife = std::chrono::seconds(4);
   /// A peer's load counts older than this are ignored: four notice periods.
   model::Duration m_MaxPeerLoadAge = std::chrono::seconds(1);
+  /// Prefill queued at an engine, as a share of the shortest event gap target
+  /// of its streams, from which on requests wait at this node. The rest of the
+  /// gap is for the batch's own steps.
+  double m_MaxQueuedShareOfGap = 0.8;
   /// Maximum predicted wait for a slot, as a share of the time left.
   double m_MaxWaitShare = 0.5;
 
