Gateway: Tell the other nodes of prefill queues as they change

Hypothesis: what a node holds or sends depends on the other nodes' prompts at each engine, and those were known 200 ms late, in which an engine reads a prompt and a half.

Change: a notice goes out 40 ms after the last one when a prompt has joined or left an engine's prefill queue, else every 200 ms as before.

--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -20,6 +20,9 @@
 /// Short enough to follow in-flight counts, which change within the duration of
 /// a request.
 constexpr model::Duration NoticePeriod = std::chrono::milliseconds(200);
+/// Between two notices while prefill queues change: the other nodes send their
+/// prompts by them.
+constexpr model::Duration MinNoticePeriod = std::chrono::milliseconds(40);
 /// A peer that sent no notice for this long counts as gone. Several
 /// consecutive notices may be lost before that.
 constexpr model::Duration PeerTimeout = std::chrono::milliseconds(1500);
@@ -109,8 +112,10 @@
   m_Driver.decide([](gateway::RelayCore &Core, model::TimePoint Now,
                      gateway::RelayEffectList &Out) { Core.tick(Now, Out); });
   const model::TimePoint Now = m_Clock.now();
-  if (Now >= m_LoadNoticeSentAt + NoticePeriod) {
+  const bool IsNews = m_Core.prefillChanges() != m_PrefillChangesSent;
+  if (Now >= m_LoadNoticeSentAt + (IsNews ? MinNoticePeriod : NoticePeriod)) {
     m_LoadNoticeSentAt = Now;
+    m_PrefillChangesSent = m_Core.prefillChanges();
     sendLoadNotice();
   }
   if (Now < m_LivePeersReportedAt + LivePeersPeriod)
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -105,6 +105,7 @@
   bool m_HoldsLease = false;
   uint64_t m_Sequence = 0;
   model::TimePoint m_LoadNoticeSentAt;
+  uint64_t m_PrefillChangesSent = 0;
   model::TimePoint m_LivePeersReportedAt;
   std::map<model::NodeId, Peer> m_Peers;
   std::function<void()> m_OnDrained;
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -244,6 +244,7 @@
   ++Endpoint.m_InFlight;
   Active.m_PrefillTokens = Active.m_Inputs->m_MissingTokens;
   Endpoint.m_PrefillTokens += Active.m_PrefillTokens;
+  m_PrefillChanges += Active.m_PrefillTokens > 0;
   Active.m_TokensAhead = Endpoint.prefillTokens();
   m_Attempts[Active.m_Attempt] = Active.m_Request.m_Number;
   for (const uint64_t Hash : Active.m_PromptHashes)
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -70,6 +70,9 @@
   size_t activeRequestCount() const { return m_ActiveRequests.size(); }
   /// This node's load per endpoint, for the notice to its peers.
   std::vector<EndpointLoad> loads() const;
+  /// Changes with each prompt that this node adds to an engine's prefill queue
+  /// or that leaves it.
+  uint64_t prefillChanges() const { return m_PrefillChanges; }
   /// The counters that increased since the last call.
   std::vector<UsageCounter> takeUsageCounters();
 
@@ -210,6 +213,7 @@
   using HoldKey = std::pair<uint32_t, model::RequestId>;
   std::set<HoldKey> m_Held;
   uint32_t m_NodeCount = 1;
+  uint64_t m_PrefillChanges = 0;
   std::unordered_map<model::AttemptId, model::RequestId> m_Attempts;
   uint64_t m_LastAttempt = 0;
   std::map<model::EndpointId, EndpointView> m_Endpoints;
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -76,6 +76,7 @@
 
 void RelayCore::clearPrefillTokens(ActiveRequest &Active,
                                    EndpointView &Endpoint) {
+  m_PrefillChanges += Active.m_PrefillTokens > 0;
   Endpoint.m_PrefillTokens -=
       std::min(Endpoint.m_PrefillTokens, Active.m_PrefillTokens);
   Active.m_PrefillTokens = 0;
