Residency: Set copies by demand, and move where demand is certain

The present copies counted as the target by how far demand was below 30 tokens per second and slot, and engines of this site have 96 slots: nine tenths of each target were the present copies.

Change: targets follow demand alone. A model gets or loses a copy where the confidence interval of its share of demand, by the requests of the last seconds, shows the need.

--- a/Source/Core/Residency/DemandEstimator.h
+++ b/Source/Core/Residency/DemandEstimator.h
@@ -25,23 +25,40 @@
                 const gateway::UsageCounter &Count, model::TimePoint Now) {
     Counter &Last = m_Counters[{Node, Count.m_ModelRef}];
     if (Last.m_NodeStart != NodeStart)
-      Last = {NodeStart, 0};
+      Last = {NodeStart, 0, 0};
     const uint64_t NewTokens =
         Count.m_Tokens >= Last.m_Tokens ? Count.m_Tokens - Last.m_Tokens : 0;
+    const uint64_t NewRequests = Count.m_Requests >= Last.m_Requests
+                                     ? Count.m_Requests - Last.m_Requests
+                                     : 0;
     Last.m_Tokens = Count.m_Tokens;
+    Last.m_Requests = Count.m_Requests;
     // Tokens that were counted before the node's first message are of unknown
     // age.
     if (!wasSeenBefore(Node, NodeStart, Now))
       return;
     Rate &Known = m_Rates[Count.m_ModelRef];
-    Known.m_PerSecond = decayedRate(Known, Now) +
+    const double Decay = decay(Known, Now);
+    Known.m_PerSecond = Known.m_PerSecond * Decay +
                         static_cast<double>(NewTokens) / AverageSeconds;
+    Known.m_Requests =
+        Known.m_Requests * Decay + static_cast<double>(NewRequests);
     Known.m_UpdatedAt = Now;
   }
 
   double perSecond(const gateway::ModelRef &Use, model::TimePoint Now) const {
     const auto Found = m_Rates.find(Use);
-    return Found == m_Rates.end() ? 0 : decayedRate(Found->second, Now);
+    return Found == m_Rates.end()
+               ? 0
+               : Found->second.m_PerSecond * decay(Found->second, Now);
+  }
+
+  /// Requests that perSecond() is estimated from.
+  double samples(const gateway::ModelRef &Use, model::TimePoint Now) const {
+    const auto Found = m_Rates.find(Use);
+    return Found == m_Rates.end()
+               ? 0
+               : Found->second.m_Requests * decay(Found->second, Now);
   }
 
   /// A message of \p Node has arrived: what it counts from now on is new.
@@ -69,16 +86,18 @@
   struct Counter {
     uint64_t m_NodeStart = 0;
     uint64_t m_Tokens = 0;
+    uint64_t m_Requests = 0;
   };
   struct Rate {
     double m_PerSecond = 0;
+    double m_Requests = 0;
     model::TimePoint m_UpdatedAt;
   };
 
-  static double decayedRate(const Rate &Known, model::TimePoint Now) {
+  static double decay(const Rate &Known, model::TimePoint Now) {
     const double Seconds =
         std::chrono::duration<double>(Now - Known.m_UpdatedAt).count();
-    return Known.m_PerSecond * std::exp(-Seconds / AverageSeconds);
+    return std::exp(-Seconds / AverageSeconds);
   }
 
   std::map<model::NodeId, SeenNode> m_SeenNodes;
--- a/Source/Core/Residency/ResidencyCore.cpp
+++ b/Source/Core/Residency/ResidencyCore.cpp
@@ -116,11 +116,13 @@
 }
 
 std::vector<const EngineRecord *>
-ResidencyCore::enginesOf(const std::string &Service) const {
+ResidencyCore::enginesOf(const std::string &Service,
+                         model::TimePoint Now) const {
   std::vector<const EngineRecord *> Engines;
   for (const auto &Each : m_Engines)
     if (Each.second.m_Record.entry().m_Service == Service &&
-        !Each.second.m_Record.entry().m_Draining)
+        !Each.second.m_Record.entry().m_Draining &&
+        Now >= Each.second.m_UnreachableUntil)
       Engines.push_back(&Each.second.m_Record);
   return Engines;
 }
@@ -231,7 +233,7 @@
     const EngineSpec *const Spec = specOf(Service);
     if (!Spec)
       continue;
-    const std::vector<const EngineRecord *> Engines = enginesOf(Service);
+    const std::vector<const EngineRecord *> Engines = enginesOf(Service, Now);
     bool IsHeld = false;
     for (const EngineRecord *const Each : Engines) {
       if (!Each->holds(Use))
@@ -270,9 +272,11 @@
   for (;;) {
     PlanInputs Inputs;
     Inputs.m_Spec = &*Service.m_Engine;
-    Inputs.m_Engines = enginesOf(Service.m_Name);
-    for (const gateway::ServedModel &Each : Service.m_Engine->m_Models)
+    Inputs.m_Engines = enginesOf(Service.m_Name, Now);
+    for (const gateway::ServedModel &Each : Service.m_Engine->m_Models) {
       Inputs.m_Demand[Each.m_Name] = m_Demand.perSecond({Each.m_Name, ""}, Now);
+      Inputs.m_DemandSamples += m_Demand.samples({Each.m_Name, ""}, Now);
+    }
     Inputs.m_ReservedFor = m_ReservedFor;
     for (const auto &Each : m_Engines)
       for (const auto &Loaded : Each.second.m_LoadedAt)
@@ -346,6 +350,8 @@
   if (!Open || Open->m_Number != Number)
     return;
   logOrder("answered", Open->m_Order, gateway::toString(Reply), Out);
+  if (Reply == OrderReply::NotSent)
+    Target.m_UnreachableUntil = Now + m_Settings.m_UnreachableTime;
   if (Reply == OrderReply::StaleToken)
     Out.push_back(TokenRefused{Open->m_Order.m_Token});
   if (!Target.m_Record.onOrderReply(Reply))
--- a/Source/Core/Residency/ResidencyCore.h
+++ b/Source/Core/Residency/ResidencyCore.h
@@ -57,6 +57,8 @@
     bool m_Listed = true;
     std::optional<model::TimePoint> m_NextReportAt;
     bool m_ReportOpen = false;
+    /// It refused the connection of an order shortly before.
+    model::TimePoint m_UnreachableUntil;
     /// By model.
     std::map<std::string, model::TimePoint> m_LoadedAt;
   };
@@ -76,7 +78,8 @@
 
   uint32_t reportRank(const EngineRecord &Record) const;
   const gateway::EngineSpec *specOf(const std::string &Service) const;
-  std::vector<const EngineRecord *> enginesOf(const std::string &Service) const;
+  std::vector<const EngineRecord *> enginesOf(const std::string &Service,
+                                              model::TimePoint Now) const;
   /// Whether enough engines are known to plan models.
   bool isSettled(model::TimePoint Now);
   void serveAdapterRequests(model::TimePoint Now, ResidencyEffectList &Out);
--- a/Source/Core/Residency/ResidencyPlan.cpp
+++ b/Source/Core/Residency/ResidencyPlan.cpp
@@ -17,10 +17,9 @@
 /// A copy is moved only if one model has this many copies fewer than its target
 /// and another this many more, so that small changes of demand move nothing.
 constexpr double MinCopyImbalance = 0.6;
-/// Tokens per second and slot from which demand alone sets the targets. The
-/// further demand is below it, the more the present copies count as the target,
-/// since little demand says little. A busy slot generates some hundred.
-constexpr double TrustedDemandPerSlot = 30;
+/// Width of the confidence interval of a model's share of demand, in standard
+/// errors.
+constexpr double ShareConfidence = 1;
 /// Adapters of the largest size that room is kept for beside the models.
 constexpr int64_t AdapterHeadroom = 8;
 
@@ -44,7 +43,7 @@
       return Step;
     std::vector<const ServedModel *> Underserved;
     for (const ServedModel &Each : m_Spec.m_Models)
-      if (deficit(Each.m_Name) >= MinCopyImbalance)
+      if (isUnderserved(Each.m_Name))
         Underserved.push_back(&Each);
     std::stable_sort(Underserved.begin(), Underserved.end(),
                      [&](const ServedModel *Left, const ServedModel *Right) {
@@ -154,14 +153,30 @@
     return Found == m_Copies.end() ? 0 : Found->second;
   }
   double targetCopies(const std::string &Model) const {
-    const double Engines = static_cast<double>(m_Inputs.m_Engines.size());
-    const double Trust = std::min(
-        1.0, m_DemandSum / (TrustedDemandPerSlot * m_Spec.m_Slots * Engines));
-    const double ByDemand = 1 + m_SpareCopies * share(Model);
-    const double Target =
-        Trust * ByDemand + (1 - Trust) * std::max(1.0, copies(Model));
+    return copiesFor(share(Model));
+  }
+  /// Wilson's interval of the share of demand: what few requests show of it.
+  std::pair<double, double> shareInterval(const std::string &Model) const {
+    const double Samples = std::max(0.01, m_Inputs.m_DemandSamples);
+    const double Share = share(Model);
+    const double Z2 = ShareConfidence * ShareConfidence / Samples;
+    const double Centre = (Share + Z2 / 2) / (1 + Z2);
+    const double Half =
+        std::sqrt(Z2 * Share * (1 - Share) + Z2 * Z2 / 4) / (1 + Z2);
+    return {std::max(0.0, Centre - Half), std::min(1.0, Centre + Half)};
+  }
+  double copiesFor(double Share) const {
     // An engine holds at most one copy of a model.
-    return std::min(Target, Engines);
+    return std::min(1 + m_SpareCopies * Share,
+                    static_cast<double>(m_Inputs.m_Engines.size()));
+  }
+  bool isUnderserved(const std::string &Model) const {
+    return copiesFor(shareInterval(Model).first) - copies(Model) >=
+           MinCopyImbalance;
+  }
+  bool isOverserved(const std::string &Model) const {
+    return copies(Model) - copiesFor(shareInterval(Model).second) >=
+           MinCopyImbalance;
   }
   double deficit(const std::string &Model) const {
     return targetCopies(Model) - copies(Model);
@@ -184,7 +199,7 @@
                   Victim) != RecentLoads->second.end();
     const double Surplus = -deficit(Victim);
     return copies(Model) == 0 ? Surplus > -1
-                              : Surplus >= MinCopyImbalance && !IsRecent;
+                              : isOverserved(Victim) && !IsRecent;
   }
 
   double remainingDemand(const EngineRecord &Engine,
--- a/Source/Core/Residency/ResidencyPlan.h
+++ b/Source/Core/Residency/ResidencyPlan.h
@@ -33,6 +33,8 @@
   std::vector<const EngineRecord *> m_Engines;
   /// Tokens a second, by model.
   std::map<std::string, double> m_Demand;
+  /// Requests that m_Demand is estimated from, over all models.
+  double m_DemandSamples = 0;
   /// The model that an engine's room is kept for after an unload.
   std::map<model::EndpointId, std::string> m_ReservedFor;
   /// Models that each engine loaded too recently for them to be evicted.
--- a/Source/Core/Residency/ResidencyTypes.h
+++ b/Source/Core/Residency/ResidencyTypes.h
@@ -22,6 +22,9 @@
   /// A copy is evicted no sooner than this after its load, a few load times,
   /// except for a model without any copy.
   model::Duration m_MinResidentTime = std::chrono::seconds(3);
+  /// An engine that refused the connection of an order gets no other order for
+  /// this long: it is gone, or back with nothing of what it held.
+  model::Duration m_UnreachableTime = std::chrono::seconds(1);
   /// Between an order and the first report request after it: a report may be
   /// some hundred milliseconds old.
   model::Duration m_ReportDelay = std::chrono::milliseconds(400);
--- a/Source/UnitTests/Residency/ResidencyPlanTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyPlanTest.cpp
@@ -9,6 +9,8 @@
 
 using gateway::OrderVerb;
 
+constexpr double TokensPerRequest = 50;
+
 /// Engines with room for two models each; all models are of the same size.
 class PlanFixture {
 public:
@@ -34,6 +36,8 @@
     Inputs.m_Spec = &m_Spec;
     for (const std::unique_ptr<EngineRecord> &Each : m_Records)
       Inputs.m_Engines.push_back(Each.get());
+    for (const auto &Each : Demand)
+      Inputs.m_DemandSamples += Each.second / TokensPerRequest;
     Inputs.m_Demand = std::move(Demand);
     Inputs.m_ReservedFor = m_ReservedFor;
     Inputs.m_StoreLoadAllowed = m_StoreLoadAllowed;
