Gateway: Take the store feeds' times from the platform's bounds; hold earlier

The prefill that may be queued at an engine is 0.45 of the shortest event gap, before 0.8. Two steps with full pieces in a row make a stream late, and the loads known of other nodes are late.

Calls to the store grow with the nodes and are the largest price of the grown site. The endpoint feed gathers changes for 0.6 of the time that a leaving endpoint still takes requests (before: 0.4 s), and a watch waits as long as a silent connection may go unnoticed. Both are settings that the platform's template fills in.

--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -21,6 +21,7 @@
 struct ControlOptions {
   model::Address m_Store;
   core::gateway::NodeEntry m_Self;
+  StoreFeedTimes m_FeedTimes;
   leases::LeaseSettings m_Lease;
   residency::ResidencySettings m_Residency;
 };
--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -65,6 +65,8 @@
   Options.m_Self = {model::NodeId(Settings.get(keys::NodeName)),
                     Settings.get(keys::ListenPeers),
                     model::DomainId(Settings.get(keys::NodeDomain))};
+  Options.m_FeedTimes = {Settings.get(keys::PlatformLeaveNotice),
+                         Settings.get(keys::PlatformContactTime)};
   Options.m_Lease.m_Term = Settings.get(keys::LeaseTerm);
   Options.m_Lease.m_Margin = Options.m_Lease.m_Term / LeaseMarginDivisor;
   // Handing the duty over gains nothing and makes the new holder request a
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -14,40 +14,49 @@
 /// Endpoints that could not renew their entries during a store outage have
 /// restored them within this time.
 constexpr model::Duration LapsedEntryLifetime = std::chrono::milliseconds(2150);
-/// A fifth of the time within which a leaving endpoint must be noticed.
-constexpr model::Duration EndpointBatchDelay = std::chrono::milliseconds(400);
+/// Delay of the next watch of endpoints after a change, as a share of the time
+/// that a leaving endpoint still takes requests. Each watch costs a call, and
+/// entries change with every copy; urgent changes of copies are sent directly
+/// between nodes.
+constexpr double EndpointBatchShare = 0.6;
 /// After a restore of the store each node waits a random part of this before it
 /// reads and registers again, so that not all nodes call at once.
 constexpr model::Duration RestoreSpread = std::chrono::milliseconds(300);
 /// Nodes rarely join or leave, and they also notify each other directly.
 constexpr model::Duration NodeListPeriod = std::chrono::seconds(5);
 
-gateway::FeedSettings nodeFeedSettings() {
+gateway::FeedSettings configFeedSettings(const StoreFeedTimes &Times) {
   gateway::FeedSettings Settings;
-  Settings.m_ListPeriod = NodeListPeriod;
+  Settings.m_WatchTimeout = Times.m_ContactTime - Settings.m_AnswerTimeout;
   return Settings;
 }
 
-gateway::FeedSettings endpointFeedSettings() {
+gateway::FeedSettings endpointFeedSettings(const StoreFeedTimes &Times) {
+  gateway::FeedSettings Settings = configFeedSettings(Times);
+  Settings.m_BatchDelay = std::chrono::duration_cast<model::Duration>(
+      Times.m_LeaveNotice * EndpointBatchShare);
+  return Settings;
+}
+
+gateway::FeedSettings nodeFeedSettings() {
   gateway::FeedSettings Settings;
-  // Loading and unloading adapters changes entries often. Urgent changes are
-  // sent directly between nodes.
-  Settings.m_BatchDelay = EndpointBatchDelay;
+  Settings.m_ListPeriod = NodeListPeriod;
   return Settings;
 }
 
 } // namespace
 
-StoreFeeds::StoreFeeds(StoreClient &Store, gateway::NodeEntry Self,
-                       const gateway::Dialect &Dialect,
+StoreFeeds::StoreFeeds(StoreClient &Store, const StoreFeedTimes &Times,
+                       gateway::NodeEntry Self, const gateway::Dialect &Dialect,
                        const ports::Clock &Clock, ports::Random &Random,
                        GatewayLog &Log, StoreEvents &Events)
     : m_Store(Store), m_Self(std::move(Self)), m_Dialect(Dialect),
       m_Clock(Clock), m_Log(Log), m_Events(Events),
       m_Registry(LapsedEntryLifetime),
-      m_ConfigFeed(gateway::FeedKind::Config, "config", {}, Random),
+      m_ConfigFeed(gateway::FeedKind::Config, "config",
+                   configFeedSettings(Times), Random),
       m_EndpointFeed(gateway::FeedKind::Endpoints, "endpoints",
-                     endpointFeedSettings(), Random),
+                     endpointFeedSettings(Times), Random),
       m_NodeFeed(gateway::FeedKind::Nodes, "nodes", nodeFeedSettings(),
                  Random) {}
 
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -32,12 +32,20 @@
   onNodesChanged(const std::vector<core::gateway::NodeEntry> &Nodes) = 0;
 };
 
+struct StoreFeedTimes {
+  /// How long a leaving endpoint still takes requests.
+  model::Duration m_LeaveNotice = std::chrono::seconds(2);
+  /// Within this time a silent connection to the store has to be noticed.
+  model::Duration m_ContactTime = std::chrono::seconds(3);
+};
+
 /// Follows the configuration, endpoints and nodes in the platform's store, and
 /// registers this node there.
 class StoreFeeds {
 public:
-  /// All arguments except \p Self must outlive this object.
-  StoreFeeds(StoreClient &Store, core::gateway::NodeEntry Self,
+  /// All arguments except \p Times and \p Self must outlive this object.
+  StoreFeeds(StoreClient &Store, const StoreFeedTimes &Times,
+             core::gateway::NodeEntry Self,
              const core::gateway::Dialect &Dialect, const ports::Clock &Clock,
              ports::Random &Random, GatewayLog &Log, StoreEvents &Events);
 
--- a/Source/Core/Gateway/RelaySettings.h
+++ b/Source/Core/Gateway/RelaySettings.h
@@ -39,7 +39,7 @@
   /// Prefill queued at an engine, as a share of the shortest event gap target
   /// of its streams, from which on requests wait at this node. The rest of the
   /// gap is for the batch's own steps.
-  double m_MaxQueuedShareOfGap = 0.8;
+  double m_MaxQueuedShareOfGap = 0.45;
   /// Maximum predicted wait for a slot, as a share of the time left.
   double m_MaxWaitShare = 0.5;
 
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -6,12 +6,20 @@
 
 const std::vector<SettingInfo> &allSettings() {
   static const std::vector<SettingInfo> All = {
-      toSettingInfo(NodeName),      toSettingInfo(NodeDomain),
-      toSettingInfo(ListenCallers), toSettingInfo(ListenReady),
-      toSettingInfo(ListenPeers),   toSettingInfo(ListenMetrics),
-      toSettingInfo(PlatformStore), toSettingInfo(RetryRatio),
-      toSettingInfo(RetrySlack),    toSettingInfo(RetryWindow),
-      toSettingInfo(LeaseTerm),     toSettingInfo(StopGrace),
+      toSettingInfo(NodeName),
+      toSettingInfo(NodeDomain),
+      toSettingInfo(ListenCallers),
+      toSettingInfo(ListenReady),
+      toSettingInfo(ListenPeers),
+      toSettingInfo(ListenMetrics),
+      toSettingInfo(PlatformStore),
+      toSettingInfo(RetryRatio),
+      toSettingInfo(RetrySlack),
+      toSettingInfo(RetryWindow),
+      toSettingInfo(PlatformLeaveNotice),
+      toSettingInfo(PlatformContactTime),
+      toSettingInfo(LeaseTerm),
+      toSettingInfo(StopGrace),
       toSettingInfo(StopLameDuck),
   };
   return All;
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -41,6 +41,21 @@
     0.0,       1e6,     "Such sends besides, in a window, over all nodes"};
 inline const Setting<model::Duration> RetryWindow{
     "retries", "window", 10s, 100ms, 600s, "Window of both"};
+inline const Setting<model::Duration> PlatformLeaveNotice{
+    "platform",
+    "leave-notice",
+    2s,
+    100ms,
+    60s,
+    "How long an endpoint still takes requests after the store has accepted "
+    "that it leaves"};
+inline const Setting<model::Duration> PlatformContactTime{
+    "platform",
+    "contact-time",
+    3s,
+    1s,
+    60s,
+    "Within this time a silent connection to the store has to be noticed"};
 inline const Setting<model::Duration> LeaseTerm{
     "lease", "term", 3s, 500ms, 60s, "Term of the placement lease"};
 inline const Setting<model::Duration> StopGrace{
