--- a/Source/UnitTests/Residency/ResidencyPlanTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyPlanTest.cpp
@@ -121,4 +121,23 @@
   CHECK_FALSE(Plan.next({{"hot", 50000}, {"warm", 50000}}));
 }
 
+TEST_CASE("demand moves down the list while engines have slots to spare: "
+          "copies follow at once") {
+  PlanFixture Plan({{"hot", "warm"}, {"hot", "cold"}, {"hot", "rare"}});
+  Plan.m_Spec.m_Slots = 96;
+  // Some 50 requests of the last seconds, three quarters for the other model.
+  const std::optional<PlanStep> Step =
+      Plan.next({{"hot", 600}, {"warm", 1900}});
+  REQUIRE(Step);
+  CHECK(Step->m_Verb == OrderVerb::Unload);
+  CHECK(Step->m_Model == "hot");
+  CHECK(Step->m_ForModel == "warm");
+}
+
+TEST_CASE("few requests that differ by chance move nothing") {
+  PlanFixture Plan({{"hot", "warm"}, {"hot", "cold"}, {"warm", "rare"}});
+  CHECK_FALSE(Plan.next({{"hot", 200}, {"warm", 100}}));
+  CHECK_FALSE(Plan.next({{"hot", 100}, {"warm", 200}}));
+}
+
 } // namespace bronzepass::core::residency
