--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -162,7 +162,9 @@
   const RelayRequest &Asked = Active.m_Request;
   if (!m_Table || !m_HasEndpoints) {
     reject(Active, ServiceUnavailable, jittered(NotReadyRetryAfter),
-           "no configuration is known yet", Out);
+           m_Table ? "no endpoint is known yet"
+                   : "no configuration is known yet",
+           Out);
     return;
   }
   Active.m_Table = m_Table;
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -22,6 +22,16 @@
   CHECK(Refused[0].m_RetryAfter);
 }
 
+TEST_CASE("a refusal before the start is complete names what is missing") {
+  RelayFixture Relay;
+  Relay.ask("/once/");
+  CHECK(Relay.take<RejectRequest>()[0].m_Reason ==
+        "no configuration is known yet");
+  Relay.configure();
+  Relay.ask("/once/");
+  CHECK(Relay.take<RejectRequest>()[0].m_Reason == "no endpoint is known yet");
+}
+
 TEST_CASE("an older configuration is ignored") {
   RelayFixture Relay;
   Relay.configure(7);
--- a/Source/UnitTests/Platform/EndpointReaderTest.cpp
+++ b/Source/UnitTests/Platform/EndpointReaderTest.cpp
@@ -70,4 +70,14 @@
   CHECK_FALSE(readReport(R"({"Models":[]})").m_Value);
 }
 
+TEST_CASE("counts that do not fit their type are errors") {
+  nlohmann::json Large = entry();
+  Large["Slots"] = 4294967297;
+  CHECK_FALSE(isAccepted(Large));
+  Large["Slots"] = 18446744073709551615ULL;
+  CHECK_FALSE(isAccepted(Large));
+  Large["Slots"] = 4294967295;
+  CHECK(isAccepted(Large));
+}
+
 } // namespace bronzepass::platform
--- a/Source/UnitTests/Platform/StoreCallsTest.cpp
+++ b/Source/UnitTests/Platform/StoreCallsTest.cpp
@@ -97,4 +97,10 @@
             .m_Status == ports::StoreStatus::Unknown);
 }
 
+TEST_CASE("a node's port beyond 65535 is an error, not another port") {
+  CHECK(readNode("n", R"({"ip":"10.0.0.1","port":65535})").m_Value);
+  CHECK_FALSE(readNode("n", R"({"ip":"10.0.0.1","port":65537})").m_Value);
+  CHECK_FALSE(readNode("n", R"({"ip":"10.0.0.1","port":0})").m_Value);
+}
+
 } // namespace bronzepass::platform
