--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -169,15 +169,17 @@
     m_Registry.remove(Id, gateway::StoreHealth(), m_Clock.now());
     return;
   }
+  const gateway::EndpointEntry Entry = std::move(*Parsed.m_Value);
   const gateway::EndpointEntry *const Old = m_Registry.find(Id);
-  if (!Old || Old->m_Draining != Parsed.m_Value->m_Draining ||
-      Old->m_StartedAtMs != Parsed.m_Value->m_StartedAtMs)
-    m_Log.write("endpoint", Parsed.m_Value->m_Draining ? "draining" : "ready",
-                {{"endpoint", Change.m_Name},
-                 {"service", Parsed.m_Value->m_Service},
-                 {"born_ms", Parsed.m_Value->m_StartedAtMs}});
-  if (!m_Registry.set(std::move(*Parsed.m_Value), m_Clock.now()))
+  const bool IsNews = !Old || Old->m_Draining != Entry.m_Draining ||
+                      Old->m_StartedAtMs != Entry.m_StartedAtMs;
+  if (!m_Registry.set(Entry, m_Clock.now()))
     m_Log.write("endpoint", "stale", {{"endpoint", Change.m_Name}});
+  else if (IsNews)
+    m_Log.write("endpoint", Entry.m_Draining ? "draining" : "ready",
+                {{"endpoint", Change.m_Name},
+                 {"service", Entry.m_Service},
+                 {"born_ms", Entry.m_StartedAtMs}});
 }
 
 void StoreFeeds::handleNode(const gateway::FeedChange &Change) {
--- /dev/null
+++ b/Source/UnitTests/Adapters/Gateway/StoreFeedsTest.cpp
@@ -0,0 +1,281 @@
+#include "Core/Adapters/Gateway/StoreFeeds.h"
+
+#include "Core/Adapters/Daemon/SystemPorts.h"
+#include "Core/Adapters/Gateway/BootClock.h"
+#include "Core/Adapters/Net/LoopThread.h"
+#include "UnitTests/Adapters/Gateway/ScriptedEndpoint.h"
+#include "platform/PlatformDialect.h"
+
+#include <doctest/doctest.h>
+#include <future>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace bronzepass::unit_tests::adapters::gateway {
+
+namespace {
+
+namespace relay = core::gateway;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+/// The platform's store over HTTP: lists, watches that end after a moment, and
+/// writes; can be restored from a backup.
+class RestorableStore {
+public:
+  RestorableStore()
+      : m_Endpoint([this](ScriptConnection &Connection,
+                          const std::string &Request,
+                          int /*Number*/) { answer(Connection, Request); }) {}
+
+  uint16_t port() const { return m_Endpoint.port(); }
+
+  void write(const std::string &Kind, const std::string &Name, json Spec) {
+    const std::scoped_lock Lock(m_Mutex);
+    m_State.m_Objects[Kind][Name] = {++m_State.m_Revision, std::move(Spec)};
+  }
+  void remove(const std::string &Kind, const std::string &Name) {
+    const std::scoped_lock Lock(m_Mutex);
+    m_State.m_Objects[Kind].erase(Name);
+    m_Removals.push_back({Kind, Name, ++m_State.m_Revision});
+  }
+  bool holds(const std::string &Kind, const std::string &Name) const {
+    const std::scoped_lock Lock(m_Mutex);
+    const auto Found = m_State.m_Objects.find(Kind);
+    return Found != m_State.m_Objects.end() && Found->second.contains(Name);
+  }
+  void backUp() {
+    const std::scoped_lock Lock(m_Mutex);
+    m_Backup = m_State;
+  }
+  void restore() {
+    const std::scoped_lock Lock(m_Mutex);
+    m_State = m_Backup;
+    m_Removals.clear();
+    ++m_Era;
+  }
+
+private:
+  struct Object {
+    uint64_t m_Revision = 0;
+    json m_Spec;
+  };
+  struct State {
+    std::map<std::string, std::map<std::string, Object>> m_Objects;
+    uint64_t m_Revision = 0;
+  };
+  struct Removal {
+    std::string m_Kind;
+    std::string m_Name;
+    uint64_t m_Revision = 0;
+  };
+
+  static json toJson(const std::string &Name, const Object &Each) {
+    return {{"Metadata", {{"Name", Name}, {"Revision", Each.m_Revision}}},
+            {"Spec", Each.m_Spec}};
+  }
+
+  json list(const std::string &Kind) {
+    json Items = json::array();
+    for (const auto &Each : m_State.m_Objects[Kind])
+      Items.push_back(toJson(Each.first, Each.second));
+    return {{"items", Items}, {"At", m_State.m_Revision}};
+  }
+
+  json watch(const std::string &Kind, uint64_t From) {
+    json Events = json::array();
+    for (const auto &Each : m_State.m_Objects[Kind])
+      if (Each.second.m_Revision > From)
+        Events.push_back({{"Tombstone", false},
+                          {"Object", toJson(Each.first, Each.second)}});
+    for (const Removal &Each : m_Removals)
+      if (Each.m_Kind == Kind && Each.m_Revision > From)
+        Events.push_back(
+            {{"Tombstone", true},
+             {"Object", toJson(Each.m_Name, {Each.m_Revision, {}})}});
+    return {{"events", Events}, {"At", m_State.m_Revision}};
+  }
+
+  void answer(ScriptConnection &Connection, const std::string &Request) {
+    const std::string Method = Request.substr(0, Request.find(' '));
+    const size_t Start = Method.size() + 1;
+    const std::string Target =
+        Request.substr(Start, Request.find(' ', Start) - Start);
+    const std::string Path = Target.substr(0, Target.find('?'));
+    const std::string Kind = Path.substr(std::string("/objects/").size());
+    const size_t Watch = Target.find("Watch=");
+    if (Watch != std::string::npos)
+      std::this_thread::sleep_for(30ms);
+    const std::scoped_lock Lock(m_Mutex);
+    int Status = 200;
+    json Body;
+    if (Method == "POST") {
+      const json Sent =
+          json::parse(Request.substr(Request.find("\r\n\r\n") + 4));
+      m_State.m_Objects[Kind][Sent["Metadata"]["Name"]] = {++m_State.m_Revision,
+                                                           Sent["Spec"]};
+      Status = 201;
+      Body = json::object();
+    } else if (Watch == std::string::npos) {
+      Body = list(Kind);
+    } else {
+      const uint64_t From = std::stoull(Target.substr(Watch + 6));
+      Status = From > m_State.m_Revision ? 410 : 200;
+      Body = Status == 200 ? watch(Kind, From) : json::object();
+    }
+    const std::string Text = Body.dump();
+    Connection.write("HTTP/1.1 " + std::to_string(Status) +
+                     " X\r\nStore-Era: " + std::to_string(m_Era) +
+                     "\r\nContent-Length: " + std::to_string(Text.size()) +
+                     "\r\n\r\n" + Text);
+  }
+
+  mutable std::mutex m_Mutex;
+  State m_State;
+  State m_Backup;
+  std::vector<Removal> m_Removals;
+  uint64_t m_Era = 3;
+  ScriptedEndpoint m_Endpoint;
+};
+
+/// The feeds of a node, on a control thread of their own.
+class FeedNode : private core::adapters::gateway::StoreEvents,
+                 private core::adapters::gateway::StoreEraEvents {
+public:
+  explicit FeedNode(uint16_t StorePort)
+      : m_Log("test"), m_Calls(m_Thread.loop()),
+        m_Store({"127.0.0.1", StorePort}, m_Dialect, m_Calls, m_Log, *this),
+        m_Feeds(m_Store, {100ms, 3s},
+                {core::model::NodeId("self"), {"127.0.0.1", 7000}, {}},
+                m_Dialect, m_Clock, m_Random, m_Log, *this) {
+    m_Thread.loop().post([this] { tick(); });
+    m_Thread.start();
+  }
+  ~FeedNode() override { m_Thread.stop(); }
+
+  std::map<std::string, bool> draining() const {
+    const std::scoped_lock Lock(m_Mutex);
+    return m_Draining;
+  }
+  uint64_t version() const {
+    const std::scoped_lock Lock(m_Mutex);
+    return m_Version;
+  }
+  bool wentBack() const {
+    const std::scoped_lock Lock(m_Mutex);
+    return m_WentBack;
+  }
+  int restores() const {
+    const std::scoped_lock Lock(m_Mutex);
+    return m_Restores;
+  }
+
+private:
+  void
+  onRouteTableChanged(std::shared_ptr<const relay::RouteTable> Table) override {
+    const std::scoped_lock Lock(m_Mutex);
+    m_WentBack = m_WentBack || Table->config().m_Version <= m_Version;
+    m_Version = Table->config().m_Version;
+  }
+  void onEndpointsChanged(
+      const std::vector<relay::EndpointEntry> &Entries) override {
+    const std::scoped_lock Lock(m_Mutex);
+    m_Draining.clear();
+    for (const relay::EndpointEntry &Each : Entries)
+      m_Draining[Each.m_Id.str()] = Each.m_Draining;
+  }
+  void
+  onNodesChanged(const std::vector<relay::NodeEntry> & /*Nodes*/) override {}
+  void onStoreEraChanged(std::optional<core::model::StoreEra> Old,
+                         core::model::StoreEra /*New*/) override {
+    if (!Old)
+      return;
+    m_Feeds.onStoreRestored();
+    const std::scoped_lock Lock(m_Mutex);
+    ++m_Restores;
+  }
+  void tick() {
+    m_Thread.loop().runAfter(20ms, [this] { tick(); });
+    m_Feeds.tick();
+  }
+
+  mutable std::mutex m_Mutex;
+  std::map<std::string, bool> m_Draining;
+  uint64_t m_Version = 0;
+  bool m_WentBack = false;
+  int m_Restores = 0;
+  core::adapters::daemon::SystemRandom m_Random;
+  core::adapters::gateway::BootClock m_Clock;
+  core::adapters::gateway::GatewayLog m_Log;
+  platform::PlatformDialect m_Dialect;
+  core::adapters::net::LoopThread m_Thread;
+  core::adapters::gateway::ControlCalls m_Calls;
+  core::adapters::gateway::StoreClient m_Store;
+  core::adapters::gateway::StoreFeeds m_Feeds;
+};
+
+json endpoint(uint64_t Sequence, const char *State = "ready") {
+  return {{"Service", "s"}, {"Address", "10.0.0.1:80"}, {"Zone", "z"},
+          {"Slots", 4},     {"State", State},           {"Sequence", Sequence},
+          {"born", 1700}};
+}
+
+json config(uint64_t Version) {
+  return {{"Version", Version},
+          {"Routes", json::array()},
+          {"Services", json::array()}};
+}
+
+template <typename ConditionT> bool becomesTrue(ConditionT Condition) {
+  for (int I = 0; I < 500; ++I) {
+    if (Condition())
+      return true;
+    std::this_thread::sleep_for(10ms);
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("a store that is restored twice brings back no left endpoint and no "
+          "older configuration, and gets the node's entry again") {
+  RestorableStore Store;
+  Store.write("config", "main", config(5));
+  for (const char *const Name : {"stays", "drains", "leaves"})
+    Store.write("servers", Name, endpoint(1));
+  FeedNode Node(Store.port());
+  REQUIRE(becomesTrue([&] { return Node.draining().size() == 3; }));
+  for (int Round = 1; Round <= 2; ++Round) {
+    CAPTURE(Round);
+    if (Round == 1)
+      Store.backUp();
+    Store.write("servers", "drains", endpoint(2, "draining"));
+    Store.remove("servers", "leaves");
+    Store.write("servers", "added", endpoint(1));
+    Store.write("config", "main", config(7));
+    REQUIRE(becomesTrue([&] {
+      const std::map<std::string, bool> Known = Node.draining();
+      return Known.size() == 3 && Known.contains("added") &&
+             Known.at("drains") && Node.version() == 7;
+    }));
+    REQUIRE(
+        becomesTrue([&] { return Store.holds("bronzepass-nodes", "self"); }));
+    Store.restore();
+    REQUIRE(becomesTrue([&] { return Node.restores() == Round; }));
+    CHECK(becomesTrue([&] { return Store.holds("bronzepass-nodes", "self"); }));
+    // The endpoint that the backup lacks writes its entry again.
+    Store.write("servers", "added", endpoint(2));
+    std::this_thread::sleep_for(2500ms);
+    const std::map<std::string, bool> Known = Node.draining();
+    CHECK(Known.contains("stays"));
+    CHECK(Known.contains("added"));
+    CHECK_FALSE(Known.contains("leaves"));
+    CHECK(Known.at("drains"));
+    CHECK(Node.version() == 7);
+    CHECK_FALSE(Node.wentBack());
+  }
+}
+
+} // namespace bronzepass::unit_tests::adapters::gateway
