--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -23,6 +23,9 @@
 /// Between two notices while prefill queues change: the other nodes send their
 /// prompts by them.
 constexpr model::Duration MinNoticePeriod = std::chrono::milliseconds(40);
+/// The same for each node that is told, so that the cost of notices stays
+/// bounded in large fleets.
+constexpr model::Duration NoticePeriodPerTarget = std::chrono::milliseconds(6);
 /// A peer that sent no notice for this long counts as gone. Several
 /// consecutive notices may be lost before that.
 constexpr model::Duration PeerTimeout = std::chrono::milliseconds(1500);
@@ -113,7 +116,11 @@
                      gateway::RelayEffectList &Out) { Core.tick(Now, Out); });
   const model::TimePoint Now = m_Clock.now();
   const bool IsNews = m_Core.prefillChanges() != m_PrefillChangesSent;
-  if (Now >= m_LoadNoticeSentAt + (IsNews ? MinNoticePeriod : NoticePeriod)) {
+  const model::Duration NewsPeriod =
+      std::max(MinNoticePeriod,
+               NoticePeriodPerTarget * static_cast<int64_t>(std::min<size_t>(
+                                           m_Peers.size(), MaxNoticeTargets)));
+  if (Now >= m_LoadNoticeSentAt + (IsNews ? NewsPeriod : NoticePeriod)) {
     m_LoadNoticeSentAt = Now;
     m_PrefillChangesSent = m_Core.prefillChanges();
     sendLoadNotice();
