--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -97,9 +97,9 @@
 /// changes. Never reports an older revision of an object after a newer one,
 /// even if a list is stale. Has one call in flight at a time.
 ///
-/// After a restore of the store, revisions of before say nothing: the feed
-/// lists again and reports what differs in content. Whether content that went
-/// back is to be believed is for the receiver to decide.
+/// After a restore of the store, earlier revisions are not comparable: the
+/// feed lists again and reports what differs in content. The receiver decides
+/// whether to accept content that is older than what it knows.
 class ObjectFeed {
 public:
   /// \p Random must outlive the feed.
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -149,7 +149,7 @@
     if (Chosen.m_WaitMs <= m_Settings.m_MaxWaitShare * LeftMs ||
         Active.m_ForwardingStarted) {
       if (mustHold(Active, *Chosen.m_Endpoint))
-        hold(Active, Chosen, Out);
+        holdOrReject(Active, Chosen, Out);
       else
         send(Active, *Chosen.m_Endpoint, Out);
       return;
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -174,7 +174,8 @@
   // RelayHold.cpp: requests that wait at this node for a short prefill queue.
   bool mustHold(const ActiveRequest &Active,
                 const EndpointView &Endpoint) const;
-  void hold(ActiveRequest &Active, const Choice &Chosen, RelayEffectList &Out);
+  void holdOrReject(ActiveRequest &Active, const Choice &Chosen,
+                    RelayEffectList &Out);
   void releaseHold(ActiveRequest &Active);
   void dispatchHeld(RelayEffectList &Out);
   double prefillMs(const ActiveRequest &Active, uint32_t Tokens) const;
--- a/Source/Core/Gateway/RelayHold.cpp
+++ b/Source/Core/Gateway/RelayHold.cpp
@@ -10,7 +10,7 @@
 constexpr int ServiceUnavailable = 503;
 constexpr double MillisPerMicro = 1e-3;
 constexpr double MicrosPerMilli = 1e3;
-constexpr model::Duration MinRetryAfter = std::chrono::milliseconds(150);
+constexpr model::Duration MinHeldRetryAfter = std::chrono::milliseconds(150);
 /// The network, and the steps of the batch until the first event.
 constexpr double FirstEventMs = 60;
 
@@ -65,25 +65,25 @@
   return Sum;
 }
 
-void RelayCore::hold(ActiveRequest &Active, const Choice &Chosen,
-                     RelayEffectList &Out) {
-  const double Own =
-      prefillMs(Active, missingTokens(Active, *Chosen.m_Endpoint)) +
-      FirstEventMs;
+void RelayCore::holdOrReject(ActiveRequest &Active, const Choice &Chosen,
+                             RelayEffectList &Out) {
+  const double WaitedMs = millis(m_Now - Active.m_Request.m_BeganAt);
   // The other nodes hold requests for the same engines.
-  const double Ahead =
+  const double AheadMs =
       heldPrefillMs(Active) * m_NodeCount / std::max(1U, Chosen.m_Candidates);
-  const double Target = millis(Active.m_Route->m_LatencyTarget);
-  const double Waited = millis(m_Now - Active.m_Request.m_BeganAt);
-  const double Late = Waited + Ahead + Own - Target;
-  if (Late > 0) {
+  const double OwnMs =
+      prefillMs(Active, missingTokens(Active, *Chosen.m_Endpoint)) +
+      FirstEventMs;
+  const double LateMs =
+      WaitedMs + AheadMs + OwnMs - millis(Active.m_Route->m_LatencyTarget);
+  if (LateMs > 0) {
     const model::Duration Left = Active.m_Deadline - m_Now;
-    reject(
-        Active, ServiceUnavailable,
-        std::min(std::max(MinRetryAfter, jittered(fromMillis(Late))), Left / 3),
-        "the engines that hold the model are behind by more than its time "
-        "to the first event",
-        Out);
+    const model::Duration RetryAfter =
+        std::max(MinHeldRetryAfter, jittered(fromMillis(LateMs)));
+    reject(Active, ServiceUnavailable, std::min(RetryAfter, Left / 3),
+           "the engines that hold the model are behind by more than its time "
+           "to the first event",
+           Out);
     return;
   }
   if (!Active.m_IsHeld)
--- a/Source/Core/Leases/LeaseTracker.cpp
+++ b/Source/Core/Leases/LeaseTracker.cpp
@@ -23,7 +23,7 @@
 constexpr uint64_t VersionBits = 40;
 constexpr uint64_t EraBits = 13;
 
-uint64_t lowBits(uint64_t Value, uint64_t Bits) {
+uint64_t clampToBits(uint64_t Value, uint64_t Bits) {
   return std::min(Value, (uint64_t{1} << Bits) - 1);
 }
 
@@ -160,9 +160,10 @@
 /// Above all tokens of earlier eras, and within an era above those of all
 /// earlier versions of the record, also of versions that a restore has lost.
 model::FencingToken LeaseTracker::nextToken() const {
-  const uint64_t Era = m_Era ? lowBits(m_Era->m_Value, EraBits) : 0;
+  const uint64_t Era = m_Era ? clampToBits(m_Era->m_Value, EraBits) : 0;
   const uint64_t OfEra =
-      m_Era ? Era << VersionBits | lowBits(m_Version.m_Value, VersionBits) : 0;
+      m_Era ? Era << VersionBits | clampToBits(m_Version.m_Value, VersionBits)
+            : 0;
   return {std::max(m_HighestToken.m_Value + 1, OfEra)};
 }
 
