--- a/Source/UnitTests/Leases/LeaseNetwork.h
+++ b/Source/UnitTests/Leases/LeaseNetwork.h
@@ -127,8 +127,10 @@
   void step() {
     for (fakes::FakeStore::DueAnswer &Due : m_Store.takeDue(m_Now))
       for (Node &N : m_Nodes)
-        if (N.m_Id == Due.m_Caller && N.m_Alive)
+        if (N.m_Id == Due.m_Caller && N.m_Alive) {
           N.m_UndeliveredAnswers.push_back(std::move(Due));
+          break;
+        }
     for (Node &N : m_Nodes)
       if (N.m_Alive && N.m_PausedUntil <= m_Now)
         advanceNode(N);
