--- a/Source/UnitTests/Leases/LeaseManagerTest.cpp
+++ b/Source/UnitTests/Leases/LeaseManagerTest.cpp
@@ -225,37 +225,45 @@
   Net.run(milliseconds(200));
 }
 
-} // namespace
-
-TEST_CASE("There is at most one holder at a time and tokens only increase "
-          "despite restarts, pauses and store faults") {
+/// Checks \p Property over ScenarioCount generated scenarios.
+template <typename PropertyT> void checkScenarios(PropertyT Property) {
   rc::detail::TestParams Params;
   Params.seed = PropertySeed;
   Params.maxSuccess = ScenarioCount;
   Params.maxSize = MaxSteps;
-  uint64_t Held = 0;
   const auto Result = rc::detail::checkTestable(
-      [&Held] {
-        const uint32_t Nodes = *between(2, 5);
-        fakes::FixedRandom Random(*rc::gen::arbitrary<uint64_t>());
-        const auto Steps = *rc::gen::container<std::vector<Step>>(anyStep());
-        LeaseNetwork Net(Nodes);
-        model::TimePoint StoreFaultsUntil;
-        Net.m_Store.m_Fault = [&](const StoreCall &) {
-          return Net.now() < StoreFaultsUntil ? randomFault(Random, Net)
-                                              : StoreFault::None;
-        };
-        for (const Step &S : Steps)
-          apply(S, Net, StoreFaultsUntil);
-        RC_ASSERT(Net.maxHolders() <= 1U);
-        RC_ASSERT(Net.reusedTokens() == 0U);
-        RC_ASSERT(Net.lateGains() == 0U);
-        Held += Net.maxHolders();
-      },
-      rc::detail::TestMetadata(), Params);
+      std::move(Property), rc::detail::TestMetadata(), Params);
   if (!Result.template is<rc::detail::SuccessResult>())
     rc::detail::printResultMessage(Result, std::cerr);
   CHECK(Result.template is<rc::detail::SuccessResult>());
+}
+
+void checkOneHolder(const LeaseNetwork &Net) {
+  RC_ASSERT(Net.maxHolders() <= 1U);
+  RC_ASSERT(Net.reusedTokens() == 0U);
+  RC_ASSERT(Net.lateGains() == 0U);
+}
+
+} // namespace
+
+TEST_CASE("There is at most one holder at a time and tokens only increase "
+          "despite restarts, pauses and store faults") {
+  uint64_t Held = 0;
+  checkScenarios([&Held] {
+    const uint32_t Nodes = *between(2, 5);
+    fakes::FixedRandom Random(*rc::gen::arbitrary<uint64_t>());
+    const auto Steps = *rc::gen::container<std::vector<Step>>(anyStep());
+    LeaseNetwork Net(Nodes);
+    model::TimePoint StoreFaultsUntil;
+    Net.m_Store.m_Fault = [&](const StoreCall &) {
+      return Net.now() < StoreFaultsUntil ? randomFault(Random, Net)
+                                          : StoreFault::None;
+    };
+    for (const Step &S : Steps)
+      apply(S, Net, StoreFaultsUntil);
+    checkOneHolder(Net);
+    Held += Net.maxHolders();
+  });
   // Guards against scenarios in which the lease is never held.
   CHECK(Held > ScenarioCount / 2);
 }
@@ -310,45 +318,34 @@
 
 TEST_CASE("There is at most one holder at a time and tokens only increase "
           "despite restores of the store from a backup") {
-  rc::detail::TestParams Params;
-  Params.seed = PropertySeed;
-  Params.maxSuccess = ScenarioCount;
-  Params.maxSize = MaxSteps;
   uint64_t Held = 0;
   uint64_t Restores = 0;
-  const auto Result = rc::detail::checkTestable(
-      [&] {
-        const uint32_t Nodes = *between(2, 5);
-        fakes::FixedRandom Random(*rc::gen::arbitrary<uint64_t>());
-        const auto Steps = *rc::gen::container<std::vector<Step>>(anyStep());
-        LeaseNetwork Net(Nodes, true);
-        model::TimePoint StoreFaultsUntil;
-        Net.m_Store.m_Fault = [&](const StoreCall &) {
-          return Net.now() < StoreFaultsUntil ? randomFault(Random, Net)
-                                              : StoreFault::None;
-        };
-        // A holder is there before the first restore.
-        Net.run(seconds(15));
-        for (const Step &S : Steps) {
-          if (Random.next() % 3 == 0)
-            Net.m_Store.backUp();
-          if (Random.next() % 3 == 0)
-            Net.cut(Random.next() % Nodes, milliseconds(Random.next() % 20000));
-          if (Random.next() % 4 == 0) {
-            Net.m_Store.restore(Net.now());
-            ++Restores;
-          }
-          apply(S, Net, StoreFaultsUntil);
-        }
-        RC_ASSERT(Net.maxHolders() <= 1U);
-        RC_ASSERT(Net.reusedTokens() == 0U);
-        RC_ASSERT(Net.lateGains() == 0U);
-        Held += Net.maxHolders();
-      },
-      rc::detail::TestMetadata(), Params);
-  if (!Result.template is<rc::detail::SuccessResult>())
-    rc::detail::printResultMessage(Result, std::cerr);
-  CHECK(Result.template is<rc::detail::SuccessResult>());
+  checkScenarios([&] {
+    const uint32_t Nodes = *between(2, 5);
+    fakes::FixedRandom Random(*rc::gen::arbitrary<uint64_t>());
+    const auto Steps = *rc::gen::container<std::vector<Step>>(anyStep());
+    LeaseNetwork Net(Nodes, true);
+    model::TimePoint StoreFaultsUntil;
+    Net.m_Store.m_Fault = [&](const StoreCall &) {
+      return Net.now() < StoreFaultsUntil ? randomFault(Random, Net)
+                                          : StoreFault::None;
+    };
+    // A holder is there before the first restore.
+    Net.run(seconds(15));
+    for (const Step &S : Steps) {
+      if (Random.next() % 3 == 0)
+        Net.m_Store.backUp();
+      if (Random.next() % 3 == 0)
+        Net.cut(Random.next() % Nodes, milliseconds(Random.next() % 20000));
+      if (Random.next() % 4 == 0) {
+        Net.m_Store.restore(Net.now());
+        ++Restores;
+      }
+      apply(S, Net, StoreFaultsUntil);
+    }
+    checkOneHolder(Net);
+    Held += Net.maxHolders();
+  });
   CHECK(Held > ScenarioCount / 2);
   CHECK(Restores > ScenarioCount);
 }
