Gateway: Log how an endpoint's answer ended

The first line after an answer's end now has framing, body_bytes and partial_event_bytes, and bronzepass_endpoint_answers_total counts ends by framing.

--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -42,9 +42,6 @@
   bool m_HeadReceived = false;
   /// libcurl had a connection ready and was about to send the request.
   bool m_SendStarted = false;
-  /// The answer has a Content-Length, chunked encoding or no body. Otherwise
-  /// the end of the body can't be distinguished from a broken connection.
-  bool m_Delimited = false;
 };
 
 std::string_view trimmed(std::string_view Text) {
@@ -64,12 +61,15 @@
   Head.m_Headers[model::lowerCase(Line.substr(0, Colon))] = Value;
 }
 
-bool isDelimited(const TransferHead &Head) {
+model::BodyFraming framingOf(const TransferHead &Head) {
   constexpr int NoContent = 204;
   constexpr int NotModified = 304;
+  if (Head.m_Headers.contains("transfer-encoding"))
+    return model::BodyFraming::Chunked;
   return Head.m_Headers.contains("content-length") ||
-         Head.m_Headers.contains("transfer-encoding") ||
-         Head.m_Status == NoContent || Head.m_Status == NotModified;
+                 Head.m_Status == NoContent || Head.m_Status == NotModified
+             ? model::BodyFraming::Length
+             : model::BodyFraming::Connection;
 }
 
 std::string makeUrl(const TransferRequest &Request) {
@@ -126,7 +126,7 @@
     return Size * Count;
   Running.m_HeadReceived = true;
   Running.m_Head.m_Status = static_cast<int>(Status);
-  Running.m_Delimited = isDelimited(Running.m_Head);
+  Running.m_Head.m_Framing = framingOf(Running.m_Head);
   Running.m_Listener->onHead(Running.m_Head);
   return Size * Count;
 }
@@ -337,16 +337,20 @@
     long Connects = 0;
     curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &Sent);
     curl_easy_getinfo(Easy, CURLINFO_NUM_CONNECTS, &Connects);
+    // Without a length or chunks, the end of the body can't be distinguished
+    // from a broken connection.
+    const bool Delimited =
+        Ended.m_Head.m_Framing != model::BodyFraming::Connection;
     TransferResult Result;
-    Result.m_Complete = Code == CURLE_OK && Ended.m_Delimited;
-    Result.m_EndedByClose = Code == CURLE_OK && !Ended.m_Delimited;
+    Result.m_Complete = Code == CURLE_OK && Delimited;
+    Result.m_EndedByClose = Code == CURLE_OK && !Delimited;
     Result.m_BytesSent = static_cast<uint64_t>(Sent);
     Result.m_Connects = static_cast<uint32_t>(Connects);
     Result.m_Refused = Code == CURLE_COULDNT_CONNECT;
     Result.m_TimedOut = Code == CURLE_OPERATION_TIMEDOUT;
     if (Code != CURLE_OK)
       Result.m_Error = curl_easy_strerror(Code);
-    else if (!Ended.m_Delimited)
+    else if (!Delimited)
       Result.m_Error = "the answer has neither a length nor chunks";
     return Result;
   }
--- a/Source/Core/Adapters/Curl/CurlMulti.h
+++ b/Source/Core/Adapters/Curl/CurlMulti.h
@@ -3,6 +3,7 @@
 
 #include "Core/Adapters/Net/EventLoop.h"
 #include "Core/Model/Address.h"
+#include "Core/Model/BodyFraming.h"
 
 #include <chrono>
 #include <cstdint>
@@ -44,6 +45,7 @@
   std::map<std::string, std::string> m_Headers;
   /// Name and value of each header line, with the name's case unchanged.
   std::vector<std::pair<std::string, std::string>> m_Lines;
+  model::BodyFraming m_Framing = model::BodyFraming::Connection;
 
   std::string header(const std::string &LowerName) const {
     auto Found = m_Headers.find(LowerName);
--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -88,6 +88,14 @@
              {"pause_end_ms",
               Entry.m_Timing->m_PauseEnd.count() / MicrosPerMilli}})
       Fields.push_back(Each);
+  if (Entry.m_AnswerEnd)
+    for (const LogField &Each : std::initializer_list<LogField>{
+             {"framing", toString(Entry.m_AnswerEnd->m_Framing)},
+             {"body_bytes",
+              static_cast<int64_t>(Entry.m_AnswerEnd->m_BodyBytes)},
+             {"partial_event_bytes",
+              static_cast<int64_t>(Entry.m_AnswerEnd->m_PartialEventBytes)}})
+      Fields.push_back(Each);
   write("request", Entry.m_Action, Fields);
 }
 
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -34,6 +34,12 @@
                     .Name("bronzepass_sends_total")
                     .Help("Sends to endpoints by kind of route; retries apart")
                     .Register(m_Registry)),
+        m_Answers(prom::BuildCounter()
+                      .Name("bronzepass_endpoint_answers_total")
+                      .Help("Ends of endpoints' answers by framing, the action "
+                            "that followed, and whether an event was "
+                            "incomplete")
+                      .Register(m_Registry)),
         m_StoreRestores(
             prom::BuildCounter()
                 .Name("bronzepass_store_restores_total")
@@ -51,6 +57,7 @@
   prom::Registry m_Registry;
   prom::Family<prom::Counter> &m_Requests;
   prom::Family<prom::Counter> &m_Sends;
+  prom::Family<prom::Counter> &m_Answers;
   prom::Family<prom::Counter> &m_StoreRestores;
   prom::Family<prom::Histogram> &m_Durations;
   prom::Family<prom::Gauge> &m_Gauges;
@@ -61,6 +68,13 @@
 GatewayMetrics::~GatewayMetrics() = default;
 
 void GatewayMetrics::count(const core::gateway::RelayLogEntry &Entry) {
+  if (Entry.m_AnswerEnd)
+    m_Impl->m_Answers
+        .Add({{"framing", toString(Entry.m_AnswerEnd->m_Framing)},
+              {"action", Entry.m_Action},
+              {"inside_event",
+               Entry.m_AnswerEnd->m_PartialEventBytes > 0 ? "true" : "false"}})
+        .Increment();
   if (Entry.m_Action == "send" || Entry.m_Action == "retry") {
     m_Impl->m_Sends.Add({{"kind", Entry.m_Kind}, {"try", Entry.m_Action}})
         .Increment();
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -270,6 +270,7 @@
   From.m_HeadReceived = true;
   From.m_Status = Head.m_Status;
   From.m_Headers = Head.m_Lines;
+  From.m_Framing = Head.m_Framing;
   From.m_Head = m_Dialect.readHead(
       Head.m_Status, Head.m_Lines,
       To == m_Exchanges.end() ? "" : To->second.m_CallerRequestId);
@@ -312,6 +313,7 @@
   if (Found == m_Sends.end())
     return;
   Send &From = Found->second;
+  From.m_ReceivedBytes += Chunk.size();
   m_Core.onAnswerChunk(Attempt, m_Clock.now());
   const auto To = m_Exchanges.find(From.m_Request);
   if (To == m_Exchanges.end())
@@ -379,12 +381,15 @@
     return;
   Send Ended = std::move(Found->second);
   m_Sends.erase(Found);
-  const gateway::SendOutcome Outcome = outcomeOf(Ended, Result);
+  gateway::SendOutcome Outcome = outcomeOf(Ended, Result);
+  if (Ended.m_HeadReceived)
+    Outcome.m_AnswerEnd = {Ended.m_Framing, Ended.m_ReceivedBytes, 0};
   const auto To = m_Exchanges.find(Ended.m_Request);
   if (To != m_Exchanges.end()) {
     Exchange &Answered = To->second;
     if (Ended.m_Forwarding && !Ended.m_BypassesSplicer) {
       const std::string Rest = Answered.m_Splicer.takePartial();
+      Outcome.m_AnswerEnd->m_PartialEventBytes = Rest.size();
       if (Outcome.m_Result == SendResult::Completed) {
         if (!Answered.m_AnswerStarted)
           beginAnswer(Answered, Ended.m_Status, Ended.m_Headers, std::nullopt);
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -76,6 +76,8 @@
     core::gateway::AnswerHead m_Head;
     core::gateway::HeaderLines m_Headers;
     std::string m_Body;
+    model::BodyFraming m_Framing = model::BodyFraming::Connection;
+    uint64_t m_ReceivedBytes = 0;
     /// Chunks are forwarded to the caller as they arrive.
     bool m_Forwarding = false;
     /// Chunks are forwarded without being split into events.
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -303,7 +303,7 @@
   m_ActiveRequests.erase(Number);
 }
 
-void RelayCore::log(const ActiveRequest &Active, const char *Action, int Status,
+void RelayCore::log(ActiveRequest &Active, const char *Action, int Status,
                     const std::string &Reason, RelayEffectList &Out) const {
   Out.push_back(RelayLogEntry{
       .m_Request = Active.m_Request.m_Number,
@@ -321,7 +321,8 @@
       .m_Reason = Reason,
       .m_Inputs = Active.m_Inputs,
       .m_Timing = Active.m_AnswerStarted ? std::optional(Active.m_Timing)
-                                         : std::nullopt});
+                                         : std::nullopt,
+      .m_AnswerEnd = std::exchange(Active.m_AnswerEnd, std::nullopt)});
 }
 
 EndpointView *RelayCore::findEndpoint(const model::EndpointId &Endpoint) {
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -110,6 +110,8 @@
     std::string m_LastFailure;
     /// Inputs of the current choice, for the log line.
     std::optional<ChoiceInputs> m_Inputs;
+    /// End of the last send's answer, until a log line has told it.
+    std::optional<AnswerEnd> m_AnswerEnd;
     /// The last send ended in a complete failure answer, which the driver
     /// keeps.
     bool m_HasFailureAnswer = false;
@@ -152,7 +154,7 @@
   void abortAnswer(ActiveRequest &Active, const std::string &Reason,
                    RelayEffectList &Out);
   void removeRequest(ActiveRequest &Active);
-  void log(const ActiveRequest &Active, const char *Action, int Status,
+  void log(ActiveRequest &Active, const char *Action, int Status,
            const std::string &Reason, RelayEffectList &Out) const;
   void expire(ActiveRequest &Active, RelayEffectList &Out);
   bool isCountedModel(const ActiveRequest &Active) const;
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_CORE_GATEWAY_RELAYTYPES_H
 
 #include "Core/Model/Address.h"
+#include "Core/Model/BodyFraming.h"
 #include "Core/Model/Id.h"
 #include "Core/Model/Time.h"
 
@@ -68,6 +69,16 @@
 
 const char *toString(SendResult Value);
 
+/// What was received of an answer's body when its transfer ended.
+struct AnswerEnd {
+  model::BodyFraming m_Framing = model::BodyFraming::Connection;
+  uint64_t m_BodyBytes = 0;
+  /// Bytes after the last complete event of a stream.
+  uint64_t m_PartialEventBytes = 0;
+
+  friend auto operator<=>(const AnswerEnd &, const AnswerEnd &) = default;
+};
+
 struct SendOutcome {
   SendResult m_Result = SendResult::Broken;
   int m_Status = 0;
@@ -75,6 +86,8 @@
   bool m_TimedOut = false;
   /// Description of the failure, for logs.
   std::string m_Detail;
+  /// nullopt if no head was received.
+  std::optional<AnswerEnd> m_AnswerEnd;
 
   friend auto operator<=>(const SendOutcome &, const SendOutcome &) = default;
 };
@@ -194,6 +207,8 @@
   std::optional<ChoiceInputs> m_Inputs;
   /// Set when the request ends after chunks were received.
   std::optional<AnswerTiming> m_Timing;
+  /// Set in the first line after the end of an endpoint's answer.
+  std::optional<AnswerEnd> m_AnswerEnd;
 
   friend auto operator<=>(const RelayLogEntry &,
                           const RelayLogEntry &) = default;
--- a/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
@@ -171,6 +171,7 @@
         core::gateway::RelayLogEntry Entry = sendLogEntry();
         Entry.m_Reason = "why";
         Entry.m_Timing = core::gateway::AnswerTiming();
+        Entry.m_AnswerEnd = core::gateway::AnswerEnd();
         Log.write(Entry);
       }),
       captureLine([](GatewayLog &Log) {
