Gateway: Treat a stream that ends inside an event as broken off

Cause: the end of an answer was judged by its framing alone. A stream with neither a length nor chunks ends with its connection, and an engine that crashes may close it without an error; the driver took that for the end of the answer, passed on the bytes of the incomplete event that it had held back for this very reason, and ended the caller's chunks. The same holds for a framed stream whose engine ends its chunks or its length inside an event.

Change: bytes after the last complete event make the outcome Broken, whatever the framing. The core then resumes the stream where its route allows, and otherwise breaks the caller's connection off, as after any broken answer. The splicer can no longer hand out an incomplete event.

--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -130,10 +130,8 @@
     return;
   Exchange &From = Found->second;
   std::optional<std::string> LastEvent;
-  if (Effect.m_Resume) {
-    From.m_Splicer.discardPartial();
+  if (Effect.m_Resume)
     LastEvent = From.m_Splicer.lastId();
-  }
   const HeaderLines Lines =
       m_Dialect.headersToSend(From.m_Headers, Effect, LastEvent);
   curl::TransferRequest Request;
@@ -349,9 +347,9 @@
   To.m_Answer->write(Events);
 }
 
-gateway::SendOutcome
-RelayDriver::outcomeOf(const Send &Ended,
-                       const curl::TransferResult &Result) const {
+gateway::SendOutcome RelayDriver::outcomeOf(const Send &Ended,
+                                            const curl::TransferResult &Result,
+                                            size_t PartialEventBytes) const {
   if (!Ended.m_HeadReceived) {
     if (Result.m_BytesSent == 0)
       return {SendResult::NotSent, 0, Result.m_TimedOut, Result.m_Error};
@@ -365,6 +363,12 @@
   if (!Result.m_Complete && !Result.m_EndedByClose)
     return {SendResult::Broken, Ended.m_Status, Result.m_TimedOut,
             Result.m_Error};
+  // The framing doesn't prove that a stream is complete: an endpoint that
+  // crashes may still end its chunks, or close its connection, without an
+  // error.
+  if (PartialEventBytes > 0)
+    return {SendResult::Broken, Ended.m_Status, false,
+            "the stream ended inside an event"};
   if (isSuccess(Ended.m_Status))
     return {SendResult::Completed, Ended.m_Status, false, ""};
   if (Ended.m_Head.m_Sealed)
@@ -381,21 +385,19 @@
     return;
   Send Ended = std::move(Found->second);
   m_Sends.erase(Found);
-  gateway::SendOutcome Outcome = outcomeOf(Ended, Result);
-  if (Ended.m_HeadReceived)
-    Outcome.m_AnswerEnd = {Ended.m_Framing, Ended.m_ReceivedBytes, 0};
   const auto To = m_Exchanges.find(Ended.m_Request);
+  const bool IsStream = Ended.isSplicedStream() && To != m_Exchanges.end();
+  const size_t PartialEventBytes =
+      IsStream ? To->second.m_Splicer.discardPartial() : 0;
+  gateway::SendOutcome Outcome = outcomeOf(Ended, Result, PartialEventBytes);
+  if (Ended.m_HeadReceived)
+    Outcome.m_AnswerEnd = {Ended.m_Framing, Ended.m_ReceivedBytes,
+                           PartialEventBytes};
   if (To != m_Exchanges.end()) {
     Exchange &Answered = To->second;
-    if (Ended.m_Forwarding && !Ended.m_BypassesSplicer) {
-      const std::string Rest = Answered.m_Splicer.takePartial();
-      Outcome.m_AnswerEnd->m_PartialEventBytes = Rest.size();
-      if (Outcome.m_Result == SendResult::Completed) {
-        if (!Answered.m_AnswerStarted)
-          beginAnswer(Answered, Ended.m_Status, Ended.m_Headers, std::nullopt);
-        Answered.m_Answer->write(Rest);
-      }
-    }
+    if (IsStream && Outcome.m_Result == SendResult::Completed &&
+        !Answered.m_AnswerStarted)
+      beginAnswer(Answered, Ended.m_Status, Ended.m_Headers, std::nullopt);
     if (!Ended.m_Forwarding) {
       Answered.m_Status = Ended.m_Status;
       Answered.m_AnswerHeaders = std::move(Ended.m_Headers);
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -82,6 +82,8 @@
     bool m_Forwarding = false;
     /// Chunks are forwarded without being split into events.
     bool m_BypassesSplicer = false;
+
+    bool isSplicedStream() const { return m_Forwarding && !m_BypassesSplicer; }
   };
   using SendMap = std::unordered_map<model::AttemptId, Send>;
 
@@ -99,8 +101,9 @@
   void onChunk(model::AttemptId Attempt, std::string_view Chunk) override;
   void onDone(model::AttemptId Attempt,
               const curl::TransferResult &Result) override;
-  core::gateway::SendOutcome
-  outcomeOf(const Send &Ended, const curl::TransferResult &Result) const;
+  core::gateway::SendOutcome outcomeOf(const Send &Ended,
+                                       const curl::TransferResult &Result,
+                                       size_t PartialEventBytes) const;
   void forwardChunk(Send &From, Exchange &To, std::string_view Chunk);
   void beginAnswer(Exchange &To, int Status,
                    const core::gateway::HeaderLines &Headers,
--- a/Source/Core/Gateway/StreamSplicer.cpp
+++ b/Source/Core/Gateway/StreamSplicer.cpp
@@ -86,8 +86,8 @@
   return true;
 }
 
-std::string StreamSplicer::takePartial() {
-  return std::exchange(m_Partial, {});
+size_t StreamSplicer::discardPartial() {
+  return std::exchange(m_Partial, {}).size();
 }
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/StreamSplicer.h
+++ b/Source/Core/Gateway/StreamSplicer.h
@@ -1,6 +1,7 @@
 #ifndef BRONZEPASS_CORE_GATEWAY_STREAMSPLICER_H
 #define BRONZEPASS_CORE_GATEWAY_STREAMSPLICER_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,13 +17,9 @@
   /// that were already forwarded, by their ids, are left out.
   std::string feed(std::string_view Bytes);
 
-  /// The connection broke: discards the incomplete event.
-  void discardPartial() { m_Partial.clear(); }
-  /// Whether bytes of an incomplete event are buffered.
-  bool hasPartial() const { return !m_Partial.empty(); }
-  /// Returns and clears the buffered bytes, for a stream that ended cleanly
-  /// without a blank line.
-  std::string takePartial();
+  /// The answer ended: discards the bytes of an incomplete event, which only
+  /// the endpoint that sent them could complete. Returns their number.
+  size_t discardPartial();
 
   /// Id of the last event forwarded; empty if none had one.
   const std::string &lastId() const { return m_LastId; }
--- a/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
@@ -50,4 +50,33 @@
   }
 }
 
+// Guards against joining the parts of an event that come from two runs.
+TEST_CASE("a resumable stream that ends inside an event goes on at another "
+          "endpoint") {
+  const auto Script = [](ScriptConnection &To, const std::string &Request,
+                         int) {
+    const bool Resumes =
+        Request.find("Last-Event-Id: 1\r\n") != std::string::npos;
+    To.write(std::string(Sealed) + "\r\n" +
+             (Resumes ? event(2) + event(3) : event(1) + PartialEvent));
+    To.close();
+  };
+  ScriptedEndpoint First(Script);
+  ScriptedEndpoint Second(Script);
+  const RelayNode Node({First.port(), Second.port()});
+  const std::string Answer =
+      answerTo(Node, requestText("/stream/x", "Connection: close\r\n"));
+  for (const int Id : {1, 2, 3})
+    CHECK(Answer.find(event(Id)) != std::string::npos);
+  CHECK(Answer.find("ha") == std::string::npos);
+  CHECK(Answer.ends_with(LastChunk));
+}
+
+TEST_CASE("a stream without a length that ends behind an event is complete") {
+  const std::string Answer =
+      liveAnswer(std::string(Sealed) + "\r\n" + event(1) + event(2));
+  CHECK(Answer.find(event(2)) != std::string::npos);
+  CHECK(Answer.ends_with(LastChunk));
+}
+
 } // namespace bronzepass::unit_tests::adapters::gateway
--- a/Source/UnitTests/Gateway/StreamSplicerTest.cpp
+++ b/Source/UnitTests/Gateway/StreamSplicerTest.cpp
@@ -40,8 +40,8 @@
 TEST_CASE("a stream resumed at another endpoint has each event once") {
   StreamSplicer Splicer;
   std::string Passed = Splicer.feed(event(1) + event(2) + "id: 3\ndata: pa");
-  CHECK(Splicer.hasPartial());
-  Splicer.discardPartial();
+  CHECK(Splicer.discardPartial() == std::string("id: 3\ndata: pa").size());
+  CHECK(Splicer.discardPartial() == 0);
   CHECK(Splicer.lastId() == "2");
   // An endpoint that resumes too early repeats events already forwarded.
   Passed += Splicer.feed(event(2) + event(3) + event(4));
