Gateway: Treat a stream without a length that has no event as broken off

Callers would see an empty success: a stream with neither a length nor chunks whose engine closes the connection right after the head counted as complete.

The new case of AnswerEndTests failed before (1 of 23 checks) and passes. Such a request is now retried where its route allows, and otherwise answered 502: it may have run. An empty stream with chunks or a length is passed on as it is.

--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -369,6 +369,12 @@
   if (PartialEventBytes > 0)
     return {SendResult::Broken, Ended.m_Status, false,
             "the stream ended inside an event"};
+  // Without a length or chunks, a stream that broke off before its first event
+  // looks like an empty one, which no endpoint has a reason to send.
+  if (Ended.isSplicedStream() && Ended.m_ReceivedBytes == 0 &&
+      Ended.m_Framing == model::BodyFraming::Connection)
+    return {SendResult::Broken, Ended.m_Status, false,
+            "the stream ended before its first event"};
   if (isSuccess(Ended.m_Status))
     return {SendResult::Completed, Ended.m_Status, false, ""};
   if (Ended.m_Head.m_Sealed)
--- a/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
@@ -72,6 +72,12 @@
   CHECK(Answer.ends_with(LastChunk));
 }
 
+// Guards against an empty answer in place of one that broke off.
+TEST_CASE("a stream without a length that ends before its first event is not "
+          "complete") {
+  CHECK(liveAnswer(std::string(Sealed) + "\r\n").rfind("HTTP/1.1 502", 0) == 0);
+}
+
 TEST_CASE("a stream without a length that ends behind an event is complete") {
   const std::string Answer =
       liveAnswer(std::string(Sealed) + "\r\n" + event(1) + event(2));
