Gateway: Do not send a request again whose answer is being forwarded

Callers would get a part of one answer followed by another one, or a body that is shorter than its Content-Length with the next answer's bytes in its place: an answer above 512 KiB is forwarded as it arrives, and when it broke off on a repeatable route, the request was sent to another endpoint. The second answer's first 512 KiB were appended, and a short one ended the response early.

Only a resumable stream may be sent again once forwarding has begun; any other answer is broken off.

--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -139,12 +139,15 @@
       Active.m_Deadline - m_Now < m_Settings.m_MinTimeForRetry)
     return false;
   const RouteSpec &Route = *Active.m_Route;
+  const bool MayResume = Route.m_Stream && Route.m_Resumable;
+  // Only a resumed stream continues what the caller has received.
+  if (Active.m_ForwardingStarted && !MayResume)
+    return false;
   const bool MayHaveRun = Outcome.m_Result == SendResult::Broken ||
                           Outcome.m_Result == SendResult::Failed;
   if (MayHaveRun) {
-    const bool MayRepeat =
-        Route.m_Repeatable || (Route.m_Stream && Route.m_Resumable);
-    if (!MayRepeat || Active.m_PossibleRuns >= Route.m_MaxAttempts)
+    if ((!Route.m_Repeatable && !MayResume) ||
+        Active.m_PossibleRuns >= Route.m_MaxAttempts)
       return false;
     // The failure is a complete answer, and a stream that has started can't be
     // replaced by it.
--- a/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
@@ -85,4 +85,25 @@
   CHECK(Answer.ends_with(LastChunk));
 }
 
+// Guards against joining a part of one answer with another answer.
+TEST_CASE(
+    "a long answer that broke off while it was forwarded is not continued "
+    "with another one") {
+  constexpr size_t ForwardedBytes = 600 << 10;
+  const auto Script = [](ScriptConnection &To, const std::string &, int) {
+    To.write(std::string(Sealed) + "Content-Length: 2000000\r\n\r\n" +
+             std::string(ForwardedBytes, 'a'));
+    To.close();
+  };
+  ScriptedEndpoint First(Script);
+  ScriptedEndpoint Second(Script);
+  const RelayNode Node({First.port(), Second.port()});
+  const std::string Answer =
+      answerTo(Node, requestText("/again/x", "Connection: close\r\n"));
+  const size_t BodyStart = Answer.find("\r\n\r\n") + 4;
+  CHECK(Answer.find("Content-Length: 2000000\r\n") < BodyStart);
+  CHECK(Answer.size() - BodyStart <= ForwardedBytes);
+  CHECK(First.requests().size() + Second.requests().size() == 1);
+}
+
 } // namespace bronzepass::unit_tests::adapters::gateway
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -113,6 +113,18 @@
   CHECK(Relay.m_Core.activeRequestCount() == 0);
 }
 
+// Guards against joining a part of one answer with another answer.
+TEST_CASE("a repeatable request whose answer broke off while it was forwarded "
+          "is not sent again") {
+  RelayFixture Relay;
+  Relay.start({"a", "b"});
+  const model::RequestId Request = Relay.ask("/again/");
+  Relay.m_Core.onAnswerForwarded(Request);
+  Relay.finishSend(Relay.take<SendRequest>()[0].m_Attempt, SendResult::Broken);
+  CHECK(Relay.take<SendRequest>().empty());
+  CHECK(Relay.take<AbortAnswer>().size() == 1);
+}
+
 TEST_CASE("a request is refused as soon as its deadline passes") {
   RelayFixture Relay;
   Relay.start({"a"});
--- a/Source/UnitTests/Gateway/RelayPropertyTest.cpp
+++ b/Source/UnitTests/Gateway/RelayPropertyTest.cpp
@@ -90,10 +90,9 @@
         SendResult::NotSent, SendResult::NotRun,    SendResult::Misdirected,
         SendResult::Failed,  SendResult::Completed, SendResult::Broken};
     SendResult Result = Ends[m_Random() % 6];
-    const bool Stream =
-        Request.m_Path == "/stream/" || Request.m_Path == "/resume/";
-    if (Stream && m_Random() % 2 == 0) {
-      // Its first events were received, then it breaks or completes.
+    if (m_Random() % 2 == 0) {
+      // The first events of a stream, or a part of a long answer, were
+      // forwarded; then it breaks or completes.
       m_Relay.m_Core.onAnswerChunk(Send.m_Attempt, m_Relay.m_Now);
       if (!Request.m_CallerDisconnected) {
         m_Relay.m_Core.onAnswerForwarded(Send.m_Request);
@@ -153,6 +152,8 @@
         Request.m_Path == "/again/" || Request.m_Path == "/resume/";
     CHECK(Request.m_PossibleRuns <= (MayRepeat ? 1 : 0));
     CHECK(Effect.m_Resume == Request.m_ForwardingStarted);
+    if (Request.m_ForwardingStarted)
+      CHECK(Request.m_Path == "/resume/");
     for (const auto &Other : m_Sends)
       CHECK(Other.second.m_Request != Effect.m_Request);
     m_Sends[Effect.m_Attempt] = Effect;
