Pistache: Abort a response that ends before its Content-Length

A caller would take the bytes of the next response on its connection for the rest of this one: end() left the connection open whatever was missing. It is the last place where a short answer can be noticed, whoever passes it on.

--- a/Source/Core/Adapters/Pistache/HttpResponseWriter.cpp
+++ b/Source/Core/Adapters/Pistache/HttpResponseWriter.cpp
@@ -121,6 +121,11 @@
 void HttpResponseWriter::end() {
   if (m_Ended)
     return;
+  const bool IsShort = m_BytesLeft.value_or(0) > 0 && !m_HeadOnly;
+  if (IsShort) {
+    abort();
+    return;
+  }
   releaseForNextRequest();
   if (m_Chunked && !m_HeadOnly)
     m_Connection->write(LastChunk);
--- a/Source/Core/Adapters/Pistache/HttpResponseWriter.h
+++ b/Source/Core/Adapters/Pistache/HttpResponseWriter.h
@@ -44,7 +44,8 @@
   /// False if the caller has disconnected. The call that completes the
   /// ContentLength ends the response.
   bool write(std::string_view Bytes);
-  /// Ends the response cleanly.
+  /// Ends the response cleanly, or aborts it if bytes of its ContentLength are
+  /// missing.
   void end();
   /// Closes the connection, so that the caller sees that the response is
   /// incomplete.
