Pistache: Reset the connection of a broken response that it would end

An HTTP/1.0 caller of either front saw a broken answer as a complete one: its answers without a length end with the connection, and an aborted one was shut down cleanly like a complete one. The same happened to a caller that read too slowly and to all of them when the process was killed.

Until such a response is sent whole, closing the connection now resets it; SO_LINGER does the same for the kernel if the process ends. Callers of HTTP/1.1 are not concerned: they see the missing chunk or bytes.

--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -62,8 +62,12 @@
   stopTimer();
   m_Pending.clear();
   m_Loop.unwatch(m_Fd.get());
-  // Pistache owns the original descriptor: it sees the shutdown and closes it.
-  ::shutdown(m_Fd.get(), SHUT_RDWR);
+  // The server owns the original descriptor: it sees the end of the connection
+  // and closes it.
+  if (m_ResetOnClose)
+    reset();
+  else
+    ::shutdown(m_Fd.get(), SHUT_RDWR);
   m_Fd.reset();
   const std::function<void()> OnDisconnect = std::move(m_OnDisconnect);
   m_OnDisconnect = nullptr;
@@ -152,7 +156,29 @@
     m_OnIdle();
 }
 
+void HttpConnection::setResetOnClose() {
+  m_ResetOnClose = true;
+  setLingerReset(true);
+}
+
+void HttpConnection::setLingerReset(bool Enabled) {
+  const linger Linger{.l_onoff = Enabled ? 1 : 0, .l_linger = 0};
+  ::setsockopt(m_Fd.get(), SOL_SOCKET, SO_LINGER, &Linger, sizeof(Linger));
+}
+
+void HttpConnection::reset() {
+  // Closing would not reset the connection while the server's descriptor is
+  // open; dissolving the association does.
+  sockaddr Unspecified{};
+  Unspecified.sa_family = AF_UNSPEC;
+  if (::connect(m_Fd.get(), &Unspecified, sizeof(Unspecified)) != 0)
+    ::shutdown(m_Fd.get(), SHUT_RDWR);
+}
+
 void HttpConnection::shutdownWrites() {
+  if (m_ResetOnClose)
+    setLingerReset(false);
+  m_ResetOnClose = false;
   // Closing with unread input would reset the connection, and the response
   // could be lost. Shut down only our side, and wait for the caller or the
   // timer.
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -61,6 +61,10 @@
   void setKeepAlive(std::chrono::milliseconds Limit) {
     m_Limits.m_KeepAlive = Limit;
   }
+  /// Called for a response that ends with the connection: until all of it is
+  /// sent, closing the connection resets it, also if the process is killed.
+  /// Only the reset tells the caller that the response is incomplete.
+  void setResetOnClose();
   /// Closes the connection and drops the buffered bytes, so that the caller
   /// sees an incomplete response.
   void abort();
@@ -82,6 +86,8 @@
 private:
   void open();
   void close();
+  void reset();
+  void setLingerReset(bool Enabled);
   void onEvents(uint32_t Events);
   void flush();
   void updateWatch();
@@ -100,6 +106,7 @@
   bool m_Open = false;
   bool m_WasOpened = false;
   bool m_CloseWhenSent = false;
+  bool m_ResetOnClose = false;
   std::string m_Pending;
   std::function<void()> m_OnDisconnect;
   std::function<void()> m_OnIdle;
--- a/Source/Core/Adapters/Pistache/HttpResponseWriter.cpp
+++ b/Source/Core/Adapters/Pistache/HttpResponseWriter.cpp
@@ -92,7 +92,10 @@
   m_Begun = true;
   ensureAttached();
   m_Chunked = !ContentLength && m_Http11;
-  m_KeepAlive = m_KeepAlive && (ContentLength || m_Chunked);
+  const bool EndsWithConnection = !ContentLength && !m_Chunked;
+  if (EndsWithConnection && !m_HeadOnly)
+    m_Connection->setResetOnClose();
+  m_KeepAlive = m_KeepAlive && !EndsWithConnection;
   m_BytesLeft = ContentLength;
   m_Connection->write(head(Status, Headers, ContentLength));
 }
--- a/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
@@ -1,5 +1,6 @@
 #include "UnitTests/Adapters/Gateway/RelayNode.h"
 #include "UnitTests/Adapters/Gateway/ScriptedEndpoint.h"
+#include "UnitTests/Adapters/Http/HttpClient.h"
 
 #include <doctest/doctest.h>
 #include <string>
@@ -78,6 +79,23 @@
   CHECK(liveAnswer(std::string(Sealed) + "\r\n").rfind("HTTP/1.1 502", 0) == 0);
 }
 
+// Guards against an HTTP/1.0 caller taking a broken answer for a complete one.
+TEST_CASE("an HTTP/1.0 caller's connection is reset if its stream breaks off") {
+  for (const bool Complete : {true, false}) {
+    ScriptedEndpoint Endpoint(
+        [&](ScriptConnection &To, const std::string &, int) {
+          To.write(ChunkedHead + chunk(event(1)) + (Complete ? LastChunk : ""));
+          To.close();
+        });
+    const RelayNode Node({Endpoint.port()});
+    http::RawConnection Caller(Node.port());
+    Caller.send("POST /live/x HTTP/1.0\r\nHost: h\r\nX-Request-Id: "
+                "r1\r\n\r\n");
+    CHECK(Caller.readToEnd());
+    CHECK(Caller.wasReset() != Complete);
+  }
+}
+
 TEST_CASE("a stream without a length that ends behind an event is complete") {
   const std::string Answer =
       liveAnswer(std::string(Sealed) + "\r\n" + event(1) + event(2));
--- a/Source/UnitTests/Adapters/Http/HttpClient.cpp
+++ b/Source/UnitTests/Adapters/Http/HttpClient.cpp
@@ -102,7 +102,8 @@
 bool RawConnection::readSome() {
   std::array<char, 4096> Buffer{};
   const ssize_t Count = ::recv(m_Fd.get(), Buffer.data(), Buffer.size(), 0);
-  m_Ended = Count == 0 || (Count < 0 && errno == ECONNRESET);
+  m_Reset = Count < 0 && errno == ECONNRESET;
+  m_Ended = Count == 0 || m_Reset;
   if (Count <= 0)
     return false;
   m_Text.append(Buffer.data(), static_cast<size_t>(Count));
--- a/Source/UnitTests/Adapters/Http/HttpClient.h
+++ b/Source/UnitTests/Adapters/Http/HttpClient.h
@@ -47,6 +47,8 @@
   bool readUntil(const std::string &Marker);
   /// Reads until the server closes the connection; false if it does not.
   bool readToEnd();
+  /// The connection ended with a reset instead of a clean close.
+  bool wasReset() const { return m_Reset; }
   /// All text read so far.
   const std::string &text() const { return m_Text; }
   void clearText() { m_Text.clear(); }
@@ -59,6 +61,7 @@
   core::adapters::net::FileDescriptor m_Fd;
   bool m_Connected = false;
   bool m_Ended = false;
+  bool m_Reset = false;
   std::string m_Text;
 };
 
--- a/Source/UnitTests/Adapters/Http/HttpResponseWriterTest.cpp
+++ b/Source/UnitTests/Adapters/Http/HttpResponseWriterTest.cpp
@@ -88,4 +88,30 @@
   CHECK(Served.caller().text().ends_with("part"));
 }
 
+// Guards against an HTTP/1.0 caller taking a broken answer for a complete one.
+TEST_CASE("a response that ends with its connection is aborted by a reset") {
+  for (const bool Complete : {true, false}) {
+    ServedConnection Served;
+    Served.answer(false, [&](HttpResponseWriter &Writer) {
+      Writer.begin(200, {}, std::nullopt);
+      Writer.write("part");
+      if (Complete)
+        Writer.end();
+      else
+        Writer.abort();
+    });
+    CHECK(Served.caller().wasReset() != Complete);
+  }
+}
+
+TEST_CASE("a response that ends with its connection is reset if its writer is "
+          "destroyed") {
+  ServedConnection Served;
+  Served.answer(false, [](HttpResponseWriter &Writer) {
+    Writer.begin(200, {}, std::nullopt);
+    Writer.write("part");
+  });
+  CHECK(Served.caller().wasReset());
+}
+
 } // namespace bronzepass::unit_tests::adapters::http
