Curl: Judge an answer's framing by what its headers say, not by their presence

An answer counted as complete by its framing as soon as it had any Content-Length or Transfer-Encoding header, while libcurl reads some of them as no framing at all: the coding identity, an empty one, a length beyond 64 bits. Cut off, such an answer was passed on, kept or obeyed as complete. Of two different lengths libcurl uses the last one and the gateway declared the first, so that a caller got a body cut to the wrong length, as complete.

readBodyFormat() decodes both headers in one place: the last coding that changes the body counts, lengths must be whole numbers and agree. A head that is ambiguous ends the transfer as broken. An answer to HEAD now counts as complete without a length.

--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -40,6 +40,8 @@
   TransferHead m_Head;
   bool m_Cancelled = false;
   bool m_HeadReceived = false;
+  /// The end of the body can't be known; the transfer is ended.
+  bool m_Unreadable = false;
   /// libcurl had a connection ready and was about to send the request.
   bool m_SendStarted = false;
 };
@@ -61,15 +63,11 @@
   Head.m_Headers[model::lowerCase(Line.substr(0, Colon))] = Value;
 }
 
-model::BodyFraming framingOf(const TransferHead &Head) {
+bool hasBody(const TransferRequest &Request, int Status) {
   constexpr int NoContent = 204;
   constexpr int NotModified = 304;
-  if (Head.m_Headers.contains("transfer-encoding"))
-    return model::BodyFraming::Chunked;
-  return Head.m_Headers.contains("content-length") ||
-                 Head.m_Status == NoContent || Head.m_Status == NotModified
-             ? model::BodyFraming::Length
-             : model::BodyFraming::Connection;
+  return Request.m_Method != "HEAD" && Status != NoContent &&
+         Status != NotModified;
 }
 
 std::string makeUrl(const TransferRequest &Request) {
@@ -124,9 +122,15 @@
   curl_easy_getinfo(Running.m_Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
   if (Status < FirstFinalStatus || Running.m_Cancelled)
     return Size * Count;
-  Running.m_HeadReceived = true;
   Running.m_Head.m_Status = static_cast<int>(Status);
-  Running.m_Head.m_Framing = framingOf(Running.m_Head);
+  const std::optional<BodyFormat> Body =
+      readBodyFormat(Running.m_Head.m_Lines,
+                     hasBody(Running.m_Request, Running.m_Head.m_Status));
+  Running.m_Unreadable = !Body;
+  if (Running.m_Unreadable)
+    return 0; // libcurl ends the transfer.
+  Running.m_Head.m_Body = *Body;
+  Running.m_HeadReceived = true;
   Running.m_Listener->onHead(Running.m_Head);
   return Size * Count;
 }
@@ -340,7 +344,7 @@
     // Without a length or chunks, the end of the body can't be distinguished
     // from a broken connection.
     const bool Delimited =
-        Ended.m_Head.m_Framing != model::BodyFraming::Connection;
+        Ended.m_Head.m_Body.m_Framing != model::BodyFraming::Connection;
     TransferResult Result;
     Result.m_Complete = Code == CURLE_OK && Delimited;
     Result.m_EndedByClose = Code == CURLE_OK && !Delimited;
@@ -348,7 +352,9 @@
     Result.m_Connects = static_cast<uint32_t>(Connects);
     Result.m_Refused = Code == CURLE_COULDNT_CONNECT;
     Result.m_TimedOut = Code == CURLE_OPERATION_TIMEDOUT;
-    if (Code != CURLE_OK)
+    if (Ended.m_Unreadable)
+      Result.m_Error = "the answer's length or transfer coding is not valid";
+    else if (Code != CURLE_OK)
       Result.m_Error = curl_easy_strerror(Code);
     else if (!Delimited)
       Result.m_Error = "the answer has neither a length nor chunks";
--- a/Source/Core/Adapters/Curl/CurlMulti.h
+++ b/Source/Core/Adapters/Curl/CurlMulti.h
@@ -1,9 +1,9 @@
 #ifndef BRONZEPASS_CORE_ADAPTERS_CURL_CURLMULTI_H
 #define BRONZEPASS_CORE_ADAPTERS_CURL_CURLMULTI_H
 
+#include "Core/Adapters/Curl/BodyFormat.h"
 #include "Core/Adapters/Net/EventLoop.h"
 #include "Core/Model/Address.h"
-#include "Core/Model/BodyFraming.h"
 
 #include <chrono>
 #include <cstdint>
@@ -43,9 +43,9 @@
 struct TransferHead {
   int m_Status = 0;
   std::map<std::string, std::string> m_Headers;
-  /// Name and value of each header line, with the name's case unchanged.
-  std::vector<std::pair<std::string, std::string>> m_Lines;
-  model::BodyFraming m_Framing = model::BodyFraming::Connection;
+  /// With the names' case unchanged.
+  HeaderLineList m_Lines;
+  BodyFormat m_Body;
 
   std::string header(const std::string &LowerName) const {
     auto Found = m_Headers.find(LowerName);
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -268,7 +268,7 @@
   From.m_HeadReceived = true;
   From.m_Status = Head.m_Status;
   From.m_Headers = Head.m_Lines;
-  From.m_Framing = Head.m_Framing;
+  From.m_Framing = Head.m_Body.m_Framing;
   From.m_Head = m_Dialect.readHead(
       Head.m_Status, Head.m_Lines,
       To == m_Exchanges.end() ? "" : To->second.m_CallerRequestId);
--- a/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
@@ -96,6 +96,51 @@
   }
 }
 
+namespace {
+
+/// Whether the framing shows that an answer which ends with its connection is
+/// complete.
+bool isComplete(const std::string &FramingHeaders, const std::string &Body) {
+  ScriptedEndpoint Endpoint(
+      [&](ScriptConnection &To, const std::string &, int) {
+        To.write("HTTP/1.1 200 OK\r\n" + FramingHeaders + "\r\n" + Body);
+        To.close();
+      });
+  return http::fetch(Endpoint.port(), "GET", "/").m_Complete;
+}
+
+} // namespace
+
+// Guards against the end of a connection counting as the end of an answer
+// because a framing header is present that does not frame the body.
+TEST_CASE("an answer is complete by its framing only if that is unambiguous") {
+  const std::string Length = "Content-Length: ";
+  const std::string Coding = "Transfer-Encoding: ";
+  CHECK(isComplete(Length + "5\r\n", "parts"));
+  CHECK(isComplete(Length + "5\r\n" + Length + "5\r\n", "parts"));
+  CHECK(isComplete(Length + "5, 5\r\n", "parts"));
+  CHECK(isComplete(Coding + "chunked\r\n", chunk("parts") + LastChunk));
+  CHECK(isComplete(Coding + "identity\r\n" + Length + "5\r\n", "parts"));
+  CHECK_FALSE(isComplete("", "parts"));
+  CHECK_FALSE(isComplete(Coding + "identity\r\n", "parts"));
+  CHECK_FALSE(isComplete(Coding + "\r\n", "parts"));
+  CHECK_FALSE(isComplete(Length + "99999999999999999999\r\n", "parts"));
+  CHECK_FALSE(isComplete(Length + "5abc\r\n", "parts"));
+  CHECK_FALSE(isComplete(Length + "9\r\n" + Length + "5\r\n", "parts"));
+  CHECK_FALSE(isComplete(Length + "5, 9\r\n", "parts"));
+}
+
+// Guards against a caller taking the first of two lengths for the body's.
+TEST_CASE("a long answer with two lengths is not forwarded") {
+  ScriptedEndpoint Endpoint([](ScriptConnection &To, const std::string &, int) {
+    To.write(std::string(Sealed) +
+             "Content-Length: 600000\r\nContent-Length: 700000\r\n\r\n" +
+             std::string(700000, 'a'));
+  });
+  const RelayNode Node({Endpoint.port()});
+  CHECK(answerTo(Node, onceRequest()).rfind("HTTP/1.1 502", 0) == 0);
+}
+
 TEST_CASE("a stream without a length that ends behind an event is complete") {
   const std::string Answer =
       liveAnswer(std::string(Sealed) + "\r\n" + event(1) + event(2));
