Gateway, Traffic: Declare to callers only the length that frames an answer

A long chunked answer with a Content-Length beside its chunks reached its caller cut to that length, as complete: both fronts parsed the header again where the answer is forwarded as it arrives, and RFC 9112 gives the chunks precedence. An answer to HEAD without a length was given the length 0.

The length now comes with the head, decoded once (BodyFormat).

--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -129,7 +129,7 @@
   Running.m_Unreadable = !Body;
   if (Running.m_Unreadable)
     return 0; // libcurl ends the transfer.
-  Running.m_Head.m_Body = *Body;
+  Running.m_Head.m_BodyFormat = *Body;
   Running.m_HeadReceived = true;
   Running.m_Listener->onHead(Running.m_Head);
   return Size * Count;
@@ -344,7 +344,7 @@
     // Without a length or chunks, the end of the body can't be distinguished
     // from a broken connection.
     const bool Delimited =
-        Ended.m_Head.m_Body.m_Framing != model::BodyFraming::Connection;
+        Ended.m_Head.m_BodyFormat.m_Framing != model::BodyFraming::Connection;
     TransferResult Result;
     Result.m_Complete = Code == CURLE_OK && Delimited;
     Result.m_EndedByClose = Code == CURLE_OK && !Delimited;
--- a/Source/Core/Adapters/Curl/CurlMulti.h
+++ b/Source/Core/Adapters/Curl/CurlMulti.h
@@ -45,7 +45,7 @@
   std::map<std::string, std::string> m_Headers;
   /// With the names' case unchanged.
   HeaderLineList m_Lines;
-  BodyFormat m_Body;
+  BodyFormat m_BodyFormat;
 
   std::string header(const std::string &LowerName) const {
     auto Found = m_Headers.find(LowerName);
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -3,7 +3,6 @@
 #include "Core/Model/HeaderName.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace bronzepass::core::adapters::gateway {
@@ -33,18 +32,6 @@
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
-std::optional<uint64_t> lengthOf(const HeaderLines &Headers) {
-  for (const HeaderLine &Each : Headers) {
-    if (!model::isSameHeader(Each.first, "Content-Length"))
-      continue;
-    uint64_t Length = 0;
-    const char *const End = Each.second.data() + Each.second.size();
-    if (std::from_chars(Each.second.data(), End, Length).ec == std::errc())
-      return Length;
-  }
-  return std::nullopt;
-}
-
 HeaderLines linesOf(const std::vector<pistache::HttpHeader> &Headers) {
   HeaderLines Lines;
   for (const pistache::HttpHeader &Each : Headers)
@@ -193,8 +180,7 @@
   if (!To.m_AnswerStarted) {
     const bool IsHead = To.m_Request.m_Method == "HEAD";
     beginAnswer(To, To.m_Status, To.m_AnswerHeaders,
-                IsHead ? lengthOf(To.m_AnswerHeaders).value_or(0)
-                       : To.m_Body.size());
+                IsHead ? To.m_HeadLength : To.m_Body.size());
     To.m_Answer->write(To.m_Body);
   }
   To.m_Answer->end();
@@ -268,7 +254,7 @@
   From.m_HeadReceived = true;
   From.m_Status = Head.m_Status;
   From.m_Headers = Head.m_Lines;
-  From.m_Framing = Head.m_Body.m_Framing;
+  From.m_BodyFormat = Head.m_BodyFormat;
   From.m_Head = m_Dialect.readHead(
       Head.m_Status, Head.m_Lines,
       To == m_Exchanges.end() ? "" : To->second.m_CallerRequestId);
@@ -327,7 +313,7 @@
   From.m_BypassesSplicer = true;
   m_Core.onAnswerForwarded(From.m_Request);
   beginAnswer(To->second, From.m_Status, From.m_Headers,
-              lengthOf(From.m_Headers));
+              From.m_BodyFormat.m_Length);
   To->second.m_Answer->write(From.m_Body);
 }
 
@@ -372,7 +358,7 @@
   // Without a length or chunks, a stream that broke off before its first event
   // looks like an empty one, which no endpoint has a reason to send.
   if (Ended.isSplicedStream() && Ended.m_ReceivedBytes == 0 &&
-      Ended.m_Framing == model::BodyFraming::Connection)
+      Ended.m_BodyFormat.m_Framing == model::BodyFraming::Connection)
     return {SendResult::Broken, Ended.m_Status, false,
             "the stream ended before its first event"};
   if (isSuccess(Ended.m_Status))
@@ -397,7 +383,7 @@
       IsStream ? To->second.m_Splicer.discardPartial() : 0;
   gateway::SendOutcome Outcome = outcomeOf(Ended, Result, PartialEventBytes);
   if (Ended.m_HeadReceived)
-    Outcome.m_AnswerEnd = {Ended.m_Framing, Ended.m_ReceivedBytes,
+    Outcome.m_AnswerEnd = {Ended.m_BodyFormat.m_Framing, Ended.m_ReceivedBytes,
                            PartialEventBytes};
   if (To != m_Exchanges.end()) {
     Exchange &Answered = To->second;
@@ -406,6 +392,7 @@
       beginAnswer(Answered, Ended.m_Status, Ended.m_Headers, std::nullopt);
     if (!Ended.m_Forwarding) {
       Answered.m_Status = Ended.m_Status;
+      Answered.m_HeadLength = Ended.m_BodyFormat.m_Length;
       Answered.m_AnswerHeaders = std::move(Ended.m_Headers);
       Answered.m_Body = std::move(Ended.m_Body);
     }
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -64,6 +64,9 @@
     int m_Status = 0;
     core::gateway::HeaderLines m_AnswerHeaders;
     std::string m_Body;
+    /// The length that the endpoint declares; for the answer to HEAD, which has
+    /// no body.
+    std::optional<uint64_t> m_HeadLength;
   };
   /// One send to an endpoint.
   struct Send {
@@ -76,7 +79,7 @@
     core::gateway::AnswerHead m_Head;
     core::gateway::HeaderLines m_Headers;
     std::string m_Body;
-    model::BodyFraming m_Framing = model::BodyFraming::Connection;
+    curl::BodyFormat m_BodyFormat;
     uint64_t m_ReceivedBytes = 0;
     /// Chunks are forwarded to the caller as they arrive.
     bool m_Forwarding = false;
--- a/Source/Core/Adapters/Traffic/RelayedHead.cpp
+++ b/Source/Core/Adapters/Traffic/RelayedHead.cpp
@@ -1,7 +1,6 @@
 #include "Core/Adapters/Traffic/RelayedHead.h"
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace bronzepass::core::adapters::traffic {
 
@@ -25,11 +24,4 @@
   return Headers;
 }
 
-std::optional<uint64_t> contentLength(const curl::TransferHead &Head) {
-  const std::string Text = Head.header("content-length");
-  if (Text.empty())
-    return std::nullopt;
-  return std::strtoull(Text.c_str(), nullptr, 10);
-}
-
 } // namespace bronzepass::core::adapters::traffic
--- a/Source/Core/Adapters/Traffic/RelayedHead.h
+++ b/Source/Core/Adapters/Traffic/RelayedHead.h
@@ -4,8 +4,6 @@
 #include "Core/Adapters/Curl/CurlMulti.h"
 #include "Core/Adapters/Pistache/HttpMessage.h"
 
-#include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace bronzepass::core::adapters::traffic {
@@ -15,9 +13,6 @@
 std::vector<pistache::HttpHeader>
 relayedHeaders(const curl::TransferHead &Head);
 
-/// Empty for a chunked response.
-std::optional<uint64_t> contentLength(const curl::TransferHead &Head);
-
 } // namespace bronzepass::core::adapters::traffic
 
 #endif // BRONZEPASS_CORE_ADAPTERS_TRAFFIC_RELAYEDHEAD_H
--- a/Source/Core/Adapters/Traffic/TrafficDriver.cpp
+++ b/Source/Core/Adapters/Traffic/TrafficDriver.cpp
@@ -224,7 +224,7 @@
       return;
     Request->m_Answer->begin(Running->head().m_Status,
                              relayedHeaders(Running->head()),
-                             contentLength(Running->head()));
+                             Running->head().m_BodyFormat.m_Length);
   }
 
   void execute(const routing::RelayChunk &Relay) {
--- a/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
@@ -141,6 +141,37 @@
   CHECK(answerTo(Node, onceRequest()).rfind("HTTP/1.1 502", 0) == 0);
 }
 
+// Guards against a chunked answer being cut to a length that it does not have.
+TEST_CASE("a long chunked answer keeps its length beside a Content-Length") {
+  const std::string Body(700000, 'a');
+  ScriptedEndpoint Endpoint(
+      [&](ScriptConnection &To, const std::string &, int) {
+        To.write(std::string(Sealed) +
+                 "Content-Length: 50\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                 chunk(Body) + LastChunk);
+      });
+  const RelayNode Node({Endpoint.port()});
+  const std::string Answer = answerTo(Node, onceRequest());
+  CHECK(Answer.find("Content-Length") == std::string::npos);
+  CHECK(Answer.size() > Body.size());
+  CHECK(Answer.ends_with(LastChunk));
+}
+
+TEST_CASE("the answer to HEAD declares the length that the endpoint declares") {
+  for (const std::string Length : {"Content-Length: 7\r\n", ""}) {
+    ScriptedEndpoint Endpoint([&](ScriptConnection &To, const std::string &,
+                                  int) { To.write(Sealed + Length + "\r\n"); });
+    const RelayNode Node({Endpoint.port()});
+    const std::string Answer =
+        answerTo(Node, requestText("/once/x", "Connection: close\r\n", "HEAD"));
+    CHECK(Answer.rfind("HTTP/1.1 200", 0) == 0);
+    CHECK(Answer.ends_with("\r\n\r\n"));
+    CHECK(Answer.find("Content-Length: 0") == std::string::npos);
+    CHECK((Answer.find("Content-Length: 7") == std::string::npos) ==
+          Length.empty());
+  }
+}
+
 TEST_CASE("a stream without a length that ends behind an event is complete") {
   const std::string Answer =
       liveAnswer(std::string(Sealed) + "\r\n" + event(1) + event(2));
