Traffic: Require a stream's whole terminal marker

A stream of the product's own front that broke off behind "data: [DONE]" and one line end, inside its last event, or behind a line of text that ends with these words, was passed on as complete.

The marker must be a line of its own, followed by an empty line.

--- a/Source/Core/Adapters/Traffic/Attempt.cpp
+++ b/Source/Core/Adapters/Traffic/Attempt.cpp
@@ -10,7 +10,7 @@
 constexpr int ServiceUnavailable = 503;
 constexpr std::string_view TerminalMarker = "data: [DONE]";
 constexpr std::string_view EventEnd = "\n\n";
-/// Fits the marker followed by LF or CRLF line ends.
+/// Fits the marker between LF or CRLF line ends.
 constexpr size_t TailBytes = 32;
 
 std::optional<uint64_t> parseNumber(const std::string &Text) {
@@ -89,10 +89,19 @@
 }
 
 bool Attempt::hasTerminalMarker() const {
-  const size_t Last = m_Tail.find_last_not_of("\r\n");
-  if (Last == std::string::npos || Last + 1 == m_Tail.size())
+  const std::string_view Tail = m_Tail;
+  const size_t LineEndsAt = Tail.find_last_not_of("\r\n") + 1;
+  const std::string_view LineEnds = Tail.substr(LineEndsAt);
+  const std::string_view Text = Tail.substr(0, LineEndsAt);
+  // An event ends with an empty line.
+  const bool EventEnds =
+      std::count(LineEnds.begin(), LineEnds.end(), '\n') >= 2;
+  if (!EventEnds || !Text.ends_with(TerminalMarker))
     return false;
-  return std::string_view(m_Tail).substr(0, Last + 1).ends_with(TerminalMarker);
+  const std::string_view Before =
+      Text.substr(0, Text.size() - TerminalMarker.size());
+  const bool StartsBody = Before.empty() && Tail.size() < TailBytes;
+  return StartsBody || Before.ends_with('\n');
 }
 
 routing::AttemptEnded Attempt::handleEnd(const curl::TransferResult &Result) {
