Traffic: Pass streams on in chunks, also where the engine declares a length

A stream of the product's own front whose engine declared a Content-Length and sent that many bytes without the terminal marker ended its caller's response by that length before the node could break it off: complete by its framing, and not a whole stream.

--- a/Source/Core/Adapters/Traffic/Attempt.cpp
+++ b/Source/Core/Adapters/Traffic/Attempt.cpp
@@ -1,5 +1,7 @@
 #include "Core/Adapters/Traffic/Attempt.h"
 
+#include "Core/Adapters/Traffic/RelayedHead.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -53,7 +55,7 @@
                Head.header("bronzepass-run-state") == "not_run";
   if (m_Declined)
     return std::nullopt;
-  m_IsStream = Head.header("content-type").rfind("text/event-stream", 0) == 0;
+  m_IsStream = isEventStream(Head);
   m_Unusable = !resumesAtRequestedOffset();
   if (m_Unusable)
     return std::nullopt;
--- a/Source/Core/Adapters/Traffic/RelayedHead.cpp
+++ b/Source/Core/Adapters/Traffic/RelayedHead.cpp
@@ -24,4 +24,14 @@
   return Headers;
 }
 
+bool isEventStream(const curl::TransferHead &Head) {
+  return Head.header("content-type").rfind("text/event-stream", 0) == 0;
+}
+
+std::optional<uint64_t> relayedLength(const curl::TransferHead &Head) {
+  if (isEventStream(Head))
+    return std::nullopt;
+  return Head.m_BodyFormat.m_Length;
+}
+
 } // namespace bronzepass::core::adapters::traffic
--- a/Source/Core/Adapters/Traffic/RelayedHead.h
+++ b/Source/Core/Adapters/Traffic/RelayedHead.h
@@ -4,6 +4,8 @@
 #include "Core/Adapters/Curl/CurlMulti.h"
 #include "Core/Adapters/Pistache/HttpMessage.h"
 
+#include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace bronzepass::core::adapters::traffic {
@@ -13,6 +15,14 @@
 std::vector<pistache::HttpHeader>
 relayedHeaders(const curl::TransferHead &Head);
 
+/// Whether the response is a stream of events, which ends with a marker.
+bool isEventStream(const curl::TransferHead &Head);
+
+/// The length to declare to the caller; empty for a chunked response. A stream
+/// is always chunked: with a length, one that lacks its marker would look
+/// complete.
+std::optional<uint64_t> relayedLength(const curl::TransferHead &Head);
+
 } // namespace bronzepass::core::adapters::traffic
 
 #endif // BRONZEPASS_CORE_ADAPTERS_TRAFFIC_RELAYEDHEAD_H
--- a/Source/Core/Adapters/Traffic/TrafficDriver.cpp
+++ b/Source/Core/Adapters/Traffic/TrafficDriver.cpp
@@ -224,7 +224,7 @@
       return;
     Request->m_Answer->begin(Running->head().m_Status,
                              relayedHeaders(Running->head()),
-                             Running->head().m_BodyFormat.m_Length);
+                             relayedLength(Running->head()));
   }
 
   void execute(const routing::RelayChunk &Relay) {
--- a/Source/UnitTests/Adapters/Http/AttemptEndTest.cpp
+++ b/Source/UnitTests/Adapters/Http/AttemptEndTest.cpp
@@ -2,6 +2,7 @@
 #include "Core/Adapters/Traffic/RelayedHead.h"
 
 #include <doctest/doctest.h>
+#include <optional>
 #include <string>
 
 namespace bronzepass::unit_tests::adapters::http {
@@ -49,4 +50,14 @@
         AttemptOutcome::Broken);
 }
 
+// Guards against a stream without its marker being complete by its length.
+TEST_CASE("a stream's length is not declared to its caller") {
+  using core::adapters::traffic::relayedLength;
+  curl::TransferHead Head = streamHead();
+  Head.m_BodyFormat.m_Length = 40;
+  CHECK(relayedLength(Head) == std::nullopt);
+  Head.m_Headers["content-type"] = "application/json";
+  CHECK(relayedLength(Head) == 40);
+}
+
 } // namespace bronzepass::unit_tests::adapters::http
