Curl: Count an answer beyond the collector's limit as incomplete

The collector of the control calls dropped chunks beyond 8 MiB and reported the rest as a complete answer: reports, lists and orders' answers would have been judged by a cut body.

--- a/Source/Core/Adapters/Curl/AnswerCollector.h
+++ b/Source/Core/Adapters/Curl/AnswerCollector.h
@@ -18,18 +18,25 @@
       std::function<void(const TransferResult &Result, const TransferHead &Head,
                          const std::string &Body)>;
 
-  /// Chunks that would make the body longer than \p MaxBytes are dropped.
+  /// An answer whose body is longer than \p MaxBytes counts as incomplete.
   explicit AnswerCollector(DoneCallback OnDone,
                            size_t MaxBytes = DefaultMaxBytes)
       : m_OnDone(std::move(OnDone)), m_MaxBytes(MaxBytes) {}
 
   void onHead(const TransferHead &Head) override { m_Head = Head; }
   void onChunk(std::string_view Chunk) override {
-    if (m_Body.size() + Chunk.size() <= m_MaxBytes)
+    m_TooLong = m_TooLong || m_Body.size() + Chunk.size() > m_MaxBytes;
+    if (!m_TooLong)
       m_Body.append(Chunk);
   }
   void onDone(const TransferResult &Result) override {
-    m_OnDone(Result, m_Head, m_Body);
+    TransferResult Collected = Result;
+    if (m_TooLong) {
+      Collected.m_Complete = false;
+      Collected.m_EndedByClose = false;
+      Collected.m_Error = "the body is too long to be collected";
+    }
+    m_OnDone(Collected, m_Head, m_Body);
   }
 
 private:
@@ -40,6 +47,7 @@
   const size_t m_MaxBytes;
   TransferHead m_Head;
   std::string m_Body;
+  bool m_TooLong = false;
 };
 
 } // namespace bronzepass::core::adapters::curl
