Gateway: Accept control calls' answers that end with their connection

An engine or the store may answer with neither a length nor chunks; the node took such an answer for none, so that an accepted order counted as in doubt and a report as missing.

Such an answer counts if its connection closed without an error: a body that is cut off is not a JSON object, a status needs no body.

--- a/Source/Core/Adapters/Gateway/ControlCalls.cpp
+++ b/Source/Core/Adapters/Gateway/ControlCalls.cpp
@@ -43,7 +43,10 @@
                                        const curl::TransferHead &Head,
                                        const std::string &Body) {
             gateway::HttpResult Answer;
-            Answer.m_Status = Result.m_Complete ? Head.m_Status : 0;
+            // Without a length or chunks, a body that is cut off can't be
+            // parsed: it is a JSON object.
+            const bool Ended = Result.m_Complete || Result.m_EndedByClose;
+            Answer.m_Status = Ended ? Head.m_Status : 0;
             Answer.m_Headers = Head.m_Lines;
             Answer.m_Body = Body;
             Answer.m_NotSent = Result.m_BytesSent == 0 && !Result.m_Complete;
