--- a/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/AnswerEndTest.cpp
@@ -3,6 +3,8 @@
 #include "UnitTests/Adapters/Http/HttpClient.h"
 
 #include <doctest/doctest.h>
+#include <optional>
+#include <random>
 #include <string>
 
 namespace bronzepass::unit_tests::adapters::gateway {
@@ -200,4 +202,123 @@
   CHECK(First.requests().size() + Second.requests().size() == 1);
 }
 
+namespace {
+
+/// One answer of an endpoint, of which \p m_SentBytes are sent before the
+/// connection ends.
+struct CutAnswer {
+  std::string m_Target;
+  std::string m_Head;
+  std::string m_Body;
+  /// m_Body as it is framed.
+  std::string m_FramedBody;
+  size_t m_SentBytes = 0;
+  bool m_Reset = false;
+
+  bool isStream() const { return m_Target == "/live/x"; }
+  bool hasFraming() const { return m_FramedBody != m_Body || isLength(); }
+  bool isLength() const {
+    return m_Head.find("Content-Length") != std::string::npos;
+  }
+  /// Whether the endpoint's connection shows that the answer ended where it
+  /// was cut.
+  bool mayLookComplete() const {
+    if (m_Reset)
+      return false;
+    const std::string Sent = m_FramedBody.substr(0, m_SentBytes);
+    if (hasFraming())
+      return Sent == m_FramedBody;
+    return !isStream() || Sent.ends_with("\n\n");
+  }
+};
+
+CutAnswer randomAnswer(std::mt19937 &Random) {
+  CutAnswer Answer;
+  const char *const Targets[] = {"/once/x", "/again/x", "/live/x"};
+  Answer.m_Target = Targets[Random() % 3];
+  Answer.m_Body = event(1) + event(2) + event(3);
+  Answer.m_FramedBody = Answer.m_Body;
+  switch (Random() % 3) {
+  case 0:
+    Answer.m_Head =
+        "Content-Length: " + std::to_string(Answer.m_Body.size()) + "\r\n";
+    break;
+  case 1:
+    Answer.m_Head = "Transfer-Encoding: chunked\r\n";
+    Answer.m_FramedBody = chunk(Answer.m_Body.substr(0, 25)) +
+                          chunk(Answer.m_Body.substr(25)) + LastChunk;
+    break;
+  default:
+    break;
+  }
+  Answer.m_SentBytes = Random() % (Answer.m_FramedBody.size() + 1);
+  if (Random() % 4 == 0)
+    Answer.m_SentBytes = Answer.m_FramedBody.size();
+  Answer.m_Reset = Random() % 4 == 0;
+  return Answer;
+}
+
+/// The body of a response that is complete by its framing; nullopt otherwise.
+std::optional<std::string> completeBody(const std::string &Response) {
+  const size_t HeadEnd = Response.find("\r\n\r\n");
+  if (HeadEnd == std::string::npos || Response.rfind("HTTP/1.1 200", 0) != 0)
+    return std::nullopt;
+  const std::string Body = Response.substr(HeadEnd + 4);
+  const std::string Field = "Content-Length: ";
+  const size_t Length = Response.find(Field);
+  if (Length < HeadEnd) {
+    const bool IsWhole =
+        Body.size() == std::stoul(Response.substr(Length + Field.size()));
+    return IsWhole ? std::optional(Body) : std::nullopt;
+  }
+  if (!Body.ends_with(LastChunk))
+    return std::nullopt;
+  std::string Text;
+  size_t At = 0;
+  for (;;) {
+    const size_t SizeEnd = Body.find("\r\n", At);
+    const size_t Size = std::stoul(Body.substr(At, SizeEnd - At), nullptr, 16);
+    if (Size == 0)
+      return Text;
+    Text += Body.substr(SizeEnd + 2, Size);
+    At = SizeEnd + 2 + Size + 2;
+  }
+}
+
+} // namespace
+
+// Guards against any answer that was cut reaching its caller as complete.
+TEST_CASE("an answer is complete for its caller only if it was for the node, "
+          "wherever it is cut") {
+  constexpr unsigned Seeds = 400;
+  for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
+    std::mt19937 Random(Seed);
+    const CutAnswer Sent = randomAnswer(Random);
+    ScriptedEndpoint Endpoint(
+        [&](ScriptConnection &To, const std::string &, int) {
+          To.write(Sealed + Sent.m_Head + "\r\n" +
+                   Sent.m_FramedBody.substr(0, Sent.m_SentBytes));
+          if (Sent.m_Reset)
+            To.reset();
+          else
+            To.close();
+        });
+    const RelayNode Node({Endpoint.port()});
+    const std::optional<std::string> Body = completeBody(
+        answerTo(Node, requestText(Sent.m_Target, "Connection: close\r\n")));
+    CAPTURE(Seed);
+    if (Sent.mayLookComplete())
+      CHECK(Body);
+    if (!Body)
+      continue;
+    const bool IsCut = Sent.m_SentBytes < Sent.m_FramedBody.size();
+    CHECK(*Body == (IsCut ? Sent.m_FramedBody.substr(0, Sent.m_SentBytes)
+                          : Sent.m_Body));
+    // A reset behind the last byte of a framed answer takes nothing from it.
+    const bool WasComplete =
+        Sent.mayLookComplete() || (Sent.m_Reset && Sent.hasFraming() && !IsCut);
+    CHECK(WasComplete);
+  }
+}
+
 } // namespace bronzepass::unit_tests::adapters::gateway
