Membership, Residency: Forget when an adapter was used and a suspicion refused or refuted

RecentEvents keeps such times for a lifetime; the refusals' and refutations' own pauses are theirs, uses count for 10 minutes, after which adapters are alike for an eviction.

--- a/Source/Core/Membership/EndpointTable.cpp
+++ b/Source/Core/Membership/EndpointTable.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// Minimum time between two suspicions of an endpoint by one node, which may be
-/// the only one that can't reach it.
-constexpr model::Duration RefusalPause = std::chrono::seconds(10);
-
 bool supersedesEndpoint(const model::EndpointState &A,
                         const model::EndpointState &B) {
   return std::tie(A.m_Version, A.m_Liveness) >
@@ -84,14 +80,14 @@
   const OptionalStatement Known = findStatement(Endpoint);
   if (Known && Known->m_Liveness != model::Liveness::Live)
     return std::nullopt;
-  const auto Last = m_LastRefused.find(Endpoint);
-  if (Last != m_LastRefused.end() && Now - Last->second < RefusalPause)
+  m_LastRefused.forgetOld(Now);
+  if (m_LastRefused.find(Endpoint, Now))
     return std::nullopt;
   const model::EndpointState Statement =
       nextStatement(Endpoint, model::Liveness::Suspect);
   if (!merge(Statement))
     return std::nullopt;
-  m_LastRefused[Endpoint] = Now;
+  m_LastRefused.record(Endpoint, Now);
   return Statement;
 }
 
--- a/Source/Core/Membership/EndpointTable.h
+++ b/Source/Core/Membership/EndpointTable.h
@@ -1,8 +1,10 @@
 #ifndef BRONZEPASS_CORE_MEMBERSHIP_ENDPOINTTABLE_H
 #define BRONZEPASS_CORE_MEMBERSHIP_ENDPOINTTABLE_H
 
+#include "Core/Membership/MembershipTiming.h"
 #include "Core/Membership/VmListing.h"
 #include "Core/Model/Intent.h"
+#include "Core/Model/RecentEvents.h"
 #include "Core/Model/Residency.h"
 #include "Core/Model/Time.h"
 
@@ -64,7 +66,7 @@
   std::map<model::EndpointId, model::VmId> m_Vms;
   VmListing m_Listing{model::VmKind::Endpoint};
   std::map<model::EndpointId, model::EndpointState> m_Statements;
-  std::map<model::EndpointId, model::TimePoint> m_LastRefused;
+  model::RecentEvents<model::EndpointId> m_LastRefused{RefusalPause};
   uint64_t m_Version = 0;
 };
 
--- a/Source/Core/Membership/MembershipLiveness.cpp
+++ b/Source/Core/Membership/MembershipLiveness.cpp
@@ -102,8 +102,7 @@
     const MemberTable::Member *Known = m_Members.find(Vm);
     if (!Known || Known->m_Info.m_Liveness != model::Liveness::Live)
       continue;
-    const auto Refuted = m_Refuted.find(Vm);
-    if (Refuted != m_Refuted.end() && Now - Refuted->second < SuspicionPause)
+    if (m_Refuted.find(Vm, Now))
       continue;
     setLiveness(Known->m_Info, model::Liveness::Suspect,
                 "no link could be established", Now, Out);
--- a/Source/Core/Membership/MembershipTiming.h
+++ b/Source/Core/Membership/MembershipTiming.h
@@ -25,6 +25,9 @@
 /// After a node refutes a suspicion, no node suspects it again for this long,
 /// so that one that alone can't reach it does not suspect it over and over.
 constexpr model::Duration SuspicionPause = std::chrono::minutes(1);
+/// Minimum time between two suspicions of an endpoint by one node, which may be
+/// the only one that can't reach it.
+constexpr model::Duration RefusalPause = std::chrono::seconds(10);
 /// A node that handled no event for this long was paused, and its peers may
 /// consider it Gone.
 constexpr model::Duration PauseThreshold = SilenceTimeout;
--- a/Source/Core/Membership/MembershipView.cpp
+++ b/Source/Core/Membership/MembershipView.cpp
@@ -81,6 +81,7 @@
     stopRelayingTo(Peer);
   detectFailedNodes(Now, Out);
   m_Members.forgetGone(Now);
+  m_Refuted.forgetOld(Now);
   refreshOverlay(Now);
   sendDueHeartbeats(Now, Out);
 }
@@ -193,7 +194,7 @@
   if (!m_Members.merge(Statement, Now))
     return;
   if (WasSuspect && Statement.m_Liveness == model::Liveness::Live)
-    m_Refuted[Statement.m_Vm] = Now;
+    m_Refuted.record(Statement.m_Vm, Now);
   m_Updates.add(Statement.m_Vm, From);
   if (IsChange)
     Out.push_back(decision(Statement.m_Node.str(), nameOf(Statement.m_Liveness),
--- a/Source/Core/Membership/MembershipView.h
+++ b/Source/Core/Membership/MembershipView.h
@@ -5,10 +5,12 @@
 #include "Core/Membership/EndpointTable.h"
 #include "Core/Membership/GenerationTracker.h"
 #include "Core/Membership/MemberTable.h"
+#include "Core/Membership/MembershipTiming.h"
 #include "Core/Membership/Overlay.h"
 #include "Core/Membership/PeerLinks.h"
 #include "Core/Membership/UpdateQueue.h"
 #include "Core/Membership/VmListing.h"
+#include "Core/Model/RecentEvents.h"
 #include "Core/Ports/Effect.h"
 #include "Core/Ports/Event.h"
 #include "Core/Ports/Ports.h"
@@ -139,7 +141,7 @@
   uint64_t m_AppliedMembersVersion = UINT64_MAX;
   bool m_ListChanged = true;
   /// When each VM last refuted a suspicion.
-  std::map<model::VmId, model::TimePoint> m_Refuted;
+  model::RecentEvents<model::VmId> m_Refuted{SuspicionPause};
   /// Consecutive heartbeats from a peer with another digest of the members.
   struct Mismatch {
     uint32_t m_Count = 0;
--- a/Source/Core/Residency/AdapterScheduler.cpp
+++ b/Source/Core/Residency/AdapterScheduler.cpp
@@ -13,13 +13,10 @@
   Expiry = std::max(Expiry, Until);
 }
 
-void AdapterScheduler::recordUse(const ModelRef &Use, model::TimePoint Now) {
-  m_LastUse[Use] = Now;
-}
-
 void AdapterScheduler::expire(model::TimePoint Now) {
   std::erase_if(m_RequestExpiry,
                 [&](const auto &Entry) { return Now >= Entry.second; });
+  m_LastUse.forgetOld(Now);
 }
 
 std::vector<ModelRef> AdapterScheduler::requested() const {
@@ -29,14 +26,6 @@
   return Uses;
 }
 
-std::optional<model::TimePoint>
-AdapterScheduler::lastUse(const ModelRef &Use) const {
-  const auto Found = m_LastUse.find(Use);
-  if (Found == m_LastUse.end())
-    return std::nullopt;
-  return Found->second;
-}
-
 std::optional<AdapterOrder>
 AdapterScheduler::nextOrder(const ModelRef &Use,
                             const gateway::EngineSpec &Spec,
@@ -63,7 +52,8 @@
     for (const LoadedModel &Held : Engine->models()) {
       for (const std::string &Adapter : Held.m_Adapters) {
         const ModelRef Candidate{Held.m_Name, Adapter};
-        const std::optional<model::TimePoint> At = lastUse(Candidate);
+        const std::optional<model::TimePoint> At =
+            m_LastUse.find(Candidate, Now);
         if ((At && Now - *At < m_MinIdle) || (Eviction && At >= OldestUse))
           continue;
         Eviction = {OrderVerb::Unload, Engine->entry().m_Id, Candidate};
--- a/Source/Core/Residency/AdapterScheduler.h
+++ b/Source/Core/Residency/AdapterScheduler.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_CORE_RESIDENCY_ADAPTERSCHEDULER_H
 
 #include "Core/Gateway/RelayTypes.h"
+#include "Core/Model/RecentEvents.h"
 #include "Core/Model/Time.h"
 #include "Core/Residency/EngineRecord.h"
 
@@ -29,8 +30,10 @@
   explicit AdapterScheduler(model::Duration MinIdle) : m_MinIdle(MinIdle) {}
 
   void request(const gateway::ModelRef &Use, model::TimePoint Until);
-  void recordUse(const gateway::ModelRef &Use, model::TimePoint Now);
-  /// Drops requests whose time is over.
+  void recordUse(const gateway::ModelRef &Use, model::TimePoint Now) {
+    m_LastUse.record(Use, Now);
+  }
+  /// Drops requests whose time is over, and old uses.
   void expire(model::TimePoint Now);
   std::vector<gateway::ModelRef> requested() const;
   bool isRequested(const gateway::ModelRef &Use) const {
@@ -48,11 +51,12 @@
             model::TimePoint Now) const;
 
 private:
-  std::optional<model::TimePoint> lastUse(const gateway::ModelRef &Use) const;
+  /// Adapters that were used longer ago are all alike for an eviction.
+  static constexpr model::Duration UseLifetime = std::chrono::minutes(10);
 
   model::Duration m_MinIdle;
   std::map<gateway::ModelRef, model::TimePoint> m_RequestExpiry;
-  std::map<gateway::ModelRef, model::TimePoint> m_LastUse;
+  model::RecentEvents<gateway::ModelRef> m_LastUse{UseLifetime};
 };
 
 } // namespace bronzepass::core::residency
