UnitTests: Check what three tests passed over

KNOWN-RED, found by reading: a sealed failure's body was not compared, a stopping node's lease counted as handed over while nobody held it, and a target whose scenario is missing passed without a check.

--- a/Source/UnitTests/Adapters/Gateway/RelayDriverTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/RelayDriverTest.cpp
@@ -148,6 +148,8 @@
     const std::string Answer = answerTo(Node, onceRequest());
     CHECK(Answer.rfind(HasSeal ? "HTTP/1.1 500" : "HTTP/1.1 502", 0) == 0);
     CHECK((Answer.find("X-Server-Seal") != std::string::npos) == HasSeal);
+    CHECK(Answer.ends_with("\r\n\r\nbad") == HasSeal);
+    CHECK((Answer.find("bad") != std::string::npos) == HasSeal);
   }
 }
 
--- a/Source/UnitTests/Node/ControlCoreTest.cpp
+++ b/Source/UnitTests/Node/ControlCoreTest.cpp
@@ -267,13 +267,13 @@
   ControlCluster Cluster;
   startCluster(Cluster, 4, DielectricaIntent);
   const std::string First = placer(Cluster, "interpretation");
+  REQUIRE_FALSE(First.empty());
   Cluster.post(First, ports::StopRequested());
   REQUIRE(Cluster.runUntil([&] { return Cluster.on(First).m_Stopped; }, 30s));
   CHECK(Cluster.runUntil(
       [&] {
-        const std::optional<std::string> Now =
-            placer(Cluster, "interpretation");
-        return Now && *Now != First;
+        const std::string Now = placer(Cluster, "interpretation");
+        return !Now.empty() && Now != First;
       },
       10s));
 }
--- a/Source/UnitTests/Traces/ReplayTest.cpp
+++ b/Source/UnitTests/Traces/ReplayTest.cpp
@@ -3,9 +3,11 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace bronzepass::unit_tests::traces {
 
@@ -71,18 +73,19 @@
 /// than each baseline.
 void checkBurstTarget(const Deployment &Of, const std::string &Name) {
   constexpr double TargetShare = 0.10;
-  for (const Scenario &Case : scenarios()) {
-    if (Case.m_Name != Name)
-      continue;
-    const ReplayResult &PredictiveResult =
-        resultOf(Of, Case, PolicyKind::Predictive);
-    for (PolicyKind Kind : Baselines) {
-      CAPTURE(std::string(core::routing::toString(Kind)));
-      const ReplayResult &BaselineResult = resultOf(Of, Case, Kind);
-      double Gain = static_cast<double>(PredictiveResult.m_Attained) -
-                    BaselineResult.m_Attained;
-      CHECK(Gain >= TargetShare * PredictiveResult.m_Requests);
-    }
+  const std::vector<Scenario> All = scenarios();
+  const auto Case =
+      std::find_if(All.begin(), All.end(),
+                   [&](const Scenario &Each) { return Each.m_Name == Name; });
+  REQUIRE(Case != All.end());
+  const ReplayResult &PredictiveResult =
+      resultOf(Of, *Case, PolicyKind::Predictive);
+  for (PolicyKind Kind : Baselines) {
+    CAPTURE(std::string(core::routing::toString(Kind)));
+    const ReplayResult &BaselineResult = resultOf(Of, *Case, Kind);
+    double Gain = static_cast<double>(PredictiveResult.m_Attained) -
+                  BaselineResult.m_Attained;
+    CHECK(Gain >= TargetShare * PredictiveResult.m_Requests);
   }
 }
 
