--- a/Source/UnitTests/Soak/SoakEndpoint.cpp
+++ b/Source/UnitTests/Soak/SoakEndpoint.cpp
@@ -57,7 +57,7 @@
 }
 
 SoakEndpoint::SoakEndpoint(Shared &Common, std::string Id, std::string Service,
-                           std::set<std::string> Models)
+                           const std::set<std::string> &Models)
     : m_Shared(Common), m_Id(std::move(Id)), m_Service(std::move(Service)),
       m_IsEngine(!Models.empty()),
       m_Server(
--- a/Source/UnitTests/Soak/SoakEndpoint.h
+++ b/Source/UnitTests/Soak/SoakEndpoint.h
@@ -70,7 +70,7 @@
 
   /// \p Models is empty for a plain service.
   SoakEndpoint(Shared &Common, std::string Id, std::string Service,
-               std::set<std::string> Models);
+               const std::set<std::string> &Models);
 
   const std::string &id() const { return m_Id; }
   /// Writes its entry, as it does from time to time.
--- a/Source/UnitTests/Soak/SoakSchedule.cpp
+++ b/Source/UnitTests/Soak/SoakSchedule.cpp
@@ -172,7 +172,7 @@
   case 10:
     return [=, this] { disturbAnswers(For); };
   case 11:
-    return [=, this, &Callers] {
+    return [=, &Callers] {
       Callers.setLeaveShare(0.2);
       std::this_thread::sleep_for(For);
       Callers.setLeaveShare(SoakCallers::UsualLeaveShare);
--- a/Source/UnitTests/Soak/SoakWorld.cpp
+++ b/Source/UnitTests/Soak/SoakWorld.cpp
@@ -131,7 +131,7 @@
   Models.insert("-");
   m_Endpoints.push_back(std::make_unique<SoakEndpoint>(
       m_Shared, "e-" + std::to_string(++m_LastEndpoint), EngineService,
-      std::move(Models)));
+      Models));
   return *m_Endpoints.back();
 }
 
--- a/Source/UnitTests/Soak/ThreadServer.cpp
+++ b/Source/UnitTests/Soak/ThreadServer.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr int PollMillis = 20;
 constexpr int ListenBacklog = 256;
 
 ServerRequest parseRequest(const std::string &Text) {
@@ -136,7 +135,7 @@
     sockaddr Unspecified{};
     Unspecified.sa_family = AF_UNSPEC;
     // Resets the connection although its thread still has the descriptor.
-    ::connect(Fd, &Unspecified, sizeof(Unspecified));
+    static_cast<void>(::connect(Fd, &Unspecified, sizeof(Unspecified)));
   }
 }
 
