--- a/Source/Core/Adapters/Curl/BodyFormat.cpp
+++ b/Source/Core/Adapters/Curl/BodyFormat.cpp
@@ -1,6 +1,7 @@
 #include "Core/Adapters/Curl/BodyFormat.h"
 
 #include "Core/Model/HeaderName.h"
+#include "Core/Model/HeaderValue.h"
 
 #include <charconv>
 #include <string_view>
@@ -9,14 +10,6 @@
 
 namespace {
 
-std::string_view trimmed(std::string_view Text) {
-  constexpr std::string_view Blanks = " \t";
-  const size_t First = Text.find_first_not_of(Blanks);
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(Blanks) - First + 1);
-}
-
 /// The comma-separated values of all lines named \p Name.
 std::vector<std::string_view> listValues(const HeaderLineList &Lines,
                                          std::string_view Name) {
@@ -24,13 +17,9 @@
   for (const auto &Line : Lines) {
     if (!model::isSameHeader(Line.first, Name))
       continue;
-    std::string_view Rest = Line.second;
-    for (size_t Comma = Rest.find(','); Comma != std::string_view::npos;
-         Comma = Rest.find(',')) {
-      Values.push_back(trimmed(Rest.substr(0, Comma)));
-      Rest.remove_prefix(Comma + 1);
-    }
-    Values.push_back(trimmed(Rest));
+    const std::vector<std::string_view> Parts =
+        model::splitHeaderList(Line.second);
+    Values.insert(Values.end(), Parts.begin(), Parts.end());
   }
   return Values;
 }
--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -1,5 +1,6 @@
 #include "Core/Adapters/Curl/CurlMulti.h"
 
+#include "Core/Model/HeaderValue.h"
 #include "Core/Model/LowerCase.h"
 
 #include <algorithm>
@@ -40,25 +41,17 @@
   TransferHead m_Head;
   bool m_Cancelled = false;
   bool m_HeadReceived = false;
-  /// The end of the body can't be known; the transfer is ended.
-  bool m_Unreadable = false;
+  /// The head does not say where the body ends.
+  bool m_HasInvalidFraming = false;
   /// libcurl had a connection ready and was about to send the request.
   bool m_SendStarted = false;
 };
 
-std::string_view trimmed(std::string_view Text) {
-  constexpr std::string_view Blanks = " \t\r\n";
-  const size_t First = Text.find_first_not_of(Blanks);
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(Blanks) - First + 1);
-}
-
 void addHeaderLine(TransferHead &Head, std::string_view Line) {
   const size_t Colon = Line.find(':');
   if (Colon == std::string_view::npos)
     return;
-  const std::string Value(trimmed(Line.substr(Colon + 1)));
+  const std::string Value(model::trimBlanks(Line.substr(Colon + 1)));
   Head.m_Lines.emplace_back(Line.substr(0, Colon), Value);
   Head.m_Headers[model::lowerCase(Line.substr(0, Colon))] = Value;
 }
@@ -114,7 +107,7 @@
     return Size * Count;
   if (Line.substr(0, 5) == "HTTP/")
     Running.m_Head = {};
-  if (!trimmed(Line).empty()) {
+  if (!model::trimBlanks(Line).empty()) {
     addHeaderLine(Running.m_Head, Line);
     return Size * Count;
   }
@@ -126,8 +119,8 @@
   const std::optional<BodyFormat> Body =
       readBodyFormat(Running.m_Head.m_Lines,
                      hasBody(Running.m_Request, Running.m_Head.m_Status));
-  Running.m_Unreadable = !Body;
-  if (Running.m_Unreadable)
+  Running.m_HasInvalidFraming = !Body;
+  if (Running.m_HasInvalidFraming)
     return 0; // libcurl ends the transfer.
   Running.m_Head.m_BodyFormat = *Body;
   Running.m_HeadReceived = true;
@@ -352,7 +345,7 @@
     Result.m_Connects = static_cast<uint32_t>(Connects);
     Result.m_Refused = Code == CURLE_COULDNT_CONNECT;
     Result.m_TimedOut = Code == CURLE_OPERATION_TIMEDOUT;
-    if (Ended.m_Unreadable)
+    if (Ended.m_HasInvalidFraming)
       Result.m_Error = "the answer's length or transfer coding is not valid";
     else if (Code != CURLE_OK)
       Result.m_Error = curl_easy_strerror(Code);
--- a/Source/UnitTests/Soak/SoakEndpoint.cpp
+++ b/Source/UnitTests/Soak/SoakEndpoint.cpp
@@ -17,9 +17,7 @@
 constexpr std::chrono::milliseconds CallTime = 5ms;
 constexpr std::chrono::milliseconds LoadTime = 400ms;
 constexpr std::chrono::milliseconds LateOrderTime = 2s;
-/// How long an endpoint that leaves may still be sent requests, with a margin
-/// for the threads of this program.
-constexpr std::chrono::milliseconds LeaveNotice = 2s;
+/// For the threads of this program.
 constexpr std::chrono::milliseconds LeaveMargin = 300ms;
 constexpr std::chrono::seconds LoadWindow(5);
 constexpr size_t MaxLoadsInWindow = 25;
--- a/Source/UnitTests/Soak/SoakEndpoint.h
+++ b/Source/UnitTests/Soak/SoakEndpoint.h
@@ -67,6 +67,8 @@
   static constexpr uint64_t EngineWeightsMb = 100000;
   static constexpr uint64_t ModelWeightsMb = 40000;
   static constexpr int EngineSlots = 16;
+  /// How long an endpoint that leaves may still be sent requests.
+  static constexpr std::chrono::seconds LeaveNotice{2};
 
   /// \p Models is empty for a plain service.
   SoakEndpoint(Shared &Common, std::string Id, std::string Service,
--- a/Source/UnitTests/Soak/SoakWorld.cpp
+++ b/Source/UnitTests/Soak/SoakWorld.cpp
@@ -18,7 +18,6 @@
 /// Until the entry of an endpoint that crashed is removed.
 constexpr std::chrono::milliseconds LapseTime = 900ms;
 constexpr std::chrono::milliseconds RestartTime = 600ms;
-constexpr std::chrono::milliseconds LeaveNotice = 2s;
 constexpr std::chrono::milliseconds LeaveSlack = 700ms;
 /// Versions whose routes a configuration has, and those that are probed: a node
 /// may have newer ones in force by then.
@@ -170,7 +169,7 @@
       return;
     Leaving->startDraining();
   }
-  std::this_thread::sleep_for(LeaveNotice + LeaveSlack);
+  std::this_thread::sleep_for(SoakEndpoint::LeaveNotice + LeaveSlack);
   Leaving->unregister();
   std::this_thread::sleep_for(LeaveSlack);
   Leaving->crash();
