--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -30,7 +30,12 @@
 /// A larger answer is forwarded as it arrives.
 constexpr size_t MaxCollectedBytes = 512 << 10;
 
-bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
+gateway::TransferEnd transferEndOf(const curl::TransferResult &Result) {
+  if (Result.m_Complete)
+    return gateway::TransferEnd::AsFramed;
+  return Result.m_EndedByClose ? gateway::TransferEnd::ConnectionClosed
+                               : gateway::TransferEnd::Broken;
+}
 
 HeaderLines linesOf(const std::vector<pistache::HttpHeader> &Headers) {
   HeaderLines Lines;
@@ -251,28 +256,27 @@
     return;
   Send &From = Found->second;
   const auto To = m_Exchanges.find(From.m_Request);
-  From.m_HeadReceived = true;
   From.m_Status = Head.m_Status;
   From.m_Headers = Head.m_Lines;
   From.m_BodyFormat = Head.m_BodyFormat;
   From.m_Head = m_Dialect.readHead(
       Head.m_Status, Head.m_Lines,
       To == m_Exchanges.end() ? "" : To->second.m_CallerRequestId);
-  if (From.m_Head.m_KeepAlive) {
+  if (From.m_Head->m_KeepAlive) {
     // One second of margin, so that the endpoint does not close the connection
     // just as a request is sent.
     const std::chrono::seconds Kept =
         std::max(std::chrono::seconds(1),
-                 *From.m_Head.m_KeepAlive - std::chrono::seconds(1));
+                 *From.m_Head->m_KeepAlive - std::chrono::seconds(1));
     const auto Known = m_KeepAlive.emplace(From.m_Service, Kept);
     Known.first->second = std::min(Known.first->second, Kept);
   }
-  const bool Success = isSuccess(Head.m_Status);
-  if (To != m_Exchanges.end() && From.m_Head.m_Foreign) {
+  const bool Success = gateway::isSuccess(Head.m_Status);
+  if (To != m_Exchanges.end() && From.m_Head->m_Foreign) {
     rejectAnswer(Attempt, "an answer to another request");
     return;
   }
-  if (Success && !From.m_Head.m_Sealed) {
+  if (Success && !From.m_Head->m_Sealed) {
     rejectAnswer(Attempt, "a success without the endpoint's seal");
     return;
   }
@@ -307,7 +311,8 @@
     return;
   }
   From.m_Body.append(Chunk);
-  if (From.m_Body.size() <= MaxCollectedBytes || !isSuccess(From.m_Status))
+  if (From.m_Body.size() <= MaxCollectedBytes ||
+      !gateway::isSuccess(From.m_Status))
     return;
   From.m_Forwarding = true;
   From.m_BypassesSplicer = true;
@@ -333,43 +338,6 @@
   To.m_Answer->write(Events);
 }
 
-gateway::SendOutcome RelayDriver::outcomeOf(const Send &Ended,
-                                            const curl::TransferResult &Result,
-                                            size_t PartialEventBytes) const {
-  if (!Ended.m_HeadReceived) {
-    if (Result.m_BytesSent == 0)
-      return {SendResult::NotSent, 0, Result.m_TimedOut, Result.m_Error};
-    return {SendResult::Broken, 0, Result.m_TimedOut, Result.m_Error};
-  }
-  if (Ended.m_Head.m_Misdirected)
-    return {SendResult::Misdirected, Ended.m_Status, false, ""};
-  if (Ended.m_Head.m_NotRun)
-    return {SendResult::NotRun, Ended.m_Status, false,
-            "status " + std::to_string(Ended.m_Status)};
-  if (!Result.m_Complete && !Result.m_EndedByClose)
-    return {SendResult::Broken, Ended.m_Status, Result.m_TimedOut,
-            Result.m_Error};
-  // The framing doesn't prove that a stream is complete: an endpoint that
-  // crashes may still end its chunks, or close its connection, without an
-  // error.
-  if (PartialEventBytes > 0)
-    return {SendResult::Broken, Ended.m_Status, false,
-            "the stream ended inside an event"};
-  // Without a length or chunks, a stream that broke off before its first event
-  // looks like an empty one, which no endpoint has a reason to send.
-  if (Ended.isSplicedStream() && Ended.m_ReceivedBytes == 0 &&
-      Ended.m_BodyFormat.m_Framing == model::BodyFraming::Connection)
-    return {SendResult::Broken, Ended.m_Status, false,
-            "the stream ended before its first event"};
-  if (isSuccess(Ended.m_Status))
-    return {SendResult::Completed, Ended.m_Status, false, ""};
-  if (Ended.m_Head.m_Sealed)
-    return {SendResult::Failed, Ended.m_Status, false,
-            "status " + std::to_string(Ended.m_Status)};
-  return {SendResult::Broken, Ended.m_Status, false,
-          "a failure without a seal"};
-}
-
 void RelayDriver::onDone(model::AttemptId Attempt,
                          const curl::TransferResult &Result) {
   const auto Found = m_Sends.find(Attempt);
@@ -378,16 +346,21 @@
   Send Ended = std::move(Found->second);
   m_Sends.erase(Found);
   const auto To = m_Exchanges.find(Ended.m_Request);
-  const bool IsStream = Ended.isSplicedStream() && To != m_Exchanges.end();
-  const size_t PartialEventBytes =
-      IsStream ? To->second.m_Splicer.discardPartial() : 0;
-  gateway::SendOutcome Outcome = outcomeOf(Ended, Result, PartialEventBytes);
-  if (Ended.m_HeadReceived)
-    Outcome.m_AnswerEnd = {Ended.m_BodyFormat.m_Framing, Ended.m_ReceivedBytes,
-                           PartialEventBytes};
+  gateway::ReceivedAnswer Answer;
+  Answer.m_Head = Ended.m_Head;
+  Answer.m_Status = Ended.m_Status;
+  Answer.m_IsStream = Ended.isSplicedStream() && To != m_Exchanges.end();
+  Answer.m_End = {Ended.m_BodyFormat.m_Framing, Ended.m_ReceivedBytes, 0};
+  if (Answer.m_IsStream)
+    Answer.m_End.m_PartialEventBytes = To->second.m_Splicer.discardPartial();
+  Answer.m_TransferEnd = transferEndOf(Result);
+  Answer.m_IsSent = Result.m_BytesSent > 0;
+  Answer.m_TimedOut = Result.m_TimedOut;
+  Answer.m_Error = Result.m_Error;
+  const gateway::SendOutcome Outcome = gateway::outcomeOf(Answer);
   if (To != m_Exchanges.end()) {
     Exchange &Answered = To->second;
-    if (IsStream && Outcome.m_Result == SendResult::Completed &&
+    if (Answer.m_IsStream && Outcome.m_Result == SendResult::Completed &&
         !Answered.m_AnswerStarted)
       beginAnswer(Answered, Ended.m_Status, Ended.m_Headers, std::nullopt);
     if (!Ended.m_Forwarding) {
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -7,6 +7,7 @@
 #include "Core/Adapters/Gateway/GatewayLog.h"
 #include "Core/Adapters/Gateway/GatewayMetrics.h"
 #include "Core/Adapters/Net/EventLoop.h"
+#include "Core/Gateway/AnswerOutcome.h"
 #include "Core/Gateway/Dialect.h"
 #include "Core/Gateway/RelayCore.h"
 #include "Core/Gateway/StreamSplicer.h"
@@ -74,9 +75,9 @@
     std::string m_Service;
     uint64_t m_Transfer = 0;
     bool m_IsStream = false;
-    bool m_HeadReceived = false;
     int m_Status = 0;
-    core::gateway::AnswerHead m_Head;
+    /// nullopt until it has been received.
+    std::optional<core::gateway::AnswerHead> m_Head;
     core::gateway::HeaderLines m_Headers;
     std::string m_Body;
     curl::BodyFormat m_BodyFormat;
@@ -104,9 +105,6 @@
   void onChunk(model::AttemptId Attempt, std::string_view Chunk) override;
   void onDone(model::AttemptId Attempt,
               const curl::TransferResult &Result) override;
-  core::gateway::SendOutcome outcomeOf(const Send &Ended,
-                                       const curl::TransferResult &Result,
-                                       size_t PartialEventBytes) const;
   void forwardChunk(Send &From, Exchange &To, std::string_view Chunk);
   void beginAnswer(Exchange &To, int Status,
                    const core::gateway::HeaderLines &Headers,
--- /dev/null
+++ b/Source/Core/Gateway/AnswerOutcome.cpp
@@ -0,0 +1,56 @@
+#include "Core/Gateway/AnswerOutcome.h"
+
+namespace bronzepass::core::gateway {
+
+namespace {
+
+/// Why a stream is incomplete although its transfer ended without an error;
+/// nullptr if it may be complete.
+const char *streamFault(const ReceivedAnswer &Answer) {
+  // The framing doesn't prove that a stream is complete: an endpoint that
+  // crashes may still end its chunks, or close its connection, without an
+  // error.
+  if (Answer.m_End.m_PartialEventBytes > 0)
+    return "the stream ended inside an event";
+  // Without a length or chunks, a stream that broke off before its first event
+  // looks like an empty one, which no endpoint has a reason to send.
+  if (Answer.m_TransferEnd == TransferEnd::ConnectionClosed &&
+      Answer.m_End.m_BodyBytes == 0)
+    return "the stream ended before its first event";
+  return nullptr;
+}
+
+SendOutcome makeOutcome(SendResult Result, const ReceivedAnswer &Answer,
+                        const std::string &Detail = "") {
+  const std::optional<AnswerEnd> End =
+      Answer.m_Head ? std::optional(Answer.m_End) : std::nullopt;
+  return {Result, Answer.m_Status, Answer.m_TimedOut, Detail, End};
+}
+
+} // namespace
+
+bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
+
+SendOutcome outcomeOf(const ReceivedAnswer &Answer) {
+  const std::string StatusText = "status " + std::to_string(Answer.m_Status);
+  if (!Answer.m_Head)
+    return makeOutcome(Answer.m_IsSent ? SendResult::Broken
+                                       : SendResult::NotSent,
+                       Answer, Answer.m_Error);
+  if (Answer.m_Head->m_Misdirected)
+    return makeOutcome(SendResult::Misdirected, Answer);
+  if (Answer.m_Head->m_NotRun)
+    return makeOutcome(SendResult::NotRun, Answer, StatusText);
+  if (Answer.m_TransferEnd == TransferEnd::Broken)
+    return makeOutcome(SendResult::Broken, Answer, Answer.m_Error);
+  if (const char *const Fault =
+          Answer.m_IsStream ? streamFault(Answer) : nullptr)
+    return makeOutcome(SendResult::Broken, Answer, Fault);
+  if (isSuccess(Answer.m_Status))
+    return makeOutcome(SendResult::Completed, Answer);
+  if (Answer.m_Head->m_Sealed)
+    return makeOutcome(SendResult::Failed, Answer, StatusText);
+  return makeOutcome(SendResult::Broken, Answer, "a failure without a seal");
+}
+
+} // namespace bronzepass::core::gateway
