UnitTests/Soak: Signal only jobs that still run

The script kept the numbers of processes that had ended and killed them again at its end; such a number may belong to another process by then. Signals now go to jobs of the shell that still run.

--- a/Source/UnitTests/Soak/soak.sh
+++ b/Source/UnitTests/Soak/soak.sh
@@ -8,10 +8,19 @@
 shift 2
 Dir=$(mktemp -d)
 declare -A Pid
+# The number of a process that has ended may belong to another one by now, so
+# only those that still run as jobs of this shell get signals.
+signal() { # signal, node
+  jobs -rp | grep -qx -- "${Pid[$2]:-none}" && kill "-$1" "${Pid[$2]}"
+}
+end() { # node
+  signal KILL "$1"
+  wait "${Pid[$1]:-}" 2> /dev/null
+  unset "Pid[$1]"
+}
 cleanup() {
   for Node in "${!Pid[@]}"; do
-    kill -9 "${Pid[$Node]}" 2> /dev/null
-    wait "${Pid[$Node]}" 2> /dev/null
+    end "$Node"
   done
 }
 trap cleanup EXIT
@@ -26,19 +35,18 @@
       "$Program" gateway "$Dir/node-$Node.yaml" >> "$Dir/node-$Node.log" 2>&1 3<&- 4>&- &
       Pid[$Node]=$!
       ;;
-    stop) kill -TERM "${Pid[$Node]}" ;;
-    kill)
-      kill -9 "${Pid[$Node]}" 2> /dev/null
-      wait "${Pid[$Node]}" 2> /dev/null
-      ;;
-    pause) kill -STOP "${Pid[$Node]}" ;;
-    resume) kill -CONT "${Pid[$Node]}" ;;
-    reload) kill -HUP "${Pid[$Node]}" 2> /dev/null ;;
+    stop) signal TERM "$Node" ;;
+    kill) end "$Node" ;;
+    pause) signal STOP "$Node" ;;
+    resume) signal CONT "$Node" ;;
+    reload) signal HUP "$Node" ;;
     ended)
       Answer=no
-      if ! kill -0 "${Pid[$Node]}" 2> /dev/null; then
-        wait "${Pid[$Node]}"
+      # Status 127: waited for before.
+      if ! signal 0 "$Node"; then
+        wait "${Pid[$Node]:-0}" 2> /dev/null
         Answer=$?
+        unset "Pid[$Node]"
       fi
       ;;
   esac
