Net, Gateway, Daemon: Go on after an exception, and report what epoll refuses

Cause: an exception in a task, a timer or a watcher left the event loop and ended the process, whatever request or message it concerned. Results of epoll_create1, epoll_ctl, eventfd and sigwait were not looked at. Change: a loop with a fault handler logs the exception ("process", "exception") and goes on; so does the control thread of "serve". Failing epoll_ctl calls are logged and make watch() return false; a loop that can't be created and signals that can't be awaited end the start with their error.

--- a/Source/Core/Adapters/Daemon/ControlThread.cpp
+++ b/Source/Core/Adapters/Daemon/ControlThread.cpp
@@ -5,8 +5,9 @@
 namespace bronzepass::core::adapters::daemon {
 
 ControlThread::ControlThread(node::ControlCore &Core, const ports::Clock &Clock,
-                             EffectHandler OnEffect)
-    : m_Core(Core), m_Clock(Clock), m_OnEffect(std::move(OnEffect)) {}
+                             EffectHandler OnEffect, FaultHandler OnFault)
+    : m_Core(Core), m_Clock(Clock), m_OnEffect(std::move(OnEffect)),
+      m_OnFault(std::move(OnFault)) {}
 
 ControlThread::~ControlThread() { stop(); }
 
@@ -61,7 +62,7 @@
     for (const ports::Event &Each : Events)
       handle(Each);
     for (const Task &Each : Tasks)
-      Each(m_Core);
+      guard([&] { Each(m_Core); });
     if (std::chrono::steady_clock::now() < NextTick)
       continue;
     handle(ports::Tick());
@@ -70,14 +71,22 @@
 }
 
 void ControlThread::handle(const ports::Event &Incoming) {
-  m_Core.handle(Incoming, m_Clock.now(), m_Effects);
+  guard([&] { m_Core.handle(Incoming, m_Clock.now(), m_Effects); });
   carryOut();
 }
 
 void ControlThread::carryOut() {
   for (const ports::Effect &Each : m_Effects)
-    m_OnEffect(Each);
+    guard([&] { m_OnEffect(Each); });
   m_Effects.clear();
 }
 
+void ControlThread::guard(const std::function<void()> &Work) {
+  try {
+    Work();
+  } catch (const std::exception &Error) {
+    m_OnFault(Error.what());
+  }
+}
+
 } // namespace bronzepass::core::adapters::daemon
--- a/Source/Core/Adapters/Daemon/ControlThread.h
+++ b/Source/Core/Adapters/Daemon/ControlThread.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <string>
 #include <thread>
 
 namespace bronzepass::core::adapters::daemon {
@@ -20,11 +21,14 @@
   /// Reads the control core between events.
   using Task = std::function<void(const node::ControlCore &)>;
   using EffectHandler = std::function<void(const ports::Effect &)>;
+  /// Gets the text of an exception.
+  using FaultHandler = std::function<void(const std::string &What)>;
 
   /// \p Core and \p Clock must outlive this object. \p OnEffect is called on
-  /// the control thread.
+  /// the control thread; so is \p OnFault, for each exception that an event, a
+  /// task or \p OnEffect throws. The thread goes on after it.
   ControlThread(node::ControlCore &Core, const ports::Clock &Clock,
-                EffectHandler OnEffect);
+                EffectHandler OnEffect, FaultHandler OnFault);
   ~ControlThread() override;
   ControlThread(const ControlThread &) = delete;
   ControlThread &operator=(const ControlThread &) = delete;
@@ -42,10 +46,12 @@
   void run();
   void handle(const ports::Event &Incoming);
   void carryOut();
+  void guard(const std::function<void()> &Work);
 
   node::ControlCore &m_Core;
   const ports::Clock &m_Clock;
   EffectHandler m_OnEffect;
+  FaultHandler m_OnFault;
   ports::EffectList m_Effects;
 
   std::mutex m_Mutex;
--- a/Source/Core/Adapters/Daemon/Daemon.cpp
+++ b/Source/Core/Adapters/Daemon/Daemon.cpp
@@ -51,9 +51,15 @@
         m_Executor({m_Store, m_Store, m_Engines, m_Peers, m_Decisions,
                     m_Metrics, m_Traffic, m_CallerServer, m_Operators,
                     [this] { m_Signals.notifyFinished(); }}),
-        m_Control(m_Core, m_Clock, [this](const ports::Effect &Each) {
-          m_Executor.carryOut(Each);
-        }) {}
+        m_Control(
+            m_Core, m_Clock,
+            [this](const ports::Effect &Each) { m_Executor.carryOut(Each); },
+            [this](const std::string &What) { logFault(What); }) {
+    const net::EventLoop::FaultHandler OnFault =
+        [this](const std::string &What) { logFault(What); };
+    m_StoreThread.loop().setFaultHandler(OnFault);
+    m_Traffic.loop().setFaultHandler(OnFault);
+  }
 
   ~Impl() override { stop(); }
 
@@ -100,6 +106,8 @@
                        .m_Reason = Reason});
   }
 
+  void logFault(const std::string &What) { logNodeDecision("exception", What); }
+
   void servePage(pistache::HttpRequest Request,
                  operators::OperatorServer::PageDone Done) {
     m_Control.runTask([this, Request = std::move(Request),
--- a/Source/Core/Adapters/Daemon/StopSignals.cpp
+++ b/Source/Core/Adapters/Daemon/StopSignals.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <pthread.h>
+#include <system_error>
 
 namespace bronzepass::core::adapters::daemon {
 
@@ -28,7 +29,11 @@
 void StopSignals::waitForStopSignal() {
   const sigset_t Signals = stopSignalSet();
   int Signal = 0;
-  sigwait(&Signals, &Signal);
+  // Fails only for an invalid set; without it, no stop would be noticed.
+  const int Error = sigwait(&Signals, &Signal);
+  if (Error != 0)
+    throw std::system_error(Error, std::generic_category(),
+                            "cannot wait for signals");
 }
 
 StopOutcome StopSignals::waitForOutcome(model::Duration Limit) {
--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -24,7 +24,12 @@
               *m_Random, Log, *this),
       m_Placement({Options.m_Self.m_Node, Options.m_Lease, Options.m_Residency},
                   Dialect, m_Store, m_Calls, m_Thread.loop(), Clock, *m_Random,
-                  Log, *this) {}
+                  Log, *this) {
+  m_Thread.loop().setFaultHandler([this](const std::string &What) {
+    m_Log.write("process", "exception",
+                {{"thread", "control"}, {"reason", What}});
+  });
+}
 
 GatewayControl::~GatewayControl() { join(); }
 
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -84,6 +84,10 @@
         onPeerNotice(Notice, From);
       }) {
   m_Start = m_Random->next() >> 1U;
+  m_Thread.loop().setFaultHandler([this](const std::string &What) {
+    m_Log.write("process", "exception",
+                {{"thread", "traffic"}, {"reason", What}});
+  });
 }
 
 GatewayTraffic::~GatewayTraffic() { join(); }
--- a/Source/Core/Adapters/Net/EventLoop.cpp
+++ b/Source/Core/Adapters/Net/EventLoop.cpp
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
+#include <cstring>
+#include <exception>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <system_error>
 
 namespace bronzepass::core::adapters::net {
 
@@ -27,7 +31,10 @@
   epoll_event Event{};
   Event.events = EPOLLIN;
   Event.data.u64 = makeTag(m_Wakeup.get(), WakeupSerial);
-  ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_ADD, m_Wakeup.get(), &Event);
+  if (!m_Epoll.valid() || !m_Wakeup.valid() ||
+      ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_ADD, m_Wakeup.get(), &Event) != 0)
+    throw std::system_error(errno, std::generic_category(),
+                            "cannot create an event loop");
 }
 
 EventLoop::~EventLoop() {
@@ -86,7 +93,7 @@
 
 void EventLoop::cancel(const TimerId &Timer) { m_Timers.erase(Timer); }
 
-void EventLoop::watch(int Fd, uint32_t Events, Watcher OnEvents) {
+bool EventLoop::watch(int Fd, uint32_t Events, Watcher OnEvents) {
   const bool Known = m_Watches.contains(Fd);
   const uint32_t Serial = m_NextWatch++;
   m_Watches[Fd] = std::make_shared<Watch>(Watch{Serial, std::move(OnEvents)});
@@ -94,8 +101,14 @@
   Event.events = Events;
   Event.data.u64 = makeTag(Fd, Serial);
   // A descriptor that was closed while watched is no longer in the epoll set.
-  if (!Known || ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_MOD, Fd, &Event) != 0)
-    ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_ADD, Fd, &Event);
+  if (Known && ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_MOD, Fd, &Event) == 0)
+    return true;
+  if (::epoll_ctl(m_Epoll.get(), EPOLL_CTL_ADD, Fd, &Event) == 0)
+    return true;
+  reportFault("cannot watch descriptor " + std::to_string(Fd) + ": " +
+              std::strerror(errno));
+  m_Watches.erase(Fd);
+  return false;
 }
 
 void EventLoop::setWatchedEvents(int Fd, uint32_t Events) {
@@ -105,7 +118,9 @@
   epoll_event Event{};
   Event.events = Events;
   Event.data.u64 = makeTag(Fd, Found->second->m_Serial);
-  ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_MOD, Fd, &Event);
+  if (::epoll_ctl(m_Epoll.get(), EPOLL_CTL_MOD, Fd, &Event) != 0)
+    reportFault("cannot change the events of descriptor " + std::to_string(Fd) +
+                ": " + std::strerror(errno));
 }
 
 void EventLoop::unwatch(int Fd) {
@@ -128,7 +143,7 @@
   while (!m_Timers.empty() && m_Timers.begin()->first.m_Due <= Now) {
     const Task Work = std::move(m_Timers.begin()->second);
     m_Timers.erase(m_Timers.begin());
-    Work();
+    guard(Work);
   }
 }
 
@@ -141,7 +156,7 @@
     Tasks.swap(m_Tasks);
   }
   for (const Task &Work : Tasks)
-    Work();
+    guard(Work);
 }
 
 void EventLoop::dispatch(uint64_t Tag, uint32_t Events) {
@@ -155,7 +170,24 @@
     return;
   // The watcher may remove itself while it runs.
   const std::shared_ptr<Watch> Kept = Found->second;
-  Kept->m_OnEvents(Events);
+  guard([&Kept, Events] { Kept->m_OnEvents(Events); });
+}
+
+void EventLoop::guard(const Task &Work) {
+  if (!m_OnFault) {
+    Work();
+    return;
+  }
+  try {
+    Work();
+  } catch (const std::exception &Error) {
+    reportFault(Error.what());
+  }
+}
+
+void EventLoop::reportFault(const std::string &What) {
+  if (m_OnFault)
+    m_OnFault(What);
 }
 
 } // namespace bronzepass::core::adapters::net
--- a/Source/Core/Adapters/Net/EventLoop.h
+++ b/Source/Core/Adapters/Net/EventLoop.h
@@ -11,7 +11,9 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace bronzepass::core::adapters::net {
@@ -25,6 +27,8 @@
   /// Gets the epoll event bits that are set.
   using Watcher = std::function<void(uint32_t Events)>;
   using SteadyTime = std::chrono::steady_clock::time_point;
+  /// Gets the text of the exception.
+  using FaultHandler = std::function<void(const std::string &What)>;
 
   struct TimerId {
     SteadyTime m_Due;
@@ -33,11 +37,17 @@
     friend auto operator<=>(const TimerId &, const TimerId &) = default;
   };
 
+  /// Throws std::system_error if the kernel has no descriptors left.
   EventLoop();
   ~EventLoop();
   EventLoop(const EventLoop &) = delete;
   EventLoop &operator=(const EventLoop &) = delete;
 
+  /// Calls \p OnFault with each exception that a task, timer or watcher throws;
+  /// the loop goes on. Without a handler, exceptions leave run(). Called before
+  /// the loop runs.
+  void setFaultHandler(FaultHandler OnFault) { m_OnFault = std::move(OnFault); }
+
   /// Runs until stop(); tasks posted before it are run first.
   void run();
   void stop();
@@ -49,8 +59,9 @@
   void cancel(const TimerId &Timer);
 
   /// Watches \p Fd for \p Events (epoll bits, level-triggered); a second call
-  /// replaces the first. unwatch() it before it is closed.
-  void watch(int Fd, uint32_t Events, Watcher OnEvents);
+  /// replaces the first. unwatch() it before it is closed. Returns false, and
+  /// tells the fault handler, if the kernel refuses.
+  bool watch(int Fd, uint32_t Events, Watcher OnEvents);
   /// Changes the epoll bits and keeps the watcher.
   void setWatchedEvents(int Fd, uint32_t Events);
   void unwatch(int Fd);
@@ -61,6 +72,8 @@
     Watcher m_OnEvents;
   };
 
+  void guard(const Task &Work);
+  void reportFault(const std::string &What);
   int millisToNextTimer() const;
   void runDueTimers();
   void runTasks();
@@ -69,6 +82,7 @@
   FileDescriptor m_Epoll;
   FileDescriptor m_Wakeup;
   std::atomic<bool> m_Stopping = false;
+  FaultHandler m_OnFault;
 
   std::mutex m_TaskMutex;
   std::vector<Task> m_Tasks;
