Front: Answer requests that were received before a stop

Callers saw a reset instead of an answer: closeIdle() dropped the listener with the connections that the kernel had accepted, and closed kept connections whose next request was received but not read yet. Change: it accepts what waits before it closes the listener, and a connection with unread input does not count as idle. FrontServerTest on the code before: 2 of 7 checks fail (new and kept connection); now all pass.

--- a/Source/Core/Adapters/Front/FrontConnection.cpp
+++ b/Source/Core/Adapters/Front/FrontConnection.cpp
@@ -34,15 +34,17 @@
       Self->onAnswerSent();
   });
   m_Writer->expectInput(m_Server->m_Limits.m_IdleTimeout, nullptr);
-  m_Loop.watch(m_Fd.get(), EPOLLIN, [Weak](uint32_t Events) {
+  return m_Loop.watch(m_Fd.get(), EPOLLIN, [Weak](uint32_t Events) {
     if (const std::shared_ptr<FrontConnection> Self = Weak.lock())
       Self->onReadable(Events);
   });
-  return true;
 }
 
 bool FrontConnection::isIdle() const {
-  return !m_Answering && m_Parser.state() == ParserState::Idle;
+  if (m_Answering || m_Parser.state() != ParserState::Idle)
+    return false;
+  char Byte = 0;
+  return ::recv(m_Fd.get(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
 }
 
 void FrontConnection::close() {
--- a/Source/Core/Adapters/Front/FrontConnection.h
+++ b/Source/Core/Adapters/Front/FrontConnection.h
@@ -16,9 +16,10 @@
 public:
   FrontConnection(FrontServer &Server, net::FileDescriptor Fd);
 
-  /// Returns false if no file descriptor was available.
+  /// Returns false if no file descriptor was available, or none can be watched.
   bool start();
-  /// Whether no request is being read or answered.
+  /// Whether no request is being read or answered, and no received bytes wait
+  /// to be read.
   bool isIdle() const;
   void close();
   /// Closes the connection without notifying the server, which is being
--- a/Source/Core/Adapters/Front/FrontServer.cpp
+++ b/Source/Core/Adapters/Front/FrontServer.cpp
@@ -52,7 +52,9 @@
       ::listen(Listener.get(), ListenBacklog) != 0)
     return listenError(Address);
   m_Listener = std::move(Listener);
-  m_Loop.watch(m_Listener.get(), EPOLLIN, [this](uint32_t) { acceptAll(); });
+  if (!m_Loop.watch(m_Listener.get(), EPOLLIN,
+                    [this](uint32_t) { acceptAll(); }))
+    return listenError(Address);
   return std::nullopt;
 }
 
@@ -79,6 +81,8 @@
 
 void FrontServer::closeIdle() {
   if (m_Listener.valid()) {
+    // Connections that the kernel has accepted may carry requests already.
+    acceptAll();
     m_Loop.unwatch(m_Listener.get());
     m_Listener.reset();
   }
--- a/Source/Core/Adapters/Front/FrontServer.h
+++ b/Source/Core/Adapters/Front/FrontServer.h
@@ -61,7 +61,8 @@
   /// Applies to each connection from its next request on.
   void setLimits(const FrontLimits &Limits) { m_Limits = Limits; }
   const FrontLimits &limits() const { return m_Limits; }
-  /// Stops accepting connections and closes those without an active request.
+  /// Stops accepting connections and closes those without an active request or
+  /// unread input.
   void closeIdle();
   /// Returns the port on which the server listens.
   uint16_t port() const;
