Curl, Gateway, ObjectApi: Bound the bytes of answers that never end

A server in trouble may send bytes without end. Other collected answers were dropped beyond 8 MiB, but read on until their timeout. Change: a listener's onChunk() returns false to end a transfer; header lines of one answer are limited to 64 KiB, a failure's body and an event to 64 KiB, successes kept for a retry to 128 KiB (512 before), forwarded answers to 64 MiB. The caller gets 502 before the first byte and a cut connection after it, the failure counts against that endpoint, one log line names the reason. A chunk extension without end, which libcurl skips unseen, lasts until the caller's deadline.

--- a/Source/Benchmarks/Traffic/LoadRun.cpp
+++ b/Source/Benchmarks/Traffic/LoadRun.cpp
@@ -36,10 +36,11 @@
     m_Status = Head.m_Status;
   }
 
-  void onChunk(std::string_view Chunk) override {
+  bool onChunk(std::string_view Chunk) override {
     if (m_Text.empty())
       m_TimeToFirstChunk = elapsedSince(m_Start);
     m_Text.append(Chunk);
+    return true;
   }
 
   void onDone(const curl::TransferResult &Result) override {
--- a/Source/Core/Adapters/Curl/AnswerCollector.h
+++ b/Source/Core/Adapters/Curl/AnswerCollector.h
@@ -18,16 +18,18 @@
       std::function<void(const TransferResult &Result, const TransferHead &Head,
                          const std::string &Body)>;
 
-  /// An answer whose body is longer than \p MaxBytes counts as incomplete.
+  /// An answer whose body is longer than \p MaxBytes is not read further and
+  /// counts as incomplete.
   explicit AnswerCollector(DoneCallback OnDone,
                            size_t MaxBytes = DefaultMaxBytes)
       : m_OnDone(std::move(OnDone)), m_MaxBytes(MaxBytes) {}
 
   void onHead(const TransferHead &Head) override { m_Head = Head; }
-  void onChunk(std::string_view Chunk) override {
+  bool onChunk(std::string_view Chunk) override {
     m_TooLong = m_TooLong || m_Body.size() + Chunk.size() > m_MaxBytes;
     if (!m_TooLong)
       m_Body.append(Chunk);
+    return !m_TooLong;
   }
   void onDone(const TransferResult &Result) override {
     TransferResult Collected = Result;
--- a/Source/Core/Adapters/Curl/AttemptListener.h
+++ b/Source/Core/Adapters/Curl/AttemptListener.h
@@ -13,7 +13,8 @@
 public:
   virtual ~AttemptEventHandler() = default;
   virtual void onHead(model::AttemptId Attempt, const TransferHead &Head) = 0;
-  virtual void onChunk(model::AttemptId Attempt, std::string_view Chunk) = 0;
+  /// Returns false to end the transfer as incomplete.
+  virtual bool onChunk(model::AttemptId Attempt, std::string_view Chunk) = 0;
   /// The last call for \p Attempt.
   virtual void onDone(model::AttemptId Attempt,
                       const TransferResult &Result) = 0;
@@ -30,8 +31,8 @@
   void onHead(const TransferHead &Head) override {
     m_Handler.onHead(m_Attempt, Head);
   }
-  void onChunk(std::string_view Chunk) override {
-    m_Handler.onChunk(m_Attempt, Chunk);
+  bool onChunk(std::string_view Chunk) override {
+    return m_Handler.onChunk(m_Attempt, Chunk);
   }
   void onDone(const TransferResult &Result) override {
     m_Handler.onDone(m_Attempt, Result);
--- a/Source/Core/Adapters/Curl/CurlEngineClient.cpp
+++ b/Source/Core/Adapters/Curl/CurlEngineClient.cpp
@@ -77,6 +77,10 @@
     Request.m_Address = To;
     Request.m_ConnectTimeout = toMillis(m_Options.m_ConnectTimeout);
     Request.m_Timeout = toMillis(m_Options.m_AnswerTimeout);
+    // On a kept connection, a second copy of an answer would be taken for the
+    // answer to the next call, and libcurl might resend an order after it was
+    // given up.
+    Request.m_FreshConnection = true;
     return Request;
   }
 
@@ -86,9 +90,6 @@
     Request.m_Path = json::orderPath(Order.m_Kind);
     Request.m_Headers = {"Content-Type: application/json"};
     Request.m_Body = json::orderToJson(Order);
-    // On a reused connection libcurl might resend the order after it was given
-    // up.
-    Request.m_FreshConnection = true;
     const model::OrderId Id = Order.m_Id;
     const model::EndpointId Endpoint = Order.m_Endpoint;
     m_Curl.start(std::move(Request),
--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr int FirstFinalStatus = 200;
+/// For the header lines of one answer: of interim answers, the head and
+/// trailers. A server that sends more does not answer in HTTP.
+constexpr size_t MaxHeaderBytes = 64 << 10;
 
 void initCurlOnce() {
   static const CURLcode Done = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -41,8 +44,10 @@
   TransferHead m_Head;
   bool m_Cancelled = false;
   bool m_HeadReceived = false;
-  /// The head does not say where the body ends.
-  bool m_HasInvalidFraming = false;
+  /// Of all header lines so far.
+  size_t m_HeaderBytes = 0;
+  /// Why a callback ended the transfer; empty if none did.
+  std::string m_AbortReason;
   /// libcurl had a connection ready and was about to send the request.
   bool m_SendStarted = false;
 };
@@ -99,41 +104,70 @@
   return CURL_SOCKOPT_OK;
 }
 
-size_t onHeaderLine(char *Data, size_t Size, size_t Count, void *User) {
-  Transfer &Running = *static_cast<Transfer *>(User);
-  const std::string_view Line(Data, Size * Count);
+size_t handleHeaderLine(Transfer &Running, std::string_view Line) {
+  Running.m_HeaderBytes += Line.size();
+  if (Running.m_HeaderBytes > MaxHeaderBytes) {
+    Running.m_AbortReason = "the answer's header lines are longer than " +
+                            std::to_string(MaxHeaderBytes) + " bytes";
+    return 0; // libcurl ends the transfer.
+  }
   // Header lines after the head are trailers.
   if (Running.m_HeadReceived)
-    return Size * Count;
+    return Line.size();
   if (Line.substr(0, 5) == "HTTP/")
     Running.m_Head = {};
   if (!model::trimBlanks(Line).empty()) {
     addHeaderLine(Running.m_Head, Line);
-    return Size * Count;
+    return Line.size();
   }
   long Status = 0;
   curl_easy_getinfo(Running.m_Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
   if (Status < FirstFinalStatus || Running.m_Cancelled)
-    return Size * Count;
+    return Line.size();
   Running.m_Head.m_Status = static_cast<int>(Status);
   const std::optional<BodyFormat> Body =
       readBodyFormat(Running.m_Head.m_Lines,
                      hasBody(Running.m_Request, Running.m_Head.m_Status));
-  Running.m_HasInvalidFraming = !Body;
-  if (Running.m_HasInvalidFraming)
-    return 0; // libcurl ends the transfer.
+  if (!Body) {
+    Running.m_AbortReason =
+        "the answer's length or transfer coding is not valid";
+    return 0;
+  }
   Running.m_Head.m_BodyFormat = *Body;
   Running.m_HeadReceived = true;
   Running.m_Listener->onHead(Running.m_Head);
-  return Size * Count;
+  return Line.size();
 }
 
-size_t onBody(char *Data, size_t Size, size_t Count, void *User) {
-  Transfer &Running = *static_cast<Transfer *>(User);
+size_t handleBody(Transfer &Running, std::string_view Chunk) {
   if (Running.m_Cancelled)
     return 0; // libcurl closes the connection.
-  Running.m_Listener->onChunk({Data, Size * Count});
-  return Running.m_Cancelled ? 0 : Size * Count;
+  if (!Running.m_Listener->onChunk(Chunk)) {
+    Running.m_AbortReason = "the body is too long";
+    return 0;
+  }
+  return Running.m_Cancelled ? 0 : Chunk.size();
+}
+
+/// Calls \p Handle for one of libcurl's callbacks. An exception ends only this
+/// transfer: it must not pass through libcurl, whose state it would corrupt.
+size_t guardCallback(void *User, std::string_view Bytes,
+                     size_t (*Handle)(Transfer &, std::string_view)) {
+  Transfer &Running = *static_cast<Transfer *>(User);
+  try {
+    return Handle(Running, Bytes);
+  } catch (const std::exception &Error) {
+    Running.m_AbortReason = Error.what();
+    return 0;
+  }
+}
+
+size_t onHeaderLine(char *Data, size_t Size, size_t Count, void *User) {
+  return guardCallback(User, {Data, Size * Count}, handleHeaderLine);
+}
+
+size_t onBody(char *Data, size_t Size, size_t Count, void *User) {
+  return guardCallback(User, {Data, Size * Count}, handleBody);
 }
 
 } // namespace
@@ -345,8 +379,8 @@
     Result.m_Connects = static_cast<uint32_t>(Connects);
     Result.m_Refused = Code == CURLE_COULDNT_CONNECT;
     Result.m_TimedOut = Code == CURLE_OPERATION_TIMEDOUT;
-    if (Ended.m_HasInvalidFraming)
-      Result.m_Error = "the answer's length or transfer coding is not valid";
+    if (!Ended.m_AbortReason.empty())
+      Result.m_Error = Ended.m_AbortReason;
     else if (Code != CURLE_OK)
       Result.m_Error = curl_easy_strerror(Code);
     else if (!Delimited)
--- a/Source/Core/Adapters/Curl/CurlMulti.h
+++ b/Source/Core/Adapters/Curl/CurlMulti.h
@@ -77,7 +77,8 @@
 public:
   virtual ~TransferListener() = default;
   virtual void onHead(const TransferHead &Head) = 0;
-  virtual void onChunk(std::string_view Chunk) = 0;
+  /// Returns false to end the transfer as incomplete and close its connection.
+  virtual bool onChunk(std::string_view Chunk) = 0;
   /// The last call.
   virtual void onDone(const TransferResult &Result) = 0;
 };
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -27,8 +27,14 @@
 constexpr std::chrono::milliseconds TimeoutSlack(2000);
 /// Used until an endpoint announces how long it keeps idle connections.
 constexpr std::chrono::seconds UnknownKeepAlive(2);
-/// A larger answer is forwarded as it arrives.
-constexpr size_t MaxCollectedBytes = 512 << 10;
+/// A larger success is forwarded as it arrives.
+constexpr size_t MaxCollectedBytes = 128 << 10;
+constexpr size_t MaxFailureBytes = 64 << 10;
+/// An answer that is forwarded ends here, since an endpoint in trouble may send
+/// bytes until its connection is closed.
+constexpr uint64_t MaxForwardedBytes = 64 << 20;
+/// Many times the largest event of any engine.
+constexpr size_t MaxEventBytes = 64 << 10;
 
 gateway::TransferEnd transferEndOf(const curl::TransferResult &Result) {
   if (Result.m_Complete)
@@ -296,30 +302,45 @@
   });
 }
 
-void RelayDriver::onChunk(model::AttemptId Attempt, std::string_view Chunk) {
+bool RelayDriver::onChunk(model::AttemptId Attempt, std::string_view Chunk) {
   const auto Found = m_Sends.find(Attempt);
   if (Found == m_Sends.end())
-    return;
+    return false;
   Send &From = Found->second;
   From.m_ReceivedBytes += Chunk.size();
   m_Core.onAnswerChunk(Attempt, m_Clock.now());
   const auto To = m_Exchanges.find(From.m_Request);
-  if (To == m_Exchanges.end())
-    return; // The caller has disconnected; the endpoint may finish its work.
+  if (From.m_ReceivedBytes > MaxForwardedBytes)
+    From.m_Fault = "the answer is too long";
+  else if (To == m_Exchanges.end())
+    return true; // The caller has disconnected; the endpoint may finish.
+  else if (const char *const Fault = acceptChunk(From, To->second, Chunk))
+    From.m_Fault = Fault;
+  return From.m_Fault.empty();
+}
+
+const char *RelayDriver::acceptChunk(Send &From, Exchange &To,
+                                     std::string_view Chunk) {
   if (From.m_Forwarding) {
-    forwardChunk(From, To->second, Chunk);
-    return;
+    forwardChunk(From, To, Chunk);
+    return To.m_Splicer.partialBytes() > MaxEventBytes
+               ? "an event of the stream is too long"
+               : nullptr;
   }
   From.m_Body.append(Chunk);
-  if (From.m_Body.size() <= MaxCollectedBytes ||
-      !gateway::isSuccess(From.m_Status))
-    return;
+  if (!gateway::isSuccess(From.m_Status))
+    return From.m_Body.size() > MaxFailureBytes
+               ? "the body of a failure is too long"
+               : nullptr;
+  if (From.m_Body.size() <= MaxCollectedBytes)
+    return nullptr;
   From.m_Forwarding = true;
   From.m_BypassesSplicer = true;
   m_Core.onAnswerForwarded(From.m_Request);
-  beginAnswer(To->second, From.m_Status, From.m_Headers,
-              From.m_BodyFormat.m_Length);
-  To->second.m_Answer->write(From.m_Body);
+  beginAnswer(To, From.m_Status, From.m_Headers, From.m_BodyFormat.m_Length);
+  To.m_Answer->write(From.m_Body);
+  From.m_Body = {};
+  return nullptr;
 }
 
 void RelayDriver::forwardChunk(Send &From, Exchange &To,
@@ -356,7 +377,7 @@
   Answer.m_TransferEnd = transferEndOf(Result);
   Answer.m_IsSent = Result.m_BytesSent > 0;
   Answer.m_TimedOut = Result.m_TimedOut;
-  Answer.m_Error = Result.m_Error;
+  Answer.m_Error = Ended.m_Fault.empty() ? Result.m_Error : Ended.m_Fault;
   const gateway::SendOutcome Outcome = gateway::outcomeOf(Answer);
   if (To != m_Exchanges.end()) {
     Exchange &Answered = To->second;
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -82,6 +82,8 @@
     std::string m_Body;
     curl::BodyFormat m_BodyFormat;
     uint64_t m_ReceivedBytes = 0;
+    /// Why this driver ends the transfer; empty if it does not.
+    std::string m_Fault;
     /// Chunks are forwarded to the caller as they arrive.
     bool m_Forwarding = false;
     /// Chunks are forwarded without being split into events.
@@ -102,9 +104,12 @@
 
   void onHead(model::AttemptId Attempt,
               const curl::TransferHead &Head) override;
-  void onChunk(model::AttemptId Attempt, std::string_view Chunk) override;
+  bool onChunk(model::AttemptId Attempt, std::string_view Chunk) override;
   void onDone(model::AttemptId Attempt,
               const curl::TransferResult &Result) override;
+  /// Collects or forwards the chunk. Returns why the answer can't be accepted
+  /// any further; nullptr if it can.
+  const char *acceptChunk(Send &From, Exchange &To, std::string_view Chunk);
   void forwardChunk(Send &From, Exchange &To, std::string_view Chunk);
   void beginAnswer(Exchange &To, int Status,
                    const core::gateway::HeaderLines &Headers,
--- a/Source/Core/Adapters/ObjectApi/ObjectApiClient.cpp
+++ b/Source/Core/Adapters/ObjectApi/ObjectApiClient.cpp
@@ -13,30 +13,27 @@
 /// Collects the response to one store call.
 class CallListener : public curl::TransferListener {
 public:
-  CallListener(ports::StoreCall Call, net::EventLoop &Loop,
-               curl::CurlMulti &Curl, ports::EventSink &Sink)
-      : m_Call(std::move(Call)), m_Loop(Loop), m_Curl(Curl), m_Sink(Sink) {}
-
-  void setTransfer(uint64_t Transfer) { m_Transfer = Transfer; }
+  CallListener(ports::StoreCall Call, ports::EventSink &Sink)
+      : m_Call(std::move(Call)), m_Sink(Sink) {}
 
   void onHead(const curl::TransferHead &Head) override {
     m_Status = Head.m_Status;
   }
 
-  void onChunk(std::string_view Chunk) override {
+  bool onChunk(std::string_view Chunk) override {
+    if (m_Answered || m_Body.size() + Chunk.size() > MaxBodyBytes)
+      return false;
     m_Body.append(Chunk);
     const bool AwaitsWatchEvents = m_Call.m_Verb == ports::StoreVerb::Watch &&
                                    m_Status == HttpOk && !m_Answered;
     if (!AwaitsWatchEvents)
-      return;
+      return true;
     std::optional<ports::StoreAnswer> Answer = readWatchLines(m_Call, m_Body);
     if (!Answer)
-      return;
+      return true;
     m_Answered = true;
     m_Sink.post(std::move(*Answer));
-    // Posted, because a transfer can't be cancelled inside libcurl's callback.
-    m_Loop.post(
-        [&Curl = m_Curl, Transfer = m_Transfer] { Curl.cancel(Transfer); });
+    return false;
   }
 
   void onDone(const curl::TransferResult &Result) override {
@@ -47,12 +44,11 @@
 
 private:
   static constexpr int HttpOk = 200;
+  /// Many times a page of a list, and any number of watch events in one answer.
+  static constexpr size_t MaxBodyBytes = 8 << 20;
 
   ports::StoreCall m_Call;
-  net::EventLoop &m_Loop;
-  curl::CurlMulti &m_Curl;
   ports::EventSink &m_Sink;
-  uint64_t m_Transfer = 0;
   int m_Status = 0;
   std::string m_Body;
   bool m_Answered = false;
@@ -73,9 +69,9 @@
                                    .m_Status = ports::StoreStatus::Rejected});
     return;
   }
-  auto Listener = std::make_shared<CallListener>(Call, m_Loop, m_Curl, m_Sink);
+  auto Listener = std::make_shared<CallListener>(Call, m_Sink);
   m_Loop.post([this, Listener, Request = std::move(*Request)]() mutable {
-    Listener->setTransfer(m_Curl.start(std::move(Request), Listener));
+    m_Curl.start(std::move(Request), Listener);
   });
 }
 
--- a/Source/Core/Adapters/Traffic/TrafficDriver.cpp
+++ b/Source/Core/Adapters/Traffic/TrafficDriver.cpp
@@ -123,20 +123,21 @@
       dispatch(*Event);
   }
 
-  void onChunk(model::AttemptId Id, std::string_view Chunk) override {
+  bool onChunk(model::AttemptId Id, std::string_view Chunk) override {
     Attempt *const Running = find(Id);
     if (Running == nullptr) {
       m_Ports.m_Metrics.add(ports::Metric::StaleAnswersDropped, "", 1);
-      return;
+      return false;
     }
     const std::optional<routing::AttemptChunk> Event =
         Running->handleChunk(Chunk);
     if (!Event)
-      return;
+      return true;
     // Valid while this event is handled: chunks are received in libcurl's
     // callback, which never runs inside an effect.
     m_CurrentChunk = Chunk;
     dispatch(*Event);
+    return true;
   }
 
   void onDone(model::AttemptId Id,
--- a/Source/Core/Gateway/StreamSplicer.cpp
+++ b/Source/Core/Gateway/StreamSplicer.cpp
@@ -7,23 +7,6 @@
 
 namespace {
 
-/// Length of the first event including its blank line; npos if it is
-/// incomplete.
-size_t eventLength(std::string_view Bytes) {
-  size_t LineStart = 0;
-  for (;;) {
-    const size_t LineEnd = Bytes.find('\n', LineStart);
-    if (LineEnd == std::string_view::npos)
-      return std::string_view::npos;
-    std::string_view Line = Bytes.substr(LineStart, LineEnd - LineStart);
-    if (!Line.empty() && Line.back() == '\r')
-      Line.remove_suffix(1);
-    LineStart = LineEnd + 1;
-    if (Line.empty())
-      return LineStart;
-  }
-}
-
 std::string_view idOf(std::string_view Event) {
   constexpr std::string_view Field = "id:";
   size_t LineStart = 0;
@@ -56,20 +39,38 @@
 
 } // namespace
 
+std::optional<size_t> StreamSplicer::nextEventLength(size_t Start) {
+  for (;;) {
+    const size_t LineEnd = m_Partial.find('\n', m_SearchedTo);
+    if (LineEnd == std::string::npos) {
+      m_SearchedTo = m_Partial.size();
+      return std::nullopt;
+    }
+    std::string_view Line =
+        std::string_view(m_Partial).substr(m_LineStart, LineEnd - m_LineStart);
+    if (Line.ends_with('\r'))
+      Line.remove_suffix(1);
+    m_LineStart = LineEnd + 1;
+    m_SearchedTo = m_LineStart;
+    if (Line.empty())
+      return m_LineStart - Start;
+  }
+}
+
 std::string StreamSplicer::feed(std::string_view Bytes) {
   m_Partial.append(Bytes);
   std::string Whole;
   size_t Start = 0;
-  for (;;) {
-    const std::string_view Rest = std::string_view(m_Partial).substr(Start);
-    const size_t Length = eventLength(Rest);
-    if (Length == std::string_view::npos)
-      break;
-    if (isNew(Rest.substr(0, Length)))
-      Whole.append(Rest.substr(0, Length));
-    Start += Length;
+  while (const std::optional<size_t> Length = nextEventLength(Start)) {
+    const std::string_view Event =
+        std::string_view(m_Partial).substr(Start, *Length);
+    if (isNew(Event))
+      Whole.append(Event);
+    Start += *Length;
   }
   m_Partial.erase(0, Start);
+  m_LineStart -= Start;
+  m_SearchedTo -= Start;
   return Whole;
 }
 
@@ -87,6 +88,8 @@
 }
 
 size_t StreamSplicer::discardPartial() {
+  m_LineStart = 0;
+  m_SearchedTo = 0;
   return std::exchange(m_Partial, {}).size();
 }
 
--- a/Source/Core/Gateway/StreamSplicer.h
+++ b/Source/Core/Gateway/StreamSplicer.h
@@ -21,14 +21,24 @@
   /// the endpoint that sent them could complete. Returns their number.
   size_t discardPartial();
 
+  /// Bytes held of an incomplete event.
+  size_t partialBytes() const { return m_Partial.size(); }
+
   /// Id of the last event forwarded; empty if none had one.
   const std::string &lastId() const { return m_LastId; }
   uint64_t eventCount() const { return m_Events; }
 
 private:
+  /// Length of the first event in m_Partial after \p Start, including its blank
+  /// line; nullopt if it is incomplete.
+  std::optional<size_t> nextEventLength(size_t Start);
   bool isNew(std::string_view Event);
 
   std::string m_Partial;
+  /// Start of the first line in m_Partial whose end has not been found, and how
+  /// far it was searched.
+  size_t m_LineStart = 0;
+  size_t m_SearchedTo = 0;
   std::string m_LastId;
   std::optional<uint64_t> m_LastNumber;
   uint64_t m_Events = 0;
--- a/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
@@ -49,7 +49,8 @@
 const std::string ChunkedHead =
     std::string(Sealed) + "Transfer-Encoding: chunked\r\n\r\n";
 
-RelayNode::RelayNode(const std::vector<uint16_t> &Ports)
+RelayNode::RelayNode(const std::vector<uint16_t> &Ports,
+                     std::optional<uint32_t> Slots)
     : m_Log("test"), m_Core({}, m_Random),
       m_Driver(m_Thread.loop(), m_Dialect, m_Core, m_Clock, m_Log, m_Metrics,
                [](const relay::CopyRequest &) {}),
@@ -62,6 +63,7 @@
     Entry.m_Id = core::model::EndpointId("e" + std::to_string(Entries.size()));
     Entry.m_Service = "s";
     Entry.m_Address = {"127.0.0.1", Port};
+    Entry.m_Slots = Slots.value_or(Entry.m_Slots);
     Entries.push_back(Entry);
   }
   m_Driver.decide([&](relay::RelayCore &Core, core::model::TimePoint Now,
--- a/Source/UnitTests/Adapters/Gateway/RelayNode.h
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.h
@@ -9,6 +9,7 @@
 #include "platform/PlatformDialect.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,9 @@
 /// stream that is not resumable).
 class RelayNode {
 public:
-  explicit RelayNode(const std::vector<uint16_t> &Ports);
+  /// Each endpoint runs \p Slots requests at once; nullopt: the default.
+  explicit RelayNode(const std::vector<uint16_t> &Ports,
+                     std::optional<uint32_t> Slots = std::nullopt);
   ~RelayNode();
   RelayNode(const RelayNode &) = delete;
   RelayNode &operator=(const RelayNode &) = delete;
--- a/Source/UnitTests/Adapters/Gateway/ScriptedEndpoint.cpp
+++ b/Source/UnitTests/Adapters/Gateway/ScriptedEndpoint.cpp
@@ -33,8 +33,10 @@
 
 } // namespace
 
-void ScriptConnection::write(const std::string &Bytes) {
-  ::send(m_Fd.get(), Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+bool ScriptConnection::write(const std::string &Bytes) {
+  const ssize_t Sent =
+      ::send(m_Fd.get(), Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  return Sent == static_cast<ssize_t>(Bytes.size());
 }
 
 void ScriptConnection::reset() {
--- a/Source/UnitTests/Adapters/Gateway/ScriptedEndpoint.h
+++ b/Source/UnitTests/Adapters/Gateway/ScriptedEndpoint.h
@@ -18,7 +18,8 @@
 public:
   explicit ScriptConnection(int Fd) : m_Fd(Fd) {}
 
-  void write(const std::string &Bytes);
+  /// Returns false if the peer has closed the connection.
+  bool write(const std::string &Bytes);
   /// Closes with a reset; data that the peer has not read yet is lost.
   void reset();
   /// Ends the connection cleanly.
--- a/Source/UnitTests/Adapters/Http/AtMostOnceTest.cpp
+++ b/Source/UnitTests/Adapters/Http/AtMostOnceTest.cpp
@@ -19,7 +19,7 @@
 class ResultListener : public curl::TransferListener {
 public:
   void onHead(const curl::TransferHead & /*Head*/) override {}
-  void onChunk(std::string_view /*Chunk*/) override {}
+  bool onChunk(std::string_view /*Chunk*/) override { return true; }
   void onDone(const curl::TransferResult &Result) override {
     m_Result.set_value(Result);
   }
--- a/Source/UnitTests/Adapters/Http/HttpClient.cpp
+++ b/Source/UnitTests/Adapters/Http/HttpClient.cpp
@@ -25,8 +25,9 @@
     m_Result.m_Status = Head.m_Status;
     m_Result.m_Headers = Head.m_Headers;
   }
-  void onChunk(std::string_view Chunk) override {
+  bool onChunk(std::string_view Chunk) override {
     m_Result.m_Body.append(Chunk);
+    return true;
   }
   void onDone(const curl::TransferResult &Result) override {
     m_Result.m_Complete = Result.m_Complete;
