Curl, Gateway: Keep the second copy of an answer from the next call

A server may send an answer a second time, late. While a kept connection was idle, libcurl left such bytes unread and took them for the answer to the next request: by its id the gateway knew it as foreign, and the caller got 502 (SecondCopyTest: 2 of 76 checks failed). Reports of engines carry no id, so the copy of an earlier report was believed. Change: idle connections are watched, and one that receives anything is shut down before it can be used again.

--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -4,11 +4,13 @@
 #include "Core/Model/LowerCase.h"
 
 #include <algorithm>
+#include <array>
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace bronzepass::core::adapters::curl {
 
@@ -246,6 +248,8 @@
     curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &Added);
     curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION, onSocketCreated);
     curl_easy_setopt(Easy, CURLOPT_SOCKOPTDATA, &Added);
+    curl_easy_setopt(Easy, CURLOPT_CLOSESOCKETFUNCTION, onSocketClosed);
+    curl_easy_setopt(Easy, CURLOPT_CLOSESOCKETDATA, this);
     setBody(Added);
     setHeaders(Added);
     curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, onHeaderLine);
@@ -290,7 +294,9 @@
                       void *User, void * /*SocketUser*/) {
     Impl &Self = *static_cast<Impl *>(User);
     if (What == CURL_POLL_REMOVE) {
-      Self.m_Loop.unwatch(Socket);
+      Self.m_Loop.watch(Socket, EPOLLIN, [&Self, Socket](uint32_t) {
+        Self.spoilIdleConnection(Socket);
+      });
       return 0;
     }
     uint32_t Events = 0;
@@ -311,6 +317,23 @@
     return 0;
   }
 
+  static int onSocketClosed(void *User, curl_socket_t Socket) {
+    static_cast<Impl *>(User)->m_Loop.unwatch(Socket);
+    return ::close(Socket);
+  }
+
+  /// The server has closed the connection, or sent bytes that belong to no
+  /// request. libcurl would take these for the answer to the next one, so makes
+  /// it see a closed connection.
+  void spoilIdleConnection(curl_socket_t Socket) {
+    m_Loop.unwatch(Socket);
+    std::array<char, 4096> Bytes; // NOLINT: filled by recv().
+    for (int Reads = 0; Reads < MaxIdleReads; ++Reads)
+      if (::recv(Socket, Bytes.data(), Bytes.size(), MSG_DONTWAIT) <= 0)
+        break;
+    ::shutdown(Socket, SHUT_RDWR);
+  }
+
   static int onTimer(CURLM * /*Multi*/, long Millis, void *User) {
     Impl &Self = *static_cast<Impl *>(User);
     Self.stopTimer();
@@ -404,6 +427,9 @@
     }
   }
 
+  /// Of the bytes behind an answer; a server may send them without end.
+  static constexpr int MaxIdleReads = 16;
+
   net::EventLoop &m_Loop;
   std::unique_ptr<CURLM, MultiDeleter> m_Multi;
   std::unordered_map<uint64_t, std::unique_ptr<Transfer>> m_Transfers;
--- a/Source/Core/Adapters/Gateway/ControlCalls.cpp
+++ b/Source/Core/Adapters/Gateway/ControlCalls.cpp
@@ -24,7 +24,8 @@
     : m_Curl(Loop, MaxIdleConnections) {}
 
 void ControlCalls::call(const model::Address &To, const gateway::HttpCall &Call,
-                        model::Duration Timeout, CallDone OnDone) {
+                        model::Duration Timeout, ConnectionUse Use,
+                        CallDone OnDone) {
   curl::TransferRequest Request;
   Request.m_Method = Call.m_Method;
   Request.m_Address = To;
@@ -36,6 +37,7 @@
   Request.m_Timeout =
       std::chrono::duration_cast<std::chrono::milliseconds>(Timeout);
   Request.m_MaxIdleAge = IdleAge;
+  Request.m_FreshConnection = Use == ConnectionUse::Single;
   m_Curl.start(
       std::move(Request),
       std::make_shared<curl::AnswerCollector>(
--- a/Source/Core/Adapters/Gateway/ControlCalls.h
+++ b/Source/Core/Adapters/Gateway/ControlCalls.h
@@ -17,13 +17,21 @@
 public:
   using CallDone = std::function<void(const core::gateway::HttpResult &)>;
 
+  enum class ConnectionUse {
+    Kept,
+    /// A new connection for this call alone. For servers that may send a second
+    /// copy of an answer: on a kept connection it would be taken for the answer
+    /// to the next call.
+    Single,
+  };
+
   /// \p Loop must outlive this object.
   explicit ControlCalls(net::EventLoop &Loop);
 
   /// Calls \p OnDone once, with status 0 if no complete answer arrived within
   /// \p Timeout.
   void call(const model::Address &To, const core::gateway::HttpCall &Call,
-            model::Duration Timeout, CallDone OnDone);
+            model::Duration Timeout, ConnectionUse Use, CallDone OnDone);
 
 private:
   curl::CurlMulti m_Curl;
--- a/Source/Core/Adapters/Gateway/PlacementControl.cpp
+++ b/Source/Core/Adapters/Gateway/PlacementControl.cpp
@@ -180,7 +180,7 @@
 void PlacementControl::on(const residency::SendOrder &Effect) {
   m_Calls.call(
       Effect.m_Order.m_Address, m_Dialect.orderCall(Effect.m_Order),
-      OrderTimeout,
+      OrderTimeout, ControlCalls::ConnectionUse::Single,
       [this, Number = Effect.m_Number](const gateway::HttpResult &Result) {
         decide([&](residency::ResidencyCore &Core, model::TimePoint Now,
                    residency::ResidencyEffectList &Out) {
@@ -192,6 +192,7 @@
 void PlacementControl::on(const residency::RequestReport &Effect) {
   m_Calls.call(
       Effect.m_Address, m_Dialect.reportCall(Effect.m_Endpoint), ReportTimeout,
+      ControlCalls::ConnectionUse::Single,
       [this, Endpoint = Effect.m_Endpoint](const gateway::HttpResult &Result) {
         const gateway::Decoded<gateway::EngineState> Parsed =
             m_Dialect.readReport(Result);
--- a/Source/Core/Adapters/Gateway/StoreClient.cpp
+++ b/Source/Core/Adapters/Gateway/StoreClient.cpp
@@ -14,7 +14,7 @@
 
 void StoreClient::call(const gateway::HttpCall &Call, model::Duration Timeout,
                        bool MayBeStale, ControlCalls::CallDone OnDone) {
-  m_Calls.call(m_Address, Call, Timeout,
+  m_Calls.call(m_Address, Call, Timeout, ControlCalls::ConnectionUse::Kept,
                [this, Era = m_Eras.onCall(MayBeStale),
                 OnDone = std::move(OnDone)](const gateway::HttpResult &Result) {
                  OnDone(isUsable(Era, Result) ? Result : gateway::HttpResult());
