ObjectApi: Read the list of VMs where one has an unknown state

One VM with a state that this version does not know made the whole list unreadable. It now counts as suspect.

--- a/Source/Core/Adapters/ObjectApi/ObjectApiCodec.cpp
+++ b/Source/Core/Adapters/ObjectApi/ObjectApiCodec.cpp
@@ -278,15 +278,15 @@
   ports::VmListReceived Seen;
   const bool Readable = readCatchingTypeErrors([&] {
     for (const json &Vm : Document["items"]) {
-      const std::optional<model::Liveness> Liveness =
-          livenessOf(Vm.value("state", "live"));
-      if (!Liveness)
-        return false;
+      // A state that a newer platform introduces says nothing about whether
+      // the VM works.
+      const model::Liveness Liveness = livenessOf(Vm.value("state", "live"))
+                                           .value_or(model::Liveness::Suspect);
       Seen.m_Vms.push_back(
           {model::VmId(Vm.value("name", "")),
            Vm.value("kind", "endpoint") == "entry" ? model::VmKind::Entry
                                                    : model::VmKind::Endpoint,
-           *Liveness, model::DomainId(Vm.value("failureDomain", "")),
+           Liveness, model::DomainId(Vm.value("failureDomain", "")),
            model::RegionId(Vm.value("region", "")),
            addressOf(Vm, "peerAddress"), addressOf(Vm, "callerAddress")});
     }
