Gateway: Watch the store through a few nodes of a fleet

Change: the first nodes in rendezvous order (at least 3, one for each 40 nodes) watch the store; the others ask one of them over HTTP with CBOR what changed after a revision (FeedRelay, FeedPublisher). A watcher answers only while it is current, the store answers it, and it knows all deletions since that revision; a node that gets no such answer asks the store itself at once. Watches are shorter where others depend on them (0.4 of the leave notice).

--- /dev/null
+++ b/Source/Core/Adapters/Gateway/FeedRelayCodec.cpp
@@ -0,0 +1,115 @@
+#include "Core/Adapters/Gateway/FeedRelayCodec.h"
+
+#include "Core/Adapters/Codec/FieldReader.h"
+#include "Core/Adapters/Codec/FieldWriter.h"
+#include "Core/Adapters/Codec/JsonParser.h"
+
+namespace bronzepass::core::adapters::gateway {
+
+namespace {
+
+/// FeedQuery with each field of a type that the codec knows.
+struct QueryFields {
+  core::gateway::FeedKind m_Kind = core::gateway::FeedKind::Config;
+  uint64_t m_Revision = 0;
+  bool m_HasEra = false;
+  model::StoreEra m_Era;
+  model::Duration m_Wait{0};
+};
+
+} // namespace
+
+} // namespace bronzepass::core::adapters::gateway
+
+namespace bronzepass::core::adapters::codec {
+
+template <> struct EnumNames<core::gateway::FeedKind> {
+  static constexpr std::array<std::string_view, 3> Names = {
+      "config", "endpoints", "nodes"};
+};
+
+template <> struct Fields<gateway::QueryFields> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("kind", Value.m_Kind);
+    Visitor.required("revision", Value.m_Revision);
+    Visitor.optional("hasEra", Value.m_HasEra);
+    Visitor.optional("era", Value.m_Era);
+    Visitor.required("waitMicros", Value.m_Wait);
+  }
+};
+
+template <> struct Fields<core::gateway::FeedObject> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("name", Value.m_Name);
+    Visitor.required("revision", Value.m_Revision);
+    Visitor.optional("deleted", Value.m_Deleted);
+    Visitor.bytes("content", Value.m_Content);
+  }
+};
+
+template <> struct Fields<core::gateway::FeedReply> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.optional("available", Value.m_IsAvailable);
+    Visitor.optional("storeFailing", Value.m_IsStoreFailing);
+    Visitor.optional("revision", Value.m_Revision);
+    Visitor.optional("objects", Value.m_Objects);
+  }
+};
+
+} // namespace bronzepass::core::adapters::codec
+
+namespace bronzepass::core::adapters::gateway {
+
+using core::gateway::FeedQuery;
+using core::gateway::FeedReply;
+
+namespace {
+
+template <typename T> std::string encode(const T &Value) {
+  std::string Bytes;
+  nlohmann::json::to_cbor(
+      codec::FieldWriter::writeObject(Value, codec::WireFormat::Binary), Bytes);
+  return Bytes;
+}
+
+template <typename T>
+std::optional<T> decode(std::string_view Bytes, size_t MaxBytes,
+                        std::string &Reason) {
+  Reason.clear();
+  const std::optional<nlohmann::json> Json =
+      codec::parseJson(Bytes, codec::WireFormat::Binary, MaxBytes, Reason);
+  if (!Json)
+    return std::nullopt;
+  T Value = codec::FieldReader::readObject<T>(*Json, Reason);
+  if (!Reason.empty())
+    return std::nullopt;
+  return Value;
+}
+
+} // namespace
+
+std::string encodeFeedQuery(const FeedQuery &Query) {
+  return encode(
+      QueryFields{Query.m_Kind, Query.m_Revision, Query.m_Era.has_value(),
+                  Query.m_Era.value_or(model::StoreEra()), Query.m_Wait});
+}
+
+std::string encodeFeedReply(const FeedReply &Reply) { return encode(Reply); }
+
+std::optional<FeedQuery> decodeFeedQuery(std::string_view Bytes,
+                                         std::string &Reason) {
+  const std::optional<QueryFields> Read =
+      decode<QueryFields>(Bytes, MaxFeedQueryBytes, Reason);
+  if (!Read)
+    return std::nullopt;
+  return FeedQuery{Read->m_Kind, Read->m_Revision,
+                   Read->m_HasEra ? std::optional(Read->m_Era) : std::nullopt,
+                   Read->m_Wait};
+}
+
+std::optional<FeedReply> decodeFeedReply(std::string_view Bytes,
+                                         std::string &Reason) {
+  return decode<FeedReply>(Bytes, MaxFeedReplyBytes, Reason);
+}
+
+} // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -17,11 +17,13 @@
 GatewayControl::GatewayControl(const ControlOptions &Options,
                                const gateway::Dialect &Dialect,
                                const ports::Clock &Clock, GatewayLog &Log)
-    : m_Random(std::make_unique<daemon::SystemRandom>()),
+    : m_RelayAddress(Options.m_Self.m_PeerAddress),
+      m_Random(std::make_unique<daemon::SystemRandom>()),
       m_Calls(m_Thread.loop()), m_Log(Log),
       m_Store(Options.m_Store, Dialect, m_Calls, Log, *this),
-      m_Feeds(m_Store, Options.m_FeedTimes, Options.m_Self, Dialect, Clock,
-              *m_Random, Log, *this),
+      m_Relay(m_Thread.loop(), m_Calls, Clock),
+      m_Feeds(m_Store, m_Relay, Options.m_FeedTimes, Options.m_Self, Dialect,
+              Clock, *m_Random, Log, *this),
       m_Placement({Options.m_Self.m_Node, Options.m_Lease, Options.m_Residency},
                   Dialect, m_Store, m_Calls, m_Thread.loop(), Clock, *m_Random,
                   Log, *this) {
@@ -33,10 +35,13 @@
 
 GatewayControl::~GatewayControl() { join(); }
 
-void GatewayControl::start(GatewayTraffic &Traffic) {
+std::optional<std::string> GatewayControl::start(GatewayTraffic &Traffic) {
+  if (std::optional<std::string> Reason = m_Relay.listen(m_RelayAddress))
+    return "peers: " + *Reason;
   m_Traffic = &Traffic;
   m_Thread.loop().post([this] { tick(); });
   m_Thread.start();
+  return std::nullopt;
 }
 
 void GatewayControl::tick() {
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_CORE_ADAPTERS_GATEWAY_GATEWAYCONTROL_H
 
 #include "Core/Adapters/Gateway/ControlCalls.h"
+#include "Core/Adapters/Gateway/FeedRelay.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
 #include "Core/Adapters/Gateway/GatewayTraffic.h"
 #include "Core/Adapters/Gateway/PlacementControl.h"
@@ -41,8 +42,9 @@
                  const ports::Clock &Clock, GatewayLog &Log);
   ~GatewayControl() override;
 
-  /// \p Traffic must outlive the thread.
-  void start(GatewayTraffic &Traffic);
+  /// Listens for other nodes and starts the thread; returns the reason on
+  /// failure. \p Traffic must outlive the thread.
+  std::optional<std::string> start(GatewayTraffic &Traffic);
   void join() { m_Thread.stop(); }
   /// Releases the lease, removes this node's entry from the store and calls
   /// \p OnStopped.
@@ -69,6 +71,7 @@
 
   void tick();
 
+  const model::Address m_RelayAddress;
   GatewayTraffic *m_Traffic = nullptr;
   std::unique_ptr<ports::Random> m_Random;
   /// Set from the call to stop() until the lease is released.
@@ -77,6 +80,7 @@
   ControlCalls m_Calls;
   GatewayLog &m_Log;
   StoreClient m_Store;
+  FeedRelay m_Relay;
   StoreFeeds m_Feeds;
   PlacementControl m_Placement;
 };
--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -100,7 +100,8 @@
   std::optional<std::string> start() {
     if (std::optional<std::string> Reason = m_Traffic.start())
       return Reason;
-    m_Control.start(m_Traffic);
+    if (std::optional<std::string> Reason = m_Control.start(m_Traffic))
+      return Reason;
     m_Log.write("process", "start", {});
     return std::nullopt;
   }
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -1,5 +1,6 @@
 #include "Core/Adapters/Gateway/StoreFeeds.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -19,22 +20,49 @@
 /// entries change with every copy; urgent changes of copies are sent directly
 /// between nodes.
 constexpr double EndpointBatchShare = 0.6;
+/// The same where other nodes learn of the change from this one. What a change
+/// takes to reach the last node is the sum of this delay, a watch that fails
+/// unnoticed, and the call to the store that follows: together less than that
+/// time.
+constexpr double RelayedBatchShare = 0.25;
+constexpr double RelayedWatchShare = 0.4;
+constexpr model::Duration ConfigBatchDelay = std::chrono::milliseconds(50);
 /// After a restore of the store each node waits a random part of this before it
 /// reads and registers again, so that not all nodes call at once.
 constexpr model::Duration RestoreSpread = std::chrono::milliseconds(300);
 /// Nodes rarely join or leave, and they also notify each other directly.
 constexpr model::Duration NodeListPeriod = std::chrono::seconds(5);
 
+/// How the configuration and the endpoints are watched.
+struct WatchTimes {
+  model::Duration m_Timeout;
+  model::Duration m_EndpointBatchDelay;
+};
+
+/// \p Relays: other nodes learn of changes from those that watch the store.
+WatchTimes watchTimes(const StoreFeedTimes &Times, bool Relays) {
+  const auto ShareOfNotice = [&](double Share) {
+    return std::chrono::duration_cast<model::Duration>(Times.m_LeaveNotice *
+                                                       Share);
+  };
+  const model::Duration Longest =
+      Times.m_ContactTime - gateway::FeedSettings().m_AnswerTimeout;
+  if (!Relays)
+    return {Longest, ShareOfNotice(EndpointBatchShare)};
+  return {std::min(Longest, ShareOfNotice(RelayedWatchShare)),
+          ShareOfNotice(RelayedBatchShare)};
+}
+
 gateway::FeedSettings configFeedSettings(const StoreFeedTimes &Times) {
   gateway::FeedSettings Settings;
-  Settings.m_WatchTimeout = Times.m_ContactTime - Settings.m_AnswerTimeout;
+  Settings.m_WatchTimeout = watchTimes(Times, false).m_Timeout;
+  Settings.m_BatchDelay = ConfigBatchDelay;
   return Settings;
 }
 
 gateway::FeedSettings endpointFeedSettings(const StoreFeedTimes &Times) {
   gateway::FeedSettings Settings = configFeedSettings(Times);
-  Settings.m_BatchDelay = std::chrono::duration_cast<model::Duration>(
-      Times.m_LeaveNotice * EndpointBatchShare);
+  Settings.m_BatchDelay = watchTimes(Times, false).m_EndpointBatchDelay;
   return Settings;
 }
 
@@ -46,13 +74,15 @@
 
 } // namespace
 
-StoreFeeds::StoreFeeds(StoreClient &Store, const StoreFeedTimes &Times,
-                       gateway::NodeEntry Self, const gateway::Dialect &Dialect,
+StoreFeeds::StoreFeeds(StoreClient &Store, FeedRelay &Relay,
+                       const StoreFeedTimes &Times, gateway::NodeEntry Self,
+                       const gateway::Dialect &Dialect,
                        const ports::Clock &Clock, ports::Random &Random,
                        GatewayLog &Log, StoreEvents &Events)
-    : m_Store(Store), m_Self(std::move(Self)), m_Dialect(Dialect),
-      m_Clock(Clock), m_Log(Log), m_Events(Events),
-      m_Registry(LapsedEntryLifetime),
+    : m_Store(Store), m_Relay(Relay), m_Times(Times),
+      m_Sources(Self.m_Node, gateway::FeedSourceSettings()),
+      m_Self(std::move(Self)), m_Dialect(Dialect), m_Clock(Clock), m_Log(Log),
+      m_Events(Events), m_Registry(LapsedEntryLifetime),
       m_ConfigFeed(gateway::FeedKind::Config, "config",
                    configFeedSettings(Times), Random),
       m_EndpointFeed(gateway::FeedKind::Endpoints, "endpoints",
@@ -61,6 +91,7 @@
                  Random) {}
 
 void StoreFeeds::tick() {
+  m_Relay.tick();
   startDueCall(m_ConfigFeed);
   startDueCall(m_EndpointFeed);
   startDueCall(m_NodeFeed);
@@ -74,39 +105,109 @@
       Source.m_Feed.nextCall(m_Clock.now());
   if (!Due)
     return;
-  m_Store.call(m_Dialect.feedCall(Source.m_Kind, *Due), Due->m_Timeout,
-               Due->m_MayBeStale,
-               [this, &Source, Due](const gateway::HttpResult &Result) {
-                 onFeedAnswer(Source, *Due, Result);
+  std::optional<gateway::NodeEntry> Watcher;
+  if (Due->m_Verb == gateway::FeedCall::Verb::Watch && !Source.m_AsksStoreNext)
+    Watcher = m_Sources.choose(m_Clock.now());
+  Source.m_AsksStoreNext = false;
+  if (Watcher)
+    askWatcher(Source, *Due, *Watcher);
+  else
+    askStore(Source, *Due);
+}
+
+void StoreFeeds::askStore(Feed &Source, const gateway::FeedCall &Call) {
+  logSource(Source, model::NodeId(), "");
+  m_Store.call(m_Dialect.feedCall(Source.m_Kind, Call), Call.m_Timeout,
+               Call.m_MayBeStale,
+               [this, &Source, Call](const gateway::HttpResult &Result) {
+                 onStoreAnswer(Source, m_Dialect.readFeed(Call, Result));
                });
 }
 
+void StoreFeeds::askWatcher(Feed &Source, const gateway::FeedCall &Call,
+                            const gateway::NodeEntry &Watcher) {
+  logSource(Source, Watcher.m_Node, "");
+  const gateway::FeedQuery Query{Source.m_Kind, Call.m_Revision, m_Store.era(),
+                                 Call.m_Wait};
+  m_Relay.ask(Watcher.m_PeerAddress, Query, Call.m_Timeout,
+              [this, &Source, Node = Watcher.m_Node](
+                  const std::optional<gateway::FeedReply> &Reply,
+                  const std::string &Reason) {
+                onWatcherReply(Source, Node, Reply, Reason);
+              });
+}
+
+void StoreFeeds::onWatcherReply(Feed &Source, const model::NodeId &Watcher,
+                                const std::optional<gateway::FeedReply> &Reply,
+                                const std::string &Reason) {
+  if (Reply && Reply->m_IsAvailable) {
+    m_Sources.onWatcherAnswered(Watcher);
+    applyAnswer(Source, {.m_Status = gateway::FeedStatus::Ok,
+                         .m_Objects = Reply->m_Objects,
+                         .m_Revision = Reply->m_Revision});
+    return;
+  }
+  const model::TimePoint Now = m_Clock.now();
+  if (Reply)
+    m_Sources.onWatcherUnavailable(Watcher, Now);
+  else
+    m_Sources.onWatcherFailed(Watcher, Now);
+  // Entries that lapse in a store outage that the watcher alone has noticed
+  // are retained as in any other.
+  if (Reply && Reply->m_IsStoreFailing)
+    m_Health.recordFailure();
+  logSource(Source, model::NodeId(),
+            Reply ? Watcher.str() + " can't tell the state of the store"
+                  : Watcher.str() + ": " + Reason);
+  Source.m_Feed.abandonCall();
+  Source.m_AsksStoreNext = true;
+  startDueCall(Source);
+}
+
+void StoreFeeds::logSource(Feed &Source, const model::NodeId &Node,
+                           const std::string &Reason) {
+  if (std::exchange(Source.m_AskedNode, Node) == Node)
+    return;
+  m_Log.write("dependency", "source",
+              {{"dependency", std::string("store/") + Source.m_Name},
+               {"source", Node.str().empty() ? "store" : Node.str()},
+               {"reason", Reason}});
+}
+
 void StoreFeeds::onStoreRestored() {
   const model::TimePoint Now = m_Clock.now();
   m_Health.recordRestore(Now);
+  for (const Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed})
+    m_Relay.publisher(Each->m_Kind).clear();
   m_Registry.onStoreRestored(Now);
   for (Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
     Each->m_Feed.onStoreRestored(Now, RestoreSpread);
   m_Registered = false;
   m_RegisterAsNew = true;
   m_RegisterAgain = true;
+  updateStanding(m_ConfigFeed);
+  updateStanding(m_EndpointFeed);
   // The answer to a registration in flight is in doubt.
   ++m_Registration;
   m_Registering = false;
 }
 
-void StoreFeeds::onFeedAnswer(Feed &Source, const gateway::FeedCall &Call,
-                              const gateway::HttpResult &Result) {
+void StoreFeeds::onStoreAnswer(Feed &Source,
+                               const gateway::FeedAnswer &Answer) {
   const model::TimePoint Now = m_Clock.now();
-  const gateway::FeedAnswer Answer = m_Dialect.readFeed(Call, Result);
-  const bool WasComplete = Source.m_Feed.isComplete();
-  const std::vector<gateway::FeedChange> Changes =
-      Source.m_Feed.handleAnswer(Answer, Now);
   if (Answer.m_Status == gateway::FeedStatus::Failed)
     m_Health.recordFailure();
   else if (m_Health.recordAnswer(Now))
     for (Feed *const Other : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
       Other->m_Feed.onStoreRecovered(Now);
+  applyAnswer(Source, Answer);
+}
+
+void StoreFeeds::applyAnswer(Feed &Source, const gateway::FeedAnswer &Answer) {
+  const bool WasComplete = Source.m_Feed.isComplete();
+  const std::vector<gateway::FeedChange> Changes =
+      Source.m_Feed.handleAnswer(Answer, m_Clock.now());
+  publishToNodes(Source, Answer, Changes);
   if (Source.m_Feed.isFailing() != Source.m_FailureLogged) {
     Source.m_FailureLogged = Source.m_Feed.isFailing();
     m_Log.write("dependency", Source.m_FailureLogged ? "lost" : "regained",
@@ -125,6 +226,24 @@
   startDueCall(Source);
 }
 
+void StoreFeeds::publishToNodes(
+    Feed &Source, const gateway::FeedAnswer &Answer,
+    const std::vector<gateway::FeedChange> &Changes) {
+  if (Source.m_Kind == gateway::FeedKind::Nodes)
+    return;
+  updateStanding(Source);
+  if (Answer.m_Status == gateway::FeedStatus::Ok)
+    m_Relay.publisher(Source.m_Kind)
+        .record(Answer.m_Objects, Changes, Source.m_Feed.revision());
+}
+
+void StoreFeeds::updateStanding(Feed &Source) {
+  m_Relay.publisher(Source.m_Kind)
+      .setStanding({m_Sources.isWatcher() && Source.m_Feed.isCurrent(),
+                    Source.m_Feed.isFailing(), m_Store.era(),
+                    Source.m_Feed.completeFrom()});
+}
+
 void StoreFeeds::handleChange(const Feed &Source,
                               const gateway::FeedChange &Change) {
   switch (Source.m_Kind) {
@@ -201,9 +320,20 @@
   std::vector<gateway::NodeEntry> Nodes;
   for (const auto &Each : m_Nodes)
     Nodes.push_back(Each.second);
+  updateSources(Nodes);
   m_Events.onNodesChanged(Nodes);
 }
 
+void StoreFeeds::updateSources(const std::vector<gateway::NodeEntry> &Nodes) {
+  m_Sources.setNodes(Nodes);
+  const bool Relays = m_Sources.hasFollowers();
+  const WatchTimes New = watchTimes(m_Times, Relays);
+  m_ConfigFeed.m_Feed.setWatchTimes(New.m_Timeout, ConfigBatchDelay);
+  m_EndpointFeed.m_Feed.setWatchTimes(New.m_Timeout, New.m_EndpointBatchDelay);
+  updateStanding(m_ConfigFeed);
+  updateStanding(m_EndpointFeed);
+}
+
 void StoreFeeds::registerSelf() {
   const model::TimePoint Now = m_Clock.now();
   if (m_Registered || m_Registering || m_Leaving || Now < m_RegisterAt ||
@@ -238,6 +368,7 @@
 
 void StoreFeeds::leave() {
   m_Leaving = true;
+  m_Relay.close();
   if (!m_Registered)
     return;
   // Otherwise the peers would keep sending notices to this node.
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -1,10 +1,12 @@
 #ifndef BRONZEPASS_CORE_ADAPTERS_GATEWAY_STOREFEEDS_H
 #define BRONZEPASS_CORE_ADAPTERS_GATEWAY_STOREFEEDS_H
 
+#include "Core/Adapters/Gateway/FeedRelay.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
 #include "Core/Adapters/Gateway/StoreClient.h"
 #include "Core/Gateway/Dialect.h"
 #include "Core/Gateway/EndpointRegistry.h"
+#include "Core/Gateway/FeedSourceChooser.h"
 #include "Core/Gateway/ObjectFeed.h"
 #include "Core/Gateway/RouteTable.h"
 #include "Core/Gateway/StoreHealth.h"
@@ -40,11 +42,12 @@
 };
 
 /// Follows the configuration, endpoints and nodes in the platform's store, and
-/// registers this node there.
+/// registers this node there. In larger fleets most nodes learn of changes from
+/// one of a few that watch the store.
 class StoreFeeds {
 public:
   /// All arguments except \p Times and \p Self must outlive this object.
-  StoreFeeds(StoreClient &Store, const StoreFeedTimes &Times,
+  StoreFeeds(StoreClient &Store, FeedRelay &Relay, const StoreFeedTimes &Times,
              core::gateway::NodeEntry Self,
              const core::gateway::Dialect &Dialect, const ports::Clock &Clock,
              ports::Random &Random, GatewayLog &Log, StoreEvents &Events);
@@ -66,11 +69,27 @@
     const char *m_Name;
     core::gateway::ObjectFeed m_Feed;
     bool m_FailureLogged = false;
+    /// The last watcher that was asked has failed.
+    bool m_AsksStoreNext = false;
+    /// The node that was asked last; empty: the store.
+    model::NodeId m_AskedNode;
   };
 
   void startDueCall(Feed &Source);
-  void onFeedAnswer(Feed &Source, const core::gateway::FeedCall &Call,
-                    const core::gateway::HttpResult &Result);
+  void askStore(Feed &Source, const core::gateway::FeedCall &Call);
+  void askWatcher(Feed &Source, const core::gateway::FeedCall &Call,
+                  const core::gateway::NodeEntry &Watcher);
+  void onWatcherReply(Feed &Source, const model::NodeId &Watcher,
+                      const std::optional<core::gateway::FeedReply> &Reply,
+                      const std::string &Reason);
+  void onStoreAnswer(Feed &Source, const core::gateway::FeedAnswer &Answer);
+  void applyAnswer(Feed &Source, const core::gateway::FeedAnswer &Answer);
+  void publishToNodes(Feed &Source, const core::gateway::FeedAnswer &Answer,
+                      const std::vector<core::gateway::FeedChange> &Changes);
+  void updateStanding(Feed &Source);
+  void updateSources(const std::vector<core::gateway::NodeEntry> &Nodes);
+  void logSource(Feed &Source, const model::NodeId &Node,
+                 const std::string &Reason);
   void handleChange(const Feed &Source,
                     const core::gateway::FeedChange &Change);
   void handleConfig(const std::string &Content);
@@ -81,6 +100,9 @@
   void registerSelf();
 
   StoreClient &m_Store;
+  FeedRelay &m_Relay;
+  const StoreFeedTimes m_Times;
+  core::gateway::FeedSourceChooser m_Sources;
   const core::gateway::NodeEntry m_Self;
   const core::gateway::Dialect &m_Dialect;
   const ports::Clock &m_Clock;
--- /dev/null
+++ b/Source/Core/Gateway/FeedPublisher.cpp
@@ -0,0 +1,88 @@
+#include "Core/Gateway/FeedPublisher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzepass::core::gateway {
+
+void FeedPublisher::record(const std::vector<FeedObject> &Objects,
+                           const std::vector<FeedChange> &Changes,
+                           uint64_t Revision) {
+  m_Revision = std::max(m_Revision, Revision);
+  for (const FeedObject &Each : Objects) {
+    Entry &Known = m_Objects[Each.m_Name];
+    if (Each.m_Revision > Known.m_Object.m_Revision)
+      Known = {Each, std::max(m_Revision, Each.m_Revision)};
+  }
+  // A list does not name what was deleted since the one before.
+  for (const FeedChange &Each : Changes) {
+    Entry &Known = m_Objects[Each.m_Name];
+    if (!Each.m_Content && !Known.m_Object.m_Deleted)
+      Known = {{Each.m_Name, m_Revision, true, ""}, m_Revision};
+  }
+  replyWhere([this](const WaitingQuery &Each) {
+    return !replyTo(Each.m_Query).m_Objects.empty();
+  });
+}
+
+void FeedPublisher::setStanding(const Standing &Current) {
+  m_Standing = Current;
+  replyWhere(
+      [this](const WaitingQuery &Each) { return !mayReply(Each.m_Query); });
+}
+
+void FeedPublisher::clear() {
+  m_Objects.clear();
+  m_Revision = 0;
+}
+
+uint64_t FeedPublisher::ask(const FeedQuery &Query, model::TimePoint Now,
+                            ReplyHandler OnReply) {
+  const uint64_t Id = ++m_LastId;
+  const FeedReply Reply = replyTo(Query);
+  if (!Reply.m_IsAvailable || !Reply.m_Objects.empty())
+    OnReply(Reply);
+  else
+    m_Waiting[Id] = {Query, Now + Query.m_Wait, std::move(OnReply)};
+  return Id;
+}
+
+void FeedPublisher::tick(model::TimePoint Now) {
+  replyWhere([Now](const WaitingQuery &Each) { return Each.m_Until <= Now; });
+}
+
+bool FeedPublisher::mayReply(const FeedQuery &Query) const {
+  return m_Standing.m_IsCurrent && !m_Standing.m_IsStoreFailing &&
+         m_Standing.m_Era == Query.m_Era &&
+         Query.m_Revision >= m_Standing.m_CompleteFrom;
+}
+
+FeedReply FeedPublisher::replyTo(const FeedQuery &Query) const {
+  FeedReply Reply;
+  Reply.m_IsStoreFailing = m_Standing.m_IsStoreFailing;
+  Reply.m_IsAvailable = mayReply(Query);
+  if (!Reply.m_IsAvailable)
+    return Reply;
+  Reply.m_Revision = std::max(m_Revision, Query.m_Revision);
+  for (const auto &Each : m_Objects)
+    if (Each.second.m_LearnedAt > Query.m_Revision)
+      Reply.m_Objects.push_back(Each.second.m_Object);
+  return Reply;
+}
+
+void FeedPublisher::replyWhere(
+    const std::function<bool(const WaitingQuery &)> &IsDue) {
+  std::vector<WaitingQuery> Due;
+  for (auto Each = m_Waiting.begin(); Each != m_Waiting.end();) {
+    if (!IsDue(Each->second)) {
+      ++Each;
+      continue;
+    }
+    Due.push_back(std::move(Each->second));
+    Each = m_Waiting.erase(Each);
+  }
+  for (const WaitingQuery &Each : Due)
+    Each.m_OnReply(replyTo(Each.m_Query));
+}
+
+} // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -71,6 +71,11 @@
   return Changes;
 }
 
+void ObjectFeed::abandonCall() {
+  m_CallInProgress = false;
+  m_DiscardAnswer = false;
+}
+
 void ObjectFeed::onStoreRecovered(model::TimePoint Now) {
   if (m_Failing)
     m_NextCallAt = std::min(m_NextCallAt, Now);
@@ -129,6 +134,7 @@
     Changes.push_back({Entry.first, std::nullopt});
   }
   m_Revision = std::max(m_Revision, *m_ListRevision);
+  m_CompleteFrom = m_Revision;
   m_ListedOnce = true;
   m_RestorePending = false;
   m_Watching = !m_Settings.m_ListPeriod;
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -111,6 +111,10 @@
   std::vector<FeedChange> handleAnswer(const FeedAnswer &Answer,
                                        model::TimePoint Now);
 
+  /// The call from nextCall() brought no answer, and another way will be tried
+  /// at once: does not count as a failure.
+  void abandonCall();
+
   /// Another call has shown that the store answers again: ends the backoff.
   void onStoreRecovered(model::TimePoint Now);
 
@@ -124,6 +128,16 @@
   bool isCurrent() const { return m_ListedOnce && !m_RestorePending; }
   /// The last call failed.
   bool isFailing() const { return m_Failing; }
+  /// The store's revision up to which all changes are known.
+  uint64_t revision() const { return m_Revision; }
+  /// The revision from which on all deletions are known, also of objects that
+  /// were created after it.
+  uint64_t completeFrom() const { return m_CompleteFrom; }
+  /// Takes effect with the next call.
+  void setWatchTimes(model::Duration WatchTimeout, model::Duration BatchDelay) {
+    m_Settings.m_WatchTimeout = WatchTimeout;
+    m_Settings.m_BatchDelay = BatchDelay;
+  }
 
 private:
   void apply(const FeedObject &Object, std::vector<FeedChange> &Changes);
@@ -139,6 +153,7 @@
   bool m_Failing = false;
   model::TimePoint m_NextCallAt;
   uint64_t m_Revision = 0;
+  uint64_t m_CompleteFrom = 0;
   std::string m_After;
   std::set<std::string> m_ListedNames;
   std::optional<uint64_t> m_ListRevision;
--- a/Source/UnitTests/Adapters/Gateway/StoreFeedsTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/StoreFeedsTest.cpp
@@ -3,15 +3,22 @@
 #include "Core/Adapters/Daemon/SystemPorts.h"
 #include "Core/Adapters/Gateway/BootClock.h"
 #include "Core/Adapters/Net/LoopThread.h"
+#include "Core/Model/Hash.h"
 #include "UnitTests/Adapters/Gateway/ScriptedEndpoint.h"
 #include "platform/PlatformDialect.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <future>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace bronzepass::unit_tests::adapters::gateway {
 
@@ -56,6 +63,11 @@
     m_Removals.clear();
     ++m_Era;
   }
+  /// Connections on which something was watched since the last call.
+  size_t takeWatchingConnections() {
+    const std::scoped_lock Lock(m_Mutex);
+    return std::exchange(m_WatchingConnections, {}).size();
+  }
 
 private:
   struct Object {
@@ -109,6 +121,8 @@
     if (Watch != std::string::npos)
       std::this_thread::sleep_for(30ms);
     const std::scoped_lock Lock(m_Mutex);
+    if (Watch != std::string::npos)
+      m_WatchingConnections.insert(&Connection);
     int Status = 200;
     json Body;
     if (Method == "POST") {
@@ -133,6 +147,7 @@
   }
 
   mutable std::mutex m_Mutex;
+  std::set<const ScriptConnection *> m_WatchingConnections;
   State m_State;
   State m_Backup;
   std::vector<Removal> m_Removals;
@@ -144,11 +159,14 @@
 class FeedNode : private core::adapters::gateway::StoreEvents,
                  private core::adapters::gateway::StoreEraEvents {
 public:
-  explicit FeedNode(uint16_t StorePort)
+  explicit FeedNode(uint16_t StorePort, const char *Name = "self")
       : m_Log("test"), m_Calls(m_Thread.loop()),
         m_Store({"127.0.0.1", StorePort}, m_Dialect, m_Calls, m_Log, *this),
-        m_Feeds(m_Store, {100ms, 3s},
-                {core::model::NodeId("self"), {"127.0.0.1", 7000}, {}},
+        m_Relay(m_Thread.loop(), m_Calls, m_Clock),
+        m_Feeds(m_Store, m_Relay, {100ms, 3s},
+                {core::model::NodeId(Name),
+                 {"127.0.0.1", listeningPort(m_Relay)},
+                 core::model::DomainId("d")},
                 m_Dialect, m_Clock, m_Random, m_Log, *this) {
     m_Thread.loop().post([this] { tick(); });
     m_Thread.start();
@@ -173,6 +191,10 @@
   }
 
 private:
+  static uint16_t listeningPort(core::adapters::gateway::FeedRelay &Relay) {
+    REQUIRE_FALSE(Relay.listen({"127.0.0.1", 0}));
+    return Relay.port();
+  }
   void
   onRouteTableChanged(std::shared_ptr<const relay::RouteTable> Table) override {
     const std::scoped_lock Lock(m_Mutex);
@@ -213,6 +235,7 @@
   core::adapters::net::LoopThread m_Thread;
   core::adapters::gateway::ControlCalls m_Calls;
   core::adapters::gateway::StoreClient m_Store;
+  core::adapters::gateway::FeedRelay m_Relay;
   core::adapters::gateway::StoreFeeds m_Feeds;
 };
 
@@ -278,4 +301,50 @@
   }
 }
 
+// Pattern: the store's load grows with the fleet.
+TEST_CASE("most nodes learn of changes through a few that watch the store, and "
+          "from the store once these are gone") {
+  RestorableStore Store;
+  Store.write("config", "main", config(5));
+  Store.write("servers", "stays", endpoint(1));
+  std::vector<std::string> Names;
+  for (int Number = 0; Number < 12; ++Number)
+    Names.push_back("node-" + std::to_string(Number));
+  std::map<std::string, std::unique_ptr<FeedNode>> Nodes;
+  for (const std::string &Name : Names)
+    Nodes[Name] = std::make_unique<FeedNode>(Store.port(), Name.c_str());
+  const auto AllKnow = [&](uint64_t Version) {
+    return becomesTrue([&] {
+      return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &Each) {
+        return Each.second->version() == Version;
+      });
+    });
+  };
+  REQUIRE(AllKnow(5));
+  // Nodes list each other each 5 s.
+  std::this_thread::sleep_for(6s);
+  Store.takeWatchingConnections();
+  Store.write("config", "main", config(6));
+  CHECK(AllKnow(6));
+  std::this_thread::sleep_for(500ms);
+  // Of the configuration and of the endpoints, by three nodes.
+  CHECK(Store.takeWatchingConnections() <= 6);
+  // Removes nodes in rendezvous order of the watchers' duty.
+  std::sort(Names.begin(), Names.end(),
+            [](const std::string &Left, const std::string &Right) {
+              return core::model::rendezvousWeight("store-watcher", Left) >
+                     core::model::rendezvousWeight("store-watcher", Right);
+            });
+  for (int Watcher = 0; Watcher < 3; ++Watcher)
+    Nodes.erase(Names[Watcher]);
+  Store.write("config", "main", config(7));
+  CHECK(AllKnow(7));
+  Store.backUp();
+  Store.restore();
+  Store.write("config", "main", config(8));
+  CHECK(AllKnow(8));
+  CHECK(std::none_of(Nodes.begin(), Nodes.end(),
+                     [](const auto &Each) { return Each.second->wentBack(); }));
+}
+
 } // namespace bronzepass::unit_tests::adapters::gateway
