Front: Check header lines across the pieces of a request

Callers got 400 for sound requests whose headers came in two pieces and whose body has line feeds or null characters; in such pieces folded lines and bare line feeds were also missed. Cause: Beast consumes header lines one by one, and the position up to which lines had been checked was not moved with the buffer. Change: the check keeps its place in the line, and ends with the headers.

--- a/Source/Core/Adapters/Front/FrontRequestParser.cpp
+++ b/Source/Core/Adapters/Front/FrontRequestParser.cpp
@@ -69,6 +69,7 @@
   m_Parser->body_limit(m_Limits.m_MaxBodyBytes);
   m_BeganAt = std::chrono::steady_clock::now();
   m_CheckedBytes = 0;
+  m_HeaderLines = {};
   m_ExpectsContinue = false;
   m_State = ParserState::Headers;
 }
@@ -80,18 +81,23 @@
 }
 
 /// Rejects bare line feeds, null characters and folded header lines. Beast
-/// joins folded lines, but an endpoint may interpret them differently.
+/// joins folded lines, but an endpoint may interpret them differently. Stops at
+/// the end of the headers: the body may hold any bytes.
 bool FrontRequestParser::checkHeaderLines() {
-  for (; m_CheckedBytes < m_Buffer.size(); ++m_CheckedBytes) {
+  for (; m_CheckedBytes < m_Buffer.size() && !m_HeaderLines.m_Ended;
+       ++m_CheckedBytes) {
     const char C = m_Buffer[m_CheckedBytes];
-    const char Before = m_CheckedBytes > 0 ? m_Buffer[m_CheckedBytes - 1] : 0;
+    const char Before = std::exchange(m_HeaderLines.m_LastByte, C);
     if ((C == '\n' && Before != '\r') || C == '\0')
       return false;
     if ((C == ' ' || C == '\t') && Before == '\n')
       return false;
-    const size_t End = m_CheckedBytes;
-    if (C == '\n' && End >= 3 && m_Buffer.compare(End - 3, 4, "\r\n\r\n") == 0)
-      return true;
+    if (C != '\n') {
+      ++m_HeaderLines.m_LineLength;
+      continue;
+    }
+    m_HeaderLines.m_Ended = m_HeaderLines.m_LineLength == 1;
+    m_HeaderLines.m_LineLength = 0;
   }
   return true;
 }
@@ -120,6 +126,7 @@
   const size_t Consumed = m_Parser->put(
       boost::asio::buffer(m_Buffer.data(), m_Buffer.size()), Error);
   m_Buffer.erase(0, Consumed);
+  m_CheckedBytes -= std::min(m_CheckedBytes, Consumed);
   if (Error && Error != http::error::need_more)
     return fail(statusOf(Error), Error.message());
   if (!m_Parser->is_header_done()) {
--- a/Source/Core/Adapters/Front/FrontRequestParser.h
+++ b/Source/Core/Adapters/Front/FrontRequestParser.h
@@ -70,6 +70,14 @@
   std::string m_Buffer;
   /// Number of bytes of m_Buffer that checkHeaderLines() has checked.
   size_t m_CheckedBytes = 0;
+  /// Where checkHeaderLines() is in the headers of the current request.
+  struct HeaderLines {
+    char m_LastByte = 0;
+    /// Bytes of the current line, with the carriage return.
+    size_t m_LineLength = 0;
+    bool m_Ended = false;
+  };
+  HeaderLines m_HeaderLines;
   ParserState m_State = ParserState::Idle;
   std::chrono::steady_clock::time_point m_BeganAt;
   bool m_ExpectsContinue = false;
--- a/Source/UnitTests/Adapters/Gateway/FrontRequestParserTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/FrontRequestParserTest.cpp
@@ -44,6 +44,37 @@
   }
 }
 
+// Guards against reading a body as header lines where the headers come in
+// pieces.
+TEST_CASE("a body of any bytes is accepted, wherever the request is split") {
+  const std::string Body("\n\0 a\r\n\t\n\n", 10);
+  const std::string Bytes = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                            std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  for (size_t First = 1; First < Bytes.size(); ++First) {
+    for (size_t Second = First; Second < Bytes.size(); ++Second) {
+      FrontRequestParser Parser({});
+      Parser.feed(Bytes.substr(0, First));
+      Parser.feed(Bytes.substr(First, Second - First));
+      REQUIRE(Parser.feed(Bytes.substr(Second)) == ParserState::Complete);
+      CHECK(Parser.take().m_Body == Body);
+    }
+  }
+}
+
+TEST_CASE("folded lines and bare line feeds are rejected, wherever the request "
+          "is split") {
+  for (const std::string &Bytes :
+       {std::string("GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n"),
+        std::string("GET / HTTP/1.1\r\nHost: h\nX: a\r\n\r\n"),
+        std::string("GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n\n")}) {
+    for (size_t First = 1; First < Bytes.size(); ++First) {
+      FrontRequestParser Parser({});
+      Parser.feed(Bytes.substr(0, First));
+      CHECK(Parser.feed(Bytes.substr(First)) == ParserState::Failed);
+    }
+  }
+}
+
 TEST_CASE("a pipelined second request is kept until the first is taken") {
   FrontRequestParser Parser({});
   CHECK(Parser.feed("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
