Gateway: Rank duties over the registered nodes, strong ones first; probe a silent store once a node

Cause: ranks for the placement lease were counted among the 24 peers that a node hears, so that some 24 of 195 nodes read the lease as if they were among the first three. While the store did not answer, each of a node's three feeds called it anew after 0.35 s in the mean. Change: PlacementCandidates ranks over all registered nodes by DutyRank (most processor time first); one failing feed probes for all, and followers wait up to 0.3 of the contact time. Ruled out: competing for the lease only once registered.

--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -404,6 +404,9 @@
     Result.m_TimedOut = Code == CURLE_OPERATION_TIMEDOUT;
     if (!Ended.m_AbortReason.empty())
       Result.m_Error = Ended.m_AbortReason;
+    else if (Code == CURLE_OUT_OF_MEMORY && !Ended.m_HeadReceived)
+      // libcurl's code for a header line beyond its limit.
+      Result.m_Error = "a header line of the answer is too long";
     else if (Code != CURLE_OK)
       Result.m_Error = curl_easy_strerror(Code);
     else if (!Delimited)
--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -75,6 +75,7 @@
 
 void GatewayControl::onNodesChanged(
     const std::vector<gateway::NodeEntry> &Nodes) {
+  m_Placement.setNodes(Nodes);
   m_Traffic->setPeers(Nodes);
 }
 
--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -7,6 +7,7 @@
 #include "Core/Settings/GatewaySettings.h"
 
 #include <atomic>
+#include <cmath>
 #include <csignal>
 #include <ctime>
 #include <pthread.h>
@@ -59,12 +60,18 @@
   return Relay;
 }
 
+uint32_t cpuPercent(double Cores) {
+  constexpr double PercentOfCore = 100;
+  return static_cast<uint32_t>(std::lround(Cores * PercentOfCore));
+}
+
 ControlOptions controlOptions(const settings::NodeSettings &Settings) {
   ControlOptions Options;
   Options.m_Store = Settings.get(keys::PlatformStore);
   Options.m_Self = {model::NodeId(Settings.get(keys::NodeName)),
                     Settings.get(keys::ListenPeers),
-                    model::DomainId(Settings.get(keys::NodeDomain))};
+                    model::DomainId(Settings.get(keys::NodeDomain)),
+                    cpuPercent(Settings.get(keys::NodeCpuShare))};
   Options.m_FeedTimes = {Settings.get(keys::PlatformLeaveNotice),
                          Settings.get(keys::PlatformContactTime)};
   Options.m_Lease.m_Term = Settings.get(keys::LeaseTerm);
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -29,9 +29,6 @@
 /// A peer that sent no notice for this long counts as gone. Several
 /// consecutive notices may be lost before that.
 constexpr model::Duration PeerTimeout = std::chrono::milliseconds(1500);
-/// Maximum number of peers that receive a node's loads. With more peers, a node
-/// sends to the lease holder and to the first others in rendezvous order.
-constexpr size_t MaxNoticeTargets = 24;
 constexpr model::Duration LivePeersPeriod = std::chrono::milliseconds(500);
 
 } // namespace
@@ -120,10 +117,10 @@
                      gateway::RelayEffectList &Out) { Core.tick(Now, Out); });
   const model::TimePoint Now = m_Clock.now();
   const bool IsNews = m_Core.prefillChanges() != m_PrefillChangesSent;
-  const model::Duration NewsPeriod =
-      std::max(MinNoticePeriod,
-               NoticePeriodPerTarget * static_cast<int64_t>(std::min<size_t>(
-                                           m_Peers.size(), MaxNoticeTargets)));
+  const model::Duration NewsPeriod = std::max(
+      MinNoticePeriod,
+      NoticePeriodPerTarget * static_cast<int64_t>(std::min<size_t>(
+                                  m_Peers.size(), gateway::MaxNoticeTargets)));
   if (Now >= m_LoadNoticeSentAt + (IsNews ? NewsPeriod : NoticePeriod)) {
     m_LoadNoticeSentAt = Now;
     m_PrefillChangesSent = m_Core.prefillChanges();
@@ -153,7 +150,7 @@
   std::sort(Ranked.rbegin(), Ranked.rend());
   std::vector<model::Address> Targets;
   for (const std::pair<uint64_t, const Peer *> &Each : Ranked)
-    if (Targets.size() < MaxNoticeTargets)
+    if (Targets.size() < gateway::MaxNoticeTargets)
       Targets.push_back(Each.second->m_Address);
   return Targets;
 }
--- a/Source/Core/Adapters/Gateway/PlacementControl.cpp
+++ b/Source/Core/Adapters/Gateway/PlacementControl.cpp
@@ -1,7 +1,5 @@
 #include "Core/Adapters/Gateway/PlacementControl.h"
 
-#include "Core/Model/Hash.h"
-
 #include <string>
 #include <utility>
 
@@ -38,6 +36,7 @@
       m_Loop(Loop), m_Clock(Clock), m_Log(Log), m_Events(Events),
       m_Governor(governorSettings(), Random),
       m_LeaseManager(m_Options.m_Lease, m_Options.m_Self, m_Governor, Random),
+      m_Candidates(m_Options.m_Self, PlacementLease.m_Duty),
       m_Residency(m_Options.m_Residency, m_Options.m_Self) {}
 
 void PlacementControl::tick() {
@@ -78,18 +77,17 @@
   });
 }
 
+void PlacementControl::setNodes(const std::vector<gateway::NodeEntry> &Nodes) {
+  m_Candidates.setRegistered(Nodes);
+}
+
 void PlacementControl::onLivePeers(const std::vector<model::NodeId> &Nodes) {
+  m_Candidates.setHeard(Nodes);
   if (m_Stopping)
     return;
-  const uint64_t Own =
-      model::rendezvousWeight(PlacementLease.m_Duty, m_Options.m_Self.str());
-  uint32_t Rank = 0;
-  for (const model::NodeId &Each : Nodes)
-    if (model::rendezvousWeight(PlacementLease.m_Duty, Each.str()) > Own)
-      ++Rank;
   ports::EffectList Effects;
-  m_LeaseManager.setCandidacies({{PlacementLease, Rank}}, m_Clock.now(),
-                                Effects);
+  m_LeaseManager.setCandidacies({{PlacementLease, m_Candidates.rank()}},
+                                m_Clock.now(), Effects);
   submit(Effects);
 }
 
--- a/Source/Core/Adapters/Gateway/PlacementControl.h
+++ b/Source/Core/Adapters/Gateway/PlacementControl.h
@@ -5,6 +5,7 @@
 #include "Core/Adapters/Gateway/GatewayLog.h"
 #include "Core/Adapters/Gateway/StoreClient.h"
 #include "Core/Gateway/Dialect.h"
+#include "Core/Gateway/PlacementCandidates.h"
 #include "Core/Leases/LeaseManager.h"
 #include "Core/Leases/StoreGovernor.h"
 #include "Core/Ports/Ports.h"
@@ -50,8 +51,10 @@
   void onDemandReport(const model::NodeId &Node, uint64_t Start,
                       const std::vector<core::gateway::UsageCounter> &Counters);
   void onCopyRequest(const core::gateway::CopyRequest &Request);
-  /// Sets the live peers. Of them and this node, the first in rendezvous order
-  /// is the preferred lease holder.
+  /// Sets all registered nodes.
+  void setNodes(const std::vector<core::gateway::NodeEntry> &Nodes);
+  /// Sets the nodes that are heard. The first candidate by DutyRank is the
+  /// preferred lease holder.
   void onLivePeers(const std::vector<model::NodeId> &Nodes);
   /// Takes the store's era. If it has changed, the store was restored from a
   /// backup, and this node stops placing models until it gets the lease anew.
@@ -84,6 +87,7 @@
   PlacementEvents &m_Events;
   leases::StoreGovernor m_Governor;
   leases::LeaseManager m_LeaseManager;
+  core::gateway::PlacementCandidates m_Candidates;
   residency::ResidencyCore m_Residency;
   bool m_HoldsLease = false;
   bool m_Stopping = false;
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -26,6 +26,10 @@
 /// time.
 constexpr double RelayedBatchShare = 0.25;
 constexpr double RelayedWatchShare = 0.4;
+/// Longest pause between two calls to a store that does not answer, of a node
+/// that others don't depend on, as a share of the time in which it has to
+/// notice the store's return.
+constexpr double FollowerBackoffShare = 0.3;
 constexpr model::Duration ConfigBatchDelay = std::chrono::milliseconds(50);
 /// After a restore of the store each node waits a random part of this before it
 /// reads and registers again, so that not all nodes call at once.
@@ -100,7 +104,17 @@
   registerSelf();
 }
 
+bool StoreFeeds::isHeldBack(const Feed &Source) const {
+  for (const Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
+    if (Each->m_Feed.isFailing())
+      return Source.m_Feed.isFailing() && Each != &Source;
+  return false;
+}
+
 void StoreFeeds::startDueCall(Feed &Source) {
+  // While the store does not answer, one feed finds out for all when it does.
+  if (isHeldBack(Source))
+    return;
   const std::optional<gateway::FeedCall> Due =
       Source.m_Feed.nextCall(m_Clock.now());
   if (!Due)
@@ -330,6 +344,14 @@
   const WatchTimes New = watchTimes(m_Times, Relays);
   m_ConfigFeed.m_Feed.setWatchTimes(New.m_Timeout, ConfigBatchDelay);
   m_EndpointFeed.m_Feed.setWatchTimes(New.m_Timeout, New.m_EndpointBatchDelay);
+  const model::Duration MaxBackoff =
+      m_Sources.isWatcher()
+          ? gateway::FeedSettings().m_MaxBackoff
+          : std::max(gateway::FeedSettings().m_MaxBackoff,
+                     std::chrono::duration_cast<model::Duration>(
+                         m_Times.m_ContactTime * FollowerBackoffShare));
+  for (Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
+    Each->m_Feed.setMaxBackoff(MaxBackoff);
   updateStanding(m_ConfigFeed);
   updateStanding(m_EndpointFeed);
 }
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -76,6 +76,7 @@
   };
 
   void startDueCall(Feed &Source);
+  bool isHeldBack(const Feed &Source) const;
   void askStore(Feed &Source, const core::gateway::FeedCall &Call);
   void askWatcher(Feed &Source, const core::gateway::FeedCall &Call,
                   const core::gateway::NodeEntry &Watcher);
--- a/Source/Core/Gateway/Dialect.h
+++ b/Source/Core/Gateway/Dialect.h
@@ -72,6 +72,8 @@
   model::NodeId m_Node;
   model::Address m_PeerAddress;
   model::DomainId m_Domain;
+  /// Hundredths of a processor core that the node may use; 0 if unknown.
+  uint32_t m_CpuPercent = 0;
 
   friend auto operator<=>(const NodeEntry &, const NodeEntry &) = default;
 };
--- a/Source/Core/Gateway/FeedSourceChooser.cpp
+++ b/Source/Core/Gateway/FeedSourceChooser.cpp
@@ -1,5 +1,6 @@
 #include "Core/Gateway/FeedSourceChooser.h"
 
+#include "Core/Gateway/DutyRank.h"
 #include "Core/Model/Hash.h"
 
 #include <algorithm>
@@ -12,10 +13,6 @@
 constexpr const char *WatcherDuty = "store-watcher";
 constexpr uint32_t MaxDoublings = 8;
 
-uint64_t watcherWeight(const NodeEntry &Node) {
-  return model::rendezvousWeight(WatcherDuty, Node.m_Node.str());
-}
-
 } // namespace
 
 FeedSourceChooser::FeedSourceChooser(model::NodeId Self,
@@ -26,8 +23,7 @@
   m_Watchers = Nodes;
   std::sort(m_Watchers.begin(), m_Watchers.end(),
             [](const NodeEntry &Left, const NodeEntry &Right) {
-              return std::pair(watcherWeight(Left), Left.m_Node) >
-                     std::pair(watcherWeight(Right), Right.m_Node);
+              return dutyRank(WatcherDuty, Left) > dutyRank(WatcherDuty, Right);
             });
   const size_t Count =
       std::max(m_Settings.m_MinWatchers,
--- a/Source/Core/Gateway/FeedSourceChooser.h
+++ b/Source/Core/Gateway/FeedSourceChooser.h
@@ -27,8 +27,8 @@
                           const FeedSourceSettings &) = default;
 };
 
-/// Chooses whom a node asks for changes in the store. A few nodes, the first in
-/// rendezvous order, watch the store; the others ask one of them, spread
+/// Chooses whom a node asks for changes in the store. A few nodes, the first by
+/// DutyRank, watch the store; the others ask one of them, spread
 /// evenly. A node whose watcher fails asks the store itself.
 class FeedSourceChooser {
 public:
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -133,6 +133,8 @@
   /// The revision from which on all deletions are known, also of objects that
   /// were created after it.
   uint64_t completeFrom() const { return m_CompleteFrom; }
+  /// Takes effect with the next failure.
+  void setMaxBackoff(model::Duration Max) { m_Backoff.setCap(Max); }
   /// Takes effect with the next call.
   void setWatchTimes(model::Duration WatchTimeout, model::Duration BatchDelay) {
     m_Settings.m_WatchTimeout = WatchTimeout;
--- a/Source/Core/Gateway/PeerNotice.h
+++ b/Source/Core/Gateway/PeerNotice.h
@@ -5,12 +5,17 @@
 #include "Core/Model/Id.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace bronzepass::core::gateway {
 
+/// Maximum number of peers that receive a node's loads. With more peers, a node
+/// sends to the lease holder and to the first others in rendezvous order.
+inline constexpr size_t MaxNoticeTargets = 24;
+
 /// The load that one node has in flight at one endpoint.
 struct EndpointLoad {
   model::EndpointId m_Endpoint;
--- /dev/null
+++ b/Source/Core/Gateway/PlacementCandidates.cpp
@@ -0,0 +1,56 @@
+#include "Core/Gateway/PlacementCandidates.h"
+
+#include "Core/Gateway/DutyRank.h"
+#include "Core/Gateway/PeerNotice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzepass::core::gateway {
+
+PlacementCandidates::PlacementCandidates(model::NodeId Self, std::string Duty)
+    : m_Self(std::move(Self)), m_Duty(std::move(Duty)) {}
+
+void PlacementCandidates::setRegistered(const std::vector<NodeEntry> &Nodes) {
+  m_Registered.clear();
+  for (const NodeEntry &Each : Nodes)
+    m_Registered[Each.m_Node] = Each;
+  std::erase_if(m_HeardBefore, [this](const model::NodeId &Node) {
+    return !m_Registered.contains(Node);
+  });
+}
+
+void PlacementCandidates::setHeard(const std::vector<model::NodeId> &Nodes) {
+  m_Heard = {Nodes.begin(), Nodes.end()};
+  for (const model::NodeId &Node : Nodes)
+    if (m_Registered.contains(Node))
+      m_HeardBefore.insert(Node);
+}
+
+NodeEntry PlacementCandidates::entryOf(const model::NodeId &Node) const {
+  const auto Found = m_Registered.find(Node);
+  return Found == m_Registered.end() ? NodeEntry{Node, {}, {}, 0}
+                                     : Found->second;
+}
+
+bool PlacementCandidates::counts(const model::NodeId &Node,
+                                 bool HearsAll) const {
+  if (m_Heard.contains(Node))
+    return true;
+  return !HearsAll && !m_HeardBefore.contains(Node);
+}
+
+uint32_t PlacementCandidates::rank() const {
+  const bool HearsAll = m_Registered.size() <= MaxNoticeTargets + 1;
+  const DutyRank Own = dutyRank(m_Duty, entryOf(m_Self));
+  std::set<model::NodeId> Candidates = m_Heard;
+  for (const auto &Each : m_Registered)
+    Candidates.insert(Each.first);
+  return static_cast<uint32_t>(std::count_if(
+      Candidates.begin(), Candidates.end(), [&](const model::NodeId &Node) {
+        return Node != m_Self && dutyRank(m_Duty, entryOf(Node)) > Own &&
+               counts(Node, HearsAll);
+      }));
+}
+
+} // namespace bronzepass::core::gateway
--- a/Source/Core/Membership/Backoff.h
+++ b/Source/Core/Membership/Backoff.h
@@ -26,6 +26,7 @@
   }
 
   void reset() { m_Failures = 0; }
+  void setCap(model::Duration Cap) { m_Cap = Cap; }
 
 private:
   static constexpr model::Duration Floor = std::chrono::milliseconds(20);
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -8,6 +8,7 @@
   static const std::vector<SettingInfo> All = {
       toSettingInfo(NodeName),
       toSettingInfo(NodeDomain),
+      toSettingInfo(NodeCpuShare),
       toSettingInfo(ListenCallers),
       toSettingInfo(ListenReady),
       toSettingInfo(ListenPeers),
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -12,6 +12,14 @@
     "node", "name", {}, {}, {}, "Name of this node among the system's nodes"};
 inline const Setting<std::string> NodeDomain{
     "node", "failure-domain", {}, {}, {}, "Failure domain of this VM"};
+inline const Setting<double> NodeCpuShare{
+    "node",
+    "cpu-share",
+    1.0,
+    0.01,
+    1024.0,
+    "Processor cores that this node may use; duties for the whole fleet go to "
+    "the nodes with the most"};
 
 // Listen addresses.
 inline const Setting<model::Address> ListenCallers{
--- a/Source/UnitTests/Adapters/Gateway/ScriptedEndpoint.cpp
+++ b/Source/UnitTests/Adapters/Gateway/ScriptedEndpoint.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int PollMillis = 20;
+/// The kernel accepts this many connections before the script is ready; beyond
+/// it a connection attempt is repeated after a second.
+constexpr int ListenBacklog = 1024;
 
 bool readable(int Fd, int Millis) {
   pollfd Poll{.fd = Fd, .events = POLLIN, .revents = 0};
@@ -63,7 +66,7 @@
   socklen_t Size = sizeof(Address);
   static_cast<void>(
       ::bind(m_Listener.get(), reinterpret_cast<sockaddr *>(&Address), Size));
-  static_cast<void>(::listen(m_Listener.get(), 64));
+  static_cast<void>(::listen(m_Listener.get(), ListenBacklog));
   ::getsockname(m_Listener.get(), reinterpret_cast<sockaddr *>(&Address),
                 &Size);
   m_Port = ntohs(Address.sin_port);
--- a/Source/UnitTests/Gateway/FeedSourceChooserTest.cpp
+++ b/Source/UnitTests/Gateway/FeedSourceChooserTest.cpp
@@ -21,7 +21,8 @@
   for (size_t Number = 0; Number < Count; ++Number)
     Nodes.push_back({model::NodeId("node-" + std::to_string(Number)),
                      {"10.0.0.1", static_cast<uint16_t>(1000 + Number)},
-                     model::DomainId("d")});
+                     model::DomainId("d"),
+                     Number % 3 == 0 ? 50U : 12U});
   return Nodes;
 }
 
@@ -49,8 +50,11 @@
     Sources.erase(model::NodeId());
     CHECK(Watchers <= std::max<size_t>(3, Count / 40 + 1));
     CHECK(Sources.size() == Watchers);
-    for (const auto &Each : Sources)
+    for (const auto &Each : Sources) {
       CHECK(Each.second < 80);
+      // The strong ones watch.
+      CHECK(std::stoi(Each.first.str().substr(5)) % 3 == 0);
+    }
   }
 }
 
