Gateway: Watch the store from every node of a fleet of under 12

Cause: the watches of nodes that others depend on are shorter; with 6 nodes and 3 watchers that makes 7.5 calls a second instead of 5 (calculated). FeedSourceChooserTest: 1, 3, 9 and 11 nodes all ask the store; failed before for 9 and 11.

--- a/Source/Core/Gateway/FeedSourceChooser.cpp
+++ b/Source/Core/Gateway/FeedSourceChooser.cpp
@@ -29,7 +29,7 @@
       std::max(m_Settings.m_MinWatchers,
                (Nodes.size() + m_Settings.m_NodesPerWatcher - 1) /
                    m_Settings.m_NodesPerWatcher);
-  m_HasFollowers = Nodes.size() > Count;
+  m_HasFollowers = Nodes.size() >= std::max(m_Settings.m_MinNodes, Count + 1);
   const auto IsSelf = [this](const NodeEntry &Each) {
     return Each.m_Node == m_Self;
   };
--- a/Source/Core/Gateway/FeedSourceChooser.h
+++ b/Source/Core/Gateway/FeedSourceChooser.h
@@ -15,6 +15,9 @@
 namespace bronzepass::core::gateway {
 
 struct FeedSourceSettings {
+  /// In a smaller fleet every node watches the store: the watches of those that
+  /// others depend on are shorter, and would cost more calls than are saved.
+  size_t m_MinNodes = 12;
   /// Nodes that watch the store, at least.
   size_t m_MinWatchers = 3;
   size_t m_NodesPerWatcher = 40;
--- a/Source/UnitTests/Gateway/FeedSourceChooserTest.cpp
+++ b/Source/UnitTests/Gateway/FeedSourceChooserTest.cpp
@@ -60,7 +60,9 @@
 
 TEST_CASE("a node that is not registered, and every node of a small fleet, "
           "asks the store") {
-  CHECK(sourcesOf(fleet(3)) == std::map<model::NodeId, size_t>{{{}, 3}});
+  for (const size_t Count : {1U, 3U, 9U, 11U})
+    CHECK(sourcesOf(fleet(Count)) ==
+          std::map<model::NodeId, size_t>{{{}, Count}});
   FeedSourceChooser Alone(model::NodeId("new"), {});
   CHECK_FALSE(Alone.choose(at(0s)));
   Alone.setNodes(fleet(50));
