--- a/Source/UnitTests/Adapters/Gateway/FrontRequestParserTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/FrontRequestParserTest.cpp
@@ -47,7 +47,7 @@
 // Guards against reading a body as header lines where the headers come in
 // pieces.
 TEST_CASE("a body of any bytes is accepted, wherever the request is split") {
-  const std::string Body("\n\0 a\r\n\t\n\n", 10);
+  const std::string Body("\n\0 a\r\n\t\n\n", 9);
   const std::string Bytes = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
                             std::to_string(Body.size()) + "\r\n\r\n" + Body;
   for (size_t First = 1; First < Bytes.size(); ++First) {
