--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -1,6 +1,7 @@
 #include "Core/Adapters/Gateway/StoreFeeds.h"
 
-#include <algorithm>
+#include "Core/Gateway/WatchTimes.h"
+
 #include <optional>
 #include <utility>
 
@@ -15,58 +16,26 @@
 /// Endpoints that could not renew their entries during a store outage have
 /// restored them within this time.
 constexpr model::Duration LapsedEntryLifetime = std::chrono::milliseconds(2150);
-/// Delay of the next watch of endpoints after a change, as a share of the time
-/// that a leaving endpoint still takes requests. Each watch costs a call, and
-/// entries change with every copy; urgent changes of copies are sent directly
-/// between nodes.
-constexpr double EndpointBatchShare = 0.6;
-/// The same where other nodes learn of the change from this one. What a change
-/// takes to reach the last node is the sum of this delay, a watch that fails
-/// unnoticed, and the call to the store that follows: together less than that
-/// time.
-constexpr double RelayedBatchShare = 0.25;
-constexpr double RelayedWatchShare = 0.4;
-/// Longest pause between two calls to a store that does not answer, of a node
-/// that others don't depend on, as a share of the time in which it has to
-/// notice the store's return.
-constexpr double FollowerBackoffShare = 0.3;
-constexpr model::Duration ConfigBatchDelay = std::chrono::milliseconds(50);
 /// After a restore of the store each node waits a random part of this before it
 /// reads and registers again, so that not all nodes call at once.
 constexpr model::Duration RestoreSpread = std::chrono::milliseconds(300);
 /// Nodes rarely join or leave, and they also notify each other directly.
 constexpr model::Duration NodeListPeriod = std::chrono::seconds(5);
 
-/// How the configuration and the endpoints are watched.
-struct WatchTimes {
-  model::Duration m_Timeout;
-  model::Duration m_EndpointBatchDelay;
-};
-
-/// \p Relays: other nodes learn of changes from those that watch the store.
-WatchTimes watchTimes(const StoreFeedTimes &Times, bool Relays) {
-  const auto ShareOfNotice = [&](double Share) {
-    return std::chrono::duration_cast<model::Duration>(Times.m_LeaveNotice *
-                                                       Share);
-  };
-  const model::Duration Longest =
-      Times.m_ContactTime - gateway::FeedSettings().m_AnswerTimeout;
-  if (!Relays)
-    return {Longest, ShareOfNotice(EndpointBatchShare)};
-  return {std::min(Longest, ShareOfNotice(RelayedWatchShare)),
-          ShareOfNotice(RelayedBatchShare)};
+gateway::WatchTimes watchTimesOf(const StoreFeedTimes &Times, bool Relays) {
+  return gateway::watchTimes(Times.m_LeaveNotice, Times.m_ContactTime, Relays);
 }
 
 gateway::FeedSettings configFeedSettings(const StoreFeedTimes &Times) {
   gateway::FeedSettings Settings;
-  Settings.m_WatchTimeout = watchTimes(Times, false).m_Timeout;
-  Settings.m_BatchDelay = ConfigBatchDelay;
+  Settings.m_WatchTimeout = watchTimesOf(Times, false).m_WatchTimeout;
+  Settings.m_BatchDelay = watchTimesOf(Times, false).m_ConfigBatchDelay;
   return Settings;
 }
 
 gateway::FeedSettings endpointFeedSettings(const StoreFeedTimes &Times) {
   gateway::FeedSettings Settings = configFeedSettings(Times);
-  Settings.m_BatchDelay = watchTimes(Times, false).m_EndpointBatchDelay;
+  Settings.m_BatchDelay = watchTimesOf(Times, false).m_EndpointBatchDelay;
   return Settings;
 }
 
@@ -341,15 +310,14 @@
 void StoreFeeds::updateSources(const std::vector<gateway::NodeEntry> &Nodes) {
   m_Sources.setNodes(Nodes);
   const bool Relays = m_Sources.hasFollowers();
-  const WatchTimes New = watchTimes(m_Times, Relays);
-  m_ConfigFeed.m_Feed.setWatchTimes(New.m_Timeout, ConfigBatchDelay);
-  m_EndpointFeed.m_Feed.setWatchTimes(New.m_Timeout, New.m_EndpointBatchDelay);
+  const gateway::WatchTimes New = watchTimesOf(m_Times, Relays);
+  m_ConfigFeed.m_Feed.setWatchTimes(New.m_WatchTimeout, New.m_ConfigBatchDelay);
+  m_EndpointFeed.m_Feed.setWatchTimes(New.m_WatchTimeout,
+                                      New.m_EndpointBatchDelay);
   const model::Duration MaxBackoff =
       m_Sources.isWatcher()
           ? gateway::FeedSettings().m_MaxBackoff
-          : std::max(gateway::FeedSettings().m_MaxBackoff,
-                     std::chrono::duration_cast<model::Duration>(
-                         m_Times.m_ContactTime * FollowerBackoffShare));
+          : gateway::followerMaxBackoff(m_Times.m_ContactTime);
   for (Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
     Each->m_Feed.setMaxBackoff(MaxBackoff);
   updateStanding(m_ConfigFeed);
--- /dev/null
+++ b/Source/Core/Gateway/WatchTimes.cpp
@@ -0,0 +1,46 @@
+#include "Core/Gateway/WatchTimes.h"
+
+#include "Core/Gateway/ObjectFeed.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace bronzepass::core::gateway {
+
+namespace {
+
+constexpr model::Duration ConfigBatchDelay = std::chrono::milliseconds(50);
+/// Shares of the leave notice. Each watch costs a call, and entries change with
+/// every copy; urgent changes of copies are sent directly between nodes.
+constexpr double EndpointBatchShare = 0.6;
+/// The same where other nodes learn of the change from this one. What a change
+/// takes to reach the last node is the sum of this delay, a watch that fails
+/// unnoticed, and the call to the store that follows: together less than the
+/// leave notice.
+constexpr double RelayedBatchShare = 0.25;
+constexpr double RelayedWatchShare = 0.4;
+/// Share of the contact time.
+constexpr double FollowerBackoffShare = 0.3;
+
+model::Duration shareOf(model::Duration Whole, double Share) {
+  return std::chrono::duration_cast<model::Duration>(Whole * Share);
+}
+
+} // namespace
+
+WatchTimes watchTimes(model::Duration LeaveNotice, model::Duration ContactTime,
+                      bool Relays) {
+  const model::Duration Longest = ContactTime - FeedSettings().m_AnswerTimeout;
+  if (!Relays)
+    return {Longest, ConfigBatchDelay,
+            shareOf(LeaveNotice, EndpointBatchShare)};
+  return {std::min(Longest, shareOf(LeaveNotice, RelayedWatchShare)),
+          ConfigBatchDelay, shareOf(LeaveNotice, RelayedBatchShare)};
+}
+
+model::Duration followerMaxBackoff(model::Duration ContactTime) {
+  return std::max(FeedSettings().m_MaxBackoff,
+                  shareOf(ContactTime, FollowerBackoffShare));
+}
+
+} // namespace bronzepass::core::gateway
--- /dev/null
+++ b/Source/Core/Gateway/WatchTimes.h
@@ -0,0 +1,33 @@
+#ifndef BRONZEPASS_CORE_GATEWAY_WATCHTIMES_H
+#define BRONZEPASS_CORE_GATEWAY_WATCHTIMES_H
+
+#include "Core/Model/Time.h"
+
+#include <compare>
+
+namespace bronzepass::core::gateway {
+
+/// How the configuration and the endpoints in the platform's store are watched.
+struct WatchTimes {
+  /// How long one watch stays open.
+  model::Duration m_WatchTimeout;
+  /// Delay of the next watch after a change.
+  model::Duration m_ConfigBatchDelay;
+  model::Duration m_EndpointBatchDelay;
+
+  friend auto operator<=>(const WatchTimes &, const WatchTimes &) = default;
+};
+
+/// \p LeaveNotice: how long a leaving endpoint still takes requests.
+/// \p ContactTime: in which a silent connection to the store has to be noticed.
+/// \p Relays: other nodes learn of changes from those that watch the store.
+WatchTimes watchTimes(model::Duration LeaveNotice, model::Duration ContactTime,
+                      bool Relays);
+
+/// Longest pause between two calls to a store that does not answer, of a node
+/// that no other depends on.
+model::Duration followerMaxBackoff(model::Duration ContactTime);
+
+} // namespace bronzepass::core::gateway
+
+#endif // BRONZEPASS_CORE_GATEWAY_WATCHTIMES_H
--- /dev/null
+++ b/Source/UnitTests/Gateway/WatchTimesTest.cpp
@@ -0,0 +1,37 @@
+#include "Core/Gateway/WatchTimes.h"
+
+#include "Core/Gateway/ObjectFeed.h"
+
+#include <chrono>
+#include <doctest/doctest.h>
+
+namespace bronzepass::core::gateway {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("a change reaches every node within the leave notice, also where its "
+          "watcher loses the store") {
+  const FeedSettings Feed;
+  for (const model::Duration LeaveNotice : {2s, 3s, 4s, 10s}) {
+    const WatchTimes Times = watchTimes(LeaveNotice, LeaveNotice + 1s, true);
+    CHECK(Times.m_EndpointBatchDelay + Times.m_WatchTimeout +
+              Feed.m_AnswerTimeout <
+          LeaveNotice);
+    CHECK(Times.m_ConfigBatchDelay + Times.m_WatchTimeout +
+              Feed.m_AnswerTimeout <
+          LeaveNotice);
+  }
+}
+
+TEST_CASE("a silent connection is noticed within the contact time") {
+  const FeedSettings Feed;
+  for (const bool Relays : {false, true})
+    for (const model::Duration ContactTime : {3s, 4s, 5s})
+      CHECK(watchTimes(2s, ContactTime, Relays).m_WatchTimeout +
+                Feed.m_AnswerTimeout <=
+            ContactTime);
+  CHECK(followerMaxBackoff(3s) < 3s);
+  CHECK(followerMaxBackoff(1s) == Feed.m_MaxBackoff);
+}
+
+} // namespace bronzepass::core::gateway
