Gateway: Log the parts of a prompt whose send broke off

Lines about a request named its route, model and engine. Whether the requests that break off at the crashes of engines have something in common could not be told from them.

RelayCore fills the notice to the other nodes itself (notice() in place of loads()), so that a simulation of several cores exchanges what nodes do.

--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -15,6 +15,13 @@
 constexpr const char *LinePattern = R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z",%v})";
 constexpr int64_t MicrosPerMilli = 1000;
 
+std::string hexadecimalList(const std::vector<uint64_t> &Ids) {
+  std::string Text;
+  for (const uint64_t Id : Ids)
+    Text += fmt::format("{}{:x}", Text.empty() ? "" : ",", Id);
+  return Text;
+}
+
 } // namespace
 
 GatewayLog::GatewayLog(std::string Node) : m_Node(std::move(Node)) {
@@ -96,6 +103,8 @@
              {"partial_event_bytes",
               static_cast<int64_t>(Entry.m_AnswerEnd->m_PartialEventBytes)}})
       Fields.push_back(Each);
+  if (!Entry.m_PromptParts.empty())
+    Fields.push_back({"prompt", hexadecimalList(Entry.m_PromptParts)});
   write("request", Entry.m_Action, Fields);
 }
 
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -156,8 +156,7 @@
 }
 
 void GatewayTraffic::sendLoadNotice() {
-  gateway::PeerNotice Notice;
-  Notice.m_Loads = m_Core.loads();
+  gateway::PeerNotice Notice = m_Core.notice(m_Clock.now());
   Notice.m_UsageCounters = m_Core.takeUsageCounters();
   if (!Notice.m_UsageCounters.empty() || m_Sequence == 0)
     m_Events.onDemandReport(m_Self, m_Start, Notice.m_UsageCounters);
@@ -212,8 +211,7 @@
       Holders.push_back(Each.second.m_Address);
   if (Holders.empty())
     return;
-  gateway::PeerNotice Notice;
-  Notice.m_Loads = m_Core.loads();
+  gateway::PeerNotice Notice = m_Core.notice(m_Clock.now());
   Notice.m_CopyRequests.push_back(Request);
   sendNotice(std::move(Notice), Holders);
 }
@@ -276,8 +274,7 @@
 void GatewayTraffic::announceCopyChanges(
     std::vector<gateway::CopyChange> Changes) {
   m_Thread.loop().post([this, Changes = std::move(Changes)] {
-    gateway::PeerNotice Notice;
-    Notice.m_Loads = m_Core.loads();
+    gateway::PeerNotice Notice = m_Core.notice(m_Clock.now());
     Notice.m_CopyChanges = Changes;
     std::vector<model::Address> All;
     for (const auto &Each : m_Peers)
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -303,6 +303,13 @@
   m_ActiveRequests.erase(Number);
 }
 
+std::vector<uint64_t> RelayCore::promptPartIds(const ActiveRequest &Active) {
+  std::vector<uint64_t> Ids;
+  for (const PromptPart &Each : Active.m_Request.m_Prompt)
+    Ids.push_back(Each.m_Id);
+  return Ids;
+}
+
 void RelayCore::log(ActiveRequest &Active, const char *Action, int Status,
                     const std::string &Reason, RelayEffectList &Out) const {
   Out.push_back(RelayLogEntry{
@@ -322,7 +329,9 @@
       .m_Inputs = Active.m_Inputs,
       .m_Timing = Active.m_AnswerStarted ? std::optional(Active.m_Timing)
                                          : std::nullopt,
-      .m_AnswerEnd = std::exchange(Active.m_AnswerEnd, std::nullopt)});
+      .m_AnswerEnd = std::exchange(Active.m_AnswerEnd, std::nullopt),
+      .m_PromptParts = Active.m_LastSendBrokeOff ? promptPartIds(Active)
+                                                 : std::vector<uint64_t>()});
 }
 
 EndpointView *RelayCore::findEndpoint(const model::EndpointId &Endpoint) {
@@ -349,13 +358,13 @@
     m_Endpoints.erase(Found);
 }
 
-std::vector<EndpointLoad> RelayCore::loads() const {
-  std::vector<EndpointLoad> Loads;
+PeerNotice RelayCore::notice(model::TimePoint /*Now*/) const {
+  PeerNotice Notice;
   for (const auto &Entry : m_Endpoints)
     if (Entry.second.m_InFlight > 0)
-      Loads.push_back(
+      Notice.m_Loads.push_back(
           {Entry.first, Entry.second.m_InFlight, Entry.second.m_PrefillTokens});
-  return Loads;
+  return Notice;
 }
 
 std::vector<UsageCounter> RelayCore::takeUsageCounters() {
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -68,8 +68,9 @@
 
   const RouteTable *table() const { return m_Table.get(); }
   size_t activeRequestCount() const { return m_ActiveRequests.size(); }
-  /// This node's load per endpoint, for the notice to its peers.
-  std::vector<EndpointLoad> loads() const;
+  /// What this node tells its peers about its requests; the caller adds who
+  /// sends it.
+  PeerNotice notice(model::TimePoint Now) const;
   /// Changes with each prompt that this node adds to an engine's prefill queue
   /// or that leaves it.
   uint64_t prefillChanges() const { return m_PrefillChanges; }
@@ -108,6 +109,7 @@
     /// It waits until an engine's prefill queue is short enough.
     bool m_IsHeld = false;
     std::string m_LastFailure;
+    bool m_LastSendBrokeOff = false;
     /// Inputs of the current choice, for the log line.
     std::optional<ChoiceInputs> m_Inputs;
     /// End of the last send's answer, until a log line has told it.
@@ -159,6 +161,7 @@
   void expire(ActiveRequest &Active, RelayEffectList &Out);
   bool isCountedModel(const ActiveRequest &Active) const;
   std::vector<uint64_t> promptHashes(const RelayRequest &Request) const;
+  static std::vector<uint64_t> promptPartIds(const ActiveRequest &Active);
 
   // RelayChoice.cpp: choice of an endpoint, waiting for a copy, sends.
   Choice chooseEndpoint(const ActiveRequest &Active) const;
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -188,6 +188,7 @@
   if (MayHaveRun)
     ++Active.m_PossibleRuns;
   Active.m_HasFailureAnswer = Outcome.m_Result == SendResult::Failed;
+  Active.m_LastSendBrokeOff = Outcome.m_Result == SendResult::Broken;
   if (Active.m_CallerDisconnected) {
     log(Active, "end", Outcome.m_Status, Active.m_LastFailure, Out);
     removeRequest(Active);
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -209,6 +209,8 @@
   std::optional<AnswerTiming> m_Timing;
   /// Set in the first line after the end of an endpoint's answer.
   std::optional<AnswerEnd> m_AnswerEnd;
+  /// The ids of the prompt's parts, set if the last send broke off.
+  std::vector<uint64_t> m_PromptParts;
 
   friend auto operator<=>(const RelayLogEntry &,
                           const RelayLogEntry &) = default;
--- a/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
@@ -161,6 +161,16 @@
                      R"("dependency":"store/config","reason":"no answer"})");
 }
 
+TEST_CASE("the parts of a prompt are logged in the order and notation of the "
+          "caller") {
+  const nlohmann::ordered_json Line = captureLine([](GatewayLog &Log) {
+    core::gateway::RelayLogEntry Entry = sendLogEntry();
+    Entry.m_PromptParts = {0x5c1e07a2, 0x91bd3f06};
+    Log.write(Entry);
+  });
+  CHECK(Line["prompt"] == "5c1e07a2,91bd3f06");
+}
+
 TEST_CASE("every field of request and placement lines is documented") {
   std::ifstream File(std::string(BRONZEPASS_DOCS) + "/LOGS.md");
   REQUIRE(File);
@@ -172,6 +182,7 @@
         Entry.m_Reason = "why";
         Entry.m_Timing = core::gateway::AnswerTiming();
         Entry.m_AnswerEnd = core::gateway::AnswerEnd();
+        Entry.m_PromptParts = {1};
         Log.write(Entry);
       }),
       captureLine([](GatewayLog &Log) {
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -113,6 +113,24 @@
   CHECK(Relay.m_Core.activeRequestCount() == 0);
 }
 
+TEST_CASE("lines after a send that broke off name the parts of the prompt") {
+  RelayFixture Relay;
+  Relay.start({"a"});
+  gateway::RelayRequest Request;
+  Request.m_Number = {1};
+  Request.m_Host = "h";
+  Request.m_Path = "/stream/";
+  Request.m_BeganAt = Relay.m_Now;
+  Request.m_ModelRef = {"m", ""};
+  Request.m_Prompt = {{7, 100}, {8, 50}};
+  Relay.m_Core.onRequestReceived(Request, Relay.m_Now, Relay.m_Out);
+  CHECK(Relay.take<gateway::RelayLogEntry>().back().m_PromptParts.empty());
+  Relay.finishSend(Relay.take<SendRequest>()[0].m_Attempt, SendResult::Broken,
+                   0);
+  CHECK(Relay.take<gateway::RelayLogEntry>().back().m_PromptParts ==
+        std::vector<uint64_t>{7, 8});
+}
+
 // Guards against joining a part of one answer with another answer.
 TEST_CASE("a repeatable request whose answer broke off while it was forwarded "
           "is not sent again") {
