UnitTests/Gateway: Prompt parts that crash engines, in a fleet of six nodes

RelayFleet plays several RelayCores that exchange notices (one in ten is lost) and share engines which crash, and start again under another id.

--- /dev/null
+++ b/Source/UnitTests/Gateway/CrashingPromptTest.cpp
@@ -0,0 +1,89 @@
+#include "UnitTests/Gateway/RelayFleet.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+namespace bronzepass::unit_tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr model::Duration ContactTime = 3s;
+constexpr uint64_t FirstPart = 1;
+constexpr uint64_t CrashingPart = 0xbad;
+
+/// Callers of one route for 20 s: sound requests all the time, and from 2 s on
+/// others whose middle part crashes engines, at any node.
+class CrashingPromptDay {
+public:
+  CrashingPromptDay(uint64_t Seed, model::Duration CrashingPeriod)
+      : m_Random(Seed), m_CrashingPeriod(CrashingPeriod),
+        m_Fleet(Seed, {.m_CrashingParts = {CrashingPart}}) {}
+
+  void run() {
+    const model::TimePoint Start = m_Fleet.now();
+    model::TimePoint NextCrashing = Start + 2s;
+    while (m_Fleet.now() < Start + 20s) {
+      m_Fleet.ask(m_Fleet.randomNode(), {FirstPart, 100 + m_Random() % 20,
+                                         1000 + m_Random() % 1000000});
+      if (m_Fleet.now() >= NextCrashing) {
+        m_Fleet.ask(m_Fleet.randomNode(),
+                    {FirstPart, CrashingPart, m_Random()});
+        NextCrashing += m_CrashingPeriod;
+      }
+      m_Fleet.run(20ms);
+    }
+  }
+
+  size_t crashesAfterBound() const {
+    if (m_Fleet.crashes().size() < 5)
+      return 0;
+    const model::TimePoint Bound = m_Fleet.crashes()[4] + ContactTime;
+    size_t Count = 0;
+    for (const RelayFleet::Arrival &Each : m_Fleet.arrivals())
+      Count += Each.m_Crashes && Each.m_At > Bound ? 1 : 0;
+    return Count;
+  }
+
+  /// Share of the sound requests, from twice the contact time after the fifth
+  /// crash or the last one, that begin at their first send.
+  double soundShareBegun() const {
+    const size_t Last = std::min<size_t>(m_Fleet.crashes().size(), 5);
+    const model::TimePoint From = m_Fleet.crashes()[Last - 1] + 2 * ContactTime;
+    size_t Sound = 0;
+    size_t Begun = 0;
+    for (const RelayFleet::Asked &Each : m_Fleet.asked()) {
+      if (Each.m_At < From || Each.m_Parts[1] == CrashingPart ||
+          Each.m_At > m_Fleet.now() - 500ms)
+        continue;
+      ++Sound;
+      Begun += Each.m_BeganAtFirstSend ? 1 : 0;
+    }
+    return static_cast<double>(Begun) / static_cast<double>(Sound);
+  }
+
+  std::mt19937_64 m_Random;
+  model::Duration m_CrashingPeriod;
+  RelayFleet m_Fleet;
+};
+
+} // namespace
+
+// Guards against sending a prompt that crashes engines to one engine after the
+// other.
+TEST_CASE("requests with a prompt part that crashes engines are no longer sent "
+          "once five engines have crashed") {
+  for (const model::Duration Period : {100ms, 400ms, 1300ms}) {
+    for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+      CAPTURE(Period.count());
+      CAPTURE(Seed);
+      CrashingPromptDay Day(Seed, Period);
+      Day.run();
+      CHECK(Day.crashesAfterBound() <= 3);
+      CHECK(Day.soundShareBegun() > 0.5);
+    }
+  }
+}
+
+} // namespace bronzepass::unit_tests
--- /dev/null
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -0,0 +1,221 @@
+#include "UnitTests/Gateway/RelayFleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzepass::unit_tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr model::Duration Step = 10ms;
+constexpr model::Duration NetworkDelay = 2ms;
+constexpr model::Duration TimeToFirstChunk = 40ms;
+constexpr model::Duration AnswerTime = 400ms;
+constexpr model::Duration NoticePeriod = 200ms;
+/// A crash shows in the store once the engine has missed three renewals.
+constexpr model::Duration EntryLifetime = 3600ms;
+constexpr uint32_t TokensPerPart = 200;
+
+} // namespace
+
+RelayFleet::RelayFleet(uint64_t Seed, Settings Chosen)
+    : m_Settings(std::move(Chosen)), m_Random(Seed) {
+  for (size_t I = 0; I < m_Settings.m_Engines; ++I)
+    m_Engines.insert(model::EndpointId("e" + std::to_string(++m_LastEngine)));
+  m_Nodes.resize(m_Settings.m_Nodes);
+  for (size_t I = 0; I < m_Nodes.size(); ++I)
+    startNode(I);
+  publishEngines();
+}
+
+void RelayFleet::startNode(size_t Index) {
+  m_Nodes[Index] = std::make_unique<Node>(m_Random());
+  RelayFixture &Relay = m_Nodes[Index]->m_Relay;
+  Relay.m_Now = m_Now;
+  Relay.configure();
+  Relay.m_Core.setNodeCount(static_cast<uint32_t>(m_Nodes.size()));
+  ++m_Starts;
+}
+
+void RelayFleet::restartNode(size_t Index) {
+  startNode(Index);
+  publishEngines();
+}
+
+std::vector<model::EndpointId> RelayFleet::engines() const {
+  return {m_Engines.begin(), m_Engines.end()};
+}
+
+void RelayFleet::schedule(model::Duration Delay, std::function<void()> Run) {
+  m_Events.emplace(m_Now + Delay, Event{0, std::move(Run)});
+}
+
+bool RelayFleet::hasCrashingPart(const Asked &Request) const {
+  return std::any_of(
+      Request.m_Parts.begin(), Request.m_Parts.end(),
+      [&](uint64_t Part) { return m_Settings.m_CrashingParts.contains(Part); });
+}
+
+void RelayFleet::ask(size_t Index, const std::vector<uint64_t> &Parts) {
+  Node &To = *m_Nodes[Index];
+  gateway::RelayRequest Request;
+  Request.m_Number = {++To.m_Relay.m_Last};
+  Request.m_CallerRequestId = "caller-" + std::to_string(m_Asked.size());
+  Request.m_Host = "h";
+  Request.m_Path = "/stream/";
+  Request.m_BeganAt = m_Now;
+  Request.m_ModelRef = {"m", ""};
+  for (const uint64_t Part : Parts) {
+    Request.m_Prompt.push_back({Part, TokensPerPart});
+    Request.m_PromptTokens += TokensPerPart;
+  }
+  To.m_Requests[Request.m_Number] = m_Asked.size();
+  m_Asked.push_back({m_Now, Parts});
+  To.m_Relay.m_Core.onRequestReceived(Request, m_Now, To.m_Relay.m_Out);
+  carryOut(Index);
+}
+
+void RelayFleet::carryOut(size_t Index) {
+  Node &From = *m_Nodes[Index];
+  gateway::RelayEffectList Effects;
+  std::swap(Effects, From.m_Relay.m_Out);
+  for (const gateway::RelayEffect &Each : Effects) {
+    if (const auto *const Refusal = std::get_if<gateway::RejectRequest>(&Each))
+      m_Asked[From.m_Requests.at(Refusal->m_Request)].m_Refused = true;
+    const auto *const Sent = std::get_if<gateway::SendRequest>(&Each);
+    if (!Sent)
+      continue;
+    From.m_Sends[Sent->m_Attempt] = {
+        Sent->m_Endpoint, From.m_Requests.at(Sent->m_Request),
+        From.m_Sent.insert(Sent->m_Request).second};
+    schedule(NetworkDelay, [this, Index, Start = m_Starts, Node = &From,
+                            Attempt = Sent->m_Attempt] {
+      if (m_Nodes[Index].get() == Node)
+        arrive(Index, Attempt);
+    });
+  }
+}
+
+void RelayFleet::arrive(size_t Index, model::AttemptId Attempt) {
+  Node &From = *m_Nodes[Index];
+  const auto Found = From.m_Sends.find(Attempt);
+  if (Found == From.m_Sends.end())
+    return;
+  const Send Sent = Found->second;
+  if (!m_Engines.contains(Sent.m_Engine)) {
+    finish(Index, Attempt, gateway::SendResult::NotSent);
+    return;
+  }
+  const bool Crashes = hasCrashingPart(m_Asked[Sent.m_Asked]);
+  m_Arrivals.push_back({m_Now, Sent.m_Engine, Crashes});
+  const auto IfCurrent = [this, Index, Node = &From,
+                          Attempt](std::function<void()> Run) {
+    return [this, Index, Node, Attempt, Run = std::move(Run)] {
+      if (m_Nodes[Index].get() == Node && Node->m_Sends.contains(Attempt))
+        Run();
+    };
+  };
+  if (Crashes) {
+    schedule(TimeToFirstChunk, [this, Engine = Sent.m_Engine] {
+      if (m_Engines.contains(Engine))
+        crash(Engine);
+    });
+    return;
+  }
+  schedule(TimeToFirstChunk, IfCurrent([this, Index, Attempt] {
+             Node &To = *m_Nodes[Index];
+             const Send &Answered = To.m_Sends.at(Attempt);
+             m_Asked[Answered.m_Asked].m_BeganAtFirstSend |= Answered.m_IsFirst;
+             To.m_Relay.m_Core.onAnswerChunk(Attempt, m_Now);
+           }));
+  schedule(AnswerTime, IfCurrent([this, Index, Attempt] {
+             m_Nodes[Index]->m_Relay.m_Core.onAnswerChunk(Attempt, m_Now);
+             finish(Index, Attempt, gateway::SendResult::Completed);
+           }));
+}
+
+void RelayFleet::finish(size_t Index, model::AttemptId Attempt,
+                        gateway::SendResult Result) {
+  Node &To = *m_Nodes[Index];
+  To.m_Sends.erase(Attempt);
+  To.m_Relay.m_Core.onSendFinished(
+      Attempt,
+      {Result, Result == gateway::SendResult::Completed ? 200 : 0, false, ""},
+      m_Now, To.m_Relay.m_Out);
+  carryOut(Index);
+}
+
+void RelayFleet::crash(const model::EndpointId &Engine) {
+  m_Engines.erase(Engine);
+  m_Crashes.push_back(m_Now);
+  for (size_t I = 0; I < m_Nodes.size(); ++I) {
+    std::vector<model::AttemptId> Broken;
+    for (const auto &Each : m_Nodes[I]->m_Sends)
+      if (Each.second.m_Engine == Engine)
+        Broken.push_back(Each.first);
+    for (const model::AttemptId Attempt : Broken)
+      finish(I, Attempt, gateway::SendResult::Broken);
+  }
+  schedule(std::min(EntryLifetime, m_Settings.m_RestartTime),
+           [this] { publishEngines(); });
+  schedule(m_Settings.m_RestartTime, [this] { startEngine(); });
+}
+
+void RelayFleet::startEngine() {
+  m_Engines.insert(model::EndpointId("e" + std::to_string(++m_LastEngine)));
+  publishEngines();
+}
+
+void RelayFleet::publishEngines() {
+  std::vector<gateway::EndpointEntry> Entries;
+  for (const model::EndpointId &Each : m_Engines) {
+    Entries.push_back(RelayFixture::endpoint(Each.str()));
+    Entries.back().m_Slots = 32;
+  }
+  for (size_t I = 0; I < m_Nodes.size(); ++I) {
+    m_Nodes[I]->m_Relay.m_Core.setEndpoints(Entries, m_Now,
+                                            m_Nodes[I]->m_Relay.m_Out);
+    carryOut(I);
+  }
+}
+
+void RelayFleet::exchangeNotices() {
+  ++m_Notices;
+  for (size_t From = 0; From < m_Nodes.size(); ++From) {
+    gateway::PeerNotice Notice = m_Nodes[From]->m_Relay.m_Core.notice(m_Now);
+    Notice.m_From = model::NodeId("n" + std::to_string(From));
+    Notice.m_Start = 1;
+    Notice.m_Sequence = m_Notices;
+    for (size_t To = 0; To < m_Nodes.size(); ++To) {
+      const bool IsLost = static_cast<double>(m_Random() % 1000) / 1000 <
+                          m_Settings.m_LostNotices;
+      if (To == From || IsLost)
+        continue;
+      m_Nodes[To]->m_Relay.m_Core.onPeerNotice(Notice, m_Now,
+                                               m_Nodes[To]->m_Relay.m_Out);
+      carryOut(To);
+    }
+  }
+}
+
+void RelayFleet::run(model::Duration Span) {
+  const model::TimePoint End = m_Now + Span;
+  while (m_Now < End) {
+    m_Now += Step;
+    while (!m_Events.empty() && m_Events.begin()->first <= m_Now) {
+      const Event Due = std::move(m_Events.begin()->second);
+      m_Events.erase(m_Events.begin());
+      Due.m_Run();
+    }
+    if (m_Now.time_since_epoch() % NoticePeriod == 0us)
+      exchangeNotices();
+    for (size_t I = 0; I < m_Nodes.size(); ++I) {
+      m_Nodes[I]->m_Relay.m_Core.tick(m_Now, m_Nodes[I]->m_Relay.m_Out);
+      carryOut(I);
+    }
+  }
+}
+
+} // namespace bronzepass::unit_tests
--- /dev/null
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -0,0 +1,106 @@
+#ifndef BRONZEPASS_UNITTESTS_GATEWAY_RELAYFLEET_H
+#define BRONZEPASS_UNITTESTS_GATEWAY_RELAYFLEET_H
+
+#include "UnitTests/Gateway/RelayFixture.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bronzepass::unit_tests {
+
+/// Several RelayCores that exchange notices, and the engines that they share,
+/// in simulated time. Engines crash while they answer a prompt with a crashing
+/// part, and start again under another id.
+class RelayFleet {
+public:
+  struct Settings {
+    size_t m_Nodes = 6;
+    size_t m_Engines = 12;
+    double m_LostNotices = 0.1;
+    std::set<uint64_t> m_CrashingParts;
+    model::Duration m_RestartTime = std::chrono::seconds(4);
+  };
+  /// A request reached an engine.
+  struct Arrival {
+    model::TimePoint m_At;
+    model::EndpointId m_Engine;
+    bool m_Crashes = false;
+  };
+  /// What became of a request.
+  struct Asked {
+    model::TimePoint m_At;
+    std::vector<uint64_t> m_Parts;
+    bool m_BeganAtFirstSend = false;
+    bool m_Refused = false;
+  };
+
+  RelayFleet(uint64_t Seed, Settings Chosen);
+
+  void ask(size_t Node, const std::vector<uint64_t> &Parts);
+  void run(model::Duration Span);
+  /// All requests at one engine break off.
+  void crash(const model::EndpointId &Engine);
+  /// The node forgets all that it knew.
+  void restartNode(size_t Node);
+  size_t randomNode() { return m_Random() % m_Nodes.size(); }
+  std::vector<model::EndpointId> engines() const;
+
+  model::TimePoint now() const { return m_Now; }
+  const std::vector<Arrival> &arrivals() const { return m_Arrivals; }
+  const std::vector<model::TimePoint> &crashes() const { return m_Crashes; }
+  const std::vector<Asked> &asked() const { return m_Asked; }
+  const gateway::RelayCore &node(size_t Index) const {
+    return m_Nodes[Index]->m_Relay.m_Core;
+  }
+
+private:
+  struct Send {
+    model::EndpointId m_Engine;
+    size_t m_Asked = 0;
+    bool m_IsFirst = true;
+  };
+  struct Node {
+    explicit Node(uint64_t Seed) : m_Relay(Seed) {}
+    RelayFixture m_Relay;
+    std::map<model::AttemptId, Send> m_Sends;
+    std::map<model::RequestId, size_t> m_Requests;
+    std::set<model::RequestId> m_Sent;
+  };
+  struct Event {
+    uint64_t m_Order = 0;
+    std::function<void()> m_Run;
+  };
+
+  void schedule(model::Duration Delay, std::function<void()> Run);
+  void carryOut(size_t Index);
+  void startNode(size_t Index);
+  void arrive(size_t Index, model::AttemptId Attempt);
+  void finish(size_t Index, model::AttemptId Attempt,
+              gateway::SendResult Result);
+  void exchangeNotices();
+  void publishEngines();
+  void startEngine();
+  bool hasCrashingPart(const Asked &Request) const;
+
+  const Settings m_Settings;
+  std::mt19937_64 m_Random;
+  model::TimePoint m_Now = model::TimePoint(std::chrono::seconds(100));
+  std::multimap<model::TimePoint, Event> m_Events;
+  std::vector<std::unique_ptr<Node>> m_Nodes;
+  std::set<model::EndpointId> m_Engines;
+  uint64_t m_LastEngine = 0;
+  uint64_t m_Starts = 0;
+  uint64_t m_Notices = 0;
+  std::vector<Arrival> m_Arrivals;
+  std::vector<model::TimePoint> m_Crashes;
+  std::vector<Asked> m_Asked;
+};
+
+} // namespace bronzepass::unit_tests
+
+#endif // BRONZEPASS_UNITTESTS_GATEWAY_RELAYFLEET_H
