Gateway, Platform: Read and log the limit that an endpoint names in its answers

Nothing read Server-Limit, so that neither its begin nor its end could be told from the logs. The head of each answer is now decoded into an EndpointStatement; one line is logged when it differs from the one before. Values that are no decimal number from 0 to 1e9 are ignored, counted in bronzepass_unreadable_statements_total and logged once a second at most; of repeated lines the lowest counts. No choice depends on it yet.

--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -115,6 +115,13 @@
          {"source", Change.m_FromPeer ? "peer" : "own"}});
 }
 
+void GatewayLog::write(const core::gateway::StatementChange &Change) {
+  const std::optional<double> Limit = Change.m_Statement.m_RequestsPerSecond;
+  write("endpoint", "statement",
+        {{"endpoint", Change.m_Endpoint.str()},
+         {"limit_per_s", Limit ? fmt::format("{:g}", *Limit) : "none"}});
+}
+
 void GatewayLog::write(const residency::ResidencyLogEntry &Entry) {
   write("placement", Entry.m_Action,
         {{"endpoint", Entry.m_Endpoint},
--- a/Source/Core/Adapters/Gateway/GatewayLog.h
+++ b/Source/Core/Adapters/Gateway/GatewayLog.h
@@ -41,6 +41,7 @@
              const std::vector<LogField> &Fields);
   void write(const core::gateway::RelayLogEntry &Entry);
   void write(const core::gateway::QuarantineChange &Change);
+  void write(const core::gateway::StatementChange &Change);
   void write(const residency::ResidencyLogEntry &Entry);
   /// Writes one line for each finding in the data that the store or an engine
   /// sent about \p Name.
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -45,6 +45,12 @@
                 .Name("bronzepass_store_restores_total")
                 .Help("Restores of the platform's store from a backup")
                 .Register(m_Registry)),
+        m_UnreadableStatements(
+            prom::BuildCounter()
+                .Name("bronzepass_unreadable_statements_total")
+                .Help("Answers whose endpoint said something of itself that "
+                      "could not be read")
+                .Register(m_Registry)),
         m_Durations(prom::BuildHistogram()
                         .Name("bronzepass_request_duration_seconds")
                         .Help("From a request's first byte to its end")
@@ -59,6 +65,7 @@
   prom::Family<prom::Counter> &m_Sends;
   prom::Family<prom::Counter> &m_Answers;
   prom::Family<prom::Counter> &m_StoreRestores;
+  prom::Family<prom::Counter> &m_UnreadableStatements;
   prom::Family<prom::Histogram> &m_Durations;
   prom::Family<prom::Gauge> &m_Gauges;
 };
@@ -92,6 +99,10 @@
       .Observe(std::chrono::duration<double>(Entry.m_Elapsed).count());
 }
 
+void GatewayMetrics::countUnreadableStatement() {
+  m_Impl->m_UnreadableStatements.Add({}).Increment();
+}
+
 void GatewayMetrics::countStoreRestore() {
   m_Impl->m_StoreRestores.Add({}).Increment();
 }
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -33,6 +33,7 @@
 /// An answer that is forwarded ends here, since an endpoint in trouble may send
 /// bytes until its connection is closed.
 constexpr uint64_t MaxForwardedBytes = 64 << 20;
+constexpr model::Duration UnreadableLogPeriod = std::chrono::seconds(1);
 /// Many times the largest event of any engine.
 constexpr size_t MaxEventBytes = 64 << 10;
 
@@ -236,6 +237,19 @@
   m_Log.write(Effect);
 }
 
+void RelayDriver::on(const gateway::StatementChange &Effect) {
+  m_Log.write(Effect);
+}
+
+void RelayDriver::logUnreadableStatement(const std::string &Line) {
+  m_Metrics.countUnreadableStatement();
+  const model::TimePoint Now = m_Clock.now();
+  if (m_UnreadableLoggedAt && Now < *m_UnreadableLoggedAt + UnreadableLogPeriod)
+    return;
+  m_UnreadableLoggedAt = Now;
+  m_Log.write("endpoint", "unreadable", {{"reason", Line}});
+}
+
 void RelayDriver::endExchange(model::RequestId Request) {
   const auto Found = m_Exchanges.find(Request);
   const std::shared_ptr<pistache::HttpResponseWriter> Answer =
@@ -281,6 +295,14 @@
     const auto Known = m_KeepAlive.emplace(From.m_Service, Kept);
     Known.first->second = std::min(Known.first->second, Kept);
   }
+  if (!From.m_Head->m_UnreadableStatement.empty())
+    logUnreadableStatement(From.m_Head->m_UnreadableStatement);
+  if (!From.m_Head->m_Foreign)
+    decide([&, Statement = From.m_Head->m_Statement](
+               gateway::RelayCore &Core, model::TimePoint Now,
+               gateway::RelayEffectList &Out) {
+      Core.onAnswerHead(Attempt, Statement, Now, Out);
+    });
   const bool Success = gateway::isSuccess(Head.m_Status);
   if (To != m_Exchanges.end() && From.m_Head->m_Foreign) {
     rejectAnswer(Attempt, "an answer to another request");
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -102,6 +102,7 @@
   void on(const core::gateway::CopyRequest &Effect);
   void on(const core::gateway::RelayLogEntry &Effect);
   void on(const core::gateway::QuarantineChange &Effect);
+  void on(const core::gateway::StatementChange &Effect);
 
   void onHead(model::AttemptId Attempt,
               const curl::TransferHead &Head) override;
@@ -117,6 +118,7 @@
                    std::optional<uint64_t> Length);
   void endExchange(model::RequestId Request);
   void rejectAnswer(model::AttemptId Attempt, const std::string &Reason);
+  void logUnreadableStatement(const std::string &Line);
 
   net::EventLoop &m_Loop;
   const core::gateway::Dialect &m_Dialect;
@@ -130,6 +132,7 @@
   /// Shortest time for which a service's endpoints keep idle connections.
   std::map<std::string, std::chrono::seconds> m_KeepAlive;
   uint64_t m_LastRequestNumber = 0;
+  std::optional<model::TimePoint> m_UnreadableLoggedAt;
   bool m_Closing = false;
   size_t m_UnsentAnswers = 0;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/Source/Core/Gateway/Dialect.h
+++ b/Source/Core/Gateway/Dialect.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_CORE_GATEWAY_DIALECT_H
 
 #include "Core/Gateway/EndpointEntry.h"
+#include "Core/Gateway/EndpointStatement.h"
 #include "Core/Gateway/GatewayConfig.h"
 #include "Core/Gateway/ObjectFeed.h"
 #include "Core/Gateway/PlacementOrder.h"
@@ -60,6 +61,10 @@
   bool m_Foreign = false;
   /// How long the endpoint keeps an idle connection open; nullopt if not given.
   std::optional<std::chrono::seconds> m_KeepAlive;
+  EndpointStatement m_Statement;
+  /// The first line of the statement that could not be read; empty if all
+  /// could.
+  std::string m_UnreadableStatement;
 
   friend auto operator<=>(const AnswerHead &, const AnswerHead &) = default;
 };
--- /dev/null
+++ b/Source/Core/Gateway/EndpointStatement.h
@@ -0,0 +1,21 @@
+#ifndef BRONZEPASS_CORE_GATEWAY_ENDPOINTSTATEMENT_H
+#define BRONZEPASS_CORE_GATEWAY_ENDPOINTSTATEMENT_H
+
+#include <compare>
+#include <optional>
+
+namespace bronzepass::core::gateway {
+
+/// What an endpoint says of itself in the head of an answer.
+struct EndpointStatement {
+  /// Requests a second that it takes from all nodes together; nullopt: it sets
+  /// no limit.
+  std::optional<double> m_RequestsPerSecond;
+
+  friend auto operator<=>(const EndpointStatement &,
+                          const EndpointStatement &) = default;
+};
+
+} // namespace bronzepass::core::gateway
+
+#endif // BRONZEPASS_CORE_GATEWAY_ENDPOINTSTATEMENT_H
--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_CORE_GATEWAY_ENDPOINTVIEW_H
 
 #include "Core/Gateway/EndpointEntry.h"
+#include "Core/Gateway/EndpointStatement.h"
 #include "Core/Gateway/QuarantineNotice.h"
 #include "Core/Gateway/RelayTypes.h"
 #include "Core/Model/Time.h"
@@ -30,6 +31,8 @@
   /// the other nodes'.
   uint32_t m_PrefillTokens = 0;
   uint32_t m_PeersPrefillTokens = 0;
+  /// The last that it said of itself.
+  EndpointStatement m_Statement;
   uint32_t m_ConsecutiveFailures = 0;
   model::TimePoint m_EjectedUntil;
   /// Moving average of the share of its answers that were failures.
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -58,6 +58,10 @@
                          RelayEffectList &Out);
   void onCallerDisconnected(model::RequestId Request, model::TimePoint Now,
                             RelayEffectList &Out);
+  /// The head of a send's answer was received.
+  void onAnswerHead(model::AttemptId Attempt,
+                    const EndpointStatement &Statement, model::TimePoint Now,
+                    RelayEffectList &Out);
   /// A chunk of a send's answer was received.
   void onAnswerChunk(model::AttemptId Attempt, model::TimePoint Now);
   /// The head or a part of the answer has been forwarded to the caller.
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -28,6 +28,20 @@
 
 } // namespace
 
+void RelayCore::onAnswerHead(model::AttemptId Attempt,
+                             const EndpointStatement &Statement,
+                             model::TimePoint /*Now*/, RelayEffectList &Out) {
+  const auto Found = m_Attempts.find(Attempt);
+  if (Found == m_Attempts.end())
+    return;
+  EndpointView *const Endpoint =
+      findEndpoint(m_ActiveRequests.at(Found->second).m_Endpoint);
+  if (!Endpoint || Endpoint->m_Statement == Statement)
+    return;
+  Endpoint->m_Statement = Statement;
+  Out.push_back(StatementChange{Endpoint->m_Entry.m_Id, Statement});
+}
+
 void RelayCore::onAnswerChunk(model::AttemptId Attempt, model::TimePoint Now) {
   const auto Found = m_Attempts.find(Attempt);
   if (Found == m_Attempts.end())
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -1,6 +1,7 @@
 #ifndef BRONZEPASS_CORE_GATEWAY_RELAYTYPES_H
 #define BRONZEPASS_CORE_GATEWAY_RELAYTYPES_H
 
+#include "Core/Gateway/EndpointStatement.h"
 #include "Core/Model/Address.h"
 #include "Core/Model/BodyFraming.h"
 #include "Core/Model/Id.h"
@@ -230,9 +231,20 @@
                           const QuarantineChange &) = default;
 };
 
+/// Effect: write one log line about an endpoint whose statement differs from
+/// the one before.
+struct StatementChange {
+  model::EndpointId m_Endpoint;
+  EndpointStatement m_Statement;
+
+  friend auto operator<=>(const StatementChange &,
+                          const StatementChange &) = default;
+};
+
 using RelayEffect =
     std::variant<SendRequest, CancelSend, ForwardAnswer, RejectRequest,
-                 AbortAnswer, CopyRequest, RelayLogEntry, QuarantineChange>;
+                 AbortAnswer, CopyRequest, RelayLogEntry, QuarantineChange,
+                 StatementChange>;
 using RelayEffectList = std::vector<RelayEffect>;
 
 } // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Platform/RequestHeadersTest.cpp
+++ b/Source/UnitTests/Platform/RequestHeadersTest.cpp
@@ -122,4 +122,24 @@
   }
 }
 
+TEST_CASE("an endpoint's limit is a decimal number, the lowest if there are "
+          "several") {
+  const auto Limit = [](const HeaderLines &Headers) {
+    return readHead(200, Headers, "").m_Statement.m_RequestsPerSecond;
+  };
+  CHECK_FALSE(Limit({}));
+  CHECK(Limit({{"server-limit", " 4.25 "}}) == 4.25);
+  CHECK(Limit({{"Server-Limit", "0"}}) == 0);
+  CHECK(Limit({{"Server-Limit", "7"}, {"Server-Limit", "3"}}) == 3);
+  CHECK(Limit({{"Server-Limit", "x"}, {"Server-Limit", "3"}}) == 3);
+  for (const char *const Text :
+       {"", "-1", "4 per second", "nan", "inf", "1e3", "0x10", "99999999999"}) {
+    CAPTURE(Text);
+    const core::gateway::AnswerHead Head =
+        readHead(200, {{"Server-Limit", Text}}, "");
+    CHECK_FALSE(Head.m_Statement.m_RequestsPerSecond);
+    CHECK(Head.m_UnreadableStatement == std::string("Server-Limit: ") + Text);
+  }
+}
+
 } // namespace bronzepass::platform
