--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -109,7 +109,7 @@
     return;
   }
   const bool Crashes = hasCrashingPart(m_Asked[Sent.m_Asked]);
-  m_Arrivals.push_back({m_Now, Sent.m_Engine, Crashes});
+  m_Arrivals.push_back({m_Now, Index, Sent.m_Engine, Crashes});
   const auto IfCurrent = [this, Index, Node = &From,
                           Attempt](std::function<void()> Run) {
     return [this, Index, Node, Attempt, Run = std::move(Run)] {
@@ -128,6 +128,7 @@
              Node &To = *m_Nodes[Index];
              const Send &Answered = To.m_Sends.at(Attempt);
              m_Asked[Answered.m_Asked].m_BeganAtFirstSend |= Answered.m_IsFirst;
+             receiveHead(Index, Attempt, Answered.m_Engine);
              To.m_Relay.m_Core.onAnswerChunk(Attempt, m_Now);
            }));
   schedule(AnswerTime, IfCurrent([this, Index, Attempt] {
@@ -136,6 +137,22 @@
            }));
 }
 
+void RelayFleet::receiveHead(size_t Index, model::AttemptId Attempt,
+                             const model::EndpointId &Engine) {
+  const auto Statement = m_Statements.find(Engine);
+  if (Statement == m_Statements.end())
+    return;
+  m_ToldAt.emplace(std::pair(Index, Engine), m_Now);
+  RelayFixture &Relay = m_Nodes[Index]->m_Relay;
+  Relay.m_Core.onAnswerHead(Attempt, Statement->second, m_Now, Relay.m_Out);
+}
+
+std::optional<model::TimePoint>
+RelayFleet::toldAt(size_t Node, const model::EndpointId &Engine) const {
+  const auto Found = m_ToldAt.find({Node, Engine});
+  return Found == m_ToldAt.end() ? std::nullopt : std::optional(Found->second);
+}
+
 void RelayFleet::finish(size_t Index, model::AttemptId Attempt,
                         gateway::SendResult Result) {
   Node &To = *m_Nodes[Index];
--- a/Source/UnitTests/Gateway/RelayFleet.h
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -6,9 +6,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bronzepass::unit_tests {
@@ -28,6 +30,7 @@
   /// A request reached an engine.
   struct Arrival {
     model::TimePoint m_At;
+    size_t m_Node = 0;
     model::EndpointId m_Engine;
     bool m_Crashes = false;
   };
@@ -45,8 +48,17 @@
   void run(model::Duration Span);
   /// All requests at one engine break off.
   void crash(const model::EndpointId &Engine);
+  /// What the engine says of itself in all answers from now on.
+  void state(const model::EndpointId &Engine,
+             const gateway::EndpointStatement &Statement) {
+    m_Statements[Engine] = Statement;
+  }
+  /// When the node first received an answer of \p Engine with a statement.
+  std::optional<model::TimePoint> toldAt(size_t Node,
+                                         const model::EndpointId &Engine) const;
   /// The node forgets all that it knew.
   void restartNode(size_t Node);
+  size_t nodeCount() const { return m_Nodes.size(); }
   size_t randomNode() { return m_Random() % m_Nodes.size(); }
   std::vector<model::EndpointId> engines() const;
 
@@ -80,6 +92,8 @@
   void carryOut(size_t Index);
   void startNode(size_t Index);
   void arrive(size_t Index, model::AttemptId Attempt);
+  void receiveHead(size_t Index, model::AttemptId Attempt,
+                   const model::EndpointId &Engine);
   void finish(size_t Index, model::AttemptId Attempt,
               gateway::SendResult Result);
   void exchangeNotices();
@@ -96,6 +110,8 @@
   uint64_t m_LastEngine = 0;
   uint64_t m_Starts = 0;
   uint64_t m_Notices = 0;
+  std::map<model::EndpointId, gateway::EndpointStatement> m_Statements;
+  std::map<std::pair<size_t, model::EndpointId>, model::TimePoint> m_ToldAt;
   std::vector<Arrival> m_Arrivals;
   std::vector<model::TimePoint> m_Crashes;
   std::vector<Asked> m_Asked;
