Gateway: Keep to the limit that an endpoint names, over all nodes

Cause: the choice of an endpoint knew loads, failures and slowness, none of which says what an endpoint is willing to take; an endpoint in need that still answers well looks like any other.

Each node keeps to an even share of the limit by a token bucket, so that no holder is asked and a node that is cut off takes no more than its part. Where a bucket can't hold a whole token, in large fleets, what it has is drawn for. Nodes pass on what an endpoint told them; an answer without a limit ends it. Limited endpoints are asked in the order of their cost, so that no token is spent on one that is not chosen, and a request that none takes is refused with the time until the next token.

Over nine tenths of the limits are used at 6, 64 and 195 nodes when all engines are limited and more is asked for; the test of that limits all engines now, where four took everything before.

--- a/Source/Core/Adapters/Codec/FieldReader.h
+++ b/Source/Core/Adapters/Codec/FieldReader.h
@@ -11,6 +11,7 @@
 #include <cmath>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,12 @@
       fail(Key, "missing");
   }
 
+  template <typename T>
+  void optional(const char *Key, std::optional<T> &Value) {
+    if (const nlohmann::json *Found = find(Key))
+      read(Key, *Found, Value.emplace());
+  }
+
   template <typename T> void optional(const char *Key, T &Value) {
     if (const nlohmann::json *Found = find(Key))
       read(Key, *Found, Value);
--- a/Source/Core/Adapters/Codec/FieldWriter.h
+++ b/Source/Core/Adapters/Codec/FieldWriter.h
@@ -9,6 +9,7 @@
 #include <boost/algorithm/hex.hpp>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,12 @@
   }
 
   /// Omits the field if it has its default value.
+  template <typename T>
+  void optional(const char *Key, const std::optional<T> &Value) {
+    if (Value)
+      required(Key, *Value);
+  }
+
   template <typename T> void optional(const char *Key, const T &Value) {
     if (Value != T())
       required(Key, Value);
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -135,7 +135,7 @@
         Now - *Each.second.m_LastHeardAt < PeerTimeout)
       Live.push_back(Each.first);
   m_Core.setNodeCount(
-      static_cast<uint32_t>(std::max(m_Peers.size(), Live.size())) + 1);
+      static_cast<uint32_t>(std::max(m_Peers.size(), Live.size())) + 1, Now);
   m_Events.onLivePeers(std::move(Live));
 }
 
--- a/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
+++ b/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
@@ -68,6 +68,14 @@
   }
 };
 
+template <> struct Fields<core::gateway::EndpointNotice> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("e", Value.m_Endpoint);
+    Visitor.required("t", Value.m_Age);
+    Visitor.optional("limit", Value.m_Statement.m_RequestsPerSecond);
+  }
+};
+
 template <> struct Fields<core::gateway::PeerNotice> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("from", Value.m_From);
@@ -80,6 +88,7 @@
     Visitor.optional("crashes", Value.m_Quarantine.m_CrashReports);
     Visitor.optional("quarantined", Value.m_Quarantine.m_Quarantined);
     Visitor.optional("safe", Value.m_Quarantine.m_Safe);
+    Visitor.optional("said", Value.m_EndpointNotices);
     Visitor.optional("holder", Value.m_HoldsLease);
   }
 };
--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -5,6 +5,7 @@
 #include "Core/Gateway/EndpointStatement.h"
 #include "Core/Gateway/QuarantineNotice.h"
 #include "Core/Gateway/RelayTypes.h"
+#include "Core/Gateway/RequestRateShare.h"
 #include "Core/Model/Time.h"
 #include "Core/Routing/PrefixIndex.h"
 
@@ -31,8 +32,14 @@
   /// the other nodes'.
   uint32_t m_PrefillTokens = 0;
   uint32_t m_PeersPrefillTokens = 0;
-  /// The last that it said of itself.
+  /// The last that it said of itself to any node, and when.
   EndpointStatement m_Statement;
+  model::TimePoint m_StatedAt;
+  /// The last that it said to this node; told to the others for a while.
+  std::optional<EndpointStatement> m_OwnStatement;
+  model::TimePoint m_OwnStatedAt;
+  /// Set while it names a limit.
+  std::optional<RequestRateShare> m_RateShare;
   uint32_t m_ConsecutiveFailures = 0;
   model::TimePoint m_EjectedUntil;
   /// Moving average of the share of its answers that were failures.
--- a/Source/Core/Gateway/PeerNotice.h
+++ b/Source/Core/Gateway/PeerNotice.h
@@ -1,6 +1,7 @@
 #ifndef BRONZEPASS_CORE_GATEWAY_PEERNOTICE_H
 #define BRONZEPASS_CORE_GATEWAY_PEERNOTICE_H
 
+#include "Core/Gateway/EndpointStatement.h"
 #include "Core/Gateway/QuarantineNotice.h"
 #include "Core/Gateway/RelayTypes.h"
 #include "Core/Model/Id.h"
@@ -47,6 +48,17 @@
   friend auto operator<=>(const CopyChange &, const CopyChange &) = default;
 };
 
+/// What an endpoint said of itself in an answer to the sender.
+struct EndpointNotice {
+  model::EndpointId m_Endpoint;
+  /// Since that answer.
+  model::Duration m_Age{0};
+  EndpointStatement m_Statement;
+
+  friend auto operator<=>(const EndpointNotice &,
+                          const EndpointNotice &) = default;
+};
+
 /// The datagram that nodes send each other. Each one replaces the one before;
 /// a lost one only makes load estimates less accurate.
 struct PeerNotice {
@@ -60,6 +72,7 @@
   /// Copies that the sender requests from the lease holder.
   std::vector<CopyRequest> m_CopyRequests;
   QuarantineNotice m_Quarantine;
+  std::vector<EndpointNotice> m_EndpointNotices;
   /// The sender holds the placement lease.
   bool m_HoldsLease = false;
 
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -92,6 +92,7 @@
   const std::vector<EndpointView *> &All = Service->second.m_Endpoints;
   const uint32_t MaxConnections = Service->second.m_MaxConnections;
   double BestCost = std::numeric_limits<double>::max();
+  std::vector<LimitedCandidate> Limited;
   const size_t Start = All.empty() ? 0 : m_Random.next() % All.size();
   for (size_t I = 0; I < All.size(); ++I) {
     EndpointView *const Endpoint = All[(Start + I) % All.size()];
@@ -116,15 +117,42 @@
     double WaitMs = 0;
     const double Cost =
         endpointCostMs(Active, Service->second, *Endpoint, WaitMs);
+    if (Endpoint->m_RateShare) {
+      Limited.push_back({Cost, WaitMs, Endpoint});
+      continue;
+    }
     if (Cost >= BestCost)
       continue;
     BestCost = Cost;
     Best.m_Endpoint = Endpoint;
     Best.m_WaitMs = WaitMs;
   }
+  chooseLimited(Limited, BestCost, Best);
   return Best;
 }
 
+void RelayCore::chooseLimited(std::vector<LimitedCandidate> &Limited,
+                              double BestCost, Choice &Best) const {
+  // Asking whether a request is allowed may cost a token: only those are asked
+  // that would be chosen.
+  std::sort(Limited.begin(), Limited.end(),
+            [](const LimitedCandidate &Left, const LimitedCandidate &Right) {
+              return Left.m_CostMs < Right.m_CostMs;
+            });
+  for (const LimitedCandidate &Each : Limited) {
+    if (Each.m_CostMs >= BestCost)
+      return;
+    RequestRateShare &Share = *Each.m_Endpoint->m_RateShare;
+    if (Share.allows(m_Now, m_Random.next())) {
+      Best.m_Endpoint = Each.m_Endpoint;
+      Best.m_WaitMs = Each.m_WaitMs;
+      return;
+    }
+    const model::Duration Wait = Share.timeToNext(m_Now);
+    Best.m_TimeToNext = std::min(Wait, Best.m_TimeToNext.value_or(Wait));
+  }
+}
+
 ChoiceInputs RelayCore::choiceInputs(const ActiveRequest &Active,
                                      const Choice &Chosen) const {
   const EndpointView &Endpoint = *Chosen.m_Endpoint;
@@ -199,6 +227,13 @@
     waitForCopy(Active, Out);
     return;
   }
+  if (Chosen.m_TimeToNext) {
+    reject(Active, ServiceUnavailable,
+           std::min(jittered(std::max(MinRetryAfter, *Chosen.m_TimeToNext)),
+                    Left / 3),
+           "every endpoint that could run it has reached its limit", Out);
+    return;
+  }
   reject(Active, ServiceUnavailable,
          std::min(jittered(LostEndpointRetryAfter), Left / 3),
          "no endpoint can take it", Out);
@@ -261,6 +296,8 @@
   Active.m_AnswerStarted = false;
   Active.m_Tried.push_back(Endpoint.m_Entry.m_Id);
   ++Endpoint.m_InFlight;
+  if (Endpoint.m_RateShare)
+    Endpoint.m_RateShare->take(m_Now);
   Active.m_PrefillTokens = Active.m_Inputs->m_MissingTokens;
   Endpoint.m_PrefillTokens += Active.m_PrefillTokens;
   m_PrefillChanges += Active.m_PrefillTokens > 0;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -27,6 +27,10 @@
 /// two of the periods at which engines renew their entries.
 constexpr model::Duration CopyOverrideLifetime = std::chrono::seconds(3);
 
+/// Several notices may be lost in this time. An endpoint repeats what it says
+/// in each answer.
+constexpr model::Duration StatementTellTime = std::chrono::seconds(2);
+
 constexpr double MillisPerMicro = 1e-3;
 /// Share of a stream's event gap target that the prefill of other prompts may
 /// take; the rest is for the batch's own steps and the network to the caller.
@@ -119,6 +123,16 @@
   dispatchWaiting(Out);
 }
 
+void RelayCore::setNodeCount(uint32_t Count, model::TimePoint Now) {
+  m_Retries.setNodeCount(Count);
+  const uint32_t Old = std::exchange(m_NodeCount, std::max(1U, Count));
+  if (Old == m_NodeCount)
+    return;
+  for (auto &Each : m_Endpoints)
+    if (std::optional<RequestRateShare> &Share = Each.second.m_RateShare)
+      Share->setLimit(Share->limitPerSecond(), m_NodeCount, Now);
+}
+
 void RelayCore::onPeerNotice(const PeerNotice &Notice, model::TimePoint Now,
                              RelayEffectList &Out) {
   m_Now = Now;
@@ -134,6 +148,9 @@
   }
   Peer = {Now, Notice.m_Start, Notice.m_Sequence, Notice.m_Loads};
   m_Quarantine.onNotice(Notice.m_Quarantine, Now);
+  for (const EndpointNotice &Each : Notice.m_EndpointNotices)
+    if (EndpointView *const Endpoint = findEndpoint(Each.m_Endpoint))
+      applyStatement(*Endpoint, Each.m_Statement, Now - Each.m_Age, Out);
   for (const CopyChange &Change : Notice.m_CopyChanges)
     if (EndpointView *const Endpoint = findEndpoint(Change.m_Endpoint))
       Endpoint->m_CopyOverrides[Change.m_ModelRef] = {
@@ -376,10 +393,15 @@
 PeerNotice RelayCore::notice(model::TimePoint Now) const {
   PeerNotice Notice;
   Notice.m_Quarantine = m_Quarantine.notice(Now);
-  for (const auto &Entry : m_Endpoints)
-    if (Entry.second.m_InFlight > 0)
+  for (const auto &Entry : m_Endpoints) {
+    const EndpointView &View = Entry.second;
+    if (View.m_InFlight > 0)
       Notice.m_Loads.push_back(
-          {Entry.first, Entry.second.m_InFlight, Entry.second.m_PrefillTokens});
+          {Entry.first, View.m_InFlight, View.m_PrefillTokens});
+    if (View.m_OwnStatement && Now - View.m_OwnStatedAt < StatementTellTime)
+      Notice.m_EndpointNotices.push_back(
+          {Entry.first, Now - View.m_OwnStatedAt, *View.m_OwnStatement});
+  }
   return Notice;
 }
 
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -47,10 +47,7 @@
                     model::TimePoint Now, RelayEffectList &Out);
   void onPeerNotice(const PeerNotice &Notice, model::TimePoint Now,
                     RelayEffectList &Out);
-  void setNodeCount(uint32_t Count) {
-    m_Retries.setNodeCount(Count);
-    m_NodeCount = std::max(1U, Count);
-  }
+  void setNodeCount(uint32_t Count, model::TimePoint Now);
   /// Refuses all requests received from now on.
   void stopAccepting() { m_Stopping = true; }
 
@@ -156,6 +153,15 @@
     uint32_t m_Candidates = 0;
     /// Some registered endpoint holds the model, whether usable or not.
     bool m_CopyExists = false;
+    /// When the first of those that have reached their limit takes a request
+    /// again.
+    std::optional<model::Duration> m_TimeToNext;
+  };
+  /// An endpoint that could be chosen if its limit allows it.
+  struct LimitedCandidate {
+    double m_CostMs = 0;
+    double m_WaitMs = 0;
+    EndpointView *m_Endpoint = nullptr;
   };
   using ActiveRequestMap = std::unordered_map<model::RequestId, ActiveRequest>;
 
@@ -178,6 +184,10 @@
 
   // RelayChoice.cpp: choice of an endpoint, waiting for a copy, sends.
   Choice chooseEndpoint(const ActiveRequest &Active) const;
+  /// Chooses the first of \p Limited that costs less than \p BestCost and
+  /// takes a request now.
+  void chooseLimited(std::vector<LimitedCandidate> &Limited, double BestCost,
+                     Choice &Best) const;
   double endpointCostMs(const ActiveRequest &Active,
                         const ServiceState &Service,
                         const EndpointView &Endpoint, double &WaitMs) const;
@@ -215,6 +225,9 @@
   void finishUnsuccessful(ActiveRequest &Active, const SendOutcome &Outcome,
                           RelayEffectList &Out);
 
+  void applyStatement(EndpointView &Endpoint,
+                      const EndpointStatement &Statement, model::TimePoint At,
+                      RelayEffectList &Out);
   EndpointView *findEndpoint(const model::EndpointId &Endpoint);
   void subtractPeerLoads(const std::vector<EndpointLoad> &Loads);
   void eraseIfUnused(const model::EndpointId &Endpoint);
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -30,16 +30,41 @@
 
 void RelayCore::onAnswerHead(model::AttemptId Attempt,
                              const EndpointStatement &Statement,
-                             model::TimePoint /*Now*/, RelayEffectList &Out) {
+                             model::TimePoint Now, RelayEffectList &Out) {
+  m_Now = Now;
   const auto Found = m_Attempts.find(Attempt);
   if (Found == m_Attempts.end())
     return;
   EndpointView *const Endpoint =
       findEndpoint(m_ActiveRequests.at(Found->second).m_Endpoint);
-  if (!Endpoint || Endpoint->m_Statement == Statement)
+  if (!Endpoint)
+    return;
+  const bool IsNews = Statement != EndpointStatement() ||
+                      Endpoint->m_Statement != EndpointStatement();
+  if (!IsNews)
+    return;
+  Endpoint->m_OwnStatement = Statement;
+  Endpoint->m_OwnStatedAt = Now;
+  applyStatement(*Endpoint, Statement, Now, Out);
+}
+
+void RelayCore::applyStatement(EndpointView &Endpoint,
+                               const EndpointStatement &Statement,
+                               model::TimePoint At, RelayEffectList &Out) {
+  if (At < Endpoint.m_StatedAt)
+    return;
+  Endpoint.m_StatedAt = At;
+  if (Endpoint.m_Statement == Statement)
     return;
-  Endpoint->m_Statement = Statement;
-  Out.push_back(StatementChange{Endpoint->m_Entry.m_Id, Statement});
+  Endpoint.m_Statement = Statement;
+  const std::optional<double> Limit = Statement.m_RequestsPerSecond;
+  if (!Limit)
+    Endpoint.m_RateShare.reset();
+  else if (Endpoint.m_RateShare)
+    Endpoint.m_RateShare->setLimit(*Limit, m_NodeCount, m_Now);
+  else
+    Endpoint.m_RateShare.emplace(*Limit, m_NodeCount, m_Now);
+  Out.push_back(StatementChange{Endpoint.m_Entry.m_Id, Statement});
 }
 
 void RelayCore::onAnswerChunk(model::AttemptId Attempt, model::TimePoint Now) {
--- a/Source/UnitTests/Gateway/EngineLimitTest.cpp
+++ b/Source/UnitTests/Gateway/EngineLimitTest.cpp
@@ -15,13 +15,14 @@
 constexpr model::Duration LimitsFrom = 2s;
 constexpr model::Duration Length = 20s;
 
-/// A fleet whose engines, all but four, name a limit from 2 s on.
+/// A fleet whose engines, all but some, name a limit from 2 s on.
 class LimitedEngineDay {
 public:
-  LimitedEngineDay(uint64_t Seed, size_t Nodes, double LimitPerSecond)
+  LimitedEngineDay(uint64_t Seed, size_t Nodes, double LimitPerSecond,
+                   int Unlimited)
       : m_Limit(LimitPerSecond), m_Fleet(Seed, {.m_Nodes = Nodes}) {
     const std::vector<model::EndpointId> Engines = m_Fleet.engines();
-    m_Limited.assign(Engines.begin() + 4, Engines.end());
+    m_Limited.assign(Engines.begin() + Unlimited, Engines.end());
   }
 
   /// \p RequestsPerSecond: of all callers together.
@@ -100,16 +101,17 @@
         CAPTURE(Nodes);
         CAPTURE(Limit);
         CAPTURE(Seed);
-        LimitedEngineDay Day(Seed, Nodes, Limit);
+        LimitedEngineDay Day(Seed, Nodes, Limit, 4);
         Day.run(300);
         CHECK(Day.worstShareOfBound() <= 1);
       }
 }
 
-TEST_CASE("nine tenths of the limits are used while more is asked for") {
+TEST_CASE("nine tenths of the limits are used while more is asked for than all "
+          "engines take") {
   for (const size_t Nodes : {6, 64, 195}) {
     CAPTURE(Nodes);
-    LimitedEngineDay Day(1, Nodes, 6);
+    LimitedEngineDay Day(1, Nodes, 6, 0);
     Day.run(300);
     CHECK(Day.shareUsed() > 0.9);
   }
--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -35,7 +35,7 @@
   RelayFixture &Relay = m_Nodes[Index]->m_Relay;
   Relay.m_Now = m_Now;
   Relay.configure();
-  Relay.m_Core.setNodeCount(static_cast<uint32_t>(m_Nodes.size()));
+  Relay.m_Core.setNodeCount(static_cast<uint32_t>(m_Nodes.size()), m_Now);
   ++m_Starts;
 }
 
@@ -205,10 +205,13 @@
     Notice.m_From = model::NodeId("n" + std::to_string(From));
     Notice.m_Start = 1;
     Notice.m_Sequence = m_Notices;
-    for (size_t To = 0; To < m_Nodes.size(); ++To) {
+    const size_t Targets =
+        std::min(m_Nodes.size() - 1, gateway::MaxNoticeTargets);
+    for (size_t I = 1; I <= Targets; ++I) {
+      const size_t To = (From + I) % m_Nodes.size();
       const bool IsLost = static_cast<double>(m_Random() % 1000) / 1000 <
                           m_Settings.m_LostNotices;
-      if (To == From || IsLost)
+      if (IsLost)
         continue;
       m_Nodes[To]->m_Relay.m_Core.onPeerNotice(Notice, m_Now,
                                                m_Nodes[To]->m_Relay.m_Out);
