Gateway, Platform: Send nothing to an endpoint that says in an answer that it is leaving

Cause: only the store's word ended the use of an endpoint. One that leaves says so in its answers too, often earlier, and always to a node that is cut off from the store; that was forwarded and not read.

Server-Leaving: 1 is read from the head of any answer, successes and failures alike, and holds until the endpoint starts anew: answers overtake each other, so that a later one without it proves nothing. Nodes pass it on.

--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -119,6 +119,7 @@
   const std::optional<double> Limit = Change.m_Statement.m_RequestsPerSecond;
   write("endpoint", "statement",
         {{"endpoint", Change.m_Endpoint.str()},
+         {"leaving", Change.m_Statement.m_IsLeaving ? "yes" : "no"},
          {"limit_per_s", Limit ? fmt::format("{:g}", *Limit) : "none"}});
 }
 
--- a/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
+++ b/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
@@ -72,6 +72,7 @@
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("e", Value.m_Endpoint);
     Visitor.required("t", Value.m_Age);
+    Visitor.optional("leaving", Value.m_Statement.m_IsLeaving);
     Visitor.optional("limit", Value.m_Statement.m_RequestsPerSecond);
   }
 };
--- a/Source/Core/Gateway/EndpointStatement.h
+++ b/Source/Core/Gateway/EndpointStatement.h
@@ -8,6 +8,8 @@
 
 /// What an endpoint says of itself in the head of an answer.
 struct EndpointStatement {
+  /// It is shutting down: no new request may be sent to it.
+  bool m_IsLeaving = false;
   /// Requests a second that it takes from all nodes together; nullopt: it sets
   /// no limit.
   std::optional<double> m_RequestsPerSecond;
--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -38,6 +38,8 @@
   /// The last that it said to this node; told to the others for a while.
   std::optional<EndpointStatement> m_OwnStatement;
   model::TimePoint m_OwnStatedAt;
+  /// It has said that it is leaving; holds until it starts anew.
+  bool m_HasSaidLeaving = false;
   /// Set while it names a limit.
   std::optional<RequestRateShare> m_RateShare;
   uint32_t m_ConsecutiveFailures = 0;
@@ -57,6 +59,7 @@
   };
   std::map<ModelRef, CopyOverride> m_CopyOverrides;
 
+  bool isLeaving() const { return m_Entry.m_Draining || m_HasSaidLeaving; }
   uint32_t load() const { return m_InFlight + m_PeersInFlight; }
   uint32_t prefillTokens() const {
     return m_PrefillTokens + m_PeersPrefillTokens;
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -51,6 +51,9 @@
 void RelayCore::applyStatement(EndpointView &Endpoint,
                                const EndpointStatement &Statement,
                                model::TimePoint At, RelayEffectList &Out) {
+  // Answers overtake each other: an endpoint that leaves does not come back
+  // under this start.
+  Endpoint.m_HasSaidLeaving |= Statement.m_IsLeaving;
   if (At < Endpoint.m_StatedAt)
     return;
   Endpoint.m_StatedAt = At;
--- a/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
@@ -193,8 +193,8 @@
         Log.write(core::gateway::QuarantineChange{7, true, 3, false});
       }),
       captureLine([](GatewayLog &Log) {
-        Log.write(
-            core::gateway::StatementChange{model::EndpointId("e1"), {4.5}});
+        Log.write(core::gateway::StatementChange{model::EndpointId("e1"),
+                                                 {true, 4.5}});
       })};
   for (const nlohmann::ordered_json &Line : Lines)
     for (const auto &Field : Line.items()) {
--- a/Source/UnitTests/Adapters/Gateway/PeerNoticeCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/PeerNoticeCodecTest.cpp
@@ -19,7 +19,7 @@
   Notice.m_CopyChanges = {{model::EndpointId("e"), {"m", ""}, true}};
   Notice.m_CopyRequests = {{"s", {"m", "b"}}};
   Notice.m_Quarantine = {{{~0ULL, 5, 200ms, 300ms}}, {{6, 9min}}, {{7, 1s}}};
-  Notice.m_EndpointNotices = {{model::EndpointId("e"), 300ms, {4.25}},
+  Notice.m_EndpointNotices = {{model::EndpointId("e"), 300ms, {true, 4.25}},
                               {model::EndpointId("f"), 1s, {}}};
   Notice.m_HoldsLease = true;
   return Notice;
--- /dev/null
+++ b/Source/UnitTests/Gateway/EndpointStatementTest.cpp
@@ -0,0 +1,96 @@
+#include "UnitTests/Gateway/RelayFixture.h"
+
+#include <doctest/doctest.h>
+#include <set>
+
+namespace bronzepass::unit_tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using gateway::EndpointStatement;
+using gateway::RejectRequest;
+using gateway::SendRequest;
+using gateway::SendResult;
+
+constexpr EndpointStatement Leaving{.m_IsLeaving = true};
+
+/// A node that has sent one request, whose answer's head says \p Statement.
+struct ToldNode {
+  explicit ToldNode(const EndpointStatement &Statement,
+                    const std::vector<std::string> &Endpoints = {"a", "b"}) {
+    m_Relay.start(Endpoints);
+    m_Relay.ask("/once/");
+    m_Told = m_Relay.take<SendRequest>()[0];
+    m_Relay.m_Core.onAnswerHead(m_Told.m_Attempt, Statement, m_Relay.m_Now,
+                                m_Relay.m_Out);
+  }
+
+  /// Endpoints that the next requests are sent to.
+  std::set<std::string> chosen(const std::string &Path, int Requests = 20) {
+    std::set<std::string> Ids;
+    for (int I = 0; I < Requests; ++I) {
+      m_Relay.ask(Path);
+      for (const SendRequest &Each : m_Relay.take<SendRequest>()) {
+        Ids.insert(Each.m_Endpoint.str());
+        m_Relay.finishSend(Each.m_Attempt, SendResult::Completed);
+      }
+    }
+    return Ids;
+  }
+
+  RelayFixture m_Relay;
+  SendRequest m_Told;
+};
+
+} // namespace
+
+// Guards against sending to an endpoint that has said it is leaving, while the
+// store doesn't say so yet.
+TEST_CASE("no new request is sent to an endpoint that says it is leaving, from "
+          "the head of the answer on") {
+  ToldNode Node(Leaving);
+  for (const char *const Path : {"/once/", "/again/", "/stream/", "/resume/"})
+    CHECK_FALSE(Node.chosen(Path).contains(Node.m_Told.m_Endpoint.str()));
+  // Not after the answer's end, nor after a later answer that does not say so.
+  Node.m_Relay.m_Core.onAnswerHead(Node.m_Told.m_Attempt, {},
+                                   Node.m_Relay.m_Now, Node.m_Relay.m_Out);
+  Node.m_Relay.finishSend(Node.m_Told.m_Attempt, SendResult::Completed);
+  CHECK_FALSE(Node.chosen("/once/").contains(Node.m_Told.m_Endpoint.str()));
+}
+
+TEST_CASE("a retry and a resumed stream go to an endpoint that is not leaving, "
+          "or to none") {
+  for (const char *const Path : {"/again/", "/resume/"}) {
+    ToldNode Node(Leaving);
+    Node.m_Relay.ask(Path);
+    const SendRequest Other = Node.m_Relay.take<SendRequest>()[0];
+    CHECK(Other.m_Endpoint != Node.m_Told.m_Endpoint);
+    Node.m_Relay.finishSend(Other.m_Attempt, SendResult::Broken, 0);
+    CHECK(Node.m_Relay.take<SendRequest>().empty());
+  }
+}
+
+TEST_CASE("an endpoint that starts anew is no longer leaving") {
+  ToldNode Node(Leaving, {"a"});
+  CHECK(Node.chosen("/once/").empty());
+  gateway::EndpointEntry Entry = RelayFixture::endpoint("a");
+  Entry.m_StartedAtMs = 1;
+  Node.m_Relay.setEndpoints({Entry});
+  CHECK(Node.chosen("/once/") == std::set<std::string>{"a"});
+}
+
+TEST_CASE("a node learns from its peers that an endpoint is leaving") {
+  ToldNode Node(Leaving, {"a"});
+  gateway::PeerNotice Notice = Node.m_Relay.m_Core.notice(Node.m_Relay.m_Now);
+  Notice.m_From = model::NodeId("n1");
+  Notice.m_Sequence = 1;
+  RelayFixture Peer;
+  Peer.start({"a"});
+  Peer.m_Core.onPeerNotice(Notice, Peer.m_Now, Peer.m_Out);
+  Peer.ask("/once/");
+  CHECK(Peer.take<SendRequest>().empty());
+  CHECK(Peer.take<RejectRequest>().size() == 1);
+}
+
+} // namespace bronzepass::unit_tests
--- a/Source/UnitTests/Gateway/EngineLimitTest.cpp
+++ b/Source/UnitTests/Gateway/EngineLimitTest.cpp
@@ -32,7 +32,7 @@
     while (m_Fleet.now() < Start + Length) {
       if (m_Fleet.now() == Start + LimitsFrom)
         for (const model::EndpointId &Each : m_Limited)
-          m_Fleet.state(Each, {m_Limit});
+          m_Fleet.state(Each, {false, m_Limit});
       for (Asked += RequestsPerSecond / 100; Asked >= 1; Asked -= 1)
         m_Fleet.ask(m_Fleet.randomNode(), {});
       m_Fleet.run(10ms);
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -137,7 +137,7 @@
   Relay.ask("/stream/");
   const model::AttemptId Attempt = Relay.take<SendRequest>()[0].m_Attempt;
   for (int I = 0; I < 3; ++I)
-    Relay.m_Core.onAnswerHead(Attempt, {4.0}, Relay.m_Now, Relay.m_Out);
+    Relay.m_Core.onAnswerHead(Attempt, {false, 4.0}, Relay.m_Now, Relay.m_Out);
   Relay.m_Core.onAnswerHead(Attempt, {}, Relay.m_Now, Relay.m_Out);
   const std::vector<gateway::StatementChange> Changes =
       Relay.take<gateway::StatementChange>();
--- a/Source/UnitTests/Platform/RequestHeadersTest.cpp
+++ b/Source/UnitTests/Platform/RequestHeadersTest.cpp
@@ -142,4 +142,17 @@
   }
 }
 
+TEST_CASE("an endpoint is leaving if any line says so") {
+  const auto IsLeaving = [](const HeaderLines &Headers) {
+    return readHead(200, Headers, "").m_Statement.m_IsLeaving;
+  };
+  CHECK_FALSE(IsLeaving({}));
+  CHECK_FALSE(IsLeaving({{"Server-Leaving", "0"}}));
+  CHECK(IsLeaving({{"server-leaving", " 1 "}}));
+  CHECK(IsLeaving({{"Server-Leaving", "1"}, {"Server-Leaving", "0"}}));
+  CHECK_FALSE(IsLeaving({{"Server-Leaving", "soon"}}));
+  CHECK(readHead(200, {{"Server-Leaving", "soon"}}, "").m_UnreadableStatement ==
+        "Server-Leaving: soon");
+}
+
 } // namespace bronzepass::platform
