Gateway, Platform: Send nothing to an endpoint that asked for a pause

Cause: a 503 that says the request did not run counted as a sign of health, and its Retry-After was not read, so that an endpoint which had just asked for nothing was often the cheapest choice.

The time is read as whole or fractional seconds, at most an hour; a date, a negative number or other text is counted and logged as unreadable. Until it is over, and up to half a second more so that nodes don't come back together, no path chooses the endpoint. What no other can run is refused at once with the time that is left.

--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -123,6 +123,12 @@
          {"limit_per_s", Limit ? fmt::format("{:g}", *Limit) : "none"}});
 }
 
+void GatewayLog::write(const core::gateway::PauseBegun &Pause) {
+  write("endpoint", "paused",
+        {{"endpoint", Pause.m_Endpoint.str()},
+         {"pause_ms", Pause.m_Length.count() / MicrosPerMilli}});
+}
+
 void GatewayLog::write(const residency::ResidencyLogEntry &Entry) {
   write("placement", Entry.m_Action,
         {{"endpoint", Entry.m_Endpoint},
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -241,6 +241,8 @@
   m_Log.write(Effect);
 }
 
+void RelayDriver::on(const gateway::PauseBegun &Effect) { m_Log.write(Effect); }
+
 void RelayDriver::logUnreadableStatement(const std::string &Line) {
   m_Metrics.countUnreadableStatement();
   const model::TimePoint Now = m_Clock.now();
@@ -298,10 +300,12 @@
   if (!From.m_Head->m_UnreadableStatement.empty())
     logUnreadableStatement(From.m_Head->m_UnreadableStatement);
   if (!From.m_Head->m_Foreign)
-    decide([&, Statement = From.m_Head->m_Statement](
-               gateway::RelayCore &Core, model::TimePoint Now,
-               gateway::RelayEffectList &Out) {
-      Core.onAnswerHead(Attempt, Statement, Now, Out);
+    decide([&, Told = *From.m_Head](gateway::RelayCore &Core,
+                                    model::TimePoint Now,
+                                    gateway::RelayEffectList &Out) {
+      Core.onAnswerHead(Attempt, Told.m_Statement, Now, Out);
+      if (Told.m_PauseFor)
+        Core.onEndpointPaused(Attempt, *Told.m_PauseFor, Now, Out);
     });
   const bool Success = gateway::isSuccess(Head.m_Status);
   if (To != m_Exchanges.end() && From.m_Head->m_Foreign) {
--- a/Source/Core/Gateway/Dialect.h
+++ b/Source/Core/Gateway/Dialect.h
@@ -62,6 +62,9 @@
   /// How long the endpoint keeps an idle connection open; nullopt if not given.
   std::optional<std::chrono::seconds> m_KeepAlive;
   EndpointStatement m_Statement;
+  /// With a request turned away: the endpoint wants nothing from this node for
+  /// so long.
+  std::optional<model::Duration> m_PauseFor;
   /// The first line of the statement that could not be read; empty if all
   /// could.
   std::string m_UnreadableStatement;
--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -40,6 +40,8 @@
   model::TimePoint m_OwnStatedAt;
   /// It has said that it is leaving; holds until it starts anew.
   bool m_HasSaidLeaving = false;
+  /// It wants no request from this node until then.
+  model::TimePoint m_PausedUntil;
   /// Set while it names a limit.
   std::optional<RequestRateShare> m_RateShare;
   uint32_t m_ConsecutiveFailures = 0;
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -108,6 +108,11 @@
     // requests.
     if (MaxConnections > 0 && Endpoint->load() >= MaxConnections)
       continue;
+    if (m_Now < Endpoint->m_PausedUntil) {
+      const model::Duration Wait = Endpoint->m_PausedUntil - m_Now;
+      Best.m_TimeToNext = std::min(Wait, Best.m_TimeToNext.value_or(Wait));
+      continue;
+    }
     const bool Tried =
         std::find(Active.m_Tried.begin(), Active.m_Tried.end(),
                   Endpoint->m_Entry.m_Id) != Active.m_Tried.end();
@@ -231,7 +236,7 @@
     reject(Active, ServiceUnavailable,
            std::min(jittered(std::max(MinRetryAfter, *Chosen.m_TimeToNext)),
                     Left / 3),
-           "every endpoint that could run it has reached its limit", Out);
+           "every endpoint that could run it takes no more for now", Out);
     return;
   }
   reject(Active, ServiceUnavailable,
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -59,6 +59,9 @@
   void onAnswerHead(model::AttemptId Attempt,
                     const EndpointStatement &Statement, model::TimePoint Now,
                     RelayEffectList &Out);
+  /// The endpoint of a send wants nothing from this node for \p Pause.
+  void onEndpointPaused(model::AttemptId Attempt, model::Duration Pause,
+                        model::TimePoint Now, RelayEffectList &Out);
   /// A chunk of a send's answer was received.
   void onAnswerChunk(model::AttemptId Attempt, model::TimePoint Now);
   /// The head or a part of the answer has been forwarded to the caller.
@@ -153,8 +156,8 @@
     uint32_t m_Candidates = 0;
     /// Some registered endpoint holds the model, whether usable or not.
     bool m_CopyExists = false;
-    /// When the first of those that have reached their limit takes a request
-    /// again.
+    /// When the first of those that have reached their limit, or are paused,
+    /// takes a request again.
     std::optional<model::Duration> m_TimeToNext;
   };
   /// An endpoint that could be chosen if its limit allows it.
@@ -225,6 +228,7 @@
   void finishUnsuccessful(ActiveRequest &Active, const SendOutcome &Outcome,
                           RelayEffectList &Out);
 
+  EndpointView *endpointOf(model::AttemptId Attempt);
   void applyStatement(EndpointView &Endpoint,
                       const EndpointStatement &Statement, model::TimePoint At,
                       RelayEffectList &Out);
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -21,6 +21,7 @@
 constexpr uint32_t MinTokensForPrefillRate = 500;
 constexpr double FasterSampleWeight = 0.1;
 constexpr double SlowerSampleWeight = 0.005;
+constexpr model::Duration MaxPauseSpread = std::chrono::milliseconds(500);
 constexpr model::Duration NotRunRetryAfter = std::chrono::milliseconds(150);
 /// How long an endpoint that said it lacks a copy is not asked for it; by then
 /// its own entry should be up to date.
@@ -28,15 +29,37 @@
 
 } // namespace
 
+EndpointView *RelayCore::endpointOf(model::AttemptId Attempt) {
+  const auto Found = m_Attempts.find(Attempt);
+  return Found == m_Attempts.end()
+             ? nullptr
+             : findEndpoint(m_ActiveRequests.at(Found->second).m_Endpoint);
+}
+
+void RelayCore::onEndpointPaused(model::AttemptId Attempt,
+                                 model::Duration Pause, model::TimePoint Now,
+                                 RelayEffectList &Out) {
+  m_Now = Now;
+  EndpointView *const Endpoint = endpointOf(Attempt);
+  if (!Endpoint || Pause <= model::Duration::zero())
+    return;
+  // Nodes that were paused together do not come back together.
+  const model::Duration Spread = std::min(Pause, MaxPauseSpread);
+  const model::Duration Added(static_cast<int64_t>(
+      m_Random.next() % (static_cast<uint64_t>(Spread.count()) + 1)));
+  const bool IsNews = Endpoint->m_PausedUntil <= Now;
+  Endpoint->m_PausedUntil =
+      std::max(Endpoint->m_PausedUntil, Now + Pause + Added);
+  if (IsNews)
+    Out.push_back(
+        PauseBegun{Endpoint->m_Entry.m_Id, Endpoint->m_PausedUntil - Now});
+}
+
 void RelayCore::onAnswerHead(model::AttemptId Attempt,
                              const EndpointStatement &Statement,
                              model::TimePoint Now, RelayEffectList &Out) {
   m_Now = Now;
-  const auto Found = m_Attempts.find(Attempt);
-  if (Found == m_Attempts.end())
-    return;
-  EndpointView *const Endpoint =
-      findEndpoint(m_ActiveRequests.at(Found->second).m_Endpoint);
+  EndpointView *const Endpoint = endpointOf(Attempt);
   if (!Endpoint)
     return;
   const bool IsNews = Statement != EndpointStatement() ||
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -241,10 +241,18 @@
                           const StatementChange &) = default;
 };
 
+/// Effect: write one log line about an endpoint that wants nothing for a while.
+struct PauseBegun {
+  model::EndpointId m_Endpoint;
+  model::Duration m_Length{0};
+
+  friend auto operator<=>(const PauseBegun &, const PauseBegun &) = default;
+};
+
 using RelayEffect =
     std::variant<SendRequest, CancelSend, ForwardAnswer, RejectRequest,
                  AbortAnswer, CopyRequest, RelayLogEntry, QuarantineChange,
-                 StatementChange>;
+                 StatementChange, PauseBegun>;
 using RelayEffectList = std::vector<RelayEffect>;
 
 } // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
@@ -195,6 +195,10 @@
       captureLine([](GatewayLog &Log) {
         Log.write(core::gateway::StatementChange{model::EndpointId("e1"),
                                                  {true, 4.5}});
+      }),
+      captureLine([](GatewayLog &Log) {
+        Log.write(core::gateway::PauseBegun{model::EndpointId("e1"),
+                                            std::chrono::seconds(2)});
       })};
   for (const nlohmann::ordered_json &Line : Lines)
     for (const auto &Field : Line.items()) {
--- a/Source/UnitTests/Gateway/EndpointStatementTest.cpp
+++ b/Source/UnitTests/Gateway/EndpointStatementTest.cpp
@@ -93,4 +93,48 @@
   CHECK(Peer.take<RejectRequest>().size() == 1);
 }
 
+// Guards against sending on to an endpoint that has just asked for nothing.
+TEST_CASE("nothing is sent to a paused endpoint until its time is over, and "
+          "the request that it turned away goes to another one") {
+  RelayFixture Relay;
+  Relay.start({"a", "b"});
+  Relay.ask("/once/");
+  const SendRequest Told = Relay.take<SendRequest>()[0];
+  Relay.m_Core.onEndpointPaused(Told.m_Attempt, 2s, Relay.m_Now, Relay.m_Out);
+  CHECK(Relay.take<gateway::PauseBegun>().size() == 1);
+  Relay.finishSend(Told.m_Attempt, SendResult::NotRun, 503);
+  const std::vector<SendRequest> Second = Relay.take<SendRequest>();
+  REQUIRE(Second.size() == 1);
+  CHECK(Second[0].m_Endpoint != Told.m_Endpoint);
+  const model::TimePoint End = Relay.m_Now + 2s;
+  bool IsBack = false;
+  while (Relay.m_Now < End + 1s) {
+    for (const char *const Path : {"/once/", "/again/", "/stream/", "/resume/"})
+      Relay.ask(Path);
+    for (const SendRequest &Each : Relay.take<SendRequest>()) {
+      CHECK((Each.m_Endpoint != Told.m_Endpoint || Relay.m_Now >= End));
+      IsBack = IsBack || Each.m_Endpoint == Told.m_Endpoint;
+      Relay.finishSend(Each.m_Attempt, SendResult::Completed);
+    }
+    Relay.advance(50ms);
+  }
+  CHECK(IsBack);
+}
+
+TEST_CASE("a request that only a paused endpoint could run is refused at once "
+          "with the time that is left, at most a third of its own") {
+  RelayFixture Relay;
+  Relay.start({"a"});
+  Relay.ask("/once/");
+  const SendRequest Told = Relay.take<SendRequest>()[0];
+  Relay.m_Core.onEndpointPaused(Told.m_Attempt, 1s, Relay.m_Now, Relay.m_Out);
+  Relay.ask("/once/");
+  const std::vector<RejectRequest> Refused = Relay.take<RejectRequest>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].m_Status == 503);
+  REQUIRE(Refused[0].m_RetryAfter);
+  CHECK(*Refused[0].m_RetryAfter >= 500ms);
+  CHECK(*Refused[0].m_RetryAfter <= 10s / 3);
+}
+
 } // namespace bronzepass::unit_tests
--- a/Source/UnitTests/Platform/RequestHeadersTest.cpp
+++ b/Source/UnitTests/Platform/RequestHeadersTest.cpp
@@ -155,4 +155,28 @@
         "Server-Leaving: soon");
 }
 
+TEST_CASE("Retry-After of a 503 is a number of seconds, the longest if there "
+          "are several") {
+  const auto Pause = [](int Status, const HeaderLines &Headers) {
+    return readHead(Status, Headers, "").m_PauseFor;
+  };
+  using namespace std::chrono_literals;
+  CHECK_FALSE(Pause(503, {}));
+  CHECK(Pause(503, {{"retry-after", " 2 "}}) == 2s);
+  CHECK(Pause(503, {{"Retry-After", "0.25"}}) == 250ms);
+  CHECK(Pause(503, {{"Retry-After", "0"}}) == 0s);
+  CHECK(Pause(503, {{"Retry-After", "1"}, {"Retry-After", "3"}}) == 3s);
+  CHECK(Pause(503, {{"Retry-After", "3600"}}) == 1h);
+  CHECK(Pause(503, {{"Retry-After", "99999999999999999999"}}) == 1h);
+  for (const int Status : {200, 429, 500})
+    CHECK_FALSE(Pause(Status, {{"Retry-After", "2"}}));
+  for (const char *const Text :
+       {"", "-1", "soon", "nan", "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+    CAPTURE(Text);
+    CHECK_FALSE(Pause(503, {{"Retry-After", Text}}));
+    CHECK(readHead(503, {{"Retry-After", Text}}, "").m_UnreadableStatement ==
+          std::string("Retry-After: ") + Text);
+  }
+}
+
 } // namespace bronzepass::platform
