Gateway: Ask a store that does not answer without waiting for a change

Cause: while the store is away, one feed asks for all. Once it has listed, its calls are watches, which the store that is back keeps open until something changes. In the traced run the store was back at 23.5 s, and the watch of the configuration ended at 24.83 s with the next version; only then were the endpoints listed, and what had left began its retention time.

A failing feed now watches without waiting, so that the store's first answer comes at once.

--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -13,9 +13,6 @@
 
 constexpr model::Duration RegisterTimeout = std::chrono::milliseconds(1500);
 constexpr model::Duration RegisterRetry = std::chrono::milliseconds(1500);
-/// Endpoints that could not renew their entries during a store outage have
-/// restored them within this time.
-constexpr model::Duration LapsedEntryLifetime = std::chrono::milliseconds(2150);
 /// After a restore of the store each node waits a random part of this before it
 /// reads and registers again, so that not all nodes call at once.
 constexpr model::Duration RestoreSpread = std::chrono::milliseconds(300);
@@ -55,7 +52,8 @@
     : m_Store(Store), m_Relay(Relay), m_Times(Times),
       m_Sources(Self.m_Node, gateway::FeedSourceSettings()),
       m_Self(std::move(Self)), m_Dialect(Dialect), m_Clock(Clock), m_Log(Log),
-      m_Events(Events), m_Registry(LapsedEntryLifetime),
+      m_Events(Events),
+      m_Registry(gateway::lapsedRetention(Times.m_ContactTime)),
       m_ConfigFeed(gateway::FeedKind::Config, "config",
                    configFeedSettings(Times), Random),
       m_EndpointFeed(gateway::FeedKind::Endpoints, "endpoints",
@@ -138,7 +136,7 @@
   // Entries that lapse in a store outage that the watcher alone has noticed
   // are retained as in any other.
   if (Reply && Reply->m_IsStoreFailing)
-    m_Health.recordFailure();
+    m_Health.recordFailure(Now);
   logSource(Source, model::NodeId(),
             Reply ? Watcher.str() + " can't tell the state of the store"
                   : Watcher.str() + ": " + Reason);
@@ -179,7 +177,7 @@
                                const gateway::FeedAnswer &Answer) {
   const model::TimePoint Now = m_Clock.now();
   if (Answer.m_Status == gateway::FeedStatus::Failed)
-    m_Health.recordFailure();
+    m_Health.recordFailure(Now);
   else if (m_Health.recordAnswer(Now))
     for (Feed *const Other : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
       Other->m_Feed.onStoreRecovered(Now);
--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -21,7 +21,10 @@
   if (m_Watching) {
     Call.m_Verb = FeedCall::Verb::Watch;
     Call.m_Revision = m_Revision;
-    Call.m_Wait = m_Settings.m_WatchTimeout;
+    // While the store does not answer, a call that waits for a change would
+    // hide its return until one comes.
+    Call.m_Wait =
+        m_Failing ? model::Duration::zero() : m_Settings.m_WatchTimeout;
   } else {
     Call.m_After = m_After;
     // The first list, and the first after a restore, has to be up to date.
--- a/Source/Core/Gateway/StoreHealth.h
+++ b/Source/Core/Gateway/StoreHealth.h
@@ -11,7 +11,7 @@
 /// recovered.
 class StoreHealth {
 public:
-  void recordFailure() { m_Failing = true; }
+  void recordFailure(model::TimePoint /*Now*/) { m_Failing = true; }
 
   /// True if this is the first answer after a failure.
   bool recordAnswer(model::TimePoint Now) {
--- a/Source/Core/Gateway/WatchTimes.cpp
+++ b/Source/Core/Gateway/WatchTimes.cpp
@@ -21,6 +21,9 @@
 constexpr double RelayedWatchShare = 0.4;
 /// Share of the contact time.
 constexpr double FollowerBackoffShare = 0.3;
+/// Endpoints that could not renew their entries during a store outage have
+/// written them again within this time.
+constexpr model::Duration LapsedRetention = std::chrono::milliseconds(2150);
 
 model::Duration shareOf(model::Duration Whole, double Share) {
   return std::chrono::duration_cast<model::Duration>(Whole * Share);
@@ -38,6 +41,10 @@
           ConfigBatchDelay, shareOf(LeaveNotice, RelayedBatchShare)};
 }
 
+model::Duration lapsedRetention(model::Duration /*ContactTime*/) {
+  return LapsedRetention;
+}
+
 model::Duration followerMaxBackoff(model::Duration ContactTime) {
   return std::max(FeedSettings().m_MaxBackoff,
                   shareOf(ContactTime, FollowerBackoffShare));
--- a/Source/Core/Gateway/WatchTimes.h
+++ b/Source/Core/Gateway/WatchTimes.h
@@ -24,6 +24,10 @@
 WatchTimes watchTimes(model::Duration LeaveNotice, model::Duration ContactTime,
                       bool Relays);
 
+/// How long after the store's return an entry that lapsed is retained; by then
+/// endpoints that are alive have written theirs again.
+model::Duration lapsedRetention(model::Duration ContactTime);
+
 /// Longest pause between two calls to a store that does not answer, of a node
 /// that no other depends on.
 model::Duration followerMaxBackoff(model::Duration ContactTime);
--- a/Source/UnitTests/Gateway/EndpointRegistryTest.cpp
+++ b/Source/UnitTests/Gateway/EndpointRegistryTest.cpp
@@ -36,7 +36,7 @@
   EndpointRegistry Registry(LapsedRetention);
   Registry.set(entry("a"), at(1s));
   StoreHealth Store;
-  Store.recordFailure();
+  Store.recordFailure(at(20s));
   Registry.remove(model::EndpointId("a"), Store, at(10s));
   CHECK_FALSE(Registry.dropLapsed(Store, at(20s)));
   CHECK(Store.recordAnswer(at(20s)));
@@ -53,7 +53,7 @@
   EndpointRegistry Registry(LapsedRetention);
   Registry.set(entry("a"), at(1s));
   StoreHealth Store;
-  Store.recordFailure();
+  Store.recordFailure(at(20s));
   Store.recordAnswer(at(20s));
   Registry.remove(model::EndpointId("a"), Store, at(21100ms));
   CHECK(Registry.find(model::EndpointId("a")));
@@ -64,7 +64,7 @@
   EndpointRegistry Registry(LapsedRetention);
   Registry.set(entry("a", 1, true), at(1s));
   StoreHealth Store;
-  Store.recordFailure();
+  Store.recordFailure(at(10s));
   Registry.remove(model::EndpointId("a"), Store, at(10s));
   CHECK(Registry.empty());
 }
@@ -73,7 +73,7 @@
   EndpointRegistry Registry(LapsedRetention);
   Registry.set(entry("a", 5), at(1s));
   StoreHealth Store;
-  Store.recordFailure();
+  Store.recordFailure(at(10s));
   Registry.remove(model::EndpointId("a"), Store, at(10s));
   Store.recordAnswer(at(11s));
   CHECK(Registry.set(entry("a", 6), at(1s)));
