Gateway: Count the retention of lapsed entries from the last call that failed

Cause: an entry that is missing after an outage is used for 2.15 s from the node's first answer of the store. A call that was sent just before the store's return ends 0.6 s after it, and the next comes up to 0.7 s later (0.9 s on followers), so that the times add up to 3.45 s where 3 s are allowed. No test held the sum.

The retention now begins at the last failure, which is no later than 0.6 s after the return, and is shorter where the contact time is. A store that was away from all nodes still has at least 1.45 s in which endpoints write their entries again.

--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -178,7 +178,7 @@
   const model::TimePoint Now = m_Clock.now();
   if (Answer.m_Status == gateway::FeedStatus::Failed)
     m_Health.recordFailure(Now);
-  else if (m_Health.recordAnswer(Now))
+  else if (m_Health.recordAnswer())
     for (Feed *const Other : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
       Other->m_Feed.onStoreRecovered(Now);
   applyAnswer(Source, Answer);
--- a/Source/Core/Gateway/StoreHealth.h
+++ b/Source/Core/Gateway/StoreHealth.h
@@ -11,14 +11,17 @@
 /// recovered.
 class StoreHealth {
 public:
-  void recordFailure(model::TimePoint /*Now*/) { m_Failing = true; }
+  void recordFailure(model::TimePoint Now) {
+    m_Failing = true;
+    m_FailedAt = Now;
+  }
 
   /// True if this is the first answer after a failure.
-  bool recordAnswer(model::TimePoint Now) {
+  bool recordAnswer() {
     if (!m_Failing)
       return false;
     m_Failing = false;
-    m_ReturnedAt = Now;
+    m_ReturnedAt = m_FailedAt;
     return true;
   }
 
@@ -27,11 +30,14 @@
   void recordRestore(model::TimePoint Now) { m_ReturnedAt = Now; }
 
   bool isFailing() const { return m_Failing; }
-  /// When it last recovered or was restored; nullopt if it never was.
+  /// When it last recovered or was restored; nullopt if it never was. Of the
+  /// times at which it may have recovered, the one of the last failure: the
+  /// answer may be much later than the recovery.
   std::optional<model::TimePoint> recoveredAt() const { return m_ReturnedAt; }
 
 private:
   bool m_Failing = false;
+  model::TimePoint m_FailedAt;
   std::optional<model::TimePoint> m_ReturnedAt;
 };
 
--- a/Source/Core/Gateway/WatchTimes.cpp
+++ b/Source/Core/Gateway/WatchTimes.cpp
@@ -21,6 +21,8 @@
 constexpr double RelayedWatchShare = 0.4;
 /// Share of the contact time.
 constexpr double FollowerBackoffShare = 0.3;
+/// From a change of the registered endpoints to the requests that heed it.
+constexpr model::Duration DeliveryTime = std::chrono::milliseconds(150);
 /// Endpoints that could not renew their entries during a store outage have
 /// written them again within this time.
 constexpr model::Duration LapsedRetention = std::chrono::milliseconds(2150);
@@ -41,8 +43,10 @@
           ConfigBatchDelay, shareOf(LeaveNotice, RelayedBatchShare)};
 }
 
-model::Duration lapsedRetention(model::Duration /*ContactTime*/) {
-  return LapsedRetention;
+model::Duration lapsedRetention(model::Duration ContactTime) {
+  // The last call that fails may have been sent just before the store's return.
+  return std::min(LapsedRetention,
+                  ContactTime - FeedSettings().m_AnswerTimeout - DeliveryTime);
 }
 
 model::Duration followerMaxBackoff(model::Duration ContactTime) {
--- a/Source/UnitTests/Gateway/EndpointRegistryTest.cpp
+++ b/Source/UnitTests/Gateway/EndpointRegistryTest.cpp
@@ -39,7 +39,7 @@
   Store.recordFailure(at(20s));
   Registry.remove(model::EndpointId("a"), Store, at(10s));
   CHECK_FALSE(Registry.dropLapsed(Store, at(20s)));
-  CHECK(Store.recordAnswer(at(20s)));
+  CHECK(Store.recordAnswer());
   CHECK_FALSE(Registry.dropLapsed(Store, at(20s + LapsedRetention - 1ms)));
   CHECK(Registry.find(model::EndpointId("a")));
   // Three seconds after the recovery nothing may be sent to it any more.
@@ -48,13 +48,24 @@
   CHECK(Registry.empty());
 }
 
+TEST_CASE("the retention time starts at the last failure, since the store may "
+          "have recovered right after it") {
+  EndpointRegistry Registry(LapsedRetention);
+  Registry.set(entry("a"), at(1s));
+  StoreHealth Store;
+  Store.recordFailure(at(10s));
+  Registry.remove(model::EndpointId("a"), Store, at(10s));
+  CHECK(Store.recordAnswer());
+  CHECK(Registry.dropLapsed(Store, at(10s + LapsedRetention)));
+}
+
 TEST_CASE("the retention time of an entry missing from the first list after an "
           "outage starts at the store's recovery, not at that list") {
   EndpointRegistry Registry(LapsedRetention);
   Registry.set(entry("a"), at(1s));
   StoreHealth Store;
   Store.recordFailure(at(20s));
-  Store.recordAnswer(at(20s));
+  Store.recordAnswer();
   Registry.remove(model::EndpointId("a"), Store, at(21100ms));
   CHECK(Registry.find(model::EndpointId("a")));
   CHECK(Registry.dropLapsed(Store, at(20s + LapsedRetention)));
@@ -75,7 +86,7 @@
   StoreHealth Store;
   Store.recordFailure(at(10s));
   Registry.remove(model::EndpointId("a"), Store, at(10s));
-  Store.recordAnswer(at(11s));
+  Store.recordAnswer();
   CHECK(Registry.set(entry("a", 6), at(1s)));
   CHECK_FALSE(Registry.dropLapsed(Store, at(60s)));
   CHECK(Registry.find(model::EndpointId("a")));
--- a/Source/UnitTests/Gateway/StoreReturnTest.cpp
+++ b/Source/UnitTests/Gateway/StoreReturnTest.cpp
@@ -105,7 +105,7 @@
     if (m_Fails) {
       m_Health.recordFailure(m_Now);
     } else {
-      m_Health.recordAnswer(m_Now);
+      m_Health.recordAnswer();
       Answer.m_Status = FeedStatus::Ok;
       Answer.m_Revision = hasLeft(m_Now) ? 2 : 1;
       if (hasLeft(m_Now) && Call.m_Revision < 2)
--- a/Source/UnitTests/Gateway/WatchTimesTest.cpp
+++ b/Source/UnitTests/Gateway/WatchTimesTest.cpp
@@ -34,4 +34,15 @@
   CHECK(followerMaxBackoff(1s) == Feed.m_MaxBackoff);
 }
 
+TEST_CASE("an entry that lapsed is dropped within the contact time, though the "
+          "last call before the store's return failed late") {
+  const FeedSettings Feed;
+  for (const model::Duration ContactTime : {1s, 2s, 3s, 5s, 10s}) {
+    CAPTURE(ContactTime.count());
+    CHECK(Feed.m_AnswerTimeout + lapsedRetention(ContactTime) < ContactTime);
+    CHECK(lapsedRetention(ContactTime) > 0s);
+  }
+  CHECK(Feed.m_AnswerTimeout + followerMaxBackoff(3s) < 3s);
+}
+
 } // namespace bronzepass::core::gateway
