Gateway: Let requests beyond an engine's limit wait for their turn

A request that only engines at their limit could run was refused at once, also where a token was some milliseconds away. It now waits, the most urgent first, if its turn comes within its time to the first event, and is refused at once otherwise.

--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -153,6 +153,7 @@
       Best.m_WaitMs = Each.m_WaitMs;
       return;
     }
+    Best.m_LimitedPerSecond += Share.tokensPerSecond();
     const model::Duration Wait = Share.timeToNext(m_Now);
     Best.m_TimeToNext = std::min(Wait, Best.m_TimeToNext.value_or(Wait));
   }
@@ -232,11 +233,15 @@
     waitForCopy(Active, Out);
     return;
   }
+  if (Chosen.m_LimitedPerSecond > 0) {
+    holdForLimit(Active, Chosen, Out);
+    return;
+  }
   if (Chosen.m_TimeToNext) {
     reject(Active, ServiceUnavailable,
            std::min(jittered(std::max(MinRetryAfter, *Chosen.m_TimeToNext)),
                     Left / 3),
-           "every endpoint that could run it takes no more for now", Out);
+           EndpointsTakeNoMore, Out);
     return;
   }
   reject(Active, ServiceUnavailable,
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -131,6 +131,9 @@
   /// Used until the first long prompts were answered: a few tens of tokens per
   /// millisecond are common for models of this size.
   static constexpr double InitialPrefillMsPerToken = 0.03;
+  /// Reason of requests that wait, or are refused, for a limit or a pause.
+  static constexpr const char *EndpointsTakeNoMore =
+      "every endpoint that could run it takes no more for now";
   struct ServiceState {
     /// Moving averages of the time to the first chunk and to the whole answer.
     double m_FirstChunkMs = 0;
@@ -159,6 +162,8 @@
     /// When the first of those that have reached their limit, or are paused,
     /// takes a request again.
     std::optional<model::Duration> m_TimeToNext;
+    /// Requests a second that those at their limit take from this node.
+    double m_LimitedPerSecond = 0;
   };
   /// An endpoint that could be chosen if its limit allows it.
   struct LimitedCandidate {
@@ -207,6 +212,10 @@
                 const EndpointView &Endpoint) const;
   void holdOrReject(ActiveRequest &Active, const Choice &Chosen,
                     RelayEffectList &Out);
+  void holdForLimit(ActiveRequest &Active, const Choice &Chosen,
+                    RelayEffectList &Out);
+  void hold(ActiveRequest &Active, const char *Reason, RelayEffectList &Out);
+  size_t heldAhead(const ActiveRequest &Active) const;
   void releaseHold(ActiveRequest &Active);
   void dispatchHeld(RelayEffectList &Out);
   double prefillMs(const ActiveRequest &Active, uint32_t Tokens) const;
--- a/Source/Core/Gateway/RelayHold.cpp
+++ b/Source/Core/Gateway/RelayHold.cpp
@@ -10,6 +10,7 @@
 constexpr int ServiceUnavailable = 503;
 constexpr double MillisPerMicro = 1e-3;
 constexpr double MicrosPerMilli = 1e3;
+constexpr double MillisPerSecond = 1e3;
 constexpr model::Duration MinHeldRetryAfter = std::chrono::milliseconds(150);
 /// The network, and the steps of the batch until the first event.
 constexpr double FirstEventMs = 60;
@@ -86,12 +87,53 @@
            Out);
     return;
   }
+  hold(Active, "the engines' prefill queues are full", Out);
+}
+
+void RelayCore::hold(ActiveRequest &Active, const char *Reason,
+                     RelayEffectList &Out) {
   if (!Active.m_IsHeld)
-    log(Active, "wait", 0, "the engines' prefill queues are full", Out);
+    log(Active, "wait", 0, Reason, Out);
   Active.m_IsHeld = true;
   m_Held.insert({Active.m_Route->m_Priority, Active.m_Request.m_Number});
 }
 
+/// Requests held here for the same model that go first.
+size_t RelayCore::heldAhead(const ActiveRequest &Active) const {
+  size_t Count = 0;
+  const HoldKey Own{Active.m_Route->m_Priority, Active.m_Request.m_Number};
+  for (const HoldKey &Key : m_Held) {
+    if (Key >= Own)
+      break;
+    Count += m_ActiveRequests.at(Key.second).m_Request.m_ModelRef.m_Model ==
+                     Active.m_Request.m_ModelRef.m_Model
+                 ? 1
+                 : 0;
+  }
+  return Count;
+}
+
+/// Where every endpoint that could run it has reached its limit, a request
+/// waits for its turn if that comes within its time to the first event.
+void RelayCore::holdForLimit(ActiveRequest &Active, const Choice &Chosen,
+                             RelayEffectList &Out) {
+  const double PeriodMs = MillisPerSecond / Chosen.m_LimitedPerSecond;
+  const double FirstMs = std::min(PeriodMs, millis(*Chosen.m_TimeToNext));
+  const double WaitMs =
+      FirstMs + static_cast<double>(heldAhead(Active)) * PeriodMs;
+  const double WaitedMs = millis(m_Now - Active.m_Request.m_BeganAt);
+  if (WaitedMs + WaitMs + FirstEventMs <=
+      millis(Active.m_Route->m_LatencyTarget)) {
+    hold(Active, EndpointsTakeNoMore, Out);
+    return;
+  }
+  const model::Duration Left = Active.m_Deadline - m_Now;
+  reject(Active, ServiceUnavailable,
+         std::min(std::max(MinHeldRetryAfter, jittered(fromMillis(WaitMs))),
+                  Left / 3),
+         EndpointsTakeNoMore, Out);
+}
+
 void RelayCore::releaseHold(ActiveRequest &Active) {
   if (!Active.m_IsHeld)
     return;
--- a/Source/Core/Gateway/RequestRateShare.cpp
+++ b/Source/Core/Gateway/RequestRateShare.cpp
@@ -69,11 +69,10 @@
 }
 
 model::Duration RequestRateShare::timeToNext(model::TimePoint Now) const {
-  // With draws, any node may be the next that sends a request.
   const double Seconds =
       holdsWholeTokens()
           ? (1 - m_Tokens) / m_TokensPerSecond - seconds(Now - m_RefilledAt)
-          : 1 / std::max(m_LimitPerSecond, MinRequestsPerSecond);
+          : 1 / m_TokensPerSecond;
   return std::clamp(
       model::Duration(static_cast<int64_t>(Seconds * MicrosPerSecond)),
       model::Duration::zero(), MaxTimeToNext);
--- a/Source/Core/Gateway/RequestRateShare.h
+++ b/Source/Core/Gateway/RequestRateShare.h
@@ -30,6 +30,8 @@
   bool allows(model::TimePoint Now, uint64_t Random);
   /// A request is sent.
   void take(model::TimePoint Now);
+  /// This node's share of the limit.
+  double tokensPerSecond() const { return m_TokensPerSecond; }
   /// When to ask again after allows() was false.
   model::Duration timeToNext(model::TimePoint Now) const;
 
--- a/Source/UnitTests/Gateway/EndpointStatementTest.cpp
+++ b/Source/UnitTests/Gateway/EndpointStatementTest.cpp
@@ -137,4 +137,36 @@
   CHECK(*Refused[0].m_RetryAfter <= 10s / 3);
 }
 
+TEST_CASE("requests beyond an endpoint's limit wait for their turn, the most "
+          "urgent first, if it comes within their latency target") {
+  RelayFixture Relay;
+  gateway::GatewayConfig Config = RelayFixture::config();
+  for (gateway::RouteSpec &Each : Config.m_Routes)
+    Each.m_LatencyTarget = 600ms;
+  Config.m_Routes[0].m_Priority = 1;
+  Relay.m_Core.setTable(std::make_shared<gateway::RouteTable>(Config));
+  Relay.setEndpoints({RelayFixture::endpoint("a")});
+  Relay.ask("/once/");
+  const SendRequest Told = Relay.take<SendRequest>()[0];
+  Relay.m_Core.onAnswerHead(Told.m_Attempt, {false, 4.0}, Relay.m_Now,
+                            Relay.m_Out);
+  Relay.finishSend(Told.m_Attempt, SendResult::Completed);
+  const model::RequestId Patient = Relay.ask("/once/");
+  const model::RequestId Urgent = Relay.ask("/again/");
+  CHECK(Relay.take<RejectRequest>().empty());
+  // The third could not begin in time.
+  Relay.ask("/once/");
+  const std::vector<RejectRequest> Refused = Relay.take<RejectRequest>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].m_Status == 503);
+  CHECK(Refused[0].m_RetryAfter >= 150ms);
+  std::vector<model::RequestId> Sent;
+  for (int I = 0; I < 30; ++I) {
+    Relay.advance(20ms);
+    for (const SendRequest &Each : Relay.take<SendRequest>())
+      Sent.push_back(Each.m_Request);
+  }
+  CHECK(Sent == std::vector<model::RequestId>{Urgent, Patient});
+}
+
 } // namespace bronzepass::unit_tests
