Gateway, Residency: Choose endpoints that turn work away less, and replace the copies of those that leave

Cause: an answer that says the request did not run lowered an endpoint's failure share and cleared its failures, and an endpoint that turns work away at once has the least load, so that it was the cheapest choice. The share of rejections now has an average of its own (some five answers, halving each second without new ones, so that a trickle tries it again) and costs more than a full batch.

The lease holder hears from the traffic thread what endpoints say, and plans without those that are leaving, before the store says so.

--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -115,6 +115,11 @@
   m_Thread.loop().post([this, Request] { m_Placement.onCopyRequest(Request); });
 }
 
+void GatewayControl::onStatementChange(const gateway::StatementChange &Change) {
+  m_Thread.loop().post(
+      [this, Change] { m_Placement.onStatementChange(Change); });
+}
+
 void GatewayControl::onLivePeers(std::vector<model::NodeId> Nodes) {
   m_Thread.loop().post(
       [this, Nodes = std::move(Nodes)] { m_Placement.onLivePeers(Nodes); });
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -54,6 +54,7 @@
   onDemandReport(const model::NodeId &Node, uint64_t Start,
                  std::vector<core::gateway::UsageCounter> Counters) override;
   void onCopyRequest(const core::gateway::CopyRequest &Request) override;
+  void onStatementChange(const core::gateway::StatementChange &Change) override;
   void onLivePeers(std::vector<model::NodeId> Nodes) override;
 
 private:
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -81,6 +81,9 @@
         onPeerNotice(Notice, From);
       }) {
   m_Start = m_Random->next() >> 1U;
+  m_Driver.setStatementHandler([this](const gateway::StatementChange &Change) {
+    m_Events.onStatementChange(Change);
+  });
   m_Thread.loop().setFaultHandler([this](const std::string &What) {
     m_Log.write("process", "exception",
                 {{"thread", "traffic"}, {"reason", What}});
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -29,6 +29,9 @@
   onDemandReport(const model::NodeId &Node, uint64_t Start,
                  std::vector<core::gateway::UsageCounter> Counters) = 0;
   virtual void onCopyRequest(const core::gateway::CopyRequest &Request) = 0;
+  /// An endpoint has said something new of itself, to this node or a peer.
+  virtual void
+  onStatementChange(const core::gateway::StatementChange &Change) = 0;
   /// Called periodically with the peers that sent a notice recently.
   virtual void onLivePeers(std::vector<model::NodeId> Nodes) = 0;
 };
--- a/Source/Core/Adapters/Gateway/PlacementControl.cpp
+++ b/Source/Core/Adapters/Gateway/PlacementControl.cpp
@@ -77,6 +77,11 @@
   });
 }
 
+void PlacementControl::onStatementChange(
+    const gateway::StatementChange &Change) {
+  m_Residency.onStatementChange(Change);
+}
+
 void PlacementControl::setNodes(const std::vector<gateway::NodeEntry> &Nodes) {
   m_Candidates.setRegistered(Nodes);
 }
--- a/Source/Core/Adapters/Gateway/PlacementControl.h
+++ b/Source/Core/Adapters/Gateway/PlacementControl.h
@@ -51,6 +51,7 @@
   void onDemandReport(const model::NodeId &Node, uint64_t Start,
                       const std::vector<core::gateway::UsageCounter> &Counters);
   void onCopyRequest(const core::gateway::CopyRequest &Request);
+  void onStatementChange(const core::gateway::StatementChange &Change);
   /// Sets all registered nodes.
   void setNodes(const std::vector<core::gateway::NodeEntry> &Nodes);
   /// Sets the nodes that are heard. The first candidate by DutyRank is the
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -239,6 +239,8 @@
 
 void RelayDriver::on(const gateway::StatementChange &Effect) {
   m_Log.write(Effect);
+  if (m_OnStatementChange)
+    m_OnStatementChange(Effect);
 }
 
 void RelayDriver::on(const gateway::PauseBegun &Effect) { m_Log.write(Effect); }
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -33,6 +33,10 @@
   using CopyRequestHandler =
       std::function<void(const core::gateway::CopyRequest &)>;
 
+  /// Called when an endpoint says something new of itself.
+  using StatementHandler =
+      std::function<void(const core::gateway::StatementChange &)>;
+
   /// All references must outlive the driver.
   RelayDriver(net::EventLoop &Loop, const core::gateway::Dialect &Dialect,
               core::gateway::RelayCore &Core, const ports::Clock &Clock,
@@ -47,6 +51,9 @@
   void
   decide(const std::function<void(core::gateway::RelayCore &, model::TimePoint,
                                   core::gateway::RelayEffectList &)> &Decide);
+  void setStatementHandler(StatementHandler Handler) {
+    m_OnStatementChange = std::move(Handler);
+  }
   /// From now on, connections are closed after their current answer.
   void closeConnectionsAfterAnswers() { m_Closing = true; }
   /// Number of finished answers that have not been sent completely.
@@ -128,6 +135,7 @@
   GatewayLog &m_Log;
   GatewayMetrics &m_Metrics;
   CopyRequestHandler m_OnCopyRequest;
+  StatementHandler m_OnStatementChange;
   std::unordered_map<model::RequestId, Exchange> m_Exchanges;
   SendMap m_Sends;
   /// Shortest time for which a service's endpoints keep idle connections.
--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -49,6 +49,9 @@
   /// Moving average of the share of its answers that were failures.
   double m_FailureShare = 0;
   model::TimePoint m_FailureShareAt;
+  /// The same of the requests that it turned away.
+  double m_RejectShare = 0;
+  model::TimePoint m_RejectShareAt;
   /// Time to the first chunk of an answer relative to the service's mean; 1 is
   /// the mean.
   double m_Slowness = 1;
@@ -84,6 +87,10 @@
     return 1 + (m_Slowness - 1) * decayFactor(m_SlownessAt, Now, HalfLife);
   }
 
+  double rejectShareAt(model::TimePoint Now, model::Duration HalfLife) const {
+    return m_RejectShare * decayFactor(m_RejectShareAt, Now, HalfLife);
+  }
+
   double failureShareAt(model::TimePoint Now, model::Duration HalfLife) const {
     return m_FailureShare * decayFactor(m_FailureShareAt, Now, HalfLife);
   }
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -23,6 +23,9 @@
 constexpr double OtherDomainCostMs = 6;
 /// An endpoint that fails every answer.
 constexpr double AlwaysFailingCostMs = 3000;
+/// An endpoint that turns every request away: more than a full batch, since the
+/// load of such an endpoint says nothing.
+constexpr double AlwaysRejectingCostMs = 1000;
 /// An endpoint with twice the mean time to the first chunk.
 constexpr double SlownessCostMs = 100;
 /// Time that a request occupies a slot, until answers have been measured.
@@ -63,6 +66,8 @@
   Cost += SlownessCostMs * std::max(0.0, Slowness - 1);
   Cost += AlwaysFailingCostMs *
           Endpoint.failureShareAt(m_Now, m_Settings.m_FailureHalfLife);
+  Cost += AlwaysRejectingCostMs *
+          Endpoint.rejectShareAt(m_Now, m_Settings.m_RejectHalfLife);
   if (Endpoint.m_Entry.m_Domain != m_Settings.m_Domain)
     Cost += OtherDomainCostMs;
   return Cost + prefillCostMs(
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -16,6 +16,9 @@
 /// service, which cover some ten and some thirty answers.
 constexpr double EndpointAverageWeight = 0.1;
 constexpr double ServiceAverageWeight = 0.03;
+/// The same for the requests that an endpoint turns away, which cost it and
+/// this node little: some five answers.
+constexpr double RejectAverageWeight = 0.2;
 constexpr double MaxSlowness = 20;
 /// For shorter prompts the network dominates the time to the first chunk.
 constexpr uint32_t MinTokensForPrefillRate = 500;
@@ -172,6 +175,14 @@
         Old + EndpointAverageWeight * ((Failure ? 1 : 0) - Old);
     Endpoint.m_FailureShareAt = m_Now;
   }
+  if (Outcome.m_Result != SendResult::NotSent) {
+    const bool Rejected = Outcome.m_Result == SendResult::NotRun;
+    const double Old =
+        Endpoint.rejectShareAt(m_Now, m_Settings.m_RejectHalfLife);
+    Endpoint.m_RejectShare =
+        Old + RejectAverageWeight * ((Rejected ? 1 : 0) - Old);
+    Endpoint.m_RejectShareAt = m_Now;
+  }
   if (Answered) {
     Endpoint.m_ConsecutiveFailures = 0;
     return;
--- a/Source/Core/Gateway/RelaySettings.h
+++ b/Source/Core/Gateway/RelaySettings.h
@@ -31,6 +31,8 @@
   /// An endpoint's failure share halves in this time without new answers, so
   /// that the endpoint is tried again.
   model::Duration m_FailureHalfLife = std::chrono::seconds(2);
+  /// The same for the share of requests that an endpoint turns away.
+  model::Duration m_RejectHalfLife = std::chrono::seconds(1);
   /// The same for an endpoint's slowness: engines are slow for some seconds
   /// after they start.
   model::Duration m_SlownessHalfLife = std::chrono::seconds(4);
--- a/Source/Core/Residency/ResidencyCore.cpp
+++ b/Source/Core/Residency/ResidencyCore.cpp
@@ -48,6 +48,8 @@
     Known.m_Listed = true;
     if (Known.m_Record.entry() == Entry)
       continue;
+    if (Known.m_Record.entry().m_StartedAtMs != Entry.m_StartedAtMs)
+      Known.m_HasSaidLeaving = false;
     const std::optional<OpenOrder> Before = Known.m_Record.openOrder();
     if (Known.m_Record.setEntry(Entry) && Before && !Known.m_Record.openOrder())
       onOrderDone(Known, Before->m_Order, Now, Out);
@@ -122,11 +124,19 @@
   for (const auto &Each : m_Engines)
     if (Each.second.m_Record.entry().m_Service == Service &&
         !Each.second.m_Record.entry().m_Draining &&
-        Now >= Each.second.m_UnreachableUntil)
+        !Each.second.m_HasSaidLeaving && Now >= Each.second.m_UnreachableUntil)
       Engines.push_back(&Each.second.m_Record);
   return Engines;
 }
 
+void ResidencyCore::onStatementChange(const gateway::StatementChange &Change) {
+  const auto Found = m_Engines.find(Change.m_Endpoint);
+  if (Found == m_Engines.end())
+    return;
+  // An engine that leaves does not come back under this start.
+  Found->second.m_HasSaidLeaving |= Change.m_Statement.m_IsLeaving;
+}
+
 void ResidencyCore::onEnginesAdded(size_t Added, model::TimePoint Now) {
   const double Share =
       static_cast<double>(Added) / static_cast<double>(m_Engines.size());
--- a/Source/Core/Residency/ResidencyCore.h
+++ b/Source/Core/Residency/ResidencyCore.h
@@ -40,6 +40,7 @@
                       model::TimePoint Now);
   void onCopyRequest(const gateway::CopyRequest &Wanted, model::TimePoint Now,
                      ResidencyEffectList &Out);
+  void onStatementChange(const gateway::StatementChange &Change);
   void onOrderReply(uint64_t Number, gateway::OrderReply Reply,
                     model::TimePoint Now, ResidencyEffectList &Out);
   /// \p State is nullopt where no report came.
@@ -53,6 +54,8 @@
   struct Engine {
     explicit Engine(const gateway::EndpointEntry &Entry) : m_Record(Entry) {}
     EngineRecord m_Record;
+    /// It says in its answers to callers' requests that it is leaving.
+    bool m_HasSaidLeaving = false;
     /// Contained in the latest endpoint list.
     bool m_Listed = true;
     std::optional<model::TimePoint> m_NextReportAt;
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -146,6 +146,38 @@
   CHECK_FALSE(Changes[1].m_Statement.m_RequestsPerSecond);
 }
 
+// Guards against choosing the endpoint that turns most requests away, because
+// it has the least load.
+TEST_CASE("fewer than one in ten sends are turned away where one of two "
+          "endpoints turns nine in ten away") {
+  RelayFixture Relay;
+  Relay.start({"a", "b"});
+  int Sends = 0;
+  int Rejected = 0;
+  std::vector<SendRequest> Running;
+  for (int I = 0; I < 1000; ++I) {
+    Relay.ask("/once/");
+    for (std::vector<SendRequest> New = Relay.take<SendRequest>(); !New.empty();
+         New = Relay.take<SendRequest>())
+      for (const SendRequest &Each : New) {
+        ++Sends;
+        const bool Rejects = Each.m_Endpoint.str() == "a" && I % 10 != 0;
+        Rejected += Rejects ? 1 : 0;
+        if (Rejects)
+          Relay.finishSend(Each.m_Attempt, SendResult::NotRun, 503);
+        else
+          Running.push_back(Each);
+      }
+    // The sound endpoint is half full all the time.
+    if (Running.size() > 2) {
+      Relay.finishSend(Running.front().m_Attempt, SendResult::Completed);
+      Running.erase(Running.begin());
+    }
+    Relay.advance(20ms);
+  }
+  CHECK(Rejected * 10 < Sends);
+}
+
 // Guards against joining a part of one answer with another answer.
 TEST_CASE("a repeatable request whose answer broke off while it was forwarded "
           "is not sent again") {
--- a/Source/UnitTests/Residency/ResidencyCoreTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyCoreTest.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <string>
@@ -170,4 +171,39 @@
   CHECK(Other.m_Orders.size() == Before);
 }
 
+// Guards against waiting for the store before the copies of an engine that
+// leaves are replaced.
+TEST_CASE("a model whose only engine says that it is leaving is loaded on "
+          "another one at once, until that engine starts anew") {
+  LeaseHolder Node;
+  std::vector<gateway::EndpointEntry> Entries = {
+      engine(0, {"m", "n"}), engine(1, {"rare"}), engine(2, {"m", "n"})};
+  Node.setEngines(Entries);
+  Node.takeLease();
+  Node.advance(5s);
+  const auto LoadsOfRare = [&] {
+    return std::count_if(Node.m_Orders.begin(), Node.m_Orders.end(),
+                         [](const gateway::PlacementOrder &Each) {
+                           return Each.m_Verb == gateway::OrderVerb::Load &&
+                                  Each.m_ModelRef.m_Model == "rare";
+                         });
+  };
+  CHECK(LoadsOfRare() == 0);
+  Node.m_Core.onStatementChange({Entries[1].m_Id, {.m_IsLeaving = true}});
+  for (int I = 0; I < 10 && LoadsOfRare() == 0; ++I) {
+    Node.advance(200ms);
+    for (const gateway::PlacementOrder &Each : Node.m_Orders)
+      if (Each.m_Verb == gateway::OrderVerb::Unload)
+        for (gateway::EndpointEntry &Entry : Entries)
+          if (Entry.m_Id == Each.m_Endpoint)
+            std::erase_if(Entry.m_Models, [&](const auto &Model) {
+              return Model.m_Name == Each.m_ModelRef.m_Model;
+            });
+    Node.setEngines(Entries);
+  }
+  CHECK(Node.m_Orders.size() > 0);
+  for (const gateway::PlacementOrder &Each : Node.m_Orders)
+    CHECK(Each.m_Endpoint != Entries[1].m_Id);
+}
+
 } // namespace bronzepass::core::residency
