--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -10,7 +10,6 @@
 namespace gateway = core::gateway;
 using gateway::HeaderLine;
 using gateway::HeaderLines;
-using gateway::SendResult;
 
 namespace {
 
@@ -27,22 +26,6 @@
 constexpr std::chrono::milliseconds TimeoutSlack(2000);
 /// Used until an endpoint announces how long it keeps idle connections.
 constexpr std::chrono::seconds UnknownKeepAlive(2);
-/// A larger success is forwarded as it arrives.
-constexpr size_t MaxCollectedBytes = 128 << 10;
-constexpr size_t MaxFailureBytes = 64 << 10;
-/// An answer that is forwarded ends here, since an endpoint in trouble may send
-/// bytes until its connection is closed.
-constexpr uint64_t MaxForwardedBytes = 64 << 20;
-constexpr model::Duration UnreadableLogPeriod = std::chrono::seconds(1);
-/// Many times the largest event of any engine.
-constexpr size_t MaxEventBytes = 64 << 10;
-
-gateway::TransferEnd transferEndOf(const curl::TransferResult &Result) {
-  if (Result.m_Complete)
-    return gateway::TransferEnd::AsFramed;
-  return Result.m_EndedByClose ? gateway::TransferEnd::ConnectionClosed
-                               : gateway::TransferEnd::Broken;
-}
 
 HeaderLines linesOf(const std::vector<pistache::HttpHeader> &Headers) {
   HeaderLines Lines;
@@ -245,15 +228,6 @@
 
 void RelayDriver::on(const gateway::PauseBegun &Effect) { m_Log.write(Effect); }
 
-void RelayDriver::logUnreadableStatement(const std::string &Line) {
-  m_Metrics.countUnreadableStatement();
-  const model::TimePoint Now = m_Clock.now();
-  if (m_UnreadableLoggedAt && Now < *m_UnreadableLoggedAt + UnreadableLogPeriod)
-    return;
-  m_UnreadableLoggedAt = Now;
-  m_Log.write("endpoint", "unreadable", {{"reason", Line}});
-}
-
 void RelayDriver::endExchange(model::RequestId Request) {
   const auto Found = m_Exchanges.find(Request);
   const std::shared_ptr<pistache::HttpResponseWriter> Answer =
@@ -277,156 +251,4 @@
                      Length);
 }
 
-void RelayDriver::onHead(model::AttemptId Attempt,
-                         const curl::TransferHead &Head) {
-  const auto Found = m_Sends.find(Attempt);
-  if (Found == m_Sends.end())
-    return;
-  Send &From = Found->second;
-  const auto To = m_Exchanges.find(From.m_Request);
-  From.m_Status = Head.m_Status;
-  From.m_Headers = Head.m_Lines;
-  From.m_BodyFormat = Head.m_BodyFormat;
-  From.m_Head = m_Dialect.readHead(
-      Head.m_Status, Head.m_Lines,
-      To == m_Exchanges.end() ? "" : To->second.m_CallerRequestId);
-  if (From.m_Head->m_KeepAlive) {
-    // One second of margin, so that the endpoint does not close the connection
-    // just as a request is sent.
-    const std::chrono::seconds Kept =
-        std::max(std::chrono::seconds(1),
-                 *From.m_Head->m_KeepAlive - std::chrono::seconds(1));
-    const auto Known = m_KeepAlive.emplace(From.m_Service, Kept);
-    Known.first->second = std::min(Known.first->second, Kept);
-  }
-  if (!From.m_Head->m_UnreadableStatement.empty())
-    logUnreadableStatement(From.m_Head->m_UnreadableStatement);
-  if (!From.m_Head->m_Foreign)
-    decide([&, Told = *From.m_Head](gateway::RelayCore &Core,
-                                    model::TimePoint Now,
-                                    gateway::RelayEffectList &Out) {
-      Core.onAnswerHead(Attempt, Told.m_Statement, Now, Out);
-      if (Told.m_PauseFor)
-        Core.onEndpointPaused(Attempt, *Told.m_PauseFor, Now, Out);
-    });
-  const bool Success = gateway::isSuccess(Head.m_Status);
-  if (To != m_Exchanges.end() && From.m_Head->m_Foreign) {
-    rejectAnswer(Attempt, "an answer to another request");
-    return;
-  }
-  if (Success && !From.m_Head->m_Sealed) {
-    rejectAnswer(Attempt, "a success without the endpoint's seal");
-    return;
-  }
-  From.m_Forwarding = From.m_IsStream && Success;
-}
-
-void RelayDriver::rejectAnswer(model::AttemptId Attempt,
-                               const std::string &Reason) {
-  const auto Found = m_Sends.find(Attempt);
-  const uint64_t Transfer = Found->second.m_Transfer;
-  m_Sends.erase(Found);
-  m_Curl.cancel(Transfer);
-  decide([&](gateway::RelayCore &Core, model::TimePoint Now,
-             gateway::RelayEffectList &Out) {
-    Core.onSendFinished(Attempt, {SendResult::Broken, 0, false, Reason}, Now,
-                        Out);
-  });
-}
-
-bool RelayDriver::onChunk(model::AttemptId Attempt, std::string_view Chunk) {
-  const auto Found = m_Sends.find(Attempt);
-  if (Found == m_Sends.end())
-    return false;
-  Send &From = Found->second;
-  From.m_ReceivedBytes += Chunk.size();
-  m_Core.onAnswerChunk(Attempt, m_Clock.now());
-  const auto To = m_Exchanges.find(From.m_Request);
-  if (From.m_ReceivedBytes > MaxForwardedBytes)
-    From.m_Fault = "the answer is too long";
-  else if (To == m_Exchanges.end())
-    return true; // The caller has disconnected; the endpoint may finish.
-  else if (const char *const Fault = acceptChunk(From, To->second, Chunk))
-    From.m_Fault = Fault;
-  return From.m_Fault.empty();
-}
-
-const char *RelayDriver::acceptChunk(Send &From, Exchange &To,
-                                     std::string_view Chunk) {
-  if (From.m_Forwarding) {
-    forwardChunk(From, To, Chunk);
-    return To.m_Splicer.partialBytes() > MaxEventBytes
-               ? "an event of the stream is too long"
-               : nullptr;
-  }
-  From.m_Body.append(Chunk);
-  if (!gateway::isSuccess(From.m_Status))
-    return From.m_Body.size() > MaxFailureBytes
-               ? "the body of a failure is too long"
-               : nullptr;
-  if (From.m_Body.size() <= MaxCollectedBytes)
-    return nullptr;
-  From.m_Forwarding = true;
-  From.m_BypassesSplicer = true;
-  m_Core.onAnswerForwarded(From.m_Request);
-  beginAnswer(To, From.m_Status, From.m_Headers, From.m_BodyFormat.m_Length);
-  To.m_Answer->write(From.m_Body);
-  From.m_Body = {};
-  return nullptr;
-}
-
-void RelayDriver::forwardChunk(Send &From, Exchange &To,
-                               std::string_view Chunk) {
-  if (From.m_BypassesSplicer) {
-    To.m_Answer->write(Chunk);
-    return;
-  }
-  const std::string Events = To.m_Splicer.feed(Chunk);
-  if (Events.empty())
-    return;
-  if (!To.m_AnswerStarted) {
-    m_Core.onAnswerForwarded(From.m_Request);
-    beginAnswer(To, From.m_Status, From.m_Headers, std::nullopt);
-  }
-  To.m_Answer->write(Events);
-}
-
-void RelayDriver::onDone(model::AttemptId Attempt,
-                         const curl::TransferResult &Result) {
-  const auto Found = m_Sends.find(Attempt);
-  if (Found == m_Sends.end())
-    return;
-  Send Ended = std::move(Found->second);
-  m_Sends.erase(Found);
-  const auto To = m_Exchanges.find(Ended.m_Request);
-  gateway::ReceivedAnswer Answer;
-  Answer.m_Head = Ended.m_Head;
-  Answer.m_Status = Ended.m_Status;
-  Answer.m_IsStream = Ended.isSplicedStream() && To != m_Exchanges.end();
-  Answer.m_End = {Ended.m_BodyFormat.m_Framing, Ended.m_ReceivedBytes, 0};
-  if (Answer.m_IsStream)
-    Answer.m_End.m_PartialEventBytes = To->second.m_Splicer.discardPartial();
-  Answer.m_TransferEnd = transferEndOf(Result);
-  Answer.m_IsSent = Result.m_BytesSent > 0;
-  Answer.m_TimedOut = Result.m_TimedOut;
-  Answer.m_Error = Ended.m_Fault.empty() ? Result.m_Error : Ended.m_Fault;
-  const gateway::SendOutcome Outcome = gateway::outcomeOf(Answer);
-  if (To != m_Exchanges.end()) {
-    Exchange &Answered = To->second;
-    if (Answer.m_IsStream && Outcome.m_Result == SendResult::Completed &&
-        !Answered.m_AnswerStarted)
-      beginAnswer(Answered, Ended.m_Status, Ended.m_Headers, std::nullopt);
-    if (!Ended.m_Forwarding) {
-      Answered.m_Status = Ended.m_Status;
-      Answered.m_HeadLength = Ended.m_BodyFormat.m_Length;
-      Answered.m_AnswerHeaders = std::move(Ended.m_Headers);
-      Answered.m_Body = std::move(Ended.m_Body);
-    }
-  }
-  decide([&](gateway::RelayCore &Core, model::TimePoint Now,
-             gateway::RelayEffectList &Out) {
-    Core.onSendFinished(Attempt, Outcome, Now, Out);
-  });
-}
-
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Gateway/PromptQuarantine.cpp
+++ b/Source/Core/Gateway/PromptQuarantine.cpp
@@ -23,9 +23,9 @@
 constexpr model::Duration EngineRetention = std::chrono::minutes(2);
 constexpr model::Duration ForgetPeriod = std::chrono::seconds(1);
 /// Several notices may be lost in this time.
-constexpr model::Duration TellTime = std::chrono::seconds(3);
+constexpr model::Duration AnnounceTime = std::chrono::seconds(3);
 /// Entries of each kind in one notice: 30 to 40 bytes each.
-constexpr size_t MaxTold = 24;
+constexpr size_t MaxAnnounced = 24;
 constexpr size_t MaxSuspects = 1024;
 constexpr size_t MaxQuarantined = 64;
 constexpr size_t MaxSafe = 16384;
@@ -58,8 +58,8 @@
     Unproven.pop_front();
 }
 
-void PromptQuarantine::onEngineAlive(EndpointKey Engine, model::TimePoint Now) {
-  struct Engine &Alive = m_Engines[Engine];
+void PromptQuarantine::onEngineAlive(EndpointKey Key, model::TimePoint Now) {
+  Engine &Alive = m_Engines[Key];
   Alive.m_AliveAt = Now;
   while (!Alive.m_Unproven.empty() &&
          Alive.m_Unproven.front().m_CompletedAt + SettleTime <= Now) {
@@ -81,16 +81,16 @@
     return;
   model::TimePoint &Known = m_Safe[Part];
   Known = std::max(Known, At);
-  const auto Accused = m_Suspects.find(Part);
-  if (Accused != m_Suspects.end()) {
-    m_PendingSuspects -= Accused->second.m_IsPending ? 1 : 0;
-    m_Suspects.erase(Accused);
+  const auto Suspected = m_Suspects.find(Part);
+  if (Suspected != m_Suspects.end()) {
+    m_PendingSuspects -= Suspected->second.m_IsPending ? 1 : 0;
+    m_Suspects.erase(Suspected);
     // The other nodes have its reports, too.
     if (!FromPeer)
-      m_SafeToTell[Part] = At + TellTime;
+      m_SafeAnnouncements[Part] = At + AnnounceTime;
   }
   if (m_Quarantined.erase(Part) > 0) {
-    m_SafeToTell[Part] = At + TellTime;
+    m_SafeAnnouncements[Part] = At + AnnounceTime;
     m_Changes.push_back({Part, false, 0, FromPeer});
   }
 }
@@ -99,18 +99,18 @@
                                 const Crash &Reported) {
   if (m_Suspects.size() >= MaxSuspects && !m_Suspects.contains(Part))
     return;
-  Suspect &Accused = m_Suspects[Part];
-  if (!Accused.m_Crashes.emplace(Engine, Reported).second)
+  Suspect &Suspected = m_Suspects[Part];
+  if (!Suspected.m_Crashes.emplace(Engine, Reported).second)
     return;
-  m_PendingSuspects += Accused.m_IsPending ? 0 : 1;
-  Accused.m_IsPending = true;
+  m_PendingSuspects += Suspected.m_IsPending ? 0 : 1;
+  Suspected.m_IsPending = true;
 }
 
-bool PromptQuarantine::isCulprit(const Suspect &Accused) {
-  if (Accused.m_Crashes.size() < MinEngines)
+bool PromptQuarantine::crashesEngines(const Suspect &Suspected) {
+  if (Suspected.m_Crashes.size() < MinEngines)
     return false;
   std::vector<Crash> InOrder;
-  for (const auto &Each : Accused.m_Crashes)
+  for (const auto &Each : Suspected.m_Crashes)
     InOrder.push_back(Each.second);
   std::sort(InOrder.begin(), InOrder.end(),
             [](const Crash &Left, const Crash &Right) {
@@ -127,24 +127,24 @@
   return Successive >= MinSuccessiveCrashes;
 }
 
-bool PromptQuarantine::examine(uint64_t Part, Suspect &Accused,
+bool PromptQuarantine::examine(uint64_t Part, Suspect &Suspected,
                                model::TimePoint Now) {
   // An engine that has been heard from since did not crash.
-  std::erase_if(Accused.m_Crashes, [&](const auto &Each) {
+  std::erase_if(Suspected.m_Crashes, [&](const auto &Each) {
     const auto Known = m_Engines.find(Each.first);
     return Known != m_Engines.end() &&
            Known->second.m_AliveAt >= Each.second.m_CrashedAt + SettleTime;
   });
   const bool IsSettled =
-      std::all_of(Accused.m_Crashes.begin(), Accused.m_Crashes.end(),
+      std::all_of(Suspected.m_Crashes.begin(), Suspected.m_Crashes.end(),
                   [&](const auto &Each) {
                     return Each.second.m_CrashedAt + SettleTime <= Now;
                   });
   if (!IsSettled)
     return false;
-  if (isCulprit(Accused))
+  if (crashesEngines(Suspected))
     quarantine(Part, Now + QuarantineTime,
-               static_cast<uint32_t>(Accused.m_Crashes.size()), false);
+               static_cast<uint32_t>(Suspected.m_Crashes.size()), false);
   return true;
 }
 
@@ -162,14 +162,14 @@
     markSafe(Each.m_Part, Now - Each.m_Age, true);
   for (const CrashReport &Each : Notice.m_CrashReports) {
     if (isSafe(Each.m_Part, Now))
-      m_SafeToTell[Each.m_Part] = Now + TellTime;
+      m_SafeAnnouncements[Each.m_Part] = Now + AnnounceTime;
     else
       addCrash(Each.m_Part, Each.m_Engine,
                {Now - Each.m_CrashAge, Now - Each.m_SendAge, Now});
   }
   for (const QuarantinedPart &Each : Notice.m_Quarantined) {
     if (isSafe(Each.m_Part, Now))
-      m_SafeToTell[Each.m_Part] = Now + TellTime;
+      m_SafeAnnouncements[Each.m_Part] = Now + AnnounceTime;
     else
       quarantine(Each.m_Part, Now + std::min(Each.m_Remaining, QuarantineTime),
                  0, true);
@@ -211,7 +211,7 @@
   std::erase_if(m_Safe, [&](const auto &Each) {
     return Now - Each.second >= SafeRetention;
   });
-  std::erase_if(m_SafeToTell,
+  std::erase_if(m_SafeAnnouncements,
                 [&](const auto &Each) { return Now >= Each.second; });
   std::erase_if(m_Engines, [&](const auto &Each) {
     const model::TimePoint Completed =
@@ -239,11 +239,11 @@
 QuarantineNotice PromptQuarantine::notice(model::TimePoint Now) const {
   QuarantineNotice Notice;
   for (const auto &Each : m_Quarantined)
-    if (Notice.m_Quarantined.size() < MaxTold && Now < Each.second)
+    if (Notice.m_Quarantined.size() < MaxAnnounced && Now < Each.second)
       Notice.m_Quarantined.push_back({Each.first, Each.second - Now});
-  for (const auto &Each : m_SafeToTell) {
+  for (const auto &Each : m_SafeAnnouncements) {
     const auto Known = m_Safe.find(Each.first);
-    if (Notice.m_Safe.size() < MaxTold && Now < Each.second &&
+    if (Notice.m_Safe.size() < MaxAnnounced && Now < Each.second &&
         Known != m_Safe.end())
       Notice.m_Safe.push_back({Each.first, Now - Known->second});
   }
@@ -255,8 +255,8 @@
   std::sort(Ranked.rbegin(), Ranked.rend());
   for (const std::pair<size_t, uint64_t> &Part : Ranked)
     for (const auto &Each : m_Suspects.at(Part.second).m_Crashes)
-      if (Notice.m_CrashReports.size() < MaxTold &&
-          Now - Each.second.m_HeardAt < TellTime)
+      if (Notice.m_CrashReports.size() < MaxAnnounced &&
+          Now - Each.second.m_HeardAt < AnnounceTime)
         Notice.m_CrashReports.push_back({Part.second, Each.first,
                                          Now - Each.second.m_CrashedAt,
                                          Now - Each.second.m_SentAt});
--- a/Source/Core/Gateway/PromptQuarantine.h
+++ b/Source/Core/Gateway/PromptQuarantine.h
@@ -34,7 +34,7 @@
   void onAnswerCompleted(const std::vector<uint64_t> &Parts, EndpointKey Engine,
                          model::TimePoint Now);
   /// A chunk of any answer was received from \p Engine.
-  void onEngineAlive(EndpointKey Engine, model::TimePoint Now);
+  void onEngineAlive(EndpointKey Key, model::TimePoint Now);
   void onNotice(const QuarantineNotice &Notice, model::TimePoint Now);
   /// Quarantines the parts with enough reports, and forgets old knowledge;
   /// called about every 20 ms.
@@ -74,8 +74,8 @@
   void markSafe(uint64_t Part, model::TimePoint At, bool FromPeer);
   void addCrash(uint64_t Part, EndpointKey Engine, const Crash &Reported);
   /// Returns true once nothing is left to wait for.
-  bool examine(uint64_t Part, Suspect &Accused, model::TimePoint Now);
-  static bool isCulprit(const Suspect &Accused);
+  bool examine(uint64_t Part, Suspect &Suspected, model::TimePoint Now);
+  static bool crashesEngines(const Suspect &Suspected);
   void quarantine(uint64_t Part, model::TimePoint Until, uint32_t Engines,
                   bool FromPeer);
   void forgetOld(model::TimePoint Now);
@@ -86,8 +86,8 @@
   std::map<uint64_t, model::TimePoint> m_Quarantined;
   /// Times of the last answers that engines survived.
   std::unordered_map<uint64_t, model::TimePoint> m_Safe;
-  /// Safe parts that other nodes suspect, and until when they are told so.
-  std::map<uint64_t, model::TimePoint> m_SafeToTell;
+  /// Safe parts that other nodes suspect, and until when notices say so.
+  std::map<uint64_t, model::TimePoint> m_SafeAnnouncements;
   std::unordered_map<EndpointKey, Engine> m_Engines;
   std::vector<QuarantineChange> m_Changes;
   model::TimePoint m_ForgotAt;
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -237,11 +237,14 @@
   void finishUnsuccessful(ActiveRequest &Active, const SendOutcome &Outcome,
                           RelayEffectList &Out);
 
+  // RelayStatements.cpp: what endpoints say of themselves in their answers.
   EndpointView *endpointOf(model::AttemptId Attempt);
   void applyStatement(EndpointView &Endpoint,
                       const EndpointStatement &Statement, model::TimePoint At,
                       RelayEffectList &Out);
+
   EndpointView *findEndpoint(const model::EndpointId &Endpoint);
+  // RelayPeers.cpp: notices from and to the other nodes.
   void subtractPeerLoads(const std::vector<EndpointLoad> &Loads);
   void eraseIfUnused(const model::EndpointId &Endpoint);
 
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -24,7 +24,6 @@
 constexpr uint32_t MinTokensForPrefillRate = 500;
 constexpr double FasterSampleWeight = 0.1;
 constexpr double SlowerSampleWeight = 0.005;
-constexpr model::Duration MaxPauseSpread = std::chrono::milliseconds(500);
 constexpr model::Duration NotRunRetryAfter = std::chrono::milliseconds(150);
 /// How long an endpoint that said it lacks a copy is not asked for it; by then
 /// its own entry should be up to date.
@@ -32,70 +31,6 @@
 
 } // namespace
 
-EndpointView *RelayCore::endpointOf(model::AttemptId Attempt) {
-  const auto Found = m_Attempts.find(Attempt);
-  return Found == m_Attempts.end()
-             ? nullptr
-             : findEndpoint(m_ActiveRequests.at(Found->second).m_Endpoint);
-}
-
-void RelayCore::onEndpointPaused(model::AttemptId Attempt,
-                                 model::Duration Pause, model::TimePoint Now,
-                                 RelayEffectList &Out) {
-  m_Now = Now;
-  EndpointView *const Endpoint = endpointOf(Attempt);
-  if (!Endpoint || Pause <= model::Duration::zero())
-    return;
-  // Nodes that were paused together do not come back together.
-  const model::Duration Spread = std::min(Pause, MaxPauseSpread);
-  const model::Duration Added(static_cast<int64_t>(
-      m_Random.next() % (static_cast<uint64_t>(Spread.count()) + 1)));
-  const bool IsNews = Endpoint->m_PausedUntil <= Now;
-  Endpoint->m_PausedUntil =
-      std::max(Endpoint->m_PausedUntil, Now + Pause + Added);
-  if (IsNews)
-    Out.push_back(
-        PauseBegun{Endpoint->m_Entry.m_Id, Endpoint->m_PausedUntil - Now});
-}
-
-void RelayCore::onAnswerHead(model::AttemptId Attempt,
-                             const EndpointStatement &Statement,
-                             model::TimePoint Now, RelayEffectList &Out) {
-  m_Now = Now;
-  EndpointView *const Endpoint = endpointOf(Attempt);
-  if (!Endpoint)
-    return;
-  const bool IsNews = Statement != EndpointStatement() ||
-                      Endpoint->m_Statement != EndpointStatement();
-  if (!IsNews)
-    return;
-  Endpoint->m_OwnStatement = Statement;
-  Endpoint->m_OwnStatedAt = Now;
-  applyStatement(*Endpoint, Statement, Now, Out);
-}
-
-void RelayCore::applyStatement(EndpointView &Endpoint,
-                               const EndpointStatement &Statement,
-                               model::TimePoint At, RelayEffectList &Out) {
-  // Answers overtake each other: an endpoint that leaves does not come back
-  // under this start.
-  Endpoint.m_HasSaidLeaving |= Statement.m_IsLeaving;
-  if (At < Endpoint.m_StatedAt)
-    return;
-  Endpoint.m_StatedAt = At;
-  if (Endpoint.m_Statement == Statement)
-    return;
-  Endpoint.m_Statement = Statement;
-  const std::optional<double> Limit = Statement.m_RequestsPerSecond;
-  if (!Limit)
-    Endpoint.m_RateShare.reset();
-  else if (Endpoint.m_RateShare)
-    Endpoint.m_RateShare->setLimit(*Limit, m_NodeCount, m_Now);
-  else
-    Endpoint.m_RateShare.emplace(*Limit, m_NodeCount, m_Now);
-  Out.push_back(StatementChange{Endpoint.m_Entry.m_Id, Statement});
-}
-
 void RelayCore::onAnswerChunk(model::AttemptId Attempt, model::TimePoint Now) {
   const auto Found = m_Attempts.find(Attempt);
   if (Found == m_Attempts.end())
--- /dev/null
+++ b/Source/Core/Gateway/RelayPeers.cpp
@@ -0,0 +1,94 @@
+#include "Core/Gateway/RelayCore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bronzepass::core::gateway {
+
+namespace {
+
+/// How long a peer's CopyChange takes precedence over the endpoint's own entry:
+/// two of the periods at which engines renew their entries.
+constexpr model::Duration CopyOverrideLifetime = std::chrono::seconds(3);
+/// Several notices may be lost in this time. An endpoint repeats what it says
+/// in each answer.
+constexpr model::Duration StatementAnnounceTime = std::chrono::seconds(2);
+
+} // namespace
+
+void RelayCore::setNodeCount(uint32_t Count, model::TimePoint Now) {
+  m_Retries.setNodeCount(Count);
+  const uint32_t Old = std::exchange(m_NodeCount, std::max(1U, Count));
+  if (Old == m_NodeCount)
+    return;
+  for (auto &Each : m_Endpoints)
+    if (std::optional<RequestRateShare> &Share = Each.second.m_RateShare)
+      Share->setLimit(Share->limitPerSecond(), m_NodeCount, Now);
+}
+
+void RelayCore::onPeerNotice(const PeerNotice &Notice, model::TimePoint Now,
+                             RelayEffectList &Out) {
+  m_Now = Now;
+  PeerLoads &Peer = m_Peers[Notice.m_From];
+  if (Peer.m_Start == Notice.m_Start && Peer.m_Sequence >= Notice.m_Sequence)
+    return;
+  subtractPeerLoads(Peer.m_Loads);
+  for (const EndpointLoad &New : Notice.m_Loads) {
+    if (EndpointView *const Endpoint = findEndpoint(New.m_Endpoint)) {
+      Endpoint->m_PeersInFlight += New.m_InFlight;
+      Endpoint->m_PeersPrefillTokens += New.m_PrefillTokens;
+    }
+  }
+  Peer = {Now, Notice.m_Start, Notice.m_Sequence, Notice.m_Loads};
+  m_Quarantine.onNotice(Notice.m_Quarantine, Now);
+  for (const EndpointNotice &Each : Notice.m_EndpointNotices)
+    if (EndpointView *const Endpoint = findEndpoint(Each.m_Endpoint))
+      applyStatement(*Endpoint, Each.m_Statement, Now - Each.m_Age, Out);
+  for (const CopyChange &Change : Notice.m_CopyChanges)
+    if (EndpointView *const Endpoint = findEndpoint(Change.m_Endpoint))
+      Endpoint->m_CopyOverrides[Change.m_ModelRef] = {
+          !Change.m_Removed, Now + CopyOverrideLifetime};
+  if (!Notice.m_CopyChanges.empty())
+    dispatchWaiting(Out);
+}
+
+void RelayCore::subtractPeerLoads(const std::vector<EndpointLoad> &Loads) {
+  for (const EndpointLoad &Old : Loads) {
+    EndpointView *const Endpoint = findEndpoint(Old.m_Endpoint);
+    if (!Endpoint)
+      continue;
+    Endpoint->m_PeersInFlight -=
+        std::min(Endpoint->m_PeersInFlight, Old.m_InFlight);
+    Endpoint->m_PeersPrefillTokens -=
+        std::min(Endpoint->m_PeersPrefillTokens, Old.m_PrefillTokens);
+  }
+}
+
+PeerNotice RelayCore::notice(model::TimePoint Now) const {
+  PeerNotice Notice;
+  Notice.m_Quarantine = m_Quarantine.notice(Now);
+  for (const auto &Entry : m_Endpoints) {
+    const EndpointView &View = Entry.second;
+    if (View.m_InFlight > 0)
+      Notice.m_Loads.push_back(
+          {Entry.first, View.m_InFlight, View.m_PrefillTokens});
+    if (View.m_OwnStatement && Now - View.m_OwnStatedAt < StatementAnnounceTime)
+      Notice.m_EndpointNotices.push_back(
+          {Entry.first, Now - View.m_OwnStatedAt, *View.m_OwnStatement});
+  }
+  return Notice;
+}
+
+std::vector<UsageCounter> RelayCore::takeUsageCounters() {
+  std::vector<UsageCounter> Changed;
+  for (const auto &Ref : m_UsageCounters) {
+    uint64_t &LastReported = m_ReportedRequestCounts[Ref.first];
+    if (LastReported == Ref.second.m_Requests)
+      continue;
+    LastReported = Ref.second.m_Requests;
+    Changed.push_back(Ref.second);
+  }
+  return Changed;
+}
+
+} // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -36,7 +36,6 @@
   Relay.m_Now = m_Now;
   Relay.configure();
   Relay.m_Core.setNodeCount(static_cast<uint32_t>(m_Nodes.size()), m_Now);
-  ++m_Starts;
 }
 
 void RelayFleet::restartNode(size_t Index) {
@@ -90,11 +89,11 @@
     From.m_Sends[Sent->m_Attempt] = {
         Sent->m_Endpoint, From.m_Requests.at(Sent->m_Request),
         From.m_Sent.insert(Sent->m_Request).second};
-    schedule(NetworkDelay, [this, Index, Start = m_Starts, Node = &From,
-                            Attempt = Sent->m_Attempt] {
-      if (m_Nodes[Index].get() == Node)
-        arrive(Index, Attempt);
-    });
+    schedule(NetworkDelay,
+             [this, Index, Node = &From, Attempt = Sent->m_Attempt] {
+               if (m_Nodes[Index].get() == Node)
+                 arrive(Index, Attempt);
+             });
   }
 }
 
--- a/Source/UnitTests/Gateway/RelayFleet.h
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -108,7 +108,6 @@
   std::vector<std::unique_ptr<Node>> m_Nodes;
   std::set<model::EndpointId> m_Engines;
   uint64_t m_LastEngine = 0;
-  uint64_t m_Starts = 0;
   uint64_t m_Notices = 0;
   std::map<model::EndpointId, gateway::EndpointStatement> m_Statements;
   std::map<std::pair<size_t, model::EndpointId>, model::TimePoint> m_ToldAt;
