--- a/Source/Core/Adapters/Gateway/GatewayLog.h
+++ b/Source/Core/Adapters/Gateway/GatewayLog.h
@@ -35,8 +35,8 @@
   GatewayLog(const GatewayLog &) = delete;
   GatewayLog &operator=(const GatewayLog &) = delete;
 
-  /// \p Category: "request", "placement", "config", "endpoint", "dependency",
-  /// "process". Fields with an empty text are omitted.
+  /// \p Category: "request", "prompt", "placement", "config", "endpoint",
+  /// "dependency", "process". Fields with an empty text are omitted.
   void write(const char *Category, const std::string &Action,
              const std::vector<LogField> &Fields);
   void write(const core::gateway::RelayLogEntry &Entry);
