--- a/Source/UnitTests/Gateway/EndpointStatementTest.cpp
+++ b/Source/UnitTests/Gateway/EndpointStatementTest.cpp
@@ -169,4 +169,19 @@
   CHECK(Sent == std::vector<model::RequestId>{Urgent, Patient});
 }
 
+TEST_CASE("a change of what an endpoint says of itself is logged once") {
+  RelayFixture Relay;
+  Relay.start({"a"});
+  Relay.ask("/stream/");
+  const model::AttemptId Attempt = Relay.take<SendRequest>()[0].m_Attempt;
+  for (int I = 0; I < 3; ++I)
+    Relay.m_Core.onAnswerHead(Attempt, {false, 4.0}, Relay.m_Now, Relay.m_Out);
+  Relay.m_Core.onAnswerHead(Attempt, {}, Relay.m_Now, Relay.m_Out);
+  const std::vector<gateway::StatementChange> Changes =
+      Relay.take<gateway::StatementChange>();
+  REQUIRE(Changes.size() == 2);
+  CHECK(Changes[0].m_Statement.m_RequestsPerSecond == 4.0);
+  CHECK_FALSE(Changes[1].m_Statement.m_RequestsPerSecond);
+}
+
 } // namespace bronzepass::unit_tests
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -131,21 +131,6 @@
         std::vector<uint64_t>{7, 8});
 }
 
-TEST_CASE("a change of what an endpoint says of itself is logged once") {
-  RelayFixture Relay;
-  Relay.start({"a"});
-  Relay.ask("/stream/");
-  const model::AttemptId Attempt = Relay.take<SendRequest>()[0].m_Attempt;
-  for (int I = 0; I < 3; ++I)
-    Relay.m_Core.onAnswerHead(Attempt, {false, 4.0}, Relay.m_Now, Relay.m_Out);
-  Relay.m_Core.onAnswerHead(Attempt, {}, Relay.m_Now, Relay.m_Out);
-  const std::vector<gateway::StatementChange> Changes =
-      Relay.take<gateway::StatementChange>();
-  REQUIRE(Changes.size() == 2);
-  CHECK(Changes[0].m_Statement.m_RequestsPerSecond == 4.0);
-  CHECK_FALSE(Changes[1].m_Statement.m_RequestsPerSecond);
-}
-
 // Guards against choosing the endpoint that turns most requests away, because
 // it has the least load.
 TEST_CASE("fewer than one in ten sends are turned away where one of two "
