UnitTests/Residency: Check that a leaving engine's model is loaded elsewhere, and that the engine is used again

The test's name said so, and its check only that no order went to that engine: an order of any kind passed.

--- a/Source/UnitTests/Residency/ResidencyCoreTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyCoreTest.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bronzepass::core::residency {
@@ -64,9 +65,16 @@
                 std::get_if<RequestReport>(&Each))
           Requested.push_back(Request->m_Endpoint);
         else if (const SendOrder *const Order = std::get_if<SendOrder>(&Each))
-          m_Orders.push_back(Order->m_Order);
+          m_Sent.push_back(*Order);
+      for (const SendOrder &Each : m_Sent)
+        m_Orders.push_back(Each.m_Order);
       m_Out.clear();
       m_MaxReportsAtOnce = std::max(m_MaxReportsAtOnce, Requested.size());
+      for (const SendOrder &Each : std::exchange(m_Sent, {}))
+        if (m_AnswersOrders)
+          m_Core.onOrderReply(Each.m_Number,
+                              gateway::OrderReply::AlreadySatisfied, m_Now,
+                              m_Out);
       for (const model::EndpointId &Id : Requested) {
         m_ReportRequests.push_back(Id);
         if (m_AnswersReports)
@@ -86,6 +94,8 @@
   model::TimePoint m_Now = model::TimePoint(100s);
   uint64_t m_Token = 0;
   bool m_AnswersReports = true;
+  bool m_AnswersOrders = false;
+  std::vector<SendOrder> m_Sent;
   std::vector<gateway::EndpointEntry> m_Entries;
   ResidencyEffectList m_Out;
   std::vector<model::EndpointId> m_ReportRequests;
@@ -178,6 +188,7 @@
   LeaseHolder Node;
   std::vector<gateway::EndpointEntry> Entries = {
       engine(0, {"m", "n"}), engine(1, {"rare"}), engine(2, {"m", "n"})};
+  Node.m_AnswersOrders = true;
   Node.setEngines(Entries);
   Node.takeLease();
   Node.advance(5s);
@@ -201,9 +212,19 @@
             });
     Node.setEngines(Entries);
   }
-  CHECK(Node.m_Orders.size() > 0);
+  CHECK(LoadsOfRare() == 1);
   for (const gateway::PlacementOrder &Each : Node.m_Orders)
     CHECK(Each.m_Endpoint != Entries[1].m_Id);
+  // Started anew and empty, it gets a copy like any other engine.
+  Entries[1].m_StartedAtMs = 1;
+  Entries[1].m_Models.clear();
+  Node.m_Orders.clear();
+  Node.setEngines(Entries);
+  Node.advance(5s);
+  CHECK(std::any_of(Node.m_Orders.begin(), Node.m_Orders.end(),
+                    [&](const gateway::PlacementOrder &Each) {
+                      return Each.m_Endpoint == Entries[1].m_Id;
+                    }));
 }
 
 } // namespace bronzepass::core::residency
