Gateway: Tell and log when this node loses its links to endpoints

LinkMonitor takes the links to a service, or to all endpoints, as lost when three endpoints (or all of a smaller service) can't be connected to, or are silent, and none has answered in between. It changes no decision yet: lines `links lost` and `links regained`, and bronzepass_links_lost_total.

--- a/Source/Core/Adapters/Curl/CurlMulti.h
+++ b/Source/Core/Adapters/Curl/CurlMulti.h
@@ -46,6 +46,8 @@
   /// With the names' case unchanged.
   HeaderLineList m_Lines;
   BodyFormat m_BodyFormat;
+  /// The connection was opened for this transfer.
+  bool m_OnNewConnection = false;
 
   std::string header(const std::string &LowerName) const {
     auto Found = m_Headers.find(LowerName);
--- a/Source/Core/Adapters/Curl/CurlTransfer.cpp
+++ b/Source/Core/Adapters/Curl/CurlTransfer.cpp
@@ -66,6 +66,9 @@
     return 0;
   }
   Running.m_Head.m_BodyFormat = *Body;
+  long Connects = 0;
+  curl_easy_getinfo(Running.m_Easy.get(), CURLINFO_NUM_CONNECTS, &Connects);
+  Running.m_Head.m_OnNewConnection = Connects > 0;
   Running.m_HeadReceived = true;
   Running.m_Listener->onHead(Running.m_Head);
   return Line.size();
--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -135,6 +135,13 @@
          {"pause_ms", Pause.m_Length.count() / MicrosPerMilli}});
 }
 
+void GatewayLog::write(const core::gateway::LinksChange &Change) {
+  write("links", Change.m_IsLost ? "lost" : "regained",
+        {{"service", Change.m_Service.empty() ? "all" : Change.m_Service},
+         {"unconnected", Change.m_UnconnectedEndpoints},
+         {"silent", Change.m_SilentEndpoints}});
+}
+
 void GatewayLog::write(const residency::ResidencyLogEntry &Entry) {
   write("placement", Entry.m_Action,
         {{"endpoint", Entry.m_Endpoint},
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -51,6 +51,11 @@
                 .Help("Answers whose endpoint said something of itself that "
                       "could not be read")
                 .Register(m_Registry)),
+        m_LinksLost(prom::BuildCounter()
+                        .Name("bronzepass_links_lost_total")
+                        .Help("Times that the node lost its links to the "
+                              "endpoints of a service, or to all")
+                        .Register(m_Registry)),
         m_Durations(prom::BuildHistogram()
                         .Name("bronzepass_request_duration_seconds")
                         .Help("From a request's first byte to its end")
@@ -66,6 +71,7 @@
   prom::Family<prom::Counter> &m_Answers;
   prom::Family<prom::Counter> &m_StoreRestores;
   prom::Family<prom::Counter> &m_UnreadableStatements;
+  prom::Family<prom::Counter> &m_LinksLost;
   prom::Family<prom::Histogram> &m_Durations;
   prom::Family<prom::Gauge> &m_Gauges;
 };
@@ -99,6 +105,13 @@
       .Observe(std::chrono::duration<double>(Entry.m_Elapsed).count());
 }
 
+void GatewayMetrics::count(const core::gateway::LinksChange &Change) {
+  if (Change.m_IsLost)
+    m_Impl->m_LinksLost
+        .Add({{"of", Change.m_Service.empty() ? "all" : "service"}})
+        .Increment();
+}
+
 void GatewayMetrics::countUnreadableStatement() {
   m_Impl->m_UnreadableStatements.Add({}).Increment();
 }
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -23,6 +23,7 @@
   /// Counts the event that \p Entry logs: a send, a retry, or the end of a
   /// request with its duration.
   void count(const core::gateway::RelayLogEntry &Entry);
+  void count(const core::gateway::LinksChange &Change);
   /// An endpoint's statement of itself could not be read.
   void countUnreadableStatement();
   /// The platform's store has been restored from a backup.
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -229,6 +229,11 @@
 
 void RelayDriver::on(const gateway::PauseBegun &Effect) { m_Log.write(Effect); }
 
+void RelayDriver::on(const gateway::LinksChange &Effect) {
+  m_Log.write(Effect);
+  m_Metrics.count(Effect);
+}
+
 void RelayDriver::endExchange(model::RequestId Request) {
   const auto Found = m_Exchanges.find(Request);
   const std::shared_ptr<pistache::HttpResponseWriter> Answer =
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -111,6 +111,7 @@
   void on(const core::gateway::QuarantineChange &Effect);
   void on(const core::gateway::StatementChange &Effect);
   void on(const core::gateway::PauseBegun &Effect);
+  void on(const core::gateway::LinksChange &Effect);
 
   void onHead(model::AttemptId Attempt,
               const curl::TransferHead &Head) override;
--- a/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
@@ -61,6 +61,8 @@
     const auto Known = m_KeepAlive.emplace(From.m_Service, Kept);
     Known.first->second = std::min(Known.first->second, Kept);
   }
+  if (Head.m_OnNewConnection)
+    m_Core.onNewConnectionAnswered(Attempt);
   if (!From.m_Head->m_UnreadableStatement.empty())
     logUnreadableStatement(From.m_Head->m_UnreadableStatement);
   if (!From.m_Head->m_Foreign)
--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -56,6 +56,8 @@
   /// the mean.
   double m_Slowness = 1;
   model::TimePoint m_SlownessAt;
+  /// When a part of an answer last arrived from it.
+  model::TimePoint m_HeardAt;
   /// A model copy that was loaded or unloaded since the entry was written. It
   /// takes precedence over the entry until the entry has had time to catch up.
   struct CopyOverride {
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -115,6 +115,8 @@
     if (Entry.second.m_IsRegistered)
       m_Services[Entry.second.m_Entry.m_Service].m_Endpoints.push_back(
           &Entry.second);
+  for (const auto &Service : m_Services)
+    m_Links.setEndpointCount(Service.first, Service.second.m_Endpoints.size());
   noteServingVersions();
   dispatchWaiting(Out);
 }
@@ -250,6 +252,9 @@
   m_Quarantine.tick(Now);
   for (const QuarantineChange &Each : m_Quarantine.takeChanges())
     Out.push_back(Each);
+  noteSilentEndpoints();
+  for (const LinksChange &Each : m_Links.takeChanges())
+    Out.push_back(Each);
   if (Now - m_VersionsNotedAt >= VersionsNotePeriod)
     noteServingVersions();
   dispatchWaiting(Out);
@@ -257,10 +262,12 @@
 
 void RelayCore::expire(ActiveRequest &Active, RelayEffectList &Out) {
   if (Active.m_Attempt) {
-    if (EndpointView *const Endpoint = findEndpoint(Active.m_Endpoint))
-      updateEndpointHealth(
-          Active, *Endpoint,
-          {SendResult::Broken, 0, !Active.m_AnswerStarted, "timed out"});
+    if (EndpointView *const Endpoint = findEndpoint(Active.m_Endpoint)) {
+      const SendOutcome Outcome{SendResult::Broken, 0, !Active.m_AnswerStarted,
+                                "timed out"};
+      updateEndpointHealth(Active, *Endpoint, Outcome);
+      updateLinks(Active, *Endpoint, Outcome);
+    }
     cancelSend(Active, Out);
   }
   if (Active.m_CallerDisconnected)
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -4,6 +4,7 @@
 #include "Core/Gateway/CrashQuarantine.h"
 #include "Core/Gateway/EndpointEntry.h"
 #include "Core/Gateway/EndpointView.h"
+#include "Core/Gateway/LinkMonitor.h"
 #include "Core/Gateway/PeerNotice.h"
 #include "Core/Gateway/RelaySettings.h"
 #include "Core/Gateway/RelayTypes.h"
@@ -63,6 +64,9 @@
   /// The endpoint of a send wants nothing from this node for \p Pause.
   void onEndpointPaused(model::AttemptId Attempt, model::Duration Pause,
                         model::TimePoint Now, RelayEffectList &Out);
+  /// The endpoint of a send has answered over a connection that was opened for
+  /// it.
+  void onNewConnectionAnswered(model::AttemptId Attempt);
   /// A chunk of a send's answer was received.
   void onAnswerChunk(model::AttemptId Attempt, model::TimePoint Now);
   /// The head or a part of the answer has been forwarded to the caller.
@@ -254,6 +258,14 @@
   void finishUnsuccessful(ActiveRequest &Active, const SendOutcome &Outcome,
                           RelayEffectList &Out);
 
+  // RelayLinks.cpp: links of this node that are lost.
+  void updateLinks(const ActiveRequest &Active, const EndpointView &Endpoint,
+                   const SendOutcome &Outcome);
+  void onHeardFrom(EndpointView &Endpoint);
+  /// Finds the endpoints that have been silent for too long while this node
+  /// awaited an answer.
+  void noteSilentEndpoints();
+
   // RelayStatements.cpp: what endpoints say of themselves in their answers.
   EndpointView *endpointOf(model::AttemptId Attempt);
   void applyStatement(EndpointView &Endpoint,
@@ -292,6 +304,8 @@
   routing::PrefixIndex m_Prefixes;
   RetryLimiter m_Retries;
   CrashQuarantine m_Quarantine;
+  LinkMonitor m_Links;
+  model::TimePoint m_SilenceNotedAt;
   StreamOrigins m_Origins;
   model::TimePoint m_VersionsNotedAt;
   std::map<ModelRef, UsageCounter> m_UsageCounters;
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -40,6 +40,8 @@
   if (!Endpoint)
     return;
   m_Quarantine.onEngineAlive(Endpoint->m_Key, Now);
+  m_Now = Now;
+  onHeardFrom(*Endpoint);
   const model::TimePoint Before = std::exchange(Active.m_LastChunkAt, Now);
   if (Active.m_AnswerStarted) {
     if (Now - Before > Active.m_Timing.m_LongestPause) {
@@ -199,6 +201,7 @@
   if (EndpointView *const Endpoint = findEndpoint(Active.m_Endpoint)) {
     updateEndpointHealth(Active, *Endpoint, Outcome);
     updateQuarantine(Active, *Endpoint, Outcome);
+    updateLinks(Active, *Endpoint, Outcome);
   }
   if (Outcome.m_Result == SendResult::Completed)
     routing::updateMovingAverage(
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -268,10 +268,24 @@
   friend auto operator<=>(const PauseBegun &, const PauseBegun &) = default;
 };
 
+/// Effect: write one log line about links of this node that were lost or
+/// regained.
+struct LinksChange {
+  /// Empty for the endpoints of all services.
+  std::string m_Service;
+  bool m_IsLost = false;
+  /// Endpoints to which no connection could be opened, and those that were
+  /// silent, when the links were lost.
+  uint32_t m_UnconnectedEndpoints = 0;
+  uint32_t m_SilentEndpoints = 0;
+
+  friend auto operator<=>(const LinksChange &, const LinksChange &) = default;
+};
+
 using RelayEffect =
     std::variant<SendRequest, CancelSend, ForwardAnswer, RejectRequest,
                  AbortAnswer, CopyRequest, RelayLogEntry, QuarantineChange,
-                 StatementChange, PauseBegun>;
+                 StatementChange, PauseBegun, LinksChange>;
 using RelayEffectList = std::vector<RelayEffect>;
 
 } // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/GatewayLogTest.cpp
@@ -203,6 +203,9 @@
       captureLine([](GatewayLog &Log) {
         Log.write(core::gateway::PauseBegun{model::EndpointId("e1"),
                                             std::chrono::seconds(2)});
+      }),
+      captureLine([](GatewayLog &Log) {
+        Log.write(core::gateway::LinksChange{"s", true, 3, 1});
       })};
   for (const nlohmann::ordered_json &Line : Lines)
     for (const auto &Field : Line.items()) {
