--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -18,6 +18,10 @@
 constexpr uint32_t TokensPerPart = 200;
 /// Until a caller has connected to another node.
 constexpr model::Duration ReconnectTime = 30ms;
+/// Until an attempt to open a connection is given up, and until an open
+/// connection counts as broken that has been silent.
+constexpr model::Duration ConnectTimeout = 450ms;
+constexpr model::Duration SilentConnectionTimeout = 2s;
 constexpr const char *ResumablePath = "/resume/";
 constexpr const char *FirstVersion = "v1";
 
@@ -91,6 +95,7 @@
   m_Asked.push_back({.m_At = m_Now,
                      .m_Parts = Asked.m_Parts,
                      .m_Fingerprint = Asked.m_Fingerprint,
+                     .m_Node = Index,
                      .m_Resumes = Asked.m_Resumes});
   To.m_Relay.m_Core.onRequestReceived(Request, m_Now, To.m_Relay.m_Out);
   carryOut(Index);
@@ -112,6 +117,8 @@
   for (const gateway::RelayEffect &Each : Effects) {
     if (const auto *const Refusal = std::get_if<gateway::RejectRequest>(&Each))
       m_Asked[From.m_Requests.at(Refusal->m_Request)].m_Refused = true;
+    if (const auto *const Answer = std::get_if<gateway::ForwardAnswer>(&Each))
+      m_Asked[From.m_Requests.at(Answer->m_Request)].m_Served = true;
     if (const auto *const Cut = std::get_if<gateway::AbortAnswer>(&Each))
       takeUp(From.m_Requests.at(Cut->m_Request));
     if (const auto *const Cancelled = std::get_if<gateway::CancelSend>(&Each))
@@ -137,6 +144,14 @@
   if (Found == From.m_Sends.end())
     return;
   const Send Sent = Found->second;
+  if (const std::optional<LostSend> Lost = lostSend(From)) {
+    schedule(Lost->m_After, [this, Index, Node = &From, Attempt,
+                             Result = Lost->m_Result] {
+      if (m_Nodes[Index].get() == Node && Node->m_Sends.contains(Attempt))
+        finish(Index, Attempt, Result);
+    });
+    return;
+  }
   if (!m_Engines.contains(Sent.m_Engine)) {
     finish(Index, Attempt, gateway::SendResult::NotSent);
     return;
@@ -146,7 +161,8 @@
   const auto IfCurrent = [this, Index, Node = &From,
                           Attempt](std::function<void()> Run) {
     return [this, Index, Node, Attempt, Run = std::move(Run)] {
-      if (m_Nodes[Index].get() == Node && Node->m_Sends.contains(Attempt))
+      if (m_Nodes[Index].get() == Node && Node->m_Sends.contains(Attempt) &&
+          Node->m_Links != Links::Silent)
         Run();
     };
   };
@@ -175,6 +191,43 @@
            }));
 }
 
+std::optional<RelayFleet::LostSend> RelayFleet::lostSend(const Node &From) {
+  using gateway::SendResult;
+  const bool OverOpenConnection = m_Random() % 4 == 0;
+  switch (From.m_Links) {
+  case Links::Whole:
+    return std::nullopt;
+  case Links::Reset:
+    return LostSend{SendResult::NotSent, 0ms};
+  case Links::Silent:
+    if (OverOpenConnection)
+      return LostSend{SendResult::Broken, SilentConnectionTimeout};
+    return LostSend{SendResult::NotSent, ConnectTimeout};
+  case Links::NoNewConnections:
+    if (OverOpenConnection)
+      return std::nullopt;
+    return LostSend{SendResult::NotSent, 0ms};
+  }
+  return std::nullopt;
+}
+
+void RelayFleet::setLinks(size_t Index, Links Links) {
+  Node &Cut = *m_Nodes[Index];
+  Cut.m_Links = Links;
+  std::vector<model::AttemptId> Running;
+  for (const auto &Each : Cut.m_Sends)
+    Running.push_back(Each.first);
+  for (const model::AttemptId Attempt : Running) {
+    if (Links == Links::Reset)
+      finish(Index, Attempt, gateway::SendResult::Broken);
+    else if (Links == Links::Silent)
+      schedule(SilentConnectionTimeout, [this, Index, Node = &Cut, Attempt] {
+        if (m_Nodes[Index].get() == Node && Node->m_Sends.contains(Attempt))
+          finish(Index, Attempt, gateway::SendResult::Broken);
+      });
+  }
+}
+
 void RelayFleet::takeUp(size_t Number, std::optional<size_t> LostNode) {
   const size_t First = m_Asked[Number].m_Resumes.value_or(Number);
   if (m_Asked[First].m_Versions.empty())
--- a/Source/UnitTests/Gateway/RelayFleet.h
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -29,6 +29,16 @@
     model::Duration m_RestartTime = std::chrono::seconds(4);
     model::Duration m_AnswerTime = std::chrono::milliseconds(400);
   };
+  /// What becomes of the links between a node and all engines.
+  enum class Links {
+    Whole,
+    /// Connections are reset, and new ones refused.
+    Reset,
+    /// Nothing arrives, and nothing is refused.
+    Silent,
+    /// Connections that are open live on, and new ones are refused.
+    NoNewConnections,
+  };
   /// A request of the fixture's routes.
   struct Request {
     std::string m_Path = "/stream/";
@@ -56,6 +66,9 @@
     std::optional<uint64_t> m_Fingerprint;
     bool m_BeganAtFirstSend = false;
     bool m_Refused = false;
+    /// The whole answer was forwarded.
+    bool m_Served = false;
+    size_t m_Node = 0;
     std::optional<size_t> m_Resumes;
     /// Events of it, or of its continuation, reached the caller.
     bool m_HasBegun = false;
@@ -83,6 +96,7 @@
   }
   /// Share of the answers that break off from now on, at engines that live on.
   void breakAnswers(double Share) { m_BrokenShare = Share; }
+  void setLinks(size_t Node, Links Links);
   /// When the node first received an answer of \p Engine with a statement.
   std::optional<model::TimePoint> toldAt(size_t Node,
                                          const model::EndpointId &Engine) const;
@@ -115,6 +129,7 @@
     std::map<model::RequestId, size_t> m_Requests;
     std::set<model::RequestId> m_Sent;
     std::set<model::RequestId> m_Resumable;
+    Links m_Links = Links::Whole;
   };
   struct Event {
     uint64_t m_Order = 0;
@@ -131,6 +146,13 @@
               gateway::SendResult Result);
   void exchangeNotices();
   void publishEngines();
+  /// The end of a send of a node whose links are not whole; nullopt if the send
+  /// reaches its engine.
+  struct LostSend {
+    gateway::SendResult m_Result;
+    model::Duration m_After;
+  };
+  std::optional<LostSend> lostSend(const Node &From);
   void end(const model::EndpointId &Engine);
   /// The caller of a stream that broke off takes it up at any node but
   /// \p LostNode.
