--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -65,6 +65,13 @@
   return static_cast<uint32_t>(std::lround(Cores * PercentOfCore));
 }
 
+model::Address forwardingAddress(const settings::NodeSettings &Settings) {
+  model::Address Address = Settings.get(keys::ListenPeers);
+  const uint64_t Port = Settings.get(keys::ListenForwardingPort);
+  Address.m_Port = static_cast<uint16_t>(Port > 0 ? Port : Address.m_Port + 1);
+  return Address;
+}
+
 ControlOptions controlOptions(const settings::NodeSettings &Settings) {
   ControlOptions Options;
   Options.m_Store = Settings.get(keys::PlatformStore);
@@ -93,7 +100,7 @@
         m_Control(controlOptions(Settings), Dialect, m_Clock, m_Log),
         m_Traffic({Settings.get(keys::ListenCallers),
                    Settings.get(keys::ListenReady),
-                   Settings.get(keys::ListenPeers),
+                   Settings.get(keys::ListenPeers), forwardingAddress(Settings),
                    Settings.get(keys::ListenMetrics)},
                   relaySettings(Settings),
                   model::NodeId(Settings.get(keys::NodeName)), Dialect, m_Clock,
--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -69,6 +69,8 @@
            ? Entry.m_ModelRef.m_Model
            : Entry.m_ModelRef.m_Model + "/" + Entry.m_ModelRef.m_Adapter},
       {"endpoint", Entry.m_Endpoint},
+      {"peer", Entry.m_Peer},
+      {"forwarded", Entry.m_IsForwarded ? "yes" : ""},
       {"version", Entry.m_SoftwareVersion},
       {"resumes", Entry.m_FirstAttempt},
       {"status", Entry.m_Status},
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -88,7 +88,8 @@
               {"inside_event",
                Entry.m_AnswerEnd->m_PartialEventBytes > 0 ? "true" : "false"}})
         .Increment();
-  if (Entry.m_Action == "send" || Entry.m_Action == "retry") {
+  if (Entry.m_Action == "send" || Entry.m_Action == "retry" ||
+      Entry.m_Action == "forward") {
     m_Impl->m_Sends.Add({{"kind", Entry.m_Kind}, {"try", Entry.m_Action}})
         .Increment();
     return;
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -32,6 +32,8 @@
 /// consecutive notices may be lost before that.
 constexpr model::Duration PeerTimeout = std::chrono::milliseconds(1500);
 constexpr model::Duration LivePeersPeriod = std::chrono::milliseconds(500);
+/// What nodes add to the headers of a caller's request.
+constexpr size_t MaxForwardingHeaderBytes = 1024;
 
 } // namespace
 
@@ -60,6 +62,21 @@
   GatewayTraffic &m_Traffic;
 };
 
+/// Passes the requests that other nodes forward to the driver.
+class GatewayTraffic::ForwardedHandler : public front::FrontHandler {
+public:
+  explicit ForwardedHandler(RelayDriver &Driver) : m_Driver(Driver) {}
+
+  void
+  onRequest(front::FrontRequest Request,
+            std::shared_ptr<pistache::HttpResponseWriter> Answer) override {
+    m_Driver.onForwardedRequest(std::move(Request), std::move(Answer));
+  }
+
+private:
+  RelayDriver &m_Driver;
+};
+
 GatewayTraffic::GatewayTraffic(const TrafficAddresses &Addresses,
                                const gateway::RelaySettings &Settings,
                                model::NodeId Self,
@@ -75,7 +92,9 @@
                [this](const gateway::CopyRequest &Request) {
                  requestCopy(Request);
                }),
+      m_ForwardedHandler(std::make_unique<ForwardedHandler>(m_Driver)),
       m_CallerServer(m_Thread.loop(), m_Driver),
+      m_ForwardingServer(m_Thread.loop(), *m_ForwardedHandler),
       m_ReadyServer(m_Thread.loop(), *m_StatusHandler),
       m_MetricsServer(m_Thread.loop(), *m_StatusHandler),
       m_Datagrams(m_Thread.loop(), [this](const gateway::PeerNotice &Notice,
@@ -104,6 +123,9 @@
   if (std::optional<std::string> Reason =
           m_Datagrams.listen(m_Addresses.m_Peers))
     return "peers: " + *Reason;
+  if (std::optional<std::string> Reason =
+          m_ForwardingServer.listen(m_Addresses.m_Forwarding))
+    return "forwarding: " + *Reason;
   if (std::optional<std::string> Reason =
           m_CallerServer.listen(m_Addresses.m_Callers))
     return "callers: " + *Reason;
@@ -194,6 +216,8 @@
   Notice.m_Start = m_Start;
   Notice.m_Sequence = ++m_Sequence;
   Notice.m_HoldsLease = m_HoldsLease;
+  if (isReady())
+    Notice.m_ForwardingAddress = m_Addresses.m_Forwarding;
   const std::optional<std::string> Bytes = encodeNotice(Notice);
   if (!Bytes) {
     m_Log.write("dependency", "notice_too_long", {});
@@ -257,6 +281,10 @@
     Front.m_IdleTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(
         Limits.m_IdleTimeout);
     m_CallerServer.setLimits(Front);
+    front::FrontLimits Forwarded = m_ForwardingServer.limits();
+    Forwarded.m_Parser = Front.m_Parser;
+    Forwarded.m_Parser.m_MaxHeaderBytes += MaxForwardingHeaderBytes;
+    m_ForwardingServer.setLimits(Forwarded);
     m_Log.write(
         "config", "in_force",
         {{"config", static_cast<int64_t>(Table->config().m_Version)},
@@ -334,6 +362,7 @@
     m_Thread.loop().runAfter(LameDuck, [this] {
       m_Core.stopAccepting();
       m_CallerServer.closeIdle();
+      m_ForwardingServer.closeIdle();
       waitUntilDrained();
     });
   });
@@ -341,8 +370,10 @@
 
 void GatewayTraffic::waitUntilDrained() {
   m_CallerServer.closeIdle();
+  m_ForwardingServer.closeIdle();
   if (m_Core.activeRequestCount() == 0 && m_Driver.unsentAnswerCount() == 0 &&
-      m_CallerServer.connectionCount() == 0) {
+      m_CallerServer.connectionCount() == 0 &&
+      m_ForwardingServer.connectionCount() == 0) {
     m_OnDrained();
     return;
   }
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -40,6 +40,8 @@
   model::Address m_Callers;
   model::Address m_Ready;
   model::Address m_Peers;
+  /// Requests that other nodes forward.
+  model::Address m_Forwarding;
   model::Address m_Metrics;
 
   friend auto operator<=>(const TrafficAddresses &,
@@ -74,6 +76,7 @@
 
 private:
   class StatusHandler;
+  class ForwardedHandler;
   struct Peer {
     model::Address m_Address;
     std::optional<model::TimePoint> m_LastHeardAt;
@@ -118,7 +121,9 @@
   net::LoopThread m_Thread;
   std::unique_ptr<StatusHandler> m_StatusHandler;
   RelayDriver m_Driver;
+  std::unique_ptr<ForwardedHandler> m_ForwardedHandler;
   front::FrontServer m_CallerServer;
+  front::FrontServer m_ForwardingServer;
   front::FrontServer m_ReadyServer;
   front::FrontServer m_MetricsServer;
   PeerDatagrams m_Datagrams;
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -24,6 +24,12 @@
 /// The core enforces request deadlines; this only bounds transfers that it
 /// failed to cancel.
 constexpr std::chrono::milliseconds TimeoutSlack(2000);
+/// The same without the retransmission: while links are lost, another node is
+/// the better way.
+constexpr std::chrono::milliseconds TrialConnectTimeout(100);
+/// Less than the time for which a node keeps an idle connection.
+constexpr std::chrono::seconds NodeKeepAlive(5);
+constexpr int BadRequest = 400;
 /// Used until an endpoint announces how long it keeps idle connections.
 constexpr std::chrono::seconds UnknownKeepAlive(2);
 
@@ -64,6 +70,33 @@
 void RelayDriver::onRequest(
     front::FrontRequest Request,
     std::shared_ptr<pistache::HttpResponseWriter> Answer) {
+  HeaderLines Headers = linesOf(Request.m_Headers);
+  accept(std::move(Request), std::move(Answer), std::move(Headers),
+         std::nullopt);
+}
+
+void RelayDriver::onForwardedRequest(
+    front::FrontRequest Request,
+    std::shared_ptr<pistache::HttpResponseWriter> Answer) {
+  HeaderLines Headers = linesOf(Request.m_Headers);
+  std::string Reason;
+  const std::optional<gateway::ForwardingTerms> Terms =
+      readTerms(Headers, Reason);
+  if (!Terms) {
+    m_Log.write("request", "forwarding_unreadable", {{"reason", Reason}});
+    Answer->send({.m_Status = BadRequest,
+                  .m_Body = Reason + "\n",
+                  .m_ContentType = "text/plain"});
+    return;
+  }
+  removeForwardingHeaders(Headers);
+  accept(std::move(Request), std::move(Answer), std::move(Headers), Terms);
+}
+
+void RelayDriver::accept(front::FrontRequest Request,
+                         std::shared_ptr<pistache::HttpResponseWriter> Answer,
+                         HeaderLines Headers,
+                         std::optional<gateway::ForwardingTerms> Terms) {
   const model::RequestId Number{++m_LastRequestNumber};
   gateway::RelayRequest Relayed;
   Relayed.m_Number = Number;
@@ -73,8 +106,10 @@
   const model::Duration Reading = std::chrono::duration_cast<model::Duration>(
       std::chrono::steady_clock::now() - Request.m_BeganAt);
   Relayed.m_BeganAt = m_Clock.now() - Reading;
+  Relayed.m_Forwarded = std::move(Terms);
   Exchange &Added = m_Exchanges[Number];
-  Added.m_Headers = linesOf(Request.m_Headers);
+  Added.m_Headers = std::move(Headers);
+  Added.m_IsForwarded = Relayed.m_Forwarded.has_value();
   m_Dialect.readRequest(Added.m_Headers, Relayed);
   Added.m_CallerRequestId = Relayed.m_CallerRequestId;
   Added.m_Request = std::move(Request);
@@ -115,8 +150,12 @@
   std::optional<std::string> LastEvent;
   if (Effect.m_Resume)
     LastEvent = From.m_Splicer.lastId();
-  const HeaderLines Lines =
+  HeaderLines Lines =
       m_Dialect.headersToSend(From.m_Headers, Effect, LastEvent);
+  if (Effect.m_Forwarding) {
+    removeForwardingHeaders(Lines);
+    addTerms(*Effect.m_Forwarding, Lines);
+  }
   curl::TransferRequest Request;
   Request.m_Method = From.m_Request.m_Method;
   Request.m_Address = Effect.m_Address;
@@ -138,10 +177,15 @@
   if (!HasType)
     Request.m_Headers.emplace_back("Content-Type:");
   const auto KeepAlive = m_KeepAlive.find(Effect.m_Service);
-  Request.m_MaxIdleAge =
-      KeepAlive == m_KeepAlive.end() ? UnknownKeepAlive : KeepAlive->second;
+  if (Effect.m_Forwarding)
+    Request.m_MaxIdleAge = NodeKeepAlive;
+  else
+    Request.m_MaxIdleAge =
+        KeepAlive == m_KeepAlive.end() ? UnknownKeepAlive : KeepAlive->second;
   Request.m_TcpUserTimeout = PeerLostAfter;
-  Request.m_ConnectTimeout = ConnectTimeout;
+  Request.m_ConnectTimeout =
+      Effect.m_IsTrial ? TrialConnectTimeout : ConnectTimeout;
+  Request.m_FreshConnection = Effect.m_IsTrial;
   Request.m_Timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
                           Effect.m_Remaining) +
                       TimeoutSlack;
@@ -149,6 +193,8 @@
   Added.m_Request = Effect.m_Request;
   Added.m_Service = Effect.m_Service;
   Added.m_IsStream = Effect.m_Stream;
+  Added.m_Endpoint = {Effect.m_Endpoint, Effect.m_SoftwareVersion};
+  Added.m_IsForwarded = Effect.m_Forwarding.has_value();
   const uint64_t Transfer = m_Curl.start(
       std::move(Request),
       std::make_shared<curl::AttemptListener>(
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -4,6 +4,7 @@
 #include "Core/Adapters/Curl/AttemptListener.h"
 #include "Core/Adapters/Curl/CurlMulti.h"
 #include "Core/Adapters/Front/FrontServer.h"
+#include "Core/Adapters/Gateway/ForwardingHeaders.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
 #include "Core/Adapters/Gateway/GatewayMetrics.h"
 #include "Core/Adapters/Net/EventLoop.h"
@@ -46,6 +47,9 @@
 
   void onRequest(front::FrontRequest Request,
                  std::shared_ptr<pistache::HttpResponseWriter> Answer) override;
+  /// Handles a request that another node forwards.
+  void onForwardedRequest(front::FrontRequest Request,
+                          std::shared_ptr<pistache::HttpResponseWriter> Answer);
 
   /// Runs \p Decide on the core and executes the resulting effects.
   void
@@ -67,6 +71,8 @@
     std::string m_CallerRequestId;
     std::shared_ptr<pistache::HttpResponseWriter> m_Answer;
     core::gateway::StreamSplicer m_Splicer;
+    /// Another node forwarded the request.
+    bool m_IsForwarded = false;
     bool m_AnswerStarted = false;
     /// The collected answer that ForwardAnswer sends to the caller.
     int m_Status = 0;
@@ -80,6 +86,9 @@
   struct Send {
     model::RequestId m_Request;
     std::string m_Service;
+    AnsweringEndpoint m_Endpoint;
+    /// To another node, which chooses the endpoint.
+    bool m_IsForwarded = false;
     uint64_t m_Transfer = 0;
     bool m_IsStream = false;
     int m_Status = 0;
@@ -100,6 +109,10 @@
   };
   using SendMap = std::unordered_map<model::AttemptId, Send>;
 
+  void accept(front::FrontRequest Request,
+              std::shared_ptr<pistache::HttpResponseWriter> Answer,
+              core::gateway::HeaderLines Headers,
+              std::optional<core::gateway::ForwardingTerms> Terms);
   void carryOut(const core::gateway::RelayEffectList &Effects);
   void on(const core::gateway::SendRequest &Effect);
   void on(const core::gateway::CancelSend &Effect);
@@ -126,6 +139,8 @@
                    const core::gateway::HeaderLines &Headers,
                    std::optional<uint64_t> Length);
   void endExchange(model::RequestId Request);
+  /// Takes what another node added to the head of an answer.
+  void readForwardedHead(model::AttemptId Attempt, Send &From);
   void rejectAnswer(model::AttemptId Attempt, const std::string &Reason);
   void logUnreadableStatement(const std::string &Line);
 
--- a/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
@@ -52,7 +52,13 @@
   From.m_Head = m_Dialect.readHead(
       Head.m_Status, Head.m_Lines,
       To == m_Exchanges.end() ? "" : To->second.m_CallerRequestId);
-  if (From.m_Head->m_KeepAlive) {
+  if (From.m_IsForwarded)
+    readForwardedHead(Attempt, From);
+  if (To != m_Exchanges.end() && To->second.m_IsForwarded) {
+    removeForwardingHeaders(From.m_Headers);
+    addAnsweringEndpoint(From.m_Endpoint, From.m_Headers);
+  }
+  if (From.m_Head->m_KeepAlive && !From.m_IsForwarded) {
     // One second of margin, so that the endpoint does not close the connection
     // just as a request is sent.
     const std::chrono::seconds Kept =
@@ -61,16 +67,17 @@
     const auto Known = m_KeepAlive.emplace(From.m_Service, Kept);
     Known.first->second = std::min(Known.first->second, Kept);
   }
-  if (Head.m_OnNewConnection)
+  if (Head.m_OnNewConnection && !From.m_IsForwarded)
     m_Core.onNewConnectionAnswered(Attempt);
   if (!From.m_Head->m_UnreadableStatement.empty())
     logUnreadableStatement(From.m_Head->m_UnreadableStatement);
   if (!From.m_Head->m_Foreign)
-    decide([&, Told = *From.m_Head](gateway::RelayCore &Core,
-                                    model::TimePoint Now,
-                                    gateway::RelayEffectList &Out) {
+    decide([&, Told = *From.m_Head, IsForwarded = From.m_IsForwarded](
+               gateway::RelayCore &Core, model::TimePoint Now,
+               gateway::RelayEffectList &Out) {
       Core.onAnswerHead(Attempt, Told.m_Statement, Now, Out);
-      if (Told.m_PauseFor)
+      // That of another node is for the caller.
+      if (Told.m_PauseFor && !IsForwarded)
         Core.onEndpointPaused(Attempt, *Told.m_PauseFor, Now, Out);
     });
   const bool Success = gateway::isSuccess(Head.m_Status);
@@ -85,6 +92,14 @@
   From.m_Forwarding = From.m_IsStream && Success;
 }
 
+void RelayDriver::readForwardedHead(model::AttemptId Attempt, Send &From) {
+  if (const std::optional<AnsweringEndpoint> Endpoint =
+          readAnsweringEndpoint(From.m_Headers))
+    m_Core.onForwardedHead(Attempt, Endpoint->m_Endpoint,
+                           Endpoint->m_SoftwareVersion);
+  removeForwardingHeaders(From.m_Headers);
+}
+
 void RelayDriver::rejectAnswer(model::AttemptId Attempt,
                                const std::string &Reason) {
   const auto Found = m_Sends.find(Attempt);
@@ -174,7 +189,9 @@
   Answer.m_IsSent = Result.m_BytesSent > 0;
   Answer.m_TimedOut = Result.m_TimedOut;
   Answer.m_Error = Ended.m_Fault.empty() ? Result.m_Error : Ended.m_Fault;
-  const gateway::SendOutcome Outcome = gateway::outcomeOf(Answer);
+  const gateway::SendOutcome Outcome = Ended.m_IsForwarded
+                                           ? gateway::forwardedOutcomeOf(Answer)
+                                           : gateway::outcomeOf(Answer);
   if (To != m_Exchanges.end()) {
     Exchange &Answered = To->second;
     if (Answer.m_IsStream && Outcome.m_Result == SendResult::Completed &&
--- a/Source/Core/Gateway/AnswerOutcome.cpp
+++ b/Source/Core/Gateway/AnswerOutcome.cpp
@@ -53,4 +53,23 @@
   return makeOutcome(SendResult::Broken, Answer, "a failure without a seal");
 }
 
+SendOutcome forwardedOutcomeOf(const ReceivedAnswer &Answer) {
+  // 503 promises that the request has not run, and the other 4xx come from
+  // reading it.
+  constexpr int ServiceUnavailable = 503;
+  constexpr int FirstServerError = 500;
+  const bool IsOwnRefusal = Answer.m_Head && !Answer.m_Head->m_Sealed &&
+                            !isSuccess(Answer.m_Status) &&
+                            (Answer.m_Status == ServiceUnavailable ||
+                             Answer.m_Status < FirstServerError) &&
+                            Answer.m_TransferEnd != TransferEnd::Broken;
+  if (!IsOwnRefusal)
+    return outcomeOf(Answer);
+  SendOutcome Outcome =
+      makeOutcome(SendResult::Declined, Answer,
+                  "status " + std::to_string(Answer.m_Status));
+  Outcome.m_RetryAfter = Answer.m_Head->m_PauseFor;
+  return Outcome;
+}
+
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/AnswerOutcome.h
+++ b/Source/Core/Gateway/AnswerOutcome.h
@@ -43,6 +43,9 @@
 
 /// Judges whether the answer is complete and what it proves.
 SendOutcome outcomeOf(const ReceivedAnswer &Answer);
+/// The same for the answer of the node to which the request was forwarded: an
+/// endpoint's, or a refusal of the node's own.
+SendOutcome forwardedOutcomeOf(const ReceivedAnswer &Answer);
 
 } // namespace bronzepass::core::gateway
 
--- a/Source/Core/Gateway/LinkMonitor.cpp
+++ b/Source/Core/Gateway/LinkMonitor.cpp
@@ -55,6 +55,8 @@
                        std::max<size_t>(1, Failed.m_EndpointCount));
     if (Seen.size() >= Needed)
       Failed.*Lost = true;
+    if (!WasLost)
+      Failed.m_LostAt = Now;
     noteChange(Name, WasLost);
   }
 }
@@ -85,13 +87,16 @@
                        static_cast<uint32_t>(Changed.m_Silent.size())});
 }
 
-bool LinkMonitor::isLost(const std::string &Service) const {
+std::optional<model::TimePoint>
+LinkMonitor::lostSince(const std::string &Service) const {
+  std::optional<model::TimePoint> Since;
   for (const std::string &Name : {Service, std::string(AllServices)}) {
     const auto Found = m_Groups.find(Name);
     if (Found != m_Groups.end() && Found->second.isLost())
-      return true;
+      Since = std::max(Found->second.m_LostAt,
+                       Since.value_or(Found->second.m_LostAt));
   }
-  return false;
+  return Since;
 }
 
 std::vector<std::string> LinkMonitor::lostServices() const {
--- a/Source/Core/Gateway/LinkMonitor.h
+++ b/Source/Core/Gateway/LinkMonitor.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,7 +32,11 @@
   /// open before, this does not prove that a new one can be opened.
   void onHeard(const std::string &Service, bool OnNewConnection);
 
-  bool isLost(const std::string &Service) const;
+  bool isLost(const std::string &Service) const {
+    return lostSince(Service).has_value();
+  }
+  /// When the links to the service were lost; nullopt if they are not.
+  std::optional<model::TimePoint> lostSince(const std::string &Service) const;
   /// Those among \p Services to which the links are lost.
   std::vector<std::string> lostServices() const;
   /// What changed since the last call.
@@ -46,6 +51,7 @@
     FailureMap m_Silent;
     bool m_NoNewConnections = false;
     bool m_AllSilent = false;
+    model::TimePoint m_LostAt;
 
     bool isLost() const { return m_NoNewConnections || m_AllSilent; }
   };
--- a/Source/Core/Gateway/PeerNotice.h
+++ b/Source/Core/Gateway/PeerNotice.h
@@ -5,11 +5,13 @@
 #include "Core/Gateway/QuarantineNotice.h"
 #include "Core/Gateway/RelayTypes.h"
 #include "Core/Gateway/StreamNotice.h"
+#include "Core/Model/Address.h"
 #include "Core/Model/Id.h"
 
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,6 +78,11 @@
   std::vector<EndpointNotice> m_EndpointNotices;
   /// Told to all peers, since a caller may take its stream up at any node.
   StreamNotice m_Streams;
+  /// Where the sender takes requests that other nodes forward; nullopt if it
+  /// takes none.
+  std::optional<model::Address> m_ForwardingAddress;
+  /// Services to whose endpoints the sender has lost its links.
+  std::vector<std::string> m_LostServices;
   /// The sender holds the placement lease.
   bool m_HoldsLease = false;
 
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -108,7 +108,7 @@
         !Endpoint->holds(Active.m_Request.m_ModelRef, m_Now))
       continue;
     Best.m_CopyExists = true;
-    if (m_Now < Endpoint->m_EjectedUntil)
+    if (m_Now < Endpoint->m_EjectedUntil && !Active.m_IsTrial)
       continue;
     // An endpoint over its limit resets connections, also those of running
     // requests.
@@ -198,6 +198,9 @@
 void RelayCore::dispatch(ActiveRequest &Active, RelayEffectList &Out) {
   if (rejectQuarantined(Active, Out))
     return;
+  if (forwardIfLinksLost(Active, Out))
+    return;
+  Active.m_IsTrial = isTrialDue(Active.m_Service);
   const Choice Chosen = chooseEndpoint(Active);
   Active.m_Inputs.reset();
   if (Chosen.m_Endpoint)
@@ -207,7 +210,7 @@
     const double LeftMs = static_cast<double>(Left.count()) * MillisPerMicro;
     if (Chosen.m_WaitMs <= m_Settings.m_MaxWaitShare * LeftMs ||
         Active.m_ForwardingStarted) {
-      if (mustHold(Active, *Chosen.m_Endpoint))
+      if (!Active.m_IsTrial && mustHold(Active, *Chosen.m_Endpoint))
         holdOrReject(Active, Chosen, Out);
       else
         send(Active, *Chosen.m_Endpoint, Out);
@@ -309,6 +312,9 @@
   releaseHold(Active);
   Active.m_Attempt = {++m_LastAttempt};
   Active.m_Endpoint = Endpoint.m_Entry.m_Id;
+  Active.m_Forwarded.reset();
+  if (Active.m_IsTrial)
+    m_LinksTriedAt[Active.m_Service] = m_Now;
   Active.m_SentAt = m_Now;
   Active.m_AnswerStarted = false;
   Active.m_Tried.push_back(Endpoint.m_Entry.m_Id);
@@ -324,15 +330,18 @@
     m_Prefixes.add(Hash, Endpoint.m_Tag);
   log(Active, First ? "send" : "retry", 0, Active.m_LastFailure, Out);
   Active.m_Inputs.reset();
-  Out.push_back(SendRequest{.m_Request = Active.m_Request.m_Number,
-                            .m_Attempt = Active.m_Attempt,
-                            .m_Endpoint = Endpoint.m_Entry.m_Id,
-                            .m_Service = Active.m_Service,
-                            .m_Address = Endpoint.m_Entry.m_Address,
-                            .m_Remaining = Active.m_Deadline - m_Now,
-                            .m_Priority = Active.m_Route->m_Priority,
-                            .m_Resume = Active.m_ForwardingStarted,
-                            .m_Stream = Active.m_Route->m_Stream});
+  Out.push_back(
+      SendRequest{.m_Request = Active.m_Request.m_Number,
+                  .m_Attempt = Active.m_Attempt,
+                  .m_Endpoint = Endpoint.m_Entry.m_Id,
+                  .m_SoftwareVersion = Endpoint.m_Entry.m_SoftwareVersion,
+                  .m_Service = Active.m_Service,
+                  .m_Address = Endpoint.m_Entry.m_Address,
+                  .m_Remaining = Active.m_Deadline - m_Now,
+                  .m_Priority = Active.m_Route->m_Priority,
+                  .m_Resume = Active.m_ForwardingStarted,
+                  .m_Stream = Active.m_Route->m_Stream,
+                  .m_IsTrial = Active.m_IsTrial});
 }
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -56,6 +56,8 @@
     return "whole";
   case SendResult::Broken:
     return "broken";
+  case SendResult::Declined:
+    return "declined";
   }
   return "broken";
 }
@@ -150,6 +152,12 @@
   ActiveRequest &Active = m_ActiveRequests[Number];
   Active.m_Request = std::move(Request);
   const RelayRequest &Asked = Active.m_Request;
+  const char *const Declined =
+      Asked.m_Forwarded ? reasonToDecline(*Asked.m_Forwarded) : nullptr;
+  if (Declined) {
+    reject(Active, ServiceUnavailable, std::nullopt, Declined, Out);
+    return;
+  }
   if (!m_Table || !m_HasEndpoints) {
     reject(Active, ServiceUnavailable, jittered(NotReadyRetryAfter),
            m_Table ? "no endpoint is known yet"
@@ -178,8 +186,10 @@
   m_Deadlines.emplace(Active.m_Deadline, Number);
   Active.m_PromptHashes = promptHashes(Asked);
   Active.m_Traits = traitsOf(Asked);
-  m_Retries.countRequest(Active.m_Service, Now);
-  if (isCountedModel(Active)) {
+  // The node that forwarded a request has counted it.
+  if (!Asked.m_Forwarded)
+    m_Retries.countRequest(Active.m_Service, Now);
+  if (!Asked.m_Forwarded && isCountedModel(Active)) {
     for (const ModelRef &Ref :
          {Asked.m_ModelRef, ModelRef{Asked.m_ModelRef.m_Model, ""}}) {
       UsageCounter &Count = m_UsageCounters[Ref];
@@ -324,8 +334,13 @@
       .m_Kind = Active.m_Route ? requestKind(*Active.m_Route) : "",
       .m_Route = Active.m_Route ? Active.m_Route->m_Name : std::string(),
       .m_ModelRef = Active.m_Request.m_ModelRef,
-      .m_Endpoint = Active.m_Endpoint.str(),
-      .m_SoftwareVersion = softwareVersionOf(Active.m_Endpoint),
+      .m_Endpoint = Active.m_Forwarded ? Active.m_Forwarded->m_Endpoint.str()
+                                       : Active.m_Endpoint.str(),
+      .m_Peer = Active.m_Forwarded ? Active.m_Forwarded->m_Peer.str() : "",
+      .m_IsForwarded = Active.m_Request.m_Forwarded.has_value(),
+      .m_SoftwareVersion = Active.m_Forwarded
+                               ? Active.m_Forwarded->m_SoftwareVersion
+                               : softwareVersionOf(Active.m_Endpoint),
       .m_FirstAttempt = Active.m_Request.m_FirstAttempt,
       .m_ConfigVersion =
           Active.m_Table ? Active.m_Table->config().m_Version : 0,
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -11,6 +11,7 @@
 #include "Core/Gateway/RetryLimiter.h"
 #include "Core/Gateway/RouteTable.h"
 #include "Core/Gateway/StreamOrigins.h"
+#include "Core/Model/Address.h"
 #include "Core/Model/Id.h"
 #include "Core/Ports/Ports.h"
 #include "Core/Routing/PrefixIndex.h"
@@ -61,6 +62,10 @@
   void onAnswerHead(model::AttemptId Attempt,
                     const EndpointStatement &Statement, model::TimePoint Now,
                     RelayEffectList &Out);
+  /// The head of the answer to a forwarded request was received: the endpoint
+  /// that the other node chose.
+  void onForwardedHead(model::AttemptId Attempt, model::EndpointId Endpoint,
+                       std::string SoftwareVersion);
   /// The endpoint of a send wants nothing from this node for \p Pause.
   void onEndpointPaused(model::AttemptId Attempt, model::Duration Pause,
                         model::TimePoint Now, RelayEffectList &Out);
@@ -93,6 +98,14 @@
   std::vector<UsageCounter> takeUsageCounters();
 
 private:
+  struct ForwardedSend {
+    model::NodeId m_Peer;
+    uint32_t m_RunsLeft = 0;
+    /// The endpoint that the other node chose; empty until the head of its
+    /// answer tells.
+    model::EndpointId m_Endpoint;
+    std::string m_SoftwareVersion;
+  };
   struct ActiveRequest {
     RelayRequest m_Request;
     /// The table in force when it was received, and its route in that table.
@@ -104,7 +117,13 @@
     RequestTraits m_Traits;
     /// The send in flight; zero if there is none.
     model::AttemptId m_Attempt;
+    /// Of the last send; empty if that was forwarded.
     model::EndpointId m_Endpoint;
+    /// Set if the last send was forwarded.
+    std::optional<ForwardedSend> m_Forwarded;
+    std::vector<model::NodeId> m_TriedPeers;
+    /// The next send tries whether the lost links are back.
+    bool m_IsTrial = false;
     model::TimePoint m_SentAt;
     bool m_AnswerStarted = false;
     AnswerTiming m_Timing;
@@ -258,6 +277,19 @@
   void finishUnsuccessful(ActiveRequest &Active, const SendOutcome &Outcome,
                           RelayEffectList &Out);
 
+  // RelayForwarding.cpp: requests that other nodes send to endpoints.
+  /// Forwards the request if this node's links to its service are lost and
+  /// another node has them. Returns false if this node has to send it itself.
+  bool forwardIfLinksLost(ActiveRequest &Active, RelayEffectList &Out);
+  bool isTrialDue(const std::string &Service) const;
+  void forward(ActiveRequest &Active, const model::NodeId &Peer,
+               const model::Address &Address, RelayEffectList &Out);
+  /// Why a request that another node forwards can't be taken; nullptr if it
+  /// can.
+  const char *reasonToDecline(const ForwardingTerms &Terms) const;
+  /// Endpoints that may run the request.
+  static uint32_t maxRuns(const ActiveRequest &Active);
+
   // RelayLinks.cpp: links of this node that are lost.
   void updateLinks(const ActiveRequest &Active, const EndpointView &Endpoint,
                    const SendOutcome &Outcome);
@@ -305,18 +337,25 @@
   RetryLimiter m_Retries;
   CrashQuarantine m_Quarantine;
   LinkMonitor m_Links;
+  /// When the links to a service were last tried while they were lost.
+  std::map<std::string, model::TimePoint> m_LinksTriedAt;
   model::TimePoint m_SilenceNotedAt;
   StreamOrigins m_Origins;
   model::TimePoint m_VersionsNotedAt;
   std::map<ModelRef, UsageCounter> m_UsageCounters;
   std::map<ModelRef, uint64_t> m_ReportedRequestCounts;
-  struct PeerLoads {
+  struct PeerState {
     model::TimePoint m_At;
     uint64_t m_Start = 0;
     uint64_t m_Sequence = 0;
     std::vector<EndpointLoad> m_Loads;
+    std::optional<model::Address> m_ForwardingAddress;
+    std::vector<std::string> m_LostServices;
+
+    /// Can send requests for the service to endpoints.
+    bool reaches(const std::string &Service) const;
   };
-  std::map<model::NodeId, PeerLoads> m_Peers;
+  std::map<model::NodeId, PeerState> m_Peers;
 };
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -166,6 +166,9 @@
     return false;
   if (!m_Quarantine.allowsRetry(Active.m_Traits.m_Fingerprint))
     return false;
+  // The other node has tried what may be tried.
+  if (Active.m_Forwarded && Outcome.m_RetryAfter)
+    return false;
   const RouteSpec &Route = *Active.m_Route;
   const bool MayResume = Route.m_Stream && Route.m_Resumable;
   // Only a resumed stream continues what the caller has received.
@@ -175,18 +178,19 @@
                           Outcome.m_Result == SendResult::Failed;
   if (MayHaveRun) {
     if ((!Route.m_Repeatable && !MayResume) ||
-        Active.m_PossibleRuns >= Route.m_MaxAttempts)
+        Active.m_PossibleRuns >= maxRuns(Active))
       return false;
     // The failure is a complete answer, and a stream that has started can't be
     // replaced by it.
     if (Outcome.m_Result == SendResult::Failed && Active.m_ForwardingStarted)
       return false;
   } else if (Active.m_ForwardingStarted &&
-             Active.m_PossibleRuns >= Route.m_MaxAttempts) {
+             Active.m_PossibleRuns >= maxRuns(Active)) {
     return false;
   }
   // A send that reached no endpoint adds no load, so it is not limited.
   return Outcome.m_Result == SendResult::NotSent ||
+         Outcome.m_Result == SendResult::Declined ||
          m_Retries.tryTakeRetry(Active.m_Service, m_Now);
 }
 
@@ -203,7 +207,7 @@
     updateQuarantine(Active, *Endpoint, Outcome);
     updateLinks(Active, *Endpoint, Outcome);
   }
-  if (Outcome.m_Result == SendResult::Completed)
+  if (Outcome.m_Result == SendResult::Completed && !Active.m_Forwarded)
     routing::updateMovingAverage(
         m_Services[Active.m_Service].m_AnswerMs,
         static_cast<double>((Now - Active.m_SentAt).count()) / MicrosPerMilli,
@@ -217,7 +221,8 @@
                           Outcome.m_Result == SendResult::Failed ||
                           Outcome.m_Result == SendResult::Completed;
   if (MayHaveRun)
-    ++Active.m_PossibleRuns;
+    Active.m_PossibleRuns +=
+        Active.m_Forwarded ? Active.m_Forwarded->m_RunsLeft : 1;
   Active.m_HasFailureAnswer = Outcome.m_Result == SendResult::Failed;
   Active.m_LastSendBrokeOff = Outcome.m_Result == SendResult::Broken;
   if (Active.m_CallerDisconnected) {
@@ -262,9 +267,10 @@
     return;
   }
   const model::Duration Left = Active.m_Deadline - m_Now;
+  const model::Duration RetryAfter =
+      Outcome.m_RetryAfter ? *Outcome.m_RetryAfter : jittered(NotRunRetryAfter);
   reject(Active, ServiceUnavailable,
-         std::min(jittered(NotRunRetryAfter),
-                  std::max(model::Duration::zero(), Left / 3)),
+         std::min(RetryAfter, std::max(model::Duration::zero(), Left / 3)),
          Active.m_LastFailure, Out);
 }
 
--- a/Source/Core/Gateway/RelayPeers.cpp
+++ b/Source/Core/Gateway/RelayPeers.cpp
@@ -29,7 +29,7 @@
 void RelayCore::onPeerNotice(const PeerNotice &Notice, model::TimePoint Now,
                              RelayEffectList &Out) {
   m_Now = Now;
-  PeerLoads &Peer = m_Peers[Notice.m_From];
+  PeerState &Peer = m_Peers[Notice.m_From];
   if (Peer.m_Start == Notice.m_Start && Peer.m_Sequence >= Notice.m_Sequence)
     return;
   subtractPeerLoads(Peer.m_Loads);
@@ -39,7 +39,12 @@
       Endpoint->m_PeersPrefillTokens += New.m_PrefillTokens;
     }
   }
-  Peer = {Now, Notice.m_Start, Notice.m_Sequence, Notice.m_Loads};
+  Peer = {Now,
+          Notice.m_Start,
+          Notice.m_Sequence,
+          Notice.m_Loads,
+          Notice.m_ForwardingAddress,
+          Notice.m_LostServices};
   m_Quarantine.onNotice(Notice.m_Quarantine, Now);
   m_Origins.onNotice(Notice.m_Streams, Now);
   for (const EndpointNotice &Each : Notice.m_EndpointNotices)
@@ -69,6 +74,7 @@
   PeerNotice Notice;
   Notice.m_Quarantine = m_Quarantine.notice(Now);
   Notice.m_Streams = m_Origins.notice(Now);
+  Notice.m_LostServices = m_Links.lostServices();
   for (const auto &Entry : m_Endpoints) {
     const EndpointView &View = Entry.second;
     if (View.m_InFlight > 0)
--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -29,6 +29,10 @@
   if (!Active.m_Request.m_IsResumption || !Active.m_Route->m_Stream ||
       !Active.m_Route->m_Resumable)
     return true;
+  if (Active.m_Request.m_Forwarded) {
+    Active.m_RequiredVersion = Active.m_Request.m_Forwarded->m_RequiredVersion;
+    return true;
+  }
   // A node that hears no other may not have learned of a new version, either.
   const bool HearsPeers =
       std::any_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Each) {
@@ -65,7 +69,9 @@
   Active.m_ForwardingStarted = true;
   if (!Active.m_Route->m_Stream || !Active.m_Route->m_Resumable)
     return;
-  Active.m_RequiredVersion = softwareVersionOf(Active.m_Endpoint);
+  Active.m_RequiredVersion = Active.m_Forwarded
+                                 ? Active.m_Forwarded->m_SoftwareVersion
+                                 : softwareVersionOf(Active.m_Endpoint);
   m_Origins.onStreamBegun(Active.m_Service, firstAttemptOf(Active.m_Request),
                           *Active.m_RequiredVersion, Now);
 }
--- a/Source/Core/Gateway/RelayStatements.cpp
+++ b/Source/Core/Gateway/RelayStatements.cpp
@@ -12,9 +12,11 @@
 
 EndpointView *RelayCore::endpointOf(model::AttemptId Attempt) {
   const auto Found = m_Attempts.find(Attempt);
-  return Found == m_Attempts.end()
-             ? nullptr
-             : findEndpoint(m_ActiveRequests.at(Found->second).m_Endpoint);
+  if (Found == m_Attempts.end())
+    return nullptr;
+  const ActiveRequest &Active = m_ActiveRequests.at(Found->second);
+  return findEndpoint(Active.m_Forwarded ? Active.m_Forwarded->m_Endpoint
+                                         : Active.m_Endpoint);
 }
 
 void RelayCore::onEndpointPaused(model::AttemptId Attempt,
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -32,6 +32,20 @@
   friend auto operator<=>(const ModelRef &, const ModelRef &) = default;
 };
 
+/// What a node tells the one to which it forwards a caller's request.
+struct ForwardingTerms {
+  /// The configuration by which it was read. Another one may handle it
+  /// differently.
+  uint64_t m_ConfigVersion = 0;
+  /// Endpoints that may still run it.
+  uint32_t m_RunsLeft = 0;
+  /// The only software version at which its stream may go on.
+  std::optional<std::string> m_RequiredVersion;
+
+  friend auto operator<=>(const ForwardingTerms &,
+                          const ForwardingTerms &) = default;
+};
+
 /// The properties of a caller's request that RelayCore decides by. The driver
 /// that read the request keeps its bytes.
 struct RelayRequest {
@@ -55,6 +69,8 @@
   /// Equal for requests with the same method, host, target and body; nullopt if
   /// these are not known.
   std::optional<uint64_t> m_Fingerprint;
+  /// Set if another node forwarded it. It is not forwarded again.
+  std::optional<ForwardingTerms> m_Forwarded;
 
   friend auto operator<=>(const RelayRequest &, const RelayRequest &) = default;
 };
@@ -74,6 +90,8 @@
   Completed,
   /// No complete answer after a byte was sent: the request may have run.
   Broken,
+  /// The node to which it was forwarded did not run it, and will not.
+  Declined,
 };
 
 const char *toString(SendResult Value);
@@ -97,15 +115,20 @@
   std::string m_Detail;
   /// nullopt if no head was received.
   std::optional<AnswerEnd> m_AnswerEnd;
+  /// For Declined: when the caller may come back. nullopt if another node may
+  /// take the request now.
+  std::optional<model::Duration> m_RetryAfter;
 
   friend auto operator<=>(const SendOutcome &, const SendOutcome &) = default;
 };
 
-/// Effect: send the request to an endpoint.
+/// Effect: send the request to an endpoint, or forward it to another node.
 struct SendRequest {
   model::RequestId m_Request;
   model::AttemptId m_Attempt;
+  /// Empty if another node is to choose the endpoint.
   model::EndpointId m_Endpoint;
+  std::string m_SoftwareVersion;
   std::string m_Service;
   model::Address m_Address;
   /// Time left of what the caller and the route allow.
@@ -114,6 +137,10 @@
   /// Resume the stream after the last event that was forwarded.
   bool m_Resume = false;
   bool m_Stream = false;
+  /// Open a new connection and give up early, since the links may be lost.
+  bool m_IsTrial = false;
+  /// Set if it is forwarded.
+  std::optional<ForwardingTerms> m_Forwarding;
 
   friend auto operator<=>(const SendRequest &, const SendRequest &) = default;
 };
@@ -199,13 +226,18 @@
 struct RelayLogEntry {
   model::RequestId m_Request;
   std::string m_CallerRequestId;
-  /// One word: "send", "retry", "wait", "refuse", "cut", "gone", "answer".
+  /// One word: "send", "retry", "forward", "wait", "refuse", "cut", "gone",
+  /// "answer", "end".
   std::string m_Action;
   /// "once", "repeatable" or "stream"; empty if no route matches.
   std::string m_Kind;
   std::string m_Route;
   ModelRef m_ModelRef;
   std::string m_Endpoint;
+  /// The node to which it is forwarded.
+  std::string m_Peer;
+  /// Another node forwarded it.
+  bool m_IsForwarded = false;
   /// Of the endpoint's software.
   std::string m_SoftwareVersion;
   /// The caller's attempt that began the stream, if this request resumes it.
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -12,6 +12,7 @@
       toSettingInfo(ListenCallers),
       toSettingInfo(ListenReady),
       toSettingInfo(ListenPeers),
+      toSettingInfo(ListenForwardingPort),
       toSettingInfo(ListenMetrics),
       toSettingInfo(PlatformStore),
       toSettingInfo(RetryRatio),
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -28,6 +28,14 @@
     "listen", "ready", {}, {}, {}, "Readiness (/ready)"};
 inline const Setting<model::Address> ListenPeers{
     "listen", "peers", {}, {}, {}, "Datagrams from other nodes (UDP)"};
+inline const Setting<uint64_t> ListenForwardingPort{
+    "listen",
+    "forwarding-port",
+    0,
+    0,
+    65535,
+    "Port, at the address of `peers`, for requests that other nodes forward "
+    "(TCP); 0: the next after that of `peers`"};
 inline const Setting<model::Address> ListenMetrics{
     "listen", "metrics", {}, {}, {}, "Metrics (/metrics)"};
 
--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -95,6 +95,7 @@
   m_Asked.push_back({.m_At = m_Now,
                      .m_Parts = Asked.m_Parts,
                      .m_Fingerprint = Asked.m_Fingerprint,
+                     .m_Path = Asked.m_Path,
                      .m_Node = Index,
                      .m_Resumes = Asked.m_Resumes});
   To.m_Relay.m_Core.onRequestReceived(Request, m_Now, To.m_Relay.m_Out);
@@ -115,11 +116,15 @@
   gateway::RelayEffectList Effects;
   std::swap(Effects, From.m_Relay.m_Out);
   for (const gateway::RelayEffect &Each : Effects) {
+    answerOrigin(Index, Each);
     if (const auto *const Refusal = std::get_if<gateway::RejectRequest>(&Each))
-      m_Asked[From.m_Requests.at(Refusal->m_Request)].m_Refused = true;
+      m_Asked[From.m_Requests.at(Refusal->m_Request)].m_Refused |=
+          !From.m_Forwarded.contains(Refusal->m_Request);
     if (const auto *const Answer = std::get_if<gateway::ForwardAnswer>(&Each))
-      m_Asked[From.m_Requests.at(Answer->m_Request)].m_Served = true;
-    if (const auto *const Cut = std::get_if<gateway::AbortAnswer>(&Each))
+      m_Asked[From.m_Requests.at(Answer->m_Request)].m_Served |=
+          !From.m_Forwarded.contains(Answer->m_Request);
+    const auto *const Cut = std::get_if<gateway::AbortAnswer>(&Each);
+    if (Cut && !From.m_Forwarded.contains(Cut->m_Request))
       takeUp(From.m_Requests.at(Cut->m_Request));
     if (const auto *const Cancelled = std::get_if<gateway::CancelSend>(&Each))
       From.m_Sends.erase(Cancelled->m_Attempt);
@@ -130,14 +135,78 @@
         Sent->m_Endpoint, From.m_Requests.at(Sent->m_Request),
         From.m_Sent.insert(Sent->m_Request).second, Sent->m_Request,
         From.m_Resumable.contains(Sent->m_Request)};
-    schedule(NetworkDelay,
-             [this, Index, Node = &From, Attempt = Sent->m_Attempt] {
-               if (m_Nodes[Index].get() == Node)
-                 arrive(Index, Attempt);
-             });
+    const Origin Sender{Index, &From, Sent->m_Attempt};
+    if (Sent->m_Forwarding)
+      whenCurrent(NetworkDelay, Sender,
+                  [this, Sender, Request = *Sent,
+                   Number = From.m_Requests.at(Sent->m_Request)] {
+                    receiveForwarded(Request.m_Address.m_Port, Sender, Request,
+                                     Number);
+                  });
+    else
+      whenCurrent(
+          NetworkDelay, Sender,
+          [this, Index, Attempt = Sent->m_Attempt] { arrive(Index, Attempt); });
   }
 }
 
+void RelayFleet::whenCurrent(model::Duration Delay, Origin At,
+                             std::function<void()> Run) {
+  schedule(Delay, [this, At, Run = std::move(Run)] {
+    if (m_Nodes[At.m_Index].get() == At.m_Node &&
+        At.m_Node->m_Sends.contains(At.m_Attempt))
+      Run();
+  });
+}
+
+void RelayFleet::receiveForwarded(size_t Index, Origin From,
+                                  const gateway::SendRequest &Sent,
+                                  size_t Number) {
+  const Asked &Original = m_Asked[Number];
+  RelayFixture &Relay = m_Nodes[Index]->m_Relay;
+  gateway::RelayRequest Request;
+  Request.m_Number = {++Relay.m_Last};
+  Request.m_CallerRequestId = "caller-" + std::to_string(Number);
+  Request.m_Host = "h";
+  Request.m_Path = Original.m_Path;
+  Request.m_BeganAt = m_Now;
+  Request.m_Window = Sent.m_Remaining;
+  Request.m_ModelRef = {"m", ""};
+  Request.m_IsResumption = Sent.m_Resume || Original.m_Resumes.has_value();
+  Request.m_Forwarded = Sent.m_Forwarding;
+  Node &To = *m_Nodes[Index];
+  To.m_Requests[Request.m_Number] = Number;
+  To.m_Forwarded[Request.m_Number] = From;
+  if (Original.m_Path == ResumablePath)
+    To.m_Resumable.insert(Request.m_Number);
+  Relay.m_Core.onRequestReceived(Request, m_Now, Relay.m_Out);
+  carryOut(Index);
+}
+
+void RelayFleet::answerOrigin(size_t Index,
+                              const gateway::RelayEffect &Effect) {
+  using gateway::SendResult;
+  Node &Answering = *m_Nodes[Index];
+  const auto Answer = [&](model::RequestId Request, SendResult Result,
+                          std::optional<model::Duration> RetryAfter) {
+    const auto Found = Answering.m_Forwarded.find(Request);
+    if (Found == Answering.m_Forwarded.end())
+      return;
+    whenCurrent(NetworkDelay, Found->second,
+                [this, At = Found->second, Result, RetryAfter] {
+                  finish(At.m_Index, At.m_Attempt, Result, RetryAfter);
+                });
+  };
+  if (const auto *const Whole = std::get_if<gateway::ForwardAnswer>(&Effect))
+    Answer(Whole->m_Request, SendResult::Completed, std::nullopt);
+  if (const auto *const Cut = std::get_if<gateway::AbortAnswer>(&Effect))
+    Answer(Cut->m_Request, SendResult::Broken, std::nullopt);
+  if (const auto *const Refusal = std::get_if<gateway::RejectRequest>(&Effect))
+    Answer(Refusal->m_Request,
+           Refusal->m_Status == 503 ? SendResult::Declined : SendResult::Broken,
+           Refusal->m_RetryAfter);
+}
+
 void RelayFleet::arrive(size_t Index, model::AttemptId Attempt) {
   Node &From = *m_Nodes[Index];
   const auto Found = From.m_Sends.find(Attempt);
@@ -252,6 +321,17 @@
   m_Asked[Request.m_Resumes.value_or(Answered.m_Asked)].m_Versions.insert(
       m_SoftwareVersions.at(Answered.m_Engine));
   From.m_Relay.m_Core.onAnswerForwarded(Answered.m_Request, m_Now);
+  const auto Forwarded = From.m_Forwarded.find(Answered.m_Request);
+  if (Forwarded == From.m_Forwarded.end())
+    return;
+  whenCurrent(NetworkDelay, Forwarded->second,
+              [this, At = Forwarded->second, Engine = Answered.m_Engine] {
+                gateway::RelayCore &Core = At.m_Node->m_Relay.m_Core;
+                Core.onForwardedHead(At.m_Attempt, Engine,
+                                     m_SoftwareVersions.at(Engine));
+                Core.onAnswerForwarded(
+                    At.m_Node->m_Sends.at(At.m_Attempt).m_Request, m_Now);
+              });
 }
 
 void RelayFleet::receiveHead(size_t Index, model::AttemptId Attempt,
@@ -271,12 +351,15 @@
 }
 
 void RelayFleet::finish(size_t Index, model::AttemptId Attempt,
-                        gateway::SendResult Result) {
+                        gateway::SendResult Result,
+                        std::optional<model::Duration> RetryAfter) {
   Node &To = *m_Nodes[Index];
   To.m_Sends.erase(Attempt);
   To.m_Relay.m_Core.onSendFinished(
       Attempt,
-      {Result, Result == gateway::SendResult::Completed ? 200 : 0, false, ""},
+      {.m_Result = Result,
+       .m_Status = Result == gateway::SendResult::Completed ? 200 : 0,
+       .m_RetryAfter = RetryAfter},
       m_Now, To.m_Relay.m_Out);
   carryOut(Index);
 }
@@ -346,11 +429,15 @@
     Notice.m_From = model::NodeId("n" + std::to_string(From));
     Notice.m_Start = 1;
     Notice.m_Sequence = m_Notices;
+    // The port is the node's index.
+    Notice.m_ForwardingAddress = {"10.0.1.1", static_cast<uint16_t>(From)};
     gateway::PeerNotice OfStreams;
     OfStreams.m_From = Notice.m_From;
     OfStreams.m_Start = Notice.m_Start;
     OfStreams.m_Sequence = Notice.m_Sequence;
     OfStreams.m_Streams = Notice.m_Streams;
+    OfStreams.m_ForwardingAddress = Notice.m_ForwardingAddress;
+    OfStreams.m_LostServices = Notice.m_LostServices;
     const bool TellsAll = !Notice.m_Streams.isEmpty();
     for (size_t I = 1; I < m_Nodes.size(); ++I) {
       const bool IsTarget = I <= gateway::MaxNoticeTargets;
--- a/Source/UnitTests/Gateway/RelayFleet.h
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -68,6 +68,7 @@
     bool m_Refused = false;
     /// The whole answer was forwarded.
     bool m_Served = false;
+    std::string m_Path;
     size_t m_Node = 0;
     std::optional<size_t> m_Resumes;
     /// Events of it, or of its continuation, reached the caller.
@@ -122,6 +123,13 @@
     model::RequestId m_Request;
     bool m_IsResumable = false;
   };
+  struct Node;
+  /// The send of another node that brought a request.
+  struct Origin {
+    size_t m_Index = 0;
+    Node *m_Node = nullptr;
+    model::AttemptId m_Attempt;
+  };
   struct Node {
     explicit Node(uint64_t Seed) : m_Relay(Seed) {}
     RelayFixture m_Relay;
@@ -129,6 +137,7 @@
     std::map<model::RequestId, size_t> m_Requests;
     std::set<model::RequestId> m_Sent;
     std::set<model::RequestId> m_Resumable;
+    std::map<model::RequestId, Origin> m_Forwarded;
     Links m_Links = Links::Whole;
   };
   struct Event {
@@ -138,12 +147,18 @@
 
   void schedule(model::Duration Delay, std::function<void()> Run);
   void carryOut(size_t Index);
+  /// Tells the node that forwarded a request what became of it.
+  void answerOrigin(size_t Index, const gateway::RelayEffect &Effect);
+  void receiveForwarded(size_t Index, Origin From,
+                        const gateway::SendRequest &Sent, size_t Number);
+  void whenCurrent(model::Duration Delay, Origin At, std::function<void()> Run);
   void startNode(size_t Index);
   void arrive(size_t Index, model::AttemptId Attempt);
   void receiveHead(size_t Index, model::AttemptId Attempt,
                    const model::EndpointId &Engine);
   void finish(size_t Index, model::AttemptId Attempt,
-              gateway::SendResult Result);
+              gateway::SendResult Result,
+              std::optional<model::Duration> RetryAfter = std::nullopt);
   void exchangeNotices();
   void publishEngines();
   /// The end of a send of a node whose links are not whole; nullopt if the send
--- a/Source/UnitTests/Soak/SoakNodes.cpp
+++ b/Source/UnitTests/Soak/SoakNodes.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr uint16_t PortsPerNode = 4;
+constexpr uint16_t PortsPerNode = 5;
 constexpr std::chrono::seconds Grace(8);
 constexpr std::chrono::seconds GraceMargin(1);
 
@@ -46,7 +46,8 @@
        << "listen: {callers: \"127.0.0.1:" << port(Node, 0)
        << "\", ready: \"127.0.0.1:" << port(Node, 1)
        << "\", peers: \"127.0.0.1:" << port(Node, 2)
-       << "\", metrics: \"127.0.0.1:" << port(Node, 3) << "\"}\n"
+       << "\", metrics: \"127.0.0.1:" << port(Node, 3)
+       << "\", forwarding-port: " << port(Node, 4) << "}\n"
        << "platform: {store: \"127.0.0.1:" << m_Nodes[Node]->m_StorePort->port()
        << "\", leave-notice: 2s, contact-time: 3s}\n"
        << "retries: {ratio: 0.2, slack: 50, window: 10s}\n"
