--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -62,21 +62,6 @@
   GatewayTraffic &m_Traffic;
 };
 
-/// Passes the requests that other nodes forward to the driver.
-class GatewayTraffic::ForwardedHandler : public front::FrontHandler {
-public:
-  explicit ForwardedHandler(RelayDriver &Driver) : m_Driver(Driver) {}
-
-  void
-  onRequest(front::FrontRequest Request,
-            std::shared_ptr<pistache::HttpResponseWriter> Answer) override {
-    m_Driver.onForwardedRequest(std::move(Request), std::move(Answer));
-  }
-
-private:
-  RelayDriver &m_Driver;
-};
-
 GatewayTraffic::GatewayTraffic(const TrafficAddresses &Addresses,
                                const gateway::RelaySettings &Settings,
                                model::NodeId Self,
@@ -92,9 +77,8 @@
                [this](const gateway::CopyRequest &Request) {
                  requestCopy(Request);
                }),
-      m_ForwardedHandler(std::make_unique<ForwardedHandler>(m_Driver)),
       m_CallerServer(m_Thread.loop(), m_Driver),
-      m_ForwardingServer(m_Thread.loop(), *m_ForwardedHandler),
+      m_ForwardingServer(m_Thread.loop(), m_Driver.forwardedRequestHandler()),
       m_ReadyServer(m_Thread.loop(), *m_StatusHandler),
       m_MetricsServer(m_Thread.loop(), *m_StatusHandler),
       m_Datagrams(m_Thread.loop(), [this](const gateway::PeerNotice &Notice,
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -76,7 +76,6 @@
 
 private:
   class StatusHandler;
-  class ForwardedHandler;
   struct Peer {
     model::Address m_Address;
     std::optional<model::TimePoint> m_LastHeardAt;
@@ -121,7 +120,6 @@
   net::LoopThread m_Thread;
   std::unique_ptr<StatusHandler> m_StatusHandler;
   RelayDriver m_Driver;
-  std::unique_ptr<ForwardedHandler> m_ForwardedHandler;
   front::FrontServer m_CallerServer;
   front::FrontServer m_ForwardingServer;
   front::FrontServer m_ReadyServer;
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -75,7 +75,7 @@
          std::nullopt);
 }
 
-void RelayDriver::onForwardedRequest(
+void RelayDriver::ForwardedHandler::onRequest(
     front::FrontRequest Request,
     std::shared_ptr<pistache::HttpResponseWriter> Answer) {
   HeaderLines Headers = linesOf(Request.m_Headers);
@@ -83,14 +83,16 @@
   const std::optional<gateway::ForwardingTerms> Terms =
       readTerms(Headers, Reason);
   if (!Terms) {
-    m_Log.write("request", "forwarding_unreadable", {{"reason", Reason}});
+    m_Driver.m_Log.write("request", "forwarding_unreadable",
+                         {{"reason", Reason}});
     Answer->send({.m_Status = BadRequest,
                   .m_Body = Reason + "\n",
                   .m_ContentType = "text/plain"});
     return;
   }
   removeForwardingHeaders(Headers);
-  accept(std::move(Request), std::move(Answer), std::move(Headers), Terms);
+  m_Driver.accept(std::move(Request), std::move(Answer), std::move(Headers),
+                  Terms);
 }
 
 void RelayDriver::accept(front::FrontRequest Request,
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -47,9 +47,8 @@
 
   void onRequest(front::FrontRequest Request,
                  std::shared_ptr<pistache::HttpResponseWriter> Answer) override;
-  /// Handles a request that another node forwards.
-  void onForwardedRequest(front::FrontRequest Request,
-                          std::shared_ptr<pistache::HttpResponseWriter> Answer);
+  /// Handles the requests that other nodes forward.
+  front::FrontHandler &forwardedRequestHandler() { return m_ForwardedHandler; }
 
   /// Runs \p Decide on the core and executes the resulting effects.
   void
@@ -64,6 +63,17 @@
   size_t unsentAnswerCount() const { return m_UnsentAnswers; }
 
 private:
+  class ForwardedHandler : public front::FrontHandler {
+  public:
+    explicit ForwardedHandler(RelayDriver &Driver) : m_Driver(Driver) {}
+    void
+    onRequest(front::FrontRequest Request,
+              std::shared_ptr<pistache::HttpResponseWriter> Answer) override;
+
+  private:
+    RelayDriver &m_Driver;
+  };
+
   /// A caller's request and its answer.
   struct Exchange {
     front::FrontRequest m_Request;
@@ -144,6 +154,7 @@
   void rejectAnswer(model::AttemptId Attempt, const std::string &Reason);
   void logUnreadableStatement(const std::string &Line);
 
+  ForwardedHandler m_ForwardedHandler{*this};
   net::EventLoop &m_Loop;
   const core::gateway::Dialect &m_Dialect;
   core::gateway::RelayCore &m_Core;
--- a/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
@@ -54,8 +54,10 @@
     : m_Log("test"), m_Core({}, m_Random),
       m_Driver(m_Thread.loop(), m_Dialect, m_Core, m_Clock, m_Log, m_Metrics,
                [](const relay::CopyRequest &) {}),
-      m_Server(m_Thread.loop(), m_Driver) {
+      m_Server(m_Thread.loop(), m_Driver),
+      m_ForwardingServer(m_Thread.loop(), m_Driver.forwardedRequestHandler()) {
   REQUIRE_FALSE(m_Server.listen({"127.0.0.1", 0}));
+  REQUIRE_FALSE(m_ForwardingServer.listen({"127.0.0.1", 0}));
   m_Core.setTable(std::make_shared<relay::RouteTable>(config()));
   std::vector<relay::EndpointEntry> Entries;
   for (const uint16_t Port : Ports) {
@@ -78,8 +80,18 @@
 
 void RelayNode::tick() {
   m_Thread.loop().runAfter(TickPeriod, [this] { tick(); });
-  m_Driver.decide([](relay::RelayCore &Core, core::model::TimePoint Now,
-                     relay::RelayEffectList &Out) { Core.tick(Now, Out); });
+  relay::PeerNotice Notice;
+  Notice.m_From = core::model::NodeId("peer");
+  Notice.m_Start = 1;
+  Notice.m_Sequence = ++m_PeerNotices;
+  if (m_PeerPort != 0)
+    Notice.m_ForwardingAddress = {"127.0.0.1", m_PeerPort};
+  m_Driver.decide([&](relay::RelayCore &Core, core::model::TimePoint Now,
+                      relay::RelayEffectList &Out) {
+    if (Notice.m_ForwardingAddress)
+      Core.onPeerNotice(Notice, Now, Out);
+    Core.tick(Now, Out);
+  });
 }
 
 std::string requestText(const std::string &Target,
--- a/Source/UnitTests/Adapters/Gateway/RelayNode.h
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.h
@@ -8,6 +8,7 @@
 #include "Core/Adapters/Net/LoopThread.h"
 #include "platform/PlatformDialect.h"
 
+#include <atomic>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,6 +29,9 @@
   RelayNode &operator=(const RelayNode &) = delete;
 
   uint16_t port() const { return m_Server.port(); }
+  uint16_t forwardingPort() const { return m_ForwardingServer.port(); }
+  /// Hears from now on of a node that takes requests at \p ForwardingPort.
+  void setPeer(uint16_t ForwardingPort) { m_PeerPort = ForwardingPort; }
   std::string metrics() const { return m_Metrics.text(); }
 
 private:
@@ -42,6 +46,9 @@
   core::adapters::net::LoopThread m_Thread;
   core::adapters::gateway::RelayDriver m_Driver;
   core::adapters::front::FrontServer m_Server;
+  core::adapters::front::FrontServer m_ForwardingServer;
+  std::atomic<uint16_t> m_PeerPort = 0;
+  uint64_t m_PeerNotices = 0;
 };
 
 /// Status line, request id and seal of an endpoint's success; the framing
