Gateway: Remember what an endpoint asked for while its entry is gone

An endpoint that had asked for a pause got requests again as soon as its entry in the store had lapsed and come back, and one that had said that it is leaving was used again: what a node knew of an endpoint was dropped with its entry. The class: a belief from one source is dropped because another source is silent. It is now kept for a minute, or until the pause is over, unless the endpoint starts anew.

--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -22,9 +22,10 @@
   EndpointEntry m_Entry;
   routing::EndpointTag m_Tag = 0;
   EndpointKey m_Key = 0;
-  /// False once its entry is gone; the view is kept until the sends in flight
-  /// to it end.
+  /// False once its entry is gone. The view is kept for a while: an entry may
+  /// come back, and the endpoint has not forgotten what it said.
   bool m_IsRegistered = true;
+  model::TimePoint m_RegisteredAt;
   uint32_t m_InFlight = 0;
   /// Requests in flight from the other nodes, by their last notices.
   uint32_t m_PeersInFlight = 0;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -24,6 +24,9 @@
 /// Models and adapters counted: twice those of the largest planned deployment.
 constexpr size_t MaxUsageCounters = 4096;
 
+/// How long an endpoint is remembered whose entry is gone. Longer than the
+/// pauses that endpoints ask for and the time for which a leaving one serves.
+constexpr model::Duration UnregisteredLifetime = std::chrono::seconds(60);
 /// Much shorter than a stream's lifetime.
 constexpr model::Duration VersionsNotePeriod = std::chrono::seconds(1);
 constexpr double MillisPerMicro = 1e-3;
@@ -106,11 +109,9 @@
     View.m_Key = model::stableHash(Entry.m_Id.str(),
                                    static_cast<uint64_t>(Entry.m_StartedAtMs));
     View.m_IsRegistered = true;
+    View.m_RegisteredAt = Now;
   }
   m_HasEndpoints = m_HasEndpoints || !Entries.empty();
-  std::erase_if(m_Endpoints, [](const auto &Entry) {
-    return !Entry.second.m_IsRegistered && Entry.second.m_InFlight == 0;
-  });
   for (auto &Service : m_Services)
     Service.second.m_Endpoints.clear();
   for (auto &Entry : m_Endpoints)
@@ -265,8 +266,10 @@
   noteSilentEndpoints();
   for (const LinksChange &Each : m_Links.takeChanges())
     Out.push_back(Each);
-  if (Now - m_VersionsNotedAt >= VersionsNotePeriod)
+  if (Now - m_VersionsNotedAt >= VersionsNotePeriod) {
     noteServingVersions();
+    eraseUnregistered();
+  }
   dispatchWaiting(Out);
 }
 
@@ -368,11 +371,16 @@
   return Found == m_Endpoints.end() ? nullptr : &Found->second;
 }
 
-void RelayCore::eraseIfUnused(const model::EndpointId &Endpoint) {
-  const auto Found = m_Endpoints.find(Endpoint);
-  if (Found != m_Endpoints.end() && !Found->second.m_IsRegistered &&
-      Found->second.m_InFlight == 0)
-    m_Endpoints.erase(Found);
+void RelayCore::eraseUnregistered() {
+  for (auto &Entry : m_Endpoints)
+    if (Entry.second.m_IsRegistered)
+      Entry.second.m_RegisteredAt = m_Now;
+  std::erase_if(m_Endpoints, [this](const auto &Entry) {
+    const EndpointView &View = Entry.second;
+    return !View.m_IsRegistered && View.m_InFlight == 0 &&
+           m_Now - View.m_RegisteredAt >= UnregisteredLifetime &&
+           m_Now >= View.m_PausedUntil;
+  });
 }
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -309,7 +309,7 @@
   std::string softwareVersionOf(const model::EndpointId &Endpoint) const;
   // RelayPeers.cpp: notices from and to the other nodes.
   void subtractPeerLoads(const std::vector<EndpointLoad> &Loads);
-  void eraseIfUnused(const model::EndpointId &Endpoint);
+  void eraseUnregistered();
 
   const RelaySettings m_Settings;
   ports::Random &m_Random;
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -156,7 +156,6 @@
     Endpoint->m_InFlight -= std::min(Endpoint->m_InFlight, 1U);
     clearPrefillTokens(Active, *Endpoint);
   }
-  eraseIfUnused(Active.m_Endpoint);
 }
 
 bool RelayCore::mayRetry(const ActiveRequest &Active,
