Residency: Order nothing from an engine that asked this node for a pause

Only callers' requests obeyed the pause. Adapters are now ordered elsewhere, and a plan that needs the engine waits for the end of its pause.

The new test failed without the change (an order and 6 report requests to the paused engine).

--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -120,6 +120,10 @@
       [this, Change] { m_Placement.onStatementChange(Change); });
 }
 
+void GatewayControl::onPauseBegun(const gateway::PauseBegun &Pause) {
+  m_Thread.loop().post([this, Pause] { m_Placement.onPauseBegun(Pause); });
+}
+
 void GatewayControl::onLivePeers(std::vector<model::NodeId> Nodes) {
   m_Thread.loop().post(
       [this, Nodes = std::move(Nodes)] { m_Placement.onLivePeers(Nodes); });
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -55,6 +55,7 @@
                  std::vector<core::gateway::UsageCounter> Counters) override;
   void onCopyRequest(const core::gateway::CopyRequest &Request) override;
   void onStatementChange(const core::gateway::StatementChange &Change) override;
+  void onPauseBegun(const core::gateway::PauseBegun &Pause) override;
   void onLivePeers(std::vector<model::NodeId> Nodes) override;
 
 private:
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -89,6 +89,9 @@
   m_Driver.setStatementHandler([this](const gateway::StatementChange &Change) {
     m_Events.onStatementChange(Change);
   });
+  m_Driver.setPauseHandler([this](const gateway::PauseBegun &Pause) {
+    m_Events.onPauseBegun(Pause);
+  });
   m_Thread.loop().setFaultHandler([this](const std::string &What) {
     m_Log.write("process", "exception",
                 {{"thread", "traffic"}, {"reason", What}});
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -32,6 +32,8 @@
   /// An endpoint has said something new of itself, to this node or a peer.
   virtual void
   onStatementChange(const core::gateway::StatementChange &Change) = 0;
+  /// An endpoint wants nothing from this node for a while.
+  virtual void onPauseBegun(const core::gateway::PauseBegun &Pause) = 0;
   /// Called periodically with the peers that sent a notice recently.
   virtual void onLivePeers(std::vector<model::NodeId> Nodes) = 0;
 };
--- a/Source/Core/Adapters/Gateway/PlacementControl.cpp
+++ b/Source/Core/Adapters/Gateway/PlacementControl.cpp
@@ -82,6 +82,10 @@
   m_Residency.onStatementChange(Change);
 }
 
+void PlacementControl::onPauseBegun(const gateway::PauseBegun &Pause) {
+  m_Residency.onPauseBegun(Pause, m_Clock.now());
+}
+
 void PlacementControl::setNodes(const std::vector<gateway::NodeEntry> &Nodes) {
   m_Candidates.setRegistered(Nodes);
 }
--- a/Source/Core/Adapters/Gateway/PlacementControl.h
+++ b/Source/Core/Adapters/Gateway/PlacementControl.h
@@ -52,6 +52,7 @@
                       const std::vector<core::gateway::UsageCounter> &Counters);
   void onCopyRequest(const core::gateway::CopyRequest &Request);
   void onStatementChange(const core::gateway::StatementChange &Change);
+  void onPauseBegun(const core::gateway::PauseBegun &Pause);
   /// Sets all registered nodes.
   void setNodes(const std::vector<core::gateway::NodeEntry> &Nodes);
   /// Sets the nodes that are heard. The first candidate by DutyRank is the
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -275,7 +275,11 @@
     m_OnStatementChange(Effect);
 }
 
-void RelayDriver::on(const gateway::PauseBegun &Effect) { m_Log.write(Effect); }
+void RelayDriver::on(const gateway::PauseBegun &Effect) {
+  m_Log.write(Effect);
+  if (m_OnPauseBegun)
+    m_OnPauseBegun(Effect);
+}
 
 void RelayDriver::on(const gateway::LinksChange &Effect) {
   m_Log.write(Effect);
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -38,6 +38,9 @@
   using StatementHandler =
       std::function<void(const core::gateway::StatementChange &)>;
 
+  /// Called when an endpoint wants nothing from this node for a while.
+  using PauseHandler = std::function<void(const core::gateway::PauseBegun &)>;
+
   /// All references must outlive the driver.
   RelayDriver(net::EventLoop &Loop, const core::gateway::Dialect &Dialect,
               core::gateway::RelayCore &Core, const ports::Clock &Clock,
@@ -57,6 +60,9 @@
   void setStatementHandler(StatementHandler Handler) {
     m_OnStatementChange = std::move(Handler);
   }
+  void setPauseHandler(PauseHandler Handler) {
+    m_OnPauseBegun = std::move(Handler);
+  }
   /// From now on, connections are closed after their current answer.
   void closeConnectionsAfterAnswers() { m_Closing = true; }
   /// Number of finished answers that have not been sent completely.
@@ -163,6 +169,7 @@
   GatewayMetrics &m_Metrics;
   CopyRequestHandler m_OnCopyRequest;
   StatementHandler m_OnStatementChange;
+  PauseHandler m_OnPauseBegun;
   std::unordered_map<model::RequestId, Exchange> m_Exchanges;
   SendMap m_Sends;
   /// Shortest time for which a service's endpoints keep idle connections.
--- a/Source/Core/Residency/ResidencyCore.cpp
+++ b/Source/Core/Residency/ResidencyCore.cpp
@@ -137,6 +137,14 @@
   Found->second.m_HasSaidLeaving |= Change.m_Statement.m_IsLeaving;
 }
 
+void ResidencyCore::onPauseBegun(const gateway::PauseBegun &Pause,
+                                 model::TimePoint Now) {
+  const auto Found = m_Engines.find(Pause.m_Endpoint);
+  if (Found != m_Engines.end())
+    Found->second.m_PausedUntil =
+        std::max(Found->second.m_PausedUntil, Now + Pause.m_Length);
+}
+
 void ResidencyCore::onEnginesAdded(size_t Added, model::TimePoint Now) {
   const double Share =
       static_cast<double>(Added) / static_cast<double>(m_Engines.size());
@@ -203,7 +211,7 @@
     Engine &Target = Each.second;
     Target.m_Record.expireUnanswered(Now);
     if (!specOf(Target.m_Record.entry().m_Service) ||
-        Target.m_Record.entry().m_Draining)
+        Target.m_Record.entry().m_Draining || Now < Target.m_PausedUntil)
       continue;
     if (!Target.m_NextReportAt) {
       const std::optional<OpenOrder> &Open = Target.m_Record.openOrder();
@@ -265,8 +273,12 @@
     }
     if (IsLoading)
       continue;
+    std::vector<const EngineRecord *> Able = Engines;
+    std::erase_if(Able, [&](const EngineRecord *E) {
+      return Now < m_Engines.at(E->entry().m_Id).m_PausedUntil;
+    });
     const std::optional<AdapterOrder> Next =
-        m_Adapters.nextOrder(Use, *Spec, Engines, Now);
+        m_Adapters.nextOrder(Use, *Spec, Able, Now);
     if (Next)
       sendOrder(m_Engines.at(Next->m_Endpoint), Next->m_Verb, Next->m_ModelRef,
                 "adapter " + Use.m_Model + "/" + Use.m_Adapter + " is wanted",
@@ -297,6 +309,8 @@
     if (!Step)
       return;
     Engine &Target = m_Engines.at(Step->m_Endpoint);
+    if (Now < Target.m_PausedUntil)
+      return;
     if (Step->m_Verb == OrderVerb::Load) {
       m_ReservedFor.erase(Step->m_Endpoint);
       if (!Target.m_Record.hasLocalWeights(Step->m_Model))
@@ -412,7 +426,7 @@
     onOrderDone(Target, Before->m_Order, Now, Out);
   const std::optional<OpenOrder> &Open = Target.m_Record.openOrder();
   if (Open && Open->m_Phase == OrderPhase::Unanswered &&
-      Now < m_Lease->m_ValidUntil)
+      Now < m_Lease->m_ValidUntil && Now >= Target.m_PausedUntil)
     resendOrder(Target, Now, Out);
   const bool IsRunning = Open && Open->m_Phase == OrderPhase::Running;
   const bool Settled = Target.m_Record.isStateKnown() && !Open &&
--- a/Source/Core/Residency/ResidencyCore.h
+++ b/Source/Core/Residency/ResidencyCore.h
@@ -41,6 +41,8 @@
   void onCopyRequest(const gateway::CopyRequest &Wanted, model::TimePoint Now,
                      ResidencyEffectList &Out);
   void onStatementChange(const gateway::StatementChange &Change);
+  /// The engine wants nothing from this node for a while.
+  void onPauseBegun(const gateway::PauseBegun &Pause, model::TimePoint Now);
   void onOrderReply(uint64_t Number, gateway::OrderReply Reply,
                     model::TimePoint Now, ResidencyEffectList &Out);
   /// \p State is nullopt where no report came.
@@ -62,6 +64,8 @@
     bool m_ReportOpen = false;
     /// It refused the connection of an order shortly before.
     model::TimePoint m_UnreachableUntil;
+    /// It gets neither orders nor report requests until then.
+    model::TimePoint m_PausedUntil;
     /// By model.
     std::map<std::string, model::TimePoint> m_LoadedAt;
   };
--- a/Source/UnitTests/Residency/ResidencyCoreTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyCoreTest.cpp
@@ -227,4 +227,35 @@
                     }));
 }
 
+// Guards against orders and report requests to an engine that has asked this
+// node for nothing.
+TEST_CASE(
+    "an engine that asked for a pause gets no order and no report request "
+    "until it is over") {
+  LeaseHolder Node;
+  Node.m_AnswersOrders = true;
+  const std::vector<gateway::EndpointEntry> Entries = {engine(0, {"m"}),
+                                                       engine(1, {"m", "n"})};
+  Node.setEngines(Entries);
+  Node.takeLease();
+  Node.advance(5s);
+  Node.m_Orders.clear();
+  Node.m_ReportRequests.clear();
+  Node.m_Core.onPauseBegun({Entries[1].m_Id, 3s}, Node.m_Now);
+  const model::TimePoint End = Node.m_Now + 3s;
+  while (Node.m_Now + 100ms < End) {
+    Node.m_Core.onCopyRequest({"s", {"n", "a1"}}, Node.m_Now, Node.m_Out);
+    Node.advance(100ms);
+  }
+  const auto IsToPaused = [&](const gateway::PlacementOrder &Each) {
+    return Each.m_Endpoint == Entries[1].m_Id;
+  };
+  CHECK(std::none_of(Node.m_Orders.begin(), Node.m_Orders.end(), IsToPaused));
+  CHECK(std::count(Node.m_ReportRequests.begin(), Node.m_ReportRequests.end(),
+                   Entries[1].m_Id) == 0);
+  Node.m_Core.onCopyRequest({"s", {"n", "a1"}}, Node.m_Now, Node.m_Out);
+  Node.advance(1s);
+  CHECK(std::any_of(Node.m_Orders.begin(), Node.m_Orders.end(), IsToPaused));
+}
+
 } // namespace bronzepass::core::residency
