Gateway, Platform: Send brittle endpoints no more requests than they have room for

Server-Brittle (LIMIT) was not read: an endpoint that falls over when it turns too many requests away got whatever the choice by stale loads brought. A brittle endpoint is now limited, through the shares of limits that exist, to the requests that end while most of its slots are filled. One that turns a request away gets none from that node, and from the peers it tells, for a time by which all nodes together stay within what it can turn away; its room shrinks and grows back. Endpoints that have said nothing yet count as brittle while others of their service are.

--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -125,10 +125,12 @@
 
 void GatewayLog::write(const core::gateway::StatementChange &Change) {
   const std::optional<double> Limit = Change.m_Statement.m_RequestsPerSecond;
+  const std::optional<double> Brittle = Change.m_Statement.m_RejectsPerSecond;
   write("endpoint", "statement",
         {{"endpoint", Change.m_Endpoint.str()},
          {"leaving", Change.m_Statement.m_IsLeaving ? "yes" : "no"},
-         {"limit_per_s", Limit ? fmt::format("{:g}", *Limit) : "none"}});
+         {"limit_per_s", Limit ? fmt::format("{:g}", *Limit) : "none"},
+         {"brittle_per_s", Brittle ? fmt::format("{:g}", *Brittle) : "none"}});
 }
 
 void GatewayLog::write(const core::gateway::PauseBegun &Pause) {
--- a/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
+++ b/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
@@ -75,6 +75,8 @@
     Visitor.required("t", Value.m_Age);
     Visitor.optional("leaving", Value.m_Statement.m_IsLeaving);
     Visitor.optional("limit", Value.m_Statement.m_RequestsPerSecond);
+    Visitor.optional("brittle", Value.m_Statement.m_RejectsPerSecond);
+    Visitor.optional("full", Value.m_FullFor);
   }
 };
 
--- a/Source/Core/Gateway/EndpointStatement.h
+++ b/Source/Core/Gateway/EndpointStatement.h
@@ -13,6 +13,9 @@
   /// Requests a second that it takes from all nodes together; nullopt: it sets
   /// no limit.
   std::optional<double> m_RequestsPerSecond;
+  /// It is brittle: it fails if it has to turn more requests than this away in
+  /// a second for want of room. nullopt: it is not.
+  std::optional<double> m_RejectsPerSecond;
 
   friend auto operator<=>(const EndpointStatement &,
                           const EndpointStatement &) = default;
--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -43,7 +43,15 @@
   bool m_HasSaidLeaving = false;
   /// It wants no request from this node until then.
   model::TimePoint m_PausedUntil;
-  /// Set while it names a limit.
+  /// While it is brittle: the requests in flight up to which it is taken to
+  /// have room, and when that was last found to be too many.
+  double m_Room = 0;
+  model::TimePoint m_RoomAt;
+  /// It has turned a request away for want of room and gets none until then.
+  model::TimePoint m_FullUntil;
+  /// The same, where it told this node.
+  model::TimePoint m_OwnFullUntil;
+  /// Set while it names a limit or is brittle.
   std::optional<RequestRateShare> m_RateShare;
   uint32_t m_ConsecutiveFailures = 0;
   model::TimePoint m_EjectedUntil;
--- a/Source/Core/Gateway/PeerNotice.h
+++ b/Source/Core/Gateway/PeerNotice.h
@@ -57,6 +57,9 @@
   /// Since that answer.
   model::Duration m_Age{0};
   EndpointStatement m_Statement;
+  /// It has just turned a request away for want of room and should get none for
+  /// so long; zero if it has not.
+  model::Duration m_FullFor{0};
 
   friend auto operator<=>(const EndpointNotice &,
                           const EndpointNotice &) = default;
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -114,6 +114,14 @@
     // requests.
     if (MaxConnections > 0 && Endpoint->load() >= MaxConnections)
       continue;
+    if (isFull(*Endpoint)) {
+      const model::Duration Wait =
+          std::max(Endpoint->m_FullUntil - m_Now,
+                   Endpoint->m_RateShare->timeToNext(m_Now));
+      Best.m_TimeToNext = std::min(Wait, Best.m_TimeToNext.value_or(Wait));
+      Best.m_LimitedPerSecond += Endpoint->m_RateShare->tokensPerSecond();
+      continue;
+    }
     if (m_Now < Endpoint->m_PausedUntil) {
       const model::Duration Wait = Endpoint->m_PausedUntil - m_Now;
       Best.m_TimeToNext = std::min(Wait, Best.m_TimeToNext.value_or(Wait));
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -120,6 +120,8 @@
           &Entry.second);
   for (const auto &Service : m_Services)
     m_Links.setEndpointCount(Service.first, Service.second.m_Endpoints.size());
+  for (auto &Entry : m_Endpoints)
+    updateRateShare(Entry.second);
   noteServingVersions();
   dispatchWaiting(Out);
 }
@@ -269,6 +271,8 @@
   if (Now - m_VersionsNotedAt >= VersionsNotePeriod) {
     noteServingVersions();
     eraseUnregistered();
+    for (auto &Entry : m_Endpoints)
+      updateRateShare(Entry.second);
   }
   dispatchWaiting(Out);
 }
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -177,6 +177,9 @@
     /// limit.
     uint32_t m_MaxConnections = 0;
     std::vector<EndpointView *> m_Endpoints;
+    /// The last that one of its endpoints said of being brittle, and when.
+    double m_RejectsPerSecond = 0;
+    std::optional<model::TimePoint> m_BrittleAt;
   };
   struct Choice {
     EndpointView *m_Endpoint = nullptr;
@@ -277,6 +280,20 @@
   void finishUnsuccessful(ActiveRequest &Active, const SendOutcome &Outcome,
                           RelayEffectList &Out);
 
+  // RelayRoom.cpp: limits of endpoints, and the room of brittle ones.
+  /// The requests that the endpoint can turn away in a second; nullopt if it is
+  /// not brittle.
+  std::optional<double> rejectsPerSecond(const EndpointView &Endpoint) const;
+  /// Requests in flight from all nodes, of which this one hears a part.
+  double estimatedLoad(const EndpointView &Endpoint) const;
+  /// Requests in flight for which a brittle endpoint has room.
+  double roomOf(const EndpointView &Endpoint) const;
+  /// False only for brittle endpoints.
+  bool isFull(const EndpointView &Endpoint) const;
+  void updateRoom(EndpointView &Endpoint, const SendOutcome &Outcome);
+  /// Sets this node's share of what the endpoint takes.
+  void updateRateShare(EndpointView &Endpoint);
+
   // RelayForwarding.cpp: requests that other nodes send to endpoints.
   /// Forwards the request if this node's links to its service are lost and
   /// another node has them. Returns false if this node has to send it itself.
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -205,6 +205,7 @@
     updateEndpointHealth(Active, *Endpoint, Outcome);
     updateQuarantine(Active, *Endpoint, Outcome);
     updateLinks(Active, *Endpoint, Outcome);
+    updateRoom(*Endpoint, Outcome);
   }
   if (Outcome.m_Result == SendResult::Completed && !Active.m_Forwarded)
     routing::updateMovingAverage(
--- a/Source/Core/Gateway/RelayPeers.cpp
+++ b/Source/Core/Gateway/RelayPeers.cpp
@@ -21,9 +21,9 @@
   const uint32_t Old = std::exchange(m_NodeCount, std::max(1U, Count));
   if (Old == m_NodeCount)
     return;
+  m_Now = Now;
   for (auto &Each : m_Endpoints)
-    if (std::optional<RequestRateShare> &Share = Each.second.m_RateShare)
-      Share->setLimit(Share->limitPerSecond(), m_NodeCount, Now);
+    updateRateShare(Each.second);
 }
 
 void RelayCore::onPeerNotice(const PeerNotice &Notice, model::TimePoint Now,
@@ -48,8 +48,11 @@
   m_Quarantine.onNotice(Notice.m_Quarantine, Now);
   m_Origins.onNotice(Notice.m_Streams, Now);
   for (const EndpointNotice &Each : Notice.m_EndpointNotices)
-    if (EndpointView *const Endpoint = findEndpoint(Each.m_Endpoint))
+    if (EndpointView *const Endpoint = findEndpoint(Each.m_Endpoint)) {
       applyStatement(*Endpoint, Each.m_Statement, Now - Each.m_Age, Out);
+      Endpoint->m_FullUntil =
+          std::max(Endpoint->m_FullUntil, Now + Each.m_FullFor);
+    }
   for (const CopyChange &Change : Notice.m_CopyChanges)
     if (EndpointView *const Endpoint = findEndpoint(Change.m_Endpoint))
       Endpoint->m_CopyOverrides[Change.m_ModelRef] = {
@@ -82,7 +85,8 @@
           {Entry.first, View.m_InFlight, View.m_PrefillTokens});
     if (View.m_OwnStatement && Now - View.m_OwnStatedAt < StatementAnnounceTime)
       Notice.m_EndpointNotices.push_back(
-          {Entry.first, Now - View.m_OwnStatedAt, *View.m_OwnStatement});
+          {Entry.first, Now - View.m_OwnStatedAt, *View.m_OwnStatement,
+           std::max(model::Duration::zero(), View.m_OwnFullUntil - Now)});
   }
   return Notice;
 }
--- a/Source/Core/Gateway/RelayStatements.cpp
+++ b/Source/Core/Gateway/RelayStatements.cpp
@@ -63,16 +63,15 @@
   if (At < Endpoint.m_StatedAt)
     return;
   Endpoint.m_StatedAt = At;
+  if (Statement.m_RejectsPerSecond) {
+    ServiceState &Service = m_Services[Endpoint.m_Entry.m_Service];
+    Service.m_RejectsPerSecond = *Statement.m_RejectsPerSecond;
+    Service.m_BrittleAt = At;
+  }
   if (Endpoint.m_Statement == Statement)
     return;
   Endpoint.m_Statement = Statement;
-  const std::optional<double> Limit = Statement.m_RequestsPerSecond;
-  if (!Limit)
-    Endpoint.m_RateShare.reset();
-  else if (Endpoint.m_RateShare)
-    Endpoint.m_RateShare->setLimit(*Limit, m_NodeCount, m_Now);
-  else
-    Endpoint.m_RateShare.emplace(*Limit, m_NodeCount, m_Now);
+  updateRateShare(Endpoint);
   Out.push_back(StatementChange{Endpoint.m_Entry.m_Id, Statement});
 }
 
--- a/Source/Core/Gateway/RequestRateShare.cpp
+++ b/Source/Core/Gateway/RequestRateShare.cpp
@@ -11,9 +11,7 @@
 /// An endpoint that takes nothing is still tried now and then, since only its
 /// answers tell that it takes requests again.
 constexpr double MinRequestsPerSecond = 0.2;
-/// What nodes that send little may save up, over all nodes: this many seconds'
-/// worth of requests, and some in any case.
-constexpr double SavedSeconds = 2;
+/// What nodes that send little may save up in any case, over all nodes.
 constexpr double SavedRequests = 2;
 constexpr model::Duration MaxTimeToNext = std::chrono::seconds(10);
 
@@ -43,7 +41,7 @@
   const double Total = std::max(LimitPerSecond, MinRequestsPerSecond);
   const double Nodes = std::max(1U, NodeCount);
   m_TokensPerSecond = Total / Nodes;
-  m_MaxTokens = (SavedSeconds * Total + SavedRequests) / Nodes;
+  m_MaxTokens = (m_SavedSeconds * Total + SavedRequests) / Nodes;
   m_Tokens = std::min(m_Tokens, m_MaxTokens);
 }
 
--- a/Source/Core/Gateway/RequestRateShare.h
+++ b/Source/Core/Gateway/RequestRateShare.h
@@ -21,6 +21,9 @@
   RequestRateShare(double LimitPerSecond, uint32_t NodeCount,
                    model::TimePoint Now);
 
+  /// What nodes that send little may save up, over all nodes: this many
+  /// seconds' worth of requests. Takes effect with the next limit.
+  void setSavedSeconds(double Seconds) { m_SavedSeconds = Seconds; }
   void setLimit(double LimitPerSecond, uint32_t NodeCount,
                 model::TimePoint Now);
   /// The limit over all nodes.
@@ -42,6 +45,9 @@
   bool holdsWholeTokens() const { return m_MaxTokens >= 1; }
   void refill(model::TimePoint Now);
 
+  static constexpr double DefaultSavedSeconds = 2;
+
+  double m_SavedSeconds = DefaultSavedSeconds;
   double m_LimitPerSecond = 0;
   double m_TokensPerSecond = 0;
   double m_MaxTokens = 0;
--- a/Source/UnitTests/Adapters/Gateway/PeerNoticeCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/PeerNoticeCodecTest.cpp
@@ -19,9 +19,12 @@
   Notice.m_CopyChanges = {{model::EndpointId("e"), {"m", ""}, true}};
   Notice.m_CopyRequests = {{"s", {"m", "b"}}};
   Notice.m_Quarantine = {{{~0ULL, 5, 200ms, 300ms}}, {{6, 9min}}, {{7, 1s}}};
-  Notice.m_EndpointNotices = {{model::EndpointId("e"), 300ms, {true, 4.25}},
-                              {model::EndpointId("f"), 1s, {}}};
+  Notice.m_EndpointNotices = {
+      {model::EndpointId("e"), 300ms, {true, 4.25, 2.0}, 500ms},
+      {model::EndpointId("f"), 1s, {}}};
   Notice.m_Streams = {{{~0ULL, "v1.1"}}, {{"s", 20s}}};
+  Notice.m_ForwardingAddress = {"10.0.0.1", 7381};
+  Notice.m_LostServices = {"s", "t"};
   Notice.m_HoldsLease = true;
   return Notice;
 }
--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -28,7 +28,8 @@
 } // namespace
 
 RelayFleet::RelayFleet(uint64_t Seed, Settings Chosen)
-    : m_Settings(std::move(Chosen)), m_Random(Seed) {
+    : m_Settings(std::move(Chosen)), m_Random(Seed),
+      m_Queue(m_Settings.m_Queue) {
   for (size_t I = 0; I < m_Settings.m_Engines; ++I)
     startEngine(FirstVersion);
   m_Nodes.resize(m_Settings.m_Nodes);
@@ -225,6 +226,17 @@
     finish(Index, Attempt, gateway::SendResult::NotSent);
     return;
   }
+  if (turnsAway(Sent.m_Engine)) {
+    schedule(NetworkDelay, [this, Index, Node = &From, Attempt,
+                            Engine = Sent.m_Engine] {
+      if (m_Nodes[Index].get() != Node || !Node->m_Sends.contains(Attempt))
+        return;
+      receiveHead(Index, Attempt, Engine);
+      finish(Index, Attempt, gateway::SendResult::NotRun);
+    });
+    return;
+  }
+  From.m_Sends.at(Attempt).m_IsAdmitted = true;
   const bool Crashes = crashesEngines(m_Asked[Sent.m_Asked]);
   m_Arrivals.push_back({m_Now, Index, Sent.m_Engine, Crashes});
   const auto IfCurrent = [this, Index, Node = &From,
@@ -336,12 +348,17 @@
 
 void RelayFleet::receiveHead(size_t Index, model::AttemptId Attempt,
                              const model::EndpointId &Engine) {
-  const auto Statement = m_Statements.find(Engine);
-  if (Statement == m_Statements.end())
+  const auto Found = m_Statements.find(Engine);
+  if (Found == m_Statements.end() && !m_BrittleAt)
     return;
+  gateway::EndpointStatement Statement;
+  if (Found != m_Statements.end())
+    Statement = Found->second;
+  if (m_BrittleAt)
+    Statement.m_RejectsPerSecond = *m_BrittleAt;
   m_ToldAt.emplace(std::pair(Index, Engine), m_Now);
   RelayFixture &Relay = m_Nodes[Index]->m_Relay;
-  Relay.m_Core.onAnswerHead(Attempt, Statement->second, m_Now, Relay.m_Out);
+  Relay.m_Core.onAnswerHead(Attempt, Statement, m_Now, Relay.m_Out);
 }
 
 std::optional<model::TimePoint>
@@ -364,6 +381,36 @@
   carryOut(Index);
 }
 
+void RelayFleet::makeBrittle(uint32_t RejectsPerSecond) {
+  m_BrittleAt = RejectsPerSecond;
+}
+
+size_t RelayFleet::running(const model::EndpointId &Engine) const {
+  size_t Count = 0;
+  for (const std::unique_ptr<Node> &Each : m_Nodes)
+    for (const auto &Send : Each->m_Sends)
+      Count +=
+          Send.second.m_IsAdmitted && Send.second.m_Engine == Engine ? 1 : 0;
+  return Count;
+}
+
+bool RelayFleet::turnsAway(const model::EndpointId &Engine) {
+  if (m_Queue >= m_Settings.m_Queue ||
+      running(Engine) < m_Settings.m_Slots + m_Queue)
+    return false;
+  m_Rejections.push_back(m_Now);
+  std::vector<model::TimePoint> &Recent = m_RejectedAt[Engine];
+  std::erase_if(Recent,
+                [this](model::TimePoint At) { return m_Now - At > 1s; });
+  Recent.push_back(m_Now);
+  if (m_BrittleAt && Recent.size() > *m_BrittleAt)
+    schedule(0ms, [this, Engine] {
+      if (m_Engines.contains(Engine))
+        crash(Engine);
+    });
+  return true;
+}
+
 void RelayFleet::end(const model::EndpointId &Engine) {
   m_Engines.erase(Engine);
   for (size_t I = 0; I < m_Nodes.size(); ++I) {
@@ -411,7 +458,7 @@
   std::vector<gateway::EndpointEntry> Entries;
   for (const model::EndpointId &Each : m_Engines) {
     Entries.push_back(RelayFixture::endpoint(Each.str()));
-    Entries.back().m_Slots = 32;
+    Entries.back().m_Slots = m_Settings.m_Slots;
     Entries.back().m_SoftwareVersion = m_SoftwareVersions.at(Each);
     Entries.back().m_Draining = m_Draining.contains(Each);
   }
--- a/Source/UnitTests/Gateway/RelayFleet.h
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -28,6 +28,9 @@
     std::set<uint64_t> m_CrashingFingerprints;
     model::Duration m_RestartTime = std::chrono::seconds(4);
     model::Duration m_AnswerTime = std::chrono::milliseconds(400);
+    /// Requests that an engine runs at once, and that it lets wait besides.
+    uint32_t m_Slots = 32;
+    uint32_t m_Queue = 1000;
   };
   /// What becomes of the links between a node and all engines.
   enum class Links {
@@ -95,6 +98,14 @@
              const gateway::EndpointStatement &Statement) {
     m_Statements[Engine] = Statement;
   }
+  /// From now on, an engine that turns more than \p RejectsPerSecond requests
+  /// away in a second crashes, and says so in its answers.
+  void makeBrittle(uint32_t RejectsPerSecond);
+  /// Requests that engines let wait besides those that they run.
+  void setQueue(uint32_t Length) { m_Queue = Length; }
+  const std::vector<model::TimePoint> &rejections() const {
+    return m_Rejections;
+  }
   /// Share of the answers that break off from now on, at engines that live on.
   void breakAnswers(double Share) { m_BrokenShare = Share; }
   void setLinks(size_t Node, Links Links);
@@ -122,6 +133,8 @@
     bool m_IsFirst = true;
     model::RequestId m_Request;
     bool m_IsResumable = false;
+    /// The engine runs it or lets it wait.
+    bool m_IsAdmitted = false;
   };
   struct Node;
   /// The send of another node that brought a request.
@@ -154,6 +167,9 @@
   void whenCurrent(model::Duration Delay, Origin At, std::function<void()> Run);
   void startNode(size_t Index);
   void arrive(size_t Index, model::AttemptId Attempt);
+  /// Whether the engine turns a request away that arrives now.
+  bool turnsAway(const model::EndpointId &Engine);
+  size_t running(const model::EndpointId &Engine) const;
   void receiveHead(size_t Index, model::AttemptId Attempt,
                    const model::EndpointId &Engine);
   void finish(size_t Index, model::AttemptId Attempt,
@@ -185,6 +201,10 @@
   std::set<model::EndpointId> m_Draining;
   uint64_t m_LastEngine = 0;
   double m_BrokenShare = 0;
+  uint32_t m_Queue = 0;
+  std::optional<uint32_t> m_BrittleAt;
+  std::map<model::EndpointId, std::vector<model::TimePoint>> m_RejectedAt;
+  std::vector<model::TimePoint> m_Rejections;
   uint64_t m_Notices = 0;
   std::map<model::EndpointId, gateway::EndpointStatement> m_Statements;
   std::map<std::pair<size_t, model::EndpointId>, model::TimePoint> m_ToldAt;
--- a/Source/UnitTests/Platform/RequestHeadersTest.cpp
+++ b/Source/UnitTests/Platform/RequestHeadersTest.cpp
@@ -152,6 +152,23 @@
   }
 }
 
+TEST_CASE("what a brittle endpoint can turn away is read, and taken as nothing "
+          "where it can't be read") {
+  const auto Rejects = [](const HeaderLines &Lines) {
+    return readHead(200, Lines, "").m_Statement.m_RejectsPerSecond;
+  };
+  CHECK_FALSE(Rejects({}));
+  CHECK(Rejects({{"Server-Brittle", "4"}}) == 4);
+  CHECK(Rejects({{"server-brittle", "2.5"}, {"Server-Brittle", "9"}}) == 2.5);
+  for (const char *const Text : {"", "-1", "x", "nan", "1e3", "99999999999"}) {
+    CAPTURE(Text);
+    const core::gateway::AnswerHead Head =
+        readHead(200, {{"Server-Brittle", Text}}, "");
+    CHECK(Head.m_Statement.m_RejectsPerSecond == 0.0);
+    CHECK(Head.m_UnreadableStatement == std::string("Server-Brittle: ") + Text);
+  }
+}
+
 TEST_CASE("an endpoint is leaving if any line says so") {
   const auto IsLeaving = [](const HeaderLines &Headers) {
     return readHead(200, Headers, "").m_Statement.m_IsLeaving;
