--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -204,7 +204,7 @@
   Notice.m_Sequence = ++m_Sequence;
   Notice.m_HoldsLease = m_HoldsLease;
   if (isReady())
-    Notice.m_ForwardingAddress = m_Addresses.m_Forwarding;
+    Notice.m_ForwardingPort = m_Addresses.m_Forwarding.m_Port;
   const std::optional<std::string> Bytes = encodeNotice(Notice);
   if (!Bytes) {
     m_Log.write("dependency", "notice_too_long", {});
@@ -225,7 +225,9 @@
   Sender.m_HoldsLease = Notice.m_HoldsLease;
   m_Driver.decide([&](gateway::RelayCore &Core, model::TimePoint At,
                       gateway::RelayEffectList &Out) {
-    Core.onPeerNotice(Notice, At, Out);
+    gateway::PeerNotice Received = Notice;
+    Received.m_SenderIp = From.m_Ip;
+    Core.onPeerNotice(Received, At, Out);
   });
   const bool IsNew = Sender.m_Start != Notice.m_Start;
   if (IsNew)
--- a/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
+++ b/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
@@ -3,7 +3,6 @@
 #include "Core/Adapters/Codec/FieldReader.h"
 #include "Core/Adapters/Codec/FieldWriter.h"
 #include "Core/Adapters/Codec/JsonParser.h"
-#include "Core/Adapters/Codec/ModelFields.h"
 
 namespace bronzepass::core::adapters::codec {
 
@@ -109,7 +108,7 @@
     Visitor.optional("said", Value.m_EndpointNotices);
     Visitor.optional("streams", Value.m_Streams.m_Origins);
     Visitor.optional("mixed", Value.m_Streams.m_MixedServices);
-    Visitor.optional("forwarding", Value.m_ForwardingAddress);
+    Visitor.optional("forwarding", Value.m_ForwardingPort);
     Visitor.optional("lost", Value.m_LostServices);
     Visitor.optional("holder", Value.m_HoldsLease);
   }
--- a/Source/Core/Gateway/PeerNotice.h
+++ b/Source/Core/Gateway/PeerNotice.h
@@ -5,13 +5,11 @@
 #include "Core/Gateway/QuarantineNotice.h"
 #include "Core/Gateway/RelayTypes.h"
 #include "Core/Gateway/StreamNotice.h"
-#include "Core/Model/Address.h"
 #include "Core/Model/Id.h"
 
 #include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -81,9 +79,11 @@
   std::vector<EndpointNotice> m_EndpointNotices;
   /// Told to all peers, since a caller may take its stream up at any node.
   StreamNotice m_Streams;
-  /// Where the sender takes requests that other nodes forward; nullopt if it
+  /// Port at which the sender takes requests that other nodes forward; 0 if it
   /// takes none.
-  std::optional<model::Address> m_ForwardingAddress;
+  uint16_t m_ForwardingPort = 0;
+  /// The address that the notice came from; not sent.
+  std::string m_SenderIp;
   /// Services to whose endpoints the sender has lost its links.
   std::vector<std::string> m_LostServices;
   /// The sender holds the placement lease.
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -320,7 +320,7 @@
   releaseHold(Active);
   Active.m_Attempt = {++m_LastAttempt};
   Active.m_Endpoint = Endpoint.m_Entry.m_Id;
-  Active.m_Forwarded.reset();
+  Active.m_ForwardedTo.reset();
   if (Active.m_IsTrial)
     m_LinksTriedAt[Active.m_Service] = m_Now;
   Active.m_SentAt = m_Now;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -341,12 +341,13 @@
       .m_Kind = Active.m_Route ? requestKind(*Active.m_Route) : "",
       .m_Route = Active.m_Route ? Active.m_Route->m_Name : std::string(),
       .m_ModelRef = Active.m_Request.m_ModelRef,
-      .m_Endpoint = Active.m_Forwarded ? Active.m_Forwarded->m_Endpoint.str()
-                                       : Active.m_Endpoint.str(),
-      .m_Peer = Active.m_Forwarded ? Active.m_Forwarded->m_Peer.str() : "",
+      .m_Endpoint = Active.m_ForwardedTo
+                        ? Active.m_ForwardedTo->m_Endpoint.str()
+                        : Active.m_Endpoint.str(),
+      .m_Peer = Active.m_ForwardedTo ? Active.m_ForwardedTo->m_Peer.str() : "",
       .m_IsForwarded = Active.m_Request.m_Forwarded.has_value(),
-      .m_SoftwareVersion = Active.m_Forwarded
-                               ? Active.m_Forwarded->m_SoftwareVersion
+      .m_SoftwareVersion = Active.m_ForwardedTo
+                               ? Active.m_ForwardedTo->m_SoftwareVersion
                                : softwareVersionOf(Active.m_Endpoint),
       .m_FirstAttempt = Active.m_Request.m_FirstAttempt,
       .m_ConfigVersion =
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -120,7 +120,7 @@
     /// Of the last send; empty if that was forwarded.
     model::EndpointId m_Endpoint;
     /// Set if the last send was forwarded.
-    std::optional<ForwardedSend> m_Forwarded;
+    std::optional<ForwardedSend> m_ForwardedTo;
     std::vector<model::NodeId> m_TriedPeers;
     /// The next send tries whether the lost links are back.
     bool m_IsTrial = false;
@@ -366,7 +366,8 @@
     uint64_t m_Start = 0;
     uint64_t m_Sequence = 0;
     std::vector<EndpointLoad> m_Loads;
-    std::optional<model::Address> m_ForwardingAddress;
+    /// Where it takes requests that other nodes forward; port 0: nowhere.
+    model::Address m_ForwardingAddress;
     std::vector<std::string> m_LostServices;
 
     /// Can send requests for the service to endpoints.
--- a/Source/Core/Gateway/RelayForwarding.cpp
+++ b/Source/Core/Gateway/RelayForwarding.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 bool RelayCore::PeerState::reaches(const std::string &Service) const {
-  return m_ForwardingAddress &&
+  return m_ForwardingAddress.m_Port != 0 &&
          std::find(m_LostServices.begin(), m_LostServices.end(), Service) ==
              m_LostServices.end();
 }
@@ -75,7 +75,7 @@
   }
   if (!Chosen)
     return false;
-  forward(Active, Chosen->first, *Chosen->second.m_ForwardingAddress, Out);
+  forward(Active, Chosen->first, Chosen->second.m_ForwardingAddress, Out);
   return true;
 }
 
@@ -89,7 +89,7 @@
   releaseHold(Active);
   Active.m_Attempt = {++m_LastAttempt};
   Active.m_Endpoint = {};
-  Active.m_Forwarded = ForwardedSend{Peer, RunsLeft, {}, {}};
+  Active.m_ForwardedTo = ForwardedSend{Peer, RunsLeft, {}, {}};
   Active.m_TriedPeers.push_back(Peer);
   Active.m_SentAt = m_Now;
   Active.m_AnswerStarted = false;
@@ -116,7 +116,7 @@
   if (Found == m_Attempts.end())
     return;
   std::optional<ForwardedSend> &Forwarded =
-      m_ActiveRequests.at(Found->second).m_Forwarded;
+      m_ActiveRequests.at(Found->second).m_ForwardedTo;
   if (!Forwarded)
     return;
   Forwarded->m_Endpoint = std::move(Endpoint);
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -166,7 +166,7 @@
   if (!m_Quarantine.allowsRetry(Active.m_Traits.m_Fingerprint))
     return false;
   // The other node has tried what may be tried.
-  if (Active.m_Forwarded && Outcome.m_RetryAfter)
+  if (Active.m_ForwardedTo && Outcome.m_RetryAfter)
     return false;
   const RouteSpec &Route = *Active.m_Route;
   const bool MayResume = Route.m_Stream && Route.m_Resumable;
@@ -207,7 +207,7 @@
     updateLinks(Active, *Endpoint, Outcome);
     updateRoom(*Endpoint, Outcome);
   }
-  if (Outcome.m_Result == SendResult::Completed && !Active.m_Forwarded)
+  if (Outcome.m_Result == SendResult::Completed && !Active.m_ForwardedTo)
     routing::updateMovingAverage(
         m_Services[Active.m_Service].m_AnswerMs,
         static_cast<double>((Now - Active.m_SentAt).count()) / MicrosPerMilli,
@@ -222,7 +222,7 @@
                           Outcome.m_Result == SendResult::Completed;
   if (MayHaveRun)
     Active.m_PossibleRuns +=
-        Active.m_Forwarded ? Active.m_Forwarded->m_RunsLeft : 1;
+        Active.m_ForwardedTo ? Active.m_ForwardedTo->m_RunsLeft : 1;
   Active.m_HasFailureAnswer = Outcome.m_Result == SendResult::Failed;
   Active.m_LastSendBrokeOff = Outcome.m_Result == SendResult::Broken;
   if (Active.m_CallerDisconnected) {
--- a/Source/Core/Gateway/RelayPeers.cpp
+++ b/Source/Core/Gateway/RelayPeers.cpp
@@ -43,7 +43,7 @@
           Notice.m_Start,
           Notice.m_Sequence,
           Notice.m_Loads,
-          Notice.m_ForwardingAddress,
+          {Notice.m_SenderIp, Notice.m_ForwardingPort},
           Notice.m_LostServices};
   m_Quarantine.onNotice(Notice.m_Quarantine, Now);
   m_Origins.onNotice(Notice.m_Streams, Now);
--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -69,8 +69,8 @@
   Active.m_ForwardingStarted = true;
   if (!Active.m_Route->m_Stream || !Active.m_Route->m_Resumable)
     return;
-  Active.m_RequiredVersion = Active.m_Forwarded
-                                 ? Active.m_Forwarded->m_SoftwareVersion
+  Active.m_RequiredVersion = Active.m_ForwardedTo
+                                 ? Active.m_ForwardedTo->m_SoftwareVersion
                                  : softwareVersionOf(Active.m_Endpoint);
   m_Origins.onStreamBegun(Active.m_Service, firstAttemptOf(Active.m_Request),
                           *Active.m_RequiredVersion, Now);
--- a/Source/Core/Gateway/RelayStatements.cpp
+++ b/Source/Core/Gateway/RelayStatements.cpp
@@ -15,8 +15,8 @@
   if (Found == m_Attempts.end())
     return nullptr;
   const ActiveRequest &Active = m_ActiveRequests.at(Found->second);
-  return findEndpoint(Active.m_Forwarded ? Active.m_Forwarded->m_Endpoint
-                                         : Active.m_Endpoint);
+  return findEndpoint(Active.m_ForwardedTo ? Active.m_ForwardedTo->m_Endpoint
+                                           : Active.m_Endpoint);
 }
 
 void RelayCore::onEndpointPaused(model::AttemptId Attempt,
--- a/Source/UnitTests/Adapters/Gateway/PeerNoticeCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/PeerNoticeCodecTest.cpp
@@ -23,7 +23,7 @@
       {model::EndpointId("e"), 300ms, {true, 4.25, 2.0}, 500ms},
       {model::EndpointId("f"), 1s, {}}};
   Notice.m_Streams = {{{~0ULL, "v1.1"}}, {{"s", 20s}}};
-  Notice.m_ForwardingAddress = {"10.0.0.1", 7381};
+  Notice.m_ForwardingPort = 7381;
   Notice.m_LostServices = {"s", "t"};
   Notice.m_HoldsLease = true;
   return Notice;
--- a/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
@@ -84,11 +84,11 @@
   Notice.m_From = core::model::NodeId("peer");
   Notice.m_Start = 1;
   Notice.m_Sequence = ++m_PeerNotices;
-  if (m_PeerPort != 0)
-    Notice.m_ForwardingAddress = {"127.0.0.1", m_PeerPort};
+  Notice.m_ForwardingPort = m_PeerPort;
+  Notice.m_SenderIp = "127.0.0.1";
   m_Driver.decide([&](relay::RelayCore &Core, core::model::TimePoint Now,
                       relay::RelayEffectList &Out) {
-    if (Notice.m_ForwardingAddress)
+    if (Notice.m_ForwardingPort != 0)
       Core.onPeerNotice(Notice, Now, Out);
     Core.tick(Now, Out);
   });
--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -22,6 +22,8 @@
 /// connection counts as broken that has been silent.
 constexpr model::Duration ConnectTimeout = 450ms;
 constexpr model::Duration SilentConnectionTimeout = 2s;
+/// Of the port at which the first node takes requests that others forward.
+constexpr uint16_t FirstPort = 1000;
 constexpr const char *ResumablePath = "/resume/";
 constexpr const char *FirstVersion = "v1";
 
@@ -141,8 +143,8 @@
       whenCurrent(NetworkDelay, Sender,
                   [this, Sender, Request = *Sent,
                    Number = From.m_Requests.at(Sent->m_Request)] {
-                    receiveForwarded(Request.m_Address.m_Port, Sender, Request,
-                                     Number);
+                    receiveForwarded(Request.m_Address.m_Port - FirstPort,
+                                     Sender, Request, Number);
                   });
     else
       whenCurrent(
@@ -476,14 +478,13 @@
     Notice.m_From = model::NodeId("n" + std::to_string(From));
     Notice.m_Start = 1;
     Notice.m_Sequence = m_Notices;
-    // The port is the node's index.
-    Notice.m_ForwardingAddress = {"10.0.1.1", static_cast<uint16_t>(From)};
+    Notice.m_ForwardingPort = static_cast<uint16_t>(FirstPort + From);
     gateway::PeerNotice OfStreams;
     OfStreams.m_From = Notice.m_From;
     OfStreams.m_Start = Notice.m_Start;
     OfStreams.m_Sequence = Notice.m_Sequence;
     OfStreams.m_Streams = Notice.m_Streams;
-    OfStreams.m_ForwardingAddress = Notice.m_ForwardingAddress;
+    OfStreams.m_ForwardingPort = Notice.m_ForwardingPort;
     OfStreams.m_LostServices = Notice.m_LostServices;
     const bool TellsAll = !Notice.m_Streams.isEmpty();
     for (size_t I = 1; I < m_Nodes.size(); ++I) {
