--- a/Source/UnitTests/Adapters/Gateway/ForwardedRequestTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/ForwardedRequestTest.cpp
@@ -174,4 +174,27 @@
   CHECK(Stopped.get());
 }
 
+// Guards against giving up an engine that goes on after a second of silence.
+TEST_CASE("an endpoint that is silent for a second, before its answer and "
+          "within it, is waited for") {
+  ScriptedEndpoint Endpoint([](ScriptConnection &To, const std::string &, int) {
+    std::this_thread::sleep_for(1200ms);
+    To.write(ChunkedHead + chunk(event(1)));
+    std::this_thread::sleep_for(1200ms);
+    To.write(chunk(event(2)) + "0\r\n\r\n");
+  });
+  RelayNode Lender({Endpoint.port()});
+  CutOffNode Node(Lender.forwardingPort());
+  const size_t Before = Endpoint.requests().size();
+  const RelayNode *const Nodes[] = {&Lender, &Node};
+  for (const RelayNode *const Asked : Nodes) {
+    const std::string Answer =
+        answerTo(*Asked, requestText("/live/x", "Connection: close\r\n"));
+    CHECK(Answer.find("id: 1") != std::string::npos);
+    CHECK(Answer.find("id: 2") != std::string::npos);
+    CHECK(Answer.substr(Answer.size() - 5) == "0\r\n\r\n");
+  }
+  CHECK(Endpoint.requests().size() == Before + 2);
+}
+
 } // namespace bronzepass::unit_tests::adapters::gateway
