--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -71,8 +71,7 @@
     front::FrontRequest Request,
     std::shared_ptr<pistache::HttpResponseWriter> Answer) {
   HeaderLines Headers = linesOf(Request.m_Headers);
-  accept(std::move(Request), std::move(Answer), std::move(Headers),
-         std::nullopt);
+  accept(std::move(Request), Answer, std::move(Headers), std::nullopt);
 }
 
 void RelayDriver::ForwardedHandler::onRequest(
@@ -91,14 +90,13 @@
     return;
   }
   removeForwardingHeaders(Headers);
-  m_Driver.accept(std::move(Request), std::move(Answer), std::move(Headers),
-                  Terms);
+  m_Driver.accept(std::move(Request), Answer, std::move(Headers), Terms);
 }
 
-void RelayDriver::accept(front::FrontRequest Request,
-                         std::shared_ptr<pistache::HttpResponseWriter> Answer,
-                         HeaderLines Headers,
-                         std::optional<gateway::ForwardingTerms> Terms) {
+void RelayDriver::accept(
+    front::FrontRequest Request,
+    const std::shared_ptr<pistache::HttpResponseWriter> &Answer,
+    HeaderLines Headers, std::optional<gateway::ForwardingTerms> Terms) {
   const model::RequestId Number{++m_LastRequestNumber};
   gateway::RelayRequest Relayed;
   Relayed.m_Number = Number;
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -126,7 +126,7 @@
   using SendMap = std::unordered_map<model::AttemptId, Send>;
 
   void accept(front::FrontRequest Request,
-              std::shared_ptr<pistache::HttpResponseWriter> Answer,
+              const std::shared_ptr<pistache::HttpResponseWriter> &Answer,
               core::gateway::HeaderLines Headers,
               std::optional<core::gateway::ForwardingTerms> Terms);
   void carryOut(const core::gateway::RelayEffectList &Effects);
