--- a/Source/Core/Gateway/AnswerOutcome.cpp
+++ b/Source/Core/Gateway/AnswerOutcome.cpp
@@ -54,8 +54,8 @@
 }
 
 SendOutcome forwardedOutcomeOf(const ReceivedAnswer &Answer) {
-  // 503 promises that the request has not run, and the other 4xx come from
-  // reading it.
+  // 503 promises that the request has not run; a 4xx is decided before it is
+  // sent anywhere.
   constexpr int ServiceUnavailable = 503;
   constexpr int FirstServerError = 500;
   const bool IsOwnRefusal = Answer.m_Head && !Answer.m_Head->m_Sealed &&
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -28,8 +28,6 @@
 constexpr double AlwaysRejectingCostMs = 1000;
 /// An endpoint with twice the mean time to the first chunk.
 constexpr double SlownessCostMs = 100;
-/// Time that a request occupies a slot, until answers have been measured.
-constexpr double DefaultAnswerMs = 500;
 
 constexpr model::Duration MinRetryAfter = std::chrono::milliseconds(60);
 constexpr model::Duration NoEndpointRetryAfter = std::chrono::milliseconds(400);
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -158,6 +158,8 @@
   /// Used until the first long prompts were answered: a few tens of tokens per
   /// millisecond are common for models of this size.
   static constexpr double InitialPrefillMsPerToken = 0.03;
+  /// Time that a request occupies a slot, until answers have been measured.
+  static constexpr double DefaultAnswerMs = 500;
   /// Reason of requests that wait, or are refused, for a limit or a pause.
   static constexpr const char *EndpointsTakeNoMore =
       "every endpoint that could run it takes no more for now";
--- a/Source/Core/Gateway/RelayRoom.cpp
+++ b/Source/Core/Gateway/RelayRoom.cpp
@@ -25,8 +25,6 @@
 /// How long endpoints of a service are taken to be brittle that have not said
 /// so, after another has: longer than a restart.
 constexpr model::Duration BrittleServiceTime = std::chrono::seconds(10);
-/// Until answers have been measured.
-constexpr double DefaultAnswerMs = 500;
 
 double seconds(model::Duration Value) {
   return std::chrono::duration<double>(Value).count();
