--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -98,8 +98,10 @@
   std::vector<UsageCounter> takeUsageCounters();
 
 private:
+  /// A send to another node, which chooses the endpoint.
   struct ForwardedSend {
     model::NodeId m_Peer;
+    /// Endpoints that may run the request there.
     uint32_t m_RunsLeft = 0;
     /// The endpoint that the other node chose; empty until the head of its
     /// answer tells.
@@ -290,16 +292,18 @@
   double estimatedLoad(const EndpointView &Endpoint) const;
   /// Requests in flight for which a brittle endpoint has room.
   double roomOf(const EndpointView &Endpoint) const;
-  /// False only for brittle endpoints.
+  /// A brittle endpoint has no room, as far as this node knows.
   bool isFull(const EndpointView &Endpoint) const;
   void updateRoom(EndpointView &Endpoint, const SendOutcome &Outcome);
   /// Sets this node's share of what the endpoint takes.
   void updateRateShare(EndpointView &Endpoint);
 
-  // RelayForwarding.cpp: requests that other nodes send to endpoints.
+  // RelayForwarding.cpp: requests that are sent to endpoints by another node
+  // than the one that received them.
   /// Forwards the request if this node's links to its service are lost and
   /// another node has them. Returns false if this node has to send it itself.
   bool forwardIfLinksLost(ActiveRequest &Active, RelayEffectList &Out);
+  /// Whether the next request is to try lost links.
   bool isTrialDue(const std::string &Service) const;
   void forward(ActiveRequest &Active, const model::NodeId &Peer,
                const model::Address &Address, RelayEffectList &Out);
