--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -13,15 +13,9 @@
 constexpr model::Duration NetworkDelay = 2ms;
 constexpr model::Duration TimeToFirstChunk = 40ms;
 constexpr model::Duration NoticePeriod = 200ms;
-/// A crash shows in the store once the engine has missed three renewals.
-constexpr model::Duration EntryLifetime = 3600ms;
 constexpr uint32_t TokensPerPart = 200;
 /// Until a caller has connected to another node.
 constexpr model::Duration ReconnectTime = 30ms;
-/// Until an attempt to open a connection is given up, and until an open
-/// connection counts as broken that has been silent.
-constexpr model::Duration ConnectTimeout = 450ms;
-constexpr model::Duration SilentConnectionTimeout = 2s;
 /// Of the port at which the first node takes requests that others forward.
 constexpr uint16_t FirstPort = 1000;
 constexpr const char *ResumablePath = "/resume/";
@@ -57,10 +51,6 @@
   publishEngines();
 }
 
-std::vector<model::EndpointId> RelayFleet::engines() const {
-  return {m_Engines.begin(), m_Engines.end()};
-}
-
 void RelayFleet::schedule(model::Duration Delay, std::function<void()> Run) {
   m_Events.emplace(m_Now + Delay, Event{0, std::move(Run)});
 }
@@ -274,43 +264,6 @@
            }));
 }
 
-std::optional<RelayFleet::LostSend> RelayFleet::lostSend(const Node &From) {
-  using gateway::SendResult;
-  const bool OverOpenConnection = m_Random() % 4 == 0;
-  switch (From.m_Links) {
-  case Links::Whole:
-    return std::nullopt;
-  case Links::Reset:
-    return LostSend{SendResult::NotSent, 0ms};
-  case Links::Silent:
-    if (OverOpenConnection)
-      return LostSend{SendResult::Broken, SilentConnectionTimeout};
-    return LostSend{SendResult::NotSent, ConnectTimeout};
-  case Links::NoNewConnections:
-    if (OverOpenConnection)
-      return std::nullopt;
-    return LostSend{SendResult::NotSent, 0ms};
-  }
-  return std::nullopt;
-}
-
-void RelayFleet::setLinks(size_t Index, Links Links) {
-  Node &Cut = *m_Nodes[Index];
-  Cut.m_Links = Links;
-  std::vector<model::AttemptId> Running;
-  for (const auto &Each : Cut.m_Sends)
-    Running.push_back(Each.first);
-  for (const model::AttemptId Attempt : Running) {
-    if (Links == Links::Reset)
-      finish(Index, Attempt, gateway::SendResult::Broken);
-    else if (Links == Links::Silent)
-      schedule(SilentConnectionTimeout, [this, Index, Node = &Cut, Attempt] {
-        if (m_Nodes[Index].get() == Node && Node->m_Sends.contains(Attempt))
-          finish(Index, Attempt, gateway::SendResult::Broken);
-      });
-  }
-}
-
 void RelayFleet::takeUp(size_t Number, std::optional<size_t> LostNode) {
   const size_t First = m_Asked[Number].m_Resumes.value_or(Number);
   if (m_Asked[First].m_Versions.empty())
@@ -383,94 +336,6 @@
   carryOut(Index);
 }
 
-void RelayFleet::makeBrittle(uint32_t RejectsPerSecond) {
-  m_BrittleAt = RejectsPerSecond;
-}
-
-size_t RelayFleet::running(const model::EndpointId &Engine) const {
-  size_t Count = 0;
-  for (const std::unique_ptr<Node> &Each : m_Nodes)
-    for (const auto &Send : Each->m_Sends)
-      Count +=
-          Send.second.m_IsAdmitted && Send.second.m_Engine == Engine ? 1 : 0;
-  return Count;
-}
-
-bool RelayFleet::turnsAway(const model::EndpointId &Engine) {
-  if (m_Queue >= m_Settings.m_Queue ||
-      running(Engine) < m_Settings.m_Slots + m_Queue)
-    return false;
-  m_Rejections.push_back(m_Now);
-  std::vector<model::TimePoint> &Recent = m_RejectedAt[Engine];
-  std::erase_if(Recent,
-                [this](model::TimePoint At) { return m_Now - At > 1s; });
-  Recent.push_back(m_Now);
-  if (m_BrittleAt && Recent.size() > *m_BrittleAt)
-    schedule(0ms, [this, Engine] {
-      if (m_Engines.contains(Engine))
-        crash(Engine);
-    });
-  return true;
-}
-
-void RelayFleet::end(const model::EndpointId &Engine) {
-  m_Engines.erase(Engine);
-  for (size_t I = 0; I < m_Nodes.size(); ++I) {
-    std::vector<model::AttemptId> Broken;
-    for (const auto &Each : m_Nodes[I]->m_Sends)
-      if (Each.second.m_Engine == Engine)
-        Broken.push_back(Each.first);
-    for (const model::AttemptId Attempt : Broken)
-      finish(I, Attempt, gateway::SendResult::Broken);
-  }
-}
-
-void RelayFleet::crash(const model::EndpointId &Engine) {
-  m_Crashes.push_back(m_Now);
-  end(Engine);
-  schedule(std::min(EntryLifetime, m_Settings.m_RestartTime),
-           [this] { publishEngines(); });
-  if (!m_Draining.contains(Engine))
-    schedule(m_Settings.m_RestartTime,
-             [this, Version = m_SoftwareVersions.at(Engine)] {
-               startEngine(Version);
-             });
-}
-
-model::EndpointId RelayFleet::startEngine(const std::string &Version) {
-  const model::EndpointId Started("e" + std::to_string(++m_LastEngine));
-  m_Engines.insert(Started);
-  m_SoftwareVersions[Started] = Version;
-  publishEngines();
-  return Started;
-}
-
-void RelayFleet::retire(const model::EndpointId &Engine,
-                        model::Duration Notice) {
-  m_Draining.insert(Engine);
-  publishEngines();
-  schedule(Notice, [this, Engine] {
-    if (m_Engines.contains(Engine))
-      end(Engine);
-    publishEngines();
-  });
-}
-
-void RelayFleet::publishEngines() {
-  std::vector<gateway::EndpointEntry> Entries;
-  for (const model::EndpointId &Each : m_Engines) {
-    Entries.push_back(RelayFixture::endpoint(Each.str()));
-    Entries.back().m_Slots = m_Settings.m_Slots;
-    Entries.back().m_SoftwareVersion = m_SoftwareVersions.at(Each);
-    Entries.back().m_Draining = m_Draining.contains(Each);
-  }
-  for (size_t I = 0; I < m_Nodes.size(); ++I) {
-    m_Nodes[I]->m_Relay.m_Core.setEndpoints(Entries, m_Now,
-                                            m_Nodes[I]->m_Relay.m_Out);
-    carryOut(I);
-  }
-}
-
 void RelayFleet::exchangeNotices() {
   ++m_Notices;
   for (size_t From = 0; From < m_Nodes.size(); ++From) {
