--- a/review/1/main.cpp
+++ b/review/1/main.cpp
@@ -1,5 +1,5 @@
-// Case 1: an adapter whose streams still run is unloaded, and its place is
-// given away before the engine has freed it.
+// Case 1: all nodes are killed while the last engine of an old software version
+// leaves. The nodes that come back go on with its streams at another version.
 #include "standins/Engine.h"
 
 using namespace review;
@@ -8,26 +8,32 @@
 
 constexpr const char *Service = "desk";
 constexpr const char *Model = "daka";
-constexpr int Places = 8;
-/// 48 events in 5.8 s: an ordinary conversation of the sheets, with pauses well
-/// below the 300 ms that the route allows.
-constexpr const char *TokenCount = "628,48";
-constexpr int64_t EventMs = 120;
+constexpr int Engines = 8;
+constexpr int Callers = 40;
+/// 60 events in 9 s; the callers wait for 15 s.
+constexpr const char *TokenCount = "628,60";
+constexpr int LastEvent = 60;
+constexpr int64_t EventMs = 150;
+constexpr int64_t DeadlineMs = 15000;
+constexpr int64_t DrainMs = 2000;
+/// The sheets give these callers one retry.
+constexpr int Retries = 1;
+constexpr int64_t RetryPauseMs = 1500;
 
 std::string configText() {
   return json({{"Version", 7},
                {"Routes",
-                {{{"Name", "chat"},
+                {{{"Name", "defer"},
                   {"Host", "case.example"},
-                  {"PathPrefix", "/chat/"},
+                  {"PathPrefix", "/defer/"},
                   {"Kind", "stream"},
-                  {"TimeoutMs", 12000},
-                  {"SloMs", 500},
+                  {"TimeoutMs", 15000},
+                  {"SloMs", 3000},
                   {"Priority", 1},
                   {"Service", Service},
-                  {"MaxAttempts", 1},
+                  {"MaxAttempts", 2},
                   {"SessionAffinity", true},
-                  {"AllowResume", false},
+                  {"AllowResume", true},
                   {"GapTargetMs", 300}}}},
                {"Services",
                 {{{"Name", Service},
@@ -40,10 +46,10 @@
                      {{{"Name", Model},
                        {"WeightsMb", 65500.0},
                        {"LoadTimeS", 3.8},
-                       {"Adapters", 28},
+                       {"Adapters", 0},
                        {"AdapterMb", 40.0}}}},
                     {"WeightsMb", 200000.0},
-                    {"AdapterSlots", Places},
+                    {"AdapterSlots", 8},
                     {"LoadsPerS", 2.9}}}}}},
                {"Limits",
                 {{"MaxHeaderBytes", 16384},
@@ -53,39 +59,60 @@
       .dump();
 }
 
-/// A caller that asks for an adapter, and again where it is refused.
+/// A caller that reads a stream, and takes it up again where it breaks off.
 struct Caller {
-  std::string m_Adapter;
   std::string m_Name;
-  std::string m_Result = "never answered";
-  bool m_Began = false;
+  int m_Last = 0;
   bool m_Whole = false;
+  std::vector<std::string> m_Versions;
 
-  void ask(Platform::Node &At, Record &Log) {
-    const SteadyTime Until = now() + std::chrono::seconds(12);
-    for (int Attempt = 1; Attempt <= 6 && now() < Until; ++Attempt) {
+  void read(Platform &Machines, size_t Node, Record &Log) {
+    const SteadyTime Began = now();
+    const SteadyTime Until = Began + std::chrono::milliseconds(DeadlineMs);
+    std::string FirstId;
+    for (int Attempt = 1; Attempt <= 1 + Retries && now() < Until && !m_Whole;
+         ++Attempt) {
       const std::string Id = m_Name + "-" + std::to_string(Attempt);
-      Log.line("caller " + m_Name + " sends " + Id + " for " + m_Adapter +
-               " to " + At.m_Name);
-      const StreamAttempt Got = attemptStream(
-          At, "/chat/x",
-          {"X-Request-Id: " + Id, "X-Model: " + m_Adapter,
-           std::string("X-Token-Count: ") + TokenCount,
-           "X-Prompt-Prefix: 5c1e07a2:100,91bd3f0" + m_Name.substr(1) + ":528",
-           "X-Deadline-Ms: 12000"},
-          "prompt", Until);
-      m_Result = "status " + std::to_string(Got.m_Status) + ", " +
-                 std::to_string(Got.m_Events.size()) + " events, " +
-                 (Got.m_Whole ? "whole" : "broken off");
-      Log.line("caller " + m_Name + " gets " + m_Result);
-      m_Began = m_Began || !Got.m_Events.empty();
-      m_Whole = Got.m_Whole && Got.m_Status == 200;
-      if (m_Began)
-        return;
-      sleepMs(
-          std::max<int64_t>(50, static_cast<int64_t>(Got.m_RetryAfter * 1000)));
+      const int64_t Left =
+          std::chrono::duration_cast<std::chrono::milliseconds>(Until - now())
+              .count();
+      std::vector<std::string> Headers = {
+          "X-Request-Id: " + Id, std::string("X-Model: ") + Model,
+          std::string("X-Token-Count: ") + TokenCount,
+          "X-Prompt-Prefix: 5c1e07a2:100,91bd3f" + m_Name.substr(1) + ":528",
+          "X-Deadline-Ms: " + std::to_string(Left)};
+      if (m_Last > 0) {
+        Headers.push_back("Last-Event-Id: " + std::to_string(m_Last));
+        Headers.push_back("Resumes: " + FirstId);
+      }
+      // Retries reach other nodes.
+      const Platform::Node &At =
+          *Machines.nodes()[(Node + Attempt) % Machines.nodes().size()];
+      const StreamAttempt Got =
+          attemptStream(At, "/defer/x", Headers, "prompt", Until);
+      if (Got.m_Status != 0)
+        Log.line("caller " + m_Name + ": " + Id + " to " + At.m_Name +
+                 (m_Last > 0 ? " after event " + std::to_string(m_Last) : "") +
+                 " gets status " + std::to_string(Got.m_Status) + ", " +
+                 std::to_string(Got.m_Events.size()) + " events of " +
+                 (Got.m_Events.empty() ? "none" : Got.m_Events.back()) + ", " +
+                 (Got.m_Whole ? "whole" : "broken off"));
+      if (!Got.m_Events.empty()) {
+        if (FirstId.empty())
+          FirstId = Id;
+        m_Versions.insert(m_Versions.end(), Got.m_Events.begin(),
+                          Got.m_Events.end());
+        m_Last = Got.m_LastEvent;
+      }
+      m_Whole = Got.m_Whole && m_Last == LastEvent;
+      if (!m_Whole)
+        sleepMs(RetryPauseMs);
     }
   }
+  bool isMixed() const {
+    return std::set<std::string>(m_Versions.begin(), m_Versions.end()).size() >
+           1;
+  }
 };
 
 } // namespace
@@ -96,58 +123,83 @@
   Store Entries(Log);
   Entries.start();
   Entries.put("config", "main", configText());
-  Engine Holder({.m_Id = "i-holder",
-                 .m_Service = Service,
-                 .m_Zone = "giza-hall",
-                 .m_Models = {Model},
-                 .m_AdapterSlots = Places,
-                 .m_EventMs = EventMs},
-                Entries, Log);
-  Holder.start();
+  std::vector<std::unique_ptr<Engine>> All;
+  const auto AddEngine = [&](int Number, const std::string &Version,
+                             bool IsNew) {
+    All.push_back(std::make_unique<Engine>(
+        EngineOptions{.m_Id = "i-" + std::to_string(Number),
+                      .m_Service = Service,
+                      .m_Version = Version,
+                      .m_Zone = "giza-hall",
+                      .m_Models = {Model},
+                      .m_EventMs = EventMs,
+                      .m_IsNew = IsNew},
+        Entries, Log));
+    All.back()->start();
+  };
+  // A release that has reached the last engine.
+  AddEngine(1, "v1", false);
+  for (int Number = 2; Number <= Engines; ++Number)
+    AddEngine(Number, "v2", false);
+  Engine &Old = *All.front();
   Platform Machines(Given.m_Root, Given.m_Temporary, Log);
-  for (const char *const Number : {"1", "2"})
-    Machines.start(Machines.addNode(std::string("front-") + Number,
-                                    std::string("127.0.1.") + Number,
-                                    "giza-hall", Entries.address()));
+  for (const char *const Number : {"1", "2", "3"})
+    Machines.addNode(std::string("front-") + Number,
+                     std::string("127.0.1.") + Number, "giza-hall",
+                     Entries.address());
+  for (const auto &Each : Machines.nodes())
+    Machines.start(*Each);
   if (!Machines.awaitReady(15000))
     cannotRun("the nodes do not become ready");
-  // The holder of the placement lease waits for its term and the reports.
-  sleepMs(9000);
-  std::vector<std::unique_ptr<Caller>> Callers;
+  sleepMs(3000);
+  std::vector<std::unique_ptr<Caller>> Readers;
   std::vector<std::thread> Threads;
-  const auto Ask = [&](int Number) {
-    Callers.push_back(std::make_unique<Caller>());
-    Caller &Added = *Callers.back();
-    Added.m_Adapter = std::string(Model) + "/a" + std::to_string(Number);
+  for (int Number = 10; Number < 10 + Callers; ++Number) {
+    Readers.push_back(std::make_unique<Caller>());
+    Caller &Added = *Readers.back();
     Added.m_Name = "c" + std::to_string(Number);
-    Threads.emplace_back([&Added, &Machines, &Log, Number] {
-      Added.ask(*Machines.nodes()[Number % 2], Log);
+    Threads.emplace_back([&, Number] {
+      Added.read(Machines, static_cast<size_t>(Number), Log);
     });
-  };
-  Log.line("streams on as many adapters as the engine has places for");
-  for (int Number = 1; Number <= Places; ++Number) {
-    Ask(Number);
-    sleepMs(100);
+    sleepMs(25);
+  }
+  sleepMs(500);
+  const size_t OnOld = Old.running();
+  Log.line(std::to_string(OnOld) + " streams run on the engine of version v1");
+  if (OnOld < 3)
+    cannotRun("too few streams on the old engine");
+  AddEngine(Engines + 1, "v2", true); // The new one starts first.
+  Old.drain();
+  sleepMs(DrainMs);
+  if (Given.m_Trouble) {
+    Log.line("all nodes are killed at the same moment");
+    for (const auto &Each : Machines.nodes())
+      Machines.signal(*Each, SIGKILL);
+  }
+  sleepMs(500);
+  Old.end("it has served for long enough after it said that it leaves");
+  Old.leaveStore();
+  if (Given.m_Trouble) {
+    sleepMs(500);
+    for (const auto &Each : Machines.nodes())
+      Machines.start(*Each);
   }
-  // Without the trouble, the rare adapters are asked for once the streams have
-  // ended.
-  sleepMs(Given.m_Trouble ? 2500 : 6500);
-  if (Holder.running() != (Given.m_Trouble ? Places : 0))
-    cannotRun("the streams did not run as planned: " +
-              std::to_string(Holder.running()));
-  Log.line("rare adapters are asked for at once");
-  for (int Number = Places + 1; Number <= Places + 3; ++Number)
-    Ask(Number);
   for (std::thread &Each : Threads)
     Each.join();
-  size_t Lost = 0;
-  for (const std::unique_ptr<Caller> &Each : Callers)
-    Lost += Each->m_Began && !Each->m_Whole ? 1 : 0;
-  if (!Holder.wasOverloaded() && Lost > 0)
-    cannotRun("streams were lost for another cause");
-  finish(Log, Holder.wasOverloaded(), "LIMIT",
-         (Holder.wasOverloaded() ? Holder.overload()
-                                 : "no engine was ordered to hold too much") +
-             "; " + std::to_string(Lost) + " of " +
-             std::to_string(Callers.size()) + " streams were broken off");
+  size_t Mixed = 0;
+  size_t Whole = 0;
+  std::string Names;
+  for (const std::unique_ptr<Caller> &Each : Readers) {
+    Whole += Each->m_Whole ? 1 : 0;
+    if (!Each->isMixed())
+      continue;
+    ++Mixed;
+    Names += " " + Each->m_Name;
+  }
+  // The rule allows two.
+  finish(Log, Mixed > 2, "ORDER",
+         std::to_string(Mixed) +
+             " streams hold events of two software versions" +
+             (Names.empty() ? "" : ":" + Names) + "; " + std::to_string(Whole) +
+             " of " + std::to_string(Readers.size()) + " streams were whole");
 }
--- a/review/standins/Engine.h
+++ b/review/standins/Engine.h
@@ -15,20 +15,33 @@
   size_t m_Slots = 32;
   size_t m_AdapterSlots = 8;
   int64_t m_EventMs = 120;
-  std::string m_Ip = "127.0.0.1";
+  /// A load takes this long.
+  int64_t m_LoadMs = 800;
+  /// A part of a prompt on which it crashes; empty if there is none.
+  std::string m_CrashPart = {};
+  /// After a crash on that part it is back, empty, after this time.
+  int64_t m_BackMs = 4000;
+  /// A new engine starts with no copies.
+  bool m_IsNew = false;
 };
 
 class Engine {
 public:
   Engine(EngineOptions Options, Store &Entries, Record &Log)
       : m_Options(std::move(Options)), m_Store(Entries), m_Log(Log),
-        m_Server(m_Options.m_Ip, [this](Wire &To, Message &Request) {
+        m_Server("127.0.0.1", [this](Wire &To, Message &Request) {
           return answer(To, Request);
         }) {
     for (const std::string &Each : m_Options.m_Models)
-      m_Adapters[Each];
+      if (!m_Options.m_IsNew)
+        m_Adapters[Each];
+  }
+  ~Engine() {
+    m_Ends = true;
+    if (m_Return.joinable())
+      m_Return.join();
+    end("the case ends");
   }
-  ~Engine() { end("the case ends"); }
 
   const std::string &id() const { return m_Options.m_Id; }
 
@@ -74,6 +87,7 @@
     return m_Overload;
   }
   size_t running() const { return m_Running; }
+  size_t crashes() const { return m_Crashes; }
 
 private:
   struct Adapter {
@@ -82,7 +96,8 @@
     bool m_IsLeaving = false;
   };
 
-  json modelsJson() const {
+  json modelsJson() {
+    isBusy();
     json Models = json::array();
     for (const auto &Each : m_Adapters) {
       json Names = json::array();
@@ -93,6 +108,12 @@
     }
     return Models;
   }
+  /// Its disk keeps what it held at the start.
+  json availableJson() const {
+    return {{"Resident", json::array()},
+            {"OnDisk", m_Options.m_IsNew ? std::vector<std::string>()
+                                         : m_Options.m_Models}};
+  }
   void writeEntry() {
     std::string Text;
     {
@@ -106,6 +127,7 @@
                    {"ColdLeftMs", 0},
                    {"Phase", "colocated"},
                    {"Models", modelsJson()},
+                   {"Available", availableJson()},
                    {"born", m_BornMs},
                    {"Sequence", ++m_Beats}})
                  .dump();
@@ -127,7 +149,8 @@
     const std::lock_guard<std::mutex> Lock(m_Mutex);
     return json({{"Phase", "colocated"},
                  {"Models", modelsJson()},
-                 {"Busy", false},
+                 {"Available", availableJson()},
+                 {"Busy", isBusy()},
                  {"Sequence", m_Orders},
                  {"Queued", 0},
                  {"Running", m_Running.load()},
@@ -164,12 +187,14 @@
       return 409;
     const std::string Model = Body.value("Model", "");
     const std::string Name = Body.value("Adapter", "");
+    if (isBusy())
+      return 409;
+    const bool IsLoad = Body["Operation"] == "load";
+    if (Name.empty())
+      return carryOutModel(Model, IsLoad);
     if (!m_Adapters.contains(Model))
       return 421;
     std::map<std::string, Adapter> &Held = m_Adapters[Model];
-    const bool IsLoad = Body["Operation"] == "load";
-    if (Name.empty())
-      return IsLoad ? 200 : 409; // The scripts need no moves of models.
     const auto Found = Held.find(Name);
     if (IsLoad) {
       if (Found != Held.end() && !Found->second.m_IsLeaving)
@@ -195,6 +220,22 @@
     Found->second.m_IsLeaving = true;
     return 202;
   }
+  int carryOutModel(const std::string &Model, bool IsLoad) {
+    if (m_Adapters.contains(Model) == IsLoad)
+      return 200;
+    if (!IsLoad)
+      return 409; // The scripts need no moves of models.
+    ++m_Orders;
+    m_Loading = Model;
+    m_LoadedAt = now() + std::chrono::milliseconds(m_Options.m_LoadMs);
+    return 202;
+  }
+  /// Whether a model is being loaded; takes one that has been.
+  bool isBusy() {
+    if (!m_Loading.empty() && now() >= m_LoadedAt)
+      m_Adapters[std::exchange(m_Loading, {})];
+    return !m_Loading.empty();
+  }
   void checkSlots() {
     size_t Count = 0;
     std::string Names;
@@ -215,6 +256,7 @@
   /// Begins the use of an adapter; false where it does not hold it.
   bool acquire(const std::string &Model, const std::string &Name) {
     const std::lock_guard<std::mutex> Lock(m_Mutex);
+    isBusy();
     const auto Found = m_Adapters.find(Model);
     if (Found == m_Adapters.end())
       return false;
@@ -253,6 +295,12 @@
     ++m_Running;
     m_Log.line("engine " + id() + " (" + m_Options.m_Version + ") runs " + Id +
                " for " + Use + " from event " + std::to_string(First));
+    if (!m_Options.m_CrashPart.empty() &&
+        Request.header("X-Prompt-Prefix").find(m_Options.m_CrashPart + ":") !=
+            std::string::npos) {
+      crash(Id);
+      return false;
+    }
     bool Whole = To.send("HTTP/1.1 200 OK\r\n" + Echo + "X-Server-Seal: s." +
                          id() + "." + Id +
                          "\r\nX-Weight-Versions: 1\r\nContent-Type: "
@@ -280,6 +328,36 @@
     return Whole;
   }
 
+  /// Ends while it begins to write an answer, and is back later.
+  void crash(const std::string &Id) {
+    --m_Running;
+    if (m_Crashing.exchange(true))
+      return;
+    ++m_Crashes;
+    if (m_Return.joinable())
+      m_Return.join();
+    m_Return = std::thread([this, Id] {
+      end("it crashes on " + Id);
+      // The store drops an entry after three heartbeats of silence.
+      for (int64_t Waited = 0; Waited < m_Options.m_BackMs; Waited += 20) {
+        sleepMs(20);
+        if (m_Ends)
+          return;
+        if (Waited == 3600)
+          leaveStore();
+      }
+      {
+        const std::lock_guard<std::mutex> Lock(m_Mutex);
+        m_Adapters.clear();
+        m_Loading.clear();
+        m_Orders = 0;
+        m_Token = 0;
+      }
+      m_Crashing = false;
+      start();
+    });
+  }
+
   const EngineOptions m_Options;
   Store &m_Store;
   Record &m_Log;
@@ -290,6 +368,12 @@
   uint64_t m_Beats = 0;
   int64_t m_BornMs = 0;
   std::string m_Overload;
+  std::string m_Loading;
+  SteadyTime m_LoadedAt;
+  std::thread m_Return;
+  std::atomic<size_t> m_Crashes{0};
+  std::atomic<bool> m_Crashing{false};
+  std::atomic<bool> m_Ends{false};
   std::atomic<size_t> m_Running{0};
   std::atomic<bool> m_Alive{false};
   std::atomic<bool> m_Draining{false};
@@ -309,10 +393,13 @@
   std::string m_Seal;
 };
 
+/// Sends the body in pieces of 64 KiB, \p PieceMs apart.
 inline StreamAttempt attemptStream(const Platform::Node &At,
                                    const std::string &Path,
                                    const std::vector<std::string> &Headers,
-                                   const std::string &Body, SteadyTime Until) {
+                                   const std::string &Body, SteadyTime Until,
+                                   int64_t PieceMs = 0) {
+  constexpr size_t PieceBytes = 64 << 10;
   StreamAttempt Result;
   Wire To;
   if (!To.connectTo(At.m_Ip, At.m_Callers))
@@ -320,9 +407,15 @@
   std::string Text = "POST " + Path + " HTTP/1.1\r\nHost: case.example\r\n";
   for (const std::string &Each : Headers)
     Text += Each + "\r\n";
-  Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
-  if (!To.send(Text))
-    return Result;
+  Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n";
+  for (size_t Sent = 0; Sent < Body.size(); Sent += PieceBytes) {
+    Text += Body.substr(Sent, PieceBytes);
+    if (!To.send(Text))
+      return Result;
+    Text.clear();
+    if (Body.size() > PieceBytes)
+      sleepMs(PieceMs);
+  }
   const std::optional<Message> Head = To.readHead(Until);
   if (!Head)
     return Result;
