--- a/review/standins/Engine.h
+++ b/review/standins/Engine.h
@@ -223,18 +223,23 @@
   int carryOutModel(const std::string &Model, bool IsLoad) {
     if (m_Adapters.contains(Model) == IsLoad)
       return 200;
-    if (!IsLoad)
-      return 409; // The scripts need no moves of models.
     ++m_Orders;
-    m_Loading = Model;
-    m_LoadedAt = now() + std::chrono::milliseconds(m_Options.m_LoadMs);
+    if (IsLoad) {
+      m_Loading = Model;
+      m_LoadedAt = now() + std::chrono::milliseconds(m_Options.m_LoadMs);
+    } else {
+      m_Unloading = Model;
+    }
     return 202;
   }
-  /// Whether a model is being loaded; takes one that has been.
+  /// Whether an order for a model is under way; ends one that is due. An unload
+  /// waits for the model's runs to end.
   bool isBusy() {
     if (!m_Loading.empty() && now() >= m_LoadedAt)
       m_Adapters[std::exchange(m_Loading, {})];
-    return !m_Loading.empty();
+    if (!m_Unloading.empty() && m_ModelRuns[m_Unloading] == 0)
+      m_Adapters.erase(std::exchange(m_Unloading, {}));
+    return !m_Loading.empty() || !m_Unloading.empty();
   }
   void checkSlots() {
     size_t Count = 0;
@@ -260,16 +265,24 @@
     const auto Found = m_Adapters.find(Model);
     if (Found == m_Adapters.end())
       return false;
-    if (Name.empty())
+    if (Name.empty()) {
+      ++m_ModelRuns[Model];
       return true;
+    }
     const auto Held = Found->second.find(Name);
     if (Held == Found->second.end() || Held->second.m_IsLeaving)
       return false;
     ++Held->second.m_Runs;
+    ++m_ModelRuns[Model];
     return true;
   }
+  bool isLeaving(const std::string &Model) {
+    const std::lock_guard<std::mutex> Lock(m_Mutex);
+    return isBusy() && m_Unloading == Model;
+  }
   void release(const std::string &Model, const std::string &Name) {
     const std::lock_guard<std::mutex> Lock(m_Mutex);
+    --m_ModelRuns[Model];
     if (Name.empty())
       return;
     std::map<std::string, Adapter> &All = m_Adapters[Model];
@@ -285,6 +298,8 @@
     const std::string Name =
         Use.find('/') == std::string::npos ? "" : Use.substr(Use.find('/') + 1);
     const std::string Echo = "X-Request-Id: " + Id + "\r\n";
+    if (isLeaving(Model))
+      return To.send(httpText(503, Echo + "X-Not-Run: 1\r\n", ""));
     if (!acquire(Model, Name))
       return To.send(
           httpText(421, Echo + "X-Instance-Id: " + id() + "\r\n", ""));
@@ -350,6 +365,8 @@
         const std::lock_guard<std::mutex> Lock(m_Mutex);
         m_Adapters.clear();
         m_Loading.clear();
+        m_Unloading.clear();
+        m_ModelRuns.clear();
         m_Orders = 0;
         m_Token = 0;
       }
@@ -369,6 +386,8 @@
   int64_t m_BornMs = 0;
   std::string m_Overload;
   std::string m_Loading;
+  std::string m_Unloading;
+  std::map<std::string, size_t> m_ModelRuns;
   SteadyTime m_LoadedAt;
   std::thread m_Return;
   std::atomic<size_t> m_Crashes{0};
