Gateway: Record where streams began in the store

What callers saw: all nodes were killed while two software versions served, or just after.

Cause: where streams began was known to nodes only. With all of them lost, a node that started took the one version that it saw for the only one there had been, or knew no origin at all.

Change: while versions are mixed, up to three nodes write what they know of streams to the store, once a second in turn. A node that starts reads it before it takes up a stream of unknown origin, and tells the others, also those without this change, that versions are mixed.

Why it works: a recorded stream goes on at its version. One that is not in the record is refused, since the record also says how long versions are mixed.

--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -26,7 +26,9 @@
               Clock, *m_Random, Log, *this),
       m_Placement({Options.m_Self.m_Node, Options.m_Lease, Options.m_Residency},
                   Dialect, m_Store, m_Calls, m_Thread.loop(), Clock, *m_Random,
-                  Log, *this) {
+                  Log, *this),
+      m_StreamRecorder(Options.m_Self.m_Node, Dialect, m_Store, Clock, Log,
+                       *this) {
   m_Thread.loop().setFaultHandler([this](const std::string &What) {
     m_Log.write("process", "exception",
                 {{"thread", "control"}, {"reason", What}});
@@ -48,6 +50,7 @@
   m_Thread.loop().runAfter(TickPeriod, [this] { tick(); });
   m_Feeds.tick();
   m_Placement.tick();
+  m_StreamRecorder.tick();
   if (m_OnStopped && m_Placement.isStopped()) {
     m_Feeds.leave();
     std::exchange(m_OnStopped, nullptr)();
@@ -76,6 +79,7 @@
 void GatewayControl::onNodesChanged(
     const std::vector<gateway::NodeEntry> &Nodes) {
   m_Placement.setNodes(Nodes);
+  m_StreamRecorder.setNodes(Nodes);
   m_Traffic->setPeers(Nodes);
 }
 
@@ -90,6 +94,7 @@
                             "node registers again"}});
     m_Traffic->countStoreRestore();
     m_Feeds.onStoreRestored();
+    m_StreamRecorder.onStoreRestored();
   }
   m_Placement.onStoreEra(New);
 }
@@ -125,8 +130,24 @@
 }
 
 void GatewayControl::onLivePeers(std::vector<model::NodeId> Nodes) {
-  m_Thread.loop().post(
-      [this, Nodes = std::move(Nodes)] { m_Placement.onLivePeers(Nodes); });
+  m_Thread.loop().post([this, Nodes = std::move(Nodes)] {
+    m_Placement.onLivePeers(Nodes);
+    m_StreamRecorder.onLivePeers(Nodes);
+  });
+}
+
+void GatewayControl::onStreamRecord(gateway::StreamNotice Record) {
+  m_Thread.loop().post([this, Record = std::move(Record)]() mutable {
+    m_StreamRecorder.setRecord(std::move(Record));
+  });
+}
+
+void GatewayControl::onStreamRecordRead(const gateway::StreamNotice &Record) {
+  m_Traffic->restoreStreams(Record);
+}
+
+void GatewayControl::onStreamRecordSlot(std::optional<uint32_t> Slot) {
+  m_Traffic->setStreamRecordSlot(Slot);
 }
 
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -8,6 +8,7 @@
 #include "Core/Adapters/Gateway/PlacementControl.h"
 #include "Core/Adapters/Gateway/StoreClient.h"
 #include "Core/Adapters/Gateway/StoreFeeds.h"
+#include "Core/Adapters/Gateway/StreamRecorder.h"
 #include "Core/Adapters/Net/LoopThread.h"
 #include "Core/Gateway/Dialect.h"
 #include "Core/Ports/Ports.h"
@@ -34,7 +35,8 @@
 class GatewayControl : public TrafficEvents,
                        private StoreEvents,
                        private StoreEraEvents,
-                       private PlacementEvents {
+                       private PlacementEvents,
+                       private StreamRecorderEvents {
 public:
   /// \p Dialect, \p Clock and \p Log must outlive this object.
   GatewayControl(const ControlOptions &Options,
@@ -57,6 +59,7 @@
   void onStatementChange(const core::gateway::StatementChange &Change) override;
   void onPauseBegun(const core::gateway::PauseBegun &Pause) override;
   void onLivePeers(std::vector<model::NodeId> Nodes) override;
+  void onStreamRecord(core::gateway::StreamNotice Record) override;
 
 private:
   void onRouteTableChanged(
@@ -70,6 +73,8 @@
   void onLeaseChanged(bool Holds) override;
   void onCopiesChanged(
       const std::vector<core::gateway::CopyChange> &Changes) override;
+  void onStreamRecordRead(const core::gateway::StreamNotice &Record) override;
+  void onStreamRecordSlot(std::optional<uint32_t> Slot) override;
 
   void tick();
 
@@ -85,6 +90,7 @@
   FeedRelay m_Relay;
   StoreFeeds m_Feeds;
   PlacementControl m_Placement;
+  StreamRecorder m_StreamRecorder;
 };
 
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Gateway/GatewayLog.h
+++ b/Source/Core/Adapters/Gateway/GatewayLog.h
@@ -36,7 +36,7 @@
   GatewayLog &operator=(const GatewayLog &) = delete;
 
   /// \p Category: "request", "quarantine", "placement", "config", "endpoint",
-  /// "dependency", "process". Fields with an empty text are omitted.
+  /// "dependency", "process", "streams". Fields with an empty text are omitted.
   void write(const char *Category, const std::string &Action,
              const std::vector<LogField> &Fields);
   void write(const core::gateway::RelayLogEntry &Entry);
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -101,6 +101,7 @@
 GatewayTraffic::~GatewayTraffic() { join(); }
 
 std::optional<std::string> GatewayTraffic::start() {
+  m_Core.streamOrigins().awaitRecord(m_Clock.now());
   if (std::optional<std::string> Reason =
           m_ReadyServer.listen(m_Addresses.m_Ready))
     return "ready: " + *Reason;
@@ -140,6 +141,7 @@
     m_PrefillChangesSent = m_Core.prefillChanges();
     sendLoadNotice();
   }
+  reportStreamRecord();
   if (Now < m_LivePeersReportedAt + LivePeersPeriod)
     return;
   m_LivePeersReportedAt = Now;
@@ -153,6 +155,27 @@
   m_Events.onLivePeers(std::move(Live));
 }
 
+void GatewayTraffic::reportStreamRecord() {
+  const model::TimePoint Now = m_Clock.now();
+  // A record without what was recorded before would replace it.
+  if (!m_StreamRecordSlot || m_Core.streamOrigins().awaitsRecord(Now))
+    return;
+  const bool IsMixed = m_Core.streamOrigins().isAnyMixed(Now);
+  if (!IsMixed && !m_RecordsStreams)
+    return;
+  // Nodes learn of a second version at about the same time. They write in turn,
+  // so that the newest record is never old.
+  if (!m_RecordsStreams)
+    m_StreamRecordAt = Now + gateway::StreamRecordPeriod * *m_StreamRecordSlot /
+                                 gateway::StreamRecordSlots;
+  m_RecordsStreams = true;
+  if (Now < m_StreamRecordAt)
+    return;
+  m_StreamRecordAt = Now + gateway::StreamRecordPeriod;
+  m_RecordsStreams = IsMixed;
+  m_Events.onStreamRecord(m_Core.streamOrigins().record(Now));
+}
+
 std::vector<model::Address> GatewayTraffic::noticeTargets() const {
   std::vector<std::pair<uint64_t, const Peer *>> Ranked;
   for (const auto &Each : m_Peers)
@@ -340,6 +363,19 @@
   m_Thread.loop().post([this, Holds] { m_HoldsLease = Holds; });
 }
 
+void GatewayTraffic::restoreStreams(gateway::StreamNotice Record) {
+  m_Thread.loop().post([this, Record = std::move(Record)] {
+    m_Core.streamOrigins().restore(Record, m_Clock.now());
+  });
+}
+
+void GatewayTraffic::setStreamRecordSlot(std::optional<uint32_t> Slot) {
+  m_Thread.loop().post([this, Slot] {
+    m_StreamRecordSlot = Slot;
+    m_RecordsStreams = false;
+  });
+}
+
 void GatewayTraffic::stop(model::Duration LameDuck,
                           std::function<void()> OnDrained) {
   m_Thread.loop().post([this, LameDuck, OnDrained = std::move(OnDrained)] {
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -36,6 +36,8 @@
   virtual void onPauseBegun(const core::gateway::PauseBegun &Pause) = 0;
   /// Called periodically with the peers that sent a notice recently.
   virtual void onLivePeers(std::vector<model::NodeId> Nodes) = 0;
+  /// What a node with a slot records of streams' origins from now on.
+  virtual void onStreamRecord(core::gateway::StreamNotice Record) = 0;
 };
 
 struct TrafficAddresses {
@@ -71,6 +73,10 @@
   void setPeers(std::vector<core::gateway::NodeEntry> Peers);
   void announceCopyChanges(std::vector<core::gateway::CopyChange> Changes);
   void setHoldsLease(bool Holds);
+  /// What nodes had recorded of streams' origins when this one started.
+  void restoreStreams(core::gateway::StreamNotice Record);
+  /// The slot that this node writes of that record; nullopt if none.
+  void setStreamRecordSlot(std::optional<uint32_t> Slot);
   void countStoreRestore() { m_GatewayMetrics.countStoreRestore(); }
   /// Reports not ready from now on, accepts no new requests after \p LameDuck,
   /// and calls \p OnDrained once every request has been answered.
@@ -89,6 +95,8 @@
   bool isReady() const;
   void tick();
   void sendLoadNotice();
+  /// Passes on what this node records of streams, if it has a slot.
+  void reportStreamRecord();
   void sendStreamNotice(core::gateway::StreamNotice Streams,
                         const std::vector<model::Address> &Targets);
   void sendNotice(core::gateway::PeerNotice Notice,
@@ -117,6 +125,10 @@
   model::TimePoint m_StreamNoticeSentAt;
   uint64_t m_PrefillChangesSent = 0;
   model::TimePoint m_LivePeersReportedAt;
+  std::optional<uint32_t> m_StreamRecordSlot;
+  model::TimePoint m_StreamRecordAt;
+  /// Versions were mixed at the last report of the record.
+  bool m_RecordsStreams = false;
   std::map<model::NodeId, Peer> m_Peers;
   std::function<void()> m_OnDrained;
   net::LoopThread m_Thread;
--- a/Source/Core/Gateway/Dialect.h
+++ b/Source/Core/Gateway/Dialect.h
@@ -7,6 +7,7 @@
 #include "Core/Gateway/ObjectFeed.h"
 #include "Core/Gateway/PlacementOrder.h"
 #include "Core/Gateway/RelayTypes.h"
+#include "Core/Gateway/StreamRecordKeeper.h"
 #include "Core/Model/Finding.h"
 #include "Core/Ports/Store.h"
 
@@ -134,6 +135,14 @@
   /// Writes a node's entry: creates it, or replaces the existing one.
   virtual HttpCall writeNode(const NodeEntry &Entry, bool Create) const = 0;
   virtual HttpCall removeNode(const model::NodeId &Node) const = 0;
+  /// A call on the recorded origins of streams. A list is read by readFeed(),
+  /// its objects by readStreamRecord().
+  virtual HttpCall streamRecordCall(const StreamRecordCall &Call) const = 0;
+  virtual Decoded<StreamNotice>
+  readStreamRecord(const std::string &Name,
+                   const std::string &Content) const = 0;
+  /// What became of a call that creates, replaces or removes an object.
+  virtual WriteResult readWrite(const HttpResult &Result) const = 0;
   /// A call on leases; nullopt if the platform has no counterpart of \p Call.
   virtual std::optional<HttpCall>
   storeCall(const ports::StoreCall &Call) const = 0;
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -88,6 +88,8 @@
   PeerNotice notice(model::TimePoint Now) const;
   /// A peer has lost what it was told.
   void onPeerRestarted(model::TimePoint Now) { m_Origins.announceAgain(Now); }
+  /// What is known of streams' origins; see StreamOrigins.
+  StreamOrigins &streamOrigins() { return m_Origins; }
   /// Changes with each prompt that this node adds to an engine's prefill queue
   /// or that leaves it.
   uint64_t prefillChanges() const { return m_PrefillChanges; }
--- a/Source/Core/Gateway/StreamNotice.h
+++ b/Source/Core/Gateway/StreamNotice.h
@@ -30,7 +30,8 @@
   friend auto operator<=>(const MixedService &, const MixedService &) = default;
 };
 
-/// What a node tells its peers about the software versions of streams.
+/// What a node tells its peers about the software versions of streams, and what
+/// is recorded in the store for nodes that start.
 struct StreamNotice {
   std::vector<StreamOrigin> m_Origins;
   std::vector<MixedService> m_MixedServices;
--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -18,6 +18,11 @@
 /// Streams that a fleet of the largest planned size begins in their lifetime,
 /// about 100 bytes each.
 constexpr size_t MaxStreams = 65536;
+/// Streams of peers that began longer ago are not recorded: a peer does not
+/// tell when they end, and few streams take longer.
+constexpr model::Duration RecordedAge = std::chrono::seconds(30);
+/// 16 bytes each; an object of the store has to hold them.
+constexpr size_t MaxRecorded = 16384;
 
 StreamKey keyOf(const std::string &FirstAttempt) {
   return model::stableHash(FirstAttempt);
@@ -115,7 +120,8 @@
   if (Known != m_Streams.end())
     return Known->second.m_Version;
   const auto Found = m_Services.find(Service);
-  const bool HasOneVersion = !IsIsolated && Found != m_Services.end() &&
+  const bool MayKnowAll = !IsIsolated && !awaitsRecord(Now);
+  const bool HasOneVersion = MayKnowAll && Found != m_Services.end() &&
                              Found->second.m_MixedUntil <= Now &&
                              Found->second.m_ServedAt.size() == 1;
   if (HasOneVersion)
@@ -123,6 +129,56 @@
   return std::nullopt;
 }
 
+void StreamOrigins::awaitRecord(model::TimePoint Now) {
+  m_AwaitsRecordUntil = Now + StreamLifetime;
+}
+
+void StreamOrigins::restore(const StreamNotice &Record, model::TimePoint Now) {
+  m_AwaitsRecordUntil = model::TimePoint();
+  // Unlike what a peer tells, this is passed on: the nodes that saw the
+  // versions serve may all be gone.
+  for (const MixedService &Each : Record.m_MixedServices) {
+    model::TimePoint &Until = m_Services[Each.m_Service].m_SeenMixedUntil;
+    Until = std::max(Until, Now + std::min(Each.m_Remaining, StreamLifetime));
+  }
+  onNotice(Record, Now);
+}
+
+bool StreamOrigins::isAnyMixed(model::TimePoint Now) const {
+  return std::any_of(
+      m_Services.begin(), m_Services.end(),
+      [&](const auto &Each) { return Now < Each.second.m_MixedUntil; });
+}
+
+bool StreamOrigins::isMixed(const std::string &Name,
+                            model::TimePoint Now) const {
+  const auto Found = m_Services.find(Name);
+  return Found != m_Services.end() && Now < Found->second.m_MixedUntil;
+}
+
+StreamNotice StreamOrigins::record(model::TimePoint Now) const {
+  StreamNotice Record;
+  for (const auto &Each : m_Services)
+    if (Now < Each.second.m_MixedUntil)
+      Record.m_MixedServices.push_back(
+          {Each.first, Each.second.m_MixedUntil - Now});
+  if (Record.m_MixedServices.empty())
+    return Record;
+  for (auto Each = m_Ages.rbegin(); Each != m_Ages.rend(); ++Each) {
+    if (Record.m_Origins.size() >= MaxRecorded ||
+        Each->first + RecordedAge <= Now)
+      break;
+    const Stream &Known = m_Streams.at(Each->second);
+    // Peers tell of streams of mixed services only.
+    const bool IsAtStake =
+        Known.m_IsOwn ? !Known.m_IsCompleted && isMixed(Known.m_Service, Now)
+                      : true;
+    if (IsAtStake)
+      Record.m_Origins.push_back({Each->second, Known.m_Version});
+  }
+  return Record;
+}
+
 StreamNotice StreamOrigins::notice(model::TimePoint Now) const {
   StreamNotice Notice;
   // What was heard is not passed on: it would last longer with each turn.
--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -19,7 +19,8 @@
 /// While all engines of a service have one version, nothing is told: a stream
 /// began at that version. From when a second one appears until no stream of the
 /// first can be left, nodes tell each other the origins of their streams, and a
-/// stream that nobody has told of is of unknown origin.
+/// stream that nobody has told of is of unknown origin. What would be lost with
+/// all nodes is recorded in the store meanwhile, by StreamRecordKeeper.
 class StreamOrigins {
 public:
   /// An engine of \p Service with this software version is registered.
@@ -37,6 +38,22 @@
   void announceAgain(model::TimePoint Now);
   void forgetOld(model::TimePoint Now);
 
+  /// This node has just started, and does not know what nodes before it have
+  /// recorded: until restore() a stream of which nothing was told is of unknown
+  /// origin, unless it can't have begun before the start.
+  void awaitRecord(model::TimePoint Now);
+  bool awaitsRecord(model::TimePoint Now) const {
+    return Now < m_AwaitsRecordUntil;
+  }
+  /// Takes what nodes had recorded when this one started.
+  void restore(const StreamNotice &Record, model::TimePoint Now);
+  /// Streams of some service may have begun at several versions.
+  bool isAnyMixed(model::TimePoint Now) const;
+  /// What a node that starts after the loss of all others has to know: mixed
+  /// services, and where their streams began, the newest first. Empty while no
+  /// service is mixed.
+  StreamNotice record(model::TimePoint Now) const;
+
   /// The version at which the stream began; nullopt if that is not known. Where
   /// all engines have one version, a stream of which nothing was told began
   /// there, unless this node is \p IsIsolated and may not know of others.
@@ -68,6 +85,7 @@
 
   void markMixed(const std::string &Name, model::TimePoint Until,
                  model::TimePoint Now);
+  bool isMixed(const std::string &Name, model::TimePoint Now) const;
   void remember(StreamKey Key, Stream Began, model::TimePoint Now);
   void announceUnfinished(const std::string &Service, model::TimePoint Now);
 
@@ -77,6 +95,7 @@
   std::deque<std::pair<model::TimePoint, StreamKey>> m_Ages;
   /// Oldest first.
   std::deque<Announcement> m_Announcements;
+  model::TimePoint m_AwaitsRecordUntil;
 };
 
 } // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -14,8 +14,8 @@
 constexpr model::Duration TimeToFirstChunk = 40ms;
 constexpr model::Duration NoticePeriod = 200ms;
 constexpr uint32_t TokensPerPart = 200;
-/// Until a caller has connected to another node.
-constexpr model::Duration ReconnectTime = 30ms;
+/// Until a call to the store is answered.
+constexpr model::Duration StoreDelay = 10ms;
 /// Of the port at which the first node takes requests that others forward.
 constexpr uint16_t FirstPort = 1000;
 constexpr const char *ResumablePath = "/resume/";
@@ -51,6 +51,42 @@
   publishEngines();
 }
 
+void RelayFleet::restartAllNodes(
+    model::Duration Outage, const std::optional<model::EndpointId> &Ending) {
+  if (Ending)
+    m_Engines.erase(*Ending);
+  for (size_t I = 0; I < m_Nodes.size(); ++I) {
+    for (const auto &Each : m_Nodes[I]->m_Sends)
+      takeUp(Each.second.m_Asked, std::nullopt,
+             Outage + model::Duration(m_Random() % (Outage * 2).count()));
+    startNode(I);
+    m_Nodes[I]->m_Relay.m_Core.streamOrigins().awaitRecord(m_Now);
+    schedule(StoreDelay, [this, I, Node = m_Nodes[I].get()] {
+      if (m_Nodes[I].get() != Node)
+        return;
+      gateway::StreamOrigins &Origins = Node->m_Relay.m_Core.streamOrigins();
+      Origins.restore({}, m_Now);
+      for (const auto &Each : m_StreamRecords)
+        Origins.restore(Each.second, m_Now);
+    });
+  }
+  publishEngines();
+}
+
+void RelayFleet::recordStreams() {
+  for (size_t I = 0;
+       I < std::min<size_t>(gateway::StreamRecordSlots, m_Nodes.size()); ++I) {
+    const model::Duration Phase =
+        gateway::StreamRecordPeriod * I / gateway::StreamRecordSlots;
+    const gateway::StreamOrigins &Origins =
+        m_Nodes[I]->m_Relay.m_Core.streamOrigins();
+    const bool IsDue =
+        (m_Now - Phase).time_since_epoch() % gateway::StreamRecordPeriod < Step;
+    if (IsDue && !Origins.awaitsRecord(m_Now) && Origins.isAnyMixed(m_Now))
+      m_StreamRecords[I] = Origins.record(m_Now);
+  }
+}
+
 void RelayFleet::schedule(model::Duration Delay, std::function<void()> Run) {
   m_Events.emplace(m_Now + Delay, Event{0, std::move(Run)});
 }
@@ -264,11 +300,12 @@
            }));
 }
 
-void RelayFleet::takeUp(size_t Number, std::optional<size_t> LostNode) {
+void RelayFleet::takeUp(size_t Number, std::optional<size_t> LostNode,
+                        model::Duration After) {
   const size_t First = m_Asked[Number].m_Resumes.value_or(Number);
   if (m_Asked[First].m_Versions.empty())
     return;
-  schedule(ReconnectTime, [this, First, LostNode] {
+  schedule(After, [this, First, LostNode] {
     size_t Index = randomNode();
     while (Index == LostNode && nodeCount() > 1)
       Index = randomNode();
@@ -379,6 +416,7 @@
     }
     if (m_Now.time_since_epoch() % NoticePeriod == 0us)
       exchangeNotices();
+    recordStreams();
     for (size_t I = 0; I < m_Nodes.size(); ++I) {
       m_Nodes[I]->m_Relay.m_Core.tick(m_Now, m_Nodes[I]->m_Relay.m_Out);
       carryOut(I);
--- a/Source/UnitTests/Gateway/RelayFleet.h
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -1,6 +1,7 @@
 #ifndef BRONZEPASS_UNITTESTS_GATEWAY_RELAYFLEET_H
 #define BRONZEPASS_UNITTESTS_GATEWAY_RELAYFLEET_H
 
+#include "Core/Gateway/StreamRecordKeeper.h"
 #include "UnitTests/Gateway/RelayFixture.h"
 
 #include <functional>
@@ -114,6 +115,11 @@
                                          const model::EndpointId &Engine) const;
   /// The node forgets all that it knew; its answers break off.
   void restartNode(size_t Node);
+  /// All nodes forget what they knew, their answers break off, and what they
+  /// recorded in the store is all that is left. Callers come back after
+  /// \p Outage, in which \p Ending ends, if it is given.
+  void restartAllNodes(model::Duration Outage,
+                       const std::optional<model::EndpointId> &Ending);
   size_t nodeCount() const { return m_Nodes.size(); }
   size_t randomNode() { return m_Random() % m_Nodes.size(); }
   std::vector<model::EndpointId> engines() const;
@@ -187,12 +193,20 @@
   void end(const model::EndpointId &Engine);
   /// The caller of a stream that broke off takes it up at any node but
   /// \p LostNode.
-  void takeUp(size_t Number, std::optional<size_t> LostNode = std::nullopt);
+  void takeUp(size_t Number, std::optional<size_t> LostNode = std::nullopt,
+              model::Duration After = ReconnectTime);
+  void recordStreams();
   void onEvent(size_t Index, model::AttemptId Attempt);
   bool crashesEngines(const Asked &Request) const;
 
+  /// Until a caller has connected to another node.
+  static constexpr model::Duration ReconnectTime =
+      std::chrono::milliseconds(30);
+
   const Settings m_Settings;
   std::mt19937_64 m_Random;
+  /// By slot.
+  std::map<size_t, gateway::StreamNotice> m_StreamRecords;
   model::TimePoint m_Now = model::TimePoint(std::chrono::seconds(100));
   std::multimap<model::TimePoint, Event> m_Events;
   std::vector<std::unique_ptr<Node>> m_Nodes;
--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -99,6 +99,76 @@
   CHECK(Teller.m_Origins.notice(Teller.m_Now).m_Origins.size() == 1);
 }
 
+// Guards against a stream of a version that is gone that goes on at another,
+// after a loss of all nodes.
+TEST_CASE("a node that has just started knows the origin of no stream before "
+          "it has read what was recorded") {
+  Node Node;
+  Node.m_Origins.awaitRecord(Node.m_Now);
+  Node.serve("v2");
+  CHECK_FALSE(Node.versionOf("a"));
+  Node.m_Origins.restore({}, Node.m_Now);
+  CHECK(Node.versionOf("a") == "v2");
+}
+
+TEST_CASE("a node that can't read what was recorded knows that no stream from "
+          "before its start is left after their lifetime") {
+  Node Node;
+  Node.m_Origins.awaitRecord(Node.m_Now);
+  Node.serve("v2");
+  Node.m_Now += 59s;
+  Node.serve("v2");
+  CHECK_FALSE(Node.versionOf("a"));
+  Node.m_Now += 2s;
+  CHECK(Node.versionOf("a") == "v2");
+}
+
+TEST_CASE("what is recorded of streams outlives the nodes") {
+  Node Lost;
+  Lost.serve("v1");
+  CHECK(Lost.m_Origins.record(Lost.m_Now).isEmpty());
+  Lost.begin("a", "v1");
+  Lost.begin("done", "v1");
+  Lost.m_Origins.onStreamCompleted("done");
+  Lost.serve("v2");
+  Lost.begin("b", "v2");
+  Node Peer;
+  Peer.serve("v2");
+  Peer.hear(Lost);
+  const StreamNotice Record = Peer.m_Origins.record(Peer.m_Now);
+  CHECK(Record.m_Origins.size() == 2);
+
+  Node Started;
+  Started.m_Now += 5s;
+  Started.m_Origins.awaitRecord(Started.m_Now);
+  Started.serve("v2");
+  Started.m_Origins.restore(Record, Started.m_Now);
+  CHECK(Started.versionOf("a") == "v1");
+  CHECK(Started.versionOf("b") == "v2");
+  CHECK_FALSE(Started.versionOf("c"));
+  // Nodes that can't read the record are told that versions are mixed.
+  CHECK_FALSE(Started.m_Origins.notice(Started.m_Now).m_MixedServices.empty());
+  // No longer than the node that wrote it would have taken them to be.
+  Started.m_Now += 61s;
+  Started.serve("v2");
+  CHECK(Started.versionOf("c") == "v2");
+  CHECK(Started.m_Origins.record(Started.m_Now).isEmpty());
+}
+
+TEST_CASE("the record of streams is bounded, the newest are in it") {
+  Node Node;
+  Node.serve("v1");
+  Node.serve("v2");
+  for (int I = 0; I < 20000; ++I)
+    Node.begin(std::to_string(I), "v1");
+  const StreamNotice Record = Node.m_Origins.record(Node.m_Now);
+  CHECK(Record.m_Origins.size() == 16384);
+  struct Node Started;
+  Started.m_Origins.restore(Record, Started.m_Now);
+  CHECK(Started.versionOf("19999") == "v1");
+  CHECK_FALSE(Started.versionOf("0"));
+}
+
 TEST_CASE("the origins that are kept are bounded, the oldest go first") {
   Node Node;
   Node.serve("v1");
