Residency: Keep the place of an adapter until its unload is done

What callers saw: rare adapters were asked for while streams ran on those in place.

Cause: an engine answers an adapter's unload with 202 while requests use it, and with 200 once it is gone. Both were counted as done, and the next load was ordered into a place that was not free.

That the scheduler unloads adapters in use is true but no fault: the engine waits for the requests.

Change: after 202 the adapter is used no more and keeps its place and memory until a report that is no older than the order lists it no longer. Other orders to the engine go on. The engine is asked for a report once a second, and no second engine is told to make room for the same adapter.

Why it works: places and memory are counted by what the engine itself reports. For models this was so already.

--- a/Source/Core/Residency/EngineRecord.cpp
+++ b/Source/Core/Residency/EngineRecord.cpp
@@ -36,6 +36,7 @@
   m_Models = Entry.m_Models;
   m_LocalWeights = Entry.m_LocalWeights;
   m_PendingAdapters.clear();
+  m_LeavingAdapters.clear();
 }
 
 void EngineRecord::startTerm() {
@@ -51,6 +52,11 @@
   return holdsUse(m_Models, Use);
 }
 
+bool EngineRecord::isDropping(const ModelRef &Adapter) const {
+  return std::find(m_LeavingAdapters.begin(), m_LeavingAdapters.end(),
+                   Adapter) != m_LeavingAdapters.end();
+}
+
 bool EngineRecord::hasLocalWeights(const std::string &Model) const {
   return std::find(m_LocalWeights.begin(), m_LocalWeights.end(), Model) !=
          m_LocalWeights.end();
@@ -72,6 +78,8 @@
     for (const std::string &Adapter : Each.m_Adapters)
       Subtract({Each.m_Name, Adapter});
   }
+  for (const ModelRef &Each : m_LeavingAdapters)
+    Subtract(Each);
   for (const ModelRef &Each : m_PendingAdapters)
     if (!holds(Each))
       Subtract(Each);
@@ -84,6 +92,7 @@
   int32_t Free = static_cast<int32_t>(Spec.m_AdapterSlots);
   for (const LoadedModel &Each : m_Models)
     Free -= static_cast<int32_t>(Each.m_Adapters.size());
+  Free -= static_cast<int32_t>(m_LeavingAdapters.size());
   for (const ModelRef &Each : m_PendingAdapters)
     if (!holds(Each))
       --Free;
@@ -98,7 +107,8 @@
   const auto Add = [&](const gateway::PlacementOrder &Order) {
     const bool IsNew =
         std::find(Uses.begin(), Uses.end(), Order.m_ModelRef) == Uses.end();
-    if (Order.m_Verb == OrderVerb::Load && !holds(Order.m_ModelRef) && IsNew)
+    if (Order.m_Verb == OrderVerb::Load && !holds(Order.m_ModelRef) &&
+        !isDropping(Order.m_ModelRef) && IsNew)
       Uses.push_back(Order.m_ModelRef);
   };
   if (m_OpenOrder)
@@ -162,6 +172,7 @@
       m_Models.push_back({Use.m_Model, {}});
     return;
   }
+  std::erase(m_LeavingAdapters, Use);
   for (LoadedModel &Each : m_Models) {
     if (Each.m_Name != Use.m_Model)
       continue;
@@ -183,6 +194,9 @@
       return false;
     }
     applyOrder(m_OpenOrder->m_Order);
+    // An adapter that no request used would have been dropped at once.
+    if (m_OpenOrder->m_Order.m_Verb == OrderVerb::Unload)
+      m_LeavingAdapters.push_back(m_OpenOrder->m_Order.m_ModelRef);
     m_OpenOrder.reset();
     return true;
   case OrderReply::AlreadySatisfied:
@@ -213,6 +227,16 @@
   return false;
 }
 
+void EngineRecord::setReportedModels(const std::vector<LoadedModel> &Models) {
+  std::erase_if(m_LeavingAdapters,
+                [&](const ModelRef &Each) { return !holdsUse(Models, Each); });
+  m_Models = Models;
+  for (LoadedModel &Each : m_Models)
+    std::erase_if(Each.m_Adapters, [&](const std::string &Adapter) {
+      return isDropping({Each.m_Name, Adapter});
+    });
+}
+
 bool EngineRecord::onReport(const gateway::EngineState &State) {
   if (State.m_StartedAtMs == m_Entry.m_StartedAtMs &&
       State.m_OrderCount < m_OrderCount)
@@ -235,7 +259,7 @@
   m_StateKnown = true;
   m_Busy = State.m_Busy;
   m_OrderCount = State.m_OrderCount;
-  m_Models = State.m_Models;
+  setReportedModels(State.m_Models);
   m_PendingAdapters = State.m_Pending;
   m_LocalWeights = State.m_LocalWeights;
   return Ended;
--- a/Source/Core/Residency/EngineRecord.h
+++ b/Source/Core/Residency/EngineRecord.h
@@ -51,6 +51,13 @@
   /// The engine carries out an order that is not the open one, such as one of a
   /// previous lease holder.
   bool runsUnknownOrder() const { return m_Busy && !m_OpenOrder; }
+  /// It drops adapters once the requests that use them have ended. Until a
+  /// report shows that it has, their slots and memory are taken, while other
+  /// orders go on.
+  const std::vector<gateway::ModelRef> &leavingAdapters() const {
+    return m_LeavingAdapters;
+  }
+  bool isDropping(const gateway::ModelRef &Adapter) const;
   uint64_t orderCount() const { return m_OrderCount; }
   /// An order may be sent: the state is known and no order is open or running.
   bool canTakeOrder() const {
@@ -95,6 +102,8 @@
   /// of the open order and of unanswered orders.
   std::vector<gateway::ModelRef> promisedLoads() const;
   void applyOrder(const gateway::PlacementOrder &Order);
+  /// Takes the models of a report, apart from adapters that are leaving.
+  void setReportedModels(const std::vector<gateway::LoadedModel> &Models);
   bool
   showsOpenOrderDone(const std::vector<gateway::LoadedModel> &Models) const;
 
@@ -104,6 +113,8 @@
   uint64_t m_OrderCount = 0;
   std::vector<gateway::LoadedModel> m_Models;
   std::vector<gateway::ModelRef> m_PendingAdapters;
+  /// Their unloads were accepted and wait for requests to end; not in m_Models.
+  std::vector<gateway::ModelRef> m_LeavingAdapters;
   std::vector<std::string> m_LocalWeights;
   std::optional<OpenOrder> m_OpenOrder;
   std::vector<UnansweredOrder> m_Unanswered;
--- a/Source/Core/Residency/ResidencyCore.cpp
+++ b/Source/Core/Residency/ResidencyCore.cpp
@@ -76,6 +76,7 @@
       Each.second.m_Record.startTerm();
       Each.second.m_NextReportAt = Now;
       Each.second.m_ReportOpen = false;
+      Each.second.m_RoomFor.clear();
     }
     m_OrderEndpoints.clear();
     for (auto &Each : m_LoadLimiters)
@@ -216,13 +217,19 @@
     if (!Target.m_NextReportAt) {
       const std::optional<OpenOrder> &Open = Target.m_Record.openOrder();
       const bool AwaitsReport = Open && Open->m_Phase != OrderPhase::Sent;
-      if (!AwaitsReport && (Target.m_Record.isStateKnown() || Open))
+      const bool IsDropping =
+          !Open && !Target.m_Record.leavingAdapters().empty();
+      if (!AwaitsReport && !IsDropping &&
+          (Target.m_Record.isStateKnown() || Open))
         continue;
       // The engine's entry shows the end of a running order, too.
       const bool IsRunning = Open && Open->m_Phase == OrderPhase::Running;
-      Target.m_NextReportAt =
-          Now + (IsRunning ? m_Settings.m_RunningReportPeriod
-                           : m_Settings.m_ReportDelay);
+      model::Duration Delay = m_Settings.m_ReportDelay;
+      if (IsRunning)
+        Delay = m_Settings.m_RunningReportPeriod;
+      else if (IsDropping && Target.m_Record.isStateKnown())
+        Delay = m_Settings.m_DroppingReportPeriod;
+      Target.m_NextReportAt = Now + Delay;
     }
     if (Target.m_ReportOpen)
       ++UnderWay;
@@ -279,13 +286,36 @@
     });
     const std::optional<AdapterOrder> Next =
         m_Adapters.nextOrder(Use, *Spec, Able, Now);
-    if (Next)
-      sendOrder(m_Engines.at(Next->m_Endpoint), Next->m_Verb, Next->m_ModelRef,
-                "adapter " + Use.m_Model + "/" + Use.m_Adapter + " is wanted",
-                Now, Out);
+    if (!Next)
+      continue;
+    Engine &Target = m_Engines.at(Next->m_Endpoint);
+    if (Next->m_Verb == OrderVerb::Unload) {
+      if (isRoomBeingMade(Service, Use))
+        continue;
+      Target.m_RoomFor[Next->m_ModelRef] = Use;
+    }
+    sendOrder(Target, Next->m_Verb, Next->m_ModelRef,
+              "adapter " + Use.m_Model + "/" + Use.m_Adapter + " is wanted",
+              Now, Out);
   }
 }
 
+bool ResidencyCore::isRoomBeingMade(const std::string &Service,
+                                    const ModelRef &Adapter) const {
+  for (const auto &Each : m_Engines) {
+    const EngineRecord &Record = Each.second.m_Record;
+    if (Record.entry().m_Service != Service || Record.entry().m_Draining)
+      continue;
+    const std::optional<OpenOrder> &Open = Record.openOrder();
+    for (const auto &Room : Each.second.m_RoomFor)
+      if (Room.second == Adapter &&
+          (Record.isDropping(Room.first) ||
+           (Open && Open->m_Order.m_ModelRef == Room.first)))
+        return true;
+  }
+  return false;
+}
+
 void ResidencyCore::planService(const gateway::ServiceSpec &Service,
                                 model::TimePoint Now,
                                 ResidencyEffectList &Out) {
@@ -393,7 +423,9 @@
                                 model::TimePoint Now,
                                 ResidencyEffectList &Out) {
   const bool Holds = Target.m_Record.holds(Order.m_ModelRef);
-  logOrder("done", Order, Holds ? "held" : "not held", Out);
+  const bool IsDropping = Target.m_Record.isDropping(Order.m_ModelRef);
+  logOrder(IsDropping ? "dropping" : "done", Order, Holds ? "held" : "not held",
+           Out);
   const bool IsAdapter = !Order.m_ModelRef.m_Adapter.empty();
   if (Order.m_Verb == OrderVerb::Load && Holds) {
     announce({Order.m_Endpoint, Order.m_ModelRef, false},
@@ -422,6 +454,13 @@
                                   State->m_Busy ? "busy" : "not busy"});
   const std::optional<OpenOrder> Before = Target.m_Record.openOrder();
   const bool Ended = Target.m_Record.onReport(*State);
+  if (!Target.m_Record.openOrder())
+    std::erase_if(Target.m_RoomFor, [&](const auto &Room) {
+      return !Target.m_Record.isDropping(Room.first);
+    });
+  // The engine's entry lists them until they are dropped.
+  for (const ModelRef &Each : Target.m_Record.leavingAdapters())
+    announce({Endpoint, Each, true}, Now);
   if (Ended && Before)
     onOrderDone(Target, Before->m_Order, Now, Out);
   const std::optional<OpenOrder> &Open = Target.m_Record.openOrder();
--- a/Source/Core/Residency/ResidencyCore.h
+++ b/Source/Core/Residency/ResidencyCore.h
@@ -68,6 +68,8 @@
     model::TimePoint m_PausedUntil;
     /// By model.
     std::map<std::string, model::TimePoint> m_LoadedAt;
+    /// The adapter that room is made for, by the one that is unloaded.
+    std::map<gateway::ModelRef, gateway::ModelRef> m_RoomFor;
   };
   /// An engine whose report is due.
   struct DueReport {
@@ -90,6 +92,9 @@
   /// Whether enough engines are known to plan models.
   bool isSettled(model::TimePoint Now);
   void serveAdapterRequests(model::TimePoint Now, ResidencyEffectList &Out);
+  /// An engine drops another adapter to make room for this one.
+  bool isRoomBeingMade(const std::string &Service,
+                       const gateway::ModelRef &Adapter) const;
   void planService(const gateway::ServiceSpec &Service, model::TimePoint Now,
                    ResidencyEffectList &Out);
   void sendOrder(Engine &Target, gateway::OrderVerb Verb,
--- a/Source/Core/Residency/ResidencyTypes.h
+++ b/Source/Core/Residency/ResidencyTypes.h
@@ -35,6 +35,9 @@
   /// have a cost; the engine's entry also shows the end of the order and has
   /// none.
   model::Duration m_RunningReportPeriod = std::chrono::milliseconds(1800);
+  /// Between report requests to an engine that drops adapters once the requests
+  /// that use them have ended, which neither its answers nor its entry show.
+  model::Duration m_DroppingReportPeriod = std::chrono::milliseconds(1000);
   /// Report requests under way at a time. Each takes a connection, and the
   /// lease holder's own requests must not wait for one. With answers within one
   /// tick of 20 ms this gives some 400 reports a second.
--- a/Source/UnitTests/Residency/EngineRecordTest.cpp
+++ b/Source/UnitTests/Residency/EngineRecordTest.cpp
@@ -26,6 +26,15 @@
   return State;
 }
 
+gateway::PlacementOrder unload(const gateway::ModelRef &Use,
+                               uint64_t Expected) {
+  gateway::PlacementOrder Order;
+  Order.m_Verb = gateway::OrderVerb::Unload;
+  Order.m_ModelRef = Use;
+  Order.m_ExpectedOrderCount = Expected;
+  return Order;
+}
+
 gateway::PlacementOrder load(const gateway::ModelRef &Use, uint64_t Expected) {
   gateway::PlacementOrder Order;
   Order.m_ModelRef = Use;
@@ -95,6 +104,51 @@
   CHECK(Record.freeMb(spec()) == 5);
 }
 
+// Guards against a load into the place of an adapter that requests still use.
+TEST_CASE("an adapter whose unload waits for requests keeps its place until a "
+          "report shows that it is gone, and other orders go on") {
+  EngineRecord Record = record();
+  Record.onReport(state(3, {{"m", {"a1", "a2"}}}));
+  CHECK(Record.freeAdapterSlots(spec()) == 0);
+  CHECK(Record.freeMb(spec()) == 90);
+  Record.onOrderSent(1, unload({"m", "a1"}, 3), {});
+  CHECK(Record.onOrderReply(OrderReply::Accepted));
+  CHECK_FALSE(Record.holds({"m", "a1"}));
+  CHECK(Record.freeAdapterSlots(spec()) == 0);
+  CHECK(Record.freeMb(spec()) == 90);
+  CHECK(Record.canTakeOrder());
+  // The report may be older than the order.
+  CHECK_FALSE(Record.onReport(state(3, {{"m", {"a2"}}})));
+  CHECK(Record.freeAdapterSlots(spec()) == 0);
+  Record.onReport(state(4, {{"m", {"a1", "a2"}}}));
+  CHECK_FALSE(Record.holds({"m", "a1"}));
+  CHECK(Record.freeAdapterSlots(spec()) == 0);
+  Record.onReport(state(4, {{"m", {"a2"}}}));
+  CHECK(Record.freeAdapterSlots(spec()) == 1);
+  CHECK(Record.freeMb(spec()) == 95);
+  CHECK(Record.leavingAdapters().empty());
+}
+
+TEST_CASE("an adapter that is loaded again while its unload waits has one "
+          "place, and no place in a restarted engine") {
+  EngineRecord Record = record();
+  Record.onReport(state(3, {{"m", {"a1"}}}));
+  Record.onOrderSent(1, unload({"m", "a1"}, 3), {});
+  Record.onOrderReply(OrderReply::Accepted);
+  CHECK(Record.freeAdapterSlots(spec()) == 1);
+  Record.onOrderSent(2, load({"m", "a1"}, 4), {});
+  CHECK(Record.freeAdapterSlots(spec()) == 1);
+  Record.onOrderReply(OrderReply::Accepted);
+  CHECK(Record.holds({"m", "a1"}));
+  CHECK(Record.freeAdapterSlots(spec()) == 1);
+  Record.onOrderSent(3, unload({"m", "a1"}, 5), {});
+  Record.onOrderReply(OrderReply::Accepted);
+  gateway::EndpointEntry Restarted = Record.entry();
+  Restarted.m_StartedAtMs = 99;
+  Record.setEntry(Restarted);
+  CHECK(Record.freeAdapterSlots(spec()) == 2);
+}
+
 TEST_CASE("the state of a restarted engine is unknown until it reports") {
   EngineRecord Record = record();
   gateway::EndpointEntry Restarted = Record.entry();
--- a/Source/UnitTests/Residency/ResidencyCoreTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyCoreTest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -72,9 +73,7 @@
       m_MaxReportsAtOnce = std::max(m_MaxReportsAtOnce, Requested.size());
       for (const SendOrder &Each : std::exchange(m_Sent, {}))
         if (m_AnswersOrders)
-          m_Core.onOrderReply(Each.m_Number,
-                              gateway::OrderReply::AlreadySatisfied, m_Now,
-                              m_Out);
+          answer(Each);
       for (const model::EndpointId &Id : Requested) {
         m_ReportRequests.push_back(Id);
         if (m_AnswersReports)
@@ -82,8 +81,14 @@
       }
     }
   }
+  void answer(const SendOrder &Sent) {
+    if (m_OrderReply == gateway::OrderReply::Accepted)
+      ++m_OrderCounts[Sent.m_Order.m_Endpoint];
+    m_Core.onOrderReply(Sent.m_Number, m_OrderReply, m_Now, m_Out);
+  }
   void report(const model::EndpointId &Id) {
     gateway::EngineState State;
+    State.m_OrderCount = m_OrderCounts[Id];
     for (const gateway::EndpointEntry &Each : m_Entries)
       if (Each.m_Id == Id)
         State.m_Models = Each.m_Models;
@@ -95,6 +100,8 @@
   uint64_t m_Token = 0;
   bool m_AnswersReports = true;
   bool m_AnswersOrders = false;
+  gateway::OrderReply m_OrderReply = gateway::OrderReply::AlreadySatisfied;
+  std::map<model::EndpointId, uint64_t> m_OrderCounts;
   std::vector<SendOrder> m_Sent;
   std::vector<gateway::EndpointEntry> m_Entries;
   ResidencyEffectList m_Out;
@@ -258,4 +265,52 @@
   CHECK(std::any_of(Node.m_Orders.begin(), Node.m_Orders.end(), IsToPaused));
 }
 
+// Guards against a load into a place that requests still use, and against
+// making room again and again while one engine already makes it.
+TEST_CASE("a wanted adapter is loaded once a report shows that there is room, "
+          "and only one other is unloaded for it") {
+  LeaseHolder Node;
+  std::vector<gateway::EndpointEntry> Entries = {engine(0, {"m"}),
+                                                 engine(1, {"m"})};
+  for (gateway::EndpointEntry &Each : Entries)
+    Each.m_Models[0].m_Adapters = {"a1", "a2"};
+  Node.setEngines(Entries);
+  Node.takeLease();
+  Node.advance(600ms);
+  Node.m_AnswersOrders = true;
+  Node.m_OrderReply = gateway::OrderReply::Accepted;
+  const auto WantAdapter = [&](model::Duration Span) {
+    for (model::Duration Elapsed{0}; Elapsed < Span; Elapsed += 100ms) {
+      Node.m_Core.onCopyRequest({"s", {"m", "a9"}}, Node.m_Now, Node.m_Out);
+      Node.advance(100ms);
+    }
+    return std::count_if(Node.m_Orders.begin(), Node.m_Orders.end(),
+                         [](const gateway::PlacementOrder &Each) {
+                           return !Each.m_ModelRef.m_Adapter.empty();
+                         });
+  };
+  CHECK(WantAdapter(6s) == 1);
+  const auto Unload =
+      std::find_if(Node.m_Orders.begin(), Node.m_Orders.end(),
+                   [](const gateway::PlacementOrder &Each) {
+                     return Each.m_Verb == gateway::OrderVerb::Unload &&
+                            !Each.m_ModelRef.m_Adapter.empty();
+                   });
+  REQUIRE(Unload != Node.m_Orders.end());
+  const gateway::PlacementOrder Dropped = *Unload;
+  // The requests that used it have ended.
+  for (gateway::EndpointEntry &Each : Node.m_Entries)
+    if (Each.m_Id == Dropped.m_Endpoint)
+      std::erase(Each.m_Models[0].m_Adapters, Dropped.m_ModelRef.m_Adapter);
+  CHECK(WantAdapter(2s) == 2);
+  const auto Load =
+      std::find_if(Node.m_Orders.begin(), Node.m_Orders.end(),
+                   [](const gateway::PlacementOrder &Each) {
+                     return Each.m_Verb == gateway::OrderVerb::Load &&
+                            Each.m_ModelRef == gateway::ModelRef{"m", "a9"};
+                   });
+  REQUIRE(Load != Node.m_Orders.end());
+  CHECK(Load->m_Endpoint == Dropped.m_Endpoint);
+}
+
 } // namespace bronzepass::core::residency
--- a/Source/UnitTests/Residency/ResidencyPropertyTest.cpp
+++ b/Source/UnitTests/Residency/ResidencyPropertyTest.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 #include <map>
 #include <random>
+#include <set>
 
 namespace bronzepass::core::residency {
 
@@ -13,6 +14,7 @@
 using namespace std::chrono_literals;
 using gateway::EngineState;
 using gateway::LoadedModel;
+using gateway::ModelRef;
 using gateway::OrderReply;
 using gateway::OrderVerb;
 using gateway::PlacementOrder;
@@ -32,6 +34,17 @@
     int64_t m_Born = 1;
     std::optional<PlacementOrder> m_Running;
     model::TimePoint m_DoneAt;
+    /// When the last request that uses an adapter ends.
+    std::map<ModelRef, model::TimePoint> m_UsedUntil;
+    /// Adapters that are dropped once no request uses them.
+    std::set<ModelRef> m_Leaving;
+
+    void drop(const ModelRef &Adapter) {
+      for (LoadedModel &Each : m_Models)
+        if (Each.m_Name == Adapter.m_Model)
+          std::erase(Each.m_Adapters, Adapter.m_Adapter);
+      m_Leaving.erase(Adapter);
+    }
   };
   struct DelayedOrder {
     model::TimePoint m_At;
@@ -53,10 +66,18 @@
     if (IsAdapter && !Held)
       return OrderReply::Misdirected;
     ++Target.m_Count;
+    if (IsAdapter && Order.m_Verb == OrderVerb::Unload) {
+      if (Now >= Target.m_UsedUntil[Order.m_ModelRef]) {
+        Target.drop(Order.m_ModelRef);
+        return OrderReply::AlreadySatisfied;
+      }
+      Target.m_Leaving.insert(Order.m_ModelRef);
+      return OrderReply::Accepted;
+    }
     if (IsAdapter) {
       std::erase(Held->m_Adapters, Order.m_ModelRef.m_Adapter);
-      if (Order.m_Verb == OrderVerb::Load)
-        Held->m_Adapters.push_back(Order.m_ModelRef.m_Adapter);
+      Held->m_Adapters.push_back(Order.m_ModelRef.m_Adapter);
+      Target.m_Leaving.erase(Order.m_ModelRef);
       checkCapacity(Target, std::nullopt);
       return OrderReply::Accepted;
     }
@@ -86,6 +107,9 @@
   void advance(model::TimePoint Now) {
     for (auto &Each : m_Engines) {
       Engine &Target = Each.second;
+      for (const ModelRef &Leaving : std::set<ModelRef>(Target.m_Leaving))
+        if (Now >= Target.m_UsedUntil[Leaving])
+          Target.drop(Leaving);
       if (!Target.m_Running || Now < Target.m_DoneAt)
         continue;
       const std::string &Model = Target.m_Running->m_ModelRef.m_Model;
@@ -185,6 +209,8 @@
           {"s", {Model, "a" + std::to_string(m_Random() % 3)}}, m_Now, Out);
     if (m_Random() % 150 == 0)
       restartRandomEngine();
+    if (m_Random() % 4 == 0)
+      useRandomAdapter();
     holder().tick(m_Now, Out);
     applyEffects(Out);
   }
@@ -206,6 +232,21 @@
     Chosen->second.m_Born = Born;
   }
 
+  /// A request that lasts for some seconds uses an adapter that an engine
+  /// holds.
+  void useRandomAdapter() {
+    auto Chosen = m_Simulated.m_Engines.begin();
+    std::advance(Chosen, m_Random() % m_Simulated.m_Engines.size());
+    SimulatedEngines::Engine &Engine = Chosen->second;
+    for (const LoadedModel &Each : Engine.m_Models)
+      for (const std::string &Adapter : Each.m_Adapters) {
+        const ModelRef Used{Each.m_Name, Adapter};
+        if (!Engine.m_Leaving.contains(Used))
+          Engine.m_UsedUntil[Used] =
+              m_Now + std::chrono::milliseconds(m_Random() % 6000);
+      }
+  }
+
   std::vector<gateway::EndpointEntry> entries() {
     std::vector<gateway::EndpointEntry> Entries;
     for (const auto &Each : m_Simulated.m_Engines) {
