Gateway: Ask the store for versions where a node is out of step

What callers saw: while engines of a new software version joined, nodes were cut off from the others, or stood still, for some seconds. Streams that had begun on the new engines through other nodes broke, were taken up at such a node, and went on at an engine of the old version (ORDER).

Cause: a node took the one version that it knew for the only one if it heard any other node within a second. A companion that was cut off with it, or notices that had waited in its socket while it stood still, were enough.

A node that stood still sent an unknown stream to the version that it knew (ResumptionTest).

Change: a node that hears less than half of those that tell it, or has stood still, is out of step. It asks the store, with a call made after the request came, before it takes a stream up; 0.3 s later it decides with what it knows. A refusal instead was ruled out: streams of nodes that are lost, where all engines have one version, would not go on.

Why it works: the answer holds all changes up to a moment after the stream began, so that a version that served is known.

Tests: SoftwareVersionTests 15 of 255 checks and ResumptionTest 8 failed before, none now; streams of 1, 3 and 5 of 6 nodes that are lost go on at those left, before and after. The test "refused by a node that hears no other" is replaced: it still must not send, and refuses without an answer of the store.

--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -76,6 +76,10 @@
   m_Traffic->setEndpoints(Entries);
 }
 
+void GatewayControl::onEndpointsConfirmed(model::TimePoint AskedAt) {
+  m_Traffic->confirmEndpoints(AskedAt);
+}
+
 void GatewayControl::onNodesChanged(
     const std::vector<gateway::NodeEntry> &Nodes) {
   m_Placement.setNodes(Nodes);
@@ -136,6 +140,10 @@
   });
 }
 
+void GatewayControl::onConfirmEndpoints() {
+  m_Thread.loop().post([this] { m_Feeds.confirmEndpoints(); });
+}
+
 void GatewayControl::onStreamRecord(gateway::StreamNotice Record) {
   m_Thread.loop().post([this, Record = std::move(Record)]() mutable {
     m_StreamRecorder.setRecord(std::move(Record));
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -59,6 +59,7 @@
   void onStatementChange(const core::gateway::StatementChange &Change) override;
   void onPauseBegun(const core::gateway::PauseBegun &Pause) override;
   void onLivePeers(std::vector<model::NodeId> Nodes) override;
+  void onConfirmEndpoints() override;
   void onStreamRecord(core::gateway::StreamNotice Record) override;
 
 private:
@@ -66,6 +67,7 @@
       std::shared_ptr<const core::gateway::RouteTable> Table) override;
   void onEndpointsChanged(
       const std::vector<core::gateway::EndpointEntry> &Entries) override;
+  void onEndpointsConfirmed(model::TimePoint AskedAt) override;
   void
   onNodesChanged(const std::vector<core::gateway::NodeEntry> &Nodes) override;
   void onStoreEraChanged(std::optional<model::StoreEra> Old,
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -92,6 +92,7 @@
   m_Driver.setPauseHandler([this](const gateway::PauseBegun &Pause) {
     m_Events.onPauseBegun(Pause);
   });
+  m_Driver.setConfirmationHandler([this] { m_Events.onConfirmEndpoints(); });
   m_Thread.loop().setFaultHandler([this](const std::string &What) {
     m_Log.write("process", "exception",
                 {{"thread", "traffic"}, {"reason", What}});
@@ -314,6 +315,15 @@
   });
 }
 
+void GatewayTraffic::confirmEndpoints(model::TimePoint AskedAt) {
+  m_Thread.loop().post([this, AskedAt] {
+    m_Driver.decide([&](gateway::RelayCore &Core, model::TimePoint Now,
+                        gateway::RelayEffectList &Out) {
+      Core.onEndpointsConfirmed(AskedAt, Now, Out);
+    });
+  });
+}
+
 void GatewayTraffic::setPeers(std::vector<gateway::NodeEntry> Peers) {
   m_Thread.loop().post([this, Peers = std::move(Peers)] {
     std::map<model::NodeId, Peer> Known;
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -36,6 +36,9 @@
   virtual void onPauseBegun(const core::gateway::PauseBegun &Pause) = 0;
   /// Called periodically with the peers that sent a notice recently.
   virtual void onLivePeers(std::vector<model::NodeId> Nodes) = 0;
+  /// Whether endpoints have joined or changed that are not known has to be
+  /// asked of the store; GatewayTraffic::confirmEndpoints() takes the answer.
+  virtual void onConfirmEndpoints() = 0;
   /// What a node with a slot records of streams' origins from now on.
   virtual void onStreamRecord(core::gateway::StreamNotice Record) = 0;
 };
@@ -70,6 +73,9 @@
   // May be called from any thread.
   void setTable(std::shared_ptr<const core::gateway::RouteTable> Table);
   void setEndpoints(std::vector<core::gateway::EndpointEntry> Entries);
+  /// The store has confirmed the endpoints, by an answer to a call made at
+  /// \p AskedAt.
+  void confirmEndpoints(model::TimePoint AskedAt);
   void setPeers(std::vector<core::gateway::NodeEntry> Peers);
   void announceCopyChanges(std::vector<core::gateway::CopyChange> Changes);
   void setHoldsLease(bool Holds);
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -284,6 +284,11 @@
   m_Metrics.count(Effect);
 }
 
+void RelayDriver::on(const gateway::ConfirmEndpoints & /*Effect*/) {
+  if (m_OnConfirmEndpoints)
+    m_OnConfirmEndpoints();
+}
+
 void RelayDriver::endExchange(model::RequestId Request) {
   const auto Found = m_Exchanges.find(Request);
   const std::shared_ptr<pistache::HttpResponseWriter> Answer =
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -41,6 +41,9 @@
   /// Called when an endpoint wants nothing from this node for a while.
   using PauseHandler = std::function<void(const core::gateway::PauseBegun &)>;
 
+  /// Called when the store has to be asked for the endpoints.
+  using ConfirmationHandler = std::function<void()>;
+
   /// All references must outlive the driver.
   RelayDriver(net::EventLoop &Loop, const core::gateway::Dialect &Dialect,
               core::gateway::RelayCore &Core, const ports::Clock &Clock,
@@ -63,6 +66,9 @@
   void setPauseHandler(PauseHandler Handler) {
     m_OnPauseBegun = std::move(Handler);
   }
+  void setConfirmationHandler(ConfirmationHandler Handler) {
+    m_OnConfirmEndpoints = std::move(Handler);
+  }
   /// From now on, connections are closed after their current answer.
   void closeConnectionsAfterAnswers() { m_Closing = true; }
   /// Number of finished answers that have not been sent completely.
@@ -141,6 +147,7 @@
   void on(const core::gateway::StatementChange &Effect);
   void on(const core::gateway::PauseBegun &Effect);
   void on(const core::gateway::LinksChange &Effect);
+  void on(const core::gateway::ConfirmEndpoints &Effect);
 
   void onHead(model::AttemptId Attempt,
               const curl::TransferHead &Head) override;
@@ -170,6 +177,7 @@
   CopyRequestHandler m_OnCopyRequest;
   StatementHandler m_OnStatementChange;
   PauseHandler m_OnPauseBegun;
+  ConfirmationHandler m_OnConfirmEndpoints;
   std::unordered_map<model::RequestId, Exchange> m_Exchanges;
   SendMap m_Sends;
   /// Shortest time for which a service's endpoints keep idle connections.
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -18,6 +18,11 @@
 constexpr model::Duration RestoreSpread = std::chrono::milliseconds(300);
 /// Nodes rarely join or leave, and they also notify each other directly.
 constexpr model::Duration NodeListPeriod = std::chrono::seconds(5);
+/// A caller waits for the answer.
+constexpr model::Duration ConfirmationTimeout = std::chrono::milliseconds(250);
+/// Between two such calls of a node, so that many nodes together stay within
+/// the rate that the store takes.
+constexpr model::Duration ConfirmationPeriod = std::chrono::milliseconds(100);
 
 gateway::WatchTimes watchTimesOf(const StoreFeedTimes &Times, bool Relays) {
   return gateway::watchTimes(Times.m_LeaveNotice, Times.m_ContactTime, Relays);
@@ -68,6 +73,8 @@
   startDueCall(m_NodeFeed);
   if (m_Registry.dropLapsed(m_Health, m_Clock.now()))
     publishEndpoints();
+  if (m_ConfirmsAgain)
+    confirmEndpoints();
   registerSelf();
 }
 
@@ -195,6 +202,13 @@
                 {{"dependency", std::string("store/") + Source.m_Name},
                  {"reason", Answer.m_Reason}});
   }
+  passOn(Source, Changes, WasComplete);
+  startDueCall(Source);
+}
+
+void StoreFeeds::passOn(Feed &Source,
+                        const std::vector<gateway::FeedChange> &Changes,
+                        bool WasComplete) {
   for (const gateway::FeedChange &Change : Changes)
     handleChange(Source, Change);
   const bool HasUpdates =
@@ -204,7 +218,45 @@
     publishEndpoints();
   if (HasUpdates && Source.m_Kind == gateway::FeedKind::Nodes)
     publishNodes();
-  startDueCall(Source);
+}
+
+void StoreFeeds::confirmEndpoints() {
+  const model::TimePoint Now = m_Clock.now();
+  m_ConfirmsAgain =
+      m_IsConfirming || Now < m_ConfirmationAskedAt + ConfirmationPeriod;
+  if (m_ConfirmsAgain || !m_EndpointFeed.m_Feed.isCurrent())
+    return;
+  m_IsConfirming = true;
+  m_ConfirmationAskedAt = Now;
+  gateway::FeedCall Call;
+  Call.m_Verb = gateway::FeedCall::Verb::Watch;
+  Call.m_Revision = m_EndpointFeed.m_Feed.revision();
+  Call.m_Timeout = ConfirmationTimeout;
+  m_Store.call(m_Dialect.feedCall(m_EndpointFeed.m_Kind, Call), Call.m_Timeout,
+               false,
+               [this, Call, AskedAt = Now,
+                Era = m_Store.era()](const gateway::HttpResult &Result) {
+                 onConfirmation(AskedAt, Era, m_Dialect.readFeed(Call, Result));
+               });
+}
+
+void StoreFeeds::onConfirmation(model::TimePoint AskedAt,
+                                std::optional<model::StoreEra> Era,
+                                const gateway::FeedAnswer &Answer) {
+  m_IsConfirming = false;
+  Feed &Source = m_EndpointFeed;
+  const bool IsUsable = Answer.m_Status == gateway::FeedStatus::Ok &&
+                        Era == m_Store.era() && Source.m_Feed.isCurrent();
+  if (IsUsable) {
+    const std::vector<gateway::FeedChange> Changes =
+        Source.m_Feed.handleConfirmation(Answer);
+    publishToNodes(Source, Answer, Changes);
+    passOn(Source, Changes, true);
+    m_Events.onEndpointsConfirmed(AskedAt);
+  }
+  m_Log.write("endpoint", IsUsable ? "confirmed" : "unconfirmed",
+              {{"revision", static_cast<int64_t>(Answer.m_Revision)},
+               {"reason", Answer.m_Reason}});
 }
 
 void StoreFeeds::publishToNodes(
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -29,6 +29,9 @@
   /// Called with all current endpoints.
   virtual void onEndpointsChanged(
       const std::vector<core::gateway::EndpointEntry> &Entries) = 0;
+  /// The endpoints given last are all that the store had when it was asked at
+  /// \p AskedAt.
+  virtual void onEndpointsConfirmed(model::TimePoint AskedAt) = 0;
   /// Called with all current nodes, including this one.
   virtual void
   onNodesChanged(const std::vector<core::gateway::NodeEntry> &Nodes) = 0;
@@ -54,6 +57,9 @@
 
   /// Call about every 20 ms; starts the store calls that are due.
   void tick();
+  /// Asks the store at once, beside the watch that waits, for changes of the
+  /// endpoints; tells StoreEvents if it answers.
+  void confirmEndpoints();
   /// The store has been restored from a backup: reads all objects again and
   /// registers this node again, spread over a short time.
   void onStoreRestored();
@@ -87,6 +93,12 @@
   void applyAnswer(Feed &Source, const core::gateway::FeedAnswer &Answer);
   void publishToNodes(Feed &Source, const core::gateway::FeedAnswer &Answer,
                       const std::vector<core::gateway::FeedChange> &Changes);
+  void passOn(Feed &Source,
+              const std::vector<core::gateway::FeedChange> &Changes,
+              bool WasComplete);
+  void onConfirmation(model::TimePoint AskedAt,
+                      std::optional<model::StoreEra> Era,
+                      const core::gateway::FeedAnswer &Answer);
   void updateStanding(Feed &Source);
   void updateSources(const std::vector<core::gateway::NodeEntry> &Nodes);
   void logSource(Feed &Source, const model::NodeId &Node,
@@ -121,6 +133,11 @@
   /// A restore of the store may have lost this node's entry.
   bool m_RegisterAgain = false;
   bool m_Leaving = false;
+  bool m_IsConfirming = false;
+  /// When the store was last asked for a confirmation.
+  model::TimePoint m_ConfirmationAskedAt;
+  /// Another confirmation was asked for since.
+  bool m_ConfirmsAgain = false;
   model::TimePoint m_RegisterAt;
   Feed m_ConfigFeed;
   Feed m_EndpointFeed;
--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -74,6 +74,17 @@
   return Changes;
 }
 
+std::vector<FeedChange>
+ObjectFeed::handleConfirmation(const FeedAnswer &Answer) {
+  std::vector<FeedChange> Changes;
+  for (const FeedObject &Object : Answer.m_Objects)
+    apply(Object, Changes);
+  // A list that is under way finds out for itself what is missing from it.
+  if (m_Watching)
+    m_Revision = std::max(m_Revision, Answer.m_Revision);
+  return Changes;
+}
+
 void ObjectFeed::abandonCall() {
   m_CallInProgress = false;
   m_DiscardAnswer = false;
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -111,6 +111,10 @@
   std::vector<FeedChange> handleAnswer(const FeedAnswer &Answer,
                                        model::TimePoint Now);
 
+  /// Processes the answer to a watch from revision() that was made beside the
+  /// calls from nextCall().
+  std::vector<FeedChange> handleConfirmation(const FeedAnswer &Answer);
+
   /// The call from nextCall() brought no answer, and another way will be tried
   /// at once: does not count as a failure.
   void abandonCall();
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -252,6 +252,8 @@
 
 void RelayCore::tick(model::TimePoint Now, RelayEffectList &Out) {
   m_Now = Now;
+  m_Suspension.onTick(Now);
+  decideUnconfirmed(Now - ConfirmationTimeout, false, Out);
   while (!m_Deadlines.empty() && m_Deadlines.begin()->first <= Now)
     expire(m_ActiveRequests.at(m_Deadlines.begin()->second), Out);
   for (auto Peer = m_Peers.begin(); Peer != m_Peers.end();) {
@@ -319,6 +321,7 @@
   const model::RequestId Number = Active.m_Request.m_Number;
   m_Deadlines.erase({Active.m_Deadline, Number});
   m_Waiting.erase(Number);
+  m_Unconfirmed.erase(Number);
   releaseHold(Active);
   m_ActiveRequests.erase(Number);
 }
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -11,6 +11,7 @@
 #include "Core/Gateway/RetryLimiter.h"
 #include "Core/Gateway/RouteTable.h"
 #include "Core/Gateway/StreamOrigins.h"
+#include "Core/Gateway/SuspensionDetector.h"
 #include "Core/Model/Address.h"
 #include "Core/Model/Id.h"
 #include "Core/Ports/Ports.h"
@@ -48,6 +49,10 @@
   /// Replaces the list of registered endpoints.
   void setEndpoints(const std::vector<EndpointEntry> &Entries,
                     model::TimePoint Now, RelayEffectList &Out);
+  /// By an answer of the store to a call made at \p AskedAt, no endpoint is
+  /// missing from the list that was set last.
+  void onEndpointsConfirmed(model::TimePoint AskedAt, model::TimePoint Now,
+                            RelayEffectList &Out);
   void onPeerNotice(const PeerNotice &Notice, model::TimePoint Now,
                     RelayEffectList &Out);
   void setNodeCount(uint32_t Count, model::TimePoint Now);
@@ -145,6 +150,9 @@
     /// The only software version at which the stream may go on.
     std::optional<std::string> m_RequiredVersion;
     bool m_CallerDisconnected = false;
+    /// When it was received, if it waits for the store to confirm the
+    /// endpoints.
+    std::optional<model::TimePoint> m_UnconfirmedSince;
     /// Set while it waits for a copy to be loaded.
     std::optional<model::TimePoint> m_WaitsUntil;
     /// It waits until an engine's prefill queue is short enough.
@@ -164,6 +172,9 @@
   static constexpr double InitialPrefillMsPerToken = 0.03;
   /// Time that a request occupies a slot, until answers have been measured.
   static constexpr double DefaultAnswerMs = 500;
+  /// The store answers within milliseconds if it can be reached.
+  static constexpr model::Duration ConfirmationTimeout =
+      std::chrono::milliseconds(300);
   /// Reason of requests that wait, or are refused, for a limit or a pause.
   static constexpr const char *EndpointsTakeNoMore =
       "every endpoint that could run it takes no more for now";
@@ -263,8 +274,18 @@
 
   // RelayResumption.cpp: streams that began at a software version.
   /// Finds the version at which a stream that its caller takes up began.
-  /// Returns false if the request was rejected.
+  /// Returns false if the request was rejected, or has to wait.
   bool requireFirstVersion(ActiveRequest &Active, RelayEffectList &Out);
+  /// The same with what this node knows. \p MayKnowAll: a version that it does
+  /// not know of can't have begun the stream.
+  bool findFirstVersion(ActiveRequest &Active, bool MayKnowAll,
+                        RelayEffectList &Out);
+  /// Hears too few of the other nodes to know of a version that they know.
+  bool isOutOfStep() const;
+  /// Decides the requests that wait for a confirmation and were received no
+  /// later than \p Until.
+  void decideUnconfirmed(model::TimePoint Until, bool IsConfirmed,
+                         RelayEffectList &Out);
   static bool fitsRequiredVersion(const ActiveRequest &Active,
                                   const EndpointView &Endpoint);
   /// The caller's attempt that a later one names when it takes the stream up.
@@ -348,6 +369,8 @@
   std::set<std::pair<model::TimePoint, model::RequestId>> m_Deadlines;
   /// Requests that wait for a copy, oldest first.
   std::set<model::RequestId> m_Waiting;
+  /// Those that wait for the store to confirm the endpoints.
+  std::set<model::RequestId> m_Unconfirmed;
   /// Requests that are held, most urgent first, then oldest first.
   using HoldKey = std::pair<uint32_t, model::RequestId>;
   std::set<HoldKey> m_Held;
@@ -366,6 +389,7 @@
   std::map<std::string, model::TimePoint> m_LinksTriedAt;
   model::TimePoint m_SilenceNotedAt;
   StreamOrigins m_Origins;
+  SuspensionDetector m_Suspension;
   model::TimePoint m_VersionsNotedAt;
   std::map<ModelRef, UsageCounter> m_UsageCounters;
   std::map<ModelRef, uint64_t> m_ReportedRequestCounts;
--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -10,6 +10,8 @@
 /// By then, the notice that tells of the stream may have arrived.
 constexpr model::Duration UnknownOriginRetryAfter =
     std::chrono::milliseconds(150);
+/// Two notices may be lost in this time.
+constexpr model::Duration FreshNotice = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -24,6 +26,20 @@
          Endpoint.m_Entry.m_SoftwareVersion == *Active.m_RequiredVersion;
 }
 
+bool RelayCore::isOutOfStep() const {
+  if (m_NodeCount <= 1)
+    return false;
+  if (m_Suspension.mayLag(m_Now))
+    return true;
+  const auto Heard =
+      std::count_if(m_Peers.begin(), m_Peers.end(), [&](const auto &Each) {
+        return m_Now - Each.second.m_At < FreshNotice;
+      });
+  // In larger fleets, this many nodes tell this one of their loads.
+  const size_t Tellers = std::min<size_t>(m_NodeCount - 1, MaxNoticeTargets);
+  return 2 * static_cast<size_t>(Heard) < Tellers;
+}
+
 bool RelayCore::requireFirstVersion(ActiveRequest &Active,
                                     RelayEffectList &Out) {
   if (!Active.m_Request.m_IsResumption || !Active.m_Route->m_Stream ||
@@ -33,14 +49,20 @@
     Active.m_RequiredVersion = Active.m_Request.m_Forwarded->m_RequiredVersion;
     return true;
   }
-  // A node that hears no other may not have learned of a new version, either.
-  const bool HearsPeers =
-      std::any_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Each) {
-        return m_Now - Each.second.m_At < m_Settings.m_MaxPeerLoadAge;
-      });
-  const bool IsIsolated = m_NodeCount > 1 && !HearsPeers;
+  if (!isOutOfStep())
+    return findFirstVersion(Active, true, Out);
+  Active.m_UnconfirmedSince = m_Now;
+  m_Unconfirmed.insert(Active.m_Request.m_Number);
+  log(Active, "wait", 0,
+      "this node may not know all software versions: the store is asked", Out);
+  Out.push_back(ConfirmEndpoints{});
+  return false;
+}
+
+bool RelayCore::findFirstVersion(ActiveRequest &Active, bool MayKnowAll,
+                                 RelayEffectList &Out) {
   Active.m_RequiredVersion = m_Origins.versionOf(
-      Active.m_Service, Active.m_Request.m_FirstAttempt, IsIsolated, m_Now);
+      Active.m_Service, Active.m_Request.m_FirstAttempt, !MayKnowAll, m_Now);
   if (!Active.m_RequiredVersion) {
     reject(Active, ServiceUnavailable, jittered(UnknownOriginRetryAfter),
            "the software version that began the stream is not known", Out);
@@ -59,6 +81,28 @@
   return IsLeft;
 }
 
+void RelayCore::onEndpointsConfirmed(model::TimePoint AskedAt,
+                                     model::TimePoint Now,
+                                     RelayEffectList &Out) {
+  m_Now = Now;
+  decideUnconfirmed(AskedAt, true, Out);
+}
+
+void RelayCore::decideUnconfirmed(model::TimePoint Until, bool IsConfirmed,
+                                  RelayEffectList &Out) {
+  // A copy, because a decided request is removed from the set.
+  const std::vector<model::RequestId> Waiting(m_Unconfirmed.begin(),
+                                              m_Unconfirmed.end());
+  for (const model::RequestId &Number : Waiting) {
+    ActiveRequest &Active = m_ActiveRequests.at(Number);
+    if (*Active.m_UnconfirmedSince > Until)
+      continue;
+    m_Unconfirmed.erase(Number);
+    if (findFirstVersion(Active, IsConfirmed || !isOutOfStep(), Out))
+      dispatch(Active, Out);
+  }
+}
+
 void RelayCore::onAnswerForwarded(model::RequestId Request,
                                   model::TimePoint Now) {
   m_Now = Now;
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -314,10 +314,17 @@
   friend auto operator<=>(const LinksChange &, const LinksChange &) = default;
 };
 
+/// Effect: ask the store whether endpoints have joined or changed that this
+/// node does not know of; RelayCore::onEndpointsConfirmed() takes the answer.
+struct ConfirmEndpoints {
+  friend auto operator<=>(const ConfirmEndpoints &,
+                          const ConfirmEndpoints &) = default;
+};
+
 using RelayEffect =
     std::variant<SendRequest, CancelSend, ForwardAnswer, RejectRequest,
                  AbortAnswer, CopyRequest, RelayLogEntry, QuarantineChange,
-                 StatementChange, PauseBegun, LinksChange>;
+                 StatementChange, PauseBegun, LinksChange, ConfirmEndpoints>;
 using RelayEffectList = std::vector<RelayEffect>;
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -114,13 +114,13 @@
 
 std::optional<std::string>
 StreamOrigins::versionOf(const std::string &Service,
-                         const std::string &FirstAttempt, bool IsIsolated,
+                         const std::string &FirstAttempt, bool MayMissVersions,
                          model::TimePoint Now) const {
   const auto Known = m_Streams.find(keyOf(FirstAttempt));
   if (Known != m_Streams.end())
     return Known->second.m_Version;
   const auto Found = m_Services.find(Service);
-  const bool MayKnowAll = !IsIsolated && !awaitsRecord(Now);
+  const bool MayKnowAll = !MayMissVersions && !awaitsRecord(Now);
   const bool HasOneVersion = MayKnowAll && Found != m_Services.end() &&
                              Found->second.m_MixedUntil <= Now &&
                              Found->second.m_ServedAt.size() == 1;
--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -56,10 +56,10 @@
 
   /// The version at which the stream began; nullopt if that is not known. Where
   /// all engines have one version, a stream of which nothing was told began
-  /// there, unless this node is \p IsIsolated and may not know of others.
+  /// there, unless this node \p MayMissVersions.
   std::optional<std::string> versionOf(const std::string &Service,
                                        const std::string &FirstAttempt,
-                                       bool IsIsolated,
+                                       bool MayMissVersions,
                                        model::TimePoint Now) const;
   StreamNotice notice(model::TimePoint Now) const;
 
--- a/Source/UnitTests/Adapters/Gateway/StoreFeedsTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/StoreFeedsTest.cpp
@@ -185,6 +185,20 @@
     const std::scoped_lock Lock(m_Mutex);
     return m_WentBack;
   }
+  /// Asks the store for the endpoints, and returns how many are known once it
+  /// has answered a call made since; nullopt if it does not answer.
+  std::optional<size_t> confirmedEndpoints() {
+    const core::model::TimePoint AskedAt = m_Clock.now();
+    m_Thread.loop().post([this] { m_Feeds.confirmEndpoints(); });
+    for (int I = 0; I < 100; ++I) {
+      std::this_thread::sleep_for(10ms);
+      const std::scoped_lock Lock(m_Mutex);
+      const auto Found = m_Confirmed.lower_bound(AskedAt);
+      if (Found != m_Confirmed.end())
+        return Found->second;
+    }
+    return std::nullopt;
+  }
   int restores() const {
     const std::scoped_lock Lock(m_Mutex);
     return m_Restores;
@@ -210,6 +224,10 @@
   }
   void
   onNodesChanged(const std::vector<relay::NodeEntry> & /*Nodes*/) override {}
+  void onEndpointsConfirmed(core::model::TimePoint AskedAt) override {
+    const std::scoped_lock Lock(m_Mutex);
+    m_Confirmed[AskedAt] = m_Draining.size();
+  }
   void onStoreEraChanged(std::optional<core::model::StoreEra> Old,
                          core::model::StoreEra /*New*/) override {
     if (!Old)
@@ -228,6 +246,8 @@
   uint64_t m_Version = 0;
   bool m_WentBack = false;
   int m_Restores = 0;
+  /// The number of endpoints that were known at each confirmation.
+  std::map<core::model::TimePoint, size_t> m_Confirmed;
   core::adapters::daemon::SystemRandom m_Random;
   core::adapters::gateway::BootClock m_Clock;
   core::adapters::gateway::GatewayLog m_Log;
@@ -301,6 +321,24 @@
   }
 }
 
+TEST_CASE("a confirmation names all endpoints that the store had when it was "
+          "asked, also of several at once") {
+  RestorableStore Store;
+  Store.write("config", "main", config(5));
+  Store.write("servers", "first", endpoint(1));
+  FeedNode Node(Store.port());
+  REQUIRE(becomesTrue([&] { return Node.draining().size() == 1; }));
+  for (size_t Known = 2; Known < 6; ++Known) {
+    Store.write("servers", "e" + std::to_string(Known), endpoint(1));
+    std::future<std::optional<size_t>> Other = std::async(
+        std::launch::async, [&] { return Node.confirmedEndpoints(); });
+    CHECK(Node.confirmedEndpoints() == Known);
+    CHECK(Other.get() == Known);
+  }
+  Store.remove("servers", "first");
+  CHECK(Node.confirmedEndpoints() == 4);
+}
+
 // Pattern: the store's load grows with the fleet.
 TEST_CASE("most nodes learn of changes through a few that watch the store, and "
           "from the store once these are gone") {
--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -73,6 +73,22 @@
   publishEngines();
 }
 
+void RelayFleet::cutOff(const std::set<size_t> &Nodes) {
+  m_CutOff = Nodes;
+  publishEngines();
+}
+
+void RelayFleet::confirmEndpoints(size_t Index) {
+  if (m_CutOff.contains(Index))
+    return;
+  schedule(StoreDelay, [this, Index, Node = m_Nodes[Index].get(), At = m_Now] {
+    if (m_Nodes[Index].get() != Node)
+      return;
+    Node->m_Relay.m_Core.onEndpointsConfirmed(At, m_Now, Node->m_Relay.m_Out);
+    carryOut(Index);
+  });
+}
+
 void RelayFleet::recordStreams() {
   for (size_t I = 0;
        I < std::min<size_t>(gateway::StreamRecordSlots, m_Nodes.size()); ++I) {
@@ -157,6 +173,8 @@
       takeUp(From.m_Requests.at(Cut->m_Request));
     if (const auto *const Cancelled = std::get_if<gateway::CancelSend>(&Each))
       From.m_Sends.erase(Cancelled->m_Attempt);
+    if (std::holds_alternative<gateway::ConfirmEndpoints>(Each))
+      confirmEndpoints(Index);
     const auto *const Sent = std::get_if<gateway::SendRequest>(&Each);
     if (!Sent)
       continue;
@@ -307,7 +325,8 @@
     return;
   schedule(After, [this, First, LostNode] {
     size_t Index = randomNode();
-    while (Index == LostNode && nodeCount() > 1)
+    while ((Index == LostNode && nodeCount() > 1) ||
+           (!m_TakeUpAt.empty() && !m_TakeUpAt.contains(Index)))
       Index = randomNode();
     askFor(Index, Request{.m_Path = ResumablePath,
                           .m_Parts = m_Asked[First].m_Parts,
@@ -396,7 +415,7 @@
       const size_t To = (From + I) % m_Nodes.size();
       const bool IsLost = static_cast<double>(m_Random() % 1000) / 1000 <
                           m_Settings.m_LostNotices;
-      if (IsLost)
+      if (IsLost || m_CutOff.contains(From) != m_CutOff.contains(To))
         continue;
       m_Nodes[To]->m_Relay.m_Core.onPeerNotice(
           IsTarget ? Notice : OfStreams, m_Now, m_Nodes[To]->m_Relay.m_Out);
--- a/Source/UnitTests/Gateway/RelayFleet.h
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -109,7 +109,13 @@
   }
   /// Share of the answers that break off from now on, at engines that live on.
   void breakAnswers(double Share) { m_BrokenShare = Share; }
+  /// Callers take streams that break off up at these nodes only.
+  void takeUpAt(const std::set<size_t> &Nodes) { m_TakeUpAt = Nodes; }
   void setLinks(size_t Node, Links Links);
+  /// From now on, the store and the nodes of other groups don't reach these
+  /// nodes, nor the other way round; callers and engines still do. Nodes that
+  /// are not named are one group with the store.
+  void cutOff(const std::set<size_t> &Nodes);
   /// When the node first received an answer of \p Engine with a statement.
   std::optional<model::TimePoint> toldAt(size_t Node,
                                          const model::EndpointId &Engine) const;
@@ -196,6 +202,7 @@
   void takeUp(size_t Number, std::optional<size_t> LostNode = std::nullopt,
               model::Duration After = ReconnectTime);
   void recordStreams();
+  void confirmEndpoints(size_t Index);
   void onEvent(size_t Index, model::AttemptId Attempt);
   bool crashesEngines(const Asked &Request) const;
 
@@ -207,6 +214,9 @@
   std::mt19937_64 m_Random;
   /// By slot.
   std::map<size_t, gateway::StreamNotice> m_StreamRecords;
+  std::set<size_t> m_CutOff;
+  /// Empty: at any.
+  std::set<size_t> m_TakeUpAt;
   model::TimePoint m_Now = model::TimePoint(std::chrono::seconds(100));
   std::multimap<model::TimePoint, Event> m_Events;
   std::vector<std::unique_ptr<Node>> m_Nodes;
--- a/Source/UnitTests/Gateway/RelayFleetEngines.cpp
+++ b/Source/UnitTests/Gateway/RelayFleetEngines.cpp
@@ -140,6 +140,8 @@
     Entries.back().m_Draining = m_Draining.contains(Each);
   }
   for (size_t I = 0; I < m_Nodes.size(); ++I) {
+    if (m_CutOff.contains(I))
+      continue;
     m_Nodes[I]->m_Relay.m_Core.setEndpoints(Entries, m_Now,
                                             m_Nodes[I]->m_Relay.m_Out);
     carryOut(I);
--- a/Source/UnitTests/Gateway/RelayPropertyTest.cpp
+++ b/Source/UnitTests/Gateway/RelayPropertyTest.cpp
@@ -141,6 +141,7 @@
   }
 
   void on(const gateway::QuarantineChange & /*Effect*/) {}
+  void on(const gateway::ConfirmEndpoints & /*Effect*/) {}
   void on(const gateway::StatementChange & /*Effect*/) {}
   void on(const gateway::PauseBegun & /*Effect*/) {}
   void on(const gateway::LinksChange & /*Effect*/) {}
--- a/Source/UnitTests/Gateway/ResumptionTest.cpp
+++ b/Source/UnitTests/Gateway/ResumptionTest.cpp
@@ -106,17 +106,70 @@
   CHECK(Refusal.m_RetryAfter);
 }
 
-// Guards against a node that was cut off or frozen while a new version came.
-TEST_CASE(
-    "a stream of unknown origin is refused by a node that hears no other") {
+// Guards against a node that was cut off while a new version came.
+TEST_CASE("a node that hears no other asks the store before it takes up a "
+          "stream, and refuses one of unknown origin without an answer") {
   ResumptionNode Node;
   Node.setEndpoints({engine("a", "v1")});
-  Node.m_Now += 2s;
+  Node.advance(20ms);
+  for (int I = 0; I < 100; ++I)
+    Node.advance(20ms);
   Node.takeUp("unknown");
   CHECK(Node.take<SendRequest>().empty());
+  CHECK(Node.take<gateway::ConfirmEndpoints>().size() == 1);
+  CHECK(Node.take<RejectRequest>().empty());
+  // An answer to an earlier call confirms nothing.
+  Node.m_Core.onEndpointsConfirmed(Node.m_Now - 1ms, Node.m_Now, Node.m_Out);
+  CHECK(Node.take<SendRequest>().empty());
+  Node.m_Core.onEndpointsConfirmed(Node.m_Now, Node.m_Now, Node.m_Out);
+  CHECK(Node.take<SendRequest>().size() == 1);
+  Node.takeUp("unknown");
+  for (int I = 0; I < 20; ++I)
+    Node.advance(20ms);
+  CHECK(Node.take<SendRequest>().empty());
+  CHECK(Node.take<RejectRequest>().size() == 1);
   Node.hearPeer({});
   Node.takeUp("unknown");
   CHECK(Node.take<SendRequest>().size() == 1);
 }
 
+// Guards against notices that waited in the socket while the node stood still:
+// they made it take itself for up to date.
+TEST_CASE("a node that stood still while a software version joined asks the "
+          "store before it takes up a stream") {
+  ResumptionNode Node;
+  Node.setEndpoints({engine("a", "v1")});
+  Node.advance(20ms);
+  Node.m_Now += 4s;
+  Node.hearPeer({});
+  Node.takeUp("unknown");
+  CHECK(Node.take<SendRequest>().empty());
+  Node.advance(20ms);
+  Node.hearPeer({});
+  Node.takeUp("unknown");
+  CHECK(Node.take<SendRequest>().empty());
+  CHECK(Node.take<gateway::ConfirmEndpoints>().size() == 2);
+  Node.setEndpoints({engine("a", "v1"), engine("b", "v2")});
+  Node.m_Core.onEndpointsConfirmed(Node.m_Now, Node.m_Now, Node.m_Out);
+  CHECK(Node.take<SendRequest>().empty());
+  CHECK(Node.take<RejectRequest>().size() == 2);
+}
+
+// Guards against an engine that started again under its id as another version.
+TEST_CASE("a node that stood still asks the store before it takes up a stream "
+          "whose version it knows") {
+  ResumptionNode Node;
+  Node.setEndpoints({engine("a", "v1"), engine("b", "v2")});
+  Node.hearPeer({{{model::stableHash("first"), "v1"}}, {}});
+  Node.advance(20ms);
+  Node.m_Now += 4s;
+  Node.takeUp("first");
+  CHECK(Node.take<SendRequest>().empty());
+  Node.setEndpoints({engine("a", "v2"), engine("b", "v2")});
+  Node.m_Core.onEndpointsConfirmed(Node.m_Now, Node.m_Now, Node.m_Out);
+  CHECK(Node.take<SendRequest>().empty());
+  const RejectRequest Refusal = Node.take<RejectRequest>().at(0);
+  CHECK_FALSE(Refusal.m_RetryAfter);
+}
+
 } // namespace bronzepass::unit_tests
--- a/Source/UnitTests/Gateway/SoftwareVersionTest.cpp
+++ b/Source/UnitTests/Gateway/SoftwareVersionTest.cpp
@@ -146,6 +146,57 @@
   RelayFleet m_Fleet;
 };
 
+/// Some nodes are cut off from the store and the others, then engines of a new
+/// software version join. Streams at these break off, and their callers take
+/// them up at the nodes that are cut off.
+class OutOfStepDay {
+public:
+  OutOfStepDay(uint64_t Seed, size_t Nodes, std::set<size_t> CutOff)
+      : m_Random(Seed), m_CutOff(std::move(CutOff)),
+        m_Fleet(Seed,
+                {.m_Nodes = Nodes, .m_Engines = 6, .m_AnswerTime = 1500ms}) {}
+
+  void run() {
+    m_Fleet.run(2s);
+    m_Fleet.cutOff(m_CutOff);
+    m_Fleet.run(800ms);
+    std::vector<model::EndpointId> New;
+    for (int I = 0; I < 6; ++I)
+      New.push_back(m_Fleet.startEngine("v2"));
+    m_Fleet.takeUpAt(m_CutOff);
+    for (const model::EndpointId &Each : New) {
+      for (int I = 0; I < 25; ++I) {
+        size_t Node = m_Fleet.randomNode();
+        while (m_CutOff.contains(Node))
+          Node = m_Fleet.randomNode();
+        m_Fleet.askFor(Node,
+                       {.m_Path = "/resume/", .m_Parts = {1, m_Random()}});
+        m_Fleet.run(20ms);
+      }
+      m_Fleet.crash(Each);
+    }
+    m_Fleet.run(1s);
+  }
+
+  size_t streamsOfTwoVersions() const {
+    size_t Count = 0;
+    for (const RelayFleet::Asked &Each : m_Fleet.asked())
+      Count += Each.m_Versions.size() > 1 ? 1 : 0;
+    return Count;
+  }
+  size_t takenUp() const {
+    size_t Count = 0;
+    for (const RelayFleet::Asked &Each : m_Fleet.asked())
+      Count += Each.m_Resumes ? 1 : 0;
+    return Count;
+  }
+
+private:
+  std::mt19937_64 m_Random;
+  const std::set<size_t> m_CutOff;
+  RelayFleet m_Fleet;
+};
+
 } // namespace
 
 // Guards against a stream that holds events of engines of two software
@@ -196,6 +247,66 @@
   }
 }
 
+// Guards against nodes that are out of step together, and take what they know
+// for all that there is to know.
+TEST_CASE("nodes that are cut off while a software version joins take up no "
+          "stream of it at another") {
+  struct Fleet {
+    size_t m_Nodes;
+    std::set<size_t> m_CutOff;
+  };
+  for (const Fleet &Each : {Fleet{6, {0}}, Fleet{6, {0, 3}},
+                            Fleet{8, {0, 1, 2}}, Fleet{64, {0, 1, 2, 3, 4}}}) {
+    for (uint64_t Seed = 1; Seed <= 5; ++Seed) {
+      CAPTURE(Each.m_Nodes);
+      CAPTURE(Each.m_CutOff.size());
+      CAPTURE(Seed);
+      OutOfStepDay Day(Seed, Each.m_Nodes, Each.m_CutOff);
+      Day.run();
+      CHECK(Day.takenUp() >= 12);
+      CHECK(Day.streamsOfTwoVersions() == 0);
+    }
+  }
+}
+
+// Guards against a refusal of streams of which nothing can be known but that
+// all engines have one version.
+TEST_CASE("streams of nodes that are lost go on at those left, where all "
+          "engines have one software version") {
+  for (const size_t Lost : {1, 3, 5}) {
+    for (uint64_t Seed = 1; Seed <= 5; ++Seed) {
+      CAPTURE(Lost);
+      CAPTURE(Seed);
+      RelayFleet Fleet(Seed, {.m_Nodes = 6, .m_AnswerTime = 1500ms});
+      Fleet.run(1s);
+      for (size_t I = 0; I < 60; ++I) {
+        Fleet.askFor(I % 6, {.m_Path = "/resume/", .m_Parts = {1, I}});
+        Fleet.run(10ms);
+      }
+      std::set<size_t> Left;
+      for (size_t I = Lost; I < 6; ++I)
+        Left.insert(I);
+      Fleet.takeUpAt(Left);
+      // The nodes that are lost don't come back.
+      std::set<size_t> Gone;
+      for (size_t I = 0; I < Lost; ++I)
+        Gone.insert(I);
+      for (const size_t Each : Gone)
+        Fleet.restartNode(Each);
+      Fleet.cutOff(Gone);
+      Fleet.run(3s);
+      size_t TakenUp = 0;
+      size_t GoneOn = 0;
+      for (const RelayFleet::Asked &Each : Fleet.asked()) {
+        TakenUp += Each.m_Resumes ? 1 : 0;
+        GoneOn += Each.m_Resumes && Each.m_HasBegun ? 1 : 0;
+      }
+      CHECK(TakenUp >= 6 * Lost);
+      CHECK(GoneOn == TakenUp);
+    }
+  }
+}
+
 TEST_CASE("streams go on only at the software version that began them, where "
           "most notices are lost") {
   for (uint64_t Seed = 1; Seed <= 5; ++Seed) {
