platform: Read each entry of a list by itself

What callers saw: another writer left one entry with bytes that are no text, with 1e400, or with 200,000 nested lists.

Cause: the store's answer was parsed, copied and written out as a whole. One string or number that can't be represented made all of it unreadable, and copying and writing recurse on the nesting. Care for single entries began only after that.

An object whose content can't be read has none; one without a readable name is left out and logged. The configuration is read from its own object only, names in queries are encoded, numbers are bounded.

Why it works: no text of one object is read together with another's, and nothing recurses on it.

--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -191,7 +191,20 @@
   applyAnswer(Source, Answer);
 }
 
+void StoreFeeds::logUnreadable(Feed &Source,
+                               const gateway::FeedAnswer &Answer) {
+  if (Answer.m_Unreadable == Source.m_Unreadable)
+    return;
+  Source.m_Unreadable = Answer.m_Unreadable;
+  for (const std::string &Place : Answer.m_Unreadable)
+    m_Log.write(
+        "dependency", "unreadable",
+        {{"dependency", std::string("store/") + Source.m_Name},
+         {"reason", Place + " is no object with a name and a revision"}});
+}
+
 void StoreFeeds::applyAnswer(Feed &Source, const gateway::FeedAnswer &Answer) {
+  logUnreadable(Source, Answer);
   const bool WasComplete = Source.m_Feed.isComplete();
   const std::vector<gateway::FeedChange> Changes =
       Source.m_Feed.handleAnswer(Answer, m_Clock.now());
@@ -281,7 +294,7 @@
                               const gateway::FeedChange &Change) {
   switch (Source.m_Kind) {
   case gateway::FeedKind::Config:
-    if (Change.m_Content)
+    if (Change.m_Content && Change.m_Name == m_Dialect.configName())
       handleConfig(*Change.m_Content);
     return;
   case gateway::FeedKind::Endpoints:
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -75,6 +75,8 @@
     const char *m_Name;
     core::gateway::ObjectFeed m_Feed;
     bool m_FailureLogged = false;
+    /// As last logged.
+    std::vector<std::string> m_Unreadable;
     /// The last watcher that was asked has failed.
     bool m_AsksStoreNext = false;
     /// The node that was asked last; empty: the store.
@@ -101,6 +103,8 @@
                       const core::gateway::FeedAnswer &Answer);
   void updateStanding(Feed &Source);
   void updateSources(const std::vector<core::gateway::NodeEntry> &Nodes);
+  /// Logs objects that could not be read when they appear or change.
+  void logUnreadable(Feed &Source, const core::gateway::FeedAnswer &Answer);
   void logSource(Feed &Source, const model::NodeId &Node,
                  const std::string &Reason);
   void handleChange(const Feed &Source,
--- a/Source/Core/Gateway/Dialect.h
+++ b/Source/Core/Gateway/Dialect.h
@@ -126,6 +126,8 @@
   virtual HttpCall feedCall(FeedKind Kind, const FeedCall &Call) const = 0;
   virtual FeedAnswer readFeed(const FeedCall &Call,
                               const HttpResult &Result) const = 0;
+  /// The one object of its kind that holds the configuration.
+  virtual std::string configName() const = 0;
   virtual Decoded<GatewayConfig>
   readConfig(const std::string &Content) const = 0;
   virtual Decoded<EndpointEntry>
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -60,6 +60,9 @@
   /// The revision of the store that the answer reflects.
   uint64_t m_Revision = 0;
   std::string m_Reason;
+  /// The places in the answer of objects of which not even the name could be
+  /// read; the others hold.
+  std::vector<std::string> m_Unreadable;
 
   friend auto operator<=>(const FeedAnswer &, const FeedAnswer &) = default;
 };
--- a/Source/UnitTests/Platform/StoreCallsTest.cpp
+++ b/Source/UnitTests/Platform/StoreCallsTest.cpp
@@ -1,6 +1,8 @@
 #include "platform/StoreCalls.h"
 
 #include <doctest/doctest.h>
+#include <string>
+#include <vector>
 
 namespace bronzepass::platform {
 
@@ -61,6 +63,122 @@
     CHECK(readFeed(Watch, Bad).m_Status == FeedStatus::Failed);
 }
 
+namespace {
+
+/// An entry's content, or a part of it, that another writer left.
+struct Damage {
+  std::string m_Kind;
+  std::string m_Spec;
+};
+
+std::string nested(const char *Open, const char *Close, size_t Levels) {
+  std::string Text;
+  for (size_t I = 0; I < Levels; ++I)
+    Text += Open;
+  Text += "1";
+  for (size_t I = 0; I < Levels; ++I)
+    Text += Close;
+  return Text;
+}
+
+std::vector<Damage> damages() {
+  return {
+      {"bytes that are no text", "{\"Zone\":\"\xff\xfe\"}"},
+      {"bytes that are no text in a key", "{\"\xff\":1}"},
+      {"half a character", R"({"Zone":"\udcff"})"},
+      {"a number too large", R"({"Slots":1e400})"},
+      {"nested lists", R"({"Models":)" + nested("[", "]", 200000) + "}"},
+      {"nested objects",
+       R"({"Models":)" + nested("{\"a\":", "}", 200000) + "}"},
+      {"a line feed in a text", "{\"Zone\":\"a\nb\"}"},
+      {"no JSON", "{\"Zone\":nonsense}"},
+  };
+}
+
+std::string item(const std::string &Name, int Revision,
+                 const std::string &Spec) {
+  return R"({"Metadata":{"Name":")" + Name + R"(","Revision":)" +
+         std::to_string(Revision) + R"(},"Spec":)" + Spec + "}";
+}
+
+} // namespace
+
+// Guards against one entry of another writer that hides all others, or ends the
+// process.
+TEST_CASE("a list and a watch with one damaged entry are read like those "
+          "without it, and the entry has no content") {
+  const std::string Before = item("a", 5, R"({"x":"\"}],{"})");
+  const std::string After = item("c", 7, R"({"y":[1,{"z":null}]})");
+  FeedCall Watch;
+  Watch.m_Verb = FeedCall::Verb::Watch;
+  for (const Damage &Each : damages()) {
+    CAPTURE(Each.m_Kind);
+    const std::string Odd = item("b", 6, Each.m_Spec);
+    const core::gateway::FeedAnswer Listed =
+        readFeed({}, {200,
+                      R"({"items":[)" + Before + "," + Odd + "," + After +
+                          R"(],"HasMore":true,"At":9})",
+                      false});
+    const core::gateway::FeedAnswer Watched = readFeed(
+        Watch, {200,
+                R"({"At":9, "events" : [{"Object":)" + Before +
+                    R"(,"Tombstone":false},{"Tombstone":false,"Object":)" +
+                    Odd + R"(},{"Object":)" + After + "}]}",
+                false});
+    CHECK(Listed.m_HasMore);
+    for (const core::gateway::FeedAnswer &Answer : {Listed, Watched}) {
+      REQUIRE(Answer.m_Status == FeedStatus::Ok);
+      CHECK(Answer.m_Revision == 9);
+      REQUIRE(Answer.m_Objects.size() == 3);
+      CHECK(Answer.m_Objects[0].m_Content == R"({"x":"\"}],{"})");
+      CHECK(Answer.m_Objects[1].m_Name == "b");
+      CHECK(Answer.m_Objects[1].m_Content.empty());
+      CHECK(Answer.m_Objects[2].m_Content == R"({"y":[1,{"z":null}]})");
+      CHECK(Answer.m_Unreadable.empty());
+    }
+  }
+}
+
+TEST_CASE("an object without a readable name or revision is left out and "
+          "named by its place") {
+  for (const std::string &Odd :
+       {std::string("7"), std::string("null"), std::string("{}"),
+        std::string(R"({"Metadata":[]})"),
+        std::string(R"({"Metadata":{"Name":"b"}})"),
+        std::string(R"({"Metadata":{"Name":7,"Revision":6}})"),
+        std::string(R"({"Metadata":{"Name":"b","Revision":-6}})"),
+        std::string(R"({"Metadata":{"Name":"b","Revision":1e400}})"),
+        std::string("{\"Metadata\":{\"Name\":\"\xff\",\"Revision\":6}}"),
+        nested("[", "]", 200000), nested("{\"Metadata\":", "}", 200000)}) {
+    CAPTURE(Odd.substr(0, 60));
+    const core::gateway::FeedAnswer Answer = readFeed(
+        {},
+        {200, R"({"items":[)" + Odd + "," + item("c", 7, "{}") + R"(],"At":9})",
+         false});
+    REQUIRE(Answer.m_Status == FeedStatus::Ok);
+    REQUIRE(Answer.m_Objects.size() == 1);
+    CHECK(Answer.m_Objects[0].m_Name == "c");
+    CHECK(Answer.m_Unreadable == std::vector<std::string>{"items/0"});
+  }
+}
+
+TEST_CASE("a lease record or a node's entry that another writer left is none") {
+  for (const Damage &Each : damages()) {
+    CAPTURE(Each.m_Kind);
+    CHECK(readStore(leaseCall(ports::StoreVerb::Get),
+                    {200, item("placement", 413, Each.m_Spec), false})
+              .m_Status == ports::StoreStatus::Unknown);
+    CHECK_FALSE(readNode("n", Each.m_Spec).m_Value);
+  }
+}
+
+TEST_CASE("names in a query are encoded") {
+  FeedCall Call;
+  Call.m_After = "a b&Watch=1\xff";
+  CHECK(feedCall(FeedKind::Endpoints, Call).m_Target ==
+        "/objects/servers?after=a%20b%26Watch%3D1%FF");
+}
+
 TEST_CASE("a lease record is written and read back with its revision") {
   const std::optional<core::gateway::HttpCall> Encoded =
       storeCall(leaseCall(ports::StoreVerb::Update));
