--- a/Source/UnitTests/Gateway/SoftwareVersionTest.cpp
+++ b/Source/UnitTests/Gateway/SoftwareVersionTest.cpp
@@ -1,5 +1,6 @@
 #include "UnitTests/Gateway/RelayFleet.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <random>
 
@@ -9,6 +10,15 @@
 
 using namespace std::chrono_literals;
 
+/// Streams whose callers have events of two software versions.
+size_t countMixed(const RelayFleet &Fleet) {
+  const std::vector<RelayFleet::Asked> &All = Fleet.asked();
+  return static_cast<size_t>(
+      std::count_if(All.begin(), All.end(), [](const RelayFleet::Asked &Each) {
+        return Each.m_Versions.size() > 1;
+      }));
+}
+
 /// Callers of resumable streams for 30 s, while engines are replaced by those
 /// of another software version, engines crash, and nodes are lost.
 class VersionChangeDay {
@@ -64,12 +74,7 @@
     }
   }
 
-  size_t streamsOfTwoVersions() const {
-    size_t Count = 0;
-    for (const RelayFleet::Asked &Each : m_Fleet.asked())
-      Count += Each.m_Versions.size() > 1 ? 1 : 0;
-    return Count;
-  }
+  size_t streamsOfTwoVersions() const { return countMixed(m_Fleet); }
 
   /// Share of the new streams, or of those taken up again, of which events
   /// reached the caller.
@@ -125,9 +130,8 @@
     m_Fleet.run(1s);
     m_Fleet.restartAllNodes(1s, Last);
     m_Fleet.run(4s);
+    m_OfTwoVersions = countMixed(m_Fleet);
     for (const RelayFleet::Asked &Each : m_Fleet.asked()) {
-      if (Each.m_Versions.size() > 1)
-        ++m_OfTwoVersions;
       if (!Each.m_Resumes)
         continue;
       const bool BeganAtNew =
@@ -178,12 +182,7 @@
     m_Fleet.run(1s);
   }
 
-  size_t streamsOfTwoVersions() const {
-    size_t Count = 0;
-    for (const RelayFleet::Asked &Each : m_Fleet.asked())
-      Count += Each.m_Versions.size() > 1 ? 1 : 0;
-    return Count;
-  }
+  size_t streamsOfTwoVersions() const { return countMixed(m_Fleet); }
   size_t takenUp() const {
     size_t Count = 0;
     for (const RelayFleet::Asked &Each : m_Fleet.asked())
