--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -26,8 +26,6 @@
 /// The same for each node that is told, so that the cost of notices stays
 /// bounded in large fleets.
 constexpr model::Duration NoticePeriodPerTarget = std::chrono::milliseconds(6);
-/// Within the time for which the origin of a stream is told, twice.
-constexpr model::Duration StreamNoticePeriod = std::chrono::milliseconds(400);
 /// A peer that sent no notice for this long counts as gone. Several
 /// consecutive notices may be lost before that.
 constexpr model::Duration PeerTimeout = std::chrono::milliseconds(1500);
@@ -156,27 +154,6 @@
   m_Events.onLivePeers(std::move(Live));
 }
 
-void GatewayTraffic::reportStreamRecord() {
-  const model::TimePoint Now = m_Clock.now();
-  // A record without what was recorded before would replace it.
-  if (!m_StreamRecordSlot || m_Core.streamOrigins().awaitsRecord(Now))
-    return;
-  const bool IsMixed = m_Core.streamOrigins().isAnyMixed(Now);
-  if (!IsMixed && !m_RecordsStreams)
-    return;
-  // Nodes learn of a second version at about the same time. They write in turn,
-  // so that the newest record is never old.
-  if (!m_RecordsStreams)
-    m_StreamRecordAt = Now + gateway::StreamRecordPeriod * *m_StreamRecordSlot /
-                                 gateway::StreamRecordSlots;
-  m_RecordsStreams = true;
-  if (Now < m_StreamRecordAt)
-    return;
-  m_StreamRecordAt = Now + gateway::StreamRecordPeriod;
-  m_RecordsStreams = IsMixed;
-  m_Events.onStreamRecord(m_Core.streamOrigins().record(Now));
-}
-
 std::vector<model::Address> GatewayTraffic::noticeTargets() const {
   std::vector<std::pair<uint64_t, const Peer *>> Ranked;
   for (const auto &Each : m_Peers)
@@ -203,24 +180,6 @@
   sendStreamNotice(std::move(Notice.m_Streams), Targets);
 }
 
-/// Tells the peers that are not told of loads where streams began, since their
-/// callers may take any of them up.
-void GatewayTraffic::sendStreamNotice(
-    gateway::StreamNotice Streams, const std::vector<model::Address> &Targets) {
-  const model::TimePoint Now = m_Clock.now();
-  if (Streams.isEmpty() || Now < m_StreamNoticeSentAt + StreamNoticePeriod)
-    return;
-  m_StreamNoticeSentAt = Now;
-  std::vector<model::Address> Others;
-  for (const auto &Each : m_Peers)
-    if (std::find(Targets.begin(), Targets.end(), Each.second.m_Address) ==
-        Targets.end())
-      Others.push_back(Each.second.m_Address);
-  gateway::PeerNotice Notice;
-  Notice.m_Streams = std::move(Streams);
-  sendNotice(std::move(Notice), Others);
-}
-
 void GatewayTraffic::sendNotice(gateway::PeerNotice Notice,
                                 const std::vector<model::Address> &To) {
   Notice.m_From = m_Self;
@@ -373,19 +332,6 @@
   m_Thread.loop().post([this, Holds] { m_HoldsLease = Holds; });
 }
 
-void GatewayTraffic::restoreStreams(gateway::StreamNotice Record) {
-  m_Thread.loop().post([this, Record = std::move(Record)] {
-    m_Core.streamOrigins().restore(Record, m_Clock.now());
-  });
-}
-
-void GatewayTraffic::setStreamRecordSlot(std::optional<uint32_t> Slot) {
-  m_Thread.loop().post([this, Slot] {
-    m_StreamRecordSlot = Slot;
-    m_RecordsStreams = false;
-  });
-}
-
 void GatewayTraffic::stop(model::Duration LameDuck,
                           std::function<void()> OnDrained) {
   m_Thread.loop().post([this, LameDuck, OnDrained = std::move(OnDrained)] {
--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -170,10 +170,8 @@
       break;
     const Stream &Known = m_Streams.at(Each->second);
     // Peers tell of streams of mixed services only.
-    const bool IsAtStake =
-        Known.m_IsOwn ? !Known.m_IsCompleted && isMixed(Known.m_Service, Now)
-                      : true;
-    if (IsAtStake)
+    if (!Known.m_IsOwn ||
+        (!Known.m_IsCompleted && isMixed(Known.m_Service, Now)))
       Record.m_Origins.push_back({Each->second, Known.m_Version});
   }
   return Record;
--- a/Source/UnitTests/Gateway/RelayFleet.h
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -206,6 +206,7 @@
   void onEvent(size_t Index, model::AttemptId Attempt);
   bool crashesEngines(const Asked &Request) const;
 
+  static constexpr model::Duration Step = std::chrono::milliseconds(10);
   /// Until a caller has connected to another node.
   static constexpr model::Duration ReconnectTime =
       std::chrono::milliseconds(30);
