Daemon: Log where a signal ends the process

The record of the incident has one node that ended by signal 11 and no line of its own, so that neither the thread, nor the request, nor the place is known.

--- a/Source/Core/Adapters/Gateway/ControlCalls.cpp
+++ b/Source/Core/Adapters/Gateway/ControlCalls.cpp
@@ -1,6 +1,7 @@
 #include "Core/Adapters/Gateway/ControlCalls.h"
 
 #include "Core/Adapters/Curl/AnswerCollector.h"
+#include "Core/Adapters/Daemon/CrashReport.h"
 
 #include <memory>
 #include <utility>
@@ -41,9 +42,10 @@
   m_Curl.start(
       std::move(Request),
       std::make_shared<curl::AnswerCollector>(
-          [OnDone = std::move(OnDone)](const curl::TransferResult &Result,
-                                       const curl::TransferHead &Head,
-                                       const std::string &Body) {
+          [OnDone = std::move(OnDone), Target = Call.m_Target](
+              const curl::TransferResult &Result,
+              const curl::TransferHead &Head, const std::string &Body) {
+            daemon::CrashReport::setSubject(Target);
             gateway::HttpResult Answer;
             // Without a length or chunks, a body that is cut off can't be
             // parsed: it is a JSON object.
--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -1,5 +1,6 @@
 #include "Core/Adapters/Gateway/GatewayControl.h"
 
+#include "Core/Adapters/Daemon/CrashReport.h"
 #include "Core/Adapters/Daemon/SystemPorts.h"
 
 #include <utility>
@@ -41,6 +42,7 @@
   if (std::optional<std::string> Reason = m_Relay.listen(m_RelayAddress))
     return "peers: " + *Reason;
   m_Traffic = &Traffic;
+  m_Thread.loop().post([] { daemon::CrashReport::coverThread("control"); });
   m_Thread.loop().post([this] { tick(); });
   m_Thread.start();
   return std::nullopt;
--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -1,5 +1,6 @@
 #include "Core/Adapters/Gateway/GatewayDaemon.h"
 
+#include "Core/Adapters/Daemon/CrashReport.h"
 #include "Core/Adapters/Gateway/BootClock.h"
 #include "Core/Adapters/Gateway/GatewayControl.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
@@ -112,6 +113,7 @@
   }
 
   std::optional<std::string> start() {
+    daemon::CrashReport::install(m_Settings.get(keys::NodeName));
     if (std::optional<std::string> Reason = m_Traffic.start())
       return Reason;
     if (std::optional<std::string> Reason = m_Control.start(m_Traffic))
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -1,5 +1,6 @@
 #include "Core/Adapters/Gateway/GatewayTraffic.h"
 
+#include "Core/Adapters/Daemon/CrashReport.h"
 #include "Core/Adapters/Daemon/SystemPorts.h"
 #include "Core/Adapters/Gateway/PeerNoticeCodec.h"
 #include "Core/Model/Hash.h"
@@ -116,6 +117,7 @@
   if (std::optional<std::string> Reason =
           m_CallerServer.listen(m_Addresses.m_Callers))
     return "callers: " + *Reason;
+  m_Thread.loop().post([] { daemon::CrashReport::coverThread("traffic"); });
   m_Thread.loop().runAfter(TickPeriod, [this] { tick(); });
   m_Thread.start();
   return std::nullopt;
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -1,5 +1,6 @@
 #include "Core/Adapters/Gateway/RelayDriver.h"
 
+#include "Core/Adapters/Daemon/CrashReport.h"
 #include "Core/Model/HeaderName.h"
 
 #include <algorithm>
@@ -112,6 +113,7 @@
   Added.m_IsForwarded = Relayed.m_Forwarded.has_value();
   m_Dialect.readRequest(Added.m_Headers, Relayed);
   Added.m_CallerRequestId = Relayed.m_CallerRequestId;
+  daemon::CrashReport::setSubject(Added.m_CallerRequestId);
   Added.m_Request = std::move(Request);
   Added.m_Answer = Answer;
   if (m_Closing)
--- a/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
@@ -1,5 +1,7 @@
 #include "Core/Adapters/Gateway/RelayDriver.h"
 
+#include "Core/Adapters/Daemon/CrashReport.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -46,6 +48,8 @@
     return;
   Send &From = Found->second;
   const auto To = m_Exchanges.find(From.m_Request);
+  if (To != m_Exchanges.end())
+    daemon::CrashReport::setSubject(To->second.m_CallerRequestId);
   From.m_Status = Head.m_Status;
   From.m_Headers = Head.m_Lines;
   From.m_BodyFormat = Head.m_BodyFormat;
@@ -178,6 +182,8 @@
   Send Ended = std::move(Found->second);
   m_Sends.erase(Found);
   const auto To = m_Exchanges.find(Ended.m_Request);
+  if (To != m_Exchanges.end())
+    daemon::CrashReport::setSubject(To->second.m_CallerRequestId);
   gateway::ReceivedAnswer Answer;
   Answer.m_Head = Ended.m_Head;
   Answer.m_Status = Ended.m_Status;
