Gateway: Continue a stream only by events of the same kind of answer

Callers found a text that is no event in the middle of their stream, or a stream that had broken off ended as complete. Cause: after a break, any sealed success of the next endpoint counted as the rest, whatever its status and type, and one without events (204, an empty 200) as its end; so for streams that callers take up. Now the answer has the status and media type of the one that began the stream, and is complete only if it brought an event; otherwise another endpoint is tried, or the caller sees a cut (502 if nothing was sent yet). Where the first run broke off between its last event and its end, the caller now sees a cut, too: nothing tells this from a stream that goes on.

The log of an answer's end has its `events`.

--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -104,6 +104,7 @@
              {"framing", toString(Entry.m_AnswerEnd->m_Framing)},
              {"body_bytes",
               static_cast<int64_t>(Entry.m_AnswerEnd->m_BodyBytes)},
+             {"events", static_cast<int64_t>(Entry.m_AnswerEnd->m_Events)},
              {"partial_event_bytes",
               static_cast<int64_t>(Entry.m_AnswerEnd->m_PartialEventBytes)}})
       Fields.push_back(Each);
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -113,6 +113,7 @@
   Added.m_IsForwarded = Relayed.m_Forwarded.has_value();
   m_Dialect.readRequest(Added.m_Headers, Relayed);
   Added.m_CallerRequestId = Relayed.m_CallerRequestId;
+  Added.m_IsResumption = Relayed.m_IsResumption;
   daemon::CrashReport::setSubject(Added.m_CallerRequestId);
   Added.m_Request = std::move(Request);
   Added.m_Answer = Answer;
@@ -199,6 +200,8 @@
   Added.m_Request = Effect.m_Request;
   Added.m_Service = Effect.m_Service;
   Added.m_IsStream = Effect.m_Stream;
+  Added.m_IsContinuation = Effect.m_Resume || From.m_IsResumption;
+  Added.m_EventsBefore = From.m_Splicer.eventCount();
   Added.m_Endpoint = {Effect.m_Endpoint, Effect.m_SoftwareVersion};
   Added.m_IsForwarded = Effect.m_Forwarding.has_value();
   const uint64_t Transfer = m_Curl.start(
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -96,8 +96,13 @@
     core::gateway::StreamSplicer m_Splicer;
     /// Another node forwarded the request.
     bool m_IsForwarded = false;
+    /// The caller takes up a stream that broke off.
+    bool m_IsResumption = false;
     bool m_AnswerStarted = false;
-    /// The collected answer that ForwardAnswer sends to the caller.
+    /// Type of the body of the answer that has started.
+    std::string m_MediaType;
+    /// Of the answer that has started, or of the collected one that
+    /// ForwardAnswer sends to the caller.
     int m_Status = 0;
     core::gateway::HeaderLines m_AnswerHeaders;
     std::string m_Body;
@@ -114,6 +119,10 @@
     bool m_IsForwarded = false;
     uint64_t m_Transfer = 0;
     bool m_IsStream = false;
+    /// Goes on with a stream of which the caller has the beginning.
+    bool m_IsContinuation = false;
+    /// Events of the stream when it was sent.
+    uint64_t m_EventsBefore = 0;
     int m_Status = 0;
     /// nullopt until it has been received.
     std::optional<core::gateway::AnswerHead> m_Head;
@@ -163,6 +172,8 @@
                    const core::gateway::HeaderLines &Headers,
                    std::optional<uint64_t> Length);
   void endExchange(model::RequestId Request);
+  /// Why the answer can't be used, by its head; nullptr if it can.
+  static const char *headFault(const Send &From, const Exchange *To);
   /// Takes what another node added to the head of an answer.
   void readForwardedHead(model::AttemptId Attempt, Send &From);
   void rejectAnswer(model::AttemptId Attempt, const std::string &Reason);
--- a/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
@@ -91,13 +91,26 @@
     rejectAnswer(Attempt, Foreign);
     return;
   }
-  if (Success && !From.m_Head->m_Sealed) {
-    rejectAnswer(Attempt, "a success without the endpoint's seal");
+  if (const char *const Fault =
+          headFault(From, To == m_Exchanges.end() ? nullptr : &To->second)) {
+    rejectAnswer(Attempt, Fault);
     return;
   }
   From.m_Forwarding = From.m_IsStream && Success;
 }
 
+const char *RelayDriver::headFault(const Send &From, const Exchange *To) {
+  if (!gateway::isSuccess(From.m_Status))
+    return nullptr;
+  if (!From.m_Head->m_Sealed)
+    return "a success without the endpoint's seal";
+  const bool IsOfOtherKind = To && To->m_AnswerStarted &&
+                             (From.m_Status != To->m_Status ||
+                              From.m_Head->m_MediaType != To->m_MediaType);
+  return IsOfOtherKind ? "the stream is continued by an answer of another kind"
+                       : nullptr;
+}
+
 void RelayDriver::readForwardedHead(model::AttemptId Attempt, Send &From) {
   if (const std::optional<AnsweringEndpoint> Endpoint =
           readAnsweringEndpoint(From.m_Headers))
@@ -171,6 +184,8 @@
     return;
   if (!To.m_AnswerStarted) {
     m_Core.onAnswerForwarded(From.m_Request, m_Clock.now());
+    To.m_Status = From.m_Status;
+    To.m_MediaType = From.m_Head->m_MediaType;
     beginAnswer(To, From.m_Status, From.m_Headers, std::nullopt);
   }
   To.m_Answer->write(Events);
@@ -190,9 +205,14 @@
   Answer.m_Head = Ended.m_Head;
   Answer.m_Status = Ended.m_Status;
   Answer.m_IsStream = Ended.isSplicedStream() && To != m_Exchanges.end();
-  Answer.m_End = {Ended.m_BodyFormat.m_Framing, Ended.m_ReceivedBytes, 0};
-  if (Answer.m_IsStream)
-    Answer.m_End.m_PartialEventBytes = To->second.m_Splicer.discardPartial();
+  Answer.m_IsContinuation = Ended.m_IsContinuation;
+  Answer.m_End.m_Framing = Ended.m_BodyFormat.m_Framing;
+  Answer.m_End.m_BodyBytes = Ended.m_ReceivedBytes;
+  if (Answer.m_IsStream) {
+    gateway::StreamSplicer &Splicer = To->second.m_Splicer;
+    Answer.m_End.m_Events = Splicer.eventCount() - Ended.m_EventsBefore;
+    Answer.m_End.m_PartialEventBytes = Splicer.discardPartial();
+  }
   Answer.m_TransferEnd = transferEndOf(Result);
   Answer.m_IsSent = Result.m_BytesSent > 0;
   Answer.m_TimedOut = Result.m_TimedOut;
--- a/Source/Core/Gateway/AnswerOutcome.cpp
+++ b/Source/Core/Gateway/AnswerOutcome.cpp
@@ -12,6 +12,9 @@
   // error.
   if (Answer.m_End.m_PartialEventBytes > 0)
     return "the stream ended inside an event";
+  // Only the run that broke off knows whether anything was left.
+  if (Answer.m_IsContinuation && Answer.m_End.m_Events == 0)
+    return "the stream was continued without an event";
   // Without a length or chunks, a stream that broke off before its first event
   // looks like an empty one, which no endpoint has a reason to send.
   if (Answer.m_TransferEnd == TransferEnd::ConnectionClosed &&
--- a/Source/Core/Gateway/AnswerOutcome.h
+++ b/Source/Core/Gateway/AnswerOutcome.h
@@ -27,6 +27,8 @@
   int m_Status = 0;
   /// The body is a stream of events.
   bool m_IsStream = false;
+  /// It goes on after events that the caller has.
+  bool m_IsContinuation = false;
   AnswerEnd m_End;
   TransferEnd m_TransferEnd = TransferEnd::Broken;
   /// A byte of the request was written to a connection.
--- a/Source/Core/Gateway/Dialect.h
+++ b/Source/Core/Gateway/Dialect.h
@@ -62,6 +62,9 @@
   /// hold the model.
   bool m_Misdirected = false;
   NamedRequest m_Names = NamedRequest::Own;
+  /// Type of the body, in lower case and without parameters; empty if not
+  /// given.
+  std::string m_MediaType;
   /// How long the endpoint keeps an idle connection open; nullopt if not given.
   std::optional<std::chrono::seconds> m_KeepAlive;
   EndpointStatement m_Statement;
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -100,6 +100,8 @@
 struct AnswerEnd {
   model::BodyFraming m_Framing = model::BodyFraming::Connection;
   uint64_t m_BodyBytes = 0;
+  /// Complete events of a stream, without those that an earlier answer brought.
+  uint64_t m_Events = 0;
   /// Bytes after the last complete event of a stream.
   uint64_t m_PartialEventBytes = 0;
 
--- a/Source/UnitTests/Gateway/AnswerOutcomeTest.cpp
+++ b/Source/UnitTests/Gateway/AnswerOutcomeTest.cpp
@@ -60,6 +60,18 @@
   CHECK(isResult(Framed, SendResult::Completed));
 }
 
+// Guards against a stream that ends as complete where it broke off.
+TEST_CASE("a stream that is continued is complete only with a further event") {
+  for (const TransferEnd End :
+       {TransferEnd::AsFramed, TransferEnd::ConnectionClosed}) {
+    ReceivedAnswer Answer = sealedAnswer(End, true);
+    Answer.m_IsContinuation = true;
+    CHECK(isResult(Answer, SendResult::Broken));
+    Answer.m_End.m_Events = 1;
+    CHECK(isResult(Answer, SendResult::Completed));
+  }
+}
+
 TEST_CASE("what proves that the request did not run counts without a complete "
           "body") {
   ReceivedAnswer Answer = sealedAnswer(TransferEnd::Broken);
