--- a/Source/Core/Adapters/Pistache/HttpResponseWriter.cpp
+++ b/Source/Core/Adapters/Pistache/HttpResponseWriter.cpp
@@ -48,6 +48,13 @@
   m_Connection->startAnswer(std::move(OnDisconnect));
 }
 
+void HttpResponseWriter::omitBodyIfNone(int Status) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  m_HasNoFraming = Status == NoContent || Status == NotModified;
+  m_HeadOnly = m_HeadOnly || m_HasNoFraming;
+}
+
 void HttpResponseWriter::ensureAttached() {
   if (!m_Attached)
     onDisconnect(nullptr);
@@ -60,7 +67,7 @@
                      reasonPhrase(Status) + "\r\n";
   for (const HttpHeader &Header : Headers)
     Text += Header.m_Name + ": " + Header.m_Value + "\r\n";
-  if (ContentLength)
+  if (ContentLength && !m_HasNoFraming)
     Text += "Content-Length: " + std::to_string(*ContentLength) + "\r\n";
   if (m_Chunked)
     Text += "Transfer-Encoding: chunked\r\n";
@@ -73,6 +80,7 @@
     return;
   m_Begun = true;
   ensureAttached();
+  omitBodyIfNone(Reply.m_Status);
   m_KeepAlive = m_KeepAlive && !Reply.m_Close;
   std::vector<HttpHeader> Headers = Reply.m_Headers;
   Headers.push_back({"Content-Type", Reply.m_ContentType});
@@ -91,8 +99,10 @@
     return;
   m_Begun = true;
   ensureAttached();
-  m_Chunked = !ContentLength && m_Http11;
-  const bool EndsWithConnection = !ContentLength && !m_Chunked;
+  omitBodyIfNone(Status);
+  m_Chunked = !ContentLength && m_Http11 && !m_HasNoFraming;
+  const bool EndsWithConnection =
+      !ContentLength && !m_Chunked && !m_HasNoFraming;
   if (EndsWithConnection && !m_HeadOnly)
     m_Connection->setResetOnClose();
   m_KeepAlive = m_KeepAlive && !EndsWithConnection;
--- a/Source/Core/Adapters/Pistache/HttpResponseWriter.h
+++ b/Source/Core/Adapters/Pistache/HttpResponseWriter.h
@@ -65,6 +65,8 @@
   std::string head(int Status, const std::vector<HttpHeader> &Headers,
                    std::optional<uint64_t> ContentLength) const;
   void ensureAttached();
+  /// Some statuses have no body, and so neither a length nor chunks.
+  void omitBodyIfNone(int Status);
   void releaseForNextRequest();
   void finish();
 
@@ -76,6 +78,7 @@
   bool m_Chunked = false;
   bool m_Begun = false;
   bool m_Ended = false;
+  bool m_HasNoFraming = false;
   /// Body bytes that are still missing to the ContentLength, if one was given.
   std::optional<uint64_t> m_BytesLeft;
 };
--- a/Source/UnitTests/Adapters/Gateway/ContinuedStreamTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/ContinuedStreamTest.cpp
@@ -160,4 +160,23 @@
   }
 }
 
+// Guards against bytes behind an answer that has no body.
+TEST_CASE("an answer without a body has no framing") {
+  for (const std::string Target : {"/live/x", "/stream/x", "/once/x"}) {
+    ScriptedEndpoint Endpoint(
+        [](ScriptConnection &To, const std::string &, int) {
+          To.write(withStatus("204 None", "\r\n"));
+        });
+    const RelayNode Node({Endpoint.port()});
+    const std::string Answer =
+        answerTo(Node, requestText(Target, "Connection: close\r\n"));
+    CAPTURE(Target);
+    CHECK(Answer.rfind("HTTP/1.1 204", 0) == 0);
+    CHECK(Answer.ends_with("\r\n\r\n"));
+    CHECK(Answer.find("\r\n\r\n") == Answer.size() - 4);
+    CHECK(Answer.find("Transfer-Encoding") == std::string::npos);
+    CHECK(Answer.find("Content-Length") == std::string::npos);
+  }
+}
+
 } // namespace bronzepass::unit_tests::adapters::gateway
