Gateway: Test earlier refusals, cut heads and failures on forwarded requests

Requests that a node without links forwards: the server that writes an earlier refusal once more, cuts its answer's head or answers a stream's continuation with a failure is the other node, or an engine behind it. Calls, requests that may run once, streams new and taken up.

--- a/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
@@ -80,17 +80,24 @@
 
 void RelayNode::tick() {
   m_Thread.loop().runAfter(TickPeriod, [this] { tick(); });
+  hearOf("peer", m_PeerPort);
+  hearOf("other", m_OtherPort);
+  m_Driver.decide([](relay::RelayCore &Core, core::model::TimePoint Now,
+                     relay::RelayEffectList &Out) { Core.tick(Now, Out); });
+}
+
+void RelayNode::hearOf(const char *Peer, uint16_t ForwardingPort) {
+  if (ForwardingPort == 0)
+    return;
   relay::PeerNotice Notice;
-  Notice.m_From = core::model::NodeId("peer");
+  Notice.m_From = core::model::NodeId(Peer);
   Notice.m_Start = 1;
   Notice.m_Sequence = ++m_PeerNotices;
-  Notice.m_ForwardingPort = m_PeerPort;
+  Notice.m_ForwardingPort = ForwardingPort;
   Notice.m_SenderIp = "127.0.0.1";
   m_Driver.decide([&](relay::RelayCore &Core, core::model::TimePoint Now,
                       relay::RelayEffectList &Out) {
-    if (Notice.m_ForwardingPort != 0)
-      Core.onPeerNotice(Notice, Now, Out);
-    Core.tick(Now, Out);
+    Core.onPeerNotice(Notice, Now, Out);
   });
 }
 
--- a/Source/UnitTests/Adapters/Gateway/RelayNode.h
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.h
@@ -32,10 +32,13 @@
   uint16_t forwardingPort() const { return m_ForwardingServer.port(); }
   /// Hears from now on of a node that takes requests at \p ForwardingPort.
   void setPeer(uint16_t ForwardingPort) { m_PeerPort = ForwardingPort; }
+  /// The same of a second one.
+  void setOtherPeer(uint16_t ForwardingPort) { m_OtherPort = ForwardingPort; }
   std::string metrics() const { return m_Metrics.text(); }
 
 private:
   void tick();
+  void hearOf(const char *Peer, uint16_t ForwardingPort);
 
   core::adapters::daemon::SystemRandom m_Random;
   core::adapters::gateway::BootClock m_Clock;
@@ -48,6 +51,7 @@
   core::adapters::front::FrontServer m_Server;
   core::adapters::front::FrontServer m_ForwardingServer;
   std::atomic<uint16_t> m_PeerPort = 0;
+  std::atomic<uint16_t> m_OtherPort = 0;
   uint64_t m_PeerNotices = 0;
 };
 
