Codec: Refuse CBOR strings in pieces

What callers saw: the node that read one datagram of 60 KB on its peers' port ended by signal 11, with all its streams; the other nodes went on (FAULT).

Cause: the library's CBOR reader recurses on a piece of a string that comes in pieces itself, before it calls the handler that counts the nesting. Runs of more than 4,096 heads were refused; an empty piece between two heads ends a run, but not the recursion. A feed's reply may be 8 MB long.

Change: before the library reads a document, its items are walked over one after the other, and a string in pieces is refused. Nothing that is read here writes one.

Why it works: the library recurses only on arrays and maps then, which are counted before it descends.

--- a/Source/Core/Adapters/Codec/JsonParser.cpp
+++ b/Source/Core/Adapters/Codec/JsonParser.cpp
@@ -1,6 +1,7 @@
 #include "Core/Adapters/Codec/JsonParser.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 
 namespace bronzepass::core::adapters::codec {
@@ -48,17 +49,40 @@
   std::string m_Reason;
 };
 
-/// Detects a long run of heads of indefinite-length strings. The library's CBOR
-/// reader recurses once per head in the run before it calls any handler.
-bool hasLongHeadRun(std::string_view Bytes) {
-  constexpr char TextHead = 0x7F;
-  constexpr char BytesHead = 0x5F;
-  constexpr size_t MaxRun = 4096;
-  size_t Run = 0;
-  for (const char Byte : Bytes) {
-    Run = Byte == TextHead || Byte == BytesHead ? Run + 1 : 0;
-    if (Run > MaxRun)
+/// Whether a string comes in pieces. The library's CBOR reader recurses on a
+/// piece that comes in pieces itself before it calls any handler, and nothing
+/// that is read here writes such strings.
+bool hasStringInPieces(std::string_view Bytes) {
+  constexpr unsigned TypeShift = 5;
+  constexpr unsigned BytesType = 2;
+  constexpr unsigned TextType = 3;
+  constexpr unsigned InfoMask = 0x1F;
+  constexpr unsigned FirstWidthInfo = 24;
+  constexpr unsigned LastWidthInfo = 27;
+  constexpr unsigned IndefiniteInfo = 31;
+  constexpr unsigned BitsPerByte = 8;
+  // The items follow one another without gaps, whatever their nesting.
+  while (!Bytes.empty()) {
+    const unsigned Head = static_cast<unsigned char>(Bytes.front());
+    Bytes.remove_prefix(1);
+    const unsigned Type = Head >> TypeShift;
+    const unsigned Info = Head & InfoMask;
+    const bool IsString = Type == BytesType || Type == TextType;
+    if (Info == IndefiniteInfo && IsString)
       return true;
+    uint64_t Length = Info;
+    if (Info >= FirstWidthInfo && Info != IndefiniteInfo) {
+      const size_t Width = size_t{1} << (Info - FirstWidthInfo);
+      // The library's reader stops here, too.
+      if (Info > LastWidthInfo || Bytes.size() < Width)
+        return false;
+      Length = 0;
+      for (const char Byte : Bytes.substr(0, Width))
+        Length = (Length << BitsPerByte) | static_cast<unsigned char>(Byte);
+      Bytes.remove_prefix(Width);
+    }
+    if (IsString)
+      Bytes.remove_prefix(std::min<uint64_t>(Length, Bytes.size()));
   }
   return false;
 }
@@ -73,8 +97,8 @@
     Reason = "larger than " + std::to_string(MaxBytes) + " bytes";
     return std::nullopt;
   }
-  if (Binary && hasLongHeadRun(Bytes)) {
-    Reason = "nested too deeply";
+  if (Binary && hasStringInPieces(Bytes)) {
+    Reason = "a string comes in pieces";
     return std::nullopt;
   }
   try {
