Gateway: Call the store on connections of their own

A write of the lease counted as refused, as not executed, or as that of another version, although the store had executed it, and a refused one as executed, where the store wrote an earlier answer once more on a kept connection. The copy of another watch's answer moved a feed past changes that it had not seen. Cause: an answer of the store names no call, so that any answer on the connection counted as that to the last call. Now each call has a connection of its own, as orders and reports have.

--- a/Source/Core/Adapters/Gateway/StoreClient.cpp
+++ b/Source/Core/Adapters/Gateway/StoreClient.cpp
@@ -14,7 +14,8 @@
 
 void StoreClient::call(const gateway::HttpCall &Call, model::Duration Timeout,
                        bool MayBeStale, ControlCalls::CallDone OnDone) {
-  m_Calls.call(m_Address, Call, Timeout, ControlCalls::ConnectionUse::Kept,
+  // An answer of the store does not name its call.
+  m_Calls.call(m_Address, Call, Timeout, ControlCalls::ConnectionUse::Single,
                [this, Era = m_Eras.onCall(MayBeStale),
                 OnDone = std::move(OnDone)](const gateway::HttpResult &Result) {
                  OnDone(isUsable(Era, Result) ? Result : gateway::HttpResult());
