Routing: Resume a stream by a stream only

A caller's stream that broke off ended as if it were complete, also with an error's text in it, where the engine answered its resumption with 200, the right offset and a body that was no event stream. Cause: such a body is whole by its length, while a stream needs its terminal marker. Now an answer of another type does not resume a stream.

FaultyEngineTest: 5 checks of "a stream that broke off is incomplete" failed before, none of the 174 now. Its other cases held before: heads that are cut (calls, streams, calls of services with and without a key), and 14 other answers to a resumption.

--- a/Source/Core/Adapters/Traffic/Attempt.cpp
+++ b/Source/Core/Adapters/Traffic/Attempt.cpp
@@ -56,7 +56,7 @@
   if (m_Declined)
     return std::nullopt;
   m_IsStream = isEventStream(Head);
-  m_Unusable = !resumesAtRequestedOffset();
+  m_Unusable = !resumesStream();
   if (m_Unusable)
     return std::nullopt;
   return routing::AttemptHead{m_Start.m_Attempt,
@@ -64,11 +64,12 @@
                               parseReportedLoad(Head)};
 }
 
-bool Attempt::resumesAtRequestedOffset() const {
+bool Attempt::resumesStream() const {
   if (m_Start.m_ResumeOffset == 0)
     return true;
-  return parseNumber(m_Head.header("bronzepass-resume-offset")) ==
-         m_Start.m_ResumeOffset;
+  // The length of another body would count as the end of the stream.
+  return m_IsStream && parseNumber(m_Head.header("bronzepass-resume-offset")) ==
+                           m_Start.m_ResumeOffset;
 }
 
 std::optional<routing::AttemptChunk>
--- a/Source/Core/Adapters/Traffic/Attempt.h
+++ b/Source/Core/Adapters/Traffic/Attempt.h
@@ -29,11 +29,11 @@
   const curl::TransferHead &head() const { return m_Head; }
 
   /// Empty if the decider must not see the head: the endpoint declined the
-  /// request, or does not resume at the requested offset.
+  /// request, or does not resume the stream at the requested offset.
   std::optional<routing::AttemptHead>
   handleHead(const curl::TransferHead &Head);
-  /// The response does not resume at the requested offset, so the attempt must
-  /// be ended as broken.
+  /// The response does not resume the stream at the requested offset, so the
+  /// attempt must be ended as broken.
   bool isUnusable() const { return m_Unusable; }
 
   std::optional<routing::AttemptChunk> handleChunk(std::string_view Bytes);
@@ -48,7 +48,7 @@
 
 private:
   bool hasTerminalMarker() const;
-  bool resumesAtRequestedOffset() const;
+  bool resumesStream() const;
 
   routing::StartAttempt m_Start;
   curl::TransferHead m_Head;
--- a/Source/UnitTests/Adapters/Http/TestNode.cpp
+++ b/Source/UnitTests/Adapters/Http/TestNode.cpp
@@ -123,16 +123,19 @@
   model::PoolSpec Engines;
   Engines.m_Name = model::PoolId("engines");
   Engines.m_CanResume = m_Settings.m_CanResume;
-  Engines.m_Endpoints.push_back(endpointSpec("engine-1", m_Engine->address(),
-                                             m_Settings.m_Engine.m_Slots));
+  model::Address Engine = m_Engine->address();
+  Engine.m_Port = m_Settings.m_EnginePort.value_or(Engine.m_Port);
+  Engines.m_Endpoints.push_back(
+      endpointSpec("engine-1", Engine, m_Settings.m_Engine.m_Slots));
   Intent.m_Pools.push_back(Engines);
   model::PoolSpec Services;
   Services.m_Name = model::PoolId("booking");
   Services.m_Kind = model::PoolKind::Service;
   Services.m_PathPrefix = "/booking";
   Services.m_Routes.push_back({"/certificates", false});
-  Services.m_Endpoints.push_back(
-      endpointSpec("service-1", m_Service->address(), 16));
+  model::Address Service = m_Service->address();
+  Service.m_Port = m_Settings.m_ServicePort.value_or(Service.m_Port);
+  Services.m_Endpoints.push_back(endpointSpec("service-1", Service, 16));
   Intent.m_Pools.push_back(Services);
   routing::RoutingInputs Inputs;
   Inputs.m_Intent = std::make_shared<const model::Intent>(Intent);
--- a/Source/UnitTests/Adapters/Http/TestNode.h
+++ b/Source/UnitTests/Adapters/Http/TestNode.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -94,6 +95,9 @@
     core::adapters::callers::CallerServerOptions m_CallerServer;
     core::routing::TrafficSettings m_Traffic;
     bool m_CanResume = false;
+    /// Where the engine and the service listen; nullopt: the stand-ins.
+    std::optional<uint16_t> m_EnginePort;
+    std::optional<uint16_t> m_ServicePort;
   };
 
   explicit TestNode(Settings InitialSettings);
