--- a/Source/Core/Adapters/Daemon/CrashReport.cpp
+++ b/Source/Core/Adapters/Daemon/CrashReport.cpp
@@ -170,6 +170,8 @@
   }
   Text << "\"}\n";
   // A reader that stands still must not keep the process from ending.
+  // Nor may one that is gone end it by another signal.
+  ::signal(SIGPIPE, SIG_IGN);
   pollfd Output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
   if (::poll(&Output, 1, 0) > 0 && (Output.revents & POLLOUT) != 0)
     static_cast<void>(
--- a/Source/UnitTests/Adapters/Daemon/CrashReportProbe.cpp
+++ b/Source/UnitTests/Adapters/Daemon/CrashReportProbe.cpp
@@ -1,6 +1,7 @@
 #include "Core/Adapters/Daemon/CrashReport.h"
 
 #include <array>
+#include <chrono>
 #include <csignal>
 #include <fcntl.h>
 #include <string_view>
@@ -39,6 +40,8 @@
     CrashReport::setSubject("9c41\"d07be2");
     if (Kind == "recursion")
       static_cast<void>(recurse(1));
+    if (Kind == "late")
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
     if (Kind == "full-pipe")
       fillOutput();
     ::raise(Kind == "abort" ? SIGABRT : SIGSEGV);
--- a/Source/UnitTests/Adapters/Daemon/crash-report.sh
+++ b/Source/UnitTests/Adapters/Daemon/crash-report.sh
@@ -25,4 +25,11 @@
   echo "full-pipe: status $Ended" >&2
   Status=1
 fi
+# Nor may one that is gone change the signal by which it ends.
+("$1" late) 2> /dev/null | true
+Ended=${PIPESTATUS[0]}
+if [ "$Ended" -ne 139 ]; then
+  echo "no reader: status $Ended" >&2
+  Status=1
+fi
 exit $Status
