Curl: Close a connection whose answer was rejected; no answer begins inside another's head

A rejected answer without a body left its connection in use, since the cancellation came while libcurl was reading the head: the true answer to that request was taken for that to the next one, which got 502. The header callback now ends a cancelled transfer, and one in whose head another status line begins.

--- a/Source/Core/Adapters/Curl/CurlTransfer.cpp
+++ b/Source/Core/Adapters/Curl/CurlTransfer.cpp
@@ -36,7 +36,26 @@
          Status != NotModified;
 }
 
+/// Whether a status line stands behind the start of the line: the server began
+/// another answer inside this one's head.
+bool holdsOtherAnswer(std::string_view Line) {
+  constexpr std::string_view Start = "HTTP/1.";
+  constexpr size_t StatusOffset = Start.size() + 2;
+  constexpr size_t StatusLength = 3;
+  for (size_t At = Line.find(Start, 1); At != std::string_view::npos;
+       At = Line.find(Start, At + 1)) {
+    const std::string_view Status =
+        Line.substr(std::min(Line.size(), At + StatusOffset), StatusLength);
+    if (Status.size() == StatusLength &&
+        Status.find_first_not_of("0123456789") == std::string_view::npos)
+      return true;
+  }
+  return false;
+}
+
 size_t handleHeaderLine(Transfer &Running, std::string_view Line) {
+  if (Running.m_Cancelled)
+    return 0; // libcurl closes the connection.
   Running.m_HeaderBytes += Line.size();
   if (Running.m_HeaderBytes > MaxHeaderBytes) {
     Running.m_AbortReason = "the answer's header lines are longer than " +
@@ -46,6 +65,10 @@
   // Header lines after the head are trailers.
   if (Running.m_HeadReceived)
     return Line.size();
+  if (holdsOtherAnswer(Line)) {
+    Running.m_AbortReason = "another answer begins inside the head";
+    return 0;
+  }
   if (Line.substr(0, 5) == "HTTP/")
     Running.m_Head = {};
   if (!model::trimBlanks(Line).empty()) {
@@ -54,7 +77,7 @@
   }
   long Status = 0;
   curl_easy_getinfo(Running.m_Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
-  if (Status < FirstFinalStatus || Running.m_Cancelled)
+  if (Status < FirstFinalStatus)
     return Line.size();
   Running.m_Head.m_Status = static_cast<int>(Status);
   const std::optional<BodyFormat> Body =
@@ -71,7 +94,7 @@
   Running.m_Head.m_OnNewConnection = Connects > 0;
   Running.m_HeadReceived = true;
   Running.m_Listener->onHead(Running.m_Head);
-  return Line.size();
+  return Running.m_Cancelled ? 0 : Line.size();
 }
 
 size_t handleBody(Transfer &Running, std::string_view Chunk) {
