--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -85,9 +85,13 @@
   if (!Terms) {
     m_Driver.m_Log.write("request", "forwarding_unreadable",
                          {{"reason", Reason}});
+    gateway::RelayRequest Unreadable;
+    m_Driver.m_Dialect.readRequest(Headers, Unreadable);
     Answer->send({.m_Status = BadRequest,
                   .m_Body = Reason + "\n",
-                  .m_ContentType = "text/plain"});
+                  .m_ContentType = "text/plain",
+                  .m_Headers = headersOf(m_Driver.m_Dialect.refusalHeaders(
+                      Unreadable.m_CallerRequestId, std::nullopt))});
     return;
   }
   removeForwardingHeaders(Headers);
@@ -114,6 +118,7 @@
   m_Dialect.readRequest(Added.m_Headers, Relayed);
   Added.m_CallerRequestId = Relayed.m_CallerRequestId;
   Added.m_IsResumption = Relayed.m_IsResumption;
+  Added.m_Splicer.startAfter(Relayed.m_LastEventId);
   daemon::CrashReport::setSubject(Added.m_CallerRequestId);
   Added.m_Request = std::move(Request);
   Added.m_Answer = Answer;
@@ -198,6 +203,7 @@
                       TimeoutSlack;
   Send &Added = m_Sends[Effect.m_Attempt];
   Added.m_Request = Effect.m_Request;
+  Added.m_CallerRequestId = From.m_CallerRequestId;
   Added.m_Service = Effect.m_Service;
   Added.m_IsStream = Effect.m_Stream;
   Added.m_IsContinuation = Effect.m_Resume || From.m_IsResumption;
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -99,10 +99,10 @@
     /// The caller takes up a stream that broke off.
     bool m_IsResumption = false;
     bool m_AnswerStarted = false;
-    /// Type of the body of the answer that has started.
-    std::string m_MediaType;
-    /// Of the answer that has started, or of the collected one that
-    /// ForwardAnswer sends to the caller.
+    /// Status and media type of the answer that has started.
+    int m_StartedStatus = 0;
+    std::string m_StartedMediaType;
+    /// The collected answer that ForwardAnswer sends to the caller.
     int m_Status = 0;
     core::gateway::HeaderLines m_AnswerHeaders;
     std::string m_Body;
@@ -113,6 +113,7 @@
   /// One send to an endpoint.
   struct Send {
     model::RequestId m_Request;
+    std::string m_CallerRequestId;
     std::string m_Service;
     AnsweringEndpoint m_Endpoint;
     /// To another node, which chooses the endpoint.
--- a/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
@@ -53,9 +53,8 @@
   From.m_Status = Head.m_Status;
   From.m_Headers = Head.m_Lines;
   From.m_BodyFormat = Head.m_BodyFormat;
-  From.m_Head = m_Dialect.readHead(
-      Head.m_Status, Head.m_Lines,
-      To == m_Exchanges.end() ? "" : To->second.m_CallerRequestId);
+  From.m_Head =
+      m_Dialect.readHead(Head.m_Status, Head.m_Lines, From.m_CallerRequestId);
   if (From.m_IsForwarded)
     readForwardedHead(Attempt, From);
   if (To != m_Exchanges.end() && To->second.m_IsForwarded) {
@@ -87,7 +86,7 @@
         Core.onEndpointPaused(Attempt, *Told.m_PauseFor, Now, Out);
     });
   const bool Success = gateway::isSuccess(Head.m_Status);
-  if (To != m_Exchanges.end() && Foreign) {
+  if (Foreign) {
     rejectAnswer(Attempt, Foreign);
     return;
   }
@@ -104,9 +103,10 @@
     return nullptr;
   if (!From.m_Head->m_Sealed)
     return "a success without the endpoint's seal";
-  const bool IsOfOtherKind = To && To->m_AnswerStarted &&
-                             (From.m_Status != To->m_Status ||
-                              From.m_Head->m_MediaType != To->m_MediaType);
+  const bool IsOfOtherKind =
+      To && To->m_AnswerStarted &&
+      (From.m_Status != To->m_StartedStatus ||
+       From.m_Head->m_MediaType != To->m_StartedMediaType);
   return IsOfOtherKind ? "the stream is continued by an answer of another kind"
                        : nullptr;
 }
@@ -123,12 +123,13 @@
                                const std::string &Reason) {
   const auto Found = m_Sends.find(Attempt);
   const uint64_t Transfer = Found->second.m_Transfer;
+  const gateway::AnswerEnd End{Found->second.m_BodyFormat.m_Framing, 0, 0, 0};
   m_Sends.erase(Found);
   m_Curl.cancel(Transfer);
   decide([&](gateway::RelayCore &Core, model::TimePoint Now,
              gateway::RelayEffectList &Out) {
-    Core.onSendFinished(Attempt, {SendResult::Broken, 0, false, Reason}, Now,
-                        Out);
+    Core.onSendFinished(Attempt, {SendResult::Broken, 0, false, Reason, End},
+                        Now, Out);
   });
 }
 
@@ -184,8 +185,8 @@
     return;
   if (!To.m_AnswerStarted) {
     m_Core.onAnswerForwarded(From.m_Request, m_Clock.now());
-    To.m_Status = From.m_Status;
-    To.m_MediaType = From.m_Head->m_MediaType;
+    To.m_StartedStatus = From.m_Status;
+    To.m_StartedMediaType = From.m_Head->m_MediaType;
     beginAnswer(To, From.m_Status, From.m_Headers, std::nullopt);
   }
   To.m_Answer->write(Events);
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -29,6 +29,14 @@
 /// its own entry should be up to date.
 constexpr model::Duration MissingCopyLifetime = std::chrono::seconds(1);
 
+/// Whether a caller takes the status for a proof that its request did not run.
+bool promisesNotRun(int Status) {
+  constexpr int RequestTimeout = 408;
+  constexpr int TooManyRequests = 429;
+  return Status == RequestTimeout || Status == TooManyRequests ||
+         Status == ServiceUnavailable;
+}
+
 } // namespace
 
 void RelayCore::onAnswerChunk(model::AttemptId Attempt, model::TimePoint Now) {
@@ -255,6 +263,16 @@
     abortAnswer(Active, Active.m_LastFailure, Out);
     return;
   }
+  const RouteSpec &Route = *Active.m_Route;
+  const bool MayRunAgain =
+      Route.m_Repeatable || (Route.m_Stream && Route.m_Resumable);
+  if (Active.m_HasFailureAnswer && !MayRunAgain &&
+      promisesNotRun(Outcome.m_Status)) {
+    reject(Active, BadGateway, std::nullopt,
+           Active.m_LastFailure + ", which does not prove that it did not run",
+           Out);
+    return;
+  }
   if (Active.m_HasFailureAnswer) {
     log(Active, "answer", Outcome.m_Status,
         "the endpoint answered with a failure", Out);
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -59,6 +59,8 @@
   std::optional<model::Duration> m_Window;
   /// The caller has the first events of the stream and asks for the rest.
   bool m_IsResumption = false;
+  /// Of the last event that the caller has; empty if it takes up no stream.
+  std::string m_LastEventId;
   /// The caller's id of the attempt that brought the stream's first event;
   /// empty if not given.
   std::string m_FirstAttempt;
--- a/Source/Core/Gateway/StreamSplicer.cpp
+++ b/Source/Core/Gateway/StreamSplicer.cpp
@@ -57,6 +57,12 @@
   }
 }
 
+void StreamSplicer::startAfter(const std::string &LastId) {
+  m_LastId = LastId;
+  m_LastNumber = numberOf(LastId);
+  m_AwaitsId = !LastId.empty();
+}
+
 std::string StreamSplicer::feed(std::string_view Bytes) {
   m_Partial.append(Bytes);
   std::string Whole;
@@ -76,13 +82,16 @@
 
 bool StreamSplicer::isNew(std::string_view Event) {
   const std::string_view Id = idOf(Event);
-  if (!Id.empty()) {
-    const std::optional<uint64_t> Number = numberOf(Id);
-    if (Number && m_LastNumber && *Number <= *m_LastNumber)
-      return false;
-    m_LastNumber = Number;
-    m_LastId = std::string(Id);
+  if (Id.empty()) {
+    m_Events += m_LastId.empty() ? 1 : 0;
+    return !m_AwaitsId;
   }
+  const std::optional<uint64_t> Number = numberOf(Id);
+  if (Number && m_LastNumber && *Number <= *m_LastNumber)
+    return false;
+  m_LastNumber = Number;
+  m_LastId = std::string(Id);
+  m_AwaitsId = false;
   ++m_Events;
   return true;
 }
@@ -90,6 +99,7 @@
 size_t StreamSplicer::discardPartial() {
   m_LineStart = 0;
   m_SearchedTo = 0;
+  m_AwaitsId = !m_LastId.empty();
   return std::exchange(m_Partial, {}).size();
 }
 
--- a/Source/Core/Gateway/StreamSplicer.h
+++ b/Source/Core/Gateway/StreamSplicer.h
@@ -13,6 +13,9 @@
 /// one, and joins the parts of one stream that come from different endpoints.
 class StreamSplicer {
 public:
+  /// The caller has a stream up to the event with this id.
+  void startAfter(const std::string &LastId);
+
   /// Returns the whole events to forward; empty while none is complete. Events
   /// that were already forwarded, by their ids, are left out.
   std::string feed(std::string_view Bytes);
@@ -26,6 +29,7 @@
 
   /// Id of the last event forwarded; empty if none had one.
   const std::string &lastId() const { return m_LastId; }
+  /// Events forwarded; of a stream whose events have ids, only those.
   uint64_t eventCount() const { return m_Events; }
 
 private:
@@ -42,6 +46,9 @@
   std::string m_LastId;
   std::optional<uint64_t> m_LastNumber;
   uint64_t m_Events = 0;
+  /// An answer goes on with a stream whose events have ids, and has not shown
+  /// yet that it does.
+  bool m_AwaitsId = false;
 };
 
 } // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Adapters/Gateway/ContinuedStreamTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/ContinuedStreamTest.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/Adapters/Gateway/RelayNode.h"
 #include "UnitTests/Adapters/Gateway/ScriptedEndpoint.h"
 
+#include <atomic>
 #include <doctest/doctest.h>
 #include <string>
 #include <vector>
@@ -160,6 +161,82 @@
   }
 }
 
+// Guards against streams that no longer go on.
+TEST_CASE(
+    "a stream that broke off goes on behind an endpoint that refuses it") {
+  for (const std::string Status : {"503 Full", "421 Other"}) {
+    CAPTURE(Status);
+    std::atomic<int> Continued = 0;
+    const auto Script = [&](ScriptConnection &To, const std::string &Request,
+                            int) {
+      if (Request.find("Last-Event-Id: 2\r\n") == std::string::npos) {
+        To.write(chunkedStream(event(1) + event(2)));
+        To.close();
+        return;
+      }
+      To.write(++Continued == 1
+                   ? withStatus(Status, "X-Not-Run: 1\r\n" + EmptyBody)
+                   : chunkedStream(event(3)) + LastChunk);
+    };
+    ScriptedEndpoint First(Script);
+    ScriptedEndpoint Second(Script);
+    ScriptedEndpoint Third(Script);
+    const RelayNode Node({First.port(), Second.port(), Third.port()});
+    const std::string Answer =
+        answerTo(Node, requestText("/stream/x", "Connection: close\r\n"));
+    CHECK(Answer.find(event(3)) != std::string::npos);
+    CHECK(Answer.ends_with(LastChunk));
+  }
+}
+
+// Guards against events that a caller gets twice, and a stream that ends as
+// complete by them.
+TEST_CASE("a caller that takes a stream up gets no event that it has") {
+  const std::string Had = event(1) + event(2);
+  const std::string Repeated =
+      answerTakenUp(chunkedStream(Had + event(3)) + LastChunk);
+  CHECK(Repeated.find(event(1)) == std::string::npos);
+  CHECK(Repeated.find(event(2)) == std::string::npos);
+  CHECK(Repeated.find(event(3)) != std::string::npos);
+  CHECK(Repeated.ends_with(LastChunk));
+  for (const std::string &Each : {Had, std::string(": ping\n\n"), ErrorText})
+    CHECK(answerTakenUp(chunkedStream(Each) + LastChunk)
+              .rfind("HTTP/1.1 502", 0) == 0);
+}
+
+// Guards against a stream that is ended, or filled, by what is no event of it.
+TEST_CASE("a stream that broke off is not continued by events without an id") {
+  for (const std::string &Rest :
+       {std::string(": ping\n\n"), std::string("\n\n"), ErrorText,
+        "event: error\n" + ErrorText}) {
+    CAPTURE(Rest);
+    checkCutAfterSecondEvent(
+        answerContinuedBy(chunkedStream(Rest) + LastChunk));
+  }
+}
+
+// Guards against a stream that starts again at its first event.
+TEST_CASE("a stream that is taken up keeps the caller's last event at the next "
+          "endpoint") {
+  std::atomic<int> Sends = 0;
+  const auto Script = [&](ScriptConnection &To, const std::string &Request,
+                          int) {
+    const bool IsFirst = ++Sends == 1;
+    CHECK(Request.find("Last-Event-Id: 2\r\n") != std::string::npos);
+    To.write(IsFirst ? chunkedStream(": ping\n\n")
+                     : chunkedStream(event(3)) + LastChunk);
+    To.close();
+  };
+  ScriptedEndpoint First(Script);
+  ScriptedEndpoint Second(Script);
+  const RelayNode Node({First.port(), Second.port()});
+  const std::string Answer =
+      answerTo(Node, requestText("/stream/x",
+                                 "Connection: close\r\nLast-Event-Id: 2\r\n"));
+  CHECK(Sends == 2);
+  CHECK(Answer.find(event(3)) != std::string::npos);
+}
+
 // Guards against bytes behind an answer that has no body.
 TEST_CASE("an answer without a body has no framing") {
   for (const std::string Target : {"/live/x", "/stream/x", "/once/x"}) {
