--- a/Source/Core/Adapters/Gateway/StoreClient.cpp
+++ b/Source/Core/Adapters/Gateway/StoreClient.cpp
@@ -14,8 +14,7 @@
 
 void StoreClient::call(const gateway::HttpCall &Call, model::Duration Timeout,
                        bool MayBeStale, ControlCalls::CallDone OnDone) {
-  // An answer of the store does not name its call.
-  m_Calls.call(m_Address, Call, Timeout, ControlCalls::ConnectionUse::Single,
+  m_Calls.call(m_Address, Call, Timeout, ControlCalls::ConnectionUse::Kept,
                [this, Era = m_Eras.onCall(MayBeStale),
                 OnDone = std::move(OnDone)](const gateway::HttpResult &Result) {
                  OnDone(isUsable(Era, Result) ? Result : gateway::HttpResult());
