Routing: Believe an answer only if it names its attempt, or has its connection to itself

Callers of repeatable requests were told "not run" for requests that an endpoint ran, and got another caller's answer, where the endpoint wrote an earlier answer once more on a kept connection. Cause: answers named no attempt, so that any answer on the connection counted as that to the last one. Now connections are used again only to endpoints whose last answer repeated Bronzepass-Attempt, which differs for each attempt of a node, and on such a connection only an answer that names its attempt counts. Others get a connection for each request.

Price: endpoints that name no attempt, and hops between nodes, get a connection for each request (6 for 6 calls in the test; 2 for 6 with names). The stand-ins name attempts. AttemptEndTest's head is now that of a new connection, as its case means; its checks are unchanged.

--- a/Source/Core/Adapters/Traffic/Attempt.cpp
+++ b/Source/Core/Adapters/Traffic/Attempt.cpp
@@ -51,6 +51,9 @@
 Attempt::handleHead(const curl::TransferHead &Head) {
   m_Head = Head;
   m_HasHead = true;
+  m_Unusable = !isOfThisAttempt();
+  if (m_Unusable)
+    return std::nullopt;
   m_Declined = Head.m_Status == ServiceUnavailable &&
                Head.header("bronzepass-run-state") == "not_run";
   if (m_Declined)
@@ -64,6 +67,16 @@
                               parseReportedLoad(Head)};
 }
 
+bool Attempt::namesAttempt() const {
+  return parseNumber(m_Head.header("bronzepass-attempt")) ==
+         m_Start.m_Attempt.m_Value;
+}
+
+bool Attempt::isOfThisAttempt() const {
+  const bool NamesNone = m_Head.header("bronzepass-attempt").empty();
+  return namesAttempt() || (NamesNone && m_Head.m_OnNewConnection);
+}
+
 bool Attempt::resumesStream() const {
   if (m_Start.m_ResumeOffset == 0)
     return true;
--- a/Source/Core/Adapters/Traffic/Attempt.h
+++ b/Source/Core/Adapters/Traffic/Attempt.h
@@ -29,13 +29,17 @@
   const curl::TransferHead &head() const { return m_Head; }
 
   /// Empty if the decider must not see the head: the endpoint declined the
-  /// request, or does not resume the stream at the requested offset.
+  /// request, or the response is unusable.
   std::optional<routing::AttemptHead>
   handleHead(const curl::TransferHead &Head);
-  /// The response does not resume the stream at the requested offset, so the
-  /// attempt must be ended as broken.
+  /// The response may be that to another attempt, or does not resume the stream
+  /// at the requested offset, so the attempt must be ended as broken.
   bool isUnusable() const { return m_Unusable; }
 
+  /// The response names this attempt, so that it can be told from others on the
+  /// same connection.
+  bool namesAttempt() const;
+
   std::optional<routing::AttemptChunk> handleChunk(std::string_view Bytes);
   routing::AttemptEnded handleEnd(const curl::TransferResult &Result);
   /// For an attempt that the driver cancels after the request may have been
@@ -48,6 +52,7 @@
 
 private:
   bool hasTerminalMarker() const;
+  bool isOfThisAttempt() const;
   bool resumesStream() const;
 
   routing::StartAttempt m_Start;
--- a/Source/Core/Adapters/Traffic/RelayedHead.cpp
+++ b/Source/Core/Adapters/Traffic/RelayedHead.cpp
@@ -7,9 +7,14 @@
 namespace {
 
 bool isRelayedHeader(const std::string &LowerName) {
-  static const std::vector<std::string> Dropped = {
-      "connection", "keep-alive",         "transfer-encoding", "content-length",
-      "date",       "bronzepass-running", "bronzepass-waiting"};
+  static const std::vector<std::string> Dropped = {"connection",
+                                                   "keep-alive",
+                                                   "transfer-encoding",
+                                                   "content-length",
+                                                   "date",
+                                                   "bronzepass-running",
+                                                   "bronzepass-waiting",
+                                                   "bronzepass-attempt"};
   return std::find(Dropped.begin(), Dropped.end(), LowerName) == Dropped.end();
 }
 
--- a/Source/Core/Adapters/Traffic/TrafficDriver.cpp
+++ b/Source/Core/Adapters/Traffic/TrafficDriver.cpp
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace bronzepass::core::adapters::traffic {
@@ -117,6 +118,10 @@
       return;
     stopTimer(*Running);
     const std::optional<routing::AttemptHead> Event = Running->handleHead(Head);
+    if (Running->namesAttempt())
+      m_NamingEndpoints.insert(Running->start().m_Address);
+    else
+      m_NamingEndpoints.erase(Running->start().m_Address);
     if (Running->isUnusable())
       breakAttempt(*Running);
     else if (Event)
@@ -185,9 +190,14 @@
         Request->m_Request.m_IdempotencyKey ? m_Options.m_MaxReplayBytes : 0;
     std::unique_ptr<Attempt> Added =
         std::make_unique<Attempt>(Start, MaxReplayBytes);
+    curl::TransferRequest ToSend = makeAttemptRequest(
+        Start, *Request, m_Options.m_Node, m_Ports.m_Clock.now());
+    // Without its attempt's number, an answer can't be told from another one
+    // on the same connection.
+    ToSend.m_FreshConnection = ToSend.m_FreshConnection ||
+                               !m_NamingEndpoints.contains(Start.m_Address);
     Added->m_Transfer = m_Curl.start(
-        makeAttemptRequest(Start, *Request, m_Options.m_Node,
-                           m_Ports.m_Clock.now()),
+        std::move(ToSend),
         std::make_shared<curl::AttemptListener>(
             static_cast<curl::AttemptEventHandler &>(*this), Start.m_Attempt));
     startTimer(*Added);
@@ -316,6 +326,8 @@
   net::LoopThread m_Thread;
   std::unordered_map<model::RequestId, CallerRequest> m_Requests;
   std::unordered_map<model::AttemptId, std::unique_ptr<Attempt>> m_Attempts;
+  /// Those whose last answer named its attempt.
+  std::set<model::Address> m_NamingEndpoints;
   uint64_t m_NextRequest = 1;
   /// Finished answers that are still partly buffered for slow callers.
   size_t m_UnsentAnswers = 0;
--- a/Source/StandIns/Completion.h
+++ b/Source/StandIns/Completion.h
@@ -39,6 +39,8 @@
   CompletionSpec m_Spec;
   core::model::ArtifactId m_Artifact;
   std::shared_ptr<HttpResponseWriter> m_Answer;
+  /// The number of the attempt that its request names; may be empty.
+  std::string m_Attempt;
   bool m_Batch = false;
   uint32_t m_GeneratedTokens = 0;
   /// Bytes of the stream that the caller already has; they aren't sent again.
--- a/Source/StandIns/EngineStandIn.cpp
+++ b/Source/StandIns/EngineStandIn.cpp
@@ -54,9 +54,14 @@
     Answer->send(errorReply(404, "no such path: " + Path));
 }
 
-std::vector<HttpHeader> EngineStandIn::loadHeaders() const {
-  return {{"Bronzepass-Running", std::to_string(m_Running.size())},
-          {"Bronzepass-Waiting", std::to_string(m_Waiting.size())}};
+std::vector<HttpHeader>
+EngineStandIn::answerHeaders(const std::string &Attempt) const {
+  std::vector<HttpHeader> Headers = {
+      {"Bronzepass-Running", std::to_string(m_Running.size())},
+      {"Bronzepass-Waiting", std::to_string(m_Waiting.size())}};
+  if (!Attempt.empty())
+    Headers.push_back({"Bronzepass-Attempt", Attempt});
+  return Headers;
 }
 
 void EngineStandIn::handleCompletion(
@@ -74,11 +79,11 @@
                Entry.second.m_Report.m_State == model::CopyState::Serving;
       });
   if (Copy == m_Copies.end()) {
-    decline(Answer, "not serving " + Spec->m_ModelName);
+    decline(Request, Answer, "not serving " + Spec->m_ModelName);
     return;
   }
   if (m_Waiting.size() >= m_Options.m_QueueLimit) {
-    decline(Answer, "the queue is full");
+    decline(Request, Answer, "the queue is full");
     return;
   }
   m_Cache.add(
@@ -87,6 +92,7 @@
   Added->m_Spec = *Spec;
   Added->m_Artifact = Copy->first;
   Added->m_Answer = Answer;
+  Added->m_Attempt = Request.header("bronzepass-attempt");
   Added->m_Batch = Request.header("bronzepass-priority") == "batch";
   if (m_Options.m_CanResume)
     Added->m_BytesToSkip = std::strtoull(
@@ -94,11 +100,12 @@
   enqueue(Added);
 }
 
-void EngineStandIn::decline(const std::shared_ptr<HttpResponseWriter> &Answer,
+void EngineStandIn::decline(const HttpRequest &Request,
+                            const std::shared_ptr<HttpResponseWriter> &Answer,
                             const std::string &Message) {
   ++m_Counts.m_Declined;
   HttpReply Reply = errorReply(503, Message);
-  Reply.m_Headers = loadHeaders();
+  Reply.m_Headers = answerHeaders(Request.header("bronzepass-attempt"));
   Reply.m_Headers.push_back({"Bronzepass-Run-State", "not_run"});
   Answer->send(Reply);
 }
@@ -146,7 +153,7 @@
   }
   if (!Started.m_Spec.m_Stream)
     return;
-  std::vector<HttpHeader> Headers = loadHeaders();
+  std::vector<HttpHeader> Headers = answerHeaders(Started.m_Attempt);
   Headers.push_back({"Content-Type", "text/event-stream"});
   if (Started.m_BytesToSkip != 0)
     Headers.push_back(
@@ -224,7 +231,7 @@
 void EngineStandIn::finishNonStreaming(Completion &Running) {
   ++m_Counts.m_Finished;
   HttpReply Reply;
-  Reply.m_Headers = loadHeaders();
+  Reply.m_Headers = answerHeaders(Running.m_Attempt);
   Reply.m_Body = nonStreamingBody(Running.m_Spec);
   Running.m_Answer->send(Reply);
 }
--- a/Source/StandIns/EngineStandIn.h
+++ b/Source/StandIns/EngineStandIn.h
@@ -65,7 +65,8 @@
 
   void handleCompletion(const HttpRequest &Request,
                         const std::shared_ptr<HttpResponseWriter> &Answer);
-  void decline(const std::shared_ptr<HttpResponseWriter> &Answer,
+  void decline(const HttpRequest &Request,
+               const std::shared_ptr<HttpResponseWriter> &Answer,
                const std::string &Message);
   void enqueue(const std::shared_ptr<Completion> &Added);
   void startWaiting();
@@ -87,7 +88,8 @@
   HttpReply report(const HttpRequest &Request);
   void setFaults(const HttpRequest &Request,
                  const std::shared_ptr<HttpResponseWriter> &Answer);
-  std::vector<HttpHeader> loadHeaders() const;
+  /// \p Attempt: the number of the request's attempt, or empty.
+  std::vector<HttpHeader> answerHeaders(const std::string &Attempt) const;
 
   EngineOptions m_Options;
   std::map<core::model::ArtifactId, ModelCopy> m_Copies;
--- a/Source/StandIns/ServiceStandIn.cpp
+++ b/Source/StandIns/ServiceStandIn.cpp
@@ -33,11 +33,16 @@
 
 void ServiceStandIn::run(const HttpRequest &Request,
                          const std::shared_ptr<HttpResponseWriter> &Answer) {
+  HttpReply Reply;
+  if (const std::string Attempt = Request.header("bronzepass-attempt");
+      !Attempt.empty())
+    Reply.m_Headers.push_back({"Bronzepass-Attempt", Attempt});
   if (m_DeclineNext > 0) {
     --m_DeclineNext;
-    HttpReply Reply = errorReply(503, "declined");
-    Reply.m_Headers.push_back({"Bronzepass-Run-State", "not_run"});
-    Answer->send(Reply);
+    HttpReply Declined = errorReply(503, "declined");
+    Declined.m_Headers = Reply.m_Headers;
+    Declined.m_Headers.push_back({"Bronzepass-Run-State", "not_run"});
+    Answer->send(Declined);
     return;
   }
   const uint64_t Run = ++m_Runs;
@@ -48,7 +53,6 @@
   const bool Lost = m_LoseNext > 0;
   if (Lost)
     --m_LoseNext;
-  HttpReply Reply;
   Reply.m_Body =
       nlohmann::ordered_json{{"run", Run},
                              {"path", Request.m_Path},
--- a/Source/UnitTests/Adapters/Http/AttemptEndTest.cpp
+++ b/Source/UnitTests/Adapters/Http/AttemptEndTest.cpp
@@ -16,6 +16,7 @@
 curl::TransferHead streamHead() {
   curl::TransferHead Head;
   Head.m_Status = 200;
+  Head.m_OnNewConnection = true;
   Head.m_Headers["content-type"] = "text/event-stream";
   return Head;
 }
--- a/Source/UnitTests/Adapters/Http/FaultyEngineTest.cpp
+++ b/Source/UnitTests/Adapters/Http/FaultyEngineTest.cpp
@@ -3,8 +3,13 @@
 #include "UnitTests/Adapters/Http/TestNode.h"
 
 #include <atomic>
+#include <chrono>
 #include <doctest/doctest.h>
+#include <map>
+#include <mutex>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace bronzepass::unit_tests::adapters::http {
 
@@ -12,6 +17,7 @@
 
 using gateway::ScriptConnection;
 using gateway::ScriptedEndpoint;
+using namespace std::chrono_literals;
 
 const char *const ChatPath = "/v1/chat/completions";
 const std::string EventStream = "Content-Type: text/event-stream\r\n";
@@ -71,8 +77,122 @@
   return answerWith("200 OK", attemptLine(Request), Text);
 }
 
+std::string refusalFor(const std::string &Request) {
+  return answerWith(
+      "503 No", "Bronzepass-Run-State: not_run\r\n" + attemptLine(Request), "");
+}
+
+/// Declines requests that name "refused" and runs all others. It writes the
+/// last answer of a connection once more before the next on it.
+class RepeatingEndpoint {
+public:
+  /// \p NamesAttempts: the answers name the attempts that they belong to.
+  explicit RepeatingEndpoint(bool NamesAttempts)
+      : m_NamesAttempts(NamesAttempts) {}
+
+  const ScriptedEndpoint &server() const { return m_Server; }
+  int runs() const { return m_Runs; }
+  int copies() const { return m_Copies; }
+
+private:
+  void answer(ScriptConnection &To, const std::string &Request) {
+    const bool Refuses = Request.find("refused") != std::string::npos;
+    const bool First = Request.find("first") != std::string::npos;
+    std::string Answer = Refuses ? refusalFor(Request)
+                                 : successFor(Request, First ? "one" : "two");
+    if (!m_NamesAttempts)
+      Answer.replace(Answer.find("Bronzepass-Attempt"), 18, "X-Other");
+    m_Runs += Refuses ? 0 : 1;
+    std::string Copy;
+    {
+      const std::lock_guard<std::mutex> Lock(m_Mutex);
+      Copy = m_Last[&To];
+      m_Last[&To] = Answer;
+    }
+    if (!Copy.empty()) {
+      ++m_Copies;
+      To.write(Copy);
+      std::this_thread::sleep_for(20ms);
+    }
+    To.write(Answer);
+  }
+
+  bool m_NamesAttempts;
+  std::mutex m_Mutex;
+  std::map<const ScriptConnection *, std::string> m_Last;
+  std::atomic<int> m_Runs = 0;
+  std::atomic<int> m_Copies = 0;
+  ScriptedEndpoint m_Server{[this](ScriptConnection &To,
+                                   const std::string &Request,
+                                   int) { answer(To, Request); }};
+};
+
 } // namespace
 
+// Guards against "not run" for a request that an endpoint ran, and a second run
+// of it, where the endpoint wrote an earlier refusal once more.
+TEST_CASE("an earlier refusal that an endpoint writes again refuses no other "
+          "request") {
+  for (const bool NamesAttempts : {false, true})
+    for (const Kind Of : AllKinds) {
+      CAPTURE(NamesAttempts);
+      CAPTURE(static_cast<int>(Of));
+      const RepeatingEndpoint Endpoint(NamesAttempts);
+      const TestNode Node(settingsFor(Endpoint.server()));
+      CHECK(send(Node, Of, "refused").m_Status == 503);
+      std::this_thread::sleep_for(20ms);
+      const HttpResult Answer = send(Node, Of, "second");
+      std::this_thread::sleep_for(30ms);
+      CHECK(Endpoint.runs() > 0);
+      CHECK_FALSE((Answer.m_Headers.contains("bronzepass-run-state") &&
+                   Answer.m_Headers.at("bronzepass-run-state") == "not_run"));
+      CHECK(Answer.m_Body.find("not_run") == std::string::npos);
+      if (Of == Kind::KeyedCall)
+        CHECK(Endpoint.runs() == 1);
+    }
+}
+
+// Guards against an earlier answer for another request on the same connection.
+TEST_CASE("an earlier answer that an endpoint writes again reaches no other "
+          "caller") {
+  for (const bool NamesAttempts : {false, true})
+    for (const Kind Of : AllKinds) {
+      CAPTURE(NamesAttempts);
+      CAPTURE(static_cast<int>(Of));
+      const RepeatingEndpoint Endpoint(NamesAttempts);
+      const TestNode Node(settingsFor(Endpoint.server()));
+      for (const std::string Name : {"first", "second", "third"}) {
+        const HttpResult Answer = send(Node, Of, Name);
+        CAPTURE(Name);
+        CAPTURE(Answer.m_Body);
+        CHECK((Answer.m_Body.find("one") == std::string::npos ||
+               Name == "first"));
+        std::this_thread::sleep_for(20ms);
+      }
+      if (Of == Kind::KeyedCall)
+        CHECK(Endpoint.runs() == 3);
+    }
+}
+
+// Guards against a connection for each request where answers name theirs, and
+// against kept connections where they don't.
+TEST_CASE("connections are used again where answers name their attempts") {
+  for (const bool NamesAttempts : {false, true}) {
+    ScriptedEndpoint Engine(
+        [&](ScriptConnection &To, const std::string &Request, int) {
+          To.write(NamesAttempts ? successFor(Request, "text")
+                                 : answerWith("200 OK", "", "text"));
+        });
+    const TestNode Node(settingsFor(Engine));
+    for (int I = 0; I < 6; ++I) {
+      CHECK(send(Node, Kind::Call, "name").m_Complete);
+      std::this_thread::sleep_for(20ms);
+    }
+    // The first answer shows that the endpoint names attempts.
+    CHECK(Engine.connections() == (NamesAttempts ? 2 : 6));
+  }
+}
+
 // Guards against an empty or short success where an endpoint stopped inside its
 // answer's head.
 TEST_CASE("an answer whose head is cut is no success for its caller") {
