--- a/Source/UnitTests/Adapters/Gateway/ForwardedAnswerTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/ForwardedAnswerTest.cpp
@@ -397,6 +397,16 @@
   };
 }
 
+/// Successes without an event.
+std::vector<std::string> emptySuccesses() {
+  return {sealed("204 None", "\r\n"),
+          sealed("204 None", EventStream + "\r\n"),
+          sealed("200 OK", EventStream + framed("")),
+          sealed("200 OK", framed("")),
+          sealed("200 OK", EventStream + "\r\n"),
+          chunked("") + LastChunk};
+}
+
 /// What a caller gets of a stream that breaks off after event 2, where the next
 /// server writes \p Continuation.
 ScriptedEndpoint::Script streamContinuedBy(const std::string &Continuation) {
@@ -512,6 +522,16 @@
   }
 }
 
+// Guards against a forwarded stream that ends as complete where it broke off.
+TEST_CASE("a forwarded stream that broke off is not ended by an answer without "
+          "events") {
+  for (const std::string &Each : emptySuccesses()) {
+    CAPTURE(Each);
+    checkCutAfterSecondEvent(answerContinuedByNode(Each));
+    checkCutAfterSecondEvent(answerOverLender(Each));
+  }
+}
+
 // Guards against an error's text in a stream that a caller takes up.
 TEST_CASE("a forwarded stream that a caller takes up is not answered with "
           "another success") {
@@ -523,6 +543,18 @@
   }
 }
 
+// Guards against a stream that a caller takes up and that ends as complete
+// where it broke off.
+TEST_CASE("a forwarded stream that a caller takes up is not ended by an answer "
+          "without events") {
+  const std::string Headers = "Last-Event-Id: 2\r\n";
+  for (const std::string &Each : emptySuccesses()) {
+    CAPTURE(Each);
+    CHECK(hasStatus(answerOverNode(Each, Headers), "502"));
+    CHECK(hasStatus(answerOverLender(Each, Headers), "502"));
+  }
+}
+
 // Guards against forwarded streams that no longer go on.
 TEST_CASE("a forwarded stream that broke off goes on where the next answer "
           "continues it") {
