Organisations: Types of organisations, their keys and quotas

Cause: a configuration may name organisations, and requests carry their keys; neither had a place in the product. Change: OrganisationSpec, QuotaSpec, KeyDigest and Credential; the configuration reader fills them with digests in place of keys. Nothing acts on them yet.

--- a/Source/Core/Gateway/GatewayConfig.h
+++ b/Source/Core/Gateway/GatewayConfig.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_CORE_GATEWAY_GATEWAYCONFIG_H
 
 #include "Core/Model/Time.h"
+#include "Core/Organisations/OrganisationSpec.h"
 
 #include <compare>
 #include <cstdint>
@@ -45,6 +46,8 @@
   uint32_t m_Priority = 0;
   /// Maximum number of sends that may have run one request.
   uint32_t m_MaxAttempts = 1;
+  /// Callers need no key for it.
+  bool m_IsOpen = false;
 
   friend auto operator<=>(const RouteSpec &, const RouteSpec &) = default;
 };
@@ -108,6 +111,8 @@
   std::vector<RouteSpec> m_Routes;
   std::vector<ServiceSpec> m_Services;
   CallerInputLimits m_Limits;
+  /// Whose callers may send requests; nullopt: all may, without a key.
+  std::optional<std::vector<organisations::OrganisationSpec>> m_Organisations;
 
   friend auto operator<=>(const GatewayConfig &,
                           const GatewayConfig &) = default;
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -6,6 +6,7 @@
 #include "Core/Model/BodyFraming.h"
 #include "Core/Model/Id.h"
 #include "Core/Model/Time.h"
+#include "Core/Organisations/KeyDigest.h"
 
 #include <compare>
 #include <cstdint>
@@ -41,6 +42,8 @@
   uint32_t m_RunsLeft = 0;
   /// The only software version at which its stream may go on.
   std::optional<std::string> m_RequiredVersion;
+  /// Whose request it is; empty if it needs no key.
+  std::string m_Organisation;
 
   friend auto operator<=>(const ForwardingTerms &,
                           const ForwardingTerms &) = default;
@@ -54,6 +57,7 @@
   std::string m_CallerRequestId;
   std::string m_Host;
   std::string m_Path;
+  organisations::Credential m_Credential;
   model::TimePoint m_BeganAt;
   /// How long the caller waits, from m_BeganAt; nullopt if not given.
   std::optional<model::Duration> m_Window;
@@ -138,6 +142,8 @@
   /// Time left of what the caller and the route allow.
   model::Duration m_Remaining{0};
   uint32_t m_Priority = 0;
+  /// Whose request it is; empty if it needs no key.
+  std::string m_Organisation;
   /// Resume the stream after the last event that was forwarded.
   bool m_Resume = false;
   bool m_Stream = false;
@@ -233,6 +239,8 @@
   /// One word: "send", "retry", "forward", "wait", "refuse", "cut", "gone",
   /// "answer", "end".
   std::string m_Action;
+  /// Whose request it is; empty if it needs no key or is not known.
+  std::string m_Organisation;
   /// "once", "repeatable" or "stream"; empty if no route matches.
   std::string m_Kind;
   std::string m_Route;
--- a/Source/UnitTests/Platform/ConfigReaderTest.cpp
+++ b/Source/UnitTests/Platform/ConfigReaderTest.cpp
@@ -38,6 +38,33 @@
   CHECK_FALSE(Read.m_Services[1].m_Engine);
 }
 
+TEST_CASE("organisations are read with digests of their keys") {
+  const core::gateway::Decoded<core::gateway::GatewayConfig> Parsed = readConfig(
+      R"({"Version":7,"Routes":[{"Host":"h","PathPrefix":"/p/","Kind":"stream",
+"Service":"s","AllowAnonymous":true}],"Tenants":[{"Name":"o","ApiKeys":["k","l"],
+"Priority":1,"Unit":"tokens","PlainTokens":200,"RatePerS":4200,"Burst":8400},
+{"Name":"p","ApiKeys":[],"RatePerS":0}]})");
+  REQUIRE(Parsed.m_Value);
+  CHECK(Parsed.m_Value->m_Routes[0].m_IsOpen);
+  REQUIRE(Parsed.m_Value->m_Organisations);
+  const core::organisations::OrganisationSpec &First =
+      (*Parsed.m_Value->m_Organisations)[0];
+  CHECK(First.m_Name == "o");
+  CHECK(First.m_Keys == std::vector<core::organisations::KeyDigest>{
+                            core::organisations::digestOf("k"),
+                            core::organisations::digestOf("l")});
+  CHECK(First.m_Priority == 1);
+  REQUIRE(First.m_Quota);
+  CHECK(*First.m_Quota ==
+        core::organisations::QuotaSpec{
+            core::organisations::QuotaSpec::Unit::Tokens, 4200, 8400, 200});
+  const core::organisations::OrganisationSpec &Second =
+      (*Parsed.m_Value->m_Organisations)[1];
+  CHECK_FALSE(Second.m_Priority);
+  CHECK_FALSE(Second.m_Quota);
+  CHECK_FALSE(readConfig(Config).m_Value->m_Organisations);
+}
+
 TEST_CASE("every error in a configuration is reported with its path") {
   const core::gateway::Decoded<core::gateway::GatewayConfig> Parsed = readConfig(
       R"({"Version":"x","Routes":[{"Host":"h","PathPrefix":"/p/","Kind":"odd"}]})");
