--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -42,8 +42,9 @@
   uint32_t m_RunsLeft = 0;
   /// The only software version at which its stream may go on.
   std::optional<std::string> m_RequiredVersion;
-  /// Whose request it is; empty if it needs no key.
-  std::string m_Organisation;
+  /// Whose request it is; empty if it needs no key, nullopt where nobody needs
+  /// one.
+  std::optional<std::string> m_Organisation;
 
   friend auto operator<=>(const ForwardingTerms &,
                           const ForwardingTerms &) = default;
@@ -142,8 +143,9 @@
   /// Time left of what the caller and the route allow.
   model::Duration m_Remaining{0};
   uint32_t m_Priority = 0;
-  /// Whose request it is; empty if it needs no key.
-  std::string m_Organisation;
+  /// Whose request it is; empty if it needs no key, nullopt where nobody needs
+  /// one and the caller's headers are passed on as they are.
+  std::optional<std::string> m_Organisation;
   /// Resume the stream after the last event that was forwarded.
   bool m_Resume = false;
   bool m_Stream = false;
--- a/Source/Core/Gateway/RouteTable.cpp
+++ b/Source/Core/Gateway/RouteTable.cpp
@@ -16,6 +16,8 @@
 } // namespace
 
 RouteTable::RouteTable(GatewayConfig Config) : m_Config(std::move(Config)) {
+  if (m_Config.m_Organisations)
+    m_Organisations.emplace(*m_Config.m_Organisations);
   for (size_t I = 0; I < m_Config.m_Routes.size(); ++I)
     m_Hosts[hostKey(m_Config.m_Routes[I].m_Host)]
            [m_Config.m_Routes[I].m_PathPrefix] = I;
--- a/Source/Core/Gateway/RouteTable.h
+++ b/Source/Core/Gateway/RouteTable.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_CORE_GATEWAY_ROUTETABLE_H
 
 #include "Core/Gateway/GatewayConfig.h"
+#include "Core/Organisations/OrganisationTable.h"
 
 #include <cstdint>
 #include <map>
@@ -24,6 +25,10 @@
   /// matches. \p Host may have a port; its case is ignored.
   const RouteSpec *find(std::string_view Host, std::string_view Path) const;
   const ServiceSpec *service(const std::string &Name) const;
+  /// Null where callers need no keys.
+  const organisations::OrganisationTable *organisations() const {
+    return m_Organisations ? &*m_Organisations : nullptr;
+  }
   /// The shortest event gap target among the streaming routes of \p Service;
   /// nullopt if no route sets one.
   std::optional<model::Duration>
@@ -36,6 +41,7 @@
   using PrefixMap = std::unordered_map<std::string, size_t>;
 
   GatewayConfig m_Config;
+  std::optional<organisations::OrganisationTable> m_Organisations;
   std::unordered_map<std::string, PrefixMap> m_Hosts;
   std::map<std::string, size_t> m_Services;
   std::map<std::string, model::Duration> m_ShortestEventGapTargets;
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -72,6 +72,47 @@
     1s,
     60s,
     "Within this time a silent connection to the store has to be noticed"};
+
+// Organisations.
+inline const Setting<model::Duration> KeyRevocationTime{
+    "keys",
+    "revocation-time",
+    0s,
+    0s,
+    600s,
+    "A key that a configuration takes away opens nothing from so long after "
+    "the store has accepted it; 0s: whenever a node learns of it"};
+inline const Setting<model::Duration> QuotaWindow{
+    "quotas", "window", 8s, 100ms, 600s, "Window in which quotas are judged"};
+inline const Setting<double> QuotaOverage{
+    "quotas",
+    "overage",
+    0.0,
+    0.0,
+    10.0,
+    "Share by which an organisation may exceed its quota in a window"};
+inline const Setting<double> QuotaSlack{
+    "quotas",
+    "slack",
+    0.0,
+    0.0,
+    1e9,
+    "What it may exceed its quota by besides, in the quota's "
+    "unit"};
+
+// Resources of this VM.
+inline const Setting<Bytes> MemoryLimit{
+    "memory", "limit",
+    Bytes{0}, {},
+    {},       "Memory that this process may use; 0B: what the system reports"};
+inline const Setting<uint64_t> DescriptorLimit{
+    "descriptors",
+    "limit",
+    0,
+    0,
+    1'000'000,
+    "Descriptors that this process may use; 0: what the system reports"};
+
 inline const Setting<model::Duration> LeaseTerm{
     "lease", "term", 3s, 500ms, 60s, "Term of the placement lease"};
 inline const Setting<model::Duration> StopGrace{
