Cli: Check of a configuration before it is sent

Cause: an operator learned only from callers that a route could never match or a quota held no whole request, and could not see what a version changes. Keys are counted, never printed.

--- a/Source/Core/Cli/CheckCommand.cpp
+++ b/Source/Core/Cli/CheckCommand.cpp
@@ -5,6 +5,8 @@
 #include "Core/Cli/FileText.h"
 #include "Core/Cli/FindingPrinter.h"
 #include "Core/Cli/Table.h"
+#include "Core/Gateway/ConfigChecks.h"
+#include "Core/Gateway/ConfigDiff.h"
 #include "Core/Settings/GatewaySettings.h"
 #include "Core/Settings/NodeSettings.h"
 #include "platform/PlatformDialect.h"
@@ -21,6 +23,9 @@
       "kind", po::value<std::string>()->default_value("intent"),
       "intent, settings, gateway (settings of a gateway node) or "
       "platform-config (a configuration object of the platform)")(
+      "against", po::value<std::string>(),
+      "with --kind platform-config: the configuration in force; lists what the "
+      "file would change")(
       "list-settings", po::bool_switch(),
       "list every setting of a node instead (with --kind gateway: of a gateway "
       "node)");
@@ -43,11 +48,49 @@
   if (Kind == "settings" || Kind == "gateway")
     return adapters::yaml::readSettings(Text, Path, settingsTable(Kind))
         .m_Findings;
-  if (Kind == "platform-config")
-    return platform::PlatformDialect().readConfig(Text).m_Findings;
+  if (Kind == "platform-config") {
+    gateway::Decoded<gateway::GatewayConfig> Read =
+        platform::PlatformDialect().readConfig(Text);
+    if (Read.m_Value)
+      for (model::Finding &Each : gateway::checkConfig(*Read.m_Value))
+        Read.m_Findings.push_back(std::move(Each));
+    return Read.m_Findings;
+  }
   return std::nullopt;
 }
 
+/// Lists what the configuration \p Text changes against the one in the file
+/// that --against names. Returns false, and says why, if one can't be read.
+bool listChanges(const std::string &Text, const CommandContext &Context) {
+  std::string Reason;
+  const std::optional<std::string> OldText =
+      readFile(Context.optionValue("against"), Reason);
+  if (!OldText) {
+    Context.m_Err << "bronzepass check: " << Reason << "\n";
+    return false;
+  }
+  const platform::PlatformDialect Dialect;
+  const std::optional<gateway::GatewayConfig> Old =
+      Dialect.readConfig(*OldText).m_Value;
+  const std::optional<gateway::GatewayConfig> New =
+      Dialect.readConfig(Text).m_Value;
+  if (!Old || !New) {
+    Context.m_Err << "bronzepass check: no comparison, since "
+                  << (Old ? "the file" : "the configuration in force")
+                  << " can't be read\n";
+    return false;
+  }
+  if (New->m_Version <= Old->m_Version)
+    Context.m_Err << "bronzepass check: version " << New->m_Version
+                  << " is not above the one in force, " << Old->m_Version
+                  << ": nodes will ignore it\n";
+  Table Rows({"Change", "Of", "Detail"});
+  for (const gateway::ConfigChange &Each : gateway::diffConfigs(*Old, *New))
+    Rows.add({Each.m_Kind, Each.m_Subject, Each.m_Detail});
+  Rows.print(Context.m_Out, Context.wantsJson());
+  return New->m_Version > Old->m_Version;
+}
+
 void listSettings(const CommandContext &Context) {
   Table Rows({"Section", "Key", "Default", "Range", "Meaning"});
   for (const settings::SettingInfo &Info :
@@ -92,7 +135,15 @@
     return ExitCode::Usage;
   }
   printFindings(*Findings, Context);
-  return model::hasErrors(*Findings) ? ExitCode::Findings : ExitCode::Ok;
+  const bool IsCompared = !Context.optionValue("against").empty();
+  if (IsCompared && Kind != "platform-config") {
+    Context.m_Err << "bronzepass check: --against goes with --kind "
+                     "platform-config\n";
+    return ExitCode::Usage;
+  }
+  const bool IsSound = !IsCompared || listChanges(*Text, Context);
+  return model::hasErrors(*Findings) || !IsSound ? ExitCode::Findings
+                                                 : ExitCode::Ok;
 }
 
 } // namespace bronzepass::core::cli
--- a/Source/UnitTests/Cli/CommandLineTest.cpp
+++ b/Source/UnitTests/Cli/CommandLineTest.cpp
@@ -52,6 +52,35 @@
   CHECK(run({"check", "Examples/nile/intent.yaml"}).m_Code == ExitCode::Ok);
 }
 
+TEST_CASE("a configuration is checked and compared with the one in force") {
+  const std::string Old = "command-line-old.json";
+  const std::string New = "command-line-new.json";
+  std::ofstream(Old) << R"({"Version":1,"Services":[{"Name":"s"}],"Routes":[
+{"Host":"h","PathPrefix":"/a/","Kind":"idempotent","Service":"s"}],
+"Tenants":[{"Name":"o","ApiKeys":["secret-1"]}]})";
+  std::ofstream(New) << R"({"Version":2,"Services":[{"Name":"s"}],"Routes":[
+{"Host":"h","PathPrefix":"/b/","Kind":"idempotent","Service":"t"}],
+"Tenants":[{"Name":"o","ApiKeys":["secret-2"]}]})";
+  const Outcome Sound =
+      run({"check", Old, "--kind", "platform-config", "--against", Old});
+  CHECK(Sound.m_Code == ExitCode::Findings);
+  CHECK(Sound.m_Err.find("not above the one in force") != std::string::npos);
+  const Outcome Changed =
+      run({"check", New, "--kind", "platform-config", "--against", Old});
+  CHECK(Changed.m_Code == ExitCode::Findings);
+  const std::string All = Changed.m_Out + Changed.m_Err;
+  CHECK(All.find("no service is called t") != std::string::npos);
+  CHECK(All.find("route h/b/") != std::string::npos);
+  CHECK(All.find("1 added, 1 taken away") != std::string::npos);
+  CHECK(All.find("secret") == std::string::npos);
+  CHECK(run({"check", Old, "--kind", "platform-config"}).m_Code ==
+        ExitCode::Ok);
+  CHECK(run({"check", Old, "--kind", "intent", "--against", Old}).m_Code ==
+        ExitCode::Usage);
+  std::remove(Old.c_str());
+  std::remove(New.c_str());
+}
+
 TEST_CASE("explain shows a request from logs, and logs prints a summary") {
   const std::string Path = "command-line-test.log";
   {
