Cli: Check of a configuration, as its review asks

Change: these are warnings or gone; the model of the test is 2 MB above the engine's memory, since sizes are rounded apart by up to 1 MB; findings and changes are one JSON object; exit codes as in docs/OPERATORS.md.

--- a/Source/Core/Cli/CheckCommand.cpp
+++ b/Source/Core/Cli/CheckCommand.cpp
@@ -13,6 +13,8 @@
 
 #include <optional>
 #include <ostream>
+#include <string>
+#include <vector>
 
 namespace bronzepass::core::cli {
 
@@ -59,36 +61,62 @@
   return std::nullopt;
 }
 
-/// Lists what the configuration \p Text changes against the one in the file
-/// that --against names. Returns false, and says why, if one can't be read.
-bool listChanges(const std::string &Text, const CommandContext &Context) {
-  std::string Reason;
-  const std::optional<std::string> OldText =
-      readFile(Context.optionValue("against"), Reason);
-  if (!OldText) {
-    Context.m_Err << "bronzepass check: " << Reason << "\n";
-    return false;
-  }
+using ConfigChanges = std::vector<gateway::ConfigChange>;
+
+/// What the configuration \p Text changes against \p OldText; nullopt, and the
+/// reason, if one can't be read or the new one would be ignored.
+std::optional<ConfigChanges> changesOf(const std::string &OldText,
+                                       const std::string &Text,
+                                       std::string &Reason) {
   const platform::PlatformDialect Dialect;
   const std::optional<gateway::GatewayConfig> Old =
-      Dialect.readConfig(*OldText).m_Value;
+      Dialect.readConfig(OldText).m_Value;
   const std::optional<gateway::GatewayConfig> New =
       Dialect.readConfig(Text).m_Value;
   if (!Old || !New) {
-    Context.m_Err << "bronzepass check: no comparison, since "
-                  << (Old ? "the file" : "the configuration in force")
-                  << " can't be read\n";
-    return false;
+    Reason = std::string("no comparison, since ") +
+             (Old ? "the file" : "the configuration in force") + " has errors";
+    return std::nullopt;
+  }
+  if (New->m_Version <= Old->m_Version) {
+    Reason = "version " + std::to_string(New->m_Version) +
+             " is not above the one in force, " +
+             std::to_string(Old->m_Version) + ": nodes will ignore it";
+    return std::nullopt;
   }
-  if (New->m_Version <= Old->m_Version)
-    Context.m_Err << "bronzepass check: version " << New->m_Version
-                  << " is not above the one in force, " << Old->m_Version
-                  << ": nodes will ignore it\n";
+  return gateway::diffConfigs(*Old, *New);
+}
+
+void printChanges(const ConfigChanges &Changes, const CommandContext &Context) {
   Table Rows({"Change", "Of", "Detail"});
-  for (const gateway::ConfigChange &Each : gateway::diffConfigs(*Old, *New))
+  for (const gateway::ConfigChange &Each : Changes)
     Rows.add({Each.m_Kind, Each.m_Subject, Each.m_Detail});
   Rows.print(Context.m_Out, Context.wantsJson());
-  return New->m_Version > Old->m_Version;
+}
+
+/// Prints the findings in \p Text and what it changes against the file that
+/// --against names; with JSON, as one object.
+ExitCode compare(const std::string &Text, const model::FindingList &Findings,
+                 const CommandContext &Context) {
+  std::string Reason;
+  const std::optional<std::string> OldText =
+      readFile(Context.optionValue("against"), Reason);
+  if (!OldText) {
+    Context.m_Err << "bronzepass check: " << Reason << "\n";
+    return ExitCode::Failed;
+  }
+  const std::optional<ConfigChanges> Changes =
+      changesOf(*OldText, Text, Reason);
+  const bool AsJson = Context.wantsJson();
+  Context.m_Out << (AsJson ? "{\"findings\": " : "");
+  printFindings(Findings, Context);
+  Context.m_Out << (AsJson ? ", \"changes\": " : "");
+  printChanges(Changes.value_or(ConfigChanges()), Context);
+  Context.m_Out << (AsJson ? "}\n" : "");
+  if (!Changes)
+    Context.m_Err << "bronzepass check: " << Reason << "\n";
+  return !Changes || model::hasErrors(Findings) ? ExitCode::Findings
+                                                : ExitCode::Ok;
 }
 
 void listSettings(const CommandContext &Context) {
@@ -120,6 +148,12 @@
     Context.m_Err << "bronzepass check: name a file\n";
     return ExitCode::Usage;
   }
+  const bool IsCompared = Context.m_Options.count("against") > 0;
+  if (IsCompared && Kind != "platform-config") {
+    Context.m_Err << "bronzepass check: --against goes with --kind "
+                     "platform-config\n";
+    return ExitCode::Usage;
+  }
   std::string Reason;
   const std::optional<std::string> Text = readFile(Path, Reason);
   if (!Text) {
@@ -134,16 +168,10 @@
                      "platform-config\n";
     return ExitCode::Usage;
   }
+  if (IsCompared)
+    return compare(*Text, *Findings, Context);
   printFindings(*Findings, Context);
-  const bool IsCompared = !Context.optionValue("against").empty();
-  if (IsCompared && Kind != "platform-config") {
-    Context.m_Err << "bronzepass check: --against goes with --kind "
-                     "platform-config\n";
-    return ExitCode::Usage;
-  }
-  const bool IsSound = !IsCompared || listChanges(*Text, Context);
-  return model::hasErrors(*Findings) || !IsSound ? ExitCode::Findings
-                                                 : ExitCode::Ok;
+  return model::hasErrors(*Findings) ? ExitCode::Findings : ExitCode::Ok;
 }
 
 } // namespace bronzepass::core::cli
--- a/Source/Core/Gateway/ConfigChecks.cpp
+++ b/Source/Core/Gateway/ConfigChecks.cpp
@@ -1,5 +1,7 @@
 #include "Core/Gateway/ConfigChecks.h"
 
+#include "Core/Model/LowerCase.h"
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -15,6 +17,10 @@
 using organisations::OrganisationSpec;
 using organisations::QuotaSpec;
 
+std::string hostKey(const std::string &Host) {
+  return model::lowerCase(Host.substr(0, Host.find(':')));
+}
+
 class Checker {
 public:
   explicit Checker(const GatewayConfig &Config) : m_Config(Config) {
@@ -52,23 +58,25 @@
     for (const ServedModel &Model : Engine.m_Models) {
       if (!Names.insert(Model.m_Name).second)
         error(Place, "model " + Model.m_Name + " is declared twice");
-      if (Model.m_WeightsMb > Engine.m_WeightsMb)
+      // A model's size was rounded up, an engine's memory down.
+      if (Model.m_WeightsMb > Engine.m_WeightsMb + 1)
         error(Place, "model " + Model.m_Name +
                          " is larger than an engine's memory for weights");
       if (Model.m_AdapterCount > 0 && Engine.m_AdapterSlots == 0)
-        error(Place, "model " + Model.m_Name +
-                         " has adapters, but an engine has no place for one");
+        warn(Place, "model " + Model.m_Name +
+                        " has adapters, but an engine has no place for one");
     }
     if (!Engine.m_Models.empty() && Engine.m_LoadsPerSecond <= 0)
       warn(Place, "no load from the weight store is allowed");
   }
 
   void checkRoutes() {
+    // By host and prefix, as RouteTable finds them.
     std::map<std::pair<std::string, std::string>, std::string> Seen;
     for (const RouteSpec &Route : m_Config.m_Routes) {
       const std::string Place = placeOf(Route);
-      const auto First =
-          Seen.emplace(std::pair(Route.m_Host, Route.m_PathPrefix), Place);
+      const auto First = Seen.emplace(
+          std::pair(hostKey(Route.m_Host), Route.m_PathPrefix), Place);
       if (!First.second)
         warn(First.first->second,
              "never matches: a later route has its host and prefix");
@@ -97,12 +105,15 @@
       WeightSum += Share.m_Weight;
       if (!m_Services.contains(Share.m_Service))
         error(Place, "no service is called " + Share.m_Service);
-      if (Share.m_Weight == 0 && Route.m_Services.size() > 1)
+    }
+    if (WeightSum == 0) {
+      warn(Place, "all weights are 0: the first service gets every request");
+      return;
+    }
+    for (const ServiceShare &Share : Route.m_Services)
+      if (Share.m_Weight == 0)
         warn(Place, "service " + Share.m_Service +
                         " gets no request: its weight is 0");
-    }
-    if (WeightSum == 0)
-      error(Place, "no service gets its requests: all weights are 0");
   }
 
   void checkTimes(const std::string &Place, const RouteSpec &Route) {
@@ -115,12 +126,6 @@
       warn(Place, "has an event gap target, but no stream");
     if (Route.m_Resumable && !Route.m_Stream)
       warn(Place, "may be resumed, but is no stream");
-    const bool MayRunAgain =
-        Route.m_Repeatable || (Route.m_Stream && Route.m_Resumable);
-    if (Route.m_MaxAttempts > 1 && !MayRunAgain)
-      warn(Place, "allows several attempts, but may not run more than once");
-    if (Route.m_Resumable && Route.m_MaxAttempts == 1)
-      warn(Place, "may be resumed, but allows a single attempt");
   }
 
   void checkKeys(const std::string &Place, const RouteSpec &Route) {
@@ -150,7 +155,9 @@
         warn(Place, "has no key: nobody can send requests for it");
       for (const KeyDigest &Key : Each.m_Keys) {
         const auto Holder = Holders.emplace(Key, Each.m_Name);
-        if (!Holder.second)
+        if (!Holder.second && Holder.first->second == Each.m_Name)
+          warn(Place, "holds a key twice");
+        else if (!Holder.second)
           error(Place,
                 "holds a key that " + Holder.first->second + " holds already");
       }
@@ -161,12 +168,13 @@
 
   void checkQuota(const std::string &Place, const QuotaSpec &Quota) {
     const bool CountsTokens = Quota.m_Unit == QuotaSpec::Unit::Tokens;
-    if (!CountsTokens && Quota.m_Burst < 1 && Quota.m_PerSecond < 1)
-      error(Place, "its quota never holds a whole request: both rate and burst "
-                   "are under 1");
-    if (CountsTokens && Quota.m_Burst < Quota.m_PlainTokens)
-      error(Place, "its quota never holds a request without a token count: the "
-                   "burst is under what such a request counts");
+    const double Most = std::max(Quota.m_Burst, Quota.m_PerSecond);
+    if (!CountsTokens && Most < 1)
+      warn(Place, "its quota never holds a whole request: both rate and burst "
+                  "are under 1");
+    if (CountsTokens && Most < Quota.m_PlainTokens)
+      warn(Place, "its quota never holds a request without a token count: rate "
+                  "and burst are under what such a request counts");
     if (CountsTokens && Quota.m_PlainTokens == 0)
       warn(Place, "requests without a token count are not limited");
     if (Quota.m_Burst < Quota.m_PerSecond)
--- a/Source/Core/Gateway/ConfigDiff.cpp
+++ b/Source/Core/Gateway/ConfigDiff.cpp
@@ -1,7 +1,8 @@
 #include "Core/Gateway/ConfigDiff.h"
 
 #include <algorithm>
-#include <functional>
+#include <iomanip>
+#include <limits>
 #include <map>
 #include <sstream>
 #include <utility>
@@ -21,14 +22,11 @@
 std::string text(uint64_t Value) { return std::to_string(Value); }
 std::string text(double Value) {
   std::ostringstream Stream;
-  Stream << Value;
+  Stream << std::setprecision(std::numeric_limits<double>::digits10) << Value;
   return Stream.str();
 }
 std::string text(model::Duration Value) {
-  return std::to_string(
-             std::chrono::duration_cast<std::chrono::milliseconds>(Value)
-                 .count()) +
-         " ms";
+  return text(std::chrono::duration<double, std::milli>(Value).count()) + " ms";
 }
 
 std::string kindOf(const RouteSpec &Route) {
