Organisations: Requests are sent for the organisation that holds their key

Cause: nothing acted on keys, and every key was passed on to endpoints. Change: organisations::AccessControl decides when a request comes and before each send, by the newest configuration: 401 without a key that an organisation holds, 503 while a needed proof does not hold. The organisation's name replaces the callers' headers, also between nodes; its priority orders holds and sends. The dialect can write a configuration without keys.

--- a/Source/Core/Adapters/Gateway/ForwardingHeaders.cpp
+++ b/Source/Core/Adapters/Gateway/ForwardingHeaders.cpp
@@ -19,12 +19,14 @@
 constexpr const char *ConfigHeader = "Bronzepass-Config";
 constexpr const char *RunsHeader = "Bronzepass-Runs";
 constexpr const char *StreamVersionHeader = "Bronzepass-Stream-Version";
+/// Empty for a request that is nobody's.
+constexpr const char *OrganisationHeader = "Bronzepass-Organisation";
 // Of an answer.
 constexpr const char *EndpointHeader = "Bronzepass-Endpoint";
 constexpr const char *EndpointVersionHeader = "Bronzepass-Endpoint-Version";
-constexpr std::array<const char *, 5> AllHeaders = {
-    ConfigHeader, RunsHeader, StreamVersionHeader, EndpointHeader,
-    EndpointVersionHeader};
+constexpr std::array<const char *, 6> AllHeaders = {
+    ConfigHeader,       RunsHeader,     StreamVersionHeader,
+    OrganisationHeader, EndpointHeader, EndpointVersionHeader};
 
 std::optional<std::string> find(const HeaderLines &Headers, const char *Name) {
   for (const HeaderLine &Each : Headers)
@@ -65,6 +67,8 @@
   Headers.emplace_back(RunsHeader, std::to_string(Terms.m_RunsLeft));
   if (Terms.m_RequiredVersion)
     Headers.emplace_back(StreamVersionHeader, *Terms.m_RequiredVersion);
+  if (Terms.m_Organisation)
+    Headers.emplace_back(OrganisationHeader, *Terms.m_Organisation);
 }
 
 std::optional<ForwardingTerms> readTerms(const HeaderLines &Headers,
@@ -75,7 +79,8 @@
       Config ? readNumber<uint32_t>(Headers, RunsHeader, Reason) : std::nullopt;
   if (!Runs)
     return std::nullopt;
-  return ForwardingTerms{*Config, *Runs, find(Headers, StreamVersionHeader)};
+  return ForwardingTerms{*Config, *Runs, find(Headers, StreamVersionHeader),
+                         find(Headers, OrganisationHeader)};
 }
 
 void addAnsweringEndpoint(const AnsweringEndpoint &Endpoint,
--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -57,6 +57,7 @@
   Relay.m_Retries.m_Ratio = Settings.get(keys::RetryRatio);
   Relay.m_Retries.m_Slack = Settings.get(keys::RetrySlack);
   Relay.m_Retries.m_Window = Settings.get(keys::RetryWindow);
+  Relay.m_KeyRevocationTime = Settings.get(keys::KeyRevocationTime);
   Relay.m_Domain = model::DomainId(Settings.get(keys::NodeDomain));
   return Relay;
 }
--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -62,6 +62,7 @@
 void GatewayLog::write(const core::gateway::RelayLogEntry &Entry) {
   std::vector<LogField> Fields = {
       {"request", Entry.m_CallerRequestId},
+      {"organisation", Entry.m_Organisation},
       {"kind", Entry.m_Kind},
       {"route", Entry.m_Route},
       {"artifact",
@@ -147,6 +148,18 @@
          {"silent", Change.m_SilentEndpoints}});
 }
 
+void GatewayLog::write(const core::gateway::ProofChange &Change) {
+  write("proof", Change.m_Holds ? "regained" : "lost",
+        {{"age_ms", Change.m_Age
+                        ? std::to_string(Change.m_Age->count() / MicrosPerMilli)
+                        : "none"},
+         {"reason", Change.m_Holds ? ""
+                                   : "neither the store nor another node has "
+                                     "shown in time that the configuration is "
+                                     "in force; requests with a key are "
+                                     "refused"}});
+}
+
 void GatewayLog::write(const residency::ResidencyLogEntry &Entry) {
   write("placement", Entry.m_Action,
         {{"endpoint", Entry.m_Endpoint},
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -159,6 +159,7 @@
   void on(const core::gateway::PauseBegun &Effect);
   void on(const core::gateway::LinksChange &Effect);
   void on(const core::gateway::ConfirmEndpoints &Effect);
+  void on(const core::gateway::ProofChange &Effect);
 
   void onHead(model::AttemptId Attempt,
               const curl::TransferHead &Head) override;
--- a/Source/Core/Gateway/Dialect.h
+++ b/Source/Core/Gateway/Dialect.h
@@ -133,6 +133,10 @@
                               const HttpResult &Result) const = 0;
   /// The one object of its kind that holds the configuration.
   virtual std::string configName() const = 0;
+  /// An object's \p Content as nodes pass it on to each other: without the keys
+  /// of callers. The readers below read it the same.
+  virtual std::string contentForNodes(FeedKind Kind,
+                                      const std::string &Content) const = 0;
   virtual Decoded<GatewayConfig>
   readConfig(const std::string &Content) const = 0;
   virtual Decoded<EndpointEntry>
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -202,6 +202,8 @@
 }
 
 void RelayCore::dispatch(ActiveRequest &Active, RelayEffectList &Out) {
+  if (rejectUnauthorised(Active, Out))
+    return;
   if (rejectQuarantined(Active, Out))
     return;
   if (forwardIfLinksLost(Active, Out))
@@ -344,7 +346,8 @@
                   .m_Service = Active.m_Service,
                   .m_Address = Endpoint.m_Entry.m_Address,
                   .m_Remaining = Active.m_Deadline - m_Now,
-                  .m_Priority = Active.m_Route->m_Priority,
+                  .m_Priority = Active.m_Priority,
+                  .m_Organisation = organisationToTell(Active),
                   .m_Resume = Active.m_ForwardingStarted,
                   .m_Stream = Active.m_Route->m_Stream,
                   .m_IsTrial = Active.m_IsTrial});
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -66,7 +66,8 @@
 }
 
 RelayCore::RelayCore(const RelaySettings &Settings, ports::Random &Random)
-    : m_Settings(Settings), m_Random(Random), m_Prefixes(PrefixIndexEntries),
+    : m_Settings(Settings), m_Random(Random),
+      m_Access(Settings.m_KeyRevocationTime), m_Prefixes(PrefixIndexEntries),
       m_Retries(Settings.m_Retries) {}
 
 bool RelayCore::setTable(std::shared_ptr<const RouteTable> Table) {
@@ -174,6 +175,9 @@
     reject(Active, NotFound, std::nullopt, "no route", Out);
     return;
   }
+  Active.m_Priority = Active.m_Route->m_Priority;
+  if (rejectUnauthorised(Active, Out))
+    return;
   if (m_Stopping) {
     reject(Active, ServiceUnavailable, jittered(StoppingRetryAfter),
            "this node is stopping", Out);
@@ -253,6 +257,7 @@
 void RelayCore::tick(model::TimePoint Now, RelayEffectList &Out) {
   m_Now = Now;
   m_Suspension.onTick(Now);
+  noteProof(Out);
   decideUnconfirmed(Now - ConfirmationTimeout, false, Out);
   while (!m_Deadlines.empty() && m_Deadlines.begin()->first <= Now)
     expire(m_ActiveRequests.at(m_Deadlines.begin()->second), Out);
@@ -341,6 +346,7 @@
       .m_Request = Active.m_Request.m_Number,
       .m_CallerRequestId = Active.m_Request.m_CallerRequestId,
       .m_Action = Action,
+      .m_Organisation = organisationToTell(Active).value_or(""),
       .m_Kind = Active.m_Route ? requestKind(*Active.m_Route) : "",
       .m_Route = Active.m_Route ? Active.m_Route->m_Name : std::string(),
       .m_ModelRef = Active.m_Request.m_ModelRef,
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -14,6 +14,7 @@
 #include "Core/Gateway/SuspensionDetector.h"
 #include "Core/Model/Address.h"
 #include "Core/Model/Id.h"
+#include "Core/Organisations/AccessControl.h"
 #include "Core/Ports/Ports.h"
 #include "Core/Routing/PrefixIndex.h"
 
@@ -56,6 +57,15 @@
   void onPeerNotice(const PeerNotice &Notice, model::TimePoint Now,
                     RelayEffectList &Out);
   void setNodeCount(uint32_t Count, model::TimePoint Now);
+  /// By an answer of the store to a call made at \p At, no configuration is
+  /// newer than the one that was set last.
+  void onConfigProven(model::TimePoint At, model::TimePoint Now,
+                      RelayEffectList &Out);
+  /// Since the configuration was last known to be in force; nullopt if it never
+  /// was.
+  std::optional<model::Duration> configAge(model::TimePoint Now) const {
+    return m_Access.proof().age(Now);
+  }
   /// Refuses all requests received from now on.
   void stopAccepting() { m_Stopping = true; }
 
@@ -120,6 +130,12 @@
     /// The table in force when it was received, and its route in that table.
     std::shared_ptr<const RouteTable> m_Table;
     const RouteSpec *m_Route = nullptr;
+    /// Whose request it is, by the newest table at the last check, which is
+    /// kept alive; null if it is nobody's.
+    std::shared_ptr<const RouteTable> m_OrganisationTable;
+    const organisations::OrganisationSpec *m_Organisation = nullptr;
+    /// The organisation's if it has one, otherwise the route's.
+    uint32_t m_Priority = 0;
     std::string m_Service;
     model::TimePoint m_Deadline;
     std::vector<uint64_t> m_PromptHashes;
@@ -235,6 +251,17 @@
   bool isCountedModel(const ActiveRequest &Active) const;
   /// Rejects or ends the request if one of its traits is in quarantine.
   bool rejectQuarantined(ActiveRequest &Active, RelayEffectList &Out);
+
+  // RelayAccess.cpp: whose a request is, and whether it may be sent.
+  /// Rejects or ends the request if it may not be sent now. Called when it is
+  /// received and before each send.
+  bool rejectUnauthorised(ActiveRequest &Active, RelayEffectList &Out);
+  organisations::AccessDecision decideAccess(const ActiveRequest &Active) const;
+  static uint32_t priorityOf(const ActiveRequest &Active);
+  /// What is told of the organisation with a send.
+  static std::optional<std::string>
+  organisationToTell(const ActiveRequest &Active);
+  void noteProof(RelayEffectList &Out);
   std::vector<uint64_t> promptHashes(const RelayRequest &Request) const;
   static RelayLogEntry::Content contentOf(const ActiveRequest &Active);
   static RequestTraits traitsOf(const RelayRequest &Request);
@@ -360,6 +387,9 @@
   const RelaySettings m_Settings;
   ports::Random &m_Random;
   std::shared_ptr<const RouteTable> m_Table;
+  organisations::AccessControl m_Access;
+  /// Whether the proof held when it was last noted.
+  bool m_IsProven = false;
   // The time passed to the current call.
   model::TimePoint m_Now;
   bool m_Stopping = false;
--- a/Source/Core/Gateway/RelayForwarding.cpp
+++ b/Source/Core/Gateway/RelayForwarding.cpp
@@ -102,11 +102,13 @@
       .m_Service = Active.m_Service,
       .m_Address = Address,
       .m_Remaining = Active.m_Deadline - m_Now,
-      .m_Priority = Active.m_Route->m_Priority,
+      .m_Priority = Active.m_Priority,
+      .m_Organisation = organisationToTell(Active),
       .m_Resume = Active.m_ForwardingStarted,
       .m_Stream = Active.m_Route->m_Stream,
       .m_Forwarding = ForwardingTerms{Active.m_Table->config().m_Version,
-                                      RunsLeft, Active.m_RequiredVersion}});
+                                      RunsLeft, Active.m_RequiredVersion,
+                                      organisationToTell(Active)}});
 }
 
 void RelayCore::onForwardedHead(model::AttemptId Attempt,
--- a/Source/Core/Gateway/RelayHold.cpp
+++ b/Source/Core/Gateway/RelayHold.cpp
@@ -54,7 +54,7 @@
 /// Prefill of the requests held here for the same model that go first.
 double RelayCore::heldPrefillMs(const ActiveRequest &Active) const {
   double Sum = 0;
-  const HoldKey Own{Active.m_Route->m_Priority, Active.m_Request.m_Number};
+  const HoldKey Own{Active.m_Priority, Active.m_Request.m_Number};
   for (const HoldKey &Key : m_Held) {
     if (Key >= Own)
       break;
@@ -95,13 +95,13 @@
   if (!Active.m_IsHeld)
     log(Active, "wait", 0, Reason, Out);
   Active.m_IsHeld = true;
-  m_Held.insert({Active.m_Route->m_Priority, Active.m_Request.m_Number});
+  m_Held.insert({Active.m_Priority, Active.m_Request.m_Number});
 }
 
 /// Requests held here for the same model that go first.
 size_t RelayCore::heldAhead(const ActiveRequest &Active) const {
   size_t Count = 0;
-  const HoldKey Own{Active.m_Route->m_Priority, Active.m_Request.m_Number};
+  const HoldKey Own{Active.m_Priority, Active.m_Request.m_Number};
   for (const HoldKey &Key : m_Held) {
     if (Key >= Own)
       break;
@@ -138,7 +138,7 @@
   if (!Active.m_IsHeld)
     return;
   Active.m_IsHeld = false;
-  m_Held.erase({Active.m_Route->m_Priority, Active.m_Request.m_Number});
+  m_Held.erase({Active.m_Priority, Active.m_Request.m_Number});
 }
 
 void RelayCore::dispatchHeld(RelayEffectList &Out) {
--- a/Source/Core/Gateway/RelaySettings.h
+++ b/Source/Core/Gateway/RelaySettings.h
@@ -10,6 +10,9 @@
 /// Settings of RelayCore.
 struct RelaySettings {
   RetryLimits m_Retries;
+  /// How long a key may open routes after it was taken away, also at a node
+  /// that is not told; zero: no limit.
+  model::Duration m_KeyRevocationTime{0};
   /// Failure domain of this node.
   model::DomainId m_Domain;
   /// Applies if neither the caller nor the route sets a timeout.
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -335,10 +335,21 @@
                           const ConfirmEndpoints &) = default;
 };
 
+/// Effect: write one log line that this node can no longer prove, or can prove
+/// again, that its configuration is in force.
+struct ProofChange {
+  bool m_Holds = false;
+  /// Of the configuration's last proof; nullopt if there was none.
+  std::optional<model::Duration> m_Age;
+
+  friend auto operator<=>(const ProofChange &, const ProofChange &) = default;
+};
+
 using RelayEffect =
     std::variant<SendRequest, CancelSend, ForwardAnswer, RejectRequest,
                  AbortAnswer, CopyRequest, RelayLogEntry, QuarantineChange,
-                 StatementChange, PauseBegun, LinksChange, ConfirmEndpoints>;
+                 StatementChange, PauseBegun, LinksChange, ConfirmEndpoints,
+                 ProofChange>;
 using RelayEffectList = std::vector<RelayEffect>;
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Organisations/KeyDigest.h
+++ b/Source/Core/Organisations/KeyDigest.h
@@ -5,6 +5,8 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace bronzepass::core::organisations {
@@ -21,6 +23,10 @@
 
 KeyDigest digestOf(std::string_view Key);
 
+std::string toHexadecimal(const KeyDigest &Digest);
+/// nullopt if \p Text is not what toHexadecimal() writes.
+std::optional<KeyDigest> fromHexadecimal(std::string_view Text);
+
 /// Compares in a time that does not depend on where the digests differ.
 bool isSameDigest(const KeyDigest &Left, const KeyDigest &Right);
 
