--- a/Source/Core/Adapters/Gateway/FeedRelayCodec.cpp
+++ b/Source/Core/Adapters/Gateway/FeedRelayCodec.cpp
@@ -17,6 +17,15 @@
   model::Duration m_Wait{0};
 };
 
+/// FeedReply, likewise.
+struct ReplyFields {
+  core::gateway::FeedReply m_Reply;
+  /// The proof's offset from the query's receipt, whose sign the codec doesn't
+  /// know.
+  std::optional<model::Duration> m_ProofBefore;
+  std::optional<model::Duration> m_ProofAfter;
+};
+
 } // namespace
 
 } // namespace bronzepass::core::adapters::gateway
@@ -47,12 +56,14 @@
   }
 };
 
-template <> struct Fields<core::gateway::FeedReply> {
+template <> struct Fields<gateway::ReplyFields> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
-    Visitor.optional("available", Value.m_IsAvailable);
-    Visitor.optional("storeFailing", Value.m_IsStoreFailing);
-    Visitor.optional("revision", Value.m_Revision);
-    Visitor.optional("objects", Value.m_Objects);
+    Visitor.optional("available", Value.m_Reply.m_IsAvailable);
+    Visitor.optional("storeFailing", Value.m_Reply.m_IsStoreFailing);
+    Visitor.optional("revision", Value.m_Reply.m_Revision);
+    Visitor.optional("objects", Value.m_Reply.m_Objects);
+    Visitor.optional("proofBeforeMicros", Value.m_ProofBefore);
+    Visitor.optional("proofAfterMicros", Value.m_ProofAfter);
   }
 };
 
@@ -94,7 +105,14 @@
                   Query.m_Era.value_or(model::StoreEra()), Query.m_Wait});
 }
 
-std::string encodeFeedReply(const FeedReply &Reply) { return encode(Reply); }
+std::string encodeFeedReply(const FeedReply &Reply) {
+  ReplyFields Fields{Reply, std::nullopt, std::nullopt};
+  if (Reply.m_ProofOffset && *Reply.m_ProofOffset > model::Duration::zero())
+    Fields.m_ProofAfter = Reply.m_ProofOffset;
+  else if (Reply.m_ProofOffset)
+    Fields.m_ProofBefore = -*Reply.m_ProofOffset;
+  return encode(Fields);
+}
 
 std::optional<FeedQuery> decodeFeedQuery(std::string_view Bytes,
                                          std::string &Reason) {
@@ -109,7 +127,15 @@
 
 std::optional<FeedReply> decodeFeedReply(std::string_view Bytes,
                                          std::string &Reason) {
-  return decode<FeedReply>(Bytes, MaxFeedReplyBytes, Reason);
+  std::optional<ReplyFields> Read =
+      decode<ReplyFields>(Bytes, MaxFeedReplyBytes, Reason);
+  if (!Read)
+    return std::nullopt;
+  if (Read->m_ProofBefore)
+    Read->m_Reply.m_ProofOffset = -*Read->m_ProofBefore;
+  else
+    Read->m_Reply.m_ProofOffset = Read->m_ProofAfter;
+  return std::move(Read->m_Reply);
 }
 
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -82,6 +82,10 @@
   m_Traffic->confirmEndpoints(AskedAt);
 }
 
+void GatewayControl::onConfigProven(model::TimePoint At) {
+  m_Traffic->proveConfig(At);
+}
+
 void GatewayControl::onNodesChanged(
     const std::vector<gateway::NodeEntry> &Nodes) {
   m_Placement.setNodes(Nodes);
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -68,6 +68,7 @@
   void onEndpointsChanged(
       const std::vector<core::gateway::EndpointEntry> &Entries) override;
   void onEndpointsConfirmed(model::TimePoint AskedAt) override;
+  void onConfigProven(model::TimePoint At) override;
   void
   onNodesChanged(const std::vector<core::gateway::NodeEntry> &Nodes) override;
   void onStoreEraChanged(std::optional<model::StoreEra> Old,
--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -82,7 +82,8 @@
                     model::DomainId(Settings.get(keys::NodeDomain)),
                     cpuPercent(Settings.get(keys::NodeCpuShare))};
   Options.m_FeedTimes = {Settings.get(keys::PlatformLeaveNotice),
-                         Settings.get(keys::PlatformContactTime)};
+                         Settings.get(keys::PlatformContactTime),
+                         Settings.get(keys::KeyRevocationTime)};
   Options.m_Lease.m_Term = Settings.get(keys::LeaseTerm);
   Options.m_Lease.m_Margin = Options.m_Lease.m_Term / LeaseMarginDivisor;
   // Handing the duty over gains nothing and makes the new holder request a
--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -78,6 +78,7 @@
       {"sends", Entry.m_Sends},
       {"elapsed_ms", Entry.m_Elapsed.count() / MicrosPerMilli},
       {"config", static_cast<int64_t>(Entry.m_ConfigVersion)},
+      {"cause", Entry.m_RefusalCause},
       {"reason", Entry.m_Reason}};
   if (Entry.m_Inputs)
     for (const LogField &Each : std::initializer_list<LogField>{
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -1,10 +1,12 @@
 #include "Core/Adapters/Gateway/GatewayMetrics.h"
 
+#include <map>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
+#include <set>
 
 namespace bronzepass::core::adapters::gateway {
 
@@ -16,6 +18,8 @@
 const prom::Histogram::BucketBoundaries Buckets = {
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30};
 
+constexpr const char *Others = "other";
+
 bool isEnd(const std::string &Action) {
   return Action == "answer" || Action == "refuse" || Action == "cut" ||
          Action == "gone";
@@ -60,6 +64,15 @@
                         .Name("bronzepass_request_duration_seconds")
                         .Help("From a request's first byte to its end")
                         .Register(m_Registry)),
+        m_Refusals(prom::BuildCounter()
+                       .Name("bronzepass_access_refusals_total")
+                       .Help("Requests refused, or answers cut, for their key "
+                             "or the proof of the configuration, by cause")
+                       .Register(m_Registry)),
+        m_OfOrganisations(prom::BuildCounter()
+                              .Name("bronzepass_organisation_requests_total")
+                              .Help("Requests by organisation, end and status")
+                              .Register(m_Registry)),
         m_Gauges(prom::BuildGauge()
                      .Name("bronzepass_node")
                      .Help("What the node holds now")
@@ -73,7 +86,12 @@
   prom::Family<prom::Counter> &m_UnreadableStatements;
   prom::Family<prom::Counter> &m_LinksLost;
   prom::Family<prom::Histogram> &m_Durations;
+  prom::Family<prom::Counter> &m_Refusals;
+  prom::Family<prom::Counter> &m_OfOrganisations;
   prom::Family<prom::Gauge> &m_Gauges;
+  /// The series of an organisation, or of "other".
+  std::map<std::string, std::set<prom::Counter *>> m_Series;
+  std::set<std::string> m_Organisations;
 };
 
 GatewayMetrics::GatewayMetrics() : m_Impl(std::make_unique<Impl>()) {}
@@ -101,6 +119,18 @@
             {"end", Entry.m_Action},
             {"status", std::to_string(Entry.m_Status)}})
       .Increment();
+  if (!Entry.m_RefusalCause.empty())
+    m_Impl->m_Refusals.Add({{"cause", Entry.m_RefusalCause}}).Increment();
+  if (!Entry.m_Organisation.empty()) {
+    const bool IsNamed = m_Impl->m_Organisations.contains(Entry.m_Organisation);
+    const std::string Name = IsNamed ? Entry.m_Organisation : Others;
+    prom::Counter &Counter = m_Impl->m_OfOrganisations.Add(
+        {{"organisation", Name},
+         {"end", Entry.m_Action},
+         {"status", std::to_string(Entry.m_Status)}});
+    Counter.Increment();
+    m_Impl->m_Series[Name].insert(&Counter);
+  }
   m_Impl->m_Durations
       .Add({{"kind", Entry.m_Kind}, {"end", Entry.m_Action}}, Buckets)
       .Observe(std::chrono::duration<double>(Entry.m_Elapsed).count());
@@ -121,6 +151,26 @@
   m_Impl->m_StoreRestores.Add({}).Increment();
 }
 
+void GatewayMetrics::setOrganisations(const std::vector<std::string> &Names) {
+  m_Impl->m_Organisations.clear();
+  for (const std::string &Each : Names)
+    if (m_Impl->m_Organisations.size() < MaxOrganisations && Each != Others)
+      m_Impl->m_Organisations.insert(Each);
+  std::erase_if(m_Impl->m_Series, [this](const auto &Entry) {
+    if (Entry.first == Others || m_Impl->m_Organisations.contains(Entry.first))
+      return false;
+    for (prom::Counter *const Each : Entry.second)
+      m_Impl->m_OfOrganisations.Remove(Each);
+    return true;
+  });
+}
+
+void GatewayMetrics::setConfigAge(std::optional<model::Duration> Age) {
+  if (Age)
+    m_Impl->m_Gauges.Add({{"what", "config_proof_age_seconds"}})
+        .Set(std::chrono::duration<double>(*Age).count());
+}
+
 void GatewayMetrics::setActive(size_t Requests, size_t Connections) {
   m_Impl->m_Gauges.Add({{"what", "requests_live"}})
       .Set(static_cast<double>(Requests));
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -6,13 +6,16 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace bronzepass::core::adapters::gateway {
 
 /// Counters and histograms of the traffic thread, kept with prometheus-cpp. The
-/// number of series is bounded: labels are route kinds and outcomes, never
-/// routes or models. Thread-safe.
+/// number of series is bounded: labels are route kinds, outcomes and the first
+/// organisations, never routes or models. Thread-safe, apart from count() and
+/// setOrganisations(), which one thread calls.
 class GatewayMetrics {
 public:
   GatewayMetrics();
@@ -28,11 +31,19 @@
   void countUnreadableStatement();
   /// The platform's store has been restored from a backup.
   void countStoreRestore();
+  /// Requests of other organisations than these, or beyond the first
+  /// MaxOrganisations, are counted together.
+  void setOrganisations(const std::vector<std::string> &Names);
+  /// nullopt: the configuration was never shown to be in force.
+  void setConfigAge(std::optional<model::Duration> Age);
   void setActive(size_t Requests, size_t Connections);
   void setConfigVersion(uint64_t Version);
   void setQuarantinedTraits(size_t Traits);
   void setLinesDropped(uint64_t Lines);
 
+  /// Organisations that have series of their own.
+  static constexpr size_t MaxOrganisations = 64;
+
   /// Returns all series in the Prometheus text format.
   std::string text() const;
 
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -259,6 +259,12 @@
     Forwarded.m_Parser = Front.m_Parser;
     Forwarded.m_Parser.m_MaxHeaderBytes += MaxForwardingHeaderBytes;
     m_ForwardingServer.setLimits(Forwarded);
+    std::vector<std::string> Names;
+    if (Table->organisations())
+      for (const organisations::OrganisationSpec &Each :
+           Table->organisations()->all())
+        Names.push_back(Each.m_Name);
+    m_GatewayMetrics.setOrganisations(Names);
     m_Log.write(
         "config", "in_force",
         {{"config", static_cast<int64_t>(Table->config().m_Version)},
@@ -285,6 +291,15 @@
   });
 }
 
+void GatewayTraffic::proveConfig(model::TimePoint At) {
+  m_Thread.loop().post([this, At] {
+    m_Driver.decide([&](gateway::RelayCore &Core, model::TimePoint Now,
+                        gateway::RelayEffectList &Out) {
+      Core.onConfigProven(At, Now, Out);
+    });
+  });
+}
+
 void GatewayTraffic::setPeers(std::vector<gateway::NodeEntry> Peers) {
   m_Thread.loop().post([this, Peers = std::move(Peers)] {
     std::map<model::NodeId, Peer> Known;
@@ -367,6 +382,7 @@
   m_GatewayMetrics.setActive(m_Core.activeRequestCount(),
                              m_CallerServer.connectionCount());
   m_GatewayMetrics.setLinesDropped(m_Log.dropped());
+  m_GatewayMetrics.setConfigAge(m_Core.configAge(m_Clock.now()));
   m_GatewayMetrics.setQuarantinedTraits(m_Core.quarantinedTraitCount());
   m_GatewayMetrics.setConfigVersion(
       m_Core.table() ? m_Core.table()->config().m_Version : 0);
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -76,6 +76,9 @@
   /// The store has confirmed the endpoints, by an answer to a call made at
   /// \p AskedAt.
   void confirmEndpoints(model::TimePoint AskedAt);
+  /// By an answer of the store to a call made at \p At, or of a node that asked
+  /// it, the table set last is in force.
+  void proveConfig(model::TimePoint At);
   void setPeers(std::vector<core::gateway::NodeEntry> Peers);
   void announceCopyChanges(std::vector<core::gateway::CopyChange> Changes);
   void setHoldsLease(bool Holds);
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Gateway/WatchTimes.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -23,15 +24,23 @@
   return gateway::watchTimes(Times.m_LeaveNotice, Times.m_ContactTime, Relays);
 }
 
+model::Duration configWatchTimeoutOf(const StoreFeedTimes &Times, bool Relays) {
+  return gateway::configWatchTimeout(watchTimesOf(Times, Relays).m_WatchTimeout,
+                                     Times.m_KeyRevocationTime, Relays);
+}
+
 gateway::FeedSettings configFeedSettings(const StoreFeedTimes &Times) {
   gateway::FeedSettings Settings;
-  Settings.m_WatchTimeout = watchTimesOf(Times, false).m_WatchTimeout;
+  Settings.m_WatchTimeout = configWatchTimeoutOf(Times, false);
+  Settings.m_AnswerTimeout =
+      gateway::configAnswerTimeout(Times.m_KeyRevocationTime);
   Settings.m_BatchDelay = watchTimesOf(Times, false).m_ConfigBatchDelay;
   return Settings;
 }
 
 gateway::FeedSettings endpointFeedSettings(const StoreFeedTimes &Times) {
-  gateway::FeedSettings Settings = configFeedSettings(Times);
+  gateway::FeedSettings Settings;
+  Settings.m_WatchTimeout = watchTimesOf(Times, false).m_WatchTimeout;
   Settings.m_BatchDelay = watchTimesOf(Times, false).m_EndpointBatchDelay;
   return Settings;
 }
@@ -84,13 +93,19 @@
   // While the store does not answer, one feed finds out for all when it does.
   if (isHeldBack(Source))
     return;
-  const std::optional<gateway::FeedCall> Due =
-      Source.m_Feed.nextCall(m_Clock.now());
+  const model::TimePoint Now = m_Clock.now();
+  std::optional<gateway::FeedCall> Due = Source.m_Feed.nextCall(Now);
   if (!Due)
     return;
+  Source.m_AskedAt = Now;
   std::optional<gateway::NodeEntry> Watcher;
   if (Due->m_Verb == gateway::FeedCall::Verb::Watch && !Source.m_AsksStoreNext)
-    Watcher = m_Sources.choose(m_Clock.now());
+    Watcher = m_Sources.choose(Now);
+  if (Source.m_AsksStoreNext && needsProof(Source)) {
+    // The failed question has cost time that the proof may not have.
+    Due->m_Timeout -= Due->m_Wait;
+    Due->m_Wait = model::Duration::zero();
+  }
   Source.m_AsksStoreNext = false;
   if (Watcher)
     askWatcher(Source, *Due, *Watcher);
@@ -123,14 +138,24 @@
 void StoreFeeds::onWatcherReply(Feed &Source, const model::NodeId &Watcher,
                                 const std::optional<gateway::FeedReply> &Reply,
                                 const std::string &Reason) {
-  if (Reply && Reply->m_IsAvailable) {
+  const model::TimePoint Now = m_Clock.now();
+  std::optional<model::TimePoint> ProvenAt;
+  // The watcher received the question after it was asked.
+  if (Reply && Reply->m_ProofOffset)
+    ProvenAt = std::min(Now, Source.m_AskedAt + *Reply->m_ProofOffset);
+  const bool IsProven =
+      !needsProof(Source) ||
+      (ProvenAt && Now - *ProvenAt <= gateway::maxRelayedProofAge(
+                                          m_Times.m_KeyRevocationTime));
+  if (Reply && Reply->m_IsAvailable && IsProven) {
     m_Sources.onWatcherAnswered(Watcher);
-    applyAnswer(Source, {.m_Status = gateway::FeedStatus::Ok,
-                         .m_Objects = Reply->m_Objects,
-                         .m_Revision = Reply->m_Revision});
+    applyAnswer(Source,
+                {.m_Status = gateway::FeedStatus::Ok,
+                 .m_Objects = Reply->m_Objects,
+                 .m_Revision = Reply->m_Revision},
+                ProvenAt);
     return;
   }
-  const model::TimePoint Now = m_Clock.now();
   if (Reply)
     m_Sources.onWatcherUnavailable(Watcher, Now);
   else
@@ -140,7 +165,10 @@
   if (Reply && Reply->m_IsStoreFailing)
     m_Health.recordFailure(Now);
   logSource(Source, model::NodeId(),
-            Reply ? Watcher.str() + " can't tell the state of the store"
+            Reply ? Watcher.str() + (Reply->m_IsAvailable
+                                         ? " has no recent proof that the "
+                                           "configuration is in force"
+                                         : " can't tell the state of the store")
                   : Watcher.str() + ": " + Reason);
   Source.m_Feed.abandonCall();
   Source.m_AsksStoreNext = true;
@@ -183,7 +211,7 @@
   else if (m_Health.recordAnswer())
     for (Feed *const Other : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
       Other->m_Feed.onStoreRecovered(Now);
-  applyAnswer(Source, Answer);
+  applyAnswer(Source, Answer, Source.m_AskedAt);
 }
 
 void StoreFeeds::logUnreadable(Feed &Source,
@@ -198,12 +226,27 @@
          {"reason", Place + " is no object with a name and a revision"}});
 }
 
-void StoreFeeds::applyAnswer(Feed &Source, const gateway::FeedAnswer &Answer) {
+bool StoreFeeds::needsProof(const Feed &Source) const {
+  return Source.m_Kind == gateway::FeedKind::Config &&
+         m_Times.m_KeyRevocationTime > model::Duration::zero();
+}
+
+void StoreFeeds::applyAnswer(Feed &Source, const gateway::FeedAnswer &Answer,
+                             std::optional<model::TimePoint> ProvenAt) {
   logUnreadable(Source, Answer);
   const bool WasComplete = Source.m_Feed.isComplete();
   const std::vector<gateway::FeedChange> Changes =
       Source.m_Feed.handleAnswer(Answer, m_Clock.now());
-  publishToNodes(Source, Answer, Changes);
+  // A list of several pages shows different moments, and one from before a
+  // restore shows nothing.
+  const bool ShowsAll = Answer.m_Status == gateway::FeedStatus::Ok &&
+                        !Answer.m_HasMore && Source.m_Feed.isCurrent();
+  if (!ShowsAll || !needsProof(Source))
+    ProvenAt.reset();
+  if (Source.m_Kind == gateway::FeedKind::Config &&
+      !Answer.m_Unreadable.empty())
+    m_IsConfigReadable = false;
+  publishToNodes(Source, Answer, Changes, ProvenAt);
   if (Source.m_Feed.isFailing() != Source.m_FailureLogged) {
     Source.m_FailureLogged = Source.m_Feed.isFailing();
     m_Log.write("dependency", Source.m_FailureLogged ? "lost" : "regained",
@@ -211,6 +254,8 @@
                  {"reason", Answer.m_Reason}});
   }
   passOn(Source, Changes, WasComplete);
+  if (ProvenAt && m_IsConfigReadable)
+    m_Events.onConfigProven(*ProvenAt);
   startDueCall(Source);
 }
 
@@ -228,15 +273,20 @@
     publishNodes();
 }
 
-void StoreFeeds::publishToNodes(
-    Feed &Source, const gateway::FeedAnswer &Answer,
-    const std::vector<gateway::FeedChange> &Changes) {
+void StoreFeeds::publishToNodes(Feed &Source, const gateway::FeedAnswer &Answer,
+                                const std::vector<gateway::FeedChange> &Changes,
+                                std::optional<model::TimePoint> ProvenAt) {
   if (Source.m_Kind == gateway::FeedKind::Nodes)
     return;
   updateStanding(Source);
-  if (Answer.m_Status == gateway::FeedStatus::Ok)
-    m_Relay.publisher(Source.m_Kind)
-        .record(Answer.m_Objects, Changes, Source.m_Feed.revision());
+  if (Answer.m_Status != gateway::FeedStatus::Ok)
+    return;
+  std::vector<gateway::FeedObject> Objects = Answer.m_Objects;
+  for (gateway::FeedObject &Each : Objects)
+    if (!Each.m_Deleted)
+      Each.m_Content = m_Dialect.contentForNodes(Source.m_Kind, Each.m_Content);
+  m_Relay.publisher(Source.m_Kind)
+      .record(Objects, Changes, Source.m_Feed.revision(), ProvenAt);
 }
 
 void StoreFeeds::updateStanding(Feed &Source) {
@@ -266,6 +316,7 @@
   gateway::Decoded<gateway::GatewayConfig> Parsed =
       m_Dialect.readConfig(Content);
   m_Log.writeFindings("config", "config", Parsed.m_Findings);
+  m_IsConfigReadable = Parsed.m_Value.has_value();
   if (!Parsed.m_Value || Parsed.m_Value->m_Version <= m_ConfigVersion)
     return;
   m_ConfigVersion = Parsed.m_Value->m_Version;
@@ -330,7 +381,8 @@
   m_Sources.setNodes(Nodes);
   const bool Relays = m_Sources.hasFollowers();
   const gateway::WatchTimes New = watchTimesOf(m_Times, Relays);
-  m_ConfigFeed.m_Feed.setWatchTimes(New.m_WatchTimeout, New.m_ConfigBatchDelay);
+  m_ConfigFeed.m_Feed.setWatchTimes(configWatchTimeoutOf(m_Times, Relays),
+                                    New.m_ConfigBatchDelay);
   m_EndpointFeed.m_Feed.setWatchTimes(New.m_WatchTimeout,
                                       New.m_EndpointBatchDelay);
   const model::Duration MaxBackoff =
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
   /// The endpoints given last are all that the store had when it was asked at
   /// \p AskedAt.
   virtual void onEndpointsConfirmed(model::TimePoint AskedAt) = 0;
+  /// The configuration given last was the newest at \p At or later. Called only
+  /// where a proof of that is needed.
+  virtual void onConfigProven(model::TimePoint At) = 0;
   /// Called with all current nodes, including this one.
   virtual void
   onNodesChanged(const std::vector<core::gateway::NodeEntry> &Nodes) = 0;
@@ -42,6 +46,9 @@
   model::Duration m_LeaveNotice = std::chrono::seconds(2);
   /// Within this time a silent connection to the store has to be noticed.
   model::Duration m_ContactTime = std::chrono::seconds(3);
+  /// How long a key may open routes after it was taken away; zero: until this
+  /// node learns of it.
+  model::Duration m_KeyRevocationTime{0};
 };
 
 /// Follows the configuration, endpoints and nodes in the platform's store, and
@@ -79,6 +86,8 @@
     std::vector<std::string> m_Unreadable;
     /// The last watcher that was asked has failed.
     bool m_AsksStoreNext = false;
+    /// When the call in flight, or the last one, was made.
+    model::TimePoint m_AskedAt;
     /// The node that was asked last; empty: the store.
     model::NodeId m_AskedNode;
   };
@@ -92,9 +101,13 @@
                       const std::optional<core::gateway::FeedReply> &Reply,
                       const std::string &Reason);
   void onStoreAnswer(Feed &Source, const core::gateway::FeedAnswer &Answer);
-  void applyAnswer(Feed &Source, const core::gateway::FeedAnswer &Answer);
+  /// \p ProvenAt: the answer shows the store as it was then or later.
+  void applyAnswer(Feed &Source, const core::gateway::FeedAnswer &Answer,
+                   std::optional<model::TimePoint> ProvenAt);
   void publishToNodes(Feed &Source, const core::gateway::FeedAnswer &Answer,
-                      const std::vector<core::gateway::FeedChange> &Changes);
+                      const std::vector<core::gateway::FeedChange> &Changes,
+                      std::optional<model::TimePoint> ProvenAt);
+  bool needsProof(const Feed &Source) const;
   void passOn(Feed &Source,
               const std::vector<core::gateway::FeedChange> &Changes,
               bool WasComplete);
@@ -129,6 +142,8 @@
   core::gateway::EndpointRegistry m_Registry;
   std::map<model::NodeId, core::gateway::NodeEntry> m_Nodes;
   uint64_t m_ConfigVersion = 0;
+  /// The newest configuration could be read.
+  bool m_IsConfigReadable = true;
   bool m_Registered = false;
   bool m_Registering = false;
   /// Numbers the registrations, to tell the answer to the last one.
--- a/Source/Core/Adapters/Gateway/StoreFeedsConfirmation.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeedsConfirmation.cpp
@@ -47,7 +47,7 @@
   if (IsUsable) {
     const std::vector<gateway::FeedChange> Changes =
         Source.m_Feed.handleConfirmation(Answer);
-    publishToNodes(Source, Answer, Changes);
+    publishToNodes(Source, Answer, Changes, std::nullopt);
     passOn(Source, Changes, true);
     m_Events.onEndpointsConfirmed(AskedAt);
   }
--- a/Source/Core/Gateway/FeedPublisher.cpp
+++ b/Source/Core/Gateway/FeedPublisher.cpp
@@ -7,7 +7,10 @@
 
 void FeedPublisher::record(const std::vector<FeedObject> &Objects,
                            const std::vector<FeedChange> &Changes,
-                           uint64_t Revision) {
+                           uint64_t Revision,
+                           std::optional<model::TimePoint> ProvenAt) {
+  if (ProvenAt)
+    m_ProvenAt = std::max(*ProvenAt, m_ProvenAt.value_or(*ProvenAt));
   m_Revision = std::max(m_Revision, Revision);
   for (const FeedObject &Each : Objects) {
     Entry &Known = m_Objects[Each.m_Name];
@@ -21,7 +24,7 @@
       Known = {{Each.m_Name, m_Revision, true, ""}, m_Revision};
   }
   replyWhere([this](const WaitingQuery &Each) {
-    return !replyTo(Each.m_Query).m_Objects.empty();
+    return !replyTo(Each.m_Query, Each.m_ReceivedAt).m_Objects.empty();
   });
 }
 
@@ -34,16 +37,17 @@
 void FeedPublisher::clear() {
   m_Objects.clear();
   m_Revision = 0;
+  m_ProvenAt.reset();
 }
 
 uint64_t FeedPublisher::ask(const FeedQuery &Query, model::TimePoint Now,
                             ReplyHandler OnReply) {
   const uint64_t Id = ++m_LastId;
-  const FeedReply Reply = replyTo(Query);
+  const FeedReply Reply = replyTo(Query, Now);
   if (!Reply.m_IsAvailable || !Reply.m_Objects.empty())
     OnReply(Reply);
   else
-    m_Waiting[Id] = {Query, Now + Query.m_Wait, std::move(OnReply)};
+    m_Waiting[Id] = {Query, Now, Now + Query.m_Wait, std::move(OnReply)};
   return Id;
 }
 
@@ -57,13 +61,16 @@
          Query.m_Revision >= m_Standing.m_CompleteFrom;
 }
 
-FeedReply FeedPublisher::replyTo(const FeedQuery &Query) const {
+FeedReply FeedPublisher::replyTo(const FeedQuery &Query,
+                                 model::TimePoint ReceivedAt) const {
   FeedReply Reply;
   Reply.m_IsStoreFailing = m_Standing.m_IsStoreFailing;
   Reply.m_IsAvailable = mayReply(Query);
   if (!Reply.m_IsAvailable)
     return Reply;
   Reply.m_Revision = std::max(m_Revision, Query.m_Revision);
+  if (m_ProvenAt)
+    Reply.m_ProofOffset = *m_ProvenAt - ReceivedAt;
   for (const auto &Each : m_Objects)
     if (Each.second.m_LearnedAt > Query.m_Revision)
       Reply.m_Objects.push_back(Each.second.m_Object);
@@ -82,7 +89,7 @@
     Each = m_Waiting.erase(Each);
   }
   for (const WaitingQuery &Each : Due)
-    Each.m_OnReply(replyTo(Each.m_Query));
+    Each.m_OnReply(replyTo(Each.m_Query, Each.m_ReceivedAt));
 }
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/FeedPublisher.h
+++ b/Source/Core/Gateway/FeedPublisher.h
@@ -37,6 +37,10 @@
   std::vector<FeedObject> m_Objects;
   /// The revision of the store that the reply reflects.
   uint64_t m_Revision = 0;
+  /// From the moment at which the watcher received the query to the latest at
+  /// which the store was known to hold nothing newer; negative if that was
+  /// before. nullopt if the watcher doesn't know.
+  std::optional<model::Duration> m_ProofOffset;
 
   friend auto operator<=>(const FeedReply &, const FeedReply &) = default;
 };
@@ -63,9 +67,10 @@
 
   /// Takes over an answer of the store: the objects that it contains, and the
   /// changes that the feed derived from it. \p Revision: that the feed has
-  /// reached.
+  /// reached. \p ProvenAt: by then or later the store held nothing newer.
   void record(const std::vector<FeedObject> &Objects,
-              const std::vector<FeedChange> &Changes, uint64_t Revision);
+              const std::vector<FeedChange> &Changes, uint64_t Revision,
+              std::optional<model::TimePoint> ProvenAt = std::nullopt);
   /// Replies to all waiting queries if this node may no longer tell.
   void setStanding(const Standing &Current);
   /// The store was restored from a backup: earlier revisions mean nothing.
@@ -87,16 +92,18 @@
   };
   struct WaitingQuery {
     FeedQuery m_Query;
+    model::TimePoint m_ReceivedAt;
     model::TimePoint m_Until;
     ReplyHandler m_OnReply;
   };
 
   bool mayReply(const FeedQuery &Query) const;
-  FeedReply replyTo(const FeedQuery &Query) const;
+  FeedReply replyTo(const FeedQuery &Query, model::TimePoint ReceivedAt) const;
   void replyWhere(const std::function<bool(const WaitingQuery &)> &IsDue);
 
   std::map<std::string, Entry> m_Objects;
   uint64_t m_Revision = 0;
+  std::optional<model::TimePoint> m_ProvenAt;
   Standing m_Standing;
   std::map<uint64_t, WaitingQuery> m_Waiting;
   uint64_t m_LastId = 0;
--- a/Source/Core/Gateway/RelayAccess.cpp
+++ b/Source/Core/Gateway/RelayAccess.cpp
@@ -58,6 +58,7 @@
   }
   if (Decision.m_Outcome == Outcome::Allowed)
     return false;
+  Active.m_RefusalCause = Decision.m_Cause;
   if (Active.m_ForwardingStarted)
     abortAnswer(Active, Decision.m_Reason, Out);
   else if (Active.m_PossibleRuns > 0)
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -134,6 +134,7 @@
     /// kept alive; null if it is nobody's.
     std::shared_ptr<const RouteTable> m_OrganisationTable;
     const organisations::OrganisationSpec *m_Organisation = nullptr;
+    const char *m_RefusalCause = "";
     /// The organisation's if it has one, otherwise the route's.
     uint32_t m_Priority = 0;
     std::string m_Service;
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -243,6 +243,8 @@
   std::string m_Action;
   /// Whose request it is; empty if it needs no key or is not known.
   std::string m_Organisation;
+  /// Why AccessControl refused it, in one word; empty if it did not.
+  std::string m_RefusalCause;
   /// "once", "repeatable" or "stream"; empty if no route matches.
   std::string m_Kind;
   std::string m_Route;
--- a/Source/Core/Gateway/WatchTimes.cpp
+++ b/Source/Core/Gateway/WatchTimes.cpp
@@ -19,6 +19,12 @@
 /// leave notice.
 constexpr double RelayedBatchShare = 0.25;
 constexpr double RelayedWatchShare = 0.4;
+/// Shares of the revocation time. Where nodes learn through others, two watches
+/// follow each other.
+constexpr double ProofWatchShare = 0.25;
+constexpr double RelayedProofWatchShare = 0.12;
+constexpr double ProofAnswerShare = 0.12;
+constexpr double RelayedProofAgeShare = 0.4;
 /// Share of the contact time.
 constexpr double FollowerBackoffShare = 0.3;
 /// From a change of the registered endpoints to the requests that heed it.
@@ -43,6 +49,27 @@
           ConfigBatchDelay, shareOf(LeaveNotice, RelayedBatchShare)};
 }
 
+model::Duration configWatchTimeout(model::Duration Longest,
+                                   model::Duration RevocationTime,
+                                   bool Relays) {
+  if (RevocationTime <= model::Duration::zero())
+    return Longest;
+  return std::min(Longest,
+                  shareOf(RevocationTime,
+                          Relays ? RelayedProofWatchShare : ProofWatchShare));
+}
+
+model::Duration configAnswerTimeout(model::Duration RevocationTime) {
+  const model::Duration Longest = FeedSettings().m_AnswerTimeout;
+  return RevocationTime <= model::Duration::zero()
+             ? Longest
+             : std::min(Longest, shareOf(RevocationTime, ProofAnswerShare));
+}
+
+model::Duration maxRelayedProofAge(model::Duration RevocationTime) {
+  return shareOf(RevocationTime, RelayedProofAgeShare);
+}
+
 model::Duration lapsedRetention(model::Duration ContactTime) {
   // The last call that fails may have been sent just before the store's return.
   return std::min(LapsedRetention,
--- a/Source/Core/Gateway/WatchTimes.h
+++ b/Source/Core/Gateway/WatchTimes.h
@@ -24,6 +24,20 @@
 WatchTimes watchTimes(model::Duration LeaveNotice, model::Duration ContactTime,
                       bool Relays);
 
+/// How long one watch of the configuration stays open, at most \p Longest. Each
+/// answer proves that the configuration is in force: in calm, the age of every
+/// node's proof stays below 0.4 of \p RevocationTime (zero: no proof is
+/// needed), and below 0.8 of it when one call fails.
+model::Duration configWatchTimeout(model::Duration Longest,
+                                   model::Duration RevocationTime, bool Relays);
+
+/// Time for an answer about the configuration, for the same reason.
+model::Duration configAnswerTimeout(model::Duration RevocationTime);
+
+/// The oldest proof that a node takes from a watcher; with an older one, it
+/// asks the store itself.
+model::Duration maxRelayedProofAge(model::Duration RevocationTime);
+
 /// How long after the store's return an entry that lapsed is retained; by then
 /// endpoints that are alive have written theirs again.
 model::Duration lapsedRetention(model::Duration ContactTime);
--- a/Source/Core/Organisations/AccessControl.cpp
+++ b/Source/Core/Organisations/AccessControl.cpp
@@ -6,8 +6,15 @@
 
 using Outcome = AccessDecision::Outcome;
 
-constexpr const char *NotProven =
-    "this node can't prove that its configuration is in force";
+AccessDecision unproven(const OrganisationSpec *Organisation) {
+  return {Outcome::Unproven, Organisation,
+          "this node can't prove that its configuration is in force",
+          "unproven"};
+}
+
+AccessDecision disagreed(const char *Reason) {
+  return {Outcome::Disagreed, nullptr, Reason, "disagreed"};
+}
 
 } // namespace
 
@@ -23,15 +30,16 @@
       HasKey ? Table->findByKey(Credential.m_Digest) : nullptr;
   // A newer configuration may hold the key, or hold it no longer.
   if (!m_Proof.holds(Now))
-    return {Outcome::Unproven, Organisation, NotProven};
+    return unproven(Organisation);
   if (Organisation || IsOpen)
     return {Outcome::Allowed, Organisation};
   if (HasKey)
-    return {Outcome::Refused, nullptr, "no organisation holds its key"};
-  return {Outcome::Refused, nullptr,
-          Credential.m_State == Credential::State::Absent
-              ? "it has no key"
-              : "what it has for a key can't be one"};
+    return {Outcome::Refused, nullptr, "no organisation holds its key",
+            "unknown_key"};
+  if (Credential.m_State == Credential::State::Absent)
+    return {Outcome::Refused, nullptr, "it has no key", "no_key"};
+  return {Outcome::Refused, nullptr, "what it has for a key can't be one",
+          "unreadable_key"};
 }
 
 AccessDecision
@@ -41,19 +49,16 @@
   if (!Table && !Name)
     return {};
   if (!Table || !Name || !IsSameConfig)
-    return {Outcome::Disagreed, nullptr,
-            "another configuration is in force at the node that forwarded it"};
+    return disagreed(
+        "another configuration is in force at the node that forwarded it");
   if (Name->empty())
     return IsOpen ? AccessDecision{}
-                  : AccessDecision{Outcome::Disagreed, nullptr,
-                                   "it is nobody's, on a route that is not "
-                                   "open"};
+                  : disagreed("it is nobody's, on a route that is not open");
   const OrganisationSpec *const Organisation = Table->findByName(*Name);
   if (!Organisation)
-    return {Outcome::Disagreed, nullptr,
-            "the organisation that it is said to be of is not known"};
+    return disagreed("the organisation that it is said to be of is not known");
   if (!m_Proof.holds(Now))
-    return {Outcome::Unproven, Organisation, NotProven};
+    return unproven(Organisation);
   return {Outcome::Allowed, Organisation};
 }
 
--- a/Source/Core/Organisations/AccessControl.h
+++ b/Source/Core/Organisations/AccessControl.h
@@ -25,6 +25,9 @@
   const OrganisationSpec *m_Organisation = nullptr;
   /// For logs; empty if allowed.
   const char *m_Reason = "";
+  /// The same as one word for metrics: "no_key", "unknown_key",
+  /// "unreadable_key", "unproven", "disagreed".
+  const char *m_Cause = "";
 
   friend auto operator<=>(const AccessDecision &,
                           const AccessDecision &) = default;
--- a/Source/UnitTests/Adapters/Gateway/FeedRelayTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/FeedRelayTest.cpp
@@ -145,6 +145,15 @@
   const relay::FeedReply Reply{
       true, false, {{"a\xff", 5, true, ""}, {"b", 6, false, "\xc3\x28"}}, 9};
   const std::string Bytes = adapter::encodeFeedReply(Reply);
+  CHECK(adapter::decodeFeedReply(Bytes, Reason) == Reply);
+  for (const core::model::Duration Offset :
+       {core::model::Duration(-70ms), core::model::Duration(0),
+        core::model::Duration(1200ms)}) {
+    relay::FeedReply Proven = Reply;
+    Proven.m_ProofOffset = Offset;
+    CHECK(adapter::decodeFeedReply(adapter::encodeFeedReply(Proven), Reason) ==
+          Proven);
+  }
   std::mt19937 Random(1);
   for (int Run = 0; Run < 20000; ++Run) {
     std::string Damaged = Bytes;
--- a/Source/UnitTests/Adapters/Gateway/ForwardedRequestTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/ForwardedRequestTest.cpp
@@ -5,8 +5,10 @@
 #include <chrono>
 #include <doctest/doctest.h>
 #include <future>
+#include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace bronzepass::unit_tests::adapters::gateway {
 
@@ -20,18 +22,31 @@
       .port();
 }
 
+using Organisations = std::vector<core::organisations::OrganisationSpec>;
+
 /// A node to whose endpoints no connection can be opened.
 class CutOffNode : public RelayNode {
 public:
-  explicit CutOffNode(uint16_t PeerPort)
-      : RelayNode({closedPort(), closedPort(), closedPort()}) {
+  explicit CutOffNode(uint16_t PeerPort,
+                      const std::optional<Organisations> &Keyed = std::nullopt,
+                      const std::string &ExtraHeaders = "")
+      : RelayNode({closedPort(), closedPort(), closedPort()}, std::nullopt,
+                  Keyed) {
     setPeer(PeerPort);
     // Until the peer has been heard and the links are known to be lost.
     std::this_thread::sleep_for(100ms);
-    answerTo(*this, onceRequest());
+    answerTo(*this, onceRequest(ExtraHeaders));
   }
 };
 
+/// One organisation, "lab", with the key "secret-1".
+Organisations lab() {
+  core::organisations::OrganisationSpec Lab;
+  Lab.m_Name = "lab";
+  Lab.m_Keys = {core::organisations::digestOf("secret-1")};
+  return {Lab};
+}
+
 /// A request as a node forwards it.
 std::string forwardedRequest(const std::string &Terms) {
   return onceRequest(Terms);
@@ -77,6 +92,60 @@
   CHECK(Sent.find("Bronzepass-") == std::string::npos);
 }
 
+TEST_CASE("an endpoint behind another node gets the organisation's name, and "
+          "nothing of its key") {
+  ScriptedEndpoint Endpoint([](ScriptConnection &To, const std::string &, int) {
+    To.write(std::string(Sealed) + "Content-Length: 2\r\n\r\nok");
+  });
+  // In place of the other node, so that what that one is sent can be seen.
+  ScriptedEndpoint Between([](ScriptConnection &To, const std::string &, int) {
+    To.write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+  });
+  const std::string Key = "X-Credential: secret-1\r\n";
+  const std::string Caller = "x-credential: secret-1\r\nX-Tenant: mill\r\n"
+                             "x-tenant: mill\r\n"
+                             "Bronzepass-Organisation: mill\r\n";
+  SUBCASE("at the endpoint") {
+    RelayNode Lender({Endpoint.port()}, std::nullopt, lab());
+    CutOffNode Node(Lender.forwardingPort(), lab(), Key);
+    const size_t Before = Endpoint.requests().size();
+    CHECK(answerTo(Node, onceRequest(Caller)).rfind("HTTP/1.1 200", 0) == 0);
+    REQUIRE(Endpoint.requests().size() == Before + 1);
+    const std::string Sent = Endpoint.requests().back();
+    CHECK(Sent.find("X-Tenant: lab\r\n") != std::string::npos);
+    CHECK(Sent.find("mill") == std::string::npos);
+    CHECK(Sent.find("secret") == std::string::npos);
+  }
+  SUBCASE("between the nodes") {
+    CutOffNode Node(Between.port(), lab(), Key);
+    (void)answerTo(Node, onceRequest(Caller));
+    REQUIRE_FALSE(Between.requests().empty());
+    const std::string Sent = Between.requests().back();
+    CHECK(Sent.find("Bronzepass-Organisation: lab\r\n") != std::string::npos);
+    CHECK(Sent.find("mill") == std::string::npos);
+    CHECK(Sent.find("secret") == std::string::npos);
+    CHECK(Sent.find("Tenant") == std::string::npos);
+  }
+}
+
+TEST_CASE("a caller gains nothing by the headers of forwarded requests") {
+  ScriptedEndpoint Endpoint([](ScriptConnection &To, const std::string &, int) {
+    To.write(std::string(Sealed) + "Content-Length: 2\r\n\r\nok");
+  });
+  RelayNode Node({Endpoint.port()}, std::nullopt, lab());
+  for (const char *const Key :
+       {"", "X-Credential: secret-2\r\n", "X-Credential: \r\n",
+        "X-Credential: secret-1\r\nX-Credential: secret-1\r\n"})
+    CHECK(answerTo(Node,
+                   onceRequest(std::string("Bronzepass-Config: 1\r\n"
+                                           "Bronzepass-Runs: 1\r\n"
+                                           "Bronzepass-Organisation: lab\r\n"
+                                           "X-Tenant: lab\r\n") +
+                               Key))
+              .rfind("HTTP/1.1 401", 0) == 0);
+  CHECK(Endpoint.requests().empty());
+}
+
 TEST_CASE("a request is forwarded once: a node that has lost its links, too, "
           "declines it, and the caller is refused") {
   RelayNode Other({closedPort(), closedPort(), closedPort()});
--- a/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <doctest/doctest.h>
 #include <memory>
+#include <utility>
 
 namespace bronzepass::unit_tests::adapters::gateway {
 
@@ -49,8 +50,10 @@
 const std::string ChunkedHead =
     std::string(Sealed) + "Transfer-Encoding: chunked\r\n\r\n";
 
-RelayNode::RelayNode(const std::vector<uint16_t> &Ports,
-                     std::optional<uint32_t> Slots)
+RelayNode::RelayNode(
+    const std::vector<uint16_t> &Ports, std::optional<uint32_t> Slots,
+    std::optional<std::vector<core::organisations::OrganisationSpec>>
+        Organisations)
     : m_Log("test"), m_Core({}, m_Random),
       m_Driver(m_Thread.loop(), m_Dialect, m_Core, m_Clock, m_Log, m_Metrics,
                [](const relay::CopyRequest &) {}),
@@ -58,7 +61,9 @@
       m_ForwardingServer(m_Thread.loop(), m_Driver.forwardedRequestHandler()) {
   REQUIRE_FALSE(m_Server.listen({"127.0.0.1", 0}));
   REQUIRE_FALSE(m_ForwardingServer.listen({"127.0.0.1", 0}));
-  m_Core.setTable(std::make_shared<relay::RouteTable>(config()));
+  relay::GatewayConfig Config = config();
+  Config.m_Organisations = std::move(Organisations);
+  m_Core.setTable(std::make_shared<relay::RouteTable>(Config));
   std::vector<relay::EndpointEntry> Entries;
   for (const uint16_t Port : Ports) {
     relay::EndpointEntry Entry;
--- a/Source/UnitTests/Adapters/Gateway/RelayNode.h
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.h
@@ -22,8 +22,12 @@
 class RelayNode {
 public:
   /// Each endpoint runs \p Slots requests at once; nullopt: the default.
-  explicit RelayNode(const std::vector<uint16_t> &Ports,
-                     std::optional<uint32_t> Slots = std::nullopt);
+  /// \p Organisations: whose keys callers need.
+  explicit RelayNode(
+      const std::vector<uint16_t> &Ports,
+      std::optional<uint32_t> Slots = std::nullopt,
+      std::optional<std::vector<core::organisations::OrganisationSpec>>
+          Organisations = std::nullopt);
   ~RelayNode();
   RelayNode(const RelayNode &) = delete;
   RelayNode &operator=(const RelayNode &) = delete;
--- a/Source/UnitTests/Adapters/Gateway/StoreFeedsTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/StoreFeedsTest.cpp
@@ -8,6 +8,7 @@
 #include "platform/PlatformDialect.h"
 
 #include <algorithm>
+#include <atomic>
 #include <doctest/doctest.h>
 #include <future>
 #include <map>
@@ -63,6 +64,12 @@
     m_Removals.clear();
     ++m_Era;
   }
+  uint64_t revision() const {
+    const std::scoped_lock Lock(m_Mutex);
+    return m_State.m_Revision;
+  }
+  /// How long answers are on their way from now on.
+  void setDelay(std::chrono::milliseconds Delay) { m_Delay = Delay; }
   /// Connections on which something was watched since the last call.
   size_t takeWatchingConnections() {
     const std::scoped_lock Lock(m_Mutex);
@@ -140,6 +147,7 @@
       Body = Status == 200 ? watch(Kind, From) : json::object();
     }
     const std::string Text = Body.dump();
+    std::this_thread::sleep_for(m_Delay.load());
     Connection.write("HTTP/1.1 " + std::to_string(Status) +
                      " X\r\nStore-Era: " + std::to_string(m_Era) +
                      "\r\nContent-Length: " + std::to_string(Text.size()) +
@@ -152,6 +160,7 @@
   State m_Backup;
   std::vector<Removal> m_Removals;
   uint64_t m_Era = 3;
+  std::atomic<std::chrono::milliseconds> m_Delay = 0ms;
   ScriptedEndpoint m_Endpoint;
 };
 
@@ -159,11 +168,12 @@
 class FeedNode : private core::adapters::gateway::StoreEvents,
                  private core::adapters::gateway::StoreEraEvents {
 public:
-  explicit FeedNode(uint16_t StorePort, const char *Name = "self")
+  explicit FeedNode(uint16_t StorePort, const char *Name = "self",
+                    core::model::Duration RevocationTime = 0s)
       : m_Log("test"), m_Calls(m_Thread.loop()),
         m_Store({"127.0.0.1", StorePort}, m_Dialect, m_Calls, m_Log, *this),
         m_Relay(m_Thread.loop(), m_Calls, m_Clock),
-        m_Feeds(m_Store, m_Relay, {100ms, 3s},
+        m_Feeds(m_Store, m_Relay, {100ms, 3s, RevocationTime},
                 {core::model::NodeId(Name),
                  {"127.0.0.1", listeningPort(m_Relay)},
                  core::model::DomainId("d")},
@@ -199,6 +209,30 @@
     }
     return std::nullopt;
   }
+  /// Age of the last proof of the configuration; nullopt if there was none.
+  std::optional<core::model::Duration> proofAge() const {
+    const std::scoped_lock Lock(m_Mutex);
+    if (!m_ProvenAt)
+      return std::nullopt;
+    return m_Clock.now() - *m_ProvenAt;
+  }
+  /// The youngest that a proof was when it was told.
+  core::model::Duration youngestProof() const {
+    const std::scoped_lock Lock(m_Mutex);
+    return m_YoungestProof;
+  }
+  /// What another node that knows the store up to \p Revision is told of the
+  /// configuration.
+  relay::FeedReply published(uint64_t Revision) {
+    std::promise<relay::FeedReply> Reply;
+    m_Thread.loop().post([&] {
+      m_Relay.publisher(relay::FeedKind::Config)
+          .ask({relay::FeedKind::Config, Revision, m_Store.era(), 0s},
+               m_Clock.now(),
+               [&](const relay::FeedReply &Told) { Reply.set_value(Told); });
+    });
+    return Reply.get_future().get();
+  }
   int restores() const {
     const std::scoped_lock Lock(m_Mutex);
     return m_Restores;
@@ -228,6 +262,11 @@
     const std::scoped_lock Lock(m_Mutex);
     m_Confirmed[AskedAt] = m_Draining.size();
   }
+  void onConfigProven(core::model::TimePoint At) override {
+    const std::scoped_lock Lock(m_Mutex);
+    m_YoungestProof = std::min(m_YoungestProof, m_Clock.now() - At);
+    m_ProvenAt = At;
+  }
   void onStoreEraChanged(std::optional<core::model::StoreEra> Old,
                          core::model::StoreEra /*New*/) override {
     if (!Old)
@@ -246,6 +285,8 @@
   uint64_t m_Version = 0;
   bool m_WentBack = false;
   int m_Restores = 0;
+  std::optional<core::model::TimePoint> m_ProvenAt;
+  core::model::Duration m_YoungestProof = 1h;
   /// The number of endpoints that were known at each confirmation.
   std::map<core::model::TimePoint, size_t> m_Confirmed;
   core::adapters::daemon::SystemRandom m_Random;
@@ -339,6 +380,110 @@
   CHECK(Node.confirmedEndpoints() == 4);
 }
 
+TEST_CASE("the store's answers prove the configuration from when they were "
+          "asked for, while the newest one can be read") {
+  RestorableStore Store;
+  Store.write("config", "main", config(5));
+  SUBCASE("no proof is needed") {
+    FeedNode Node(Store.port());
+    REQUIRE(becomesTrue([&] { return Node.version() == 5; }));
+    std::this_thread::sleep_for(200ms);
+    CHECK_FALSE(Node.proofAge());
+  }
+  SUBCASE("an answer that is late") {
+    Store.setDelay(100ms);
+    FeedNode Node(Store.port(), "self", 5s);
+    REQUIRE(becomesTrue([&] { return Node.proofAge().has_value(); }));
+    std::this_thread::sleep_for(500ms);
+    CHECK(Node.youngestProof() >= 100ms);
+    CHECK(*Node.proofAge() < 2s);
+  }
+  SUBCASE("a store that answers no more") {
+    FeedNode Node(Store.port(), "self", 2s);
+    REQUIRE(becomesTrue([&] { return Node.proofAge().has_value(); }));
+    Store.setDelay(10s);
+    std::this_thread::sleep_for(1s);
+    CHECK(*Node.proofAge() >= 900ms);
+    Store.setDelay(0ms);
+  }
+  SUBCASE("a configuration that can't be read") {
+    FeedNode Node(Store.port(), "self", 5s);
+    REQUIRE(becomesTrue([&] { return Node.proofAge().has_value(); }));
+    Store.write("config", "main", {{"Version", "?"}});
+    std::this_thread::sleep_for(1s);
+    CHECK(*Node.proofAge() >= 800ms);
+    Store.write("config", "main", config(6));
+    CHECK(becomesTrue([&] { return *Node.proofAge() < 300ms; }));
+    CHECK(Node.version() == 6);
+  }
+  SUBCASE("a store that was restored") {
+    Store.backUp();
+    FeedNode Node(Store.port(), "self", 5s);
+    REQUIRE(becomesTrue([&] { return Node.proofAge().has_value(); }));
+    Store.restore();
+    REQUIRE(becomesTrue([&] { return Node.restores() == 1; }));
+    CHECK(becomesTrue([&] { return *Node.proofAge() < 200ms; }));
+  }
+}
+
+TEST_CASE("what other nodes are told of the configuration holds no keys") {
+  RestorableStore Store;
+  Store.write("config", "main", config(5));
+  FeedNode Node(Store.port(), "self", 5s);
+  REQUIRE(becomesTrue([&] { return Node.version() == 5; }));
+  const uint64_t Known = Store.revision();
+  json Keyed = config(6);
+  Keyed["Tenants"] = {{{"Name", "lab"}, {"ApiKeys", {"secret-1"}}}};
+  Store.write("config", "main", Keyed);
+  REQUIRE(becomesTrue([&] { return Node.version() == 6; }));
+  const relay::FeedReply Told = Node.published(Known);
+  REQUIRE(Told.m_IsAvailable);
+  REQUIRE(Told.m_Objects.size() == 1);
+  const std::string &Content = Told.m_Objects[0].m_Content;
+  CHECK(Content.find("secret") == std::string::npos);
+  const platform::PlatformDialect Dialect;
+  CHECK(*Dialect.readConfig(Content).m_Value ==
+        *Dialect.readConfig(Keyed.dump()).m_Value);
+  CHECK(Told.m_ProofOffset);
+}
+
+TEST_CASE("nodes that learn through a watcher have its proof, and one of their "
+          "own while it is gone") {
+  RestorableStore Store;
+  Store.write("config", "main", config(5));
+  constexpr core::model::Duration RevocationTime = 5s;
+  std::vector<std::string> Names;
+  for (int Number = 0; Number < 12; ++Number)
+    Names.push_back("node-" + std::to_string(Number));
+  std::map<std::string, std::unique_ptr<FeedNode>> Nodes;
+  for (const std::string &Name : Names)
+    Nodes[Name] =
+        std::make_unique<FeedNode>(Store.port(), Name.c_str(), RevocationTime);
+  // Nodes list each other each 5 s.
+  std::this_thread::sleep_for(6s);
+  const auto OldestWithin = [&](core::model::Duration Span) {
+    core::model::Duration Oldest{0};
+    const auto End = std::chrono::steady_clock::now() + Span;
+    while (std::chrono::steady_clock::now() < End) {
+      for (const auto &Each : Nodes)
+        Oldest = std::max(Oldest, Each.second->proofAge().value_or(1h));
+      std::this_thread::sleep_for(20ms);
+    }
+    return Oldest;
+  };
+  Store.takeWatchingConnections();
+  CHECK(OldestWithin(2s) < 0.4 * RevocationTime);
+  CHECK(Store.takeWatchingConnections() <= 6);
+  std::sort(Names.begin(), Names.end(),
+            [](const std::string &Left, const std::string &Right) {
+              return core::model::rendezvousWeight("store-watcher", Left) >
+                     core::model::rendezvousWeight("store-watcher", Right);
+            });
+  for (int Watcher = 0; Watcher < 3; ++Watcher)
+    Nodes.erase(Names[Watcher]);
+  CHECK(OldestWithin(3s) < 0.8 * RevocationTime);
+}
+
 // Pattern: the store's load grows with the fleet.
 TEST_CASE("most nodes learn of changes through a few that watch the store, and "
           "from the store once these are gone") {
--- a/Source/UnitTests/Gateway/FeedPublisherTest.cpp
+++ b/Source/UnitTests/Gateway/FeedPublisherTest.cpp
@@ -56,6 +56,37 @@
         std::vector<FeedObject>{object("a", 9, "new")});
 }
 
+TEST_CASE("a reply tells how long before or after its query the store was last "
+          "known to hold nothing newer") {
+  FeedPublisher Publisher;
+  Publisher.setStanding({true, false, std::nullopt});
+  Publisher.record({object("a", 3)}, {}, 8);
+  Asked Unproven;
+  Publisher.ask(since(2), at(10s), Unproven.handler());
+  REQUIRE(Unproven.m_Reply);
+  CHECK_FALSE(Unproven.m_Reply->m_ProofOffset);
+  Publisher.record({}, {}, 8, at(9s));
+  Asked Old;
+  Publisher.ask(since(2), at(10s), Old.handler());
+  REQUIRE(Old.m_Reply);
+  CHECK(Old.m_Reply->m_ProofOffset == -1s);
+  Asked Waiting;
+  Publisher.ask(since(8), at(10s), Waiting.handler());
+  // An answer that was asked for earlier proves nothing more.
+  Publisher.record({}, {}, 8, at(10500ms));
+  Publisher.record({}, {}, 8, at(8s));
+  Publisher.tick(at(11s));
+  REQUIRE(Waiting.m_Reply);
+  CHECK(Waiting.m_Reply->m_ProofOffset == 500ms);
+  Publisher.clear();
+  Asked Restored;
+  Publisher.ask({FeedKind::Endpoints, 0, std::nullopt, 0s}, at(12s),
+                Restored.handler());
+  Publisher.tick(at(12s));
+  REQUIRE(Restored.m_Reply);
+  CHECK_FALSE(Restored.m_Reply->m_ProofOffset);
+}
+
 TEST_CASE("a query without news is answered when its wait is over") {
   FeedPublisher Publisher;
   Publisher.setStanding({true, false, std::nullopt});
--- a/Source/UnitTests/Gateway/WatchTimesTest.cpp
+++ b/Source/UnitTests/Gateway/WatchTimesTest.cpp
@@ -23,6 +23,26 @@
   }
 }
 
+TEST_CASE("the proof of the configuration holds while one call fails, and is "
+          "young in calm") {
+  const model::Duration Step = 20ms;
+  for (const model::Duration Time : {2s, 5s, 10s, 60s}) {
+    CAPTURE(Time.count());
+    const model::Duration Answer = configAnswerTimeout(Time);
+    const model::Duration Own = configWatchTimeout(3s, Time, false);
+    const model::Duration Relayed = configWatchTimeout(3s, Time, true);
+    CHECK(Own + 2 * Step < 0.4 * Time);
+    CHECK(2 * (Relayed + Step) <= maxRelayedProofAge(Time));
+    // A watch that fails, the pause after it, and one more call.
+    const model::Duration Failed = Own + Answer + FeedSettings().m_BaseBackoff;
+    CHECK(Own + Failed + Step < 0.8 * Time);
+    // A watcher that fails, and a question to the store.
+    CHECK(2 * (Relayed + Step) + Relayed + 2 * Answer < 0.8 * Time);
+  }
+  CHECK(configWatchTimeout(3s, 0s, true) == 3s);
+  CHECK(configAnswerTimeout(0s) == FeedSettings().m_AnswerTimeout);
+}
+
 TEST_CASE("a silent connection is noticed within the contact time") {
   const FeedSettings Feed;
   for (const bool Relays : {false, true})
--- a/Source/UnitTests/Platform/ConfigReaderTest.cpp
+++ b/Source/UnitTests/Platform/ConfigReaderTest.cpp
@@ -65,6 +65,34 @@
   CHECK_FALSE(readConfig(Config).m_Value->m_Organisations);
 }
 
+TEST_CASE("a configuration without keys reads the same") {
+  const std::string Keyed =
+      R"({"Version":7,"Routes":[{"Host":"h","PathPrefix":"/p/","Kind":"stream",
+"Service":"s"}],"Tenants":[{"Name":"o","ApiKeys":["secret-1","secret-2"],
+"Priority":1,"Unit":"tokens","PlainTokens":200,"RatePerS":4200.5,"Burst":8400},
+{"Name":"p"}]})";
+  const std::string Hidden = withoutKeys(Keyed);
+  CHECK(Hidden.find("secret") == std::string::npos);
+  REQUIRE(readConfig(Hidden).m_Value);
+  CHECK(*readConfig(Hidden).m_Value == *readConfig(Keyed).m_Value);
+  CHECK(withoutKeys(Hidden) == Hidden);
+  CHECK(withoutKeys(Config) == Config);
+}
+
+TEST_CASE("what can't be read of a configuration is not passed on") {
+  for (const char *const Odd :
+       {R"({"Version":7,"Tenants":[{"Name":"o","ApiKeys":"secret"}]})",
+        R"({"Version":7,"Tenants":[{"Name":"o","ApiKeys":[["secret"]]}]})",
+        R"({"Version":7,"Tenants":["secret"]})",
+        R"({"Version":7,"Tenants":"secret"})",
+        R"({"Version":7,"Tenants":[{"ApiKeys":["secret"]})", R"(["secret"])"}) {
+    CAPTURE(Odd);
+    CHECK_FALSE(readConfig(Odd).m_Value);
+    CHECK(withoutKeys(Odd).find("secret") == std::string::npos);
+    CHECK_FALSE(readConfig(withoutKeys(Odd)).m_Value);
+  }
+}
+
 TEST_CASE("every error in a configuration is reported with its path") {
   const core::gateway::Decoded<core::gateway::GatewayConfig> Parsed = readConfig(
       R"({"Version":"x","Routes":[{"Host":"h","PathPrefix":"/p/","Kind":"odd"}]})");
--- a/Source/UnitTests/Platform/RequestHeadersTest.cpp
+++ b/Source/UnitTests/Platform/RequestHeadersTest.cpp
@@ -210,4 +210,60 @@
   }
 }
 
+namespace {
+
+core::organisations::Credential credentialOf(const HeaderLines &Headers) {
+  core::gateway::RelayRequest Request;
+  readRequest(Headers, Request);
+  return Request.m_Credential;
+}
+
+} // namespace
+
+TEST_CASE("a key is read once, and only if it can be one") {
+  using core::organisations::Credential;
+  CHECK(credentialOf({{"X-Model", "m"}}).m_State == Credential::State::Absent);
+  const Credential Key = credentialOf({{"x-credential", " key-1 "}});
+  CHECK(Key.m_State == Credential::State::Present);
+  CHECK(Key.m_Digest == core::organisations::digestOf("key-1"));
+  CHECK(credentialOf({{"X-Credential", std::string(512, 'k')}}).m_State ==
+        Credential::State::Present);
+  for (const std::string &Odd :
+       {std::string(), std::string("  "), std::string("a b"),
+        std::string("a\tb"), std::string("a\0b", 3), std::string("k\xc3\xa9"),
+        std::string("k\x7f"), std::string(513, 'k'),
+        std::string(64 * 1024, 'k')})
+    CHECK(credentialOf({{"X-Credential", Odd}}).m_State ==
+          Credential::State::Unreadable);
+  CHECK(credentialOf({{"X-Credential", "key-1"}, {"X-CREDENTIAL", "key-1"}})
+            .m_State == Credential::State::Unreadable);
+}
+
+TEST_CASE(
+    "an endpoint gets the organisation's name in place of any copy of the "
+    "caller's, and nothing of its key") {
+  const HeaderLines FromCaller = {{"X-Credential", "key-1"},
+                                  {"x-credential", "key-2"},
+                                  {"X-Tenant", "mill"},
+                                  {"x-tenant", "mill"},
+                                  {"Connection", "X-Tenant"}};
+  SendRequest Send = sendTo("i-1");
+  Send.m_Organisation = "lab";
+  const HeaderLines Lab = headersToSend(FromCaller, Send, std::nullopt);
+  CHECK(valuesOf(Lab, "X-Tenant") == std::vector<std::string>{"lab"});
+  CHECK(std::none_of(Lab.begin(), Lab.end(), [](const HeaderLine &Each) {
+    return Each.second.find("key-") != std::string::npos ||
+           Each.second == "mill";
+  }));
+  Send.m_Organisation = "";
+  const HeaderLines Nobody = headersToSend(FromCaller, Send, std::nullopt);
+  CHECK(valuesOf(Nobody, "X-Tenant").empty());
+  CHECK(valuesOf(Nobody, "x-tenant").empty());
+  CHECK(valuesOf(Nobody, "X-Credential").empty());
+  Send.m_Organisation.reset();
+  const HeaderLines AsTheyAre =
+      headersToSend({{"X-Tenant", "mill"}}, Send, std::nullopt);
+  CHECK(valuesOf(AsTheyAre, "X-Tenant") == std::vector<std::string>{"mill"});
+}
+
 } // namespace bronzepass::platform
