Gateway: Held requests by slack where ranks and times disagree, served late where room is free

A digest of the highest rank with 2 s to its first event went before a chat with 0.5 s, and a queued chat with 6 s before later ones due sooner; requests queued for slots at engines for half of their callers' time, where no node could order them; one that could not be in time was refused though its caller gave 12 s.

It acts where a request of higher rank can have twice the time of one of lower rank (HoldRules); elsewhere the order is as before.

--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -215,8 +215,8 @@
   if (Chosen.m_Endpoint) {
     const double LeftMs = static_cast<double>(Left.count()) * MillisPerMicro;
     if (Chosen.m_WaitMs <= m_Settings.m_MaxWaitShare * LeftMs ||
-        Active.m_ForwardingStarted) {
-      if (!Active.m_IsTrial && mustHold(Active, *Chosen.m_Endpoint))
+        Active.m_ForwardingStarted || ordersBySlack(Active)) {
+      if (!Active.m_IsTrial && mustHold(Active, Chosen))
         holdOrReject(Active, Chosen, Out);
       else
         send(Active, *Chosen.m_Endpoint, Out);
@@ -315,6 +315,7 @@
   ++Active.m_Sends;
   Active.m_WaitsUntil.reset();
   m_Waiting.erase(Active.m_Request.m_Number);
+  m_Held.onSent(Active.m_Request.m_Number, m_Now);
   releaseHold(Active);
   Active.m_Attempt = {++m_LastAttempt};
   Active.m_Endpoint = Endpoint.m_Entry.m_Id;
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -4,8 +4,11 @@
 #include "Core/Gateway/CrashQuarantine.h"
 #include "Core/Gateway/EndpointEntry.h"
 #include "Core/Gateway/EndpointView.h"
+#include "Core/Gateway/HoldQueue.h"
+#include "Core/Gateway/HoldRules.h"
 #include "Core/Gateway/LinkMonitor.h"
 #include "Core/Gateway/PeerNotice.h"
+#include "Core/Gateway/RefusedRequests.h"
 #include "Core/Gateway/RelaySettings.h"
 #include "Core/Gateway/RelayTypes.h"
 #include "Core/Gateway/RetryLimiter.h"
@@ -190,6 +193,7 @@
     double m_LongPrefillMs = 0;
     /// Prefill that may be queued at one engine.
     double m_MaxQueuedPrefillMs = 0;
+    HoldRules m_HoldRules;
     /// Connections that one endpoint accepts from all nodes together; 0: no
     /// limit.
     uint32_t m_MaxConnections = 0;
@@ -256,19 +260,20 @@
   uint32_t missingTokens(const ActiveRequest &Active,
                          const EndpointView &Endpoint) const;
   void waitForCopy(ActiveRequest &Active, RelayEffectList &Out);
-  // RelayHold.cpp: requests that wait at this node for a short prefill queue.
-  bool mustHold(const ActiveRequest &Active,
-                const EndpointView &Endpoint) const;
+  // RelayHold.cpp: requests that wait at this node for room at the engines.
+  bool ordersBySlack(const ActiveRequest &Active) const;
+  HeldRequest heldRequest(const ActiveRequest &Active, double OwnMs) const;
+  bool mustHold(const ActiveRequest &Active, const Choice &Chosen) const;
   void holdOrReject(ActiveRequest &Active, const Choice &Chosen,
                     RelayEffectList &Out);
+  void holdBySlack(ActiveRequest &Active, const Choice &Chosen, double OwnMs,
+                   RelayEffectList &Out);
   void holdForLimit(ActiveRequest &Active, const Choice &Chosen,
                     RelayEffectList &Out);
-  void hold(ActiveRequest &Active, const char *Reason, RelayEffectList &Out);
-  size_t heldAhead(const ActiveRequest &Active) const;
+  void logHold(ActiveRequest &Active, const char *Reason, RelayEffectList &Out);
   void releaseHold(ActiveRequest &Active);
   void dispatchHeld(RelayEffectList &Out);
   double prefillMs(const ActiveRequest &Active, uint32_t Tokens) const;
-  double heldPrefillMs(const ActiveRequest &Active) const;
   void dispatchWaiting(RelayEffectList &Out);
   model::Duration jittered(model::Duration Base) const;
 
@@ -371,9 +376,11 @@
   std::set<model::RequestId> m_Waiting;
   /// Those that wait for the store to confirm the endpoints.
   std::set<model::RequestId> m_Unconfirmed;
-  /// Requests that are held, most urgent first, then oldest first.
-  using HoldKey = std::pair<uint32_t, model::RequestId>;
-  std::set<HoldKey> m_Held;
+  HoldQueue m_Held;
+  /// Reused by dispatchHeld().
+  std::vector<HoldQueue::Entry> m_Offered;
+  std::vector<std::pair<uint64_t, int>> m_VainOffers;
+  RefusedRequests m_Refused;
   uint32_t m_NodeCount = 1;
   uint64_t m_PrefillChanges = 0;
   std::unordered_map<model::AttemptId, model::RequestId> m_Attempts;
