--- a/Source/Core/Gateway/RelayHold.cpp
+++ b/Source/Core/Gateway/RelayHold.cpp
@@ -75,8 +75,10 @@
       .m_Lane = model::stableHash(Active.m_Request.m_ModelRef.m_Model,
                                   model::stableHash(Active.m_Service)),
       .m_Order = ordersBySlack(Active) ? HoldOrder::Slack : HoldOrder::Rank,
-      .m_Rank = Active.m_Route->m_Priority,
-      .m_Organisation = 0,
+      .m_Rank = Active.m_Priority,
+      .m_Organisation = Active.m_Organisation
+                            ? model::stableHash(Active.m_Organisation->m_Name)
+                            : 0,
       .m_LatestStart = DueAt - fromMillis(OwnMs),
       .m_LateUntil = DueAt + fromMillis(LateShare * AfterDueMs),
       .m_CostMs = prefillMs(Active, Active.m_Request.m_PromptTokens)};
