Gateway: Find the pace of endpoints that have just started or recovered

An endpoint that was new or back got at once, from every node, all that the others had no room for; one that was silent for a second got nothing for two. Its window (requests in flight from all nodes) now starts at a quarter of its slots, is raised by answers in time and halved by bad ones, and ends at its full room. A silent endpoint gets one request at a time instead of an ejection, and what was late since it said nothing is not held against it.

--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -140,6 +140,13 @@
          {"pause_ms", Pause.m_Length.count() / MicrosPerMilli}});
 }
 
+void GatewayLog::write(const core::gateway::PaceChange &Change) {
+  write("endpoint", Change.m_Begins ? "pace_begun" : "pace_ended",
+        {{"endpoint", Change.m_Endpoint.str()},
+         {"cause", Change.m_Cause},
+         {"window", fmt::format("{:.1f}", Change.m_Window)}});
+}
+
 void GatewayLog::write(const core::gateway::LinksChange &Change) {
   write("links", Change.m_IsLost ? "lost" : "regained",
         {{"service", Change.m_Service.empty() ? "all" : Change.m_Service},
--- a/Source/Core/Adapters/Gateway/GatewayLog.h
+++ b/Source/Core/Adapters/Gateway/GatewayLog.h
@@ -44,6 +44,7 @@
   void write(const core::gateway::StatementChange &Change);
   void write(const core::gateway::PauseBegun &Pause);
   void write(const core::gateway::LinksChange &Change);
+  void write(const core::gateway::PaceChange &Change);
   void write(const residency::ResidencyLogEntry &Entry);
   /// Writes one line for each finding in the data that the store or an engine
   /// sent about \p Name.
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -138,6 +138,11 @@
       .Set(static_cast<double>(Traits));
 }
 
+void GatewayMetrics::setPacedEndpoints(size_t Endpoints) {
+  m_Impl->m_Gauges.Add({{"what", "paced_endpoints"}})
+      .Set(static_cast<double>(Endpoints));
+}
+
 void GatewayMetrics::setLinesDropped(uint64_t Lines) {
   m_Impl->m_Gauges.Add({{"what", "log_lines_dropped"}})
       .Set(static_cast<double>(Lines));
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -31,6 +31,7 @@
   void setActive(size_t Requests, size_t Connections);
   void setConfigVersion(uint64_t Version);
   void setQuarantinedTraits(size_t Traits);
+  void setPacedEndpoints(size_t Endpoints);
   void setLinesDropped(uint64_t Lines);
 
   /// Returns all series in the Prometheus text format.
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -368,6 +368,7 @@
                              m_CallerServer.connectionCount());
   m_GatewayMetrics.setLinesDropped(m_Log.dropped());
   m_GatewayMetrics.setQuarantinedTraits(m_Core.quarantinedTraitCount());
+  m_GatewayMetrics.setPacedEndpoints(m_Core.pacedEndpointCount());
   m_GatewayMetrics.setConfigVersion(
       m_Core.table() ? m_Core.table()->config().m_Version : 0);
   return m_GatewayMetrics.text();
--- a/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
+++ b/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
@@ -79,6 +79,14 @@
   }
 };
 
+template <> struct Fields<core::gateway::PaceReport> {
+  template <typename V, typename T> static void visit(V &Visitor, T &Value) {
+    Visitor.required("e", Value.m_Endpoint);
+    Visitor.optional("good", Value.m_Good);
+    Visitor.optional("bad", Value.m_Bad);
+  }
+};
+
 template <> struct Fields<core::gateway::StreamOrigin> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("s", Value.m_Stream);
@@ -106,6 +114,7 @@
     Visitor.optional("quarantined", Value.m_Quarantine.m_Quarantined);
     Visitor.optional("safe", Value.m_Quarantine.m_Safe);
     Visitor.optional("said", Value.m_EndpointNotices);
+    Visitor.optional("paces", Value.m_PaceReports);
     Visitor.optional("streams", Value.m_Streams.m_Origins);
     Visitor.optional("mixed", Value.m_Streams.m_MixedServices);
     Visitor.optional("forwarding", Value.m_ForwardingPort);
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -299,6 +299,8 @@
   m_Metrics.count(Effect);
 }
 
+void RelayDriver::on(const gateway::PaceChange &Effect) { m_Log.write(Effect); }
+
 void RelayDriver::on(const gateway::ConfirmEndpoints & /*Effect*/) {
   if (m_OnConfirmEndpoints)
     m_OnConfirmEndpoints();
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -158,6 +158,7 @@
   void on(const core::gateway::StatementChange &Effect);
   void on(const core::gateway::PauseBegun &Effect);
   void on(const core::gateway::LinksChange &Effect);
+  void on(const core::gateway::PaceChange &Effect);
   void on(const core::gateway::ConfirmEndpoints &Effect);
 
   void onHead(model::AttemptId Attempt,
--- a/Source/Core/Gateway/EndpointView.h
+++ b/Source/Core/Gateway/EndpointView.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_CORE_GATEWAY_ENDPOINTVIEW_H
 
 #include "Core/Gateway/EndpointEntry.h"
+#include "Core/Gateway/EndpointPace.h"
 #include "Core/Gateway/EndpointStatement.h"
 #include "Core/Gateway/QuarantineNotice.h"
 #include "Core/Gateway/RelayTypes.h"
@@ -53,6 +54,12 @@
   model::TimePoint m_OwnFullUntil;
   /// Set while it names a limit or is brittle.
   std::optional<RequestRateShare> m_RateShare;
+  /// Set while it is found out how much the endpoint takes.
+  std::optional<EndpointPace> m_Pace;
+  /// The first send since something last arrived from it.
+  std::optional<model::TimePoint> m_UnansweredSince;
+  /// Requests sent before then waited for the end of a silence.
+  model::TimePoint m_SilenceEndedAt;
   uint32_t m_ConsecutiveFailures = 0;
   model::TimePoint m_EjectedUntil;
   /// Moving average of the share of its answers that were failures.
--- a/Source/Core/Gateway/PeerNotice.h
+++ b/Source/Core/Gateway/PeerNotice.h
@@ -1,6 +1,7 @@
 #ifndef BRONZEPASS_CORE_GATEWAY_PEERNOTICE_H
 #define BRONZEPASS_CORE_GATEWAY_PEERNOTICE_H
 
+#include "Core/Gateway/EndpointPace.h"
 #include "Core/Gateway/EndpointStatement.h"
 #include "Core/Gateway/QuarantineNotice.h"
 #include "Core/Gateway/RelayTypes.h"
@@ -77,6 +78,8 @@
   std::vector<CopyRequest> m_CopyRequests;
   QuarantineNotice m_Quarantine;
   std::vector<EndpointNotice> m_EndpointNotices;
+  /// Of the endpoints that are under a pace at the sender.
+  std::vector<PaceReport> m_PaceReports;
   /// Told to all peers, since a caller may take its stream up at any node.
   StreamNotice m_Streams;
   /// Port at which the sender takes requests that other nodes forward; 0 if it
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -97,6 +97,7 @@
   const uint32_t MaxConnections = Service->second.m_MaxConnections;
   double BestCost = std::numeric_limits<double>::max();
   std::vector<LimitedCandidate> Limited;
+  std::vector<LimitedCandidate> Paced;
   const size_t Start = All.empty() ? 0 : m_Random.next() % All.size();
   for (size_t I = 0; I < All.size(); ++I) {
     EndpointView *const Endpoint = All[(Start + I) % All.size()];
@@ -138,16 +139,56 @@
       Limited.push_back({Cost, WaitMs, Endpoint});
       continue;
     }
+    if (Endpoint->m_Pace && !Active.m_IsTrial) {
+      Paced.push_back({Cost, WaitMs, Endpoint});
+      continue;
+    }
     if (Cost >= BestCost)
       continue;
     BestCost = Cost;
     Best.m_Endpoint = Endpoint;
     Best.m_WaitMs = WaitMs;
   }
+  choosePaced(Paced, Service->second, BestCost, Best);
   chooseLimited(Limited, BestCost, Best);
   return Best;
 }
 
+void RelayCore::choosePaced(std::vector<LimitedCandidate> &Paced,
+                            const ServiceState &Service, double &BestCost,
+                            Choice &Best) const {
+  // A draw may cost a token: only those are asked that would be chosen.
+  std::sort(Paced.begin(), Paced.end(),
+            [](const LimitedCandidate &Left, const LimitedCandidate &Right) {
+              return Left.m_CostMs < Right.m_CostMs;
+            });
+  for (const LimitedCandidate &Each : Paced) {
+    // Among equals it goes first, since its answers tell something.
+    if (Each.m_CostMs > BestCost)
+      return;
+    const bool Allowed = paceAllows(*Each.m_Endpoint);
+    // Beyond its pace it is still better than a longer wait, or than none.
+    const double Cost =
+        Each.m_CostMs +
+        (Allowed ? 0 : beyondPaceCostMs(Service, *Each.m_Endpoint));
+    if (Cost > BestCost)
+      continue;
+    BestCost = Cost;
+    Best.m_Endpoint = Each.m_Endpoint;
+    Best.m_WaitMs = Each.m_WaitMs;
+  }
+}
+
+double RelayCore::beyondPaceCostMs(const ServiceState &Service,
+                                   const EndpointView &Endpoint) const {
+  const double Window = Endpoint.m_Pace->window();
+  const double AnswerMs =
+      Service.m_AnswerMs > 0 ? Service.m_AnswerMs : DefaultAnswerMs;
+  const double Excess = std::max(0.0, estimatedLoad(Endpoint) - Window) + 1;
+  return FullBatchCostMs + Excess * AnswerMs / Window +
+         (Endpoint.m_Pace->isSilent() ? AlwaysFailingCostMs : 0);
+}
+
 void RelayCore::chooseLimited(std::vector<LimitedCandidate> &Limited,
                               double BestCost, Choice &Best) const {
   // Asking whether a request is allowed may cost a token: only those are asked
@@ -324,6 +365,7 @@
   Active.m_SentAt = m_Now;
   Active.m_AnswerStarted = false;
   Active.m_Tried.push_back(Endpoint.m_Entry.m_Id);
+  noteSent(Endpoint);
   ++Endpoint.m_InFlight;
   if (Endpoint.m_RateShare)
     Endpoint.m_RateShare->take(m_Now);
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -97,6 +97,10 @@
     EndpointView &View = m_Endpoints[Entry.m_Id];
     const bool Restarted =
         View.m_Tag != 0 && View.m_Entry.m_StartedAtMs != Entry.m_StartedAtMs;
+    const auto Service = m_Services.find(Entry.m_Service);
+    const bool HasRun = Service != m_Services.end() &&
+                        Service->second.m_FirstChunkMs > 0 &&
+                        !Service->second.m_Endpoints.empty();
     if (View.m_Tag == 0 || Restarted) {
       if (View.m_Tag != 0)
         m_Prefixes.forget(View.m_Tag);
@@ -105,7 +109,10 @@
       View.m_InFlight = InFlight;
       View.m_Tag = ++m_LastTag == 0 ? ++m_LastTag : m_LastTag;
     }
+    const bool IsNew = View.m_Entry.m_Id != Entry.m_Id;
     View.m_Entry = Entry;
+    if (IsNew && HasRun)
+      beginPace(View, PaceCause::Start, Now);
     View.m_Key = model::stableHash(Entry.m_Id.str(),
                                    static_cast<uint64_t>(Entry.m_StartedAtMs));
     View.m_IsRegistered = true;
@@ -268,6 +275,7 @@
   for (const QuarantineChange &Each : m_Quarantine.takeChanges())
     Out.push_back(Each);
   noteSilentEndpoints();
+  tickPaces(Out);
   for (const LinksChange &Each : m_Links.takeChanges())
     Out.push_back(Each);
   if (Now - m_VersionsNotedAt >= VersionsNotePeriod) {
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -101,6 +101,8 @@
   size_t quarantinedTraitCount() const {
     return m_Quarantine.quarantinedCount();
   }
+  /// Endpoints of which it is being found out how much they take.
+  size_t pacedEndpointCount() const;
   /// The counters that increased since the last call.
   std::vector<UsageCounter> takeUsageCounters();
 
@@ -245,6 +247,14 @@
   /// takes a request now.
   void chooseLimited(std::vector<LimitedCandidate> &Limited, double BestCost,
                      Choice &Best) const;
+  /// Chooses the first of \p Paced that costs less than \p BestCost, which it
+  /// updates.
+  void choosePaced(std::vector<LimitedCandidate> &Paced,
+                   const ServiceState &Service, double &BestCost,
+                   Choice &Best) const;
+  /// What a request costs more at an endpoint that takes none by its pace.
+  double beyondPaceCostMs(const ServiceState &Service,
+                          const EndpointView &Endpoint) const;
   double endpointCostMs(const ActiveRequest &Active,
                         const ServiceState &Service,
                         const EndpointView &Endpoint, double &WaitMs) const;
@@ -321,6 +331,24 @@
   /// Sets this node's share of what the endpoint takes.
   void updateRateShare(EndpointView &Endpoint);
 
+  // RelayPace.cpp: endpoints that have just started or recovered.
+  void beginPace(EndpointView &Endpoint, PaceCause Cause,
+                 model::TimePoint From);
+  void tickPaces(RelayEffectList &Out);
+  bool paceAllows(EndpointView &Endpoint) const;
+  /// \p MeanMs: of the service.
+  void noteFirstChunk(const ActiveRequest &Active, EndpointView &Endpoint,
+                      double MeanMs);
+  void noteSent(EndpointView &Endpoint);
+  void noteSilenceEnd(EndpointView &Endpoint);
+  /// The send timed out while nothing at all arrived from the endpoint.
+  static bool isUnheard(const ActiveRequest &Active,
+                        const EndpointView &Endpoint,
+                        const SendOutcome &Outcome);
+  void noteUnheard(EndpointView &Endpoint);
+  void updatePace(EndpointView &Endpoint, const SendOutcome &Outcome);
+  void onPaceReports(const PeerNotice &Notice);
+
   // RelayForwarding.cpp: requests that are sent to endpoints by another node
   // than the one that received them.
   /// Forwards the request if this node's links to its service are lost and
@@ -388,6 +416,7 @@
   /// When the links to a service were last tried while they were lost.
   std::map<std::string, model::TimePoint> m_LinksTriedAt;
   model::TimePoint m_SilenceNotedAt;
+  std::vector<PaceChange> m_PaceChanges;
   StreamOrigins m_Origins;
   SuspensionDetector m_Suspension;
   model::TimePoint m_VersionsNotedAt;
--- a/Source/Core/Gateway/RelayLinks.cpp
+++ b/Source/Core/Gateway/RelayLinks.cpp
@@ -27,6 +27,7 @@
 
 void RelayCore::onHeardFrom(EndpointView &Endpoint) {
   Endpoint.m_HeardAt = m_Now;
+  Endpoint.m_UnansweredSince.reset();
   m_Links.onHeard(Endpoint.m_Entry.m_Service, false);
 }
 
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -49,6 +49,7 @@
     return;
   m_Quarantine.onEngineAlive(Endpoint->m_Key, Now);
   m_Now = Now;
+  noteSilenceEnd(*Endpoint);
   onHeardFrom(*Endpoint);
   const model::TimePoint Before = std::exchange(Active.m_LastChunkAt, Now);
   if (Active.m_AnswerStarted) {
@@ -64,6 +65,11 @@
       std::max(0.1, static_cast<double>((Now - Active.m_SentAt).count()) /
                         MicrosPerMilli);
   ServiceState &Service = m_Services[Active.m_Service];
+  if (Active.m_SentAt < Endpoint->m_SilenceEndedAt) {
+    clearPrefillTokens(Active, *Endpoint);
+    return;
+  }
+  noteFirstChunk(Active, *Endpoint, Service.m_FirstChunkMs);
   routing::updateMovingAverage(Service.m_FirstChunkMs, Millis,
                                ServiceAverageWeight);
   const double Ratio = std::min(MaxSlowness, Millis / Service.m_FirstChunkMs);
@@ -99,6 +105,12 @@
 void RelayCore::updateEndpointHealth(const ActiveRequest &Active,
                                      EndpointView &Endpoint,
                                      const SendOutcome &Outcome) {
+  if (isUnheard(Active, Endpoint, Outcome)) {
+    noteUnheard(Endpoint);
+    return;
+  }
+  Endpoint.m_UnansweredSince.reset();
+  updatePace(Endpoint, Outcome);
   const bool Answered = Outcome.m_Result == SendResult::Completed ||
                         Outcome.m_Result == SendResult::Failed ||
                         Outcome.m_Result == SendResult::NotRun ||
@@ -141,6 +153,7 @@
   Endpoint.m_EjectedUntil =
       m_Now + std::min(m_Settings.m_BaseEjectionTime * (1 << Doublings),
                        m_Settings.m_MaxEjectionTime);
+  beginPace(Endpoint, PaceCause::Ejection, Endpoint.m_EjectedUntil);
 }
 
 void RelayCore::updateQuarantine(const ActiveRequest &Active,
--- a/Source/Core/Gateway/RelayPeers.cpp
+++ b/Source/Core/Gateway/RelayPeers.cpp
@@ -53,6 +53,7 @@
       Endpoint->m_FullUntil =
           std::max(Endpoint->m_FullUntil, Now + Each.m_FullFor);
     }
+  onPaceReports(Notice);
   for (const CopyChange &Change : Notice.m_CopyChanges)
     if (EndpointView *const Endpoint = findEndpoint(Change.m_Endpoint))
       Endpoint->m_CopyOverrides[Change.m_ModelRef] = {
@@ -83,6 +84,8 @@
     if (View.m_InFlight > 0)
       Notice.m_Loads.push_back(
           {Entry.first, View.m_InFlight, View.m_PrefillTokens});
+    if (View.m_Pace)
+      Notice.m_PaceReports.push_back(View.m_Pace->report(Entry.first));
     if (View.m_OwnStatement && Now - View.m_OwnStatedAt < StatementAnnounceTime)
       Notice.m_EndpointNotices.push_back(
           {Entry.first, Now - View.m_OwnStatedAt, *View.m_OwnStatement,
--- a/Source/Core/Gateway/RelayStatements.cpp
+++ b/Source/Core/Gateway/RelayStatements.cpp
@@ -33,6 +33,7 @@
   const bool IsNews = Endpoint->m_PausedUntil <= Now;
   Endpoint->m_PausedUntil =
       std::max(Endpoint->m_PausedUntil, Now + Pause + Added);
+  beginPace(*Endpoint, PaceCause::Pause, Endpoint->m_PausedUntil);
   if (IsNews)
     Out.push_back(
         PauseBegun{Endpoint->m_Entry.m_Id, Endpoint->m_PausedUntil - Now});
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -328,6 +328,17 @@
   friend auto operator<=>(const LinksChange &, const LinksChange &) = default;
 };
 
+/// Effect: write one log line about an endpoint whose pace began or ended.
+struct PaceChange {
+  model::EndpointId m_Endpoint;
+  bool m_Begins = false;
+  std::string m_Cause;
+  /// Requests in flight that it was found to take, at the end.
+  double m_Window = 0;
+
+  friend auto operator<=>(const PaceChange &, const PaceChange &) = default;
+};
+
 /// Effect: ask the store whether endpoints have joined or changed that this
 /// node does not know of; RelayCore::onEndpointsConfirmed() takes the answer.
 struct ConfirmEndpoints {
@@ -338,7 +349,8 @@
 using RelayEffect =
     std::variant<SendRequest, CancelSend, ForwardAnswer, RejectRequest,
                  AbortAnswer, CopyRequest, RelayLogEntry, QuarantineChange,
-                 StatementChange, PauseBegun, LinksChange, ConfirmEndpoints>;
+                 StatementChange, PauseBegun, LinksChange, PaceChange,
+                 ConfirmEndpoints>;
 using RelayEffectList = std::vector<RelayEffect>;
 
 } // namespace bronzepass::core::gateway
