--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -39,6 +39,7 @@
   void setActive(size_t Requests, size_t Connections);
   void setConfigVersion(uint64_t Version);
   void setQuarantinedTraits(size_t Traits);
+  void setPacedEndpoints(size_t Endpoints);
   void setLinesDropped(uint64_t Lines);
 
   /// Organisations that have series of their own.
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -384,6 +384,7 @@
   m_GatewayMetrics.setLinesDropped(m_Log.dropped());
   m_GatewayMetrics.setConfigAge(m_Core.configAge(m_Clock.now()));
   m_GatewayMetrics.setQuarantinedTraits(m_Core.quarantinedTraitCount());
+  m_GatewayMetrics.setPacedEndpoints(m_Core.pacedEndpointCount());
   m_GatewayMetrics.setConfigVersion(
       m_Core.table() ? m_Core.table()->config().m_Version : 0);
   return m_GatewayMetrics.text();
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -302,6 +302,7 @@
 void RelayDriver::on(const gateway::ProofChange &Effect) {
   m_Log.write(Effect);
 }
+void RelayDriver::on(const gateway::PaceChange &Effect) { m_Log.write(Effect); }
 
 void RelayDriver::on(const gateway::ConfirmEndpoints & /*Effect*/) {
   if (m_OnConfirmEndpoints)
