--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -24,9 +24,6 @@
 /// Models and adapters counted: twice those of the largest planned deployment.
 constexpr size_t MaxUsageCounters = 4096;
 
-/// How long an endpoint is remembered whose entry is gone. Longer than the
-/// pauses that endpoints ask for and the time for which a leaving one serves.
-constexpr model::Duration UnregisteredLifetime = std::chrono::seconds(60);
 /// Much shorter than a stream's lifetime.
 constexpr model::Duration VersionsNotePeriod = std::chrono::seconds(1);
 constexpr double MillisPerMicro = 1e-3;
@@ -386,16 +383,4 @@
   return Found == m_Endpoints.end() ? nullptr : &Found->second;
 }
 
-void RelayCore::eraseUnregistered() {
-  for (auto &Entry : m_Endpoints)
-    if (Entry.second.m_IsRegistered)
-      Entry.second.m_RegisteredAt = m_Now;
-  std::erase_if(m_Endpoints, [this](const auto &Entry) {
-    const EndpointView &View = Entry.second;
-    return !View.m_IsRegistered && View.m_InFlight == 0 &&
-           m_Now - View.m_RegisteredAt >= UnregisteredLifetime &&
-           m_Now >= View.m_PausedUntil;
-  });
-}
-
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/RelayPeers.cpp
+++ b/Source/Core/Gateway/RelayPeers.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// How long an endpoint is remembered whose entry is gone. Longer than the
+/// pauses that endpoints ask for and the time for which a leaving one serves.
+constexpr model::Duration UnregisteredLifetime = std::chrono::seconds(60);
 /// How long a peer's CopyChange takes precedence over the endpoint's own entry:
 /// two of the periods at which engines renew their entries.
 constexpr model::Duration CopyOverrideLifetime = std::chrono::seconds(3);
@@ -103,4 +106,16 @@
   return Changed;
 }
 
+void RelayCore::eraseUnregistered() {
+  for (auto &Entry : m_Endpoints)
+    if (Entry.second.m_IsRegistered)
+      Entry.second.m_RegisteredAt = m_Now;
+  std::erase_if(m_Endpoints, [this](const auto &Entry) {
+    const EndpointView &View = Entry.second;
+    return !View.m_IsRegistered && View.m_InFlight == 0 &&
+           m_Now - View.m_RegisteredAt >= UnregisteredLifetime &&
+           m_Now >= View.m_PausedUntil;
+  });
+}
+
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Logs/RequestTimeline.cpp
+++ b/Source/Core/Logs/RequestTimeline.cpp
@@ -89,7 +89,7 @@
       return false;
     if (Line.m_Category == "process")
       return isWithin(Line, ProcessWindowMs, ProcessWindowMs);
-    return Line.m_Category == "dependency" &&
+    return (Line.m_Category == "dependency" || Line.m_Category == "proof") &&
            isWithin(Line, DependencyWindowBeforeMs, 0);
   }
 
@@ -127,6 +127,21 @@
                        });
   }
 
+  /// What lies behind a refusal for the key or the proof; null for others.
+  static const char *accessCause(const std::string &Cause) {
+    if (Cause == "no_key" || Cause == "unknown_key" ||
+        Cause == "unreadable_key")
+      return "no organisation of the configuration named there holds what it "
+             "brought for a key";
+    if (Cause == "unproven")
+      return "the node could not show that no newer configuration takes the "
+             "key "
+             "away: see its proof and dependency lines";
+    if (Cause == "disagreed")
+      return "the node that forwarded it had read it by another configuration";
+    return nullptr;
+  }
+
   static bool hasLostDependency(const RequestTimeline &Timeline) {
     std::map<std::string, bool> Lost;
     for (const TimelineEntry &Each : Timeline.m_Entries)
@@ -179,6 +194,8 @@
               ? "its model or adapter was on its way: see the orders"
               : "nobody ordered its model or adapter: look for the lease "
                 "holder's lines");
+    if (const char *const Access = accessCause(Line.field("cause")))
+      Timeline.m_Causes.emplace_back(Access);
     if (hasEntry(Timeline, "placement", "lease_lost") ||
         hasEntry(Timeline, "placement", "lease_gained"))
       Timeline.m_Causes.emplace_back(
--- a/Source/UnitTests/Logs/RequestTimelineTest.cpp
+++ b/Source/UnitTests/Logs/RequestTimelineTest.cpp
@@ -96,4 +96,24 @@
   CHECK(explainRequest(Lines, "other").m_Entries.empty());
 }
 
+TEST_CASE(
+    "a refusal for a key is explained by the configuration or the proof") {
+  const std::vector<LogLine> Lines = {
+      line(1000, "n1", "config", "in_force", {{"config", "4"}}),
+      line(2000, "n1", "proof", "lost", {{"age_ms", "4000"}}),
+      line(2000, "n2", "proof", "lost", {{"age_ms", "4000"}}),
+      line(3000, "n1", "request", "refuse",
+           {{"request", "r1"},
+            {"status", "503"},
+            {"cause", "unproven"},
+            {"organisation", "lab"}}),
+      line(3000, "n1", "request", "refuse",
+           {{"request", "r2"}, {"status", "401"}, {"cause", "unknown_key"}}),
+  };
+  const RequestTimeline Unproven = explainRequest(Lines, "r1");
+  CHECK(Unproven.m_Entries.size() == 3);
+  CHECK(hasCause(Unproven, "no newer configuration takes the key away"));
+  CHECK(hasCause(explainRequest(Lines, "r2"), "no organisation"));
+}
+
 } // namespace bronzepass::core::logs
