--- a/Source/Core/Logs/LogSummary.cpp
+++ b/Source/Core/Logs/LogSummary.cpp
@@ -38,7 +38,8 @@
 
 bool isStateChange(const LogLine &Line) {
   return Line.is("config", "in_force") || Line.m_Category == "dependency" ||
-         Line.m_Category == "process" || Line.is("placement", "lease_gained") ||
+         Line.m_Category == "proof" || Line.m_Category == "process" ||
+         Line.is("placement", "lease_gained") ||
          Line.is("placement", "lease_lost") ||
          Line.is("placement", "token_refused");
 }
--- a/Source/Core/Logs/LogSummary.h
+++ b/Source/Core/Logs/LogSummary.h
@@ -53,8 +53,8 @@
   std::map<std::string, uint64_t> m_Orders;
   /// The answered requests that took longest, slowest first.
   std::vector<LogLine> m_Slowest;
-  /// Changes of configuration, leases, dependencies and processes, oldest
-  /// first.
+  /// Changes of configuration, proof, leases, dependencies and processes,
+  /// oldest first.
   std::vector<LogLine> m_Changes;
 
   friend auto operator<=>(const LogSummary &, const LogSummary &) = default;
--- a/Source/UnitTests/Platform/ConfigReaderTest.cpp
+++ b/Source/UnitTests/Platform/ConfigReaderTest.cpp
@@ -65,6 +65,21 @@
   CHECK_FALSE(readConfig(Config).m_Value->m_Organisations);
 }
 
+TEST_CASE("an organisation's name has to fit into a header") {
+  const auto Reads = [](const std::string &Name) {
+    return readConfig(R"({"Version":7,"Tenants":[{"Name":")" + Name + "\"}]}")
+        .m_Value.has_value();
+  };
+  CHECK(Reads("Lab 1, north"));
+  CHECK(Reads("\xc3\xa9"));
+  for (const std::string &Odd :
+       {std::string("a\\r\\nX-B: c"), std::string(" a"), std::string("a "),
+        std::string("a\x7f"), std::string(257, 'n')}) {
+    CAPTURE(Odd);
+    CHECK_FALSE(Reads(Odd));
+  }
+}
+
 TEST_CASE("a configuration without keys reads the same") {
   const std::string Keyed =
       R"({"Version":7,"Routes":[{"Host":"h","PathPrefix":"/p/","Kind":"stream",
