--- a/Source/UnitTests/Organisations/AccessControlTest.cpp
+++ b/Source/UnitTests/Organisations/AccessControlTest.cpp
@@ -82,7 +82,7 @@
   organisations::AccessControl Access(RevocationTime);
   Access.onConfirmed(Start);
   const auto Decide = [&](const organisations::OrganisationTable *Of,
-                          bool IsOpen, std::optional<std::string> Name,
+                          bool IsOpen, const std::optional<std::string> &Name,
                           bool IsSame, model::TimePoint At) {
     return Access.decideForwarded(Of, IsOpen, Name, IsSame, At).m_Outcome;
   };
