--- a/Source/Benchmarks/Gateway/HoldOrderComparison.cpp
+++ b/Source/Benchmarks/Gateway/HoldOrderComparison.cpp
@@ -5,8 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
-#include <deque>
 #include <functional>
 #include <random>
 #include <vector>
@@ -26,7 +26,9 @@
 using Kinds = std::array<Kind, 3>;
 
 constexpr model::Duration Step = 10ms;
-constexpr int Steps = 6000;
+constexpr int Steps = 7000;
+/// Requests that come later may still wait at the end and are not counted.
+constexpr int CountedSteps = 6000;
 /// Part of the window after the target for which a late request is held.
 constexpr double LateShare = 0.3;
 
@@ -42,6 +44,16 @@
   std::array<int, 3> m_Asked{};
   std::array<int, 3> m_InTime{};
   std::array<int, 3> m_Late{};
+
+  static int isCounted(const Request &Value) {
+    return Value.m_At < model::TimePoint(1h) + CountedSteps * Step ? 1 : 0;
+  }
+  void countAsked(const Request &Value) {
+    m_Asked[Value.m_Kind] += isCounted(Value);
+  }
+  void countServed(const Request &Value, model::TimePoint Now) {
+    (Now <= Value.m_Due ? m_InTime : m_Late)[Value.m_Kind] += isCounted(Value);
+  }
 };
 
 /// Requests that come in each step; demand swings around \p Load.
@@ -72,15 +84,14 @@
 /// Serves the request with the lowest \p Cost in each step. \p KeepsLate: those
 /// that can't be in time are served late.
 Counts
-serveBy(const Kinds &Kinds, const std::vector<std::vector<Request>> &Loads,
-        bool KeepsLate,
+serveBy(const std::vector<std::vector<Request>> &Loads, bool KeepsLate,
         const std::function<double(const Request &, model::TimePoint)> &Cost) {
   Counts Result;
   std::vector<Request> Waiting;
   for (int I = 0; I < Steps; ++I) {
     const model::TimePoint Now = model::TimePoint(1h) + I * Step;
     for (const Request &Each : Loads[I]) {
-      ++Result.m_Asked[Each.m_Kind];
+      Result.countAsked(Each);
       Waiting.push_back(Each);
     }
     std::erase_if(Waiting, [&](const Request &Each) {
@@ -93,10 +104,9 @@
                          });
     if (First == Waiting.end())
       continue;
-    ++(Now <= First->m_Due ? Result.m_InTime : Result.m_Late)[First->m_Kind];
+    Result.countServed(*First, Now);
     Waiting.erase(First);
   }
-  static_cast<void>(Kinds);
   return Result;
 }
 
@@ -108,7 +118,7 @@
   for (int I = 0; I < Steps; ++I) {
     const model::TimePoint Now = model::TimePoint(1h) + I * Step;
     for (const Request &Each : Loads[I]) {
-      ++Result.m_Asked[Each.m_Kind];
+      Result.countAsked(Each);
       All.push_back(Each);
       HeldRequest Held;
       Held.m_Number = {Each.m_Number};
@@ -128,8 +138,7 @@
     if (Queue.empty())
       continue;
     const model::RequestId Number = Queue.entries().front().m_Request.m_Number;
-    const Request &First = All[Number.m_Value];
-    ++(Now <= First.m_Due ? Result.m_InTime : Result.m_Late)[First.m_Kind];
+    Result.countServed(All[Number.m_Value], Now);
     Queue.onSent(Number, Now);
   }
   return Result;
@@ -175,11 +184,11 @@
       const double Weight = 3.0 - Kinds[Each.m_Kind].m_Rank;
       return Left < 0 ? -Weight * 1e-3 : -Weight / (0.05 + Left);
     };
-    Runs[0].push_back(serveBy(Kinds, Loads, false, Rank));
-    Runs[1].push_back(serveBy(Kinds, Loads, false, Due));
-    Runs[2].push_back(serveBy(Kinds, Loads, true, Due));
-    Runs[3].push_back(serveBy(Kinds, Loads, false, Weighted));
-    Runs[4].push_back(serveBy(Kinds, Loads, true, DelayCost));
+    Runs[0].push_back(serveBy(Loads, false, Rank));
+    Runs[1].push_back(serveBy(Loads, false, Due));
+    Runs[2].push_back(serveBy(Loads, true, Due));
+    Runs[3].push_back(serveBy(Loads, false, Weighted));
+    Runs[4].push_back(serveBy(Loads, true, DelayCost));
     Runs[5].push_back(serveByQueue(Kinds, Loads));
   }
   print("rank, then arrival; never late", Runs[0]);
--- a/Source/Core/Gateway/HoldQueue.cpp
+++ b/Source/Core/Gateway/HoldQueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <tuple>
 
 namespace bronzepass::core::gateway {
@@ -96,117 +97,116 @@
     m_NextTurns.clear();
 }
 
+size_t HoldQueue::indexOf(const Entry &Value) const {
+  return static_cast<size_t>(
+      std::lower_bound(m_Entries.begin(), m_Entries.end(), Value, goesBefore) -
+      m_Entries.begin());
+}
+
 double HoldQueue::waitMs(const Entry &Value, const HoldRoom &Room) const {
   double Ahead = 0;
-  for (const Entry &Each : m_Entries) {
-    if (!goesBefore(Each, Value))
-      break;
-    if (Each.m_Request.m_Lane == Value.m_Request.m_Lane && !Each.m_IsGivenUp)
-      Ahead += Each.m_Request.m_CostMs;
-  }
+  const size_t Index = indexOf(Value);
+  for (size_t I = 0; I < Index; ++I)
+    if (m_Entries[I].m_Request.m_Lane == Value.m_Request.m_Lane)
+      Ahead += m_Entries[I].m_Request.m_CostMs;
   return Room.m_WaitMs + Ahead * Room.m_DelayPerMs;
 }
 
-HoldQueue::Entry *HoldQueue::weakestBefore(const Entry &Value,
-                                           const Entry &End) {
+HoldQueue::Entry *HoldQueue::weakestBefore(const Entry &Value, size_t End) {
   Entry *Weakest = nullptr;
-  for (Entry &Each : m_Entries) {
-    if (!goesBefore(Each, End))
-      break;
+  for (size_t I = 0; I < End; ++I) {
+    Entry &Each = m_Entries[I];
     if (Each.m_Request.m_Lane == Value.m_Request.m_Lane && !Each.m_IsGivenUp &&
-        !Each.m_IsLate && displaces(Value, Each) &&
-        (!Weakest || displaces(*Weakest, Each)))
+        displaces(Value, Each) && (!Weakest || displaces(*Weakest, Each)))
       Weakest = &Each;
   }
   return Weakest;
 }
 
-bool HoldQueue::fitsInTime(const Entry &Value, const HoldRoom &Room,
-                           model::TimePoint Now) {
+bool HoldQueue::fitsInTime(const Entry &Value, size_t Index,
+                           const HoldRoom &Room, model::TimePoint Now,
+                           bool &HasGivenUp) {
+  const double OwnDelay = Value.m_Request.m_CostMs * Room.m_DelayPerMs;
+  const double OwnLeft = millisUntil(Value.m_Request.m_LatestStart, Now);
   for (int GivenUp = 0; GivenUp <= MaxGivenUp; ++GivenUp) {
-    // The first request that would be late, Value itself included.
     double Wait = Room.m_WaitMs;
-    bool IsPast = false;
-    const Entry *Late = nullptr;
-    for (Entry &Each : m_Entries) {
-      if (Each.m_Request.m_Lane != Value.m_Request.m_Lane || Each.m_IsGivenUp)
-        continue;
+    for (size_t I = 0; I < Index; ++I) {
+      const Entry &Each = m_Entries[I];
+      if (Each.m_Request.m_Lane == Value.m_Request.m_Lane && !Each.m_IsGivenUp)
+        Wait += Each.m_Request.m_CostMs * Room.m_DelayPerMs;
+    }
+    // The first request that would be late and can't be given up.
+    std::optional<size_t> Late;
+    if (Wait > OwnLeft)
+      Late = Index;
+    for (size_t I = Index; I < m_Entries.size() && !Late; ++I) {
+      Entry &Each = m_Entries[I];
       if (Each.m_IsLate)
         break;
-      if (!IsPast && !goesBefore(Each, Value)) {
-        IsPast = true;
-        if (Wait > millisUntil(Value.m_Request.m_LatestStart, Now)) {
-          Late = &Value;
-          break;
-        }
-      }
-      const double OwnDelay =
-          IsPast ? Value.m_Request.m_CostMs * Room.m_DelayPerMs : 0;
+      if (Each.m_Request.m_Lane != Value.m_Request.m_Lane || Each.m_IsGivenUp)
+        continue;
       const double Left = millisUntil(Each.m_Request.m_LatestStart, Now);
-      if (Wait <= Left && Wait + OwnDelay > Left) {
-        if (!displaces(Value, Each)) {
-          Late = &Each;
-          break;
-        }
+      if (Wait > Left || Wait + OwnDelay <= Left) {
+        Wait += Each.m_Request.m_CostMs * Room.m_DelayPerMs;
+      } else if (displaces(Value, Each)) {
         Each.m_IsGivenUp = true;
-        continue;
+        HasGivenUp = true;
+      } else {
+        Late = I;
       }
-      Wait += Each.m_Request.m_CostMs * Room.m_DelayPerMs;
     }
-    if (!IsPast && !Late &&
-        Wait > millisUntil(Value.m_Request.m_LatestStart, Now))
-      Late = &Value;
     if (!Late)
       return true;
     Entry *const Weakest = weakestBefore(Value, *Late);
     if (!Weakest)
       return false;
     Weakest->m_IsGivenUp = true;
+    HasGivenUp = true;
   }
   return false;
 }
 
+void HoldQueue::moveGivenUpBehind() {
+  m_GivenUp.clear();
+  for (const Entry &Each : m_Entries)
+    if (Each.m_IsGivenUp)
+      m_GivenUp.push_back(Each);
+  std::erase_if(m_Entries, [](const Entry &Each) { return Each.m_IsGivenUp; });
+  for (Entry &Each : m_GivenUp) {
+    Each.m_IsGivenUp = false;
+    Each.m_IsLate = true;
+    insert(Each);
+  }
+}
+
 HoldDecision HoldQueue::admit(const HeldRequest &Request, const HoldRoom &Room,
                               model::TimePoint Now) {
-  Entry Value = entryOf(Request);
-  Value.m_IsLate = false;
   const Place Held = find(Request.m_Number);
   const bool IsNew = Held == m_Entries.end();
+  Entry Value{Request, IsNew ? turnOf(Request) : Held->m_Turn, false, false};
   if (!IsNew) {
     addLoad(*Held, -1, Now);
     m_Entries.erase(Held);
   }
   HoldDecision Decision;
   Decision.m_Turn = Value.m_Turn;
-  Decision.m_WaitMs = waitMs(Value, Room);
-  Decision.m_LateMs =
-      Decision.m_WaitMs - millisUntil(Request.m_LatestStart, Now);
-  const bool Fits = fitsInTime(Value, Room, Now);
-  m_GivenUp.clear();
-  for (Entry &Each : m_Entries) {
-    if (Fits && Each.m_IsGivenUp)
-      m_GivenUp.push_back(Each);
-    Each.m_IsGivenUp = Each.m_IsGivenUp && Fits;
-  }
-  if (!m_GivenUp.empty()) {
-    std::erase_if(m_Entries,
-                  [](const Entry &Each) { return Each.m_IsGivenUp; });
-    for (Entry &Each : m_GivenUp) {
-      Each.m_IsGivenUp = false;
-      Each.m_IsLate = true;
-      insert(Each);
-    }
-  }
-  if (!Fits) {
+  bool HasGivenUp = false;
+  if (fitsInTime(Value, indexOf(Value), Room, Now, HasGivenUp)) {
+    if (HasGivenUp)
+      moveGivenUpBehind();
+  } else {
+    if (HasGivenUp)
+      for (Entry &Each : m_Entries)
+        Each.m_IsGivenUp = false;
     Value.m_IsLate = true;
     Decision.m_WaitMs = waitMs(Value, Room);
     Decision.m_Verdict =
         Decision.m_WaitMs <= millisUntil(Request.m_LateUntil, Now)
             ? HoldVerdict::Late
             : HoldVerdict::Refuse;
+    if (Decision.m_Verdict == HoldVerdict::Refuse)
+      return Decision;
   }
-  if (Decision.m_Verdict == HoldVerdict::Refuse)
-    return Decision;
   insert(Value);
   addLoad(Value, 1, Now);
   if (IsNew)
@@ -232,12 +232,13 @@
 }
 
 void HoldQueue::onSent(model::RequestId Number, model::TimePoint Now) {
-  const Entry *const Found = findEntry(Number);
-  if (!Found)
+  const Place Found = find(Number);
+  if (Found == m_Entries.end())
     return;
   const uint32_t Rank = Found->m_Request.m_Rank;
   double Turn = Found->m_Turn;
-  remove(Number, Now);
+  addLoad(*Found, -1, Now);
+  m_Entries.erase(Found);
   // The time of the turns goes on with the earliest one that waits.
   for (const Entry &Each : m_Entries)
     if (Each.m_Request.m_Rank == Rank)
@@ -288,11 +289,9 @@
 size_t HoldQueue::countAhead(const HeldRequest &Request) const {
   const Entry Value = entryOf(Request);
   size_t Count = 0;
-  for (const Entry &Each : m_Entries) {
-    if (!goesBefore(Each, Value))
-      break;
-    Count += Each.m_Request.m_Lane == Request.m_Lane ? 1 : 0;
-  }
+  const size_t Index = indexOf(Value);
+  for (size_t I = 0; I < Index; ++I)
+    Count += m_Entries[I].m_Request.m_Lane == Request.m_Lane ? 1 : 0;
   return Count;
 }
 
--- a/Source/Core/Gateway/HoldQueue.h
+++ b/Source/Core/Gateway/HoldQueue.h
@@ -58,9 +58,8 @@
 
 struct HoldDecision {
   HoldVerdict m_Verdict = HoldVerdict::InTime;
-  /// Predicted wait, and by how much it is too long to be in time.
+  /// Predicted wait, unless it can be in time.
   double m_WaitMs = 0;
-  double m_LateMs = 0;
   /// Its organisation's turn, by which it is ordered when it comes back.
   double m_Turn = 0;
 
@@ -135,12 +134,16 @@
   double turnOf(const HeldRequest &Request) const;
   void charge(const Entry &Value);
   void forgetIdleOrganisations();
-  /// Whether \p Value can be in time; gives up the requests that it displaces.
-  bool fitsInTime(const Entry &Value, const HoldRoom &Room,
-                  model::TimePoint Now);
+  /// Whether \p Value can be in time at \p Index; marks the requests that it
+  /// displaces as given up, and tells whether there are any.
+  bool fitsInTime(const Entry &Value, size_t Index, const HoldRoom &Room,
+                  model::TimePoint Now, bool &HasGivenUp);
   /// The last request to be served in time of those before \p End that
   /// \p Value displaces; null if there is none.
-  Entry *weakestBefore(const Entry &Value, const Entry &End);
+  Entry *weakestBefore(const Entry &Value, size_t End);
+  void moveGivenUpBehind();
+  /// Where \p Value stands or would stand.
+  size_t indexOf(const Entry &Value) const;
   double waitMs(const Entry &Value, const HoldRoom &Room) const;
 
   std::vector<Entry> m_Entries;
