--- a/Source/Benchmarks/Gateway/HoldOrderComparison.cpp
+++ b/Source/Benchmarks/Gateway/HoldOrderComparison.cpp
@@ -130,14 +130,14 @@
       Queue.admit(Held, {}, Now);
     }
     std::vector<model::RequestId> Gone;
-    for (const HoldQueue::Entry &Each : Queue.entries())
+    for (const HoldQueue::Entry &Each : Queue)
       if (Now > Each.m_Request.m_LateUntil)
         Gone.push_back(Each.m_Request.m_Number);
     for (const model::RequestId &Each : Gone)
       Queue.remove(Each, Now);
     if (Queue.empty())
       continue;
-    const model::RequestId Number = Queue.entries().front().m_Request.m_Number;
+    const model::RequestId Number = Queue.front().m_Request.m_Number;
     Result.countServed(All[Number.m_Value], Now);
     Queue.onSent(Number, Now);
   }
--- a/Source/Benchmarks/Gateway/HoldQueueBenchmark.cpp
+++ b/Source/Benchmarks/Gateway/HoldQueueBenchmark.cpp
@@ -44,7 +44,7 @@
     Drawn.push_back(drawn(0, Lanes, Random));
   const uint64_t Before = routing::allocationCount();
   for ([[maybe_unused]] auto _ : State) {
-    Queue.onSent(Queue.entries().front().m_Request.m_Number, StartTime);
+    Queue.onSent(Queue.front().m_Request.m_Number, StartTime);
     HeldRequest Next = Drawn[Number % Drawn.size()];
     Next.m_Number = {++Number};
     benchmark::DoNotOptimize(Queue.admit(Next, Room, StartTime));
--- a/Source/Core/Gateway/HoldQueue.cpp
+++ b/Source/Core/Gateway/HoldQueue.cpp
@@ -32,7 +32,9 @@
 } // namespace
 
 HoldQueue::HoldQueue() {
-  m_Entries.reserve(ExpectedRequests);
+  m_Pool.reserve(ExpectedRequests);
+  m_FreePlaces.reserve(ExpectedRequests);
+  m_Order.reserve(ExpectedRequests);
   m_GivenUp.reserve(MaxGivenUp);
   m_NextTurns.reserve(MaxOrganisations);
   m_Lanes.reserve(ExpectedLanes);
@@ -58,17 +60,31 @@
   return Entry.m_Turn < Other.m_Turn;
 }
 
-HoldQueue::Place HoldQueue::find(model::RequestId Number) {
-  return std::find_if(m_Entries.begin(), m_Entries.end(),
-                      [Number](const Entry &Each) {
-                        return Each.m_Request.m_Number == Number;
-                      });
+const HoldQueue::Entry *HoldQueue::find(model::RequestId Number) const {
+  for (const Entry &Each : m_Pool)
+    if (Each.m_Request.m_Number == Number)
+      return &Each;
+  return nullptr;
 }
 
 void HoldQueue::insert(const Entry &Value) {
-  m_Entries.insert(
-      std::upper_bound(m_Entries.begin(), m_Entries.end(), Value, goesBefore),
-      Value);
+  const size_t Index = indexOf(Value);
+  uint32_t Place = static_cast<uint32_t>(m_Pool.size());
+  if (m_FreePlaces.empty()) {
+    m_Pool.push_back(Value);
+  } else {
+    Place = m_FreePlaces.back();
+    m_FreePlaces.pop_back();
+    m_Pool[Place] = Value;
+  }
+  m_Order.insert(m_Order.begin() + static_cast<std::ptrdiff_t>(Index), Place);
+}
+
+void HoldQueue::erase(const Entry &Value) {
+  const uint32_t Place = static_cast<uint32_t>(&Value - m_Pool.data());
+  m_Order.erase(std::find(m_Order.begin(), m_Order.end(), Place));
+  m_Pool[Place] = Entry();
+  m_FreePlaces.push_back(Place);
 }
 
 double HoldQueue::turnOf(const HeldRequest &Request) const {
@@ -99,23 +115,26 @@
 
 size_t HoldQueue::indexOf(const Entry &Value) const {
   return static_cast<size_t>(
-      std::lower_bound(m_Entries.begin(), m_Entries.end(), Value, goesBefore) -
-      m_Entries.begin());
+      std::lower_bound(m_Order.begin(), m_Order.end(), Value,
+                       [this](uint32_t Place, const Entry &Wanted) {
+                         return goesBefore(m_Pool[Place], Wanted);
+                       }) -
+      m_Order.begin());
 }
 
 double HoldQueue::waitMs(const Entry &Value, const HoldRoom &Room) const {
   double Ahead = 0;
   const size_t Index = indexOf(Value);
   for (size_t I = 0; I < Index; ++I)
-    if (m_Entries[I].m_Request.m_Lane == Value.m_Request.m_Lane)
-      Ahead += m_Entries[I].m_Request.m_CostMs;
+    if (entry(I).m_Request.m_Lane == Value.m_Request.m_Lane)
+      Ahead += entry(I).m_Request.m_CostMs;
   return Room.m_WaitMs + Ahead * Room.m_DelayPerMs;
 }
 
 HoldQueue::Entry *HoldQueue::weakestBefore(const Entry &Value, size_t End) {
   Entry *Weakest = nullptr;
   for (size_t I = 0; I < End; ++I) {
-    Entry &Each = m_Entries[I];
+    Entry &Each = entry(I);
     if (Each.m_Request.m_Lane == Value.m_Request.m_Lane && !Each.m_IsGivenUp &&
         displaces(Value, Each) && (!Weakest || displaces(*Weakest, Each)))
       Weakest = &Each;
@@ -131,7 +150,7 @@
   for (int GivenUp = 0; GivenUp <= MaxGivenUp; ++GivenUp) {
     double Wait = Room.m_WaitMs;
     for (size_t I = 0; I < Index; ++I) {
-      const Entry &Each = m_Entries[I];
+      const Entry &Each = entry(I);
       if (Each.m_Request.m_Lane == Value.m_Request.m_Lane && !Each.m_IsGivenUp)
         Wait += Each.m_Request.m_CostMs * Room.m_DelayPerMs;
     }
@@ -139,8 +158,8 @@
     std::optional<size_t> Late;
     if (Wait > OwnLeft)
       Late = Index;
-    for (size_t I = Index; I < m_Entries.size() && !Late; ++I) {
-      Entry &Each = m_Entries[I];
+    for (size_t I = Index; I < m_Order.size() && !Late; ++I) {
+      Entry &Each = entry(I);
       if (Each.m_IsLate)
         break;
       if (Each.m_Request.m_Lane != Value.m_Request.m_Lane || Each.m_IsGivenUp)
@@ -168,11 +187,11 @@
 
 void HoldQueue::moveGivenUpBehind() {
   m_GivenUp.clear();
-  for (const Entry &Each : m_Entries)
+  for (const Entry &Each : m_Pool)
     if (Each.m_IsGivenUp)
       m_GivenUp.push_back(Each);
-  std::erase_if(m_Entries, [](const Entry &Each) { return Each.m_IsGivenUp; });
   for (Entry &Each : m_GivenUp) {
+    erase(*find(Each.m_Request.m_Number));
     Each.m_IsGivenUp = false;
     Each.m_IsLate = true;
     insert(Each);
@@ -181,12 +200,12 @@
 
 HoldDecision HoldQueue::admit(const HeldRequest &Request, const HoldRoom &Room,
                               model::TimePoint Now) {
-  const Place Held = find(Request.m_Number);
-  const bool IsNew = Held == m_Entries.end();
+  const Entry *const Held = find(Request.m_Number);
+  const bool IsNew = !Held;
   Entry Value{Request, IsNew ? turnOf(Request) : Held->m_Turn, false, false};
   if (!IsNew) {
     addLoad(*Held, -1, Now);
-    m_Entries.erase(Held);
+    erase(*Held);
   }
   HoldDecision Decision;
   Decision.m_Turn = Value.m_Turn;
@@ -196,7 +215,7 @@
       moveGivenUpBehind();
   } else {
     if (HasGivenUp)
-      for (Entry &Each : m_Entries)
+      for (Entry &Each : m_Pool)
         Each.m_IsGivenUp = false;
     Value.m_IsLate = true;
     Decision.m_WaitMs = waitMs(Value, Room);
@@ -215,7 +234,7 @@
 }
 
 void HoldQueue::hold(const HeldRequest &Request, model::TimePoint Now) {
-  if (findEntry(Request.m_Number))
+  if (find(Request.m_Number))
     return;
   const Entry Value = entryOf(Request);
   insert(Value);
@@ -224,24 +243,24 @@
 }
 
 void HoldQueue::remove(model::RequestId Number, model::TimePoint Now) {
-  const Place Found = find(Number);
-  if (Found == m_Entries.end())
+  const Entry *const Found = find(Number);
+  if (!Found)
     return;
   addLoad(*Found, -1, Now);
-  m_Entries.erase(Found);
+  erase(*Found);
 }
 
 void HoldQueue::onSent(model::RequestId Number, model::TimePoint Now) {
-  const Place Found = find(Number);
-  if (Found == m_Entries.end())
+  const Entry *const Found = find(Number);
+  if (!Found)
     return;
   const uint32_t Rank = Found->m_Request.m_Rank;
   double Turn = Found->m_Turn;
   addLoad(*Found, -1, Now);
-  m_Entries.erase(Found);
+  erase(*Found);
   // The time of the turns goes on with the earliest one that waits.
-  for (const Entry &Each : m_Entries)
-    if (Each.m_Request.m_Rank == Rank)
+  for (const Entry &Each : m_Pool)
+    if (Each.m_Request.m_Number.m_Value != 0 && Each.m_Request.m_Rank == Rank)
       Turn = std::min(Turn, Each.m_Turn);
   double &Current = m_Turns[std::min<size_t>(Rank, MaxRanks - 1)];
   Current = std::max(Current, Turn);
@@ -269,15 +288,8 @@
              : std::clamp(Load.m_AverageMs / Load.m_CostMs, 0.0, 1.0);
 }
 
-const HoldQueue::Entry *HoldQueue::findEntry(model::RequestId Number) const {
-  for (const Entry &Each : m_Entries)
-    if (Each.m_Request.m_Number == Number)
-      return &Each;
-  return nullptr;
-}
-
 HoldQueue::Entry HoldQueue::entryOf(const HeldRequest &Request) const {
-  const Entry *const Held = findEntry(Request.m_Number);
+  const Entry *const Held = find(Request.m_Number);
   return Held ? Entry{Request, Held->m_Turn, Held->m_IsLate, false}
               : Entry{Request, turnOf(Request), false, false};
 }
@@ -291,12 +303,12 @@
   size_t Count = 0;
   const size_t Index = indexOf(Value);
   for (size_t I = 0; I < Index; ++I)
-    Count += m_Entries[I].m_Request.m_Lane == Request.m_Lane ? 1 : 0;
+    Count += entry(I).m_Request.m_Lane == Request.m_Lane ? 1 : 0;
   return Count;
 }
 
 bool HoldQueue::isLate(model::RequestId Number) const {
-  const Entry *const Found = findEntry(Number);
+  const Entry *const Found = find(Number);
   return Found && Found->m_IsLate;
 }
 
--- a/Source/Core/Gateway/HoldQueue.h
+++ b/Source/Core/Gateway/HoldQueue.h
@@ -86,6 +86,27 @@
     bool m_IsGivenUp = false;
   };
 
+  /// Goes through the held requests in their order.
+  class Iterator {
+  public:
+    Iterator(const std::vector<Entry> &Pool,
+             std::vector<uint32_t>::const_iterator At)
+        : m_Pool(&Pool), m_At(At) {}
+    const Entry &operator*() const { return (*m_Pool)[*m_At]; }
+    const Entry *operator->() const { return &**this; }
+    Iterator &operator++() {
+      ++m_At;
+      return *this;
+    }
+    friend bool operator==(const Iterator &Left, const Iterator &Right) {
+      return Left.m_At == Right.m_At;
+    }
+
+  private:
+    const std::vector<Entry> *m_Pool;
+    std::vector<uint32_t>::const_iterator m_At;
+  };
+
   HoldQueue();
 
   /// Decides about a new request, or again about one that is held, and holds
@@ -108,12 +129,13 @@
   double costAhead(const HeldRequest &Request) const;
   size_t countAhead(const HeldRequest &Request) const;
   bool isLate(model::RequestId Number) const;
-  size_t size() const { return m_Entries.size(); }
-  bool empty() const { return m_Entries.empty(); }
-  const std::vector<Entry> &entries() const { return m_Entries; }
+  size_t size() const { return m_Order.size(); }
+  bool empty() const { return m_Order.empty(); }
+  const Entry &front() const { return entry(0); }
+  Iterator begin() const { return {m_Pool, m_Order.begin()}; }
+  Iterator end() const { return {m_Pool, m_Order.end()}; }
 
 private:
-  using Place = std::vector<Entry>::iterator;
   /// Cost of what is held in a lane, now and on average.
   struct LaneLoad {
     double m_CostMs = 0;
@@ -124,8 +146,11 @@
   static bool goesBefore(const Entry &Left, const Entry &Right);
   /// \p Entry is served in time at the cost of \p Other.
   static bool displaces(const Entry &Entry, const HoldQueue::Entry &Other);
-  Place find(model::RequestId Number);
-  const Entry *findEntry(model::RequestId Number) const;
+  const Entry &entry(size_t Index) const { return m_Pool[m_Order[Index]]; }
+  Entry &entry(size_t Index) { return m_Pool[m_Order[Index]]; }
+  /// Null if it is not held.
+  const Entry *find(model::RequestId Number) const;
+  void erase(const Entry &Value);
   /// The entry of a request that may not be held.
   Entry entryOf(const HeldRequest &Request) const;
   LaneLoad &laneLoad(uint64_t Lane, model::TimePoint Now);
@@ -146,7 +171,12 @@
   size_t indexOf(const Entry &Value) const;
   double waitMs(const Entry &Value, const HoldRoom &Room) const;
 
-  std::vector<Entry> m_Entries;
+  /// Places of requests, which stay where they are; those that are free have
+  /// the number 0.
+  std::vector<Entry> m_Pool;
+  std::vector<uint32_t> m_FreePlaces;
+  /// The places of the held requests in their order.
+  std::vector<uint32_t> m_Order;
   /// Reused by admit().
   std::vector<Entry> m_GivenUp;
   /// Turn of the request that was sent last, by rank.
--- a/Source/Core/Gateway/RelayHold.cpp
+++ b/Source/Core/Gateway/RelayHold.cpp
@@ -231,7 +231,9 @@
     return;
   m_VainOffers.clear();
   // A copy, because a dispatched request may leave the queue or its place.
-  m_Offered.assign(m_Held.entries().begin(), m_Held.entries().end());
+  m_Offered.clear();
+  for (const HoldQueue::Entry &Each : m_Held)
+    m_Offered.push_back(Each);
   for (const HoldQueue::Entry &Each : m_Offered) {
     const HeldRequest &Request = Each.m_Request;
     const bool IsDue =
--- a/Source/UnitTests/Gateway/HoldOrderTest.cpp
+++ b/Source/UnitTests/Gateway/HoldOrderTest.cpp
@@ -7,7 +7,6 @@
 
 using namespace std::chrono_literals;
 using gateway::RejectRequest;
-using gateway::RelayLogEntry;
 using gateway::SendRequest;
 
 namespace {
--- a/Source/UnitTests/Gateway/HoldQueueTest.cpp
+++ b/Source/UnitTests/Gateway/HoldQueueTest.cpp
@@ -17,7 +17,6 @@
 using gateway::HoldDecision;
 using gateway::HoldOrder;
 using gateway::HoldQueue;
-using gateway::HoldRoom;
 using gateway::HoldVerdict;
 
 namespace {
@@ -41,7 +40,7 @@
 
 std::vector<uint64_t> order(const HoldQueue &Queue) {
   std::vector<uint64_t> Numbers;
-  for (const HoldQueue::Entry &Each : Queue.entries())
+  for (const HoldQueue::Entry &Each : Queue)
     Numbers.push_back(Each.m_Request.m_Number.m_Value);
   return Numbers;
 }
@@ -121,7 +120,7 @@
         HoldVerdict::InTime);
   // One more of the hot one's is late than before.
   size_t HotInTime = 0;
-  for (const HoldQueue::Entry &Each : Queue.entries())
+  for (const HoldQueue::Entry &Each : Queue)
     HotInTime += Each.m_Request.m_Organisation == Hot && !Each.m_IsLate ? 1 : 0;
   CHECK(HotInTime == 5);
 }
@@ -148,11 +147,11 @@
     }
     if (Queue.empty())
       continue;
-    const HoldQueue::Entry First = Queue.entries().front();
+    const HoldQueue::Entry First = Queue.front();
     ++Sent[First.m_Request.m_Organisation];
     Queue.onSent(First.m_Request.m_Number, Now);
     std::vector<model::RequestId> Gone;
-    for (const HoldQueue::Entry &Each : Queue.entries())
+    for (const HoldQueue::Entry &Each : Queue)
       if (Now >= Each.m_Request.m_LateUntil)
         Gone.push_back(Each.m_Request.m_Number);
     for (const model::RequestId &Each : Gone)
@@ -245,7 +244,7 @@
     for (uint64_t I = 1; I <= 60; ++I) {
       const uint32_t Rank = Random() % 3;
       std::vector<model::RequestId> InTime;
-      for (const HoldQueue::Entry &Each : Queue.entries())
+      for (const HoldQueue::Entry &Each : Queue)
         if (!Each.m_IsLate && Each.m_Request.m_Rank < Rank)
           InTime.push_back(Each.m_Request.m_Number);
       Queue.admit(request(I, Rank, model::Duration(Random() % 2000000),
@@ -255,7 +254,7 @@
         CHECK_FALSE(Queue.isLate(Each));
       // Those that count as in time are.
       double Wait = 0;
-      for (const HoldQueue::Entry &Each : Queue.entries()) {
+      for (const HoldQueue::Entry &Each : Queue) {
         if (Each.m_IsLate)
           break;
         CHECK(Wait <= std::chrono::duration<double, std::milli>(
