--- a/Source/Core/Gateway/HoldQueue.h
+++ b/Source/Core/Gateway/HoldQueue.h
@@ -58,9 +58,8 @@
 
 struct HoldDecision {
   HoldVerdict m_Verdict = HoldVerdict::InTime;
-  /// Predicted wait, and by how much it is too long to be in time.
+  /// Predicted wait, unless it can be in time.
   double m_WaitMs = 0;
-  double m_LateMs = 0;
   /// Its organisation's turn, by which it is ordered when it comes back.
   double m_Turn = 0;
 
@@ -87,6 +86,27 @@
     bool m_IsGivenUp = false;
   };
 
+  /// Goes through the held requests in their order.
+  class Iterator {
+  public:
+    Iterator(const std::vector<Entry> &Pool,
+             std::vector<uint32_t>::const_iterator At)
+        : m_Pool(&Pool), m_At(At) {}
+    const Entry &operator*() const { return (*m_Pool)[*m_At]; }
+    const Entry *operator->() const { return &**this; }
+    Iterator &operator++() {
+      ++m_At;
+      return *this;
+    }
+    friend bool operator==(const Iterator &Left, const Iterator &Right) {
+      return Left.m_At == Right.m_At;
+    }
+
+  private:
+    const std::vector<Entry> *m_Pool;
+    std::vector<uint32_t>::const_iterator m_At;
+  };
+
   HoldQueue();
 
   /// Decides about a new request, or again about one that is held, and holds
@@ -109,12 +129,13 @@
   double costAhead(const HeldRequest &Request) const;
   size_t countAhead(const HeldRequest &Request) const;
   bool isLate(model::RequestId Number) const;
-  size_t size() const { return m_Entries.size(); }
-  bool empty() const { return m_Entries.empty(); }
-  const std::vector<Entry> &entries() const { return m_Entries; }
+  size_t size() const { return m_Order.size(); }
+  bool empty() const { return m_Order.empty(); }
+  const Entry &front() const { return entry(0); }
+  Iterator begin() const { return {m_Pool, m_Order.begin()}; }
+  Iterator end() const { return {m_Pool, m_Order.end()}; }
 
 private:
-  using Place = std::vector<Entry>::iterator;
   /// Cost of what is held in a lane, now and on average.
   struct LaneLoad {
     double m_CostMs = 0;
@@ -125,8 +146,11 @@
   static bool goesBefore(const Entry &Left, const Entry &Right);
   /// \p Entry is served in time at the cost of \p Other.
   static bool displaces(const Entry &Entry, const HoldQueue::Entry &Other);
-  Place find(model::RequestId Number);
-  const Entry *findEntry(model::RequestId Number) const;
+  const Entry &entry(size_t Index) const { return m_Pool[m_Order[Index]]; }
+  Entry &entry(size_t Index) { return m_Pool[m_Order[Index]]; }
+  /// Null if it is not held.
+  const Entry *find(model::RequestId Number) const;
+  void erase(const Entry &Value);
   /// The entry of a request that may not be held.
   Entry entryOf(const HeldRequest &Request) const;
   LaneLoad &laneLoad(uint64_t Lane, model::TimePoint Now);
@@ -135,15 +159,24 @@
   double turnOf(const HeldRequest &Request) const;
   void charge(const Entry &Value);
   void forgetIdleOrganisations();
-  /// Whether \p Value can be in time; gives up the requests that it displaces.
-  bool fitsInTime(const Entry &Value, const HoldRoom &Room,
-                  model::TimePoint Now);
+  /// Whether \p Value can be in time at \p Index; marks the requests that it
+  /// displaces as given up, and tells whether there are any.
+  bool fitsInTime(const Entry &Value, size_t Index, const HoldRoom &Room,
+                  model::TimePoint Now, bool &HasGivenUp);
   /// The last request to be served in time of those before \p End that
   /// \p Value displaces; null if there is none.
-  Entry *weakestBefore(const Entry &Value, const Entry &End);
+  Entry *weakestBefore(const Entry &Value, size_t End);
+  void moveGivenUpBehind();
+  /// Where \p Value stands or would stand.
+  size_t indexOf(const Entry &Value) const;
   double waitMs(const Entry &Value, const HoldRoom &Room) const;
 
-  std::vector<Entry> m_Entries;
+  /// Places of requests, which stay where they are; those that are free have
+  /// the number 0.
+  std::vector<Entry> m_Pool;
+  std::vector<uint32_t> m_FreePlaces;
+  /// The places of the held requests in their order.
+  std::vector<uint32_t> m_Order;
   /// Reused by admit().
   std::vector<Entry> m_GivenUp;
   /// Turn of the request that was sent last, by rank.
