--- a/Source/Core/Gateway/RelayPace.cpp
+++ b/Source/Core/Gateway/RelayPace.cpp
@@ -61,7 +61,7 @@
     return;
   const model::Duration Took = m_Now - Active.m_SentAt;
   const bool IsLate =
-      Took > Active.m_Route->m_LatencyTarget &&
+      MeanMs > 0 && Took > Active.m_Route->m_LatencyTarget &&
       static_cast<double>(Took.count()) > LateFactor * MeanMs * MicrosPerMilli;
   if (IsLate)
     Endpoint.m_Pace->onBadAnswer(m_Now);
--- a/Source/UnitTests/Gateway/ServerPaceTest.cpp
+++ b/Source/UnitTests/Gateway/ServerPaceTest.cpp
@@ -136,4 +136,84 @@
   CHECK(Refused == 0);
 }
 
+// Guards against a flood from every node at the moment in which an ejection
+// ends.
+TEST_CASE("an endpoint that is back from ejection gets few requests at once, "
+          "and its full share after some answers") {
+  using gateway::SendRequest;
+  using gateway::SendResult;
+  for (const uint32_t Nodes : {1U, 6U, 81U, 195U}) {
+    CAPTURE(Nodes);
+    RelayFixture Relay;
+    Relay.start({"a"});
+    Relay.m_Core.setNodeCount(Nodes, Relay.m_Now);
+    const model::EndpointId Back("a");
+    Relay.ask("/again/");
+    Relay.finishSend(Relay.take<SendRequest>().at(0).m_Attempt,
+                     SendResult::NotSent);
+    Relay.setEndpoints(
+        {RelayFixture::endpoint("a"), RelayFixture::endpoint("b")});
+    CHECK(Relay.m_Core.pacedEndpointCount() == 1);
+    Relay.advance(700ms);
+    for (int I = 0; I < 6; ++I)
+      Relay.ask("/again/");
+    const std::vector<SendRequest> Sent = Relay.take<SendRequest>();
+    REQUIRE(Sent.size() == 6);
+    const auto ToBack =
+        std::count_if(Sent.begin(), Sent.end(), [&](const SendRequest &Each) {
+          return Each.m_Endpoint == Back;
+        });
+    CHECK(ToBack <= 2);
+    for (const SendRequest &Each : Sent) {
+      Relay.m_Core.onAnswerChunk(Each.m_Attempt, Relay.m_Now + 20ms);
+      Relay.finishSend(Each.m_Attempt, SendResult::Completed);
+    }
+    // The only one with a copy takes all, whatever its pace.
+    Relay.setEndpoints({RelayFixture::endpoint("a")});
+    for (int I = 0; I < 6; ++I)
+      Relay.ask("/again/");
+    const std::vector<SendRequest> All = Relay.take<SendRequest>();
+    REQUIRE(All.size() == 6);
+    for (const SendRequest &Each : All) {
+      Relay.m_Core.onAnswerChunk(Each.m_Attempt, Relay.m_Now + 20ms);
+      Relay.finishSend(Each.m_Attempt, SendResult::Completed);
+    }
+    Relay.advance(100ms);
+    CHECK(Relay.m_Core.pacedEndpointCount() == 0);
+  }
+}
+
+// Guards against an endpoint that gets its full room again each time that it
+// is back for a moment.
+TEST_CASE("flapping: an endpoint that turns requests away or refuses "
+          "connections by turns stays under its pace") {
+  using gateway::SendRequest;
+  using gateway::SendResult;
+  RelayFixture Relay;
+  Relay.start({"a", "b"});
+  size_t Most = 0;
+  for (int Turn = 0; Turn < 8; ++Turn) {
+    for (int I = 0; I < 6; ++I)
+      Relay.ask("/again/");
+    size_t Flapping = 0;
+    std::vector<SendRequest> Sent = Relay.take<SendRequest>();
+    for (size_t I = 0; I < Sent.size(); ++I) {
+      const model::AttemptId Attempt = Sent[I].m_Attempt;
+      const bool IsFlapping = Sent[I].m_Endpoint == model::EndpointId("a");
+      Flapping += IsFlapping ? 1 : 0;
+      if (!IsFlapping)
+        Relay.m_Core.onAnswerChunk(Attempt, Relay.m_Now + 20ms);
+      const SendResult Flap =
+          Turn % 2 == 0 ? SendResult::NotSent : SendResult::NotRun;
+      Relay.finishSend(Attempt, IsFlapping ? Flap : SendResult::Completed);
+      for (const SendRequest &Retry : Relay.take<SendRequest>())
+        Sent.push_back(Retry);
+    }
+    if (Turn > 0)
+      Most = std::max(Most, Flapping);
+    Relay.advance(4100ms);
+  }
+  CHECK(Most <= 2);
+}
+
 } // namespace bronzepass::unit_tests
