--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -97,10 +97,6 @@
     EndpointView &View = m_Endpoints[Entry.m_Id];
     const bool Restarted =
         View.m_Tag != 0 && View.m_Entry.m_StartedAtMs != Entry.m_StartedAtMs;
-    const auto Service = m_Services.find(Entry.m_Service);
-    const bool HasRun = Service != m_Services.end() &&
-                        Service->second.m_FirstChunkMs > 0 &&
-                        !Service->second.m_Endpoints.empty();
     if (View.m_Tag == 0 || Restarted) {
       if (View.m_Tag != 0)
         m_Prefixes.forget(View.m_Tag);
@@ -111,7 +107,7 @@
     }
     const bool IsNew = View.m_Entry.m_Id != Entry.m_Id;
     View.m_Entry = Entry;
-    if (IsNew && HasRun)
+    if (IsNew && hasRun(Entry.m_Service))
       beginPace(View, PaceCause::Start, Now);
     View.m_Key = model::stableHash(Entry.m_Id.str(),
                                    static_cast<uint64_t>(Entry.m_StartedAtMs));
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -334,6 +334,8 @@
   // RelayPace.cpp: endpoints that have just started or recovered.
   void beginPace(EndpointView &Endpoint, PaceCause Cause,
                  model::TimePoint From);
+  /// The service has had endpoints, and answers to this node.
+  bool hasRun(const std::string &Service) const;
   void tickPaces(RelayEffectList &Out);
   bool paceAllows(EndpointView &Endpoint) const;
   /// \p MeanMs: of the service.
--- a/Source/Core/Gateway/RelayPace.cpp
+++ b/Source/Core/Gateway/RelayPace.cpp
@@ -27,6 +27,12 @@
   Endpoint.m_Pace.emplace(Cause, Endpoint.m_Entry.m_Slots, From);
 }
 
+bool RelayCore::hasRun(const std::string &Service) const {
+  const auto Found = m_Services.find(Service);
+  return Found != m_Services.end() && Found->second.m_FirstChunkMs > 0 &&
+         !Found->second.m_Endpoints.empty();
+}
+
 void RelayCore::tickPaces(RelayEffectList &Out) {
   for (auto &Each : m_Endpoints) {
     std::optional<EndpointPace> &Pace = Each.second.m_Pace;
--- a/Source/Core/Gateway/RelayPeers.cpp
+++ b/Source/Core/Gateway/RelayPeers.cpp
@@ -13,6 +13,10 @@
 /// Several notices may be lost in this time. An endpoint repeats what it says
 /// in each answer.
 constexpr model::Duration StatementAnnounceTime = std::chrono::seconds(2);
+/// Of the first endpoints by id: the same on all nodes, so that where many
+/// recover at a time some are found together, and the others by each node
+/// alone.
+constexpr size_t MaxPaceReports = 16;
 
 } // namespace
 
@@ -84,7 +88,7 @@
     if (View.m_InFlight > 0)
       Notice.m_Loads.push_back(
           {Entry.first, View.m_InFlight, View.m_PrefillTokens});
-    if (View.m_Pace)
+    if (View.m_Pace && Notice.m_PaceReports.size() < MaxPaceReports)
       Notice.m_PaceReports.push_back(View.m_Pace->report(Entry.first));
     if (View.m_OwnStatement && Now - View.m_OwnStatedAt < StatementAnnounceTime)
       Notice.m_EndpointNotices.push_back(
