--- a/Source/Core/Gateway/RelayPace.cpp
+++ b/Source/Core/Gateway/RelayPace.cpp
@@ -27,6 +27,12 @@
   Endpoint.m_Pace.emplace(Cause, Endpoint.m_Entry.m_Slots, From);
 }
 
+bool RelayCore::hasRun(const std::string &Service) const {
+  const auto Found = m_Services.find(Service);
+  return Found != m_Services.end() && Found->second.m_FirstChunkMs > 0 &&
+         !Found->second.m_Endpoints.empty();
+}
+
 void RelayCore::tickPaces(RelayEffectList &Out) {
   for (auto &Each : m_Endpoints) {
     std::optional<EndpointPace> &Pace = Each.second.m_Pace;
@@ -61,7 +67,7 @@
     return;
   const model::Duration Took = m_Now - Active.m_SentAt;
   const bool IsLate =
-      Took > Active.m_Route->m_LatencyTarget &&
+      MeanMs > 0 && Took > Active.m_Route->m_LatencyTarget &&
       static_cast<double>(Took.count()) > LateFactor * MeanMs * MicrosPerMilli;
   if (IsLate)
     Endpoint.m_Pace->onBadAnswer(m_Now);
