--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -31,6 +31,9 @@
 /// consecutive notices may be lost before that.
 constexpr model::Duration PeerTimeout = std::chrono::milliseconds(1500);
 constexpr model::Duration LivePeersPeriod = std::chrono::milliseconds(500);
+constexpr model::Duration ShortageLogPeriod = std::chrono::seconds(1);
+/// Requests to /ready and /metrics have none.
+constexpr uint64_t MaxStatusBodyBytes = 1024;
 /// What nodes add to the headers of a caller's request.
 constexpr size_t MaxForwardingHeaderBytes = 1024;
 
@@ -62,6 +65,7 @@
 };
 
 GatewayTraffic::GatewayTraffic(const TrafficAddresses &Addresses,
+                               const ProcessLimits &Limits,
                                const gateway::RelaySettings &Settings,
                                model::NodeId Self,
                                const gateway::Dialect &Dialect,
@@ -71,6 +75,9 @@
       m_Log(Log), m_Events(Events),
       m_Random(std::make_unique<daemon::SystemRandom>()),
       m_Core(Settings, *m_Random),
+      m_Limits(Limits),
+      m_CallerMemory(resources::sharesOf(Limits.m_MemoryBytes,
+                                         front::ParserLimits().m_MaxBodyBytes)),
       m_StatusHandler(std::make_unique<StatusHandler>(*this)),
       m_Driver(m_Thread.loop(), Dialect, m_Core, Clock, Log, m_GatewayMetrics,
                [this](const gateway::CopyRequest &Request) {
@@ -85,6 +92,14 @@
         onPeerNotice(Notice, From);
       }) {
   m_Start = m_Random->next() >> 1U;
+  for (front::FrontServer *Each : {&m_CallerServer, &m_ForwardingServer,
+                                   &m_ReadyServer, &m_MetricsServer})
+    Each->setMemory(m_CallerMemory);
+  m_CallerServer.setPlaces(resources::callerPlacesOf(Limits.m_Descriptors));
+  front::FrontLimits StatusLimits;
+  StatusLimits.m_Parser.m_MaxBodyBytes = MaxStatusBodyBytes;
+  m_ReadyServer.setLimits(StatusLimits);
+  m_MetricsServer.setLimits(StatusLimits);
   m_Driver.setStatementHandler([this](const gateway::StatementChange &Change) {
     m_Events.onStatementChange(Change);
   });
@@ -131,7 +146,9 @@
   m_Thread.loop().runAfter(TickPeriod, [this] { tick(); });
   m_Driver.decide([](gateway::RelayCore &Core, model::TimePoint Now,
                      gateway::RelayEffectList &Out) { Core.tick(Now, Out); });
+  m_CallerMemory.tick(front::FrontServer::now());
   const model::TimePoint Now = m_Clock.now();
+  reportShortage();
   const bool IsNews = m_Core.prefillChanges() != m_PrefillChangesSent;
   const model::Duration NewsPeriod = std::max(
       MinNoticePeriod,
@@ -259,6 +276,8 @@
     Forwarded.m_Parser = Front.m_Parser;
     Forwarded.m_Parser.m_MaxHeaderBytes += MaxForwardingHeaderBytes;
     m_ForwardingServer.setLimits(Forwarded);
+    m_CallerMemory.setShares(resources::sharesOf(m_Limits.m_MemoryBytes,
+                                                 Limits.m_MaxBodyBytes));
     m_Log.write(
         "config", "in_force",
         {{"config", static_cast<int64_t>(Table->config().m_Version)},
@@ -363,7 +382,44 @@
   m_Thread.loop().runAfter(TickPeriod, [this] { waitUntilDrained(); });
 }
 
+void GatewayTraffic::reportShortage() {
+  const resources::MemoryCounters &Counters = m_CallerMemory.counters();
+  const uint64_t Places = m_CallerServer.placesGivenUp();
+  const uint64_t Pauses = m_CallerServer.acceptPauses();
+  const model::TimePoint Now = m_Clock.now();
+  const bool IsNews = Counters != m_LoggedCounters ||
+                      Places != m_LoggedPlaces || Pauses != m_LoggedPauses;
+  if (!IsNews || Now < m_ShortageLoggedAt + ShortageLogPeriod)
+    return;
+  const auto Since = [](uint64_t Newer, uint64_t Older) {
+    return static_cast<int64_t>(Newer - Older);
+  };
+  const resources::MemoryCounters &Old = m_LoggedCounters;
+  m_Log.write(
+      "process", "callers_held_back",
+      {{"waits", Since(Counters.m_Waits, Old.m_Waits)},
+       {"lost_stalled", Since(Counters.m_LostStalled, Old.m_LostStalled)},
+       {"lost_largest", Since(Counters.m_LostLargest, Old.m_LostLargest)},
+       {"lost_crowded", Since(Counters.m_LostCrowded, Old.m_LostCrowded)},
+       {"lost_answers", Since(Counters.m_LostAnswers, Old.m_LostAnswers)},
+       {"places_given_up", Since(Places, m_LoggedPlaces)},
+       {"accept_pauses", Since(Pauses, m_LoggedPauses)},
+       {"small_bytes",
+        static_cast<int64_t>(m_CallerMemory.smallRequests().inUse())},
+       {"large_bytes",
+        static_cast<int64_t>(m_CallerMemory.largeRequests().inUse())},
+       {"answer_bytes",
+        static_cast<int64_t>(m_CallerMemory.unsentAnswers().inUse())}});
+  m_LoggedCounters = Counters;
+  m_LoggedPlaces = Places;
+  m_LoggedPauses = Pauses;
+  m_ShortageLoggedAt = Now;
+}
+
 std::string GatewayTraffic::metricsText() {
+  m_GatewayMetrics.setCallerMemory(m_CallerMemory);
+  m_GatewayMetrics.setCallerPlaces(m_CallerServer.placesGivenUp(),
+                                   m_CallerServer.acceptPauses());
   m_GatewayMetrics.setActive(m_Core.activeRequestCount(),
                              m_CallerServer.connectionCount());
   m_GatewayMetrics.setLinesDropped(m_Log.dropped());
