--- a/Source/Core/Adapters/Daemon/SystemLimits.h
+++ b/Source/Core/Adapters/Daemon/SystemLimits.h
@@ -9,8 +9,8 @@
 uint64_t systemMemoryBytes();
 /// Descriptors that this process may open.
 uint64_t systemDescriptors();
-/// Lets the allocator give blocks of the size of large bodies back to the system
-/// as soon as they are freed.
+/// Lets the allocator give blocks of the size of large bodies back to the
+/// system as soon as they are freed.
 void returnLargeBlocks();
 
 } // namespace bronzepass::core::adapters::daemon
--- a/Source/Core/Adapters/Front/FrontRequestParser.cpp
+++ b/Source/Core/Adapters/Front/FrontRequestParser.cpp
@@ -21,13 +21,18 @@
 constexpr int BadRequest = 400;
 constexpr int ContentTooLarge = 413;
 constexpr int HeadersTooLarge = 431;
-/// Smaller bodies get blocks of their own size.
-constexpr uint64_t MinBlockBytes = 4 << 10;
+constexpr uint64_t SmallBlockBytes = 16 << 10;
+/// Blocks of this size and more go back to the system when they are freed
+/// (daemon::returnLargeBlocks()).
+constexpr uint64_t LargeBlockBytes = 128 << 10;
 
 std::string text(boost::beast::string_view View) {
   return {View.data(), View.size()};
 }
 
+/// Unlike the assignment of an empty string, frees the memory.
+void release(std::string &Text) { std::string().swap(Text); }
+
 bool isToken(std::string_view Name) {
   return !Name.empty() && std::all_of(Name.begin(), Name.end(), isTokenByte);
 }
@@ -154,7 +159,7 @@
 
 ParserState FrontRequestParser::parseBody(std::string_view Input) {
   if (m_Chunks) {
-    makeBodyRoom(m_Body.size() + Input.size());
+    makeBodyRoom(chunkedBytesAfter(Input.size()));
     const ChunkState State = m_Chunks->read(Input, m_Body);
     m_Buffer = Input;
     return onChunks(State);
@@ -175,6 +180,7 @@
   case ChunkState::MoreNeeded:
     return m_State;
   case ChunkState::Done:
+    m_Body.shrink_to_fit();
     m_State = ParserState::Complete;
     return m_State;
   case ChunkState::Malformed:
@@ -187,13 +193,22 @@
   return m_State;
 }
 
+uint64_t FrontRequestParser::chunkedBytesAfter(size_t Incoming) const {
+  return std::min<uint64_t>(m_Body.size() + Incoming, m_Limits.m_MaxBodyBytes);
+}
+
 uint64_t FrontRequestParser::bodyCapacityFor(uint64_t Bytes) const {
   if (Bytes <= m_Body.capacity())
     return m_Body.capacity();
-  // Blocks of few sizes, so that the allocator uses again what others freed.
-  const uint64_t Block = Bytes <= MinBlockBytes ? Bytes : std::bit_ceil(Bytes);
   const uint64_t Whole =
       m_Chunks ? m_Limits.m_MaxBodyBytes : m_Body.size() + m_BodyLeft;
+  if (!m_Chunks && Whole <= LargeBlockBytes)
+    return std::max(Bytes, Whole);
+  // A body that grows by small blocks leaves holes between those of others.
+  const uint64_t Block =
+      Bytes <= SmallBlockBytes
+          ? Bytes
+          : std::max<uint64_t>(LargeBlockBytes, std::bit_ceil(Bytes));
   return std::max(Bytes, std::min(Whole, Block));
 }
 
@@ -214,14 +229,16 @@
   const uint64_t Head = 2 * m_HeadBytes;
   if (m_State != ParserState::Body || Incoming == 0)
     return Head + Buffered + m_Body.capacity();
-  const uint64_t Left = m_Chunks ? Buffered : std::min(m_BodyLeft, Buffered);
-  return Head + Buffered + bodyCapacityFor(m_Body.size() + Left);
+  const uint64_t Body =
+      m_Chunks ? chunkedBytesAfter(Incoming)
+               : m_Body.size() + std::min<uint64_t>(m_BodyLeft, Incoming);
+  return Head + Buffered + bodyCapacityFor(Body);
 }
 
 void FrontRequestParser::drop() {
   m_Parser.reset();
-  m_Buffer = {};
-  m_Body = {};
+  release(m_Buffer);
+  release(m_Body);
   m_HeadBytes = 0;
   m_State = ParserState::Failed;
 }
@@ -271,12 +288,12 @@
   Request.m_KeepAlive = Message.keep_alive();
   Request.m_Body = std::move(m_Body);
   Request.m_BeganAt = m_BeganAt;
-  m_Body = {};
+  release(m_Body);
   m_Parser.reset();
   m_HeadBytes = 0;
   // An idle connection holds no buffer.
   if (m_Buffer.empty())
-    m_Buffer = {};
+    release(m_Buffer);
   m_State = ParserState::Idle;
   return Request;
 }
--- a/Source/Core/Adapters/Front/FrontRequestParser.h
+++ b/Source/Core/Adapters/Front/FrontRequestParser.h
@@ -81,6 +81,8 @@
   /// Keeps what follows the body for the next request.
   ParserState parseBody(std::string_view Input);
   ParserState onChunks(ChunkState State);
+  /// Most bytes of a chunked body that there are with \p Incoming more.
+  uint64_t chunkedBytesAfter(size_t Incoming) const;
   /// Capacity of the body that holds \p Bytes.
   uint64_t bodyCapacityFor(uint64_t Bytes) const;
   void makeBodyRoom(uint64_t Bytes);
--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -114,8 +114,7 @@
                    Settings.get(keys::ListenReady),
                    Settings.get(keys::ListenPeers), forwardingAddress(Settings),
                    Settings.get(keys::ListenMetrics)},
-                  processLimits(Settings),
-                  relaySettings(Settings),
+                  processLimits(Settings), relaySettings(Settings),
                   model::NodeId(Settings.get(keys::NodeName)), Dialect, m_Clock,
                   m_Log, m_Control) {}
 
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -74,8 +74,7 @@
     : m_Addresses(Addresses), m_Self(std::move(Self)), m_Clock(Clock),
       m_Log(Log), m_Events(Events),
       m_Random(std::make_unique<daemon::SystemRandom>()),
-      m_Core(Settings, *m_Random),
-      m_Limits(Limits),
+      m_Core(Settings, *m_Random), m_Limits(Limits),
       m_CallerMemory(resources::sharesOf(Limits.m_MemoryBytes,
                                          front::ParserLimits().m_MaxBodyBytes)),
       m_StatusHandler(std::make_unique<StatusHandler>(*this)),
@@ -92,8 +91,8 @@
         onPeerNotice(Notice, From);
       }) {
   m_Start = m_Random->next() >> 1U;
-  for (front::FrontServer *Each : {&m_CallerServer, &m_ForwardingServer,
-                                   &m_ReadyServer, &m_MetricsServer})
+  for (front::FrontServer *Each :
+       {&m_CallerServer, &m_ForwardingServer, &m_ReadyServer, &m_MetricsServer})
     Each->setMemory(m_CallerMemory);
   m_CallerServer.setPlaces(resources::callerPlacesOf(Limits.m_Descriptors));
   front::FrontLimits StatusLimits;
@@ -276,8 +275,8 @@
     Forwarded.m_Parser = Front.m_Parser;
     Forwarded.m_Parser.m_MaxHeaderBytes += MaxForwardingHeaderBytes;
     m_ForwardingServer.setLimits(Forwarded);
-    m_CallerMemory.setShares(resources::sharesOf(m_Limits.m_MemoryBytes,
-                                                 Limits.m_MaxBodyBytes));
+    m_CallerMemory.setShares(
+        resources::sharesOf(m_Limits.m_MemoryBytes, Limits.m_MaxBodyBytes));
     m_Log.write(
         "config", "in_force",
         {{"config", static_cast<int64_t>(Table->config().m_Version)},
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -69,8 +69,7 @@
 /// endpoints, answers /ready and /metrics, and exchanges notices with peers.
 class GatewayTraffic {
 public:
-  GatewayTraffic(const TrafficAddresses &Addresses,
-                 const ProcessLimits &Limits,
+  GatewayTraffic(const TrafficAddresses &Addresses, const ProcessLimits &Limits,
                  const core::gateway::RelaySettings &Settings,
                  model::NodeId Self, const core::gateway::Dialect &Dialect,
                  const ports::Clock &Clock, GatewayLog &Log,
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -75,9 +75,9 @@
   accept(std::move(Request), Answer, std::move(Headers), std::nullopt);
 }
 
-std::vector<pistache::HttpHeader> RelayDriver::refusalHeaders(
-    const std::vector<pistache::HttpHeader> &Received,
-    std::optional<model::Duration> RetryAfter) const {
+std::vector<pistache::HttpHeader>
+RelayDriver::refusalHeaders(const std::vector<pistache::HttpHeader> &Received,
+                            std::optional<model::Duration> RetryAfter) const {
   gateway::RelayRequest Refused;
   m_Dialect.readRequest(linesOf(Received), Refused);
   return headersOf(
--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -120,8 +120,9 @@
     return;
   }
   m_Pending.erase(0, Sent > 0 ? static_cast<size_t>(Sent) : 0);
+  // An assignment would keep the memory.
   if (m_Pending.empty())
-    m_Pending = {};
+    std::string().swap(m_Pending);
   if (m_OnPending)
     m_OnPending(m_Pending.size());
   updateWatch();
--- a/Source/Core/Resources/CallerMemory.cpp
+++ b/Source/Core/Resources/CallerMemory.cpp
@@ -139,13 +139,11 @@
   Writing.m_AnswerBytes = Bytes;
   m_Answers.add(Bytes);
   while (!m_Answers.hasRoom(0)) {
-    const auto Largest =
-        std::max_element(m_Entries.begin(), m_Entries.end(),
-                         [](const EntryMap::value_type &A,
-                            const EntryMap::value_type &B) {
-                           return A.second.m_AnswerBytes <
-                                  B.second.m_AnswerBytes;
-                         });
+    const auto Largest = std::max_element(
+        m_Entries.begin(), m_Entries.end(),
+        [](const EntryMap::value_type &A, const EntryMap::value_type &B) {
+          return A.second.m_AnswerBytes < B.second.m_AnswerBytes;
+        });
     ++m_Counters.m_LostAnswers;
     m_Answers.remove(Largest->second.m_AnswerBytes);
     Largest->second.m_AnswerBytes = 0;
--- a/Source/Core/Resources/MemoryShares.cpp
+++ b/Source/Core/Resources/MemoryShares.cpp
@@ -22,8 +22,8 @@
   MemoryShares Shares;
   Shares.m_SmallRequests =
       std::max(MemoryLimit / SmallDivisor, 2 * SmallRequestBytes);
-  Shares.m_LargeRequests =
-      std::max(MemoryLimit / LargeDivisor, MaxBodyBytes + 2 * SmallRequestBytes);
+  Shares.m_LargeRequests = std::max(MemoryLimit / LargeDivisor,
+                                    MaxBodyBytes + 2 * SmallRequestBytes);
   Shares.m_UnsentAnswers = MemoryLimit / UnsentDivisor;
   Shares.m_MaxWaiting = static_cast<size_t>(
       std::max<uint64_t>(1, MemoryLimit / WaitingDivisor / UnreadBytes));
--- a/Source/UnitTests/Resources/CallerMemoryTest.cpp
+++ b/Source/UnitTests/Resources/CallerMemoryTest.cpp
@@ -23,9 +23,7 @@
 };
 
 /// Room for two large requests and two small ones.
-MemoryShares fewShares() {
-  return {2 * SmallRequestBytes, 2 * Large, 1000, 2};
-}
+MemoryShares fewShares() { return {2 * SmallRequestBytes, 2 * Large, 1000, 2}; }
 
 } // namespace
 
