--- a/Source/Core/Resources/MemoryShares.h
+++ b/Source/Core/Resources/MemoryShares.h
@@ -21,7 +21,7 @@
 };
 
 /// Holds the head and the body of most requests.
-constexpr uint64_t SmallRequestBytes = 20 << 10;
+constexpr uint64_t SmallRequestBytes = 32 << 10;
 
 /// Shares of a process that may use \p MemoryLimit bytes, so that at least one
 /// request with a body of \p MaxBodyBytes fits.
