--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -3,6 +3,7 @@
 
 #include "Core/Gateway/RelayCore.h"
 #include "Core/Gateway/RelayTypes.h"
+#include "Core/Resources/CallerMemory.h"
 
 #include <cstdint>
 #include <memory>
@@ -37,6 +38,8 @@
   /// nullopt: the configuration was never shown to be in force.
   void setConfigAge(std::optional<model::Duration> Age);
   void setActive(size_t Requests, size_t Connections);
+  void setCallerMemory(const resources::CallerMemory &Memory);
+  void setCallerPlaces(uint64_t GivenUp, uint64_t AcceptPauses);
   void setConfigVersion(uint64_t Version);
   void setQuarantinedTraits(size_t Traits);
   void setPacedEndpoints(size_t Endpoints);
