--- a/Source/UnitTests/Adapters/Gateway/PeerNoticeCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/PeerNoticeCodecTest.cpp
@@ -26,6 +26,12 @@
   Notice.m_ForwardingPort = 7381;
   Notice.m_LostServices = {"s", "t"};
   Notice.m_HoldsLease = true;
+  Notice.m_Quotas = {
+      7,
+      1'800'000'000'000'000,
+      {{8, 600, 200, 50, 9000, 250'000, 1'799'999'999'000'000, 12}},
+      {{8, 650, 0, 300'000, true}, {9, 0, 45'000, 0, false}},
+      true};
   return Notice;
 }
 
--- a/Source/UnitTests/Organisations/QuotaBoundTest.cpp
+++ b/Source/UnitTests/Organisations/QuotaBoundTest.cpp
@@ -52,7 +52,8 @@
     Fleet.setDoubling(0.3);
   if (Chance(0.5))
     Fleet.setMaxDelay(Chance(0.5) ? 100ms : 3s);
-  double Highest[] = {SmallRate, LargeRate};
+  double InForce[] = {SmallRate, LargeRate};
+  model::TimePoint ChangedAt[] = {Fleet.now(), Fleet.now()};
   const double Rates[] = {SmallRate, LargeRate};
   size_t Hot = 0;
   for (model::Duration At{0}; At < Length; At += Step) {
@@ -79,6 +80,9 @@
       const size_t Which = Draw() % 2;
       const double Rate = Rates[Which] * (Chance(0.5) ? 1.0 : 0.5);
       Fleet.setQuota(Which, Rate);
+      if (Rate != InForce[Which])
+        ChangedAt[Which] = Fleet.now();
+      InForce[Which] = Rate;
     }
     // Several times the limit, all at one node, or all over.
     if (Chance(0.85))
@@ -91,8 +95,13 @@
   }
   double Excess = -1;
   for (size_t Which = 0; Which < 2; ++Which) {
-    const double Limit = limitOf(Highest[Which], Rates[Which], Settings);
-    Excess = std::max(Excess, Fleet.mostInWindow(Which) / Limit - 1);
+    const double Highest = limitOf(Rates[Which], Rates[Which], Settings);
+    Excess = std::max(Excess, Fleet.mostInWindow(Which) / Highest - 1);
+    // A limit in force binds the windows that begin after it; what was granted
+    // before ends with its lifetime.
+    const double Last = limitOf(InForce[Which], Rates[Which], Settings);
+    const model::TimePoint Since = ChangedAt[Which] + Timing.m_GrantLifetime;
+    Excess = std::max(Excess, Fleet.mostInWindow(Which, Since) / Last - 1);
   }
   return Excess;
 }
--- a/Source/UnitTests/Organisations/QuotaFleet.h
+++ b/Source/UnitTests/Organisations/QuotaFleet.h
@@ -138,13 +138,16 @@
       Sum += Each.m_At >= Since ? Each.m_Amount : 0;
     return Sum;
   }
-  /// The most that was spent in any window.
-  double mostInWindow(size_t Organisation) const {
+  /// The most that was spent in any window that begins at \p Since or later.
+  double mostInWindow(size_t Organisation, TimePoint Since = {}) const {
     const std::vector<Spend> &All = m_Spends[Organisation];
     double Sum = 0;
     double Most = 0;
     size_t First = 0;
-    for (const Spend &Each : All) {
+    while (First < All.size() && All[First].m_At < Since)
+      ++First;
+    for (size_t I = First; I < All.size(); ++I) {
+      const Spend &Each = All[I];
       Sum += Each.m_Amount;
       while (All[First].m_At < Each.m_At - m_Settings.m_Window)
         Sum -= All[First++].m_Amount;
