--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -43,6 +43,8 @@
   void setConfigVersion(uint64_t Version);
   void setQuarantinedTraits(size_t Traits);
   void setPacedEndpoints(size_t Endpoints);
+  /// In sum over all organisations.
+  void setQuotas(const std::vector<core::organisations::QuotaUse> &Uses);
   void setLinesDropped(uint64_t Lines);
 
   /// Organisations that have series of their own.
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -73,7 +73,8 @@
     : m_Addresses(Addresses), m_Self(std::move(Self)), m_Clock(Clock),
       m_Log(Log), m_Events(Events),
       m_Random(std::make_unique<daemon::SystemRandom>()),
-      m_Core(Settings, *m_Random), m_Limits(Limits),
+      m_Core(Settings, *m_Random), m_QuotaKeeper(Settings.m_QuotaTiming),
+      m_Limits(Limits),
       m_CallerMemory(resources::sharesOf(Limits.m_MemoryBytes,
                                          front::ParserLimits().m_MaxBodyBytes)),
       m_StatusHandler(std::make_unique<StatusHandler>(*this)),
@@ -98,12 +99,19 @@
   StatusLimits.m_Parser.m_MaxBodyBytes = MaxStatusBodyBytes;
   m_ReadyServer.setLimits(StatusLimits);
   m_MetricsServer.setLimits(StatusLimits);
+  m_Core.quotas().setStart(m_Start);
   m_Driver.setStatementHandler([this](const gateway::StatementChange &Change) {
     m_Events.onStatementChange(Change);
   });
   m_Driver.setPauseHandler([this](const gateway::PauseBegun &Pause) {
     m_Events.onPauseBegun(Pause);
   });
+  m_Driver.setQuotaHandler([this] {
+    // Later, since effects are being carried out, and for all requests that
+    // came together.
+    if (!std::exchange(m_IsQuotaAskPosted, true))
+      m_Thread.loop().post([this] { askQuotas(); });
+  });
   m_Driver.setConfirmationHandler([this] { m_Events.onConfirmEndpoints(); });
   m_Thread.loop().setFaultHandler([this](const std::string &What) {
     m_Log.write("process", "exception",
@@ -145,6 +153,7 @@
   m_Driver.decide([](gateway::RelayCore &Core, model::TimePoint Now,
                      gateway::RelayEffectList &Out) { Core.tick(Now, Out); });
   m_CallerMemory.tick(front::FrontServer::now());
+  tickQuotas();
   const model::TimePoint Now = m_Clock.now();
   reportShortage();
   const bool IsNews = m_Core.prefillChanges() != m_PrefillChangesSent;
@@ -223,6 +232,10 @@
   Sender.m_Address = From;
   Sender.m_LastHeardAt = Now;
   Sender.m_HoldsLease = Notice.m_HoldsLease;
+  if (!Notice.m_Quotas.isEmpty()) {
+    onQuotaNotice(Notice, From);
+    return;
+  }
   m_Driver.decide([&](gateway::RelayCore &Core, model::TimePoint At,
                       gateway::RelayEffectList &Out) {
     gateway::PeerNotice Received = Notice;
@@ -261,6 +274,7 @@
   m_Thread.loop().post([this, Table = std::move(Table)] {
     if (!m_Core.setTable(Table))
       return;
+    m_QuotaKeeper.setPlans(m_Core.quotaPlans(), m_Clock.now());
     const gateway::CallerInputLimits &Limits = Table->config().m_Limits;
     front::FrontLimits Front = m_CallerServer.limits();
     Front.m_Parser = {Limits.m_MaxHeaderBytes, Limits.m_MaxBodyBytes};
@@ -362,10 +376,6 @@
   });
 }
 
-void GatewayTraffic::setHoldsLease(bool Holds) {
-  m_Thread.loop().post([this, Holds] { m_HoldsLease = Holds; });
-}
-
 void GatewayTraffic::stop(model::Duration LameDuck,
                           std::function<void()> OnDrained) {
   m_Thread.loop().post([this, LameDuck, OnDrained = std::move(OnDrained)] {
@@ -405,6 +415,7 @@
   m_GatewayMetrics.setConfigAge(m_Core.configAge(m_Clock.now()));
   m_GatewayMetrics.setQuarantinedTraits(m_Core.quarantinedTraitCount());
   m_GatewayMetrics.setPacedEndpoints(m_Core.pacedEndpointCount());
+  m_GatewayMetrics.setQuotas(m_Core.quotas().use(m_Clock.now()));
   m_GatewayMetrics.setConfigVersion(
       m_Core.table() ? m_Core.table()->config().m_Version : 0);
   return m_GatewayMetrics.text();
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -315,6 +315,11 @@
 }
 void RelayDriver::on(const gateway::PaceChange &Effect) { m_Log.write(Effect); }
 
+void RelayDriver::on(const gateway::AskQuotas & /*Effect*/) {
+  if (m_OnAskQuotas)
+    m_OnAskQuotas();
+}
+
 void RelayDriver::on(const gateway::ConfirmEndpoints & /*Effect*/) {
   if (m_OnConfirmEndpoints)
     m_OnConfirmEndpoints();
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -70,6 +70,10 @@
   void setPauseHandler(PauseHandler Handler) {
     m_OnPauseBegun = std::move(Handler);
   }
+  /// Called when the holder of quotas is to be asked.
+  void setQuotaHandler(std::function<void()> Handler) {
+    m_OnAskQuotas = std::move(Handler);
+  }
   void setConfirmationHandler(ConfirmationHandler Handler) {
     m_OnConfirmEndpoints = std::move(Handler);
   }
@@ -165,6 +169,7 @@
   void on(const core::gateway::LinksChange &Effect);
   void on(const core::gateway::PaceChange &Effect);
   void on(const core::gateway::ConfirmEndpoints &Effect);
+  void on(const core::gateway::AskQuotas &Effect);
   void on(const core::gateway::ProofChange &Effect);
 
   void onHead(model::AttemptId Attempt,
@@ -198,6 +203,7 @@
   StatementHandler m_OnStatementChange;
   PauseHandler m_OnPauseBegun;
   ConfirmationHandler m_OnConfirmEndpoints;
+  std::function<void()> m_OnAskQuotas;
   std::unordered_map<model::RequestId, Exchange> m_Exchanges;
   SendMap m_Sends;
   core::gateway::SentRequestIds m_SentIds;
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -261,7 +261,7 @@
         Active.m_ForwardingStarted || ordersBySlack(Active)) {
       if (!Active.m_IsTrial && mustHold(Active, Chosen))
         holdOrReject(Active, Chosen, Out);
-      else
+      else if (takeQuota(Active, Out))
         send(Active, *Chosen.m_Endpoint, Out);
       return;
     }
