Resources, Front, Gateway: Account of callers' memory, and places

Trailers had no limit, bodies were held twice, and nothing bounded the sum of what callers hold. CallerMemory charges requests and unread answers to budgets that are shares of memory.limit; an incomplete request loses first (the one that stopped moving, else the largest), after a pause of reading, with 503, its own id and Retry-After. Chunks are read by ChunkReader: extensions and trailers count towards the limit of headers and are dropped (trailers used to reach endpoints as headers). Callers' connections have 5/16 of descriptors.limit; idle ones, then stopped ones make place for new ones. Retries and libcurl share one copy of a body. Refusals by the front carry the request's id.

AdapterGatewayTests 49 of 49, ResourceTests 10 of 10, AdapterFrontTests 7 of 7.

--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -120,12 +120,14 @@
     const TransferRequest &Request = Added.m_Request;
     if (Request.m_Method == "HEAD")
       curl_easy_setopt(Easy, CURLOPT_NOBODY, 1L);
-    if (Request.m_Body.empty() &&
+    const std::string &Body =
+        Request.m_SharedBody ? *Request.m_SharedBody : Request.m_Body;
+    if (Body.empty() &&
         (Request.m_Method == "GET" || Request.m_Method == "HEAD"))
       return;
     curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(Request.m_Body.size()));
-    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Request.m_Body.c_str());
+                     static_cast<curl_off_t>(Body.size()));
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Body.c_str());
   }
 
   static void setHeaders(Transfer &Added) {
--- a/Source/Core/Adapters/Curl/CurlMulti.h
+++ b/Source/Core/Adapters/Curl/CurlMulti.h
@@ -26,6 +26,8 @@
   /// Each as "Name: value".
   std::vector<std::string> m_Headers;
   std::string m_Body;
+  /// Sent in place of m_Body if set; shared with those that may send it again.
+  std::shared_ptr<const std::string> m_SharedBody;
   std::chrono::milliseconds m_ConnectTimeout = std::chrono::seconds(1);
   /// For the whole transfer; zero means none.
   std::chrono::milliseconds m_Timeout{0};
--- a/Source/Core/Adapters/Front/FrontRequestParser.cpp
+++ b/Source/Core/Adapters/Front/FrontRequestParser.cpp
@@ -1,14 +1,15 @@
 #include "Core/Adapters/Front/FrontRequestParser.h"
 
+#include "Core/Adapters/Front/HeaderText.h"
 #include "Core/Model/Hash.h"
 #include "Core/Model/HeaderName.h"
 
 #include <algorithm>
+#include <bit>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <cctype>
 #include <utility>
 
 namespace bronzepass::core::adapters::front {
@@ -20,18 +21,20 @@
 constexpr int BadRequest = 400;
 constexpr int ContentTooLarge = 413;
 constexpr int HeadersTooLarge = 431;
+constexpr uint64_t SmallBlockBytes = 16 << 10;
+/// Blocks of this size and more go back to the system when they are freed
+/// (daemon::returnLargeBlocks()).
+constexpr uint64_t LargeBlockBytes = 128 << 10;
 
 std::string text(boost::beast::string_view View) {
   return {View.data(), View.size()};
 }
 
+/// Unlike the assignment of an empty string, frees the memory.
+void release(std::string &Text) { std::string().swap(Text); }
+
 bool isToken(std::string_view Name) {
-  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
-  return !Name.empty() &&
-         std::all_of(Name.begin(), Name.end(), [&](unsigned char C) {
-           return std::isalnum(C) != 0 ||
-                  Marks.find(static_cast<char>(C)) != std::string_view::npos;
-         });
+  return !Name.empty() && std::all_of(Name.begin(), Name.end(), isTokenByte);
 }
 
 int statusOf(const boost::system::error_code &Error) {
@@ -63,7 +66,7 @@
 }
 
 class FrontRequestParser::Parser
-    : public http::request_parser<http::string_body> {};
+    : public http::request_parser<http::empty_body> {};
 
 FrontRequestParser::FrontRequestParser(ParserLimits Limits)
     : m_Limits(Limits) {}
@@ -72,13 +75,16 @@
 
 void FrontRequestParser::startRequest() {
   m_Parser = std::make_unique<Parser>();
-  m_Parser->eager(true);
   m_Parser->header_limit(m_Limits.m_MaxHeaderBytes);
   m_Parser->body_limit(m_Limits.m_MaxBodyBytes);
   m_BeganAt = std::chrono::steady_clock::now();
   m_CheckedBytes = 0;
   m_HeaderLines = {};
   m_ExpectsContinue = false;
+  m_Chunks.reset();
+  m_BodyLeft = 0;
+  m_HeadBytes = 0;
+  m_ReceivedBytes = 0;
   m_State = ParserState::Headers;
 }
 
@@ -111,11 +117,14 @@
 }
 
 ParserState FrontRequestParser::feed(std::string_view Bytes) {
-  if (m_State == ParserState::Complete || m_State == ParserState::Failed) {
-    m_Buffer.append(Bytes);
+  if (m_State == ParserState::Failed)
     return m_State;
-  }
+  m_ReceivedBytes += Bytes.size();
+  if (m_State == ParserState::Body)
+    return parseBody(Bytes);
   m_Buffer.append(Bytes);
+  if (m_State == ParserState::Complete)
+    return m_State;
   if (m_State == ParserState::Idle) {
     // An empty line before a request line is allowed.
     while (m_Buffer.rfind("\r\n", 0) == 0)
@@ -124,35 +133,126 @@
       return m_State;
     startRequest();
   }
-  return parse();
+  if (parseHeaders() != ParserState::Body)
+    return m_State;
+  const std::string Behind = std::exchange(m_Buffer, {});
+  return parseBody(Behind);
 }
 
-ParserState FrontRequestParser::parse() {
-  if (m_State == ParserState::Headers && !checkHeaderLines())
+ParserState FrontRequestParser::parseHeaders() {
+  if (!checkHeaderLines())
     return fail(BadRequest, "a header line does not end as HTTP/1.1 asks");
   boost::system::error_code Error;
   const size_t Consumed = m_Parser->put(
       boost::asio::buffer(m_Buffer.data(), m_Buffer.size()), Error);
   m_Buffer.erase(0, Consumed);
   m_CheckedBytes -= std::min(m_CheckedBytes, Consumed);
+  m_HeadBytes += Consumed;
   if (Error && Error != http::error::need_more)
     return fail(statusOf(Error), Error.message());
-  if (!m_Parser->is_header_done()) {
-    if (m_Buffer.size() > m_Limits.m_MaxHeaderBytes)
-      return fail(HeadersTooLarge, "the headers are too large");
-    return m_State;
+  if (m_Parser->is_header_done())
+    return validateHeaders();
+  if (m_Buffer.size() > m_Limits.m_MaxHeaderBytes)
+    return fail(HeadersTooLarge, "the headers are too large");
+  return m_State;
+}
+
+ParserState FrontRequestParser::parseBody(std::string_view Input) {
+  if (m_Chunks) {
+    makeBodyRoom(chunkedBytesAfter(Input.size()));
+    const ChunkState State = m_Chunks->read(Input, m_Body);
+    m_Buffer = Input;
+    return onChunks(State);
   }
-  if (m_State == ParserState::Headers &&
-      validateHeaders() == ParserState::Failed)
+  const size_t Taken =
+      static_cast<size_t>(std::min<uint64_t>(m_BodyLeft, Input.size()));
+  makeBodyRoom(m_Body.size() + Taken);
+  m_Body.append(Input.substr(0, Taken));
+  m_Buffer = Input.substr(Taken);
+  m_BodyLeft -= Taken;
+  if (m_BodyLeft == 0)
+    m_State = ParserState::Complete;
+  return m_State;
+}
+
+ParserState FrontRequestParser::onChunks(ChunkState State) {
+  switch (State) {
+  case ChunkState::MoreNeeded:
     return m_State;
-  if (m_Parser->is_done())
+  case ChunkState::Done:
+    m_Body.shrink_to_fit();
     m_State = ParserState::Complete;
+    return m_State;
+  case ChunkState::Malformed:
+    return fail(BadRequest, "the chunks are malformed");
+  case ChunkState::BodyTooLarge:
+    return fail(ContentTooLarge, "the body is too large");
+  case ChunkState::FramingTooLarge:
+    return fail(HeadersTooLarge, "extensions and trailers are too large");
+  }
   return m_State;
 }
 
+uint64_t FrontRequestParser::chunkedBytesAfter(size_t Incoming) const {
+  return std::min<uint64_t>(m_Body.size() + Incoming, m_Limits.m_MaxBodyBytes);
+}
+
+uint64_t FrontRequestParser::bodyCapacityFor(uint64_t Bytes) const {
+  if (Bytes <= m_Body.capacity())
+    return m_Body.capacity();
+  const uint64_t Whole =
+      m_Chunks ? m_Limits.m_MaxBodyBytes : m_Body.size() + m_BodyLeft;
+  if (!m_Chunks && Whole <= LargeBlockBytes)
+    return std::max(Bytes, Whole);
+  // A body that grows by small blocks leaves holes between those of others.
+  const uint64_t Block =
+      Bytes <= SmallBlockBytes
+          ? Bytes
+          : std::max<uint64_t>(LargeBlockBytes, std::bit_ceil(Bytes));
+  return std::max(Bytes, std::min(Whole, Block));
+}
+
+void FrontRequestParser::makeBodyRoom(uint64_t Bytes) {
+  const uint64_t Capacity = bodyCapacityFor(Bytes);
+  if (Capacity <= m_Body.capacity())
+    return;
+  // reserve() would give more to a string that has grown before.
+  std::string Larger;
+  Larger.reserve(Capacity);
+  Larger.append(m_Body);
+  m_Body = std::move(Larger);
+}
+
+uint64_t FrontRequestParser::bytesHeldAfter(size_t Incoming) const {
+  const uint64_t Buffered = m_Buffer.capacity() + Incoming;
+  // The head is held as it came and as fields.
+  const uint64_t Head = 2 * m_HeadBytes;
+  if (m_State != ParserState::Body || Incoming == 0)
+    return Head + Buffered + m_Body.capacity();
+  const uint64_t Body =
+      m_Chunks ? chunkedBytesAfter(Incoming)
+               : m_Body.size() + std::min<uint64_t>(m_BodyLeft, Incoming);
+  return Head + Buffered + bodyCapacityFor(Body);
+}
+
+void FrontRequestParser::drop() {
+  m_Parser.reset();
+  release(m_Buffer);
+  release(m_Body);
+  m_HeadBytes = 0;
+  m_State = ParserState::Failed;
+}
+
+std::vector<pistache::HttpHeader> FrontRequestParser::receivedHeaders() const {
+  std::vector<pistache::HttpHeader> Headers;
+  if (m_Parser && m_Parser->is_header_done())
+    for (const auto &Field : m_Parser->get())
+      Headers.push_back({text(Field.name_string()), text(Field.value())});
+  return Headers;
+}
+
 ParserState FrontRequestParser::validateHeaders() {
-  m_State = ParserState::Body;
-  const http::request<http::string_body> &Message = m_Parser->get();
+  const http::request<http::empty_body> &Message = m_Parser->get();
   for (const auto &Field : Message)
     if (!isToken(text(Field.name_string())))
       return fail(BadRequest, "a header's name is not a token");
@@ -166,23 +266,34 @@
     return fail(BadRequest, "a header that may come once came twice");
   m_ExpectsContinue =
       model::isSameHeader(text(Message[http::field::expect]), "100-continue");
+  const uint64_t MaxHeaderBytes = m_Limits.m_MaxHeaderBytes;
+  if (HasChunks)
+    m_Chunks.emplace(m_Limits.m_MaxBodyBytes,
+                     MaxHeaderBytes -
+                         std::min<uint64_t>(MaxHeaderBytes, m_HeadBytes));
+  else if (const auto Length = m_Parser->content_length())
+    m_BodyLeft = *Length;
+  m_State = ParserState::Body;
   return m_State;
 }
 
 FrontRequest FrontRequestParser::take() {
   FrontRequest Request;
-  http::request<http::string_body> Message = m_Parser->release();
+  const http::request<http::empty_body> &Message = m_Parser->get();
   Request.m_Method = text(Message.method_string());
   Request.m_Target = text(Message.target());
-  for (const auto &Field : Message)
-    Request.m_Headers.push_back(
-        {text(Field.name_string()), text(Field.value())});
+  Request.m_Headers = receivedHeaders();
   constexpr unsigned Http11 = 11;
   Request.m_Http11 = Message.version() >= Http11;
   Request.m_KeepAlive = Message.keep_alive();
-  Request.m_Body = std::move(Message.body());
+  Request.m_Body = std::move(m_Body);
   Request.m_BeganAt = m_BeganAt;
+  release(m_Body);
   m_Parser.reset();
+  m_HeadBytes = 0;
+  // An idle connection holds no buffer.
+  if (m_Buffer.empty())
+    release(m_Buffer);
   m_State = ParserState::Idle;
   return Request;
 }
--- a/Source/Core/Adapters/Front/FrontServer.cpp
+++ b/Source/Core/Adapters/Front/FrontServer.cpp
@@ -1,7 +1,9 @@
 #include "Core/Adapters/Front/FrontServer.h"
 
 #include "Core/Adapters/Front/FrontConnection.h"
+#include "Core/Resources/CallerPlaces.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -17,6 +19,10 @@
 /// When the queue is full, a caller waits one second before TCP retries its
 /// connection attempt.
 constexpr int ListenBacklog = 1024;
+/// Places are given up for several new callers at once, since all have to be
+/// looked at for it.
+constexpr size_t GiveUpDivisor = 64;
+constexpr std::chrono::milliseconds AcceptPause(50);
 
 std::string listenError(const model::Address &Address) {
   return "cannot listen on " + Address.m_Ip + ":" +
@@ -28,7 +34,14 @@
 FrontServer::FrontServer(net::EventLoop &Loop, FrontHandler &Handler)
     : m_Loop(Loop), m_Handler(Handler) {}
 
+model::TimePoint FrontServer::now() {
+  return model::TimePoint(std::chrono::duration_cast<model::Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 FrontServer::~FrontServer() {
+  if (m_AcceptTimer)
+    m_Loop.cancel(*m_AcceptTimer);
   if (m_Listener.valid())
     m_Loop.unwatch(m_Listener.get());
   const std::set<std::shared_ptr<FrontConnection>> Connections =
@@ -67,16 +80,54 @@
 }
 
 void FrontServer::acceptAll() {
-  for (;;) {
-    net::FileDescriptor Accepted(::accept4(m_Listener.get(), nullptr, nullptr,
-                                           SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!Accepted.valid())
+  while (makePlace()) {
+    sockaddr_in From{};
+    socklen_t Size = sizeof(From);
+    net::FileDescriptor Accepted(
+        ::accept4(m_Listener.get(), reinterpret_cast<sockaddr *>(&From), &Size,
+                  SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!Accepted.valid()) {
+      // The listener stays readable: without a pause, the loop would spin.
+      if (errno != EAGAIN && errno != EWOULDBLOCK)
+        pauseAccepting();
       return;
+    }
     const std::shared_ptr<FrontConnection> Connection =
-        std::make_shared<FrontConnection>(*this, std::move(Accepted));
+        std::make_shared<FrontConnection>(*this, std::move(Accepted),
+                                          ntohl(From.sin_addr.s_addr));
     if (Connection->start())
       m_Connections.insert(Connection);
   }
+  pauseAccepting();
+}
+
+bool FrontServer::makePlace() {
+  if (m_Places == 0 || m_Connections.size() < m_Places)
+    return true;
+  std::vector<resources::CallerPlace> Places;
+  std::vector<std::shared_ptr<FrontConnection>> Holders;
+  for (const std::shared_ptr<FrontConnection> &Each : m_Connections) {
+    Places.push_back(Each->place());
+    Holders.push_back(Each);
+  }
+  for (const size_t Each : resources::placesToGiveUp(
+           Places, std::max<size_t>(1, m_Places / GiveUpDivisor), now())) {
+    if (Holders[Each]->giveUpPlace())
+      ++m_PlacesGivenUp;
+  }
+  return m_Connections.size() < m_Places;
+}
+
+void FrontServer::pauseAccepting() {
+  if (m_AcceptTimer || !m_Listener.valid())
+    return;
+  ++m_AcceptPauses;
+  m_Loop.setWatchedEvents(m_Listener.get(), 0);
+  m_AcceptTimer = m_Loop.runAfter(AcceptPause, [this] {
+    m_AcceptTimer.reset();
+    if (m_Listener.valid())
+      m_Loop.setWatchedEvents(m_Listener.get(), EPOLLIN);
+  });
 }
 
 void FrontServer::closeIdle() {
--- a/Source/Core/Adapters/Front/FrontServer.h
+++ b/Source/Core/Adapters/Front/FrontServer.h
@@ -7,12 +7,15 @@
 #include "Core/Adapters/Net/FileDescriptor.h"
 #include "Core/Adapters/Pistache/HttpResponseWriter.h"
 #include "Core/Model/Address.h"
+#include "Core/Model/Time.h"
+#include "Core/Resources/CallerMemory.h"
 
 #include <chrono>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace bronzepass::core::adapters::front {
 
@@ -26,6 +29,8 @@
   /// Between two pieces of a body. RFC 9110 specifies no value; a caller that
   /// pauses this long has usually disconnected.
   std::chrono::milliseconds m_BodyTimeout = std::chrono::seconds(10);
+  /// From the end of the headers to the end of the body.
+  std::chrono::milliseconds m_WholeBodyTimeout = std::chrono::minutes(10);
   /// Between an answer and the next request.
   std::chrono::milliseconds m_IdleTimeout = std::chrono::seconds(15);
   /// Maximum bytes of answers that a caller has not read yet; beyond it, the
@@ -43,6 +48,13 @@
   virtual void
   onRequest(FrontRequest Request,
             std::shared_ptr<pistache::HttpResponseWriter> Answer) = 0;
+  /// What a refusal by the server itself carries: of a request with the headers
+  /// \p Received, none if they were not read.
+  virtual std::vector<pistache::HttpHeader>
+  refusalHeaders(const std::vector<pistache::HttpHeader> & /*Received*/,
+                 std::optional<model::Duration> /*RetryAfter*/) const {
+    return {};
+  }
 };
 
 /// HTTP server that accepts callers' connections and reads their requests on
@@ -61,6 +73,17 @@
   /// Applies to each connection from its next request on.
   void setLimits(const FrontLimits &Limits) { m_Limits = Limits; }
   const FrontLimits &limits() const { return m_Limits; }
+  /// Charges what connections hold to \p Memory, which must outlive this
+  /// object and gets a tick() at the time now().
+  void setMemory(resources::CallerMemory &Memory) { m_Memory = &Memory; }
+  /// Beyond \p Places connections, those that do nothing are closed; 0: there
+  /// may be any number.
+  void setPlaces(size_t Places) { m_Places = Places; }
+  static model::TimePoint now();
+  /// Connections closed, and requests refused, since places were short.
+  uint64_t placesGivenUp() const { return m_PlacesGivenUp; }
+  /// How often new connections had to wait since no place could be given up.
+  uint64_t acceptPauses() const { return m_AcceptPauses; }
   /// Stops accepting connections and closes those without an active request or
   /// unread input.
   void closeIdle();
@@ -72,6 +95,9 @@
   friend class FrontConnection;
 
   void acceptAll();
+  /// Whether there is a place for a new connection.
+  bool makePlace();
+  void pauseAccepting();
   void removeConnection(const std::shared_ptr<FrontConnection> &Connection);
 
   net::EventLoop &m_Loop;
@@ -79,6 +105,11 @@
   FrontLimits m_Limits;
   net::FileDescriptor m_Listener;
   std::set<std::shared_ptr<FrontConnection>> m_Connections;
+  resources::CallerMemory *m_Memory = nullptr;
+  size_t m_Places = 0;
+  uint64_t m_PlacesGivenUp = 0;
+  uint64_t m_AcceptPauses = 0;
+  std::optional<net::EventLoop::TimerId> m_AcceptTimer;
 };
 
 } // namespace bronzepass::core::adapters::front
--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -1,6 +1,7 @@
 #include "Core/Adapters/Gateway/GatewayDaemon.h"
 
 #include "Core/Adapters/Daemon/CrashReport.h"
+#include "Core/Adapters/Daemon/SystemLimits.h"
 #include "Core/Adapters/Gateway/BootClock.h"
 #include "Core/Adapters/Gateway/GatewayControl.h"
 #include "Core/Adapters/Gateway/GatewayLog.h"
@@ -66,6 +67,16 @@
   return static_cast<uint32_t>(std::lround(Cores * PercentOfCore));
 }
 
+ProcessLimits processLimits(const settings::NodeSettings &Settings) {
+  ProcessLimits Limits{Settings.get(keys::MemoryLimit).m_Value,
+                       Settings.get(keys::DescriptorLimit)};
+  if (Limits.m_MemoryBytes == 0)
+    Limits.m_MemoryBytes = daemon::systemMemoryBytes();
+  if (Limits.m_Descriptors == 0)
+    Limits.m_Descriptors = daemon::systemDescriptors();
+  return Limits;
+}
+
 model::Address forwardingAddress(const settings::NodeSettings &Settings) {
   model::Address Address = Settings.get(keys::ListenPeers);
   const uint64_t Port = Settings.get(keys::ListenForwardingPort);
@@ -103,7 +114,7 @@
                    Settings.get(keys::ListenReady),
                    Settings.get(keys::ListenPeers), forwardingAddress(Settings),
                    Settings.get(keys::ListenMetrics)},
-                  relaySettings(Settings),
+                  processLimits(Settings), relaySettings(Settings),
                   model::NodeId(Settings.get(keys::NodeName)), Dialect, m_Clock,
                   m_Log, m_Control) {}
 
@@ -113,6 +124,7 @@
   }
 
   std::optional<std::string> start() {
+    daemon::returnLargeBlocks();
     daemon::CrashReport::install(m_Settings.get(keys::NodeName));
     if (std::optional<std::string> Reason = m_Traffic.start())
       return Reason;
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -60,6 +60,16 @@
                         .Name("bronzepass_request_duration_seconds")
                         .Help("From a request's first byte to its end")
                         .Register(m_Registry)),
+        m_CallerBytes(prom::BuildGauge()
+                          .Name("bronzepass_caller_memory_bytes")
+                          .Help("Memory that callers hold, by budget")
+                          .Register(m_Registry)),
+        m_CallerLosses(prom::BuildGauge()
+                           .Name("bronzepass_callers_held_back")
+                           .Help("Requests, answers and connections of callers "
+                                 "that waited or ended for want of memory or "
+                                 "places, since the start")
+                           .Register(m_Registry)),
         m_Gauges(prom::BuildGauge()
                      .Name("bronzepass_node")
                      .Help("What the node holds now")
@@ -73,6 +83,8 @@
   prom::Family<prom::Counter> &m_UnreadableStatements;
   prom::Family<prom::Counter> &m_LinksLost;
   prom::Family<prom::Histogram> &m_Durations;
+  prom::Family<prom::Gauge> &m_CallerBytes;
+  prom::Family<prom::Gauge> &m_CallerLosses;
   prom::Family<prom::Gauge> &m_Gauges;
 };
 
@@ -128,6 +140,39 @@
       .Set(static_cast<double>(Connections));
 }
 
+void GatewayMetrics::setCallerMemory(const resources::CallerMemory &Memory) {
+  const auto Show = [this](const char *Name,
+                           const resources::MemoryBudget &Budget) {
+    const auto Set = [&](const char *What, uint64_t Bytes) {
+      m_Impl->m_CallerBytes.Add({{"budget", Name}, {"what", What}})
+          .Set(static_cast<double>(Bytes));
+    };
+    Set("limit", Budget.limit());
+    Set("in_use", Budget.inUse());
+    Set("highest", Budget.highest());
+  };
+  Show("small_requests", Memory.smallRequests());
+  Show("large_requests", Memory.largeRequests());
+  Show("unsent_answers", Memory.unsentAnswers());
+  const resources::MemoryCounters &Counters = Memory.counters();
+  const auto Count = [this](const char *Cause, uint64_t Times) {
+    m_Impl->m_CallerLosses.Add({{"cause", Cause}})
+        .Set(static_cast<double>(Times));
+  };
+  Count("waited", Counters.m_Waits);
+  Count("stalled", Counters.m_LostStalled);
+  Count("largest", Counters.m_LostLargest);
+  Count("crowded", Counters.m_LostCrowded);
+  Count("answer_unread", Counters.m_LostAnswers);
+}
+
+void GatewayMetrics::setCallerPlaces(uint64_t GivenUp, uint64_t AcceptPauses) {
+  m_Impl->m_CallerLosses.Add({{"cause", "place"}})
+      .Set(static_cast<double>(GivenUp));
+  m_Impl->m_CallerLosses.Add({{"cause", "accept_paused"}})
+      .Set(static_cast<double>(AcceptPauses));
+}
+
 void GatewayMetrics::setConfigVersion(uint64_t Version) {
   m_Impl->m_Gauges.Add({{"what", "config_version"}})
       .Set(static_cast<double>(Version));
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -3,6 +3,7 @@
 
 #include "Core/Gateway/RelayCore.h"
 #include "Core/Gateway/RelayTypes.h"
+#include "Core/Resources/CallerMemory.h"
 
 #include <cstdint>
 #include <memory>
@@ -29,6 +30,8 @@
   /// The platform's store has been restored from a backup.
   void countStoreRestore();
   void setActive(size_t Requests, size_t Connections);
+  void setCallerMemory(const resources::CallerMemory &Memory);
+  void setCallerPlaces(uint64_t GivenUp, uint64_t AcceptPauses);
   void setConfigVersion(uint64_t Version);
   void setQuarantinedTraits(size_t Traits);
   void setLinesDropped(uint64_t Lines);
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -31,6 +31,8 @@
 /// consecutive notices may be lost before that.
 constexpr model::Duration PeerTimeout = std::chrono::milliseconds(1500);
 constexpr model::Duration LivePeersPeriod = std::chrono::milliseconds(500);
+/// Requests to /ready and /metrics have none.
+constexpr uint64_t MaxStatusBodyBytes = 1024;
 /// What nodes add to the headers of a caller's request.
 constexpr size_t MaxForwardingHeaderBytes = 1024;
 
@@ -62,6 +64,7 @@
 };
 
 GatewayTraffic::GatewayTraffic(const TrafficAddresses &Addresses,
+                               const ProcessLimits &Limits,
                                const gateway::RelaySettings &Settings,
                                model::NodeId Self,
                                const gateway::Dialect &Dialect,
@@ -70,7 +73,9 @@
     : m_Addresses(Addresses), m_Self(std::move(Self)), m_Clock(Clock),
       m_Log(Log), m_Events(Events),
       m_Random(std::make_unique<daemon::SystemRandom>()),
-      m_Core(Settings, *m_Random),
+      m_Core(Settings, *m_Random), m_Limits(Limits),
+      m_CallerMemory(resources::sharesOf(Limits.m_MemoryBytes,
+                                         front::ParserLimits().m_MaxBodyBytes)),
       m_StatusHandler(std::make_unique<StatusHandler>(*this)),
       m_Driver(m_Thread.loop(), Dialect, m_Core, Clock, Log, m_GatewayMetrics,
                [this](const gateway::CopyRequest &Request) {
@@ -85,6 +90,14 @@
         onPeerNotice(Notice, From);
       }) {
   m_Start = m_Random->next() >> 1U;
+  for (front::FrontServer *Each :
+       {&m_CallerServer, &m_ForwardingServer, &m_ReadyServer, &m_MetricsServer})
+    Each->setMemory(m_CallerMemory);
+  m_CallerServer.setPlaces(resources::callerPlacesOf(Limits.m_Descriptors));
+  front::FrontLimits StatusLimits;
+  StatusLimits.m_Parser.m_MaxBodyBytes = MaxStatusBodyBytes;
+  m_ReadyServer.setLimits(StatusLimits);
+  m_MetricsServer.setLimits(StatusLimits);
   m_Driver.setStatementHandler([this](const gateway::StatementChange &Change) {
     m_Events.onStatementChange(Change);
   });
@@ -131,7 +144,9 @@
   m_Thread.loop().runAfter(TickPeriod, [this] { tick(); });
   m_Driver.decide([](gateway::RelayCore &Core, model::TimePoint Now,
                      gateway::RelayEffectList &Out) { Core.tick(Now, Out); });
+  m_CallerMemory.tick(front::FrontServer::now());
   const model::TimePoint Now = m_Clock.now();
+  reportShortage();
   const bool IsNews = m_Core.prefillChanges() != m_PrefillChangesSent;
   const model::Duration NewsPeriod = std::max(
       MinNoticePeriod,
@@ -259,6 +274,8 @@
     Forwarded.m_Parser = Front.m_Parser;
     Forwarded.m_Parser.m_MaxHeaderBytes += MaxForwardingHeaderBytes;
     m_ForwardingServer.setLimits(Forwarded);
+    m_CallerMemory.setShares(
+        resources::sharesOf(m_Limits.m_MemoryBytes, Limits.m_MaxBodyBytes));
     m_Log.write(
         "config", "in_force",
         {{"config", static_cast<int64_t>(Table->config().m_Version)},
@@ -364,6 +381,9 @@
 }
 
 std::string GatewayTraffic::metricsText() {
+  m_GatewayMetrics.setCallerMemory(m_CallerMemory);
+  m_GatewayMetrics.setCallerPlaces(m_CallerServer.placesGivenUp(),
+                                   m_CallerServer.acceptPauses());
   m_GatewayMetrics.setActive(m_Core.activeRequestCount(),
                              m_CallerServer.connectionCount());
   m_GatewayMetrics.setLinesDropped(m_Log.dropped());
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -10,6 +10,7 @@
 #include "Core/Gateway/Dialect.h"
 #include "Core/Gateway/RelayCore.h"
 #include "Core/Ports/Ports.h"
+#include "Core/Resources/CallerMemory.h"
 
 #include <functional>
 #include <map>
@@ -55,11 +56,20 @@
                           const TrafficAddresses &) = default;
 };
 
+/// What the machine gives to this process.
+struct ProcessLimits {
+  uint64_t m_MemoryBytes = 0;
+  uint64_t m_Descriptors = 0;
+
+  friend auto operator<=>(const ProcessLimits &,
+                          const ProcessLimits &) = default;
+};
+
 /// The traffic thread of a node: serves callers' connections, sends requests to
 /// endpoints, answers /ready and /metrics, and exchanges notices with peers.
 class GatewayTraffic {
 public:
-  GatewayTraffic(const TrafficAddresses &Addresses,
+  GatewayTraffic(const TrafficAddresses &Addresses, const ProcessLimits &Limits,
                  const core::gateway::RelaySettings &Settings,
                  model::NodeId Self, const core::gateway::Dialect &Dialect,
                  const ports::Clock &Clock, GatewayLog &Log,
@@ -113,6 +123,9 @@
   void requestCopy(const core::gateway::CopyRequest &Request);
   void waitUntilDrained();
   std::string metricsText();
+  /// Logs, at most once a second, what callers lost for want of memory or
+  /// places.
+  void reportShortage();
 
   TrafficAddresses m_Addresses;
   model::NodeId m_Self;
@@ -138,6 +151,13 @@
   std::map<model::NodeId, Peer> m_Peers;
   std::function<void()> m_OnDrained;
   net::LoopThread m_Thread;
+  ProcessLimits m_Limits;
+  resources::CallerMemory m_CallerMemory;
+  /// Of the shortages that are logged already.
+  resources::MemoryCounters m_LoggedCounters;
+  uint64_t m_LoggedPlaces = 0;
+  uint64_t m_LoggedPauses = 0;
+  model::TimePoint m_ShortageLoggedAt;
   std::unique_ptr<StatusHandler> m_StatusHandler;
   RelayDriver m_Driver;
   front::FrontServer m_CallerServer;
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -75,6 +75,15 @@
   accept(std::move(Request), Answer, std::move(Headers), std::nullopt);
 }
 
+std::vector<pistache::HttpHeader>
+RelayDriver::refusalHeaders(const std::vector<pistache::HttpHeader> &Received,
+                            std::optional<model::Duration> RetryAfter) const {
+  gateway::RelayRequest Refused;
+  m_Dialect.readRequest(linesOf(Received), Refused);
+  return headersOf(
+      m_Dialect.refusalHeaders(Refused.m_CallerRequestId, RetryAfter));
+}
+
 void RelayDriver::ForwardedHandler::onRequest(
     front::FrontRequest Request,
     std::shared_ptr<pistache::HttpResponseWriter> Answer) {
@@ -121,6 +130,8 @@
   Added.m_Splicer.startAfter(Relayed.m_LastEventId);
   daemon::CrashReport::setSubject(Added.m_CallerRequestId);
   Added.m_Request = std::move(Request);
+  Added.m_RequestBody = std::make_shared<const std::string>(
+      std::exchange(Added.m_Request.m_Body, {}));
   Added.m_Answer = Answer;
   if (m_Closing)
     Answer->closeAfter();
@@ -168,7 +179,7 @@
   Request.m_Method = From.m_Request.m_Method;
   Request.m_Address = Effect.m_Address;
   Request.m_Path = From.m_Request.m_Target;
-  Request.m_Body = From.m_Request.m_Body;
+  Request.m_SharedBody = From.m_RequestBody;
   // libcurl adds these by itself unless they are emptied.
   bool HasAccept = false;
   bool HasType = false;
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -54,6 +54,9 @@
 
   void onRequest(front::FrontRequest Request,
                  std::shared_ptr<pistache::HttpResponseWriter> Answer) override;
+  std::vector<pistache::HttpHeader>
+  refusalHeaders(const std::vector<pistache::HttpHeader> &Received,
+                 std::optional<model::Duration> RetryAfter) const override;
   /// Handles the requests that other nodes forward.
   front::FrontHandler &forwardedRequestHandler() { return m_ForwardedHandler; }
 
@@ -90,6 +93,8 @@
   /// A caller's request and its answer.
   struct Exchange {
     front::FrontRequest m_Request;
+    /// The body of m_Request, which keeps none.
+    std::shared_ptr<const std::string> m_RequestBody;
     core::gateway::HeaderLines m_Headers;
     std::string m_CallerRequestId;
     std::shared_ptr<pistache::HttpResponseWriter> m_Answer;
--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -104,6 +104,10 @@
     return false;
   }
   m_Pending.append(Bytes);
+  if (m_OnPending && !m_OnPending(m_Pending.size())) {
+    close();
+    return false;
+  }
   updateWatch();
   return true;
 }
@@ -116,6 +120,11 @@
     return;
   }
   m_Pending.erase(0, Sent > 0 ? static_cast<size_t>(Sent) : 0);
+  // An assignment would keep the memory.
+  if (m_Pending.empty())
+    std::string().swap(m_Pending);
+  if (m_OnPending)
+    m_OnPending(m_Pending.size());
   updateWatch();
   if (!m_Pending.empty())
     return;
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -57,6 +57,11 @@
   /// Calls \p OnIdle each time a response has ended, so that reading from the
   /// connection continues.
   void setOnIdle(std::function<void()> OnIdle) { m_OnIdle = std::move(OnIdle); }
+  /// Calls \p OnPending with the number of bytes that are buffered for the
+  /// caller each time it changes. False: the connection is closed.
+  void setOnPending(std::function<bool(size_t)> OnPending) {
+    m_OnPending = std::move(OnPending);
+  }
   /// Takes effect at the end of the next response.
   void setKeepAlive(std::chrono::milliseconds Limit) {
     m_Limits.m_KeepAlive = Limit;
@@ -110,6 +115,7 @@
   std::string m_Pending;
   std::function<void()> m_OnDisconnect;
   std::function<void()> m_OnIdle;
+  std::function<bool(size_t)> m_OnPending;
   std::vector<std::function<void()>> m_OnSent;
   bool m_TimerRuns = false;
   net::EventLoop::TimerId m_Timer;
