--- a/Source/Core/Organisations/QuotaGate.cpp
+++ b/Source/Core/Organisations/QuotaGate.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-void QuotaGate::setPlans(QuotaPlans Plans, model::TimePoint Now) {
+void QuotaGate::setPlans(const QuotaPlans &Plans, model::TimePoint Now) {
   for (auto Each = m_States.begin(); Each != m_States.end();)
     Each = Plans.contains(Each->first) ? std::next(Each) : m_States.erase(Each);
   for (const auto &Each : Plans) {
--- a/Source/Core/Organisations/QuotaGate.h
+++ b/Source/Core/Organisations/QuotaGate.h
@@ -66,7 +66,7 @@
   /// \p Start identifies this start of the node; call before anything is asked.
   void setStart(uint64_t Start) { m_Start = Start; }
 
-  void setPlans(QuotaPlans Plans, model::TimePoint Now);
+  void setPlans(const QuotaPlans &Plans, model::TimePoint Now);
   bool isNeeded() const { return !m_States.empty(); }
 
   static double amountOf(const QuotaSpec &Quota, uint64_t Tokens);
--- a/Source/Core/Organisations/QuotaKeeper.cpp
+++ b/Source/Core/Organisations/QuotaKeeper.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-void QuotaKeeper::setPlans(QuotaPlans Plans, model::TimePoint Now) {
+void QuotaKeeper::setPlans(const QuotaPlans &Plans, model::TimePoint Now) {
   for (auto Each = m_Organisations.begin(); Each != m_Organisations.end();)
     Each = Plans.contains(Each->first) ? std::next(Each)
                                        : m_Organisations.erase(Each);
--- a/Source/Core/Organisations/QuotaKeeper.h
+++ b/Source/Core/Organisations/QuotaKeeper.h
@@ -21,7 +21,7 @@
 public:
   explicit QuotaKeeper(const QuotaTiming &Timing) : m_Timing(Timing) {}
 
-  void setPlans(QuotaPlans Plans, model::TimePoint Now);
+  void setPlans(const QuotaPlans &Plans, model::TimePoint Now);
   /// This node holds the lease until \p ValidUntil. \p Holding differs for each
   /// time that a lease is gained.
   void hold(uint64_t Holding, model::TimePoint ValidUntil,
