Gateway: Order by slack only where the settings ask for it

Change: waiting requests are ordered by rank unless the setting waiting.order says slack; a late request is held no longer than its time to the first event once more.

--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -62,6 +62,7 @@
   Relay.m_Quotas = {Settings.get(keys::QuotaWindow),
                     Settings.get(keys::QuotaOverage),
                     Settings.get(keys::QuotaSlack)};
+  Relay.m_OrdersBySlack = Settings.get(keys::WaitingOrder) == "slack";
   Relay.m_Domain = model::DomainId(Settings.get(keys::NodeDomain));
   return Relay;
 }
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -83,7 +83,8 @@
     Service.m_LongPrefillMs = LongPrefillShareOfGap * GapTargetMs;
     Service.m_MaxQueuedPrefillMs =
         m_Settings.m_MaxQueuedShareOfGap * GapTargetMs;
-    Service.m_HoldRules = holdRules(m_Table->config(), Each.m_Name);
+    if (m_Settings.m_OrdersBySlack)
+      Service.m_HoldRules = holdRules(m_Table->config(), Each.m_Name);
   }
   return true;
 }
--- a/Source/Core/Gateway/RelaySettings.h
+++ b/Source/Core/Gateway/RelaySettings.h
@@ -54,6 +54,10 @@
   /// Maximum predicted wait for a slot, as a share of the time left.
   double m_MaxWaitShare = 0.5;
 
+  /// Orders waiting requests by slack where HoldRules call for it; otherwise
+  /// all by rank.
+  bool m_OrdersBySlack = false;
+
   friend auto operator<=>(const RelaySettings &,
                           const RelaySettings &) = default;
 };
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -20,6 +20,7 @@
       toSettingInfo(RetryWindow),
       toSettingInfo(PlatformLeaveNotice),
       toSettingInfo(PlatformContactTime),
+      toSettingInfo(WaitingOrder),
       toSettingInfo(KeyRevocationTime),
       toSettingInfo(QuotaWindow),
       toSettingInfo(QuotaOverage),
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -73,6 +73,16 @@
     60s,
     "Within this time a silent connection to the store has to be noticed"};
 
+// Requests that wait at this node.
+inline const Setting<std::string> WaitingOrder{
+    "waiting",
+    "order",
+    "rank",
+    {},
+    {},
+    "Order of requests for engines: rank, or slack (by the time that each has "
+    "left, where a higher rank has much more time than a lower one)"};
+
 // Organisations.
 inline const Setting<model::Duration> KeyRevocationTime{
     "keys",
--- a/Source/UnitTests/Gateway/HoldOrderTest.cpp
+++ b/Source/UnitTests/Gateway/HoldOrderTest.cpp
@@ -15,7 +15,7 @@
 /// of one lower rank, and engines of four slots.
 class PatientRankFixture : public RelayFixture {
 public:
-  PatientRankFixture() {
+  PatientRankFixture() : RelayFixture(1, settings()) {
     gateway::GatewayConfig Config = config();
     Config.m_Routes = {streamRoute("/digest/", 0, 2s, 3s),
                        streamRoute("/chat/", 1, 500ms, 12s),
@@ -25,6 +25,11 @@
     m_Core.setTable(std::make_shared<gateway::RouteTable>(Config));
   }
 
+  static gateway::RelaySettings settings() {
+    gateway::RelaySettings Settings;
+    Settings.m_OrdersBySlack = true;
+    return Settings;
+  }
   static gateway::RouteSpec streamRoute(const char *Prefix, uint32_t Priority,
                                         model::Duration Target,
                                         model::Duration Timeout) {
