Gateway: Take the bound of late requests back

Cause: a late request held no longer than its time to the first event once more is refused where the engine is predicted to be free after that, though it is free before: HoldOrderTest, room free again while late requests wait, 2 checks fail. Order by slack stays off.

--- a/Source/Core/Gateway/RelayHold.cpp
+++ b/Source/Core/Gateway/RelayHold.cpp
@@ -17,9 +17,8 @@
 /// The network, and the steps of the batch until the first event.
 constexpr double FirstEventMs = 60;
 /// Share of the caller's time after that to the first event for which a request
-/// that can't be in time is held, but no longer than its time to the first
-/// event once more: callers give a stream up that does not begin. The rest is
-/// for the answer, or for another try elsewhere.
+/// that can't be in time is held. The rest is for the answer, or for another
+/// try elsewhere.
 constexpr double LateShare = 0.3;
 /// Requests of one model that are offered in vain in a row, until those behind
 /// them wait for the next time.
@@ -81,8 +80,7 @@
                             ? model::stableHash(Active.m_Organisation->m_Name)
                             : 0,
       .m_LatestStart = DueAt - fromMillis(OwnMs),
-      .m_LateUntil = DueAt + std::min(fromMillis(LateShare * AfterDueMs),
-                                      Active.m_Route->m_LatencyTarget),
+      .m_LateUntil = DueAt + fromMillis(LateShare * AfterDueMs),
       .m_CostMs = prefillMs(Active, Active.m_Request.m_PromptTokens)};
   if (Held.m_Order == HoldOrder::Slack && !Service.m_Endpoints.empty())
     Held.m_CostMs = std::max(
