--- a/Source/UnitTests/Platform/RequestHeadersTest.cpp
+++ b/Source/UnitTests/Platform/RequestHeadersTest.cpp
@@ -232,7 +232,7 @@
        {std::string(), std::string("  "), std::string("a b"),
         std::string("a\tb"), std::string("a\0b", 3), std::string("k\xc3\xa9"),
         std::string("k\x7f"), std::string(513, 'k'),
-        std::string(64 * 1024, 'k')})
+        std::string(size_t{64} * 1024, 'k')})
     CHECK(credentialOf({{"X-Credential", Odd}}).m_State ==
           Credential::State::Unreadable);
   CHECK(credentialOf({{"X-Credential", "key-1"}, {"X-CREDENTIAL", "key-1"}})
