Front, Gateway: Log each end of a request that was read whole

A connection keeps why it ended. request dropped, and bronzepass_dropped_requests_total, tell of the first; request cut names the reason of the second and, with "the process ends", the third. No decision changes.

--- a/Source/Core/Adapters/Front/FrontConnection.cpp
+++ b/Source/Core/Adapters/Front/FrontConnection.cpp
@@ -112,7 +112,9 @@
   refuse(ServiceUnavailable, "memory is short", RetryAfterShortage);
 }
 
-void FrontConnection::onAnswerLost() { m_Writer->abort(); }
+void FrontConnection::onAnswerLost() {
+  m_Writer->abort(pistache::ConnectionEnd::MemoryShort);
+}
 
 bool FrontConnection::mayRead() {
   resources::CallerMemory *const Memory = m_Server->m_Memory;
@@ -255,13 +257,15 @@
 }
 
 void FrontConnection::dispatchRequest() {
+  FrontRequest Request = m_Parser.take();
   // Fails if the connection's timeout has just expired.
-  if (!m_Writer->tryMarkBusy())
+  if (!m_Writer->tryMarkBusy()) {
+    m_Server->m_Handler.onRequestDropped(Request, m_Writer->end());
     return;
+  }
   m_Answering = true;
   m_AwaitedState = ParserState::Idle;
   m_Loop.setWatchedEvents(m_Fd.get(), 0);
-  FrontRequest Request = m_Parser.take();
   std::shared_ptr<pistache::HttpResponseWriter> Answer =
       std::make_shared<pistache::HttpResponseWriter>(
           m_Writer, Request.m_Http11, Request.m_KeepAlive,
--- a/Source/Core/Adapters/Front/FrontServer.h
+++ b/Source/Core/Adapters/Front/FrontServer.h
@@ -48,6 +48,9 @@
   virtual void
   onRequest(FrontRequest Request,
             std::shared_ptr<pistache::HttpResponseWriter> Answer) = 0;
+  /// Called instead if the connection had ended when the request was complete.
+  virtual void onRequestDropped(const FrontRequest & /*Request*/,
+                                pistache::ConnectionEnd /*End*/) {}
   /// What a refusal by the server itself carries: of a request with the headers
   /// \p Received, none if they were not read.
   virtual std::vector<pistache::HttpHeader>
--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -187,6 +187,7 @@
     while (!Drained && m_Clock.now() < GiveUpAt)
       waitForSignal(StopPeriodNanos);
     const bool Finished = Drained;
+    m_Traffic.logRequestsLeft();
     m_Log.write("process", "end",
                 {{"reason", Finished ? "all requests were answered"
                                      : "the grace period expired"}});
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -55,6 +55,11 @@
                 .Help("Answers whose endpoint said something of itself that "
                       "could not be read")
                 .Register(m_Registry)),
+        m_DroppedRequests(
+            prom::BuildCounter()
+                .Name("bronzepass_dropped_requests_total")
+                .Help("Requests read whole whose connection had ended by then")
+                .Register(m_Registry)),
         m_LinksLost(prom::BuildCounter()
                         .Name("bronzepass_links_lost_total")
                         .Help("Times that the node lost its links to the "
@@ -94,6 +99,7 @@
   prom::Family<prom::Counter> &m_Answers;
   prom::Family<prom::Counter> &m_StoreRestores;
   prom::Family<prom::Counter> &m_UnreadableStatements;
+  prom::Family<prom::Counter> &m_DroppedRequests;
   prom::Family<prom::Counter> &m_LinksLost;
   prom::Family<prom::Histogram> &m_Durations;
   prom::Family<prom::Counter> &m_Refusals;
@@ -159,6 +165,10 @@
   m_Impl->m_UnreadableStatements.Add({}).Increment();
 }
 
+void GatewayMetrics::countDroppedRequest() {
+  m_Impl->m_DroppedRequests.Add({}).Increment();
+}
+
 void GatewayMetrics::countStoreRestore() {
   m_Impl->m_StoreRestores.Add({}).Increment();
 }
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -30,6 +30,8 @@
   void count(const core::gateway::LinksChange &Change);
   /// An endpoint's statement of itself could not be read.
   void countUnreadableStatement();
+  /// The connection of a request that was read whole had ended by then.
+  void countDroppedRequest();
   /// The platform's store has been restored from a backup.
   void countStoreRestore();
   /// Requests of other organisations than these, or beyond the first
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -6,6 +6,7 @@
 #include "Core/Model/Hash.h"
 
 #include <algorithm>
+#include <future>
 #include <utility>
 
 namespace bronzepass::core::adapters::gateway {
@@ -33,6 +34,8 @@
 constexpr model::Duration LivePeersPeriod = std::chrono::milliseconds(500);
 /// Requests to /ready and /metrics have none.
 constexpr uint64_t MaxStatusBodyBytes = 1024;
+/// A loop that is stuck must not hold up the end of the process.
+constexpr std::chrono::milliseconds MaxEndLogTime(100);
 /// What nodes add to the headers of a caller's request.
 constexpr size_t MaxForwardingHeaderBytes = 1024;
 
@@ -405,6 +408,18 @@
   m_Thread.loop().runAfter(TickPeriod, [this] { waitUntilDrained(); });
 }
 
+void GatewayTraffic::logRequestsLeft() {
+  const std::shared_ptr<std::promise<void>> Logged =
+      std::make_shared<std::promise<void>>();
+  m_Thread.loop().post([this, Logged] {
+    m_Driver.decide(
+        [](gateway::RelayCore &Core, model::TimePoint Now,
+           gateway::RelayEffectList &Out) { Core.onProcessEnd(Now, Out); });
+    Logged->set_value();
+  });
+  Logged->get_future().wait_for(MaxEndLogTime);
+}
+
 std::string GatewayTraffic::metricsText() {
   m_GatewayMetrics.setCallerMemory(m_CallerMemory);
   m_GatewayMetrics.setCallerPlaces(m_CallerServer.placesGivenUp(),
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -80,6 +80,8 @@
 
   /// Listens and starts the thread; returns the reason on failure.
   std::optional<std::string> start();
+  /// Logs the requests that are lost with the process; before join().
+  void logRequestsLeft();
   void join() { m_Thread.stop(); }
 
   // May be called from any thread.
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -75,6 +75,17 @@
   accept(std::move(Request), Answer, std::move(Headers), std::nullopt);
 }
 
+void RelayDriver::onRequestDropped(const front::FrontRequest &Request,
+                                   pistache::ConnectionEnd End) {
+  gateway::RelayRequest Dropped;
+  m_Dialect.readRequest(linesOf(Request.m_Headers), Dropped);
+  m_Log.write("request", "dropped",
+              {{"request", Dropped.m_CallerRequestId},
+               {"path", std::string(Request.path())},
+               {"reason", pistache::toString(End)}});
+  m_Metrics.countDroppedRequest();
+}
+
 std::vector<pistache::HttpHeader>
 RelayDriver::refusalHeaders(const std::vector<pistache::HttpHeader> &Received,
                             std::optional<model::Duration> RetryAfter) const {
@@ -141,11 +152,19 @@
       return;
     // Posted because this may be called from inside a write to the caller.
     m_Loop.post([this, Alive, Number] {
-      if (Alive.expired() || !m_Exchanges.contains(Number))
+      if (Alive.expired())
+        return;
+      const auto Left = m_Exchanges.find(Number);
+      if (Left == m_Exchanges.end())
         return;
+      const pistache::ConnectionEnd End =
+          Left->second.m_Answer->connectionEnd();
       decide([&](gateway::RelayCore &Core, model::TimePoint Now,
                  gateway::RelayEffectList &Out) {
-        Core.onCallerDisconnected(Number, Now, Out);
+        if (End == pistache::ConnectionEnd::ByCaller)
+          Core.onCallerDisconnected(Number, Now, Out);
+        else
+          Core.onConnectionClosed(Number, pistache::toString(End), Now, Out);
       });
       m_Exchanges.erase(Number);
     });
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -54,6 +54,8 @@
 
   void onRequest(front::FrontRequest Request,
                  std::shared_ptr<pistache::HttpResponseWriter> Answer) override;
+  void onRequestDropped(const front::FrontRequest &Request,
+                        pistache::ConnectionEnd End) override;
   std::vector<pistache::HttpHeader>
   refusalHeaders(const std::vector<pistache::HttpHeader> &Received,
                  std::optional<model::Duration> RetryAfter) const override;
@@ -89,6 +91,10 @@
     void
     onRequest(front::FrontRequest Request,
               std::shared_ptr<pistache::HttpResponseWriter> Answer) override;
+    void onRequestDropped(const front::FrontRequest &Request,
+                          pistache::ConnectionEnd End) override {
+      m_Driver.onRequestDropped(Request, End);
+    }
 
   private:
     RelayDriver &m_Driver;
--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -17,6 +17,22 @@
 
 } // namespace
 
+const char *toString(ConnectionEnd Value) {
+  switch (Value) {
+  case ConnectionEnd::ByCaller:
+    return "the caller disconnected";
+  case ConnectionEnd::UnreadAnswer:
+    return "the caller reads its answer too slowly";
+  case ConnectionEnd::MemoryShort:
+    return "memory for unread answers is short";
+  case ConnectionEnd::Aborted:
+    return "this node closed the connection";
+  case ConnectionEnd::TimedOut:
+    return "the connection's time is up";
+  }
+  return "";
+}
+
 HttpConnection::HttpConnection(net::EventLoop &Loop, int PeerFd,
                                ConnectionLimits Limits)
     : m_Loop(Loop), m_Fd(::fcntl(PeerFd, F_DUPFD_CLOEXEC, 0)),
@@ -55,10 +71,11 @@
                [Self](uint32_t Events) { Self->onEvents(Events); });
 }
 
-void HttpConnection::close() {
+void HttpConnection::close(ConnectionEnd End) {
   if (!m_Open)
     return;
   m_Open = false;
+  m_End = End;
   stopTimer();
   m_Pending.clear();
   m_Loop.unwatch(m_Fd.get());
@@ -78,7 +95,7 @@
 
 void HttpConnection::onEvents(uint32_t Events) {
   if ((Events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
-    close();
+    close(ConnectionEnd::ByCaller);
     return;
   }
   if ((Events & EPOLLOUT) != 0)
@@ -92,7 +109,7 @@
     const ssize_t Sent = ::send(m_Fd.get(), Bytes.data(), Bytes.size(),
                                 MSG_NOSIGNAL | MSG_DONTWAIT);
     if (Sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
-      close();
+      close(ConnectionEnd::ByCaller);
       return false;
     }
     Bytes.remove_prefix(Sent > 0 ? static_cast<size_t>(Sent) : 0);
@@ -100,12 +117,12 @@
       return true;
   }
   if (m_Pending.size() + Bytes.size() > m_Limits.m_BufferBytes) {
-    close();
+    close(ConnectionEnd::UnreadAnswer);
     return false;
   }
   m_Pending.append(Bytes);
   if (m_OnPending && !m_OnPending(m_Pending.size())) {
-    close();
+    close(ConnectionEnd::MemoryShort);
     return false;
   }
   updateWatch();
@@ -116,7 +133,7 @@
   const ssize_t Sent = ::send(m_Fd.get(), m_Pending.data(), m_Pending.size(),
                               MSG_NOSIGNAL | MSG_DONTWAIT);
   if (Sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
-    close();
+    close(ConnectionEnd::ByCaller);
     return;
   }
   m_Pending.erase(0, Sent > 0 ? static_cast<size_t>(Sent) : 0);
@@ -194,7 +211,7 @@
   ::shutdown(m_Fd.get(), SHUT_WR);
 }
 
-void HttpConnection::abort() { close(); }
+void HttpConnection::abort(ConnectionEnd End) { close(End); }
 
 void HttpConnection::startTimer(std::chrono::milliseconds Delay,
                                 std::function<void()> OnTimeout) {
@@ -212,7 +229,7 @@
     if (OnTimeout)
       OnTimeout();
     else
-      Self->close();
+      Self->close(ConnectionEnd::TimedOut);
   });
 }
 
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -24,6 +24,22 @@
   std::chrono::milliseconds m_KeepAlive = std::chrono::seconds(60);
 };
 
+/// Why a connection has ended.
+enum class ConnectionEnd {
+  /// The caller has closed or reset it.
+  ByCaller,
+  /// The caller reads more slowly than its buffer allows.
+  UnreadAnswer,
+  /// Memory for answers that callers have not read is short.
+  MemoryShort,
+  /// The answer was given up, or the connection was closed by its server.
+  Aborted,
+  /// Nothing came, or was read, within the limit.
+  TimedOut
+};
+
+const char *toString(ConnectionEnd Value);
+
 /// The write side of one connection to a Pistache server, on a duplicate of its
 /// descriptor. Pistache queues responses by descriptor number, which the kernel
 /// may have reused for another caller by then; the duplicate always refers to
@@ -72,8 +88,10 @@
   void setResetOnClose();
   /// Closes the connection and drops the buffered bytes, so that the caller
   /// sees an incomplete response.
-  void abort();
+  void abort(ConnectionEnd End = ConnectionEnd::Aborted);
   bool isOpen() const { return m_Open; }
+  /// Why the connection has ended; meaningful once it has.
+  ConnectionEnd end() const { return m_End; }
   /// False if the process had no descriptor left for the duplicate.
   bool hasDescriptor() const { return m_Fd.valid(); }
   net::EventLoop &loop() { return m_Loop; }
@@ -90,7 +108,7 @@
 
 private:
   void open();
-  void close();
+  void close(ConnectionEnd End);
   void reset();
   void setLingerReset(bool Enabled);
   void onEvents(uint32_t Events);
@@ -109,6 +127,7 @@
   std::atomic<bool> m_Discarding = false;
 
   bool m_Open = false;
+  ConnectionEnd m_End = ConnectionEnd::ByCaller;
   bool m_WasOpened = false;
   bool m_CloseWhenSent = false;
   bool m_ResetOnClose = false;
--- a/Source/Core/Adapters/Pistache/HttpResponseWriter.h
+++ b/Source/Core/Adapters/Pistache/HttpResponseWriter.h
@@ -57,6 +57,8 @@
     m_Connection->whenSent(std::move(OnSent));
   }
 
+  /// Why the connection has ended, in onDisconnect() and after it.
+  ConnectionEnd connectionEnd() const { return m_Connection->end(); }
   bool hasBegun() const { return m_Begun; }
   bool hasEnded() const { return m_Ended; }
   net::EventLoop &loop() { return m_Connection->loop(); }
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -231,11 +231,23 @@
                                      model::TimePoint Now,
                                      RelayEffectList &Out) {
   m_Now = Now;
+  leave(Request, "gone", "the caller disconnected", Out);
+}
+
+void RelayCore::onConnectionClosed(model::RequestId Request,
+                                   const std::string &Reason,
+                                   model::TimePoint Now, RelayEffectList &Out) {
+  m_Now = Now;
+  leave(Request, "cut", Reason, Out);
+}
+
+void RelayCore::leave(model::RequestId Request, const char *Action,
+                      const std::string &Reason, RelayEffectList &Out) {
   const auto Found = m_ActiveRequests.find(Request);
   if (Found == m_ActiveRequests.end())
     return;
   ActiveRequest &Active = Found->second;
-  log(Active, "gone", 0, "the caller disconnected", Out);
+  log(Active, Action, 0, Reason, Out);
   // A request that must run at most once is left to finish: if it were
   // cancelled, its outcome would be unknown.
   const bool MustFinish = Active.m_Attempt && Active.m_Route &&
@@ -250,6 +262,12 @@
   removeRequest(Active);
 }
 
+void RelayCore::onProcessEnd(model::TimePoint Now, RelayEffectList &Out) {
+  m_Now = Now;
+  for (auto &Each : m_ActiveRequests)
+    log(Each.second, "cut", 0, "the process ends", Out);
+}
+
 void RelayCore::cancelSend(ActiveRequest &Active, RelayEffectList &Out) {
   if (const EndpointView *const Endpoint = findEndpoint(Active.m_Endpoint))
     m_Quarantine.onSendCancelled(Active.m_Traits, Endpoint->m_Key,
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -83,6 +83,12 @@
                          RelayEffectList &Out);
   void onCallerDisconnected(model::RequestId Request, model::TimePoint Now,
                             RelayEffectList &Out);
+  /// This node has closed the caller's connection before the answer was
+  /// complete.
+  void onConnectionClosed(model::RequestId Request, const std::string &Reason,
+                          model::TimePoint Now, RelayEffectList &Out);
+  /// The process ends: requests that are still active are lost with it.
+  void onProcessEnd(model::TimePoint Now, RelayEffectList &Out);
   /// The head of a send's answer was received.
   void onAnswerHead(model::AttemptId Attempt,
                     const EndpointStatement &Statement, model::TimePoint Now,
@@ -261,6 +267,9 @@
   void abortAnswer(ActiveRequest &Active, const std::string &Reason,
                    RelayEffectList &Out);
   void removeRequest(ActiveRequest &Active);
+  /// Nobody can receive the answer any more.
+  void leave(model::RequestId Request, const char *Action,
+             const std::string &Reason, RelayEffectList &Out);
   /// Ends the send in flight, of which nobody awaits the answer any more.
   void cancelSend(ActiveRequest &Active, RelayEffectList &Out);
   void log(ActiveRequest &Active, const char *Action, int Status,
--- a/Source/Core/Logs/RequestTimeline.cpp
+++ b/Source/Core/Logs/RequestTimeline.cpp
@@ -22,7 +22,7 @@
 bool isOutcome(const LogLine &Line) {
   const std::string &Action = Line.m_Action;
   return Action == "answer" || Action == "refuse" || Action == "cut" ||
-         Action == "gone" || Action == "end";
+         Action == "gone" || Action == "end" || Action == "dropped";
 }
 
 /// Collects the lines that name a request and related lines around that time.
