--- a/Source/UnitTests/Adapters/Http/HttpClient.cpp
+++ b/Source/UnitTests/Adapters/Http/HttpClient.cpp
@@ -121,6 +121,14 @@
   return true;
 }
 
+bool RawConnection::readAtLeast(size_t Bytes) {
+  const size_t Wanted = m_Text.size() + Bytes;
+  while (m_Text.size() < Wanted)
+    if (!readSome())
+      return false;
+  return true;
+}
+
 bool RawConnection::readToEnd() {
   while (readSome())
     continue;
--- a/Source/UnitTests/Adapters/Http/HttpClient.h
+++ b/Source/UnitTests/Adapters/Http/HttpClient.h
@@ -45,6 +45,9 @@
   /// Reads until \p Marker is received (true), or until the connection ends or
   /// TestTimeout expires (false).
   bool readUntil(const std::string &Marker);
+  /// Reads until \p Bytes more are received; false if the connection ends or
+  /// TestTimeout expires before.
+  bool readAtLeast(size_t Bytes);
   /// Reads until the server closes the connection; false if it does not.
   bool readToEnd();
   /// The connection ended with a reset instead of a clean close.
