Front: Read what waits before a connection's limit ends it

The timer of the idle limit closed the connection although the request had arrived while the loop was busy; its bytes were then read all the same, and the complete request was dropped since the connection counted as busy. Beside a change of the configuration that is likely: it shortens the limit, and costs a small node its processor for as long as a request rests in the kernel. The header limit had the same cause: a head that had come in time got 408.

When a limit ends, the connection reads first what waits. A request that is complete is answered, one that has begun gets its own limits, a head that is still incomplete is refused, and only a connection without anything is closed. A body is bounded by its whole limit, whatever waits.

--- a/Source/Core/Adapters/Front/FrontConnection.cpp
+++ b/Source/Core/Adapters/Front/FrontConnection.cpp
@@ -46,7 +46,12 @@
     return !Self || !Self->m_Server || !Self->m_Server->m_Memory ||
            Self->m_Server->m_Memory->holdAnswer(*Self, Bytes);
   });
-  m_Writer->expectInput(m_Server->m_Limits.m_IdleTimeout, nullptr);
+  const auto OnIdleLimit = [Weak] {
+    if (const std::shared_ptr<FrontConnection> Self = Weak.lock())
+      Self->onIdleLimit();
+  };
+  m_Writer->setOnKeepAliveEnd(OnIdleLimit);
+  m_Writer->expectInput(m_Server->m_Limits.m_IdleTimeout, OnIdleLimit);
   return m_Loop.watch(m_Fd.get(), EPOLLIN, [Weak](uint32_t Events) {
     if (const std::shared_ptr<FrontConnection> Self = Weak.lock())
       Self->onReadable(Events);
@@ -54,10 +59,13 @@
 }
 
 bool FrontConnection::isIdle() const {
-  if (m_Answering || m_Parser.state() != ParserState::Idle)
-    return false;
+  return !m_Answering && m_Parser.state() == ParserState::Idle &&
+         !hasUnreadInput();
+}
+
+bool FrontConnection::hasUnreadInput() const {
   char Byte = 0;
-  return ::recv(m_Fd.get(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+  return ::recv(m_Fd.get(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void FrontConnection::close() {
@@ -246,16 +254,43 @@
   m_Writer->expectInput(
       State == ParserState::Headers ? Limits.m_HeaderTimeout : BodyTime,
       [Weak] {
-        const std::shared_ptr<FrontConnection> Self = Weak.lock();
-        if (!Self)
-          return;
-        // The writer's timer has marked the connection busy.
-        Self->m_Writer->clearBusy();
-        Self->refuse(RequestTimeout, "the request did not come in time",
-                     std::nullopt);
+        if (const std::shared_ptr<FrontConnection> Self = Weak.lock())
+          Self->onInputLimit();
       });
 }
 
+void FrontConnection::onIdleLimit() {
+  // The writer's timer has marked the connection busy.
+  m_Writer->clearBusy();
+  if (!m_Fd.valid())
+    return;
+  // The loop may have been busy while a request arrived.
+  if (hasUnreadInput())
+    onReadable(EPOLLIN);
+  const bool HasBegun = m_Answering || m_Parser.state() != ParserState::Idle ||
+                        m_Writer->isDiscarding();
+  if (m_Fd.valid() && !HasBegun && !m_IsCharged)
+    close();
+}
+
+void FrontConnection::onInputLimit() {
+  m_Writer->clearBusy();
+  if (!m_Fd.valid())
+    return;
+  const ParserState Awaited = m_Parser.state();
+  const bool HasMore = hasUnreadInput();
+  if (HasMore)
+    onReadable(EPOLLIN);
+  if (!m_Fd.valid() || m_Answering || m_Writer->isDiscarding() ||
+      m_Parser.state() != Awaited)
+    return;
+  // Each piece of a body extends its limit, up to that of the whole body.
+  if (Awaited == ParserState::Body && HasMore &&
+      std::chrono::steady_clock::now() < m_BodyDeadline)
+    return;
+  refuse(RequestTimeout, "the request did not come in time", std::nullopt);
+}
+
 void FrontConnection::dispatchRequest() {
   FrontRequest Request = m_Parser.take();
   // Fails if the connection's timeout has just expired.
--- a/Source/Core/Adapters/Front/FrontConnection.h
+++ b/Source/Core/Adapters/Front/FrontConnection.h
@@ -44,7 +44,13 @@
 
   void onReadable(uint32_t Events);
   void parseInput(std::string_view Bytes);
+  /// Whether received bytes wait in the kernel.
+  bool hasUnreadInput() const;
   void awaitMoreInput();
+  /// The time for the next request is up.
+  void onIdleLimit();
+  /// The time for the rest of a request is up.
+  void onInputLimit();
   void dispatchRequest();
   void rejectRequest();
   void refuse(int Status, const std::string &Reason,
--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -175,7 +175,10 @@
   if (!m_Open)
     return;
   m_CloseWhenSent = Close;
-  startTimer(Close ? LingerTime : m_Limits.m_KeepAlive, nullptr);
+  if (Close)
+    startTimer(LingerTime, nullptr);
+  else
+    startTimer(m_Limits.m_KeepAlive, m_OnKeepAliveEnd);
   if (Close && m_Pending.empty())
     shutdownWrites();
   if (m_OnIdle)
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -73,6 +73,11 @@
   /// Calls \p OnIdle each time a response has ended, so that reading from the
   /// connection continues.
   void setOnIdle(std::function<void()> OnIdle) { m_OnIdle = std::move(OnIdle); }
+  /// Called instead of closing the connection when no next request has come in
+  /// time.
+  void setOnKeepAliveEnd(std::function<void()> OnEnd) {
+    m_OnKeepAliveEnd = std::move(OnEnd);
+  }
   /// Calls \p OnPending with the number of bytes that are buffered for the
   /// caller each time it changes. False: the connection is closed.
   void setOnPending(std::function<bool(size_t)> OnPending) {
@@ -134,6 +139,7 @@
   std::string m_Pending;
   std::function<void()> m_OnDisconnect;
   std::function<void()> m_OnIdle;
+  std::function<void()> m_OnKeepAliveEnd;
   std::function<bool(size_t)> m_OnPending;
   std::vector<std::function<void()>> m_OnSent;
   bool m_TimerRuns = false;
