Pistache: A caller that reads slowly gets the whole answer

A caller that had not read its answer within 2 s of its end (where the connection closes, as in a stop) or within the idle limit lost the rest of it: the timer that awaits the next request, or the caller's own close, started while bytes were still to be sent, and dropped them.

That timer now starts when the last byte is handed to the kernel. Until then the connection ends only if its caller takes no byte for the idle limit, 2 s at least; memory for unread answers stays bounded by its budget.

--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "Core/Adapters/Pistache/HttpConnection.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -11,8 +12,7 @@
 
 namespace {
 
-/// How long a caller may take to read the last response before the connection
-/// is closed.
+/// How long a caller may take to close its side after the last response.
 constexpr std::chrono::milliseconds LingerTime = std::chrono::seconds(2);
 
 } // namespace
@@ -143,10 +143,13 @@
   if (m_OnPending)
     m_OnPending(m_Pending.size());
   updateWatch();
-  if (!m_Pending.empty())
+  if (!m_Pending.empty()) {
+    if (m_TimesSending && Sent > 0)
+      startSendingTimer();
     return;
-  if (m_CloseWhenSent)
-    shutdownWrites();
+  }
+  if (m_CloseWhenSent || m_TimesSending)
+    awaitNextRequest();
   notifySent();
 }
 
@@ -175,16 +178,28 @@
   if (!m_Open)
     return;
   m_CloseWhenSent = Close;
-  if (Close)
-    startTimer(LingerTime, nullptr);
+  if (m_Pending.empty())
+    awaitNextRequest();
   else
-    startTimer(m_Limits.m_KeepAlive, m_OnKeepAliveEnd);
-  if (Close && m_Pending.empty())
-    shutdownWrites();
+    startSendingTimer();
   if (m_OnIdle)
     m_OnIdle();
 }
 
+void HttpConnection::startSendingTimer() {
+  startTimer(std::max(LingerTime, m_Limits.m_KeepAlive), nullptr);
+  m_TimesSending = true;
+}
+
+void HttpConnection::awaitNextRequest() {
+  if (!m_CloseWhenSent) {
+    startTimer(m_Limits.m_KeepAlive, m_OnKeepAliveEnd);
+    return;
+  }
+  startTimer(LingerTime, nullptr);
+  shutdownWrites();
+}
+
 void HttpConnection::setResetOnClose() {
   m_ResetOnClose = true;
   setLingerReset(true);
@@ -226,6 +241,7 @@
     if (!Self)
       return;
     Self->m_TimerRuns = false;
+    Self->m_TimesSending = false;
     // A request that was received at the same time keeps the connection open.
     if (!Self->tryMarkBusy())
       return;
@@ -237,6 +253,7 @@
 }
 
 void HttpConnection::stopTimer() {
+  m_TimesSending = false;
   if (m_TimerRuns)
     m_Loop.cancel(m_Timer);
   m_TimerRuns = false;
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -120,6 +120,10 @@
   void flush();
   void updateWatch();
   void notifySent();
+  /// Closes the connection if its caller takes no byte for long.
+  void startSendingTimer();
+  /// The answer has ended and nothing of it is left to be sent.
+  void awaitNextRequest();
   void shutdownWrites();
   void startTimer(std::chrono::milliseconds Delay,
                   std::function<void()> OnTimeout);
@@ -143,6 +147,8 @@
   std::function<bool(size_t)> m_OnPending;
   std::vector<std::function<void()>> m_OnSent;
   bool m_TimerRuns = false;
+  /// The timer that runs is that of startSendingTimer().
+  bool m_TimesSending = false;
   net::EventLoop::TimerId m_Timer;
 };
 
