Gateway: A stop ends each request before the process ends

Another system's operators saw requests that came late in a stop cut with no answer, among them some that may run once.

Nothing bounded a request by the end of the stop: those that came in the first 3 s were taken with their whole deadline, held, made to wait for a quota, sent and tried again at any time, and what was left ended with the process.

A stop now has an end for requests, 300 ms before that of the process. Deadlines, and the time that engines are told, reach no further. At the end, those in flight get 504, those that began are cut with a line, 0.7 s before the grace is over, so that an engine at work is not cut sooner than it has to be.

--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -27,6 +27,10 @@
 constexpr long StopPeriodNanos = 20'000'000;
 /// Part of the grace period that is reserved for ending the process itself.
 constexpr model::Duration GraceMargin = std::chrono::milliseconds(400);
+/// Part before that in which the last answers and refusals are written, and at
+/// most the grace period divided by this.
+constexpr model::Duration AnswerMargin = std::chrono::milliseconds(300);
+constexpr int AnswerMarginDivisor = 20;
 /// The lame-duck phase takes at most the grace period divided by this.
 constexpr int LameDuckDivisor = 2;
 /// A lease holder stops acting before its term ends, by the term divided by
@@ -167,8 +171,9 @@
     // Addresses and names are fixed while the process runs; differences are
     // only logged.
     m_Log.write("process", "reload",
-                {{"reason", Changed ? "the settings changed; they take effect "
-                                      "at the next start"
+                {{"reason", Changed ? "the settings changed; those of a stop "
+                                      "take effect now, the others at the "
+                                      "next start"
                                     : "the settings have not changed"}});
     if (Changed)
       m_Settings = *NewSettings;
@@ -182,7 +187,9 @@
     const model::TimePoint GiveUpAt = m_Clock.now() + Grace - GraceMargin;
     std::atomic<bool> Drained = false;
     std::atomic<bool> Released = false;
-    m_Traffic.stop(LameDuck, [&Drained] { Drained = true; });
+    const model::TimePoint AnsweredBy =
+        GiveUpAt - std::min(AnswerMargin, Grace / AnswerMarginDivisor);
+    m_Traffic.stop(LameDuck, AnsweredBy, [&Drained] { Drained = true; });
     m_Control.stop([&Released] { Released = true; });
     while (!Drained && m_Clock.now() < GiveUpAt)
       waitForSignal(StopPeriodNanos);
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -379,14 +379,18 @@
   });
 }
 
-void GatewayTraffic::stop(model::Duration LameDuck,
+void GatewayTraffic::stop(model::Duration LameDuck, model::TimePoint End,
                           std::function<void()> OnDrained) {
-  m_Thread.loop().post([this, LameDuck, OnDrained = std::move(OnDrained)] {
+  m_Thread.loop().post([this, LameDuck, End, OnDrained = std::move(OnDrained)] {
     if (m_Stopping)
       return;
     m_Stopping = true;
     m_OnDrained = OnDrained;
     m_Driver.closeConnectionsAfterAnswers();
+    m_Driver.decide([End](gateway::RelayCore &Core, model::TimePoint Now,
+                          gateway::RelayEffectList &Out) {
+      Core.beginStop(End, Now, Out);
+    });
     m_Thread.loop().runAfter(LameDuck, [this] {
       m_Core.stopAccepting();
       m_CallerServer.closeIdle();
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -102,8 +102,10 @@
   void setStreamRecordSlot(std::optional<uint32_t> Slot);
   void countStoreRestore() { m_GatewayMetrics.countStoreRestore(); }
   /// Reports not ready from now on, accepts no new requests after \p LameDuck,
-  /// and calls \p OnDrained once every request has been answered.
-  void stop(model::Duration LameDuck, std::function<void()> OnDrained);
+  /// ends those that are left at \p End, and calls \p OnDrained once every
+  /// request has been answered.
+  void stop(model::Duration LameDuck, model::TimePoint End,
+            std::function<void()> OnDrained);
 
 private:
   class StatusHandler;
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -243,6 +243,8 @@
 }
 
 void RelayCore::dispatch(ActiveRequest &Active, RelayEffectList &Out) {
+  if (rejectBeyondStop(Active, Out))
+    return;
   if (rejectUnauthorised(Active, Out))
     return;
   if (rejectQuarantined(Active, Out))
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -16,7 +16,6 @@
 constexpr uint32_t PrefixIndexEntries = 16384;
 /// For callers of a stopping node: by then the load balancer sends them to
 /// another node.
-constexpr model::Duration StoppingRetryAfter = std::chrono::milliseconds(50);
 constexpr model::Duration NotReadyRetryAfter = std::chrono::milliseconds(500);
 /// A batch prefills about this many prompt tokens in the time of one decode
 /// step, so prompt and output tokens can be counted in the same unit.
@@ -182,7 +181,7 @@
   if (rejectUnauthorised(Active, Out))
     return;
   if (m_Stopping) {
-    reject(Active, ServiceUnavailable, jittered(StoppingRetryAfter),
+    reject(Active, ServiceUnavailable, stoppingRetryAfter(Active),
            "this node is stopping", Out);
     return;
   }
@@ -193,6 +192,8 @@
                                : m_Settings.m_DefaultWindow;
   Window = std::min(Window, Asked.m_Window.value_or(Window));
   Active.m_Deadline = Asked.m_BeganAt + Window;
+  if (m_StopEnd)
+    Active.m_Deadline = std::min(Active.m_Deadline, *m_StopEnd);
   m_Deadlines.emplace(Active.m_Deadline, Number);
   Active.m_PromptHashes = promptHashes(Asked);
   Active.m_Traits = traitsOf(Asked);
@@ -282,6 +283,7 @@
   decideUnconfirmed(Now - ConfirmationTimeout, false, Out);
   while (!m_Deadlines.empty() && m_Deadlines.begin()->first <= Now)
     expire(m_ActiveRequests.at(m_Deadlines.begin()->second), Out);
+  rejectWaitingBeyondStop(Out);
   for (auto Peer = m_Peers.begin(); Peer != m_Peers.end();) {
     if (Now - Peer->second.m_At < m_Settings.m_MaxPeerLoadAge) {
       ++Peer;
@@ -317,12 +319,17 @@
     }
     cancelSend(Active, Out);
   }
+  const char *const Reason = isBoundByStop(Active)
+                                 ? "the time of this node's stop is up"
+                                 : "its time is up";
   if (Active.m_CallerDisconnected)
     removeRequest(Active);
   else if (Active.m_ForwardingStarted)
-    abortAnswer(Active, "its time is up", Out);
+    abortAnswer(Active, Reason, Out);
   else if (Active.m_PossibleRuns > 0 || Active.m_Attempt)
-    reject(Active, GatewayTimeout, std::nullopt, "its time is up", Out);
+    reject(Active, GatewayTimeout, std::nullopt, Reason, Out);
+  else if (isBoundByStop(Active))
+    reject(Active, ServiceUnavailable, stoppingRetryAfter(Active), Reason, Out);
   else
     reject(Active, ServiceUnavailable, jittered(NotReadyRetryAfter),
            "its time is up before it was sent", Out);
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -76,6 +76,10 @@
   organisations::QuotaPlans quotaPlans() const;
   void onQuotaAnswer(const organisations::QuotaNotice &Notice,
                      model::TimePoint Now, RelayEffectList &Out);
+  /// The process ends after \p End: by then each request is answered, refused
+  /// or cut, and none is sent whose answer is not expected before.
+  void beginStop(model::TimePoint End, model::TimePoint Now,
+                 RelayEffectList &Out);
   /// Refuses all requests received from now on.
   void stopAccepting() { m_Stopping = true; }
 
@@ -279,6 +283,23 @@
   /// Rejects or ends the request if one of its traits is in quarantine.
   bool rejectQuarantined(ActiveRequest &Active, RelayEffectList &Out);
 
+  // RelayStop.cpp: requests of a node that stops.
+  /// Whether the answer to the request, if it is sent now, is expected after
+  /// the end of the stop.
+  bool endsBeyondStop(const ActiveRequest &Active) const;
+  /// Refuses the request if it has not run and endsBeyondStop().
+  bool rejectBeyondStop(ActiveRequest &Active, RelayEffectList &Out);
+  /// The same for all requests that wait.
+  void rejectWaitingBeyondStop(RelayEffectList &Out);
+  /// Whether its time was cut short by the stop.
+  bool isBoundByStop(const ActiveRequest &Active) const {
+    return m_StopEnd && Active.m_Deadline == *m_StopEnd;
+  }
+  /// For a caller that finds another node at once; nullopt for another node,
+  /// which decides itself.
+  std::optional<model::Duration>
+  stoppingRetryAfter(const ActiveRequest &Active) const;
+
   // RelayAccess.cpp: whose a request is, and whether it may be sent.
   /// Rejects or ends the request if it may not be sent now. Called when it is
   /// received and before each send.
@@ -459,6 +480,8 @@
   // The time passed to the current call.
   model::TimePoint m_Now;
   bool m_Stopping = false;
+  /// Set once the node stops.
+  std::optional<model::TimePoint> m_StopEnd;
   bool m_HasEndpoints = false;
 
   ActiveRequestMap m_ActiveRequests;
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -184,6 +184,8 @@
   if (Active.m_CallerDisconnected || Active.m_Sends >= m_Settings.m_MaxSends ||
       Active.m_Deadline - m_Now < m_Settings.m_MinTimeForRetry)
     return false;
+  if (!Active.m_ForwardingStarted && endsBeyondStop(Active))
+    return false;
   if (!m_Quarantine.allowsRetry(Active.m_Traits.m_Fingerprint))
     return false;
   // The other node has tried what may be tried.
