Settings: A stopping gateway node takes requests for 2.5 s

A balancer that asks once a second takes a node out after two misses; a request that comes at 3 s, or later at a node whose timers run late, has less left of a grace of 8 s than a long stream takes.

--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -132,7 +132,7 @@
 inline const Setting<model::Duration> StopLameDuck{
     "stop",
     "lame-duck",
-    3s,
+    2500ms,
     0s,
     600s,
     "How long a stopping node still takes requests, so that the balancer sees "
