Gateway: A request that is sent waits for nothing any more

A request that had waited for an adapter, or was held, and then for the holder of quotas stood in two sets. When a change of the configuration took its quota away, or its links were lost, it was sent or forwarded from the one and stayed in the other: 20 ms later it was decided anew while it was in flight. A request that may run once was sent twice, to two endpoints, and what came last of the two went to nobody; or it was refused as not run while it ran.

send() and forward() now end every kind of waiting in one place, which removeRequest() uses too.

--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -358,10 +358,8 @@
                      RelayEffectList &Out) {
   const bool First = Active.m_Sends == 0;
   ++Active.m_Sends;
-  Active.m_WaitsUntil.reset();
-  m_Waiting.erase(Active.m_Request.m_Number);
   m_Held.onSent(Active.m_Request.m_Number, m_Now);
-  releaseHold(Active);
+  endWaiting(Active);
   Active.m_Attempt = {++m_LastAttempt};
   Active.m_Endpoint = Endpoint.m_Entry.m_Id;
   Active.m_ForwardedTo.reset();
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -355,11 +355,18 @@
   endSend(Active);
   const model::RequestId Number = Active.m_Request.m_Number;
   m_Deadlines.erase({Active.m_Deadline, Number});
+  endWaiting(Active);
+  m_ActiveRequests.erase(Number);
+}
+
+void RelayCore::endWaiting(ActiveRequest &Active) {
+  const model::RequestId Number = Active.m_Request.m_Number;
+  Active.m_WaitsUntil.reset();
+  Active.m_QuotaWaitEnd.reset();
   m_Waiting.erase(Number);
   m_Unconfirmed.erase(Number);
   m_QuotaWaiting.erase(Number);
   releaseHold(Active);
-  m_ActiveRequests.erase(Number);
 }
 
 RelayLogEntry::Content RelayCore::contentOf(const ActiveRequest &Active) {
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -271,6 +271,8 @@
   void abortAnswer(ActiveRequest &Active, const std::string &Reason,
                    RelayEffectList &Out);
   void removeRequest(ActiveRequest &Active);
+  /// The request waits for nothing any more: it is sent, forwarded or ended.
+  void endWaiting(ActiveRequest &Active);
   /// Nobody can receive the answer any more.
   void leave(model::RequestId Request, const char *Action,
              const std::string &Reason, RelayEffectList &Out);
--- a/Source/Core/Gateway/RelayForwarding.cpp
+++ b/Source/Core/Gateway/RelayForwarding.cpp
@@ -84,9 +84,7 @@
   const uint32_t RunsLeft = std::max(
       1U, maxRuns(Active) - std::min(maxRuns(Active), Active.m_PossibleRuns));
   ++Active.m_Sends;
-  Active.m_WaitsUntil.reset();
-  m_Waiting.erase(Active.m_Request.m_Number);
-  releaseHold(Active);
+  endWaiting(Active);
   Active.m_Attempt = {++m_LastAttempt};
   Active.m_Endpoint = {};
   Active.m_ForwardedTo = ForwardedSend{Peer, RunsLeft, {}, {}};
--- a/Source/UnitTests/Gateway/RelayQuotaTest.cpp
+++ b/Source/UnitTests/Gateway/RelayQuotaTest.cpp
@@ -22,15 +22,18 @@
     Lab.m_Quota = organisations::QuotaSpec{
         organisations::QuotaSpec::Unit::Requests, 10, 10, 0};
     Config.m_Organisations = {{Lab}};
+    Config.m_Routes.back().m_IsOpen = true;
     m_Core.setTable(std::make_shared<gateway::RouteTable>(Config));
     m_Organisation = organisations::quotaKeyOf(Lab);
   }
 
-  void askWithKey() {
+  void askWithKey(const std::string &Path = "/again/x",
+                  const gateway::ModelRef &Model = {}) {
     gateway::RelayRequest Request;
     Request.m_Number = {++m_Last};
     Request.m_Host = "h";
-    Request.m_Path = "/again/x";
+    Request.m_Path = Path;
+    Request.m_ModelRef = Model;
     Request.m_BeganAt = m_Now;
     Request.m_Credential = {organisations::Credential::State::Present,
                             organisations::digestOf("key")};
@@ -64,8 +67,66 @@
   uint64_t m_Organisation = 0;
 };
 
+/// Its request has waited for an adapter, which is there now, and waits for the
+/// holder of quotas.
+class TwofoldWaitFixture : public QuotaFixture {
+public:
+  TwofoldWaitFixture() {
+    askWithKey("/once/x", {"m", "a2"});
+    REQUIRE(count<gateway::CopyRequest>() == 1);
+    listEndpointsAgain();
+    REQUIRE(count<gateway::AskQuotas>() == 1);
+    REQUIRE(count<gateway::SendRequest>() == 0);
+  }
+
+  void listEndpointsAgain() {
+    for (gateway::EndpointEntry &Each : m_Entries)
+      Each.m_Models = {{"m", {"a1", "a2"}}};
+    setEndpoints(m_Entries);
+  }
+};
+
 } // namespace
 
+// Guards against a second send of a request that still counts as waiting.
+TEST_CASE("a request that waits twofold is sent once when a configuration "
+          "takes its quota away") {
+  TwofoldWaitFixture Fixture;
+  Fixture.configure(3);
+  Fixture.listEndpointsAgain();
+  CHECK(Fixture.count<gateway::SendRequest>() == 1);
+  Fixture.advance(std::chrono::milliseconds(20));
+  CHECK(Fixture.count<gateway::SendRequest>() == 1);
+}
+
+// Guards against a second node for a request that still counts as waiting.
+TEST_CASE("a request that waits twofold is forwarded once when links are "
+          "lost") {
+  TwofoldWaitFixture Fixture;
+  for (const char *const Peer : {"p", "q"}) {
+    gateway::PeerNotice Notice;
+    Notice.m_From = model::NodeId(Peer);
+    Notice.m_Start = 1;
+    Notice.m_Sequence = 1;
+    Notice.m_ForwardingPort = 1;
+    Notice.m_SenderIp = "10.0.0.2";
+    Fixture.m_Core.onPeerNotice(Notice, Fixture.m_Now, Fixture.m_Out);
+  }
+  // Connections to neither endpoint can be opened.
+  for (int Probe = 0; Probe < 8; ++Probe) {
+    Fixture.ask("/resume/x");
+    for (const gateway::SendRequest &Each :
+         Fixture.take<gateway::SendRequest>())
+      Fixture.finishSend(Each.m_Attempt, gateway::SendResult::NotSent, 0);
+  }
+  Fixture.take<gateway::SendRequest>();
+  Fixture.listEndpointsAgain();
+  const size_t Sends = Fixture.count<gateway::SendRequest>();
+  CHECK(Sends == 1);
+  Fixture.advance(std::chrono::milliseconds(20));
+  CHECK(Fixture.count<gateway::SendRequest>() == Sends);
+}
+
 TEST_CASE("a request of an organisation with a quota waits for a grant") {
   QuotaFixture Fixture;
   Fixture.askWithKey();
