Gateway: A stream that goes on takes no quota again

A stream that had begun, and whose engine broke off, was cut if its organisation's quota had been lowered or spent meanwhile: going on at another engine took the quota a second time, first waited for the holder, and lost what the caller had received. Its tokens were taken when it began; a resumption takes none now.

RelayQuotaTest, "a stream that broke off goes on though the quota is spent": no resumption before, one after.

--- a/Source/Core/Gateway/RelayQuota.cpp
+++ b/Source/Core/Gateway/RelayQuota.cpp
@@ -25,7 +25,9 @@
 
 bool RelayCore::takeQuota(ActiveRequest &Active, RelayEffectList &Out) {
   using Result = organisations::QuotaDecision::Result;
-  if (!Active.m_Organisation || !m_Quotas.isNeeded())
+  // A stream that goes on was paid for when it began.
+  if (!Active.m_Organisation || !m_Quotas.isNeeded() ||
+      Active.m_ForwardingStarted)
     return true;
   const bool IsNew = !Active.m_QuotaWaitEnd;
   const organisations::QuotaDecision Decision =
@@ -49,9 +51,7 @@
       return false;
     }
   }
-  if (Active.m_ForwardingStarted)
-    abortAnswer(Active, QuotaReason, Out);
-  else if (Active.m_PossibleRuns > 0)
+  if (Active.m_PossibleRuns > 0)
     finishUnsuccessful(
         Active, {SendResult::Broken, 0, false, Active.m_LastFailure}, Out);
   else
--- a/Source/UnitTests/Gateway/RelayQuotaTest.cpp
+++ b/Source/UnitTests/Gateway/RelayQuotaTest.cpp
@@ -22,7 +22,7 @@
     Lab.m_Quota = organisations::QuotaSpec{
         organisations::QuotaSpec::Unit::Requests, 10, 10, 0};
     Config.m_Organisations = {{Lab}};
-    Config.m_Routes.back().m_IsOpen = true;
+    Config.m_Routes[2].m_IsOpen = true;
     m_Core.setTable(std::make_shared<gateway::RouteTable>(Config));
     m_Organisation = organisations::quotaKeyOf(Lab);
   }
@@ -114,7 +114,7 @@
   }
   // Connections to neither endpoint can be opened.
   for (int Probe = 0; Probe < 8; ++Probe) {
-    Fixture.ask("/resume/x");
+    Fixture.ask("/stream/x");
     for (const gateway::SendRequest &Each :
          Fixture.take<gateway::SendRequest>())
       Fixture.finishSend(Each.m_Attempt, gateway::SendResult::NotSent, 0);
@@ -127,6 +127,26 @@
   CHECK(Fixture.count<gateway::SendRequest>() == Sends);
 }
 
+// Guards against cutting a stream that its organisation has paid for.
+TEST_CASE("a stream that broke off goes on though the quota is spent") {
+  QuotaFixture Fixture;
+  Fixture.askWithKey("/resume/x");
+  Fixture.grant(1);
+  const std::vector<gateway::SendRequest> Sent =
+      Fixture.take<gateway::SendRequest>();
+  REQUIRE(Sent.size() == 1);
+  const model::AttemptId Attempt = Sent.front().m_Attempt;
+  Fixture.m_Core.onAnswerChunk(Attempt, Fixture.m_Now);
+  Fixture.m_Core.onAnswerForwarded({Fixture.m_Last}, Fixture.m_Now);
+  Fixture.finishSend(Attempt, gateway::SendResult::Broken, 0);
+  const std::vector<gateway::SendRequest> Resumed =
+      Fixture.take<gateway::SendRequest>();
+  REQUIRE(Resumed.size() == 1);
+  CHECK(Resumed.front().m_Resume);
+  Fixture.advance(std::chrono::milliseconds(80));
+  CHECK(Fixture.count<gateway::AbortAnswer>() == 0);
+}
+
 TEST_CASE("a request of an organisation with a quota waits for a grant") {
   QuotaFixture Fixture;
   Fixture.askWithKey();
