Front: A raised idle limit holds for connections that rest

When a configuration raised the idle limit, callers used kept connections for up to four fifths of the new one, but each connection still ended by the limit of its last answer: their requests crossed the close, and one that may not be repeated cost its caller an attempt. When its limit ends, a connection now goes on for what the newest limit leaves.

ConnectionLimitTests, "a connection rests for the new idle limit when that is raised": 0 of 2 requests answered before, 2 of 2 after.

--- a/Source/Core/Adapters/Front/FrontConnection.cpp
+++ b/Source/Core/Adapters/Front/FrontConnection.cpp
@@ -31,7 +31,7 @@
               .m_BufferBytes = Server.m_Limits.m_MaxUnsentBytes,
               .m_KeepAlive = Server.m_Limits.m_IdleTimeout})),
       m_Parser(Server.m_Limits.m_Parser), m_Address(Address),
-      m_MovedAt(FrontServer::now()) {}
+      m_MovedAt(FrontServer::now()), m_IdleSince(m_MovedAt) {}
 
 bool FrontConnection::start() {
   if (!m_Writer->hasDescriptor())
@@ -46,12 +46,11 @@
     return !Self || !Self->m_Server || !Self->m_Server->m_Memory ||
            Self->m_Server->m_Memory->holdAnswer(*Self, Bytes);
   });
-  const auto OnIdleLimit = [Weak] {
+  m_Writer->setOnKeepAliveEnd([Weak] {
     if (const std::shared_ptr<FrontConnection> Self = Weak.lock())
       Self->onIdleLimit();
-  };
-  m_Writer->setOnKeepAliveEnd(OnIdleLimit);
-  m_Writer->expectInput(m_Server->m_Limits.m_IdleTimeout, OnIdleLimit);
+  });
+  awaitNextRequest(m_Server->m_Limits.m_IdleTimeout);
   return m_Loop.watch(m_Fd.get(), EPOLLIN, [Weak](uint32_t Events) {
     if (const std::shared_ptr<FrontConnection> Self = Weak.lock())
       Self->onReadable(Events);
@@ -259,11 +258,28 @@
       });
 }
 
+void FrontConnection::awaitNextRequest(std::chrono::milliseconds Limit) {
+  const std::weak_ptr<FrontConnection> Weak = weak_from_this();
+  m_Writer->expectInput(Limit, [Weak] {
+    if (const std::shared_ptr<FrontConnection> Self = Weak.lock())
+      Self->onIdleLimit();
+  });
+}
+
 void FrontConnection::onIdleLimit() {
   // The writer's timer has marked the connection busy.
   m_Writer->clearBusy();
-  if (!m_Fd.valid())
+  if (!m_Fd.valid() || !m_Server)
     return;
+  // The limit may have been raised meanwhile.
+  const std::chrono::milliseconds Left =
+      m_Server->m_Limits.m_IdleTimeout -
+      std::chrono::floor<std::chrono::milliseconds>(FrontServer::now() -
+                                                    m_IdleSince);
+  if (Left.count() > 0) {
+    awaitNextRequest(Left);
+    return;
+  }
   // The loop may have been busy while a request arrived.
   if (hasUnreadInput())
     onReadable(EPOLLIN);
@@ -338,6 +354,7 @@
     return;
   releaseMemory();
   m_MovedAt = FrontServer::now();
+  m_IdleSince = m_MovedAt;
   m_Loop.setWatchedEvents(m_Fd.get(), EPOLLIN);
   if (m_Writer->isDiscarding())
     return;
--- a/Source/Core/Adapters/Front/FrontConnection.h
+++ b/Source/Core/Adapters/Front/FrontConnection.h
@@ -47,6 +47,7 @@
   /// Whether received bytes wait in the kernel.
   bool hasUnreadInput() const;
   void awaitMoreInput();
+  void awaitNextRequest(std::chrono::milliseconds Limit);
   /// The time for the next request is up.
   void onIdleLimit();
   /// The time for the rest of a request is up.
@@ -73,6 +74,8 @@
   /// The account of memory knows of the current request.
   bool m_IsCharged = false;
   model::TimePoint m_MovedAt;
+  /// When the last answer ended.
+  model::TimePoint m_IdleSince;
   /// When the body has to be complete.
   std::chrono::steady_clock::time_point m_BodyDeadline;
   size_t m_DiscardedBytes = 0;
--- a/Source/UnitTests/Adapters/Front/ConnectionLimitTest.cpp
+++ b/Source/UnitTests/Adapters/Front/ConnectionLimitTest.cpp
@@ -64,6 +64,9 @@
   ~BusyServer() { m_Thread.stop(); }
 
   uint16_t port() const { return m_Server.port(); }
+  void setLimits(const front::FrontLimits &Limits) {
+    m_Thread.loop().post([this, Limits] { m_Server.setLimits(Limits); });
+  }
   /// Runs \p Work while the loop does nothing for \p Span.
   void whileBusy(std::chrono::milliseconds Span,
                  const std::function<void()> &Work) {
@@ -107,6 +110,26 @@
   }
 }
 
+// Guards against closing kept connections whose callers go by a newer limit.
+TEST_CASE("a connection rests for the new idle limit when that is raised") {
+  front::FrontLimits Limits;
+  Limits.m_IdleTimeout = 300ms;
+  BusyServer Server(Limits);
+  http::RawConnection Caller(Server.port());
+  Caller.send(Request);
+  REQUIRE(Caller.readUntil("/x"));
+  Limits.m_IdleTimeout = 1500ms;
+  Server.setLimits(Limits);
+  for (int Rest = 0; Rest < 2; ++Rest) {
+    std::this_thread::sleep_for(800ms);
+    Caller.clearText();
+    Caller.send(Request);
+    CHECK(Caller.readUntil("/x"));
+  }
+  // Closed by the new limit.
+  CHECK(Caller.readToEnd());
+}
+
 // Guards against refusing a request whose rest arrived before its limit ended.
 TEST_CASE("a head that is complete in the kernel when the header limit ends is "
           "answered") {
