--- a/Source/Core/Adapters/Front/FrontConnection.cpp
+++ b/Source/Core/Adapters/Front/FrontConnection.cpp
@@ -67,12 +67,12 @@
   return ::recv(m_Fd.get(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void FrontConnection::close() {
+void FrontConnection::close(pistache::ConnectionEnd End) {
   const std::shared_ptr<FrontConnection> Self = shared_from_this();
   if (!m_Fd.valid())
     return;
   m_Loop.unwatch(m_Fd.get());
-  m_Writer->abort();
+  m_Writer->abort(End);
   m_Fd.reset();
   if (!m_Server)
     return;
@@ -170,7 +170,7 @@
   if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
     return;
   if (Count <= 0) {
-    close();
+    close(pistache::ConnectionEnd::ByCaller);
     return;
   }
   m_DiscardedBytes += static_cast<size_t>(Count);
@@ -185,11 +185,11 @@
     // While an answer is being sent, only hang-ups and errors are reported
     // here; the writer has seen them already.
     if ((Events & (EPOLLHUP | EPOLLERR)) != 0)
-      close();
+      close(pistache::ConnectionEnd::ByCaller);
     return;
   }
   if ((Events & EPOLLIN) == 0 && (Events & (EPOLLHUP | EPOLLERR)) != 0) {
-    close();
+    close(pistache::ConnectionEnd::ByCaller);
     return;
   }
   if (m_Writer->isDiscarding()) {
@@ -206,7 +206,7 @@
     return;
   }
   if (Count <= 0) {
-    close();
+    close(pistache::ConnectionEnd::ByCaller);
     return;
   }
   parseInput({Bytes.data(), static_cast<size_t>(Count)});
--- a/Source/Core/Adapters/Front/FrontConnection.h
+++ b/Source/Core/Adapters/Front/FrontConnection.h
@@ -28,7 +28,7 @@
   /// Whether no request is being read or answered, and no received bytes wait
   /// to be read.
   bool isIdle() const;
-  void close();
+  void close(pistache::ConnectionEnd End = pistache::ConnectionEnd::Aborted);
   resources::CallerPlace place() const;
   /// Closes the connection for a new one, with a refusal if a request has
   /// begun. False if it has something to do by now.
