--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -29,8 +29,8 @@
 constexpr model::Duration GraceMargin = std::chrono::milliseconds(400);
 /// Part before that in which the last answers and refusals are written, and at
 /// most the grace period divided by this.
-constexpr model::Duration AnswerMargin = std::chrono::milliseconds(300);
-constexpr int AnswerMarginDivisor = 20;
+constexpr model::Duration AnswerMargin = std::chrono::milliseconds(600);
+constexpr int AnswerMarginDivisor = 10;
 /// The lame-duck phase takes at most the grace period divided by this.
 constexpr int LameDuckDivisor = 2;
 /// A lease holder stops acting before its term ends, by the term divided by
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -302,7 +302,8 @@
     m_Log.write(
         "config", "in_force",
         {{"config", static_cast<int64_t>(Table->config().m_Version)},
-         {"routes", static_cast<int64_t>(Table->config().m_Routes.size())}});
+         {"routes", static_cast<int64_t>(Table->config().m_Routes.size())},
+         {"idle_ms", static_cast<int64_t>(Front.m_IdleTimeout.count())}});
   });
 }
 
