Gateway: Log the rest of an answer that its caller did not take

A caller that lost the end of its answer, since it took nothing of it for a limit or memory was short, was in the log with its answer alone.

--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -348,12 +348,19 @@
   const auto Found = m_Exchanges.find(Request);
   const std::shared_ptr<pistache::HttpResponseWriter> Answer =
       Found->second.m_Answer;
+  const std::string CallerRequestId = Found->second.m_CallerRequestId;
   m_Exchanges.erase(Found);
   ++m_UnsentAnswers;
   const std::weak_ptr<bool> Alive = m_Alive;
-  Answer->whenSent([this, Alive] {
-    if (!Alive.expired())
-      --m_UnsentAnswers;
+  Answer->whenSent([this, Alive, Answer, CallerRequestId] {
+    if (Alive.expired())
+      return;
+    --m_UnsentAnswers;
+    if (Answer->lostBytes() > 0)
+      m_Log.write("request", "unread",
+                  {{"request", CallerRequestId},
+                   {"bytes", static_cast<int64_t>(Answer->lostBytes())},
+                   {"reason", pistache::toString(Answer->connectionEnd())}});
   });
 }
 
--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -76,6 +76,7 @@
     return;
   m_Open = false;
   m_End = End;
+  m_LostBytes = m_Pending.size();
   stopTimer();
   m_Pending.clear();
   m_Loop.unwatch(m_Fd.get());
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -97,6 +97,8 @@
   bool isOpen() const { return m_Open; }
   /// Why the connection has ended; meaningful once it has.
   ConnectionEnd end() const { return m_End; }
+  /// Bytes that were still to be sent when it ended.
+  size_t lostBytes() const { return m_LostBytes; }
   /// False if the process had no descriptor left for the duplicate.
   bool hasDescriptor() const { return m_Fd.valid(); }
   net::EventLoop &loop() { return m_Loop; }
@@ -137,6 +139,7 @@
 
   bool m_Open = false;
   ConnectionEnd m_End = ConnectionEnd::ByCaller;
+  size_t m_LostBytes = 0;
   bool m_WasOpened = false;
   bool m_CloseWhenSent = false;
   bool m_ResetOnClose = false;
