Gateway: A request whose time is up is not sent

A request whose body took all of its caller's time, or that a change let go between the end of its time and the next tick (20 ms), was still decided: it was sent, or forwarded to another node, with no time or less than none, and ran for a caller that had given up.

dispatch() now ends a request whose time is up, as the tick does: 503 where it was never sent, 504 where it may have run, a cut where its answer had begun.

--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -243,7 +243,7 @@
 }
 
 void RelayCore::dispatch(ActiveRequest &Active, RelayEffectList &Out) {
-  if (rejectBeyondStop(Active, Out))
+  if (expireIfDue(Active, Out) || rejectBeyondStop(Active, Out))
     return;
   if (rejectUnauthorised(Active, Out))
     return;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -335,6 +335,13 @@
            "its time is up before it was sent", Out);
 }
 
+bool RelayCore::expireIfDue(ActiveRequest &Active, RelayEffectList &Out) {
+  if (m_Now < Active.m_Deadline)
+    return false;
+  expire(Active, Out);
+  return true;
+}
+
 void RelayCore::reject(ActiveRequest &Active, int Status,
                        std::optional<model::Duration> RetryAfter,
                        const std::string &Reason, RelayEffectList &Out) {
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -281,6 +281,8 @@
   void log(ActiveRequest &Active, const char *Action, int Status,
            const std::string &Reason, RelayEffectList &Out) const;
   void expire(ActiveRequest &Active, RelayEffectList &Out);
+  /// Ends the request if its time is up. Returns whether it has ended.
+  bool expireIfDue(ActiveRequest &Active, RelayEffectList &Out);
   bool isCountedModel(const ActiveRequest &Active) const;
   /// Rejects or ends the request if one of its traits is in quarantine.
   bool rejectQuarantined(ActiveRequest &Active, RelayEffectList &Out);
