Gateway: A request that may have run is not refused as not run

A request that may run again, and whose endpoint broke off or failed, was offered to the endpoints that are left. Where their prefill queues were behind by more than its time to the first event, it got 503 and a time to come back: the promise that it had not run and would not. Changes of routes and endpoints make that likelier, since a latency target or a shorter gap target may come with them.

Such a request now ends like any other that may have run and has no endpoint left: with the failure that the endpoint answered, or 502.

RelayHoldTest, "a request that broke off is not refused as not run ...": 503 before, 502 after.

--- a/Source/Core/Gateway/RelayHold.cpp
+++ b/Source/Core/Gateway/RelayHold.cpp
@@ -138,6 +138,11 @@
       m_Held.costAhead(Held) * m_NodeCount / std::max(1U, Chosen.m_Candidates);
   const double LateMs =
       WaitedMs + AheadMs + OwnMs - millis(Active.m_Route->m_LatencyTarget);
+  if (LateMs > 0 && Active.m_PossibleRuns > 0) {
+    finishUnsuccessful(
+        Active, {SendResult::Broken, 0, false, Active.m_LastFailure}, Out);
+    return;
+  }
   if (LateMs > 0) {
     const model::Duration Left = Active.m_Deadline - m_Now;
     const model::Duration RetryAfter =
--- a/Source/UnitTests/Gateway/RelayHoldTest.cpp
+++ b/Source/UnitTests/Gateway/RelayHoldTest.cpp
@@ -123,6 +123,29 @@
   CHECK(Relay.take<RejectRequest>().empty());
 }
 
+// Guards against a refusal as not run (503) of a request that may have run.
+TEST_CASE("a request that broke off is not refused as not run when the engines "
+          "that are left are behind") {
+  HoldFixture Relay;
+  gateway::GatewayConfig Config = RelayFixture::config(2);
+  Config.m_Routes = {HoldFixture::streamRoute("/again/", 0)};
+  Config.m_Routes[0].m_Resumable = true;
+  Config.m_Routes[0].m_MaxAttempts = 2;
+  Relay.m_Core.setTable(std::make_shared<gateway::RouteTable>(Config));
+  Relay.setEndpoints(
+      {HoldFixture::engine("a", "m"), HoldFixture::engine("b", "m")});
+  Relay.askFor("/again/", 5000);
+  Relay.askFor("/again/", 5000);
+  const std::vector<SendRequest> Sent = Relay.take<SendRequest>();
+  REQUIRE(Sent.size() == 2);
+  Relay.m_Now += LatencyTarget - 10ms;
+  Relay.finishSend(Sent[0].m_Attempt, gateway::SendResult::Broken, 0);
+  CHECK(Relay.take<SendRequest>().empty());
+  const std::vector<RejectRequest> Refused = Relay.take<RejectRequest>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].m_Status == 502);
+}
+
 TEST_CASE("a request whose caller disconnects while it waits is never sent") {
   HoldFixture Relay;
   Relay.setEndpoints({HoldFixture::engine("a", "m")});
