Review: Fill in the whole template of the nodes' settings

What was seen: no script of review/ could run, "the nodes do not become ready". Nobody noticed, since no test starts them.

Cause: the stand-in platform replaced a fixed list of names in deploy/node.yaml. It gave no value to Limits.MemoryMb and Limits.MaxFds and left the marks of the sections for key revocation and quotas in the text, which the node refuses: "front-1.yaml:20:18: error: not YAML: end of map flow not found".

Change: Template.h fills in placeholders and sections, leaves sections without a value out, and refuses a name that the stand-ins don't know. A machine has 260 MB and 4,200 descriptors, no quotas and no bound on key revocation. What the cases check is not changed.

--- a/review/standins/World.h
+++ b/review/standins/World.h
@@ -4,6 +4,8 @@
 // nodes themselves are the project's own program, started as processes.
 #pragma once
 
+#include "Template.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
@@ -15,6 +17,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iomanip>
@@ -541,8 +544,11 @@
     pid_t m_Pid = -1;
   };
 
-  Platform(std::string Root, std::string Temporary, Record &Log)
-      : m_Root(std::move(Root)), m_Temporary(std::move(Temporary)), m_Log(Log) {
+  /// \p Program is a path from \p Root, or an absolute one.
+  Platform(std::string Root, std::string Temporary, Record &Log,
+           std::string Program = "target/bronzepass")
+      : m_Root(std::move(Root)), m_Temporary(std::move(Temporary)), m_Log(Log),
+        m_Program(std::move(Program)) {
     self() = this;
   }
   ~Platform() { killAll(); }
@@ -561,11 +567,13 @@
     Added.m_Callers = Base;
     Added.m_Ready = static_cast<uint16_t>(Base + 1);
     Added.m_FirstPort = static_cast<uint16_t>(Base + 2);
-    const std::map<std::string, std::string> Fields = {
+    const SettingValues Values = {
         {"NodeName", Name},
         {"Zone", Zone},
         {"Ip", Ip},
         {"Limits.CpuShare", "0.25"},
+        {"Limits.MemoryMb", "260"},
+        {"Limits.MaxFds", "4200"},
         {"ListenAddrs.Front", Ip + ":" + std::to_string(Added.m_Callers)},
         {"ListenAddrs.Ready", Ip + ":" + std::to_string(Added.m_Ready)},
         {"PortRange.0", std::to_string(Added.m_FirstPort)},
@@ -577,17 +585,20 @@
         {"Bounds.BudgetSlack", "56"},
         {"Bounds.BudgetWindowS", "10"},
         {"Bounds.LeaseMs", "3000"},
-        {"Bounds.GraceS", "8"}};
+        {"Bounds.GraceS", "8"},
+        {"Bounds.StrictRevoke", std::nullopt},
+        {"Bounds.QuotaWindowS", std::nullopt}};
     std::ifstream In(m_Root + "/deploy/node.yaml");
     std::stringstream Template;
     Template << In.rdbuf();
-    std::string Text = Template.str();
-    if (Text.empty())
+    if (Template.str().empty())
       cannotRun("deploy/node.yaml cannot be read");
-    for (const auto &Each : Fields)
-      for (size_t At = Text.find("{{" + Each.first + "}}");
-           At != std::string::npos; At = Text.find("{{" + Each.first + "}}"))
-        Text.replace(At, Each.first.size() + 4, Each.second);
+    std::string Text;
+    try {
+      Text = fillTemplate(Template.str(), Values);
+    } catch (const std::runtime_error &Error) {
+      cannotRun(std::string("deploy/node.yaml: ") + Error.what());
+    }
     Added.m_Settings = m_Temporary + "/" + Name + ".yaml";
     Added.m_LogFile = m_Temporary + "/" + Name + ".log";
     std::ofstream(Added.m_Settings) << Text;
@@ -596,10 +607,10 @@
   std::vector<std::unique_ptr<Node>> &nodes() { return m_Nodes; }
 
   void start(Node &Started) {
-    const std::string Program = m_Root + "/target/bronzepass";
-    if (::access(Program.c_str(), X_OK) != 0)
-      cannotRun("target/bronzepass is missing: run the build of "
-                "deploy/system.toml");
+    const std::filesystem::path Path =
+        std::filesystem::path(m_Root) / m_Program;
+    if (::access(Path.c_str(), X_OK) != 0)
+      cannotRun(m_Program + " is missing: run the build of deploy/system.toml");
     const pid_t Pid = ::fork();
     if (Pid == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -609,7 +620,7 @@
       ::dup2(Log, 2);
       if (::chdir(m_Root.c_str()) != 0)
         ::_exit(126);
-      ::execl("target/bronzepass", "target/bronzepass", "gateway",
+      ::execl(m_Program.c_str(), m_Program.c_str(), "gateway",
               Started.m_Settings.c_str(), nullptr);
       ::_exit(127);
     }
@@ -697,6 +708,7 @@
   const std::string m_Root;
   const std::string m_Temporary;
   Record &m_Log;
+  const std::string m_Program;
   std::vector<std::unique_ptr<Node>> m_Nodes;
 };
 
