Front: A server that gives idle connections up keeps unsent answers

A connection counted as idle as soon as its answer had ended, though up to 256 KiB of it were still buffered for a caller that reads slowly. A stopping node closes idle connections every 20 ms after its lame duck, and a server without places gives them up first: callers saw a complete request with a part of its answer, and the log only its `answer`.

ConnectionLimitTests, "an answer that its caller still reads is complete though the server gives idle connections up": cut in 4 of 4 cases before (stop or no place left; kept or closing connection), whole in 4 of 4 after. A connection is idle now once nothing is buffered for its caller, and keeps its place until then; the limit of a caller that takes nothing still bounds it.

--- a/Source/Core/Adapters/Front/FrontConnection.cpp
+++ b/Source/Core/Adapters/Front/FrontConnection.cpp
@@ -58,8 +58,8 @@
 }
 
 bool FrontConnection::isIdle() const {
-  return !m_Answering && m_Parser.state() == ParserState::Idle &&
-         !hasUnreadInput();
+  return !m_Answering && !m_Writer->hasUnsentBytes() &&
+         m_Parser.state() == ParserState::Idle && !hasUnreadInput();
 }
 
 bool FrontConnection::hasUnreadInput() const {
@@ -91,7 +91,7 @@
 resources::CallerPlace FrontConnection::place() const {
   using resources::PlaceState;
   PlaceState State = PlaceState::Idle;
-  if (m_Answering)
+  if (m_Answering || m_Writer->hasUnsentBytes())
     State = PlaceState::Answering;
   else if (m_Parser.state() != ParserState::Idle || m_Writer->isDiscarding())
     State = PlaceState::Reading;
--- a/Source/Core/Adapters/Front/FrontConnection.h
+++ b/Source/Core/Adapters/Front/FrontConnection.h
@@ -25,8 +25,8 @@
 
   /// Returns false if no file descriptor was available, or none can be watched.
   bool start();
-  /// Whether no request is being read or answered, and no received bytes wait
-  /// to be read.
+  /// Whether no request is being read or answered, all of the last answer is
+  /// sent, and no received bytes wait to be read.
   bool isIdle() const;
   void close(pistache::ConnectionEnd End = pistache::ConnectionEnd::Aborted);
   resources::CallerPlace place() const;
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -95,6 +95,8 @@
   /// sees an incomplete response.
   void abort(ConnectionEnd End = ConnectionEnd::Aborted);
   bool isOpen() const { return m_Open; }
+  /// Whether bytes are buffered for the caller.
+  bool hasUnsentBytes() const { return !m_Pending.empty(); }
   /// Why the connection has ended; meaningful once it has.
   ConnectionEnd end() const { return m_End; }
   /// False if the process had no descriptor left for the duplicate.
--- a/Source/UnitTests/Adapters/Front/ConnectionLimitTest.cpp
+++ b/Source/UnitTests/Adapters/Front/ConnectionLimitTest.cpp
@@ -199,4 +199,39 @@
   }
 }
 
+// Guards against cutting the rest of finished answers when a node stops or when
+// its places for connections are taken.
+TEST_CASE("an answer that its caller still reads is complete though the server "
+          "gives idle connections up") {
+  for (const bool Stops : {false, true}) {
+    for (const bool Closes : {false, true}) {
+      CAPTURE(Stops);
+      CAPTURE(Closes);
+      front::FrontLimits Limits;
+      Limits.m_MaxUnsentBytes = 2 * LongAnswerHandler::Bytes;
+      core::adapters::net::LoopThread Thread;
+      LongAnswerHandler Handler;
+      Handler.m_Closing = Closes;
+      front::FrontServer Server(Thread.loop(), Handler);
+      Server.setLimits(Limits);
+      Server.setPlaces(1);
+      REQUIRE_FALSE(Server.listen({"127.0.0.1", 0}));
+      Thread.start();
+      http::RawConnection Caller(Server.port(), 4096);
+      Caller.send(Request);
+      REQUIRE(Caller.readUntil("\r\n\r\n"));
+      // Requests that do not move keep their places for a second.
+      std::this_thread::sleep_for(1200ms);
+      std::unique_ptr<http::RawConnection> Other;
+      if (Stops)
+        Thread.loop().post([&Server] { Server.closeIdle(); });
+      else
+        Other = std::make_unique<http::RawConnection>(Server.port());
+      std::this_thread::sleep_for(100ms);
+      CHECK(Caller.readUntil(LongAnswerHandler::End));
+      Thread.stop();
+    }
+  }
+}
+
 } // namespace bronzepass::unit_tests::adapters::front
