Gateway: Requests get their answer at the process's end after a busy loop

A loop that was busy from before the end of a stop until the process ended ran the posted end of the process before the tick that ends requests: the log told of each that it was cut ("the process ends"), and whether its caller still got a refusal or a 504 hung on the timers of the same turn.

RelayStopTest, "requests get a final answer at the end of the process though no tick came since the end of the stop": 0 answers before, one 504 and one `refuse` line after. The end of the process now first ends the requests whose time is up.

--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -265,6 +265,8 @@
 
 void RelayCore::onProcessEnd(model::TimePoint Now, RelayEffectList &Out) {
   m_Now = Now;
+  // The loop may have been busy since the end of the stop.
+  expireDue(Out);
   for (auto &Each : m_ActiveRequests)
     log(Each.second, "cut", 0, "the process ends", Out);
 }
@@ -281,8 +283,7 @@
   m_Suspension.onTick(Now);
   noteProof(Out);
   decideUnconfirmed(Now - ConfirmationTimeout, false, Out);
-  while (!m_Deadlines.empty() && m_Deadlines.begin()->first <= Now)
-    expire(m_ActiveRequests.at(m_Deadlines.begin()->second), Out);
+  expireDue(Out);
   rejectWaitingBeyondStop(Out);
   for (auto Peer = m_Peers.begin(); Peer != m_Peers.end();) {
     if (Now - Peer->second.m_At < m_Settings.m_MaxPeerLoadAge) {
@@ -309,6 +310,11 @@
   dispatchWaiting(Out);
 }
 
+void RelayCore::expireDue(RelayEffectList &Out) {
+  while (!m_Deadlines.empty() && m_Deadlines.begin()->first <= m_Now)
+    expire(m_ActiveRequests.at(m_Deadlines.begin()->second), Out);
+}
+
 void RelayCore::expire(ActiveRequest &Active, RelayEffectList &Out) {
   if (Active.m_Attempt) {
     if (EndpointView *const Endpoint = findEndpoint(Active.m_Endpoint)) {
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -91,7 +91,7 @@
   /// complete.
   void onConnectionClosed(model::RequestId Request, const std::string &Reason,
                           model::TimePoint Now, RelayEffectList &Out);
-  /// The process ends: requests that are still active are lost with it.
+  /// The process ends: requests whose time is not up by now are lost with it.
   void onProcessEnd(model::TimePoint Now, RelayEffectList &Out);
   /// The head of a send's answer was received.
   void onAnswerHead(model::AttemptId Attempt,
@@ -280,6 +280,8 @@
   void cancelSend(ActiveRequest &Active, RelayEffectList &Out);
   void log(ActiveRequest &Active, const char *Action, int Status,
            const std::string &Reason, RelayEffectList &Out) const;
+  /// Ends the requests whose time is up.
+  void expireDue(RelayEffectList &Out);
   void expire(ActiveRequest &Active, RelayEffectList &Out);
   bool isCountedModel(const ActiveRequest &Active) const;
   /// Rejects or ends the request if one of its traits is in quarantine.
--- a/Source/UnitTests/Gateway/RelayStopTest.cpp
+++ b/Source/UnitTests/Gateway/RelayStopTest.cpp
@@ -138,4 +138,22 @@
   CHECK(Relay.m_Core.activeRequestCount() == 0);
 }
 
+// Guards against requests that end with the process because the loop was busy
+// when the stop ended.
+TEST_CASE("requests get a final answer at the end of the process though no "
+          "tick came since the end of the stop") {
+  StopFixture Relay;
+  Relay.ask("/once/x");
+  Relay.beginStop();
+  Relay.take<gateway::RelayLogEntry>();
+  Relay.m_Now += 6200ms;
+  Relay.m_Core.onProcessEnd(Relay.m_Now, Relay.m_Out);
+  const std::vector<RejectRequest> Rejected = Relay.take<RejectRequest>();
+  REQUIRE(Rejected.size() == 1);
+  CHECK(Rejected.front().m_Status == GatewayTimeout);
+  const auto Lines = Relay.take<gateway::RelayLogEntry>();
+  REQUIRE(Lines.size() == 1);
+  CHECK(Lines.front().m_Action == "refuse");
+}
+
 } // namespace bronzepass::unit_tests
