UnitTests: The soak checks what a stopping node owes its callers

The soak let a stop end with its grace where an endpoint never answered, and no stream was as long as the grace, so that requests cut at the end of a stop were not seen. It now has streams of 9.6 s (one request in a thousand), stops all nodes at once in the end, and checks of each answer that a stopping node left incomplete: a whole request without an answer or a refusal breaks a promise if an endpoint ran it or its connection ended more than 0.2 s after it was sent; a stream may be cut in the last sixth of the grace only, unless its endpoint broke off. A stop has to end with status 0 also beside endpoints that never answer. What a caller received is judged in one place, judgeAnswer().

--- a/Source/UnitTests/Soak/RequestRecord.cpp
+++ b/Source/UnitTests/Soak/RequestRecord.cpp
@@ -12,10 +12,11 @@
 /// Late runs of callers that left which are not counted, and their share.
 constexpr size_t MaxLateLeaves = 3;
 constexpr size_t MaxLateLeaveShare = 4;
-/// After it was asked to stop, a node takes requests on open connections.
-constexpr std::chrono::seconds TakenWhileStopping(3);
-/// Between a node's end and the end of its runs.
-constexpr std::chrono::milliseconds EndMargin(300);
+/// A connection that ends so soon after a request was sent may have been closed
+/// before the node could read it.
+constexpr std::chrono::milliseconds CrossingTime(200);
+/// What an endpoint still works on may be cut in this part of the grace.
+constexpr int LastPart = 6;
 
 } // namespace
 
@@ -24,9 +25,13 @@
          std::to_string(Number) + "\n\n";
 }
 
+bool isStream(RequestKind Kind) {
+  return Kind != RequestKind::Once && Kind != RequestKind::Repeatable;
+}
+
 std::string completeBody(const std::string &Id, RequestKind Kind) {
   std::string Body;
-  if (Kind == RequestKind::LiveStream || Kind == RequestKind::ResumableStream) {
+  if (isStream(Kind)) {
     for (int Number = 1; Number <= StreamEvents; ++Number)
       Body += streamEvent(Id, Number);
     return Body;
@@ -105,9 +110,14 @@
                Id + " sealed by " + Endpoint + ", which did not run it");
 }
 
-void RequestRecord::onLost(const std::string &Id) {
+void RequestRecord::onLost(const std::string &Id, const LostAnswer &Lost) {
   const std::scoped_lock Lock(m_Mutex);
-  m_Entries[Id].m_Lost = true;
+  m_Entries[Id].m_Lost = Lost;
+}
+
+void RequestRecord::onBrokenOff(const std::string &Id) {
+  const std::scoped_lock Lock(m_Mutex);
+  m_Entries[Id].m_IsBrokenOff = true;
 }
 
 void RequestRecord::violation(const std::string &Promise,
@@ -122,23 +132,19 @@
   std::cerr << "broken: " << Promise << ": " << What << std::endl;
 }
 
-void RequestRecord::onMute(const std::string &Id, size_t Number) {
-  const std::scoped_lock Lock(m_Mutex);
-  m_Entries[Id].m_Runs.at(Number).m_Mute = true;
-}
-
-void RequestRecord::onGraceExpired(const std::string &Node, Time AskedAt) {
-  const std::scoped_lock Lock(m_Mutex);
-  m_ExpiredGraces.push_back({Node, AskedAt, std::chrono::steady_clock::now()});
-}
-
-bool RequestRecord::isExcused(const ExpiredGrace &Stop) const {
-  for (const auto &Each : m_Entries)
-    for (const Run &Known : Each.second.m_Runs)
-      if (Known.m_Mute && Known.m_Began < Stop.m_AskedAt + TakenWhileStopping &&
-          (!Known.m_Ended || *Known.m_Ended > Stop.m_EndedAt - EndMargin))
-        return true;
-  return false;
+void RequestRecord::checkStopped(const std::string &Id, const Entry &Known) {
+  const LostAnswer &Lost = *Known.m_Lost;
+  if (!Lost.m_HasBegun) {
+    if (!Known.m_Runs.empty() || Lost.m_EndedAt - Lost.m_SentAt > CrossingTime)
+      addViolation("answers in stops",
+                   Id + " got neither an answer nor a refusal");
+    return;
+  }
+  const bool IsTimeUp =
+      Lost.m_Timeout && Lost.m_EndedAt - Lost.m_SentAt >= *Lost.m_Timeout;
+  if (!Known.m_IsBrokenOff && !IsTimeUp &&
+      Lost.m_EndedAt - *Lost.m_StopAskedAt < StopGrace - StopGrace / LastPart)
+    addViolation("answers in stops", Id + " was cut early");
 }
 
 void RequestRecord::finish() {
@@ -149,10 +155,9 @@
         addViolation("planned stops", Id + " was answered by " +
                                           Each.m_Endpoint +
                                           " and not by its node");
-  for (const ExpiredGrace &Each : m_ExpiredGraces)
-    if (!isExcused(Each))
-      addViolation("planned stops",
-                   Each.m_Node + " had requests at the end of its grace");
+  for (const auto &[Id, Known] : m_Entries)
+    if (Known.m_Lost && Known.m_Lost->m_StopAskedAt)
+      checkStopped(Id, Known);
   checkLeavers();
 }
 
--- a/Source/UnitTests/Soak/RequestRecord.h
+++ b/Source/UnitTests/Soak/RequestRecord.h
@@ -11,15 +11,43 @@
 
 namespace bronzepass::unit_tests::soak {
 
-enum class RequestKind { Once, Repeatable, LiveStream, ResumableStream };
+enum class RequestKind {
+  Once,
+  Repeatable,
+  LiveStream,
+  ResumableStream,
+  /// Takes longer than the grace of a planned stop.
+  LongStream,
+};
+
+/// Engines run it.
+bool isStream(RequestKind Kind);
 
 /// Events of a stream's complete answer.
 constexpr int StreamEvents = 8;
+/// From a signal to stop to the end of a node.
+constexpr std::chrono::milliseconds StopGrace(8000);
 
 std::string streamEvent(const std::string &Id, int Number);
 /// The complete body of an endpoint's answer to the request \p Id.
 std::string completeBody(const std::string &Id, RequestKind Kind);
 
+/// A caller's connection that ended without a complete answer although nothing
+/// unplanned had happened to its node.
+struct LostAnswer {
+  using Time = std::chrono::steady_clock::time_point;
+
+  /// When the whole request was sent.
+  Time m_SentAt;
+  Time m_EndedAt;
+  /// The caller got a head.
+  bool m_HasBegun = false;
+  /// When the node was asked to stop.
+  std::optional<Time> m_StopAskedAt;
+  /// A time-out of the route that may have applied.
+  std::optional<std::chrono::milliseconds> m_Timeout;
+};
+
 /// What callers and endpoints have seen of each request, and the promises that
 /// this shows to be broken. Thread-safe.
 class RequestRecord {
@@ -40,15 +68,9 @@
   void onCallerLeft(const std::string &Id);
   /// The caller got a complete success, sealed by \p Endpoint.
   void onSuccess(const std::string &Id, const std::string &Endpoint);
-  /// The connection ended without a complete answer although nothing unplanned
-  /// had happened to its node.
-  void onLost(const std::string &Id);
-
-  /// The endpoint will never answer the run.
-  void onMute(const std::string &Id, size_t Run);
-  /// A node that was asked to stop at \p AskedAt still had requests at the end
-  /// of its grace. That is right only for those that are never answered.
-  void onGraceExpired(const std::string &Node, Time AskedAt);
+  void onLost(const std::string &Id, const LostAnswer &Lost);
+  /// The endpoint ended the run by itself.
+  void onBrokenOff(const std::string &Id);
 
   /// A promise is broken.
   void violation(const std::string &Promise, const std::string &What);
@@ -64,18 +86,13 @@
     Time m_Began;
     std::optional<Time> m_Ended;
     bool m_Answered = false;
-    bool m_Mute = false;
-  };
-  struct ExpiredGrace {
-    std::string m_Node;
-    Time m_AskedAt;
-    Time m_EndedAt;
   };
   struct Entry {
     RequestKind m_Kind = RequestKind::Once;
     std::vector<Run> m_Runs;
     int m_PromisedStatus = 0;
-    bool m_Lost = false;
+    std::optional<LostAnswer> m_Lost;
+    bool m_IsBrokenOff = false;
     std::optional<Time> m_LeftAt;
     /// Of the engine that began the stream.
     std::string m_SoftwareVersion;
@@ -83,11 +100,11 @@
 
   void addViolation(const std::string &Promise, const std::string &What);
   void checkLeavers();
-  bool isExcused(const ExpiredGrace &Stop) const;
+  /// Judges a request that the caller lost while its node was stopping.
+  void checkStopped(const std::string &Id, const Entry &Known);
 
   mutable std::mutex m_Mutex;
   std::map<std::string, Entry> m_Entries;
-  std::vector<ExpiredGrace> m_ExpiredGraces;
   std::map<std::string, int> m_Violations;
 };
 
--- a/Source/UnitTests/Soak/SoakCallers.cpp
+++ b/Source/UnitTests/Soak/SoakCallers.cpp
@@ -1,6 +1,6 @@
 #include "UnitTests/Soak/SoakCallers.h"
 
-#include "UnitTests/Soak/CallerConnection.h"
+#include "UnitTests/Soak/AnswerJudge.h"
 
 #include <random>
 
@@ -11,6 +11,9 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds Deadline = 8s;
+constexpr std::chrono::milliseconds LongDeadline = 20s;
+/// One request in so many.
+constexpr uint64_t LongStreamPeriod = 1000;
 constexpr std::chrono::milliseconds PauseAfterFailure = 30ms;
 /// An answer in progress when the process was disturbed is not judged.
 constexpr std::chrono::milliseconds Disturbance = 500ms;
@@ -18,18 +21,14 @@
 struct KindInfo {
   RequestKind m_Kind;
   const char *m_Path;
-  bool m_HasModel;
 };
 constexpr KindInfo Kinds[] = {
-    {RequestKind::Once, "/once/x", false},
-    {RequestKind::Repeatable, "/again/x", false},
-    {RequestKind::LiveStream, "/live/x", true},
-    {RequestKind::ResumableStream, "/resume/x", true},
+    {RequestKind::Once, "/once/x"},
+    {RequestKind::Repeatable, "/again/x"},
+    {RequestKind::LiveStream, "/live/x"},
+    {RequestKind::ResumableStream, "/resume/x"},
 };
-
-bool promisesNotRun(int Status) {
-  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
-}
+constexpr KindInfo LongStream = {RequestKind::LongStream, "/long/x"};
 
 } // namespace
 
@@ -71,7 +70,12 @@
         continue;
       }
     }
-    const KindInfo &Kind = Kinds[Random() % std::size(Kinds)];
+    const KindInfo &Kind = Random() % LongStreamPeriod == 0
+                               ? LongStream
+                               : Kinds[Random() % std::size(Kinds)];
+    const bool HasModel = isStream(Kind.m_Kind);
+    const std::chrono::milliseconds Limit =
+        Kind.m_Kind == RequestKind::LongStream ? LongDeadline : Deadline;
     const std::string Id = std::to_string(Random());
     m_Record.onSent(Id, Kind.m_Kind);
     ++m_Sent;
@@ -79,9 +83,9 @@
     std::string Request =
         std::string("POST ") + Kind.m_Path +
         " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id +
-        "\r\nX-Deadline-Ms: " + std::to_string(Deadline.count()) +
+        "\r\nX-Deadline-Ms: " + std::to_string(Limit.count()) +
         "\r\nContent-Length: 4\r\n";
-    if (Kind.m_HasModel)
+    if (HasModel)
       // The first models are asked for most.
       Request += "X-Model: " +
                  m_Models[std::min(Random() % m_Models.size(),
@@ -92,7 +96,7 @@
       continue;
     }
     const double Draw = std::uniform_real_distribution<double>(0, 1)(Random);
-    if (Kind.m_HasModel && Draw < m_LeaveShare) {
+    if (HasModel && Draw < m_LeaveShare) {
       Connection->awaitAnswer();
       Connection->close();
       m_Record.onCallerLeft(Id);
@@ -108,30 +112,12 @@
 void SoakCallers::judge(const std::string &Id, RequestKind Kind,
                         const CallerResponse &Response, size_t Node,
                         SteadyTime SentAt, uint64_t Incarnation) {
-  const std::string EchoedId = Response.header("x-request-id");
-  if (Response.m_Status != 0 && !EchoedId.empty() && EchoedId != Id)
-    m_Record.violation("own answer", Id + " got the answer to " + EchoedId);
-  if (!Response.m_Complete) {
-    const bool IsUndisturbed =
-        m_Nodes.incarnation(Node) == Incarnation &&
-        m_Nodes.isUndisturbedSince(Node, SentAt - Disturbance);
-    if (IsUndisturbed)
-      m_Record.onLost(Id);
-    return;
-  }
-  if (promisesNotRun(Response.m_Status)) {
-    m_Record.onPromisedNotRun(Id, Response.m_Status);
-    return;
-  }
-  if (Response.m_Status != 200)
-    return;
-  ++m_Served;
-  m_Record.onSuccess(Id, Response.header("x-server-seal"));
-  if (Response.m_Body != completeBody(Id, Kind))
-    m_Record.violation(
-        "whole answers",
-        Id + " is complete with " + std::to_string(Response.m_Body.size()) +
-            " of " + std::to_string(completeBody(Id, Kind).size()) + " bytes");
+  std::optional<LostAnswer> Loss;
+  if (!Response.m_Complete && m_Nodes.incarnation(Node) == Incarnation &&
+      m_Nodes.isUndisturbedSince(Node, SentAt - Disturbance))
+    Loss = {SentAt, std::chrono::steady_clock::now(), Response.m_Status != 0,
+            m_Nodes.stopAskedAt(Node)};
+  m_Served += judgeAnswer(m_Record, Id, Kind, Response, Loss);
 }
 
 } // namespace bronzepass::unit_tests::soak
--- a/Source/UnitTests/Soak/SoakEndpoint.cpp
+++ b/Source/UnitTests/Soak/SoakEndpoint.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::chrono::milliseconds PrefillTime = 8ms;
 constexpr std::chrono::milliseconds EventTime = 6ms;
+/// All events of a long stream together take longer than a stop.
+constexpr std::chrono::milliseconds LongEventTime = 1200ms;
+static_assert(LongEventTime * StreamEvents > StopGrace);
 constexpr std::chrono::milliseconds CallTime = 5ms;
 constexpr std::chrono::milliseconds LoadTime = 400ms;
 constexpr std::chrono::milliseconds LateOrderTime = 2s;
@@ -195,25 +198,44 @@
   const std::string Body = completeBody(Id, Kind);
   std::this_thread::sleep_for(m_IsEngine ? PrefillTime : CallTime);
   if (randomShare() < m_Shared.m_Faults.m_LostShare) {
+    m_Shared.m_Record.onBrokenOff(Id);
     Connection.reset();
     m_Shared.m_Record.onRunEnded(Id, Run, false);
     return;
   }
   if (randomShare() < m_Shared.m_Faults.m_MuteShare) {
-    m_Shared.m_Record.onMute(Id, Run);
     while (!Connection.hasPeerClosed())
       std::this_thread::sleep_for(EventTime);
     Connection.close();
     m_Shared.m_Record.onRunEnded(Id, Run, false);
     return;
   }
-  const bool Answered = writeAnswer(Connection, Id, Body, First);
+  const bool IsLong = Request.m_Target.rfind("/long/", 0) == 0;
+  const bool Answered = writeAnswer(Connection, Id, Body, First,
+                                    IsLong ? LongEventTime : EventTime);
+  if (m_Down)
+    m_Shared.m_Record.onBrokenOff(Id);
   m_Shared.m_Record.onRunEnded(Id, Run, Answered);
 }
 
+bool SoakEndpoint::rest(const ServerConnection &Connection,
+                        std::chrono::milliseconds For) {
+  const SteadyTime End = std::chrono::steady_clock::now() + For;
+  for (;;) {
+    if (Connection.hasPeerClosed())
+      return false;
+    const auto Left = End - std::chrono::steady_clock::now();
+    if (Left <= 0ms)
+      return true;
+    std::this_thread::sleep_for(
+        std::min<std::chrono::nanoseconds>(Left, EventTime));
+  }
+}
+
 bool SoakEndpoint::writeAnswer(ServerConnection &Connection,
                                const std::string &Id, const std::string &Body,
-                               int FirstEvent) {
+                               int FirstEvent,
+                               std::chrono::milliseconds Pause) {
   const bool IsCut = randomShare() < m_Shared.m_Faults.m_CutShare;
   const bool HasExtra = randomShare() < m_Shared.m_Faults.m_ExtraShare;
   const double Framing = randomShare();
@@ -239,15 +261,14 @@
     return false;
   const size_t CutAt = IsCut ? Parts.size() / 2 : Parts.size();
   for (size_t I = 0; I < Parts.size(); ++I) {
-    if (m_IsEngine)
-      std::this_thread::sleep_for(EventTime);
-    if (Connection.hasPeerClosed()) {
+    if (!rest(Connection, m_IsEngine ? Pause : 0ms)) {
       if (m_Shared.m_Planted == PlantedFault::DeafRun)
         std::this_thread::sleep_for(1s);
       Connection.close();
       return false;
     }
     if (I == CutAt) {
+      m_Shared.m_Record.onBrokenOff(Id);
       const std::string Partial = Parts[I].substr(0, Parts[I].size() / 2);
       const bool EndsChunks = IsChunked && m_IsEngine && randomShare() < 0.3;
       Connection.write(IsChunked ? asChunk(Partial) : Partial);
--- a/Source/UnitTests/Soak/SoakEndpoint.h
+++ b/Source/UnitTests/Soak/SoakEndpoint.h
@@ -91,7 +91,11 @@
   void onRequest(ServerConnection &Connection, const ServerRequest &Request);
   void run(ServerConnection &Connection, const ServerRequest &Request);
   bool writeAnswer(ServerConnection &Connection, const std::string &Id,
-                   const std::string &Body, int FirstEvent);
+                   const std::string &Body, int FirstEvent,
+                   std::chrono::milliseconds Pause);
+  /// False if the peer is gone before.
+  static bool rest(const ServerConnection &Connection,
+                   std::chrono::milliseconds For);
   void stream(ServerConnection &Connection, const ServerRequest &Request,
               const std::string &Id, size_t Run);
   void order(ServerConnection &Connection, const ServerRequest &Request);
--- a/Source/UnitTests/Soak/SoakNodes.cpp
+++ b/Source/UnitTests/Soak/SoakNodes.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/Soak/SoakNodes.h"
 
 #include "UnitTests/Adapters/Http/HttpClient.h"
+#include "UnitTests/Soak/CallerConnection.h"
 
 #include <fstream>
 #include <iostream>
@@ -11,7 +12,11 @@
 namespace {
 
 constexpr uint16_t PortsPerNode = 5;
-constexpr std::chrono::seconds Grace(8);
+/// Far longer than a process takes to listen.
+constexpr std::chrono::seconds ListenLimit(10);
+constexpr std::chrono::milliseconds ListenPeriod(5);
+/// Until callers have noticed that a process has ended.
+constexpr std::chrono::milliseconds JudgingTime(100);
 constexpr std::chrono::seconds GraceMargin(1);
 
 } // namespace
@@ -51,7 +56,7 @@
        << "platform: {store: \"127.0.0.1:" << m_Nodes[Node]->m_StorePort->port()
        << "\", leave-notice: 2s, contact-time: 3s}\n"
        << "retries: {ratio: 0.2, slack: 50, window: 10s}\n"
-       << "lease: {term: 3s}\nstop: {grace: " << Grace.count() << "s}\n";
+       << "lease: {term: 3s}\nstop: {grace: " << StopGrace.count() << "ms}\n";
 }
 
 std::string SoakNodes::command(const std::string &Verb, size_t Node) {
@@ -74,6 +79,11 @@
   return m_Nodes[Node]->m_Incarnation;
 }
 
+std::optional<SteadyTime> SoakNodes::stopAskedAt(size_t Node) const {
+  const SteadyTime At = m_Nodes[Node]->m_StopAskedAt;
+  return At == SteadyTime() ? std::nullopt : std::optional(At);
+}
+
 bool SoakNodes::isUndisturbedSince(size_t Node, SteadyTime Since) const {
   return m_Nodes[Node]->m_DisturbedAt.load() < Since &&
          m_Nodes[Node]->m_State != State::Paused;
@@ -86,8 +96,14 @@
 
 void SoakNodes::start(size_t Node) {
   ++m_Nodes[Node]->m_Incarnation;
+  m_Nodes[Node]->m_StopAskedAt = SteadyTime();
   m_Nodes[Node]->m_DisturbedAt = std::chrono::steady_clock::now();
   command("start", Node);
+  // Until it listens, a signal may come before the program has begun.
+  const SteadyTime GiveUpAt = std::chrono::steady_clock::now() + ListenLimit;
+  while (!CallerConnection(port(Node, 1)).isOpen() &&
+         std::chrono::steady_clock::now() < GiveUpAt)
+    std::this_thread::sleep_for(ListenPeriod);
   m_Nodes[Node]->m_State = State::Running;
 }
 
@@ -117,24 +133,24 @@
 void SoakNodes::stopAndWait(size_t Node) {
   const SteadyTime Start = std::chrono::steady_clock::now();
   m_Nodes[Node]->m_State = State::Stopping;
+  m_Nodes[Node]->m_StopAskedAt = Start;
   command(m_Planted == PlantedFault::StopKills ? "kill" : "stop", Node);
   std::string Status;
   do {
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
     Status = command("ended", Node);
   } while (Status == "no" &&
-           std::chrono::steady_clock::now() - Start < Grace + GraceMargin);
+           std::chrono::steady_clock::now() - Start < StopGrace + GraceMargin);
   m_Nodes[Node]->m_State = State::Down;
   const std::string Name = "node-" + std::to_string(Node);
-  if (Status == "1")
-    m_Record.onGraceExpired(Name, Start);
-  else if (Status != "0")
+  if (Status != "0")
     m_Record.violation("planned stops",
                        Name + (Status == "no"
                                    ? " did not end in its grace"
                                    : " ended with status " + Status));
   if (Status == "no")
     command("kill", Node);
+  std::this_thread::sleep_for(JudgingTime);
 }
 
 void SoakNodes::checkAlive() {
--- a/Source/UnitTests/Soak/SoakNodes.h
+++ b/Source/UnitTests/Soak/SoakNodes.h
@@ -31,6 +31,8 @@
   bool isRunning(size_t Node) const;
   /// Changes with each start of its process.
   uint64_t incarnation(size_t Node) const;
+  /// When its process was asked to stop.
+  std::optional<SteadyTime> stopAskedAt(size_t Node) const;
   /// Whether its process has run without a kill or a pause since \p Since.
   bool isUndisturbedSince(size_t Node, SteadyTime Since) const;
   bool isReady(size_t Node) const;
@@ -54,6 +56,8 @@
     std::atomic<State> m_State = State::Down;
     std::atomic<uint64_t> m_Incarnation = 0;
     std::atomic<SteadyTime> m_DisturbedAt{SteadyTime()};
+    /// Zero: not asked.
+    std::atomic<SteadyTime> m_StopAskedAt{SteadyTime()};
   };
 
   /// Sends a line to the script and returns its answer.
--- a/Source/UnitTests/Soak/SoakSchedule.cpp
+++ b/Source/UnitTests/Soak/SoakSchedule.cpp
@@ -290,8 +290,11 @@
   awaitReady();
   checkRecovery(Callers);
   m_World.nodes().checkAlive();
+  std::vector<std::thread> Stops;
   for (size_t I = 0; I < m_World.nodes().count(); ++I)
-    m_World.nodes().stopAndWait(I);
+    Stops.emplace_back([this, I] { m_World.nodes().stopAndWait(I); });
+  for (std::thread &Each : Stops)
+    Each.join();
 }
 
 } // namespace bronzepass::unit_tests::soak
--- a/Source/UnitTests/Soak/SoakWorld.cpp
+++ b/Source/UnitTests/Soak/SoakWorld.cpp
@@ -26,14 +26,17 @@
 const char *const EngineService = "writer";
 const char *const PlainService = "registry";
 
+constexpr int UsualTimeoutMs = 8000;
+constexpr int LongTimeoutMs = 20000;
+
 json route(const std::string &Prefix, const char *Kind, const char *Service,
-           int MaxAttempts) {
+           int MaxAttempts, int TimeoutMs = UsualTimeoutMs) {
   return {{"Name", Prefix},
           {"Host", "h"},
           {"PathPrefix", Prefix},
           {"Kind", Kind},
           {"Service", Service},
-          {"TimeoutMs", 8000},
+          {"TimeoutMs", TimeoutMs},
           {"SloMs", 1000},
           {"Priority", 0},
           {"GapTargetMs", 400},
@@ -89,7 +92,8 @@
   json Routes = {route("/once/", "non_idempotent", PlainService, 1),
                  route("/again/", "idempotent", PlainService, 2),
                  route("/live/", "stream", EngineService, 1),
-                 route("/resume/", "stream", EngineService, 3)};
+                 route("/resume/", "stream", EngineService, 3),
+                 route("/long/", "stream", EngineService, 1, LongTimeoutMs)};
   const uint64_t Number = m_Version.m_Number;
   const bool DropsRoutes = m_Shared.m_Planted == PlantedFault::DroppedRoutes;
   const uint64_t KeptRoutes = DropsRoutes ? 0 : KeptProbeRoutes;
