UnitTests: Planned stops of a real node, as callers see them

One node, four endpoints that do what each request asks (answer after 1 to 12 s, never, refuse, reset or break off late, stream longer than the grace), 132 callers on kept connections that send every 100 ms until the process is gone, each with one long request between 1 s before and 2.9 s after the SIGTERM. A whole request gets an answer or a refusal unless its stream had begun; a request that may run once is never refused as not run and run; the process ends in its grace with status 0; the log ends each request that it names exactly once. Stops.changes also has signals to reload, a smaller and a larger grace in the settings, and configurations with shorter times and fewer routes meanwhile; Stops.unconfigured is stopped before the first configuration.

--- /dev/null
+++ b/Source/UnitTests/Stops/StopsMain.cpp
@@ -0,0 +1,245 @@
+#include "UnitTests/Stops/StopCallers.h"
+#include "UnitTests/Stops/StopEndpoint.h"
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace {
+
+using namespace bronzepass::unit_tests;
+using namespace std::chrono_literals;
+using nlohmann::json;
+using soak::RequestKind;
+using stops::PlannedRequest;
+
+constexpr std::chrono::seconds ReadyLimit = 30s;
+constexpr std::chrono::milliseconds LookPeriod = 20ms;
+/// Traffic before the stop.
+constexpr std::chrono::milliseconds Before = 1500ms;
+/// Until this program has seen that a process is gone, or a caller its answer.
+constexpr std::chrono::milliseconds SeenMargin = 250ms;
+constexpr std::chrono::milliseconds UsualTimeout = 20s;
+constexpr std::chrono::milliseconds UsualIdleTime = 15s;
+/// Of a configuration that comes while the node stops.
+constexpr std::chrono::milliseconds ShortTime = 1500ms;
+
+json route(const char *Name, const char *Kind, const char *Service,
+           int MaxAttempts, std::chrono::milliseconds Timeout) {
+  return {{"Name", Name},
+          {"Host", "h"},
+          {"PathPrefix", std::string("/") + Name + "/"},
+          {"Kind", Kind},
+          {"Service", Service},
+          {"TimeoutMs", Timeout.count()},
+          {"SloMs", 1000},
+          {"Priority", 0},
+          {"GapTargetMs", 400},
+          {"MaxAttempts", MaxAttempts},
+          {"AllowResume", std::string(Name) == "resume"}};
+}
+
+json configuration(int Version, std::chrono::milliseconds Timeout,
+                   std::chrono::milliseconds IdleTime, bool HasAllRoutes) {
+  json Routes = {route("once", "non_idempotent", "plain", 1, Timeout),
+                 route("live", "stream", "engine", 1, Timeout)};
+  if (HasAllRoutes) {
+    Routes.push_back(route("again", "idempotent", "plain", 3, Timeout));
+    Routes.push_back(route("resume", "stream", "engine", 3, Timeout));
+  }
+  json Models = json::array();
+  for (const char *const Each : {"m0", "m1"})
+    Models.push_back({{"Name", Each},
+                      {"WeightsMb", 40000},
+                      {"LoadTimeS", 0.4},
+                      {"Adapters", 1},
+                      {"AdapterMb", 100}});
+  const json Engine = {{"Slots", 64},         {"KvCapacity", 1000000},
+                       {"WeightsMb", 100000}, {"AdapterSlots", 2},
+                       {"LoadsPerS", 4},      {"Models", Models}};
+  return {{"Version", Version},
+          {"Limits",
+           {{"MaxHeaderBytes", 8 << 10},
+            {"MaxBodyBytes", 64 << 10},
+            {"HeaderTimeoutMs", 3000},
+            {"IdleTimeoutMs", IdleTime.count()}}},
+          {"Routes", Routes},
+          {"Services",
+           {{{"Name", "engine"}, {"MaxConns", 0}, {"Engine", Engine}},
+            {{"Name", "plain"}, {"MaxConns", 0}}}}};
+}
+
+/// Every kind of request with every end, at several moments of the stop.
+std::vector<PlannedRequest> plannedRequests() {
+  const std::vector<PlannedRequest> Each = {
+      {RequestKind::Once, "/once/answer-1000", "", "", {}},
+      {RequestKind::Once, "/once/answer-3000", "", "", {}},
+      {RequestKind::Once, "/once/answer-7000", "", "", {}},
+      {RequestKind::Once, "/once/answer-12000", "", "", {}},
+      {RequestKind::Once, "/once/never", "", "", {}},
+      {RequestKind::Once, "/once/refuse-5000", "", "", {}},
+      {RequestKind::Once, "/once/reset-5000", "", "", {}},
+      {RequestKind::Repeatable, "/again/answer-4000", "", "", {}},
+      {RequestKind::Repeatable, "/again/never", "", "", {}},
+      {RequestKind::Repeatable, "/again/refuse-4500", "", "", {}},
+      {RequestKind::Repeatable, "/again/reset-4500", "", "", {}},
+      {RequestKind::LiveStream, "/live/stream-300", "m0", "200,40", {}},
+      {RequestKind::LiveStream, "/live/stream-1200", "m0", "200,40", {}},
+      {RequestKind::LiveStream, "/live/never", "m0", "200,40", {}},
+      {RequestKind::LiveStream, "/live/refuse-5000", "m0", "200,40", {}},
+      {RequestKind::LiveStream, "/live/part-5000", "m0", "200,40", {}},
+      {RequestKind::LiveStream, "/live/stream-300", "m0/a1", "200,40", {}},
+      {RequestKind::LiveStream, "/live/never", "m1", "60000,40", {}},
+      {RequestKind::ResumableStream, "/resume/stream-1200", "m0", "20,40", {}},
+      {RequestKind::ResumableStream, "/resume/part-2500", "m0", "20,40", {}},
+      {RequestKind::ResumableStream, "/resume/never", "m0", "200,40", {}},
+      {RequestKind::ResumableStream, "/resume/never", "m1", "60000,40", {}},
+  };
+  std::vector<PlannedRequest> All;
+  for (const std::chrono::milliseconds At :
+       {-1000ms, -100ms, 500ms, 1500ms, 2400ms, 2900ms})
+    for (PlannedRequest Planned : Each) {
+      Planned.m_At = At;
+      All.push_back(std::move(Planned));
+    }
+  return All;
+}
+
+/// Replaces the grace in the settings of node 0.
+void changeGrace(const std::string &Folder, int Millis) {
+  const std::string Path = Folder + "/node-0.yaml";
+  std::ifstream Old(Path);
+  std::string Text((std::istreambuf_iterator<char>(Old)), {});
+  const std::string Key = "grace: ";
+  const size_t Begin = Text.find(Key) + Key.size();
+  Text.replace(Begin, Text.find('}', Begin) - Begin,
+               std::to_string(Millis) + "ms");
+  std::ofstream(Path) << Text;
+}
+
+/// What an operator may do while a node stops.
+void makeChanges(const std::string &Folder, soak::SoakNodes &Nodes,
+                 soak::PlatformStore &Store, stops::StopCallers &Callers) {
+  constexpr std::chrono::milliseconds ChangePeriod = 600ms;
+  constexpr int SmallerGraceMs = 3000;
+  constexpr int LargerGraceMs = 30000;
+  std::this_thread::sleep_for(ChangePeriod);
+  changeGrace(Folder, SmallerGraceMs);
+  Nodes.reload(0);
+  std::this_thread::sleep_for(ChangePeriod);
+  Callers.setTimeout(ShortTime);
+  Store.put("config", "main", configuration(2, ShortTime, ShortTime, true));
+  std::this_thread::sleep_for(ChangePeriod);
+  changeGrace(Folder, LargerGraceMs);
+  Nodes.reload(0);
+  Store.put("config", "main", configuration(3, ShortTime, ShortTime, false));
+  std::this_thread::sleep_for(ChangePeriod);
+  Nodes.reload(0);
+  Store.put("config", "main",
+            configuration(4, UsualTimeout, UsualIdleTime, true));
+}
+
+/// Each request that the log names has to end in it exactly once.
+void checkLog(const std::string &Folder, soak::RequestRecord &Record) {
+  const std::set<std::string> Ends = {"answer", "refuse", "cut", "gone",
+                                      "dropped"};
+  std::map<std::string, size_t> EndCounts;
+  std::map<std::string, size_t> Actions;
+  std::ifstream Log(Folder + "/node-0.log");
+  for (std::string Line; std::getline(Log, Line);) {
+    const json Entry = json::parse(Line, nullptr, false);
+    if (Entry.is_discarded() || !Entry.contains("request"))
+      continue;
+    const std::string Action = Entry["action"];
+    ++Actions[Action];
+    EndCounts[Entry["request"]] += Ends.contains(Action);
+  }
+  for (const auto &[Request, Count] : EndCounts)
+    if (Count != 1)
+      Record.violation("log", Request + " ends " + std::to_string(Count) +
+                                  " times in the log");
+  std::cerr << "log:";
+  for (const auto &[Action, Count] : Actions)
+    std::cerr << " " << Action << ": " << Count;
+  std::cerr << std::endl;
+}
+
+/// Stops node 0; it has to end in time.
+void stop(soak::SoakNodes &Nodes, soak::RequestRecord &Record) {
+  const soak::SteadyTime Start = std::chrono::steady_clock::now();
+  Nodes.stopAndWait(0);
+  const auto Took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - Start);
+  if (Took > soak::StopGrace + SeenMargin)
+    Record.violation("planned stops", "the process took too long");
+  std::cerr << "stopped within " << Took.count() << " ms" << std::endl;
+}
+
+void awaitReady(soak::SoakNodes &Nodes, soak::RequestRecord &Record) {
+  const soak::SteadyTime End = std::chrono::steady_clock::now() + ReadyLimit;
+  while (!Nodes.isReady(0) && std::chrono::steady_clock::now() < End)
+    std::this_thread::sleep_for(LookPeriod);
+  if (!Nodes.isReady(0))
+    Record.violation("ready", "the node does not become ready");
+}
+
+int runStop(const std::string &Folder, const std::string &Name, uint16_t Port) {
+  const bool IsConfigured = Name != "unconfigured";
+  soak::PlatformStore Store;
+  soak::RequestRecord Record;
+  if (IsConfigured)
+    Store.put("config", "main",
+              configuration(1, UsualTimeout, UsualIdleTime, true));
+  std::vector<std::unique_ptr<stops::StopEndpoint>> Endpoints;
+  for (const char *const Id : {"s-0", "s-1"})
+    Endpoints.push_back(std::make_unique<stops::StopEndpoint>(
+        Store, Record, Id, "plain", std::set<std::string>()));
+  for (const char *const Id : {"e-0", "e-1"})
+    Endpoints.push_back(std::make_unique<stops::StopEndpoint>(
+        Store, Record, Id, "engine", std::set<std::string>{"m0", "m1"}));
+  soak::SoakNodes Nodes(1, Port, Folder, Store, Record,
+                        soak::PlantedFault::None);
+  Nodes.start(0);
+  if (IsConfigured)
+    awaitReady(Nodes, Record);
+  {
+    const soak::SteadyTime StopAt = std::chrono::steady_clock::now() + Before;
+    stops::StopCallers Callers(Nodes, Record, plannedRequests(), StopAt,
+                               UsualTimeout);
+    std::this_thread::sleep_until(StopAt);
+    std::thread Changes;
+    if (Name == "changes")
+      Changes =
+          std::thread([&] { makeChanges(Folder, Nodes, Store, Callers); });
+    stop(Nodes, Record);
+    if (Changes.joinable())
+      Changes.join();
+    std::cerr << "answers:";
+    for (const auto &[End, Count] : Callers.counts())
+      std::cerr << " " << End << ": " << Count;
+    std::cerr << std::endl;
+  }
+  checkLog(Folder, Record);
+  Record.finish();
+  size_t Violations = 0;
+  for (const auto &[Promise, Times] : Record.violations()) {
+    std::cerr << "promise broken " << Times << " times: " << Promise
+              << std::endl;
+    Violations += static_cast<size_t>(Times);
+  }
+  Store.stop();
+  return Violations == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  constexpr int ArgumentCount = 5;
+  if (Count != ArgumentCount) {
+    std::cerr << "usage: bronzepass-stops --folder FOLDER NAME PORT"
+              << std::endl;
+    return 2;
+  }
+  return runStop(Arguments[2], Arguments[3],
+                 static_cast<uint16_t>(std::stoul(Arguments[4])));
+}
