UnitTests: Planned stops while requests are forwarded to another node

A second node, and endpoints whose addresses the first one's store has wrong, so that its links are lost and it forwards everything. Stops.forwarding stops the node that forwards, Stops.forwarded the one that carries out. Each log has to show answers, so that a setup without them is not taken for one that holds.

--- a/Source/UnitTests/Soak/SoakNodes.cpp
+++ b/Source/UnitTests/Soak/SoakNodes.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 SoakNodes::SoakNodes(size_t Count, uint16_t BasePort, std::string Folder,
-                     PlatformStore &Store, RequestRecord &Record,
+                     const StoreOf &Store, RequestRecord &Record,
                      PlantedFault Planted)
     : m_BasePort(BasePort), m_Folder(std::move(Folder)), m_Record(Record),
       m_Planted(Planted) {
@@ -30,9 +30,9 @@
     m_Nodes.push_back(std::make_unique<Node>());
     Node &Added = *m_Nodes.back();
     Added.m_StorePort = std::make_unique<ThreadServer>(
-        [&Added, &Store](ServerConnection &Connection,
-                         const ServerRequest &Request) {
-          Store.serve(Connection, Request, Added.m_Access);
+        [&Added, &Own = Store(I)](ServerConnection &Connection,
+                                  const ServerRequest &Request) {
+          Own.serve(Connection, Request, Added.m_Access);
         });
     writeSettings(I);
   }
@@ -44,6 +44,8 @@
 
 uint16_t SoakNodes::callerPort(size_t Node) const { return port(Node, 0); }
 
+uint16_t SoakNodes::peerPort(size_t Node) const { return port(Node, 2); }
+
 void SoakNodes::writeSettings(size_t Node) const {
   const std::string Name = std::to_string(Node);
   std::ofstream File(m_Folder + "/node-" + Name + ".yaml");
--- a/Source/UnitTests/Soak/SoakNodes.h
+++ b/Source/UnitTests/Soak/SoakNodes.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -21,11 +22,15 @@
 public:
   enum class State { Down, Running, Paused, Stopping };
 
+  /// The store that a node is given.
+  using StoreOf = std::function<PlatformStore &(size_t Node)>;
+
   SoakNodes(size_t Count, uint16_t BasePort, std::string Folder,
-            PlatformStore &Store, RequestRecord &Record, PlantedFault Planted);
+            const StoreOf &Store, RequestRecord &Record, PlantedFault Planted);
 
   size_t count() const { return m_Nodes.size(); }
   uint16_t callerPort(size_t Node) const;
+  uint16_t peerPort(size_t Node) const;
   /// Takes callers' requests, or has connections that do.
   bool isUp(size_t Node) const;
   bool isRunning(size_t Node) const;
--- a/Source/UnitTests/Soak/SoakWorld.cpp
+++ b/Source/UnitTests/Soak/SoakWorld.cpp
@@ -69,8 +69,9 @@
     m_Endpoints.push_back(std::make_unique<SoakEndpoint>(
         m_Shared, "s-" + std::to_string(I), PlainService, "v1",
         std::set<std::string>()));
-  m_Nodes = std::make_unique<SoakNodes>(NodeCount, BasePort, Folder, m_Store,
-                                        m_Record, Planted);
+  m_Nodes = std::make_unique<SoakNodes>(
+      NodeCount, BasePort, Folder,
+      [this](size_t) -> PlatformStore & { return m_Store; }, m_Record, Planted);
   if (Planted == PlantedFault::SilentConfiguration)
     m_Store.hideConfiguration();
   m_Threads.emplace_back([this] { keepRenewing(); });
--- a/Source/UnitTests/Stops/StopCallers.cpp
+++ b/Source/UnitTests/Stops/StopCallers.cpp
@@ -18,11 +18,13 @@
 
 } // namespace
 
-StopCallers::StopCallers(soak::SoakNodes &Nodes, soak::RequestRecord &Record,
+StopCallers::StopCallers(soak::SoakNodes &Nodes, size_t Stopping,
+                         soak::RequestRecord &Record,
                          const std::vector<PlannedRequest> &Planned,
                          soak::SteadyTime StopAt,
                          std::chrono::milliseconds Timeout)
-    : m_Nodes(Nodes), m_Record(Record), m_StopAt(StopAt), m_Timeout(Timeout) {
+    : m_Nodes(Nodes), m_Stopping(Stopping), m_Record(Record), m_StopAt(StopAt),
+      m_Timeout(Timeout) {
   for (const PlannedRequest &Each : Planned)
     m_Threads.emplace_back(
         [this, Number = m_Threads.size(), Each] { runCaller(Number, Each); });
@@ -41,7 +43,7 @@
 void StopCallers::runCaller(size_t Number, const PlannedRequest &Planned) {
   soak::CallerConnection Connection(m_Nodes.callerPort(0));
   bool IsPlannedSent = false;
-  for (size_t Sent = 0; m_Nodes.isUp(0); ++Sent) {
+  for (size_t Sent = 0; m_Nodes.isUp(m_Stopping); ++Sent) {
     if (!Connection.isOpen())
       Connection = soak::CallerConnection(m_Nodes.callerPort(0));
     const bool IsDue = !IsPlannedSent && std::chrono::steady_clock::now() >=
@@ -78,8 +80,8 @@
   const std::chrono::milliseconds Timeout = m_Timeout;
   const soak::CallerResponse Response = Connection.receive();
   const soak::LostAnswer Loss{SentAt, std::chrono::steady_clock::now(),
-                              Response.m_Status != 0, m_Nodes.stopAskedAt(0),
-                              Timeout};
+                              Response.m_Status != 0,
+                              m_Nodes.stopAskedAt(m_Stopping), Timeout};
   soak::judgeAnswer(m_Record, Id, Request.m_Kind, Response, Loss);
   const std::scoped_lock Lock(m_Mutex);
   ++m_Counts[Response.m_Complete ? std::to_string(Response.m_Status)
--- a/Source/UnitTests/Stops/StopCallers.h
+++ b/Source/UnitTests/Stops/StopCallers.h
@@ -27,11 +27,12 @@
   std::chrono::milliseconds m_At{0};
 };
 
-/// Callers that send on connections which they keep until a node's process is
-/// gone.
+/// Callers of node 0 that send on connections which they keep until the process
+/// of the node that stops is gone.
 class StopCallers {
 public:
-  StopCallers(soak::SoakNodes &Nodes, soak::RequestRecord &Record,
+  StopCallers(soak::SoakNodes &Nodes, size_t Stopping,
+              soak::RequestRecord &Record,
               const std::vector<PlannedRequest> &Planned,
               soak::SteadyTime StopAt, std::chrono::milliseconds Timeout);
   ~StopCallers();
@@ -49,6 +50,7 @@
                const PlannedRequest &Request);
 
   soak::SoakNodes &m_Nodes;
+  const size_t m_Stopping;
   soak::RequestRecord &m_Record;
   const soak::SteadyTime m_StopAt;
   std::atomic<std::chrono::milliseconds> m_Timeout;
--- a/Source/UnitTests/Stops/StopEndpoint.cpp
+++ b/Source/UnitTests/Stops/StopEndpoint.cpp
@@ -13,6 +13,8 @@
 using soak::RequestKind;
 
 constexpr std::chrono::milliseconds LookPeriod = 10ms;
+/// Nothing listens there.
+constexpr uint16_t ClosedPort = 1;
 /// Of one endpoint; more than the requests that are in flight at once.
 constexpr int Slots = 64;
 
@@ -39,11 +41,11 @@
           std::chrono::milliseconds(std::stoi(Last.substr(Dash + 1)))};
 }
 
-StopEndpoint::StopEndpoint(soak::PlatformStore &Store,
-                           soak::RequestRecord &Record, std::string Id,
+StopEndpoint::StopEndpoint(soak::RequestRecord &Record, std::string Id,
                            std::string Service,
                            const std::set<std::string> &Models)
-    : m_Record(Record), m_Id(std::move(Id)), m_IsEngine(!Models.empty()),
+    : m_Record(Record), m_Id(std::move(Id)), m_Service(std::move(Service)),
+      m_IsEngine(!Models.empty()),
       m_Server([this](soak::ServerConnection &Connection,
                       const soak::ServerRequest &Request) {
         onRequest(Connection, Request);
@@ -51,9 +53,13 @@
   for (const std::string &Each : Models)
     m_Models.push_back(
         {{"Name", Each}, {"Version", 1}, {"Adapters", json::array()}});
+}
+
+void StopEndpoint::enter(soak::PlatformStore &Store, bool IsReachable) const {
+  const uint16_t Port = IsReachable ? m_Server.port() : ClosedPort;
   Store.put("servers", m_Id,
-            {{"Service", Service},
-             {"Address", "127.0.0.1:" + std::to_string(m_Server.port())},
+            {{"Service", m_Service},
+             {"Address", "127.0.0.1:" + std::to_string(Port)},
              {"Zone", "z0"},
              {"Version", "v1"},
              {"Slots", Slots},
--- a/Source/UnitTests/Stops/StopEndpoint.h
+++ b/Source/UnitTests/Stops/StopEndpoint.h
@@ -26,10 +26,12 @@
 class StopEndpoint {
 public:
   /// \p Models is empty for a plain service.
-  StopEndpoint(soak::PlatformStore &Store, soak::RequestRecord &Record,
-               std::string Id, std::string Service,
+  StopEndpoint(soak::RequestRecord &Record, std::string Id, std::string Service,
                const std::set<std::string> &Models);
 
+  /// Writes its entry; \p IsReachable: with the right address.
+  void enter(soak::PlatformStore &Store, bool IsReachable) const;
+
 private:
   void onRequest(soak::ServerConnection &Connection,
                  const soak::ServerRequest &Request);
@@ -40,6 +42,7 @@
 
   soak::RequestRecord &m_Record;
   const std::string m_Id;
+  const std::string m_Service;
   const bool m_IsEngine;
   nlohmann::json m_Models = nlohmann::json::array();
   soak::ThreadServer m_Server;
--- a/Source/UnitTests/Stops/StopsMain.cpp
+++ b/Source/UnitTests/Stops/StopsMain.cpp
@@ -140,12 +140,13 @@
 }
 
 /// Each request that the log names has to end in it exactly once.
-void checkLog(const std::string &Folder, soak::RequestRecord &Record) {
+void checkLog(const std::string &Folder, size_t Node, bool IsServing,
+              soak::RequestRecord &Record) {
   const std::set<std::string> Ends = {"answer", "refuse", "cut", "gone",
                                       "dropped"};
   std::map<std::string, size_t> EndCounts;
   std::map<std::string, size_t> Actions;
-  std::ifstream Log(Folder + "/node-0.log");
+  std::ifstream Log(Folder + "/node-" + std::to_string(Node) + ".log");
   for (std::string Line; std::getline(Log, Line);) {
     const json Entry = json::parse(Line, nullptr, false);
     if (Entry.is_discarded() || !Entry.contains("request"))
@@ -158,16 +159,18 @@
     if (Count != 1)
       Record.violation("log", Request + " ends " + std::to_string(Count) +
                                   " times in the log");
-  std::cerr << "log:";
+  if (Actions["answer"] == 0 && IsServing)
+    Record.violation("log", "node " + std::to_string(Node) + " serves nothing");
+  std::cerr << "log of node " << Node << ":";
   for (const auto &[Action, Count] : Actions)
     std::cerr << " " << Action << ": " << Count;
   std::cerr << std::endl;
 }
 
-/// Stops node 0; it has to end in time.
-void stop(soak::SoakNodes &Nodes, soak::RequestRecord &Record) {
+/// Stops a node; it has to end in time.
+void stop(soak::SoakNodes &Nodes, size_t Node, soak::RequestRecord &Record) {
   const soak::SteadyTime Start = std::chrono::steady_clock::now();
-  Nodes.stopAndWait(0);
+  Nodes.stopAndWait(Node);
   const auto Took = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::steady_clock::now() - Start);
   if (Took > soak::StopGrace + SeenMargin)
@@ -177,41 +180,80 @@
 
 void awaitReady(soak::SoakNodes &Nodes, soak::RequestRecord &Record) {
   const soak::SteadyTime End = std::chrono::steady_clock::now() + ReadyLimit;
-  while (!Nodes.isReady(0) && std::chrono::steady_clock::now() < End)
-    std::this_thread::sleep_for(LookPeriod);
-  if (!Nodes.isReady(0))
-    Record.violation("ready", "the node does not become ready");
+  for (size_t I = 0; I < Nodes.count(); ++I) {
+    while (!Nodes.isReady(I) && std::chrono::steady_clock::now() < End)
+      std::this_thread::sleep_for(LookPeriod);
+    if (!Nodes.isReady(I))
+      Record.violation("ready", "a node does not become ready");
+  }
 }
 
-int runStop(const std::string &Folder, const std::string &Name, uint16_t Port) {
-  const bool IsConfigured = Name != "unconfigured";
-  soak::PlatformStore Store;
-  soak::RequestRecord Record;
-  if (IsConfigured)
-    Store.put("config", "main",
-              configuration(1, UsualTimeout, UsualIdleTime, true));
-  std::vector<std::unique_ptr<stops::StopEndpoint>> Endpoints;
+/// What surrounds the nodes, each of which has a store of its own.
+struct Surroundings {
+  soak::RequestRecord m_Record;
+  std::vector<std::unique_ptr<soak::PlatformStore>> m_Stores;
+  std::vector<std::unique_ptr<stops::StopEndpoint>> m_Endpoints;
+  std::unique_ptr<soak::SoakNodes> m_Nodes;
+};
+
+/// Where there are two nodes, the first one reaches no endpoint.
+void prepare(Surroundings &World, size_t NodeCount, const std::string &Folder,
+             uint16_t Port) {
   for (const char *const Id : {"s-0", "s-1"})
-    Endpoints.push_back(std::make_unique<stops::StopEndpoint>(
-        Store, Record, Id, "plain", std::set<std::string>()));
+    World.m_Endpoints.push_back(std::make_unique<stops::StopEndpoint>(
+        World.m_Record, Id, "plain", std::set<std::string>()));
   for (const char *const Id : {"e-0", "e-1"})
-    Endpoints.push_back(std::make_unique<stops::StopEndpoint>(
-        Store, Record, Id, "engine", std::set<std::string>{"m0", "m1"}));
-  soak::SoakNodes Nodes(1, Port, Folder, Store, Record,
-                        soak::PlantedFault::None);
-  Nodes.start(0);
+    World.m_Endpoints.push_back(std::make_unique<stops::StopEndpoint>(
+        World.m_Record, Id, "engine", std::set<std::string>{"m0", "m1"}));
+  for (size_t I = 0; I < NodeCount; ++I)
+    World.m_Stores.push_back(std::make_unique<soak::PlatformStore>());
+  World.m_Nodes = std::make_unique<soak::SoakNodes>(
+      NodeCount, Port, Folder,
+      [&](size_t Node) -> soak::PlatformStore & {
+        return *World.m_Stores[Node];
+      },
+      World.m_Record, soak::PlantedFault::None);
+  for (size_t I = 0; I < NodeCount; ++I) {
+    for (const std::unique_ptr<stops::StopEndpoint> &Each : World.m_Endpoints)
+      Each->enter(*World.m_Stores[I], I + 1 == NodeCount);
+    for (size_t Other = 0; Other < NodeCount; ++Other)
+      if (Other != I)
+        World.m_Stores[I]->put("bronzepass-nodes",
+                               "node-" + std::to_string(Other),
+                               {{"ip", "127.0.0.1"},
+                                {"port", World.m_Nodes->peerPort(Other)},
+                                {"failureDomain", "z0"},
+                                {"cpuPercent", 100}});
+  }
+}
+
+int runStop(const std::string &Folder, const std::string &Name, uint16_t Port) {
+  const bool IsConfigured = Name != "unconfigured";
+  const bool IsForwarded = Name == "forwarding" || Name == "forwarded";
+  const size_t Stopping = Name == "forwarded" ? 1 : 0;
+  Surroundings World;
+  prepare(World, IsForwarded ? 2 : 1, Folder, Port);
+  soak::RequestRecord &Record = World.m_Record;
+  soak::SoakNodes &Nodes = *World.m_Nodes;
+  for (size_t I = 0; I < Nodes.count(); ++I) {
+    if (IsConfigured)
+      World.m_Stores[I]->put(
+          "config", "main",
+          configuration(1, UsualTimeout, UsualIdleTime, true));
+    Nodes.start(I);
+  }
   if (IsConfigured)
     awaitReady(Nodes, Record);
   {
     const soak::SteadyTime StopAt = std::chrono::steady_clock::now() + Before;
-    stops::StopCallers Callers(Nodes, Record, plannedRequests(), StopAt,
-                               UsualTimeout);
+    stops::StopCallers Callers(Nodes, Stopping, Record, plannedRequests(),
+                               StopAt, UsualTimeout);
     std::this_thread::sleep_until(StopAt);
     std::thread Changes;
     if (Name == "changes")
-      Changes =
-          std::thread([&] { makeChanges(Folder, Nodes, Store, Callers); });
-    stop(Nodes, Record);
+      Changes = std::thread(
+          [&] { makeChanges(Folder, Nodes, *World.m_Stores[0], Callers); });
+    stop(Nodes, Stopping, Record);
     if (Changes.joinable())
       Changes.join();
     std::cerr << "answers:";
@@ -219,7 +261,11 @@
       std::cerr << " " << End << ": " << Count;
     std::cerr << std::endl;
   }
-  checkLog(Folder, Record);
+  for (size_t I = 0; I < Nodes.count(); ++I) {
+    if (I != Stopping)
+      stop(Nodes, I, Record);
+    checkLog(Folder, I, IsConfigured, Record);
+  }
   Record.finish();
   size_t Violations = 0;
   for (const auto &[Promise, Times] : Record.violations()) {
@@ -227,7 +273,8 @@
               << std::endl;
     Violations += static_cast<size_t>(Times);
   }
-  Store.stop();
+  for (const std::unique_ptr<soak::PlatformStore> &Each : World.m_Stores)
+    Each->stop();
   return Violations == 0 ? 0 : 1;
 }
 
