--- a/Source/UnitTests/Soak/SoakNodes.h
+++ b/Source/UnitTests/Soak/SoakNodes.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -21,16 +22,22 @@
 public:
   enum class State { Down, Running, Paused, Stopping };
 
+  /// The store that a node is given.
+  using StoreOf = std::function<PlatformStore &(size_t Node)>;
+
   SoakNodes(size_t Count, uint16_t BasePort, std::string Folder,
-            PlatformStore &Store, RequestRecord &Record, PlantedFault Planted);
+            const StoreOf &Store, RequestRecord &Record, PlantedFault Planted);
 
   size_t count() const { return m_Nodes.size(); }
   uint16_t callerPort(size_t Node) const;
+  uint16_t peerPort(size_t Node) const;
   /// Takes callers' requests, or has connections that do.
   bool isUp(size_t Node) const;
   bool isRunning(size_t Node) const;
   /// Changes with each start of its process.
   uint64_t incarnation(size_t Node) const;
+  /// When its process was asked to stop.
+  std::optional<SteadyTime> stopAskedAt(size_t Node) const;
   /// Whether its process has run without a kill or a pause since \p Since.
   bool isUndisturbedSince(size_t Node, SteadyTime Since) const;
   bool isReady(size_t Node) const;
@@ -54,6 +61,8 @@
     std::atomic<State> m_State = State::Down;
     std::atomic<uint64_t> m_Incarnation = 0;
     std::atomic<SteadyTime> m_DisturbedAt{SteadyTime()};
+    /// Zero: not asked.
+    std::atomic<SteadyTime> m_StopAskedAt{SteadyTime()};
   };
 
   /// Sends a line to the script and returns its answer.
