Gateway: A run whose caller has left ends with one line of its own

A request that may run once goes on after its caller has left, which is logged as `gone`. If the process ended meanwhile, the log said `cut`, too: two ends of one request. If its time was up, or that of a stop, its run was ended without a line. Both now log `end`, as a run that comes to its end by itself does.

--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -266,7 +266,8 @@
 void RelayCore::onProcessEnd(model::TimePoint Now, RelayEffectList &Out) {
   m_Now = Now;
   for (auto &Each : m_ActiveRequests)
-    log(Each.second, "cut", 0, "the process ends", Out);
+    log(Each.second, Each.second.m_CallerDisconnected ? "end" : "cut", 0,
+        "the process ends", Out);
 }
 
 void RelayCore::cancelSend(ActiveRequest &Active, RelayEffectList &Out) {
@@ -322,9 +323,10 @@
   const char *const Reason = isBoundByStop(Active)
                                  ? "the time of this node's stop is up"
                                  : "its time is up";
-  if (Active.m_CallerDisconnected)
+  if (Active.m_CallerDisconnected) {
+    log(Active, "end", 0, Reason, Out);
     removeRequest(Active);
-  else if (Active.m_ForwardingStarted)
+  } else if (Active.m_ForwardingStarted)
     abortAnswer(Active, Reason, Out);
   else if (Active.m_PossibleRuns > 0 || Active.m_Attempt)
     reject(Active, GatewayTimeout, std::nullopt, Reason, Out);
--- a/Source/UnitTests/Gateway/RelayStopTest.cpp
+++ b/Source/UnitTests/Gateway/RelayStopTest.cpp
@@ -138,4 +138,24 @@
   CHECK(Relay.m_Core.activeRequestCount() == 0);
 }
 
+// Guards against a request that is gone and cut, too, and a run that ends
+// without a line.
+TEST_CASE("a run whose caller has left ends with a line of its own") {
+  for (const bool EndsWithProcess : {false, true}) {
+    CAPTURE(EndsWithProcess);
+    StopFixture Relay;
+    Relay.m_Core.onCallerDisconnected(Relay.ask("/once/x"), Relay.m_Now,
+                                      Relay.m_Out);
+    Relay.beginStop();
+    Relay.take<gateway::RelayLogEntry>();
+    if (EndsWithProcess)
+      Relay.m_Core.onProcessEnd(Relay.m_Now, Relay.m_Out);
+    else
+      Relay.advance(6s);
+    const auto Lines = Relay.take<gateway::RelayLogEntry>();
+    REQUIRE(Lines.size() == 1);
+    CHECK(Lines.front().m_Action == "end");
+  }
+}
+
 } // namespace bronzepass::unit_tests
