UnitTests: Planned stops while a quota is short

Two nodes and one organisation whose quota its callers spend; the node that they call is not the holder and stops. Requests that wait for the holder write no line, so that the log does not show how many did.

--- a/Source/UnitTests/Stops/StopCallers.cpp
+++ b/Source/UnitTests/Stops/StopCallers.cpp
@@ -18,13 +18,13 @@
 
 } // namespace
 
-StopCallers::StopCallers(soak::SoakNodes &Nodes, size_t Stopping,
+StopCallers::StopCallers(soak::SoakNodes &Nodes, size_t Called, size_t Stopping,
                          soak::RequestRecord &Record,
                          const std::vector<PlannedRequest> &Planned,
                          soak::SteadyTime StopAt,
                          std::chrono::milliseconds Timeout)
-    : m_Nodes(Nodes), m_Stopping(Stopping), m_Record(Record), m_StopAt(StopAt),
-      m_Timeout(Timeout) {
+    : m_Nodes(Nodes), m_Called(Called), m_Stopping(Stopping), m_Record(Record),
+      m_StopAt(StopAt), m_Timeout(Timeout) {
   for (const PlannedRequest &Each : Planned)
     m_Threads.emplace_back(
         [this, Number = m_Threads.size(), Each] { runCaller(Number, Each); });
@@ -41,11 +41,11 @@
 }
 
 void StopCallers::runCaller(size_t Number, const PlannedRequest &Planned) {
-  soak::CallerConnection Connection(m_Nodes.callerPort(0));
+  soak::CallerConnection Connection(m_Nodes.callerPort(m_Called));
   bool IsPlannedSent = false;
   for (size_t Sent = 0; m_Nodes.isUp(m_Stopping); ++Sent) {
     if (!Connection.isOpen())
-      Connection = soak::CallerConnection(m_Nodes.callerPort(0));
+      Connection = soak::CallerConnection(m_Nodes.callerPort(m_Called));
     const bool IsDue = !IsPlannedSent && std::chrono::steady_clock::now() >=
                                              m_StopAt + Planned.m_At;
     const PlannedRequest &Request =
@@ -68,7 +68,8 @@
   m_Record.onSent(Id, Request.m_Kind);
   std::string Text =
       "POST " + Request.m_Path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + Id +
-      "\r\nX-Deadline-Ms: " + Deadline + "\r\nContent-Length: 4\r\n";
+      "\r\nX-Deadline-Ms: " + Deadline + "\r\nX-Credential: " + CallerKey +
+      "\r\nContent-Length: 4\r\n";
   if (!Request.m_Model.empty())
     Text += "X-Model: " + Request.m_Model +
             "\r\nX-Token-Count: " + Request.m_TokenCount + "\r\n";
--- a/Source/UnitTests/Stops/StopCallers.h
+++ b/Source/UnitTests/Stops/StopCallers.h
@@ -15,6 +15,9 @@
 
 namespace bronzepass::unit_tests::stops {
 
+/// Of all callers, where the configuration asks for one.
+inline const std::string CallerKey = "key";
+
 /// A request that a caller sends at a moment of the stop; before and after it
 /// the caller sends short ones on the same connection.
 struct PlannedRequest {
@@ -27,11 +30,11 @@
   std::chrono::milliseconds m_At{0};
 };
 
-/// Callers of node 0 that send on connections which they keep until the process
+/// Callers of a node that send on connections which they keep until the process
 /// of the node that stops is gone.
 class StopCallers {
 public:
-  StopCallers(soak::SoakNodes &Nodes, size_t Stopping,
+  StopCallers(soak::SoakNodes &Nodes, size_t Called, size_t Stopping,
               soak::RequestRecord &Record,
               const std::vector<PlannedRequest> &Planned,
               soak::SteadyTime StopAt, std::chrono::milliseconds Timeout);
@@ -50,6 +53,7 @@
                const PlannedRequest &Request);
 
   soak::SoakNodes &m_Nodes;
+  const size_t m_Called;
   const size_t m_Stopping;
   soak::RequestRecord &m_Record;
   const soak::SteadyTime m_StopAt;
--- a/Source/UnitTests/Stops/StopsMain.cpp
+++ b/Source/UnitTests/Stops/StopsMain.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::chrono::seconds ReadyLimit = 30s;
 constexpr std::chrono::milliseconds LookPeriod = 20ms;
+/// Until the nodes have agreed on who holds quotas.
+constexpr std::chrono::seconds QuotaStart = 5s;
 /// Traffic before the stop.
 constexpr std::chrono::milliseconds Before = 1500ms;
 /// Until this program has seen that a process is gone, or a caller its answer.
@@ -69,6 +71,16 @@
             {{"Name", "plain"}, {"MaxConns", 0}}}}};
 }
 
+/// One organisation, whose quota is a little more than the callers use.
+json organisations() {
+  return {{{"Name", "callers"},
+           {"ApiKeys", {stops::CallerKey}},
+           {"Priority", 0},
+           {"Unit", "requests"},
+           {"RatePerS", 1500},
+           {"Burst", 300}}};
+}
+
 /// Every kind of request with every end, at several moments of the stop.
 std::vector<PlannedRequest> plannedRequests() {
   const std::vector<PlannedRequest> Each = {
@@ -196,9 +208,9 @@
   std::unique_ptr<soak::SoakNodes> m_Nodes;
 };
 
-/// Where there are two nodes, the first one reaches no endpoint.
-void prepare(Surroundings &World, size_t NodeCount, const std::string &Folder,
-             uint16_t Port) {
+/// Unless \p IsFirstLinked, only the last node reaches endpoints.
+void prepare(Surroundings &World, size_t NodeCount, bool IsFirstLinked,
+             const std::string &Folder, uint16_t Port) {
   for (const char *const Id : {"s-0", "s-1"})
     World.m_Endpoints.push_back(std::make_unique<stops::StopEndpoint>(
         World.m_Record, Id, "plain", std::set<std::string>()));
@@ -210,12 +222,12 @@
   World.m_Nodes = std::make_unique<soak::SoakNodes>(
       NodeCount, Port, Folder,
       [&](size_t Node) -> soak::PlatformStore & {
-        return *World.m_Stores[Node];
+        return *World.m_Stores[IsFirstLinked ? 0 : Node];
       },
       World.m_Record, soak::PlantedFault::None);
   for (size_t I = 0; I < NodeCount; ++I) {
     for (const std::unique_ptr<stops::StopEndpoint> &Each : World.m_Endpoints)
-      Each->enter(*World.m_Stores[I], I + 1 == NodeCount);
+      Each->enter(*World.m_Stores[I], IsFirstLinked || I + 1 == NodeCount);
     for (size_t Other = 0; Other < NodeCount; ++Other)
       if (Other != I)
         World.m_Stores[I]->put("bronzepass-nodes",
@@ -230,24 +242,30 @@
 int runStop(const std::string &Folder, const std::string &Name, uint16_t Port) {
   const bool IsConfigured = Name != "unconfigured";
   const bool IsForwarded = Name == "forwarding" || Name == "forwarded";
-  const size_t Stopping = Name == "forwarded" ? 1 : 0;
+  const bool HasQuotas = Name == "quotas";
+  // The first node holds the quotas, so that the other one has to ask for them.
+  const size_t Called = HasQuotas ? 1 : 0;
+  const size_t Stopping = HasQuotas || Name == "forwarded" ? 1 : 0;
   Surroundings World;
-  prepare(World, IsForwarded ? 2 : 1, Folder, Port);
+  prepare(World, IsForwarded || HasQuotas ? 2 : 1, HasQuotas, Folder, Port);
   soak::RequestRecord &Record = World.m_Record;
   soak::SoakNodes &Nodes = *World.m_Nodes;
   for (size_t I = 0; I < Nodes.count(); ++I) {
+    json Configuration = configuration(1, UsualTimeout, UsualIdleTime, true);
+    if (HasQuotas)
+      Configuration["Tenants"] = organisations();
     if (IsConfigured)
-      World.m_Stores[I]->put(
-          "config", "main",
-          configuration(1, UsualTimeout, UsualIdleTime, true));
+      World.m_Stores[I]->put("config", "main", Configuration);
     Nodes.start(I);
   }
   if (IsConfigured)
     awaitReady(Nodes, Record);
+  if (HasQuotas)
+    std::this_thread::sleep_for(QuotaStart);
   {
     const soak::SteadyTime StopAt = std::chrono::steady_clock::now() + Before;
-    stops::StopCallers Callers(Nodes, Stopping, Record, plannedRequests(),
-                               StopAt, UsualTimeout);
+    stops::StopCallers Callers(Nodes, Called, Stopping, Record,
+                               plannedRequests(), StopAt, UsualTimeout);
     std::this_thread::sleep_until(StopAt);
     std::thread Changes;
     if (Name == "changes")
@@ -264,7 +282,7 @@
   for (size_t I = 0; I < Nodes.count(); ++I) {
     if (I != Stopping)
       stop(Nodes, I, Record);
-    checkLog(Folder, I, IsConfigured, Record);
+    checkLog(Folder, I, IsConfigured && !(HasQuotas && I != Called), Record);
   }
   Record.finish();
   size_t Violations = 0;
