Gateway: Empty lines of a stream in a row are one event

Callers of sound endpoints waited for seconds, and faulty streams were cut 2 s after their time, while endpoints sent empty lines without end: each was handled as an event, with a search for its id, and 300 such streams kept the traffic thread busy.

A run of line ends is passed on unchanged, as one event, and an event that begins with an empty line is not searched for an id. The unit test was not run on the code before.

--- a/Source/Core/Gateway/StreamSplicer.cpp
+++ b/Source/Core/Gateway/StreamSplicer.cpp
@@ -1,5 +1,6 @@
 #include "Core/Gateway/StreamSplicer.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -15,6 +16,8 @@
     std::string_view Line = Event.substr(LineStart, LineEnd - LineStart);
     if (!Line.empty() && Line.back() == '\r')
       Line.remove_suffix(1);
+    if (Line.empty())
+      break;
     if (Line.substr(0, Field.size()) == Field) {
       Line.remove_prefix(Field.size());
       if (!Line.empty() && Line.front() == ' ')
@@ -50,7 +53,12 @@
         std::string_view(m_Partial).substr(m_LineStart, LineEnd - m_LineStart);
     if (Line.ends_with('\r'))
       Line.remove_suffix(1);
+    const bool IsFirst = m_LineStart == Start;
     m_LineStart = LineEnd + 1;
+    if (Line.empty() && IsFirst)
+      // Empty lines in a row count as one event.
+      m_LineStart = std::min(m_Partial.find_first_not_of("\r\n", m_LineStart),
+                             m_Partial.size());
     m_SearchedTo = m_LineStart;
     if (Line.empty())
       return m_LineStart - Start;
--- a/Source/UnitTests/Gateway/StreamSplicerTest.cpp
+++ b/Source/UnitTests/Gateway/StreamSplicerTest.cpp
@@ -55,4 +55,13 @@
   CHECK(Splicer.lastId() == "7");
 }
 
+// Guards against a node that is busy with one stream's empty lines.
+TEST_CASE("empty lines in a row are passed on as they came, as one event") {
+  StreamSplicer Splicer;
+  const std::string Bytes =
+      "data: x\n\n" + std::string(4096, '\n') + "data: y\r\n\r\n\r\n\r\n";
+  CHECK(Splicer.feed(Bytes) == Bytes);
+  CHECK(Splicer.eventCount() == 4);
+}
+
 } // namespace bronzepass::core::gateway
