Gateway: A stream that goes on at another node takes no quota again

Where the links of the node that began a stream were lost, and the stream's engine broke off, the node forwarded the rest to another one. That node took it for a new request: it took the organisation's quota a second time, waited for the holder, could hold it for room, and refused it when the quota was lowered or spent, or the engines were behind. With a time to come back, the refusal is final for the first node, and the caller lost what it had received.

The node that forwards now tells that the stream has begun. The other one treats it like a stream of its own that goes on: no quota, no holding, no refusal for a long wait. Nodes of an earlier version tell and ask nothing of this, and behave as before.

RelayChangeTests checks that the node tells it.

--- a/Source/Core/Adapters/Gateway/ForwardingHeaders.cpp
+++ b/Source/Core/Adapters/Gateway/ForwardingHeaders.cpp
@@ -21,12 +21,15 @@
 constexpr const char *StreamVersionHeader = "Bronzepass-Stream-Version";
 /// Empty for a request that is nobody's.
 constexpr const char *OrganisationHeader = "Bronzepass-Organisation";
+/// Only there if the stream has begun.
+constexpr const char *BegunHeader = "Bronzepass-Begun";
+constexpr const char *BegunValue = "1";
 // Of an answer.
 constexpr const char *EndpointHeader = "Bronzepass-Endpoint";
 constexpr const char *EndpointVersionHeader = "Bronzepass-Endpoint-Version";
-constexpr std::array<const char *, 6> AllHeaders = {
-    ConfigHeader,       RunsHeader,     StreamVersionHeader,
-    OrganisationHeader, EndpointHeader, EndpointVersionHeader};
+constexpr std::array<const char *, 7> AllHeaders = {
+    ConfigHeader, RunsHeader,     StreamVersionHeader,  OrganisationHeader,
+    BegunHeader,  EndpointHeader, EndpointVersionHeader};
 
 std::optional<std::string> find(const HeaderLines &Headers, const char *Name) {
   for (const HeaderLine &Each : Headers)
@@ -69,6 +72,8 @@
     Headers.emplace_back(StreamVersionHeader, *Terms.m_RequiredVersion);
   if (Terms.m_Organisation)
     Headers.emplace_back(OrganisationHeader, *Terms.m_Organisation);
+  if (Terms.m_HasBegun)
+    Headers.emplace_back(BegunHeader, BegunValue);
 }
 
 std::optional<ForwardingTerms> readTerms(const HeaderLines &Headers,
@@ -80,7 +85,8 @@
   if (!Runs)
     return std::nullopt;
   return ForwardingTerms{*Config, *Runs, find(Headers, StreamVersionHeader),
-                         find(Headers, OrganisationHeader)};
+                         find(Headers, OrganisationHeader),
+                         find(Headers, BegunHeader) == BegunValue};
 }
 
 void addAnsweringEndpoint(const AnsweringEndpoint &Endpoint,
--- a/Source/Core/Gateway/RelayChoice.cpp
+++ b/Source/Core/Gateway/RelayChoice.cpp
@@ -260,7 +260,7 @@
   if (Chosen.m_Endpoint) {
     const double LeftMs = static_cast<double>(Left.count()) * MillisPerMicro;
     if (Chosen.m_WaitMs <= m_Settings.m_MaxWaitShare * LeftMs ||
-        Active.m_ForwardingStarted || ordersBySlack(Active)) {
+        hasBegun(Active) || ordersBySlack(Active)) {
       if (!Active.m_IsTrial && mustHold(Active, Chosen))
         holdOrReject(Active, Chosen, Out);
       else if (takeQuota(Active, Out))
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -450,6 +450,9 @@
   const char *reasonToDecline(const ForwardingTerms &Terms) const;
   /// Endpoints that may run the request.
   static uint32_t maxRuns(const ActiveRequest &Active);
+  /// The caller has a part of the answer, from this node or from the one that
+  /// forwarded the request.
+  static bool hasBegun(const ActiveRequest &Active);
 
   // RelayLinks.cpp: links of this node that are lost.
   void updateLinks(const ActiveRequest &Active, const EndpointView &Endpoint,
--- a/Source/Core/Gateway/RelayForwarding.cpp
+++ b/Source/Core/Gateway/RelayForwarding.cpp
@@ -25,6 +25,11 @@
   return Terms ? std::min(OfRoute, Terms->m_RunsLeft) : OfRoute;
 }
 
+bool RelayCore::hasBegun(const ActiveRequest &Active) {
+  const std::optional<ForwardingTerms> &Terms = Active.m_Request.m_Forwarded;
+  return Active.m_ForwardingStarted || (Terms && Terms->m_HasBegun);
+}
+
 const char *RelayCore::reasonToDecline(const ForwardingTerms &Terms) const {
   if (!m_Table || !m_HasEndpoints)
     return "this node is not ready";
@@ -104,9 +109,10 @@
       .m_Organisation = organisationToTell(Active),
       .m_Resume = Active.m_ForwardingStarted,
       .m_Stream = Active.m_Route->m_Stream,
-      .m_Forwarding = ForwardingTerms{Active.m_Table->config().m_Version,
-                                      RunsLeft, Active.m_RequiredVersion,
-                                      organisationToTell(Active)}});
+      .m_Forwarding =
+          ForwardingTerms{Active.m_Table->config().m_Version, RunsLeft,
+                          Active.m_RequiredVersion, organisationToTell(Active),
+                          Active.m_ForwardingStarted}});
 }
 
 void RelayCore::onForwardedHead(model::AttemptId Attempt,
--- a/Source/Core/Gateway/RelayHold.cpp
+++ b/Source/Core/Gateway/RelayHold.cpp
@@ -61,7 +61,7 @@
          Service->second.m_HoldRules.m_Order == HoldOrder::Slack &&
          !Active.m_Request.m_ModelRef.m_Model.empty() &&
          Active.m_Route->m_LatencyTarget.count() > 0 &&
-         Active.m_PossibleRuns == 0 && !Active.m_ForwardingStarted;
+         Active.m_PossibleRuns == 0 && !hasBegun(Active);
 }
 
 HeldRequest RelayCore::heldRequest(const ActiveRequest &Active,
@@ -101,7 +101,7 @@
   const auto Service = m_Services.find(Active.m_Service);
   const bool IsPaced = Service != m_Services.end() &&
                        !Active.m_Request.m_ModelRef.m_Model.empty() &&
-                       !Active.m_ForwardingStarted &&
+                       !hasBegun(Active) &&
                        Active.m_Route->m_LatencyTarget.count() > 0;
   if (!IsPaced)
     return false;
--- a/Source/Core/Gateway/RelayQuota.cpp
+++ b/Source/Core/Gateway/RelayQuota.cpp
@@ -26,8 +26,7 @@
 bool RelayCore::takeQuota(ActiveRequest &Active, RelayEffectList &Out) {
   using Result = organisations::QuotaDecision::Result;
   // A stream that goes on was paid for when it began.
-  if (!Active.m_Organisation || !m_Quotas.isNeeded() ||
-      Active.m_ForwardingStarted)
+  if (!Active.m_Organisation || !m_Quotas.isNeeded() || hasBegun(Active))
     return true;
   const bool IsNew = !Active.m_QuotaWaitEnd;
   const organisations::QuotaDecision Decision =
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -45,6 +45,9 @@
   /// Whose request it is; empty if it needs no key, nullopt where nobody needs
   /// one.
   std::optional<std::string> m_Organisation;
+  /// Its caller has a part of the stream. The first send has taken quota for
+  /// it, and what the caller has is lost if it does not go on.
+  bool m_HasBegun = false;
 
   friend auto operator<=>(const ForwardingTerms &,
                           const ForwardingTerms &) = default;
--- a/Source/UnitTests/Gateway/RelayChangeRules.cpp
+++ b/Source/UnitTests/Gateway/RelayChangeRules.cpp
@@ -97,6 +97,8 @@
   expect(mayBeSent(Request), "the newest configuration allows a send", Number);
   if (Effect.m_Forwarding) {
     ++m_Seen["forward"];
+    expect(Effect.m_Forwarding->m_HasBegun == Request.m_HasBegun,
+           "the other node is told whether the answer has begun", Number);
     expect(!Request.m_Request.m_Forwarded, "a request is forwarded once",
            Number);
     expect(Request.m_PossibleRuns + Effect.m_Forwarding->m_RunsLeft <=
--- a/Source/UnitTests/Gateway/RelayQuotaTest.cpp
+++ b/Source/UnitTests/Gateway/RelayQuotaTest.cpp
@@ -147,6 +147,27 @@
   CHECK(Fixture.count<gateway::AbortAnswer>() == 0);
 }
 
+// Guards against cutting a stream that another node continues here.
+TEST_CASE("a stream that another node's caller has begun takes no quota "
+          "again") {
+  QuotaFixture Fixture;
+  gateway::RelayRequest Request;
+  Request.m_Number = {++Fixture.m_Last};
+  Request.m_Host = "h";
+  Request.m_Path = "/resume/x";
+  Request.m_BeganAt = Fixture.m_Now;
+  Request.m_IsResumption = true;
+  Request.m_Forwarded = gateway::ForwardingTerms{.m_ConfigVersion = 2,
+                                                 .m_RunsLeft = 1,
+                                                 .m_RequiredVersion = "",
+                                                 .m_Organisation = "lab",
+                                                 .m_HasBegun = true};
+  Fixture.m_Core.onRequestReceived(Request, Fixture.m_Now, Fixture.m_Out);
+  CHECK(Fixture.count<gateway::SendRequest>() == 1);
+  Fixture.advance(std::chrono::milliseconds(80));
+  CHECK(Fixture.count<gateway::RejectRequest>() == 0);
+}
+
 TEST_CASE("a request of an organisation with a quota waits for a grant") {
   QuotaFixture Fixture;
   Fixture.askWithKey();
