Front: A request has the limits that are in force when it begins

A connection took the limits of headers and bodies when it was accepted and after each answer. One that rested while a configuration raised them judged its next request by the old ones: callers got 413 or 431 for what the configuration allows. One that rested while they were lowered let larger requests in.

They are now taken when a request begins, and hold to its end.

--- a/Source/Core/Adapters/Front/FrontConnection.cpp
+++ b/Source/Core/Adapters/Front/FrontConnection.cpp
@@ -213,6 +213,9 @@
 }
 
 void FrontConnection::parseInput(std::string_view Bytes) {
+  // They may have changed while the connection rested.
+  if (m_Parser.state() == ParserState::Idle)
+    m_Parser.setLimits(m_Server->m_Limits.m_Parser);
   const ParserState State = m_Parser.feed(Bytes);
   settleMemory();
   switch (State) {
@@ -358,7 +361,6 @@
   m_Loop.setWatchedEvents(m_Fd.get(), EPOLLIN);
   if (m_Writer->isDiscarding())
     return;
-  m_Parser.setLimits(m_Server->m_Limits.m_Parser);
   m_Writer->setKeepAlive(m_Server->m_Limits.m_IdleTimeout);
   // The next request may already be buffered completely. Posted, so that it is
   // not parsed inside the call that ended the answer.
--- a/Source/UnitTests/Adapters/Front/ConnectionLimitTest.cpp
+++ b/Source/UnitTests/Adapters/Front/ConnectionLimitTest.cpp
@@ -130,6 +130,34 @@
   CHECK(Caller.readToEnd());
 }
 
+// Guards against refusing a request that the limits in force allow.
+TEST_CASE("a request on a connection that rested has the limits in force") {
+  const std::string Body(100, 'x');
+  const std::string Larger =
+      "POST /larger HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n" + Body;
+  for (const bool IsFirst : {false, true}) {
+    CAPTURE(IsFirst);
+    front::FrontLimits Limits;
+    Limits.m_Parser.m_MaxBodyBytes = 10;
+    BusyServer Server(Limits);
+    http::RawConnection Caller(Server.port());
+    if (IsFirst) {
+      // Accepted before the limits change.
+      std::this_thread::sleep_for(50ms);
+    } else {
+      Caller.send(Request);
+      REQUIRE(Caller.readUntil("/x"));
+      Caller.clearText();
+    }
+    Limits.m_Parser.m_MaxBodyBytes = 1000;
+    Server.setLimits(Limits);
+    std::this_thread::sleep_for(50ms);
+    Caller.send(Larger);
+    CHECK(Caller.readUntil("/larger"));
+    CHECK(Caller.text().rfind("HTTP/1.1 200", 0) == 0);
+  }
+}
+
 // Guards against refusing a request whose rest arrived before its limit ended.
 TEST_CASE("a head that is complete in the kernel when the header limit ends is "
           "answered") {
