UnitTests: Terms of forwarded requests, written and read

Whether a stream has begun reaches the other node, and nothing of the terms is left in what goes on to an endpoint. Guards at the wire: a stream that goes on at another node like a new one.

--- a/Source/UnitTests/Adapters/Gateway/ForwardedRequestTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/ForwardedRequestTest.cpp
@@ -1,3 +1,4 @@
+#include "Core/Adapters/Gateway/ForwardingHeaders.h"
 #include "UnitTests/Adapters/Gateway/RelayNode.h"
 #include "UnitTests/Adapters/Gateway/ScriptedEndpoint.h"
 #include "UnitTests/Adapters/Http/HttpClient.h"
@@ -128,6 +129,24 @@
   }
 }
 
+// Guards against a stream that goes on at another node like a new one.
+TEST_CASE("the terms of a forwarded request are read as they were written") {
+  namespace relayed = core::adapters::gateway;
+  for (const bool HasBegun : {false, true}) {
+    const core::gateway::ForwardingTerms Terms{.m_ConfigVersion = 7,
+                                               .m_RunsLeft = 2,
+                                               .m_RequiredVersion = "v2",
+                                               .m_Organisation = "lab",
+                                               .m_HasBegun = HasBegun};
+    core::gateway::HeaderLines Headers;
+    relayed::addTerms(Terms, Headers);
+    std::string Reason;
+    CHECK(relayed::readTerms(Headers, Reason) == Terms);
+    relayed::removeForwardingHeaders(Headers);
+    CHECK(Headers.empty());
+  }
+}
+
 TEST_CASE("a caller gains nothing by the headers of forwarded requests") {
   ScriptedEndpoint Endpoint([](ScriptConnection &To, const std::string &, int) {
     To.write(std::string(Sealed) + "Content-Length: 2\r\n\r\nok");
