Gateway: A budget for what endpoints' answers hold

One kind of faulty endpoint took the memory of the machine: heads and bodies without end were bounded for each request, not in sum, and a head's short lines cost fifty times their bytes. The process would have ended with all its requests.

AnswerMemory sums heads (complete or not: libcurl's partial line by what the socket had), collected bodies, partial events and failures that are kept. Beyond 1/16 of the memory, the largest answer of the endpoint that holds the most is passed on from then on if it is a success that is collected, or else fails as a broken answer with its reason in the log, so that no endpoint takes the room of another's. A head may have 256 lines; each is kept once here, not three times. A body that was passed on kept its memory until the end of the answer, since assigning an empty string frees nothing; it is freed now.

--- a/Source/Core/Adapters/Curl/AttemptListener.h
+++ b/Source/Core/Adapters/Curl/AttemptListener.h
@@ -12,6 +12,8 @@
 class AttemptEventHandler {
 public:
   virtual ~AttemptEventHandler() = default;
+  /// The head, of which a part has been received, takes \p Bytes in all.
+  virtual void onHeadBytes(model::AttemptId /*Attempt*/, uint64_t /*Bytes*/) {}
   virtual void onHead(model::AttemptId Attempt, const TransferHead &Head) = 0;
   /// Returns false to end the transfer as incomplete.
   virtual bool onChunk(model::AttemptId Attempt, std::string_view Chunk) = 0;
@@ -28,6 +30,9 @@
   AttemptListener(AttemptEventHandler &Handler, model::AttemptId Attempt)
       : m_Handler(Handler), m_Attempt(Attempt) {}
 
+  void onHeadBytes(uint64_t Bytes) override {
+    m_Handler.onHeadBytes(m_Attempt, Bytes);
+  }
   void onHead(const TransferHead &Head) override {
     m_Handler.onHead(m_Attempt, Head);
   }
--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -1,10 +1,14 @@
 #include "Core/Adapters/Curl/CurlMulti.h"
 
 #include "Core/Adapters/Curl/CurlTransfer.h"
+#include "Core/Model/HeaderName.h"
+#include "Core/Model/LowerCase.h"
 
+#include <algorithm>
 #include <array>
 #include <curl/curl.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -30,6 +34,20 @@
 
 } // namespace
 
+std::string TransferHead::header(const std::string &Name) const {
+  for (auto Line = m_Lines.rbegin(); Line != m_Lines.rend(); ++Line)
+    if (model::isSameHeader(Line->first, Name))
+      return Line->second;
+  return {};
+}
+
+std::map<std::string, std::string> TransferHead::headers() const {
+  std::map<std::string, std::string> Values;
+  for (const auto &[Name, Value] : m_Lines)
+    Values[model::lowerCase(Name)] = Value;
+  return Values;
+}
+
 class CurlMulti::Impl {
 public:
   Impl(net::EventLoop &Loop, long MaxIdleConnections) : m_Loop(Loop) {
@@ -148,8 +166,15 @@
     curl_multi_remove_handle(m_Multi.get(), Removed->m_Easy.get());
   }
 
-  static int onSocket(CURL * /*Easy*/, curl_socket_t Socket, int What,
-                      void *User, void * /*SocketUser*/) {
+  static Transfer &transferOf(CURL *Easy) {
+    char *Private = nullptr;
+    curl_easy_getinfo(Easy, CURLINFO_PRIVATE, &Private);
+    // NOLINTNEXTLINE(bugprone-casting-through-void): set by setOptions().
+    return *static_cast<Transfer *>(static_cast<void *>(Private));
+  }
+
+  static int onSocket(CURL *Easy, curl_socket_t Socket, int What, void *User,
+                      void * /*SocketUser*/) {
     Impl &Self = *static_cast<Impl *>(User);
     if (What == CURL_POLL_REMOVE) {
       Self.m_Loop.watch(Socket, EPOLLIN, [&Self, Socket](uint32_t) {
@@ -162,19 +187,53 @@
       Events |= EPOLLIN;
     if ((What & CURL_POLL_OUT) != 0)
       Events |= EPOLLOUT;
-    Self.m_Loop.watch(Socket, Events, [&Self, Socket](uint32_t ReadyEvents) {
-      int Action = 0;
-      if ((ReadyEvents & (EPOLLIN | EPOLLHUP)) != 0)
-        Action |= CURL_CSELECT_IN;
-      if ((ReadyEvents & EPOLLOUT) != 0)
-        Action |= CURL_CSELECT_OUT;
-      if ((ReadyEvents & EPOLLERR) != 0)
-        Action |= CURL_CSELECT_ERR;
-      Self.performSocketAction(Socket, Action);
+    const uint64_t Id = transferOf(Easy).m_Id;
+    Self.m_Loop.watch(Socket, Events, [&Self, Socket, Id](uint32_t Ready) {
+      Self.onSocketReady(Socket, Id, Ready);
     });
     return 0;
   }
 
+  void onSocketReady(curl_socket_t Socket, uint64_t Id, uint32_t ReadyEvents) {
+
+    int Action = 0;
+    if ((ReadyEvents & (EPOLLIN | EPOLLHUP)) != 0)
+      Action |= CURL_CSELECT_IN;
+    if ((ReadyEvents & EPOLLOUT) != 0)
+      Action |= CURL_CSELECT_OUT;
+    if ((ReadyEvents & EPOLLERR) != 0)
+      Action |= CURL_CSELECT_ERR;
+    if (!readerOfHead(Id) || (ReadyEvents & EPOLLIN) == 0) {
+      performSocketAction(Socket, Action);
+      return;
+    }
+    int Unread = 0;
+    ::ioctl(Socket, FIONREAD, &Unread);
+    performSocketAction(Socket, Action);
+    countPartialLine(Id, static_cast<size_t>(Unread));
+  }
+
+  /// The transfer, if its head is being received.
+  Transfer *readerOfHead(uint64_t Id) {
+    const auto Found = m_Transfers.find(Id);
+    if (Found == m_Transfers.end() || Found->second->m_HeadReceived ||
+        !Found->second->m_SendStarted)
+      return nullptr;
+    return Found->second.get();
+  }
+
+  /// libcurl tells of a header line once it is complete, and keeps what it has
+  /// read of it in a buffer that grows by doubling.
+  void countPartialLine(uint64_t Id, size_t Read) {
+    Transfer *const Reading = readerOfHead(Id);
+    if (!Reading)
+      return;
+    Reading->m_PartialLineBytes =
+        std::min(Reading->m_PartialLineBytes + 2 * Read, MaxPartialLineBytes);
+    const std::shared_ptr<TransferListener> Listener = Reading->m_Listener;
+    Listener->onHeadBytes(headBytes(*Reading));
+  }
+
   static int onSocketClosed(void *User, curl_socket_t Socket) {
     static_cast<Impl *>(User)->m_Loop.unwatch(Socket);
     return ::close(Socket);
@@ -226,11 +285,7 @@
     while (CURLMsg *Message = curl_multi_info_read(m_Multi.get(), &Left)) {
       if (Message->msg != CURLMSG_DONE)
         continue;
-      char *Private = nullptr;
-      curl_easy_getinfo(Message->easy_handle, CURLINFO_PRIVATE, &Private);
-      // NOLINTNEXTLINE(bugprone-casting-through-void): set by setOptions().
-      finish(*static_cast<Transfer *>(static_cast<void *>(Private)),
-             Message->data.result);
+      finish(transferOf(Message->easy_handle), Message->data.result);
     }
   }
 
@@ -259,6 +314,8 @@
     }
   }
 
+  /// libcurl's limit of a header line, with what its buffer grows beyond.
+  static constexpr size_t MaxPartialLineBytes = 128 << 10;
   /// Of the bytes behind an answer; a server may send them without end.
   static constexpr int MaxIdleReads = 16;
 
--- a/Source/Core/Adapters/Curl/CurlMulti.h
+++ b/Source/Core/Adapters/Curl/CurlMulti.h
@@ -41,20 +41,19 @@
   std::chrono::milliseconds m_TcpUserTimeout{0};
 };
 
-/// Status and headers of an answer; header names in lower case.
+/// Status and headers of an answer.
 struct TransferHead {
   int m_Status = 0;
-  std::map<std::string, std::string> m_Headers;
   /// With the names' case unchanged.
   HeaderLineList m_Lines;
   BodyFormat m_BodyFormat;
   /// The connection was opened for this transfer.
   bool m_OnNewConnection = false;
 
-  std::string header(const std::string &LowerName) const {
-    auto Found = m_Headers.find(LowerName);
-    return Found == m_Headers.end() ? std::string() : Found->second;
-  }
+  /// The value of the last line of that name; empty if there is none.
+  std::string header(const std::string &Name) const;
+  /// The same of all names, in lower case.
+  std::map<std::string, std::string> headers() const;
 };
 
 struct TransferResult {
@@ -80,6 +79,8 @@
 class TransferListener {
 public:
   virtual ~TransferListener() = default;
+  /// The head, of which a part has been received, takes \p Bytes in all.
+  virtual void onHeadBytes(uint64_t /*Bytes*/) {}
   virtual void onHead(const TransferHead &Head) = 0;
   /// Returns false to end the transfer as incomplete and close its connection.
   virtual bool onChunk(std::string_view Chunk) = 0;
--- a/Source/Core/Adapters/Curl/CurlTransfer.cpp
+++ b/Source/Core/Adapters/Curl/CurlTransfer.cpp
@@ -19,14 +19,19 @@
 /// For the header lines of one answer: of interim answers, the head and
 /// trailers. A server that sends more does not answer in HTTP.
 constexpr size_t MaxHeaderBytes = 64 << 10;
+/// The same; what is kept of a short line takes many times its bytes.
+constexpr size_t MaxHeaderLines = 256;
+/// libcurl and the listener keep each line.
+constexpr uint64_t LineCopies = 2;
+/// What keeping a line takes beside its bytes.
+constexpr uint64_t LineOverhead = 256;
 
 void addHeaderLine(TransferHead &Head, std::string_view Line) {
   const size_t Colon = Line.find(':');
   if (Colon == std::string_view::npos)
     return;
-  const std::string Value(model::trimBlanks(Line.substr(Colon + 1)));
-  Head.m_Lines.emplace_back(Line.substr(0, Colon), Value);
-  Head.m_Headers[model::lowerCase(Line.substr(0, Colon))] = Value;
+  Head.m_Lines.emplace_back(Line.substr(0, Colon),
+                            model::trimBlanks(Line.substr(Colon + 1)));
 }
 
 bool hasBody(const TransferRequest &Request, int Status) {
@@ -57,11 +62,21 @@
   if (Running.m_Cancelled)
     return 0; // libcurl closes the connection.
   Running.m_HeaderBytes += Line.size();
+  ++Running.m_HeaderLines;
+  Running.m_PartialLineBytes = 0;
   if (Running.m_HeaderBytes > MaxHeaderBytes) {
     Running.m_AbortReason = "the answer's header lines are longer than " +
                             std::to_string(MaxHeaderBytes) + " bytes";
     return 0; // libcurl ends the transfer.
   }
+  if (Running.m_HeaderLines > MaxHeaderLines) {
+    Running.m_AbortReason = "the answer has more than " +
+                            std::to_string(MaxHeaderLines) + " header lines";
+    return 0;
+  }
+  Running.m_Listener->onHeadBytes(headBytes(Running));
+  if (Running.m_Cancelled)
+    return 0;
   // Header lines after the head are trailers.
   if (Running.m_HeadReceived)
     return Line.size();
@@ -94,6 +109,8 @@
   Running.m_Head.m_OnNewConnection = Connects > 0;
   Running.m_HeadReceived = true;
   Running.m_Listener->onHead(Running.m_Head);
+  // The listener keeps what it needs.
+  HeaderLineList().swap(Running.m_Head.m_Lines);
   return Running.m_Cancelled ? 0 : Line.size();
 }
 
@@ -122,6 +139,11 @@
 
 } // namespace
 
+uint64_t headBytes(const Transfer &Running) {
+  return LineCopies * Running.m_HeaderBytes +
+         LineOverhead * Running.m_HeaderLines + Running.m_PartialLineBytes;
+}
+
 /// libcurl resends a request by itself if a reused connection turns out to be
 /// dead, although the server may have run it. Aborts that second attempt.
 int onBeforeSend(void *User, char *, char *, int, int) {
--- a/Source/Core/Adapters/Curl/CurlTransfer.h
+++ b/Source/Core/Adapters/Curl/CurlTransfer.h
@@ -30,12 +30,19 @@
   bool m_HeadReceived = false;
   /// Of all header lines so far.
   size_t m_HeaderBytes = 0;
+  size_t m_HeaderLines = 0;
+  /// At most, of a header line whose end has not been received; libcurl holds
+  /// it.
+  size_t m_PartialLineBytes = 0;
   /// Why a callback ended the transfer; empty if none did.
   std::string m_AbortReason;
   /// libcurl had a connection ready and was about to send the request.
   bool m_SendStarted = false;
 };
 
+/// What the header lines of \p Running take, at most.
+uint64_t headBytes(const Transfer &Running);
+
 /// Callbacks of libcurl for one transfer, which \p User points to.
 int onBeforeSend(void *User, char *Ip, char *LocalIp, int Port, int LocalPort);
 int onSocketCreated(void *User, curl_socket_t Socket, curlsocktype Purpose);
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -82,6 +82,11 @@
                           .Name("bronzepass_caller_memory_bytes")
                           .Help("Memory that callers hold, by budget")
                           .Register(m_Registry)),
+        m_AnswerBytes(prom::BuildGauge()
+                          .Name("bronzepass_answer_memory_bytes")
+                          .Help("Memory that endpoints' answers hold until "
+                                "they are passed on")
+                          .Register(m_Registry)),
         m_CallerLosses(prom::BuildGauge()
                            .Name("bronzepass_callers_held_back")
                            .Help("Requests, answers and connections of callers "
@@ -105,6 +110,7 @@
   prom::Family<prom::Counter> &m_Refusals;
   prom::Family<prom::Counter> &m_OfOrganisations;
   prom::Family<prom::Gauge> &m_CallerBytes;
+  prom::Family<prom::Gauge> &m_AnswerBytes;
   prom::Family<prom::Gauge> &m_CallerLosses;
   prom::Family<prom::Gauge> &m_Gauges;
   /// The series of an organisation, or of "other".
@@ -226,6 +232,17 @@
   Count("answer_unread", Counters.m_LostAnswers);
 }
 
+void GatewayMetrics::setAnswerMemory(const resources::AnswerMemory &Memory) {
+  const auto Set = [this](const char *What, uint64_t Bytes) {
+    m_Impl->m_AnswerBytes.Add({{"what", What}}).Set(static_cast<double>(Bytes));
+  };
+  Set("limit", Memory.budget().limit());
+  Set("in_use", Memory.budget().inUse());
+  Set("highest", Memory.budget().highest());
+  m_Impl->m_Gauges.Add({{"what", "answers_lost_for_memory"}})
+      .Set(static_cast<double>(Memory.lost()));
+}
+
 void GatewayMetrics::setCallerPlaces(uint64_t GivenUp, uint64_t AcceptPauses) {
   m_Impl->m_CallerLosses.Add({{"cause", "place"}})
       .Set(static_cast<double>(GivenUp));
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -3,6 +3,7 @@
 
 #include "Core/Gateway/RelayCore.h"
 #include "Core/Gateway/RelayTypes.h"
+#include "Core/Resources/AnswerMemory.h"
 #include "Core/Resources/CallerMemory.h"
 
 #include <cstdint>
@@ -41,6 +42,7 @@
   void setConfigAge(std::optional<model::Duration> Age);
   void setActive(size_t Requests, size_t Connections);
   void setCallerMemory(const resources::CallerMemory &Memory);
+  void setAnswerMemory(const resources::AnswerMemory &Memory);
   void setCallerPlaces(uint64_t GivenUp, uint64_t AcceptPauses);
   void setConfigVersion(uint64_t Version);
   void setQuarantinedTraits(size_t Traits);
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -297,8 +297,10 @@
            Table->organisations()->all())
         Names.push_back(Each.m_Name);
     m_GatewayMetrics.setOrganisations(Names);
-    m_CallerMemory.setShares(
-        resources::sharesOf(m_Limits.m_MemoryBytes, Limits.m_MaxBodyBytes));
+    const resources::MemoryShares Shares =
+        resources::sharesOf(m_Limits.m_MemoryBytes, Limits.m_MaxBodyBytes);
+    m_CallerMemory.setShares(Shares);
+    m_Driver.setAnswerMemoryLimit(Shares.m_HeldAnswers);
     m_Log.write(
         "config", "in_force",
         {{"config", static_cast<int64_t>(Table->config().m_Version)},
@@ -426,6 +428,7 @@
 
 std::string GatewayTraffic::metricsText() {
   m_GatewayMetrics.setCallerMemory(m_CallerMemory);
+  m_GatewayMetrics.setAnswerMemory(m_Driver.answerMemory());
   m_GatewayMetrics.setCallerPlaces(m_CallerServer.placesGivenUp(),
                                    m_CallerServer.acceptPauses());
   m_GatewayMetrics.setActive(m_Core.activeRequestCount(),
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -166,7 +166,7 @@
         else
           Core.onConnectionClosed(Number, pistache::toString(End), Now, Out);
       });
-      m_Exchanges.erase(Number);
+      eraseExchange(Number);
     });
   });
   decide([&](gateway::RelayCore &Core, model::TimePoint Now,
@@ -256,6 +256,7 @@
     return;
   const uint64_t Transfer = Found->second.m_Transfer;
   m_Sends.erase(Found);
+  m_AnswerMemory.remove(Effect.m_Attempt);
   m_Curl.cancel(Transfer);
 }
 
@@ -296,7 +297,7 @@
   if (Found == m_Exchanges.end())
     return;
   Found->second.m_Answer->abort();
-  m_Exchanges.erase(Found);
+  eraseExchange(Effect.m_Request);
 }
 
 void RelayDriver::on(const gateway::CopyRequest &Effect) {
@@ -348,7 +349,7 @@
   const auto Found = m_Exchanges.find(Request);
   const std::shared_ptr<pistache::HttpResponseWriter> Answer =
       Found->second.m_Answer;
-  m_Exchanges.erase(Found);
+  eraseExchange(Request);
   ++m_UnsentAnswers;
   const std::weak_ptr<bool> Alive = m_Alive;
   Answer->whenSent([this, Alive] {
@@ -357,6 +358,11 @@
   });
 }
 
+void RelayDriver::eraseExchange(model::RequestId Request) {
+  m_AnswerMemory.remove(Request);
+  m_Exchanges.erase(Request);
+}
+
 void RelayDriver::beginAnswer(Exchange &To, int Status,
                               const HeaderLines &Headers,
                               std::optional<uint64_t> Length) {
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -14,6 +14,7 @@
 #include "Core/Gateway/SentRequestIds.h"
 #include "Core/Gateway/StreamSplicer.h"
 #include "Core/Ports/Ports.h"
+#include "Core/Resources/AnswerMemory.h"
 
 #include <chrono>
 #include <cstdint>
@@ -79,6 +80,10 @@
   void setConfirmationHandler(ConfirmationHandler Handler) {
     m_OnConfirmEndpoints = std::move(Handler);
   }
+  /// For what endpoints' answers hold together until they are passed on; none
+  /// at first.
+  void setAnswerMemoryLimit(uint64_t Bytes) { m_AnswerMemory.setLimit(Bytes); }
+  const resources::AnswerMemory &answerMemory() const { return m_AnswerMemory; }
   /// From now on, connections are closed after their current answer.
   void closeConnectionsAfterAnswers() { m_Closing = true; }
   /// Number of finished answers that have not been sent completely.
@@ -143,6 +148,8 @@
     /// nullopt until it has been received.
     std::optional<core::gateway::AnswerHead> m_Head;
     core::gateway::HeaderLines m_Headers;
+    /// What the head takes.
+    uint64_t m_HeadBytes = 0;
     std::string m_Body;
     curl::BodyFormat m_BodyFormat;
     uint64_t m_ReceivedBytes = 0;
@@ -178,6 +185,7 @@
   void on(const core::gateway::AskQuotas &Effect);
   void on(const core::gateway::ProofChange &Effect);
 
+  void onHeadBytes(model::AttemptId Attempt, uint64_t Bytes) override;
   void onHead(model::AttemptId Attempt,
               const curl::TransferHead &Head) override;
   bool onChunk(model::AttemptId Attempt, std::string_view Chunk) override;
@@ -186,11 +194,24 @@
   /// Collects or forwards the chunk. Returns why the answer can't be accepted
   /// any further; nullptr if it can.
   const char *acceptChunk(Send &From, Exchange &To, std::string_view Chunk);
+  /// Begins to forward an answer that was to be collected.
+  void passOnCollected(Send &From, Exchange &To);
   void forwardChunk(Send &From, Exchange &To, std::string_view Chunk);
   void beginAnswer(Exchange &To, int Status,
                    const core::gateway::HeaderLines &Headers,
                    std::optional<uint64_t> Length);
   void endExchange(model::RequestId Request);
+  void eraseExchange(model::RequestId Request);
+  // RelayDriverMemory.cpp
+  /// Counts what the answer holds. If there is no room for it, answers are
+  /// passed on early or given up, maybe this one.
+  void countHeld(model::AttemptId Attempt);
+  /// The same of the answer that the caller gets if no other comes.
+  void countKept(model::RequestId Request, const AnsweringEndpoint &From,
+                 uint64_t HeadBytes);
+  void makeRoomForAnswers();
+  void reduce(model::AttemptId Attempt);
+  void replaceKept(model::RequestId Request);
   /// Why the answer can't be used, by its head; nullptr if it can.
   static const char *headFault(const Send &From, const Exchange *To);
   /// Takes what another node added to the head of an answer.
@@ -212,6 +233,8 @@
   std::function<void()> m_OnAskQuotas;
   std::unordered_map<model::RequestId, Exchange> m_Exchanges;
   SendMap m_Sends;
+  resources::AnswerMemory m_AnswerMemory{~0ULL};
+  bool m_IsMakingRoom = false;
   core::gateway::SentRequestIds m_SentIds;
   /// Shortest time for which a service's endpoints keep idle connections.
   std::map<std::string, std::chrono::seconds> m_KeepAlive;
--- a/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
@@ -125,6 +125,7 @@
   const uint64_t Transfer = Found->second.m_Transfer;
   const gateway::AnswerEnd End{Found->second.m_BodyFormat.m_Framing, 0, 0, 0};
   m_Sends.erase(Found);
+  m_AnswerMemory.remove(Attempt);
   m_Curl.cancel(Transfer);
   decide([&](gateway::RelayCore &Core, model::TimePoint Now,
              gateway::RelayEffectList &Out) {
@@ -147,7 +148,10 @@
     return true; // The caller has disconnected; the endpoint may finish.
   else if (const char *const Fault = acceptChunk(From, To->second, Chunk))
     From.m_Fault = Fault;
-  return From.m_Fault.empty();
+  if (!From.m_Fault.empty())
+    return false;
+  countHeld(Attempt);
+  return m_Sends.contains(Attempt);
 }
 
 const char *RelayDriver::acceptChunk(Send &From, Exchange &To,
@@ -165,13 +169,19 @@
                : nullptr;
   if (From.m_Body.size() <= MaxCollectedBytes)
     return nullptr;
+  passOnCollected(From, To);
+  return nullptr;
+}
+
+void RelayDriver::passOnCollected(Send &From, Exchange &To) {
   From.m_Forwarding = true;
   From.m_BypassesSplicer = true;
   m_Core.onAnswerForwarded(From.m_Request, m_Clock.now());
   beginAnswer(To, From.m_Status, From.m_Headers, From.m_BodyFormat.m_Length);
   To.m_Answer->write(From.m_Body);
-  From.m_Body = {};
-  return nullptr;
+  // An assignment would keep the memory.
+  std::string().swap(From.m_Body);
+  HeaderLines().swap(From.m_Headers);
 }
 
 void RelayDriver::forwardChunk(Send &From, Exchange &To,
@@ -189,6 +199,7 @@
     To.m_StartedMediaType = From.m_Head->m_MediaType;
     beginAnswer(To, From.m_Status, From.m_Headers, std::nullopt);
   }
+  HeaderLines().swap(From.m_Headers);
   To.m_Answer->write(Events);
 }
 
@@ -199,6 +210,7 @@
     return;
   Send Ended = std::move(Found->second);
   m_Sends.erase(Found);
+  m_AnswerMemory.remove(Attempt);
   const auto To = m_Exchanges.find(Ended.m_Request);
   if (To != m_Exchanges.end())
     daemon::CrashReport::setSubject(To->second.m_CallerRequestId);
@@ -237,6 +249,8 @@
              gateway::RelayEffectList &Out) {
     Core.onSendFinished(Attempt, Outcome, Now, Out);
   });
+  if (!Ended.m_Forwarding)
+    countKept(Ended.m_Request, Ended.m_Endpoint, Ended.m_HeadBytes);
 }
 
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Traffic/RelayedHead.cpp
+++ b/Source/Core/Adapters/Traffic/RelayedHead.cpp
@@ -23,9 +23,9 @@
 std::vector<pistache::HttpHeader>
 relayedHeaders(const curl::TransferHead &Head) {
   std::vector<pistache::HttpHeader> Headers;
-  for (const auto &Entry : Head.m_Headers)
-    if (isRelayedHeader(Entry.first))
-      Headers.push_back({Entry.first, Entry.second});
+  for (const auto &[Name, Value] : Head.headers())
+    if (isRelayedHeader(Name))
+      Headers.push_back({Name, Value});
   return Headers;
 }
 
--- a/Source/Core/Gateway/StreamSplicer.h
+++ b/Source/Core/Gateway/StreamSplicer.h
@@ -27,6 +27,9 @@
   /// Bytes held of an incomplete event.
   size_t partialBytes() const { return m_Partial.size(); }
 
+  /// What the incomplete event takes.
+  size_t heldBytes() const { return m_Partial.capacity(); }
+
   /// Id of the last event forwarded; empty if none had one.
   const std::string &lastId() const { return m_LastId; }
   /// Events forwarded; of a stream whose events have ids, only those.
--- a/Source/Core/Resources/MemoryShares.cpp
+++ b/Source/Core/Resources/MemoryShares.cpp
@@ -9,6 +9,7 @@
 constexpr uint64_t SmallDivisor = 8;
 constexpr uint64_t LargeDivisor = 4;
 constexpr uint64_t UnsentDivisor = 8;
+constexpr uint64_t HeldDivisor = 16;
 /// Unread bytes of connections that wait are the kernel's; they count as the
 /// process's on machines that are charged for them.
 constexpr uint64_t WaitingDivisor = 16;
@@ -25,6 +26,7 @@
   Shares.m_LargeRequests = std::max(MemoryLimit / LargeDivisor,
                                     MaxBodyBytes + 2 * SmallRequestBytes);
   Shares.m_UnsentAnswers = MemoryLimit / UnsentDivisor;
+  Shares.m_HeldAnswers = MemoryLimit / HeldDivisor;
   Shares.m_MaxWaiting = static_cast<size_t>(
       std::max<uint64_t>(1, MemoryLimit / WaitingDivisor / UnreadBytes));
   return Shares;
--- a/Source/Core/Resources/MemoryShares.h
+++ b/Source/Core/Resources/MemoryShares.h
@@ -7,7 +7,7 @@
 
 namespace bronzepass::core::resources {
 
-/// What callers may hold of the memory and the descriptors of a process.
+/// What callers and endpoints may hold of the memory of a process.
 struct MemoryShares {
   /// Requests up to SmallRequestBytes.
   uint64_t m_SmallRequests = 0;
@@ -16,6 +16,8 @@
   uint64_t m_UnsentAnswers = 0;
   /// Requests that may wait for memory with unread bytes.
   size_t m_MaxWaiting = 0;
+  /// Answers of endpoints that are not passed on yet.
+  uint64_t m_HeldAnswers = 0;
 
   friend auto operator<=>(const MemoryShares &, const MemoryShares &) = default;
 };
--- a/Source/UnitTests/Adapters/Http/AttemptEndTest.cpp
+++ b/Source/UnitTests/Adapters/Http/AttemptEndTest.cpp
@@ -17,7 +17,7 @@
   curl::TransferHead Head;
   Head.m_Status = 200;
   Head.m_OnNewConnection = true;
-  Head.m_Headers["content-type"] = "text/event-stream";
+  Head.m_Lines.emplace_back("content-type", "text/event-stream");
   return Head;
 }
 
@@ -57,7 +57,7 @@
   curl::TransferHead Head = streamHead();
   Head.m_BodyFormat.m_Length = 40;
   CHECK(relayedLength(Head) == std::nullopt);
-  Head.m_Headers["content-type"] = "application/json";
+  Head.m_Lines.emplace_back("content-type", "application/json");
   CHECK(relayedLength(Head) == 40);
 }
 
--- a/Source/UnitTests/Adapters/Http/HttpClient.cpp
+++ b/Source/UnitTests/Adapters/Http/HttpClient.cpp
@@ -23,7 +23,7 @@
 public:
   void onHead(const curl::TransferHead &Head) override {
     m_Result.m_Status = Head.m_Status;
-    m_Result.m_Headers = Head.m_Headers;
+    m_Result.m_Headers = Head.headers();
   }
   bool onChunk(std::string_view Chunk) override {
     m_Result.m_Body.append(Chunk);
--- a/Source/UnitTests/Crowd/CrowdMain.cpp
+++ b/Source/UnitTests/Crowd/CrowdMain.cpp
@@ -1,4 +1,5 @@
 #include "UnitTests/Crowd/Crowd.h"
+#include "UnitTests/Crowd/Verdict.h"
 #include "UnitTests/Soak/CallerConnection.h"
 #include "UnitTests/Soak/SoakEndpoint.h"
 
@@ -60,18 +61,6 @@
   return false;
 }
 
-class Verdict {
-public:
-  void check(bool Holds, const std::string &What) {
-    std::cerr << (Holds ? "holds: " : "FAILS: ") << What << std::endl;
-    m_Failed = m_Failed || !Holds;
-  }
-  bool hasFailed() const { return m_Failed; }
-
-private:
-  bool m_Failed = false;
-};
-
 int runAttack(const crowd::CrowdAttack &Attack, uint16_t Port,
               const std::string &Folder) {
   constexpr size_t OrdinaryBytes = 1000;
@@ -96,7 +85,7 @@
     Store.serve(Connection, Request, soak::StoreAccess::Normal);
   });
   crowd::CrowdNode Node(Folder, Port, StorePort.port());
-  Verdict Checks;
+  crowd::Verdict Checks;
   Checks.check(Node.start(), "the node becomes ready");
   Checks.check(isAnswered(Record, Port, "calm-", crowd::MaxBodyBytes),
                "in calm, a request with the largest body is answered");
--- a/Source/UnitTests/Crowd/CrowdNode.cpp
+++ b/Source/UnitTests/Crowd/CrowdNode.cpp
@@ -25,12 +25,13 @@
 
 } // namespace
 
-CrowdNode::CrowdNode(std::string Folder, uint16_t Port, uint16_t StorePort)
+CrowdNode::CrowdNode(std::string Folder, uint16_t Port, uint16_t StorePort,
+                     uint64_t Descriptors)
     : m_Folder(std::move(Folder)), m_Port(Port) {
-  writeSettings(StorePort);
+  writeSettings(StorePort, Descriptors);
 }
 
-void CrowdNode::writeSettings(uint16_t StorePort) const {
+void CrowdNode::writeSettings(uint16_t StorePort, uint64_t Descriptors) const {
   std::ofstream File(m_Folder + "/node.yaml");
   File << "node: {name: node-0, failure-domain: z0}\n"
        << "listen: {callers: \"127.0.0.1:" << m_Port
@@ -40,7 +41,7 @@
        << "\", forwarding-port: " << m_Port + 4 << "}\n"
        << "platform: {store: \"127.0.0.1:" << StorePort << "\"}\n"
        << "memory: {limit: " << MemoryLimitMiB << "MiB}\n"
-       << "descriptors: {limit: " << DescriptorLimit << "}\n";
+       << "descriptors: {limit: " << Descriptors << "}\n";
 }
 
 std::string CrowdNode::command(const std::string &Verb) {
--- a/Source/UnitTests/Crowd/CrowdNode.h
+++ b/Source/UnitTests/Crowd/CrowdNode.h
@@ -10,6 +10,8 @@
 /// What the settings of the node say that its machine has.
 constexpr uint64_t MemoryLimitMiB = 48;
 constexpr uint64_t DescriptorLimit = 400;
+/// For hundreds of requests under way.
+constexpr uint64_t LargeDescriptorLimit = 2000;
 
 /// What a process holds, as the system reports it.
 struct ProcessUse {
@@ -22,10 +24,13 @@
 /// program starts it, asked line by line on standard output.
 class CrowdNode {
 public:
-  CrowdNode(std::string Folder, uint16_t Port, uint16_t StorePort);
+  CrowdNode(std::string Folder, uint16_t Port, uint16_t StorePort,
+            uint64_t Descriptors = DescriptorLimit);
 
   /// Starts it and waits until it is ready; false if it does not become so.
   bool start();
+  /// Ends it without notice, so that it can be started again.
+  void stop() { command("stop"); }
   uint16_t callerPort() const { return m_Port; }
   /// Nullopt if it has ended.
   std::optional<ProcessUse> use() const;
@@ -33,7 +38,7 @@
   std::string ended() const;
 
 private:
-  void writeSettings(uint16_t StorePort) const;
+  void writeSettings(uint16_t StorePort, uint64_t Descriptors) const;
   static std::string command(const std::string &Verb);
 
   const std::string m_Folder;
--- a/Source/UnitTests/Crowd/crowd.sh
+++ b/Source/UnitTests/Crowd/crowd.sh
@@ -20,7 +20,7 @@
   Answer=
   case $Verb in
     start)
-      "$Program" gateway "$Dir/node.yaml" > "$Dir/node.log" 2>&1 3<&- 4>&- &
+      "$Program" gateway "$Dir/node.yaml" >> "$Dir/node.log" 2>&1 3<&- 4>&- &
       Pid=$!
       Answer=$Pid
       ;;
@@ -31,6 +31,10 @@
         Answer=$?
       fi
       ;;
+    stop)
+      kill -KILL "$Pid"
+      wait "$Pid" 2> /dev/null
+      ;;
   esac
   echo "$Answer" >&4
 done
--- a/Source/UnitTests/Soak/ThreadServer.cpp
+++ b/Source/UnitTests/Soak/ThreadServer.cpp
@@ -91,8 +91,8 @@
           (Poll.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
 }
 
-ThreadServer::ThreadServer(Handler OnRequest)
-    : m_OnRequest(std::move(OnRequest)) {
+ThreadServer::ThreadServer(Handler OnRequest, OpenHandler OnOpen)
+    : m_OnRequest(std::move(OnRequest)), m_OnOpen(std::move(OnOpen)) {
   listen();
   m_Acceptor = std::thread([this] { acceptAll(); });
 }
@@ -189,6 +189,8 @@
   {
     // A duplicate, so that crash() can use the number until it is erased.
     ServerConnection Connection(::fcntl(Fd, F_DUPFD_CLOEXEC, 0));
+    if (m_OnOpen)
+      m_OnOpen(Connection);
     std::string Bytes;
     while (Connection.isOpen()) {
       const size_t Length = receiveRequest(Connection.m_Fd.get(), Bytes);
--- a/Source/UnitTests/Soak/ThreadServer.h
+++ b/Source/UnitTests/Soak/ThreadServer.h
@@ -59,7 +59,10 @@
   using Handler =
       std::function<void(ServerConnection &, const ServerRequest &)>;
 
-  explicit ThreadServer(Handler OnRequest);
+  using OpenHandler = std::function<void(ServerConnection &)>;
+
+  /// \p OnOpen, if any, may write before the first request has arrived.
+  explicit ThreadServer(Handler OnRequest, OpenHandler OnOpen = {});
   ~ThreadServer();
   ThreadServer(const ThreadServer &) = delete;
   ThreadServer &operator=(const ThreadServer &) = delete;
@@ -78,6 +81,7 @@
   static size_t receiveRequest(int Fd, std::string &Bytes);
 
   const Handler m_OnRequest;
+  const OpenHandler m_OnOpen;
   uint16_t m_Port = 0;
   std::mutex m_Mutex;
   std::condition_variable m_AllEnded;
