Traffic: An exception ends the event that threw it, not all later ones

An exception while `bronzepass serve` handled an event left the driver marked as dispatching: every later event was queued and none handled, so that no caller got an answer any more while the node stayed ready. One at a tick also ended the ticks, and with them all deadlines.

TrafficDriverTest, "events are handled after an exception while one is handled" and "ticks go on after an exception while one is handled": no later event handled in 2 s before; both pass after. The mark is now taken back by a scope, and the next tick is scheduled first.

--- a/Source/Core/Adapters/Traffic/TrafficDriver.cpp
+++ b/Source/Core/Adapters/Traffic/TrafficDriver.cpp
@@ -44,10 +44,30 @@
   }
 
 private:
+  /// While events are handled. An exception ends only the event that threw it;
+  /// those behind it are handled with the next.
+  class DispatchScope {
+  public:
+    explicit DispatchScope(Impl &Driver) : m_Driver(Driver) {
+      m_Driver.m_Dispatching = true;
+    }
+    ~DispatchScope() {
+      m_Driver.m_CurrentChunk = {};
+      m_Driver.m_Dispatching = false;
+      m_Driver.eraseDisconnected();
+    }
+    DispatchScope(const DispatchScope &) = delete;
+    DispatchScope &operator=(const DispatchScope &) = delete;
+
+  private:
+    Impl &m_Driver;
+  };
+
   void scheduleTick() {
     loop().runAfter(m_Options.m_TickPeriod, [this] {
-      dispatch(routing::TrafficTick{});
+      // First, so that ticks go on if this one throws.
       scheduleTick();
+      dispatch(routing::TrafficTick{});
     });
   }
 
@@ -80,7 +100,7 @@
   void processPendingEvents() {
     if (m_Dispatching)
       return;
-    m_Dispatching = true;
+    const DispatchScope Scope(*this);
     while (!m_PendingEvents.empty()) {
       const routing::TrafficEvent Next = std::move(m_PendingEvents.front());
       m_PendingEvents.pop_front();
@@ -90,8 +110,6 @@
         std::visit([this](const auto &Value) { execute(Value); }, Effect);
       m_CurrentChunk = {};
     }
-    m_Dispatching = false;
-    eraseDisconnected();
   }
 
   void eraseDisconnected() {
