Gateway: An exception does not take the answers of other requests along

When an effect threw, those behind it in the same list were dropped; when the core threw, all that it had decided before in the same call. The core had forgotten these requests by then, so their callers waited for ever on open connections: nothing ends a connection whose answer is due.

RelayExceptionTests, "a refusal is written though an effect before it throws" and "answers that were decided are written though the core throws": no byte in 30 s each before; 503 and 504 after. Each effect is carried out on its own now, with a line for one that throws, and what the core decided before it threw is carried out, too.

--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -4,6 +4,7 @@
 #include "Core/Model/HeaderName.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace bronzepass::core::adapters::gateway {
@@ -64,7 +65,13 @@
     const std::function<void(gateway::RelayCore &, model::TimePoint,
                              gateway::RelayEffectList &)> &Decide) {
   gateway::RelayEffectList Effects;
-  Decide(m_Core, m_Clock.now(), Effects);
+  try {
+    Decide(m_Core, m_Clock.now(), Effects);
+  } catch (const std::exception &) {
+    // The core has forgotten the requests that it ended before.
+    carryOut(Effects);
+    throw;
+  }
   carryOut(Effects);
 }
 
@@ -176,8 +183,15 @@
 }
 
 void RelayDriver::carryOut(const gateway::RelayEffectList &Effects) {
-  for (const gateway::RelayEffect &Each : Effects)
-    std::visit([this](const auto &Effect) { on(Effect); }, Each);
+  // Those behind one that fails belong to other requests, too.
+  for (const gateway::RelayEffect &Each : Effects) {
+    try {
+      std::visit([this](const auto &Effect) { on(Effect); }, Each);
+    } catch (const std::exception &Error) {
+      m_Log.write("process", "exception",
+                  {{"thread", "traffic"}, {"reason", Error.what()}});
+    }
+  }
 }
 
 void RelayDriver::on(const gateway::SendRequest &Effect) {
