Gateway: Renewed entries prove that an engine survived its answers

What callers saw: after a minute without requests, requests with a prompt part that crashes engines came beside sound ones. After three crashes each sound request of the route was refused with 503, since the part that all prompts share was in quarantine, too.

Cause: all parts but the last are blamed for a crash. A whole answer cleared a part only once a chunk of another answer came from the same engine. Where few requests are sent, and none with that part any more, none comes.

Change: an engine that goes on to renew its entry, as the same start, has survived its answers as well. The first renewal heard of after an answer may be older than it, so that two more are waited for. Entries that don't name the start of their engine prove nothing.

GatewayTests, CrashingPromptTests, CrashingRequestTests, SoftwareVersionTests, BrittleEngineTests, ServerPaceTests, LostLinkTests and EngineLimitTests pass.

Not covered: a part that all share stays in quarantine if no sound answer with it is running, or has just ended, when the engines crash.

--- a/Source/Core/Gateway/CrashQuarantine.cpp
+++ b/Source/Core/Gateway/CrashQuarantine.cpp
@@ -15,6 +15,8 @@
 /// Bytes that an engine sent before it crashed may be read this long after the
 /// end of its first connection.
 constexpr model::Duration SettleTime = std::chrono::milliseconds(300);
+/// Renewals that an engine made before it crashed may arrive after its answer.
+constexpr uint64_t MinRenewals = 2;
 constexpr model::Duration QuarantineTime = std::chrono::minutes(10);
 /// Longer than a quarantine, so that one more crash after its end renews it.
 constexpr model::Duration CrashRetention = std::chrono::minutes(20);
@@ -106,7 +108,7 @@
   if (News.empty())
     return;
   std::deque<UnprovenAnswer> &Unproven = m_Engines[Engine].m_Unproven;
-  Unproven.push_back({Now, std::move(News)});
+  Unproven.push_back({Now, std::move(News), std::nullopt});
   if (Unproven.size() > MaxUnprovenPerEngine)
     Unproven.pop_front();
 }
@@ -118,12 +120,27 @@
          Alive.m_Cancelled.front().m_CancelledAt + SettleTime <= Now)
     Alive.m_Cancelled.pop_front();
   while (!Alive.m_Unproven.empty() &&
-         Alive.m_Unproven.front().m_CompletedAt + SettleTime <= Now) {
-    const UnprovenAnswer Proven = std::move(Alive.m_Unproven.front());
-    Alive.m_Unproven.pop_front();
-    for (const uint64_t Trait : Proven.m_Traits)
-      markSafe(Trait, Proven.m_CompletedAt, false);
-  }
+         Alive.m_Unproven.front().m_CompletedAt + SettleTime <= Now)
+    proveOldest(Alive);
+}
+
+void CrashQuarantine::onEntryRenewed(EndpointKey Key, uint64_t Renewals) {
+  const auto Found = m_Engines.find(Key);
+  if (Found == m_Engines.end())
+    return;
+  Engine &Alive = Found->second;
+  for (UnprovenAnswer &Each : Alive.m_Unproven)
+    Each.m_FirstRenewal = Each.m_FirstRenewal.value_or(Renewals);
+  while (!Alive.m_Unproven.empty() &&
+         *Alive.m_Unproven.front().m_FirstRenewal + MinRenewals <= Renewals)
+    proveOldest(Alive);
+}
+
+void CrashQuarantine::proveOldest(Engine &Alive) {
+  const UnprovenAnswer Proven = std::move(Alive.m_Unproven.front());
+  Alive.m_Unproven.pop_front();
+  for (const uint64_t Trait : Proven.m_Traits)
+    markSafe(Trait, Proven.m_CompletedAt, false);
 }
 
 bool CrashQuarantine::isSafe(uint64_t Trait, model::TimePoint Now) const {
--- a/Source/Core/Gateway/CrashQuarantine.h
+++ b/Source/Core/Gateway/CrashQuarantine.h
@@ -35,9 +35,10 @@
 ///
 /// A send that breaks off while its engine goes silent is reported against each
 /// trait of its request. A trait is quarantined after MinEngines engines,
-/// unless an engine is known to have survived an answer to it. Engines that
-/// fail together take all their requests with them, sound ones too, so that one
-/// of the requests must have been sent after an earlier crash with the trait.
+/// unless an engine is known to have survived an answer to it, by a chunk of
+/// another answer or by renewals of its entry. Engines that fail together take
+/// all their requests with them, sound ones too, so that one of the requests
+/// must have been sent after an earlier crash with the trait.
 ///
 /// Nodes exchange reports, quarantines and safe traits with their notices, and
 /// pass on what they received.
@@ -58,6 +59,9 @@
                          model::TimePoint Now);
   /// A chunk of any answer was received from \p Engine.
   void onEngineAlive(EndpointKey Key, model::TimePoint Now);
+  /// The engine has renewed its entry, \p Renewals times in all. The renewal
+  /// may be older than what is known of the engine's answers.
+  void onEntryRenewed(EndpointKey Key, uint64_t Renewals);
   void onNotice(const QuarantineNotice &Notice, model::TimePoint Now);
   /// Quarantines the traits with enough reports, and forgets old knowledge;
   /// called about every 20 ms.
@@ -97,6 +101,8 @@
   struct UnprovenAnswer {
     model::TimePoint m_CompletedAt;
     std::vector<uint64_t> m_Traits;
+    /// The first renewal that was heard of after it.
+    std::optional<uint64_t> m_FirstRenewal;
   };
   struct CancelledSend {
     model::TimePoint m_CancelledAt;
@@ -114,6 +120,8 @@
   bool isSuspected(uint64_t Trait) const {
     return m_Suspects.contains(Trait) || m_Quarantined.contains(Trait);
   }
+  /// The engine has survived its oldest answer that is not proven.
+  void proveOldest(Engine &Alive);
   void report(const RequestTraits &Traits, EndpointKey Engine,
               model::TimePoint SentAt, model::TimePoint Now);
   /// Reports the cancelled sends of an engine that is gone.
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -106,11 +106,15 @@
       View.m_Tag = ++m_LastTag == 0 ? ++m_LastTag : m_LastTag;
     }
     const bool IsNew = View.m_Entry.m_Id != Entry.m_Id;
+    const bool IsRenewed = View.m_Entry.m_Renewals < Entry.m_Renewals;
     View.m_Entry = Entry;
     if (IsNew && hasRun(Entry.m_Service))
       beginPace(View, PaceCause::Start, Now);
     View.m_Key = model::stableHash(Entry.m_Id.str(),
                                    static_cast<uint64_t>(Entry.m_StartedAtMs));
+    // Without the start, another one could seem to be the same.
+    if (IsRenewed && Entry.m_StartedAtMs != 0)
+      m_Quarantine.onEntryRenewed(View.m_Key, Entry.m_Renewals);
     View.m_IsRegistered = true;
     View.m_RegisteredAt = Now;
   }
--- a/Source/UnitTests/Gateway/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Gateway/CrashQuarantineTest.cpp
@@ -132,6 +132,27 @@
   CHECK(Node.isQuarantined());
 }
 
+// Guards against a trait that stays in quarantine for the want of other answers
+// of the engines that survived it.
+TEST_CASE("an engine that goes on to renew its entry has survived its answers, "
+          "but late renewals prove nothing") {
+  Node Node;
+  for (const EndpointKey Engine : {1, 2, 3}) {
+    Node.m_Quarantine.onAnswerCompleted(part(Trait), Engine, Node.m_Now);
+    Node.m_Quarantine.onEntryRenewed(Engine, 10);
+    Node.m_Quarantine.onEntryRenewed(Engine, 11);
+    Node.crash(Engine);
+    Node.advance(1s);
+  }
+  CHECK(Node.isQuarantined());
+  Node.m_Quarantine.onAnswerCompleted(part(Trait), 4, Node.m_Now);
+  Node.m_Quarantine.onEntryRenewed(4, 30);
+  Node.m_Quarantine.onEntryRenewed(4, 31);
+  CHECK(Node.isQuarantined());
+  Node.m_Quarantine.onEntryRenewed(4, 32);
+  CHECK_FALSE(Node.isQuarantined());
+}
+
 TEST_CASE("crashes that several nodes saw add up, and a node that starts "
           "learns of the quarantine") {
   Node First;
--- a/Source/UnitTests/Gateway/CrashingPromptTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingPromptTest.cpp
@@ -97,8 +97,58 @@
   return static_cast<double>(Held.size()) / static_cast<double>(All.size());
 }
 
+/// Share of the sound requests that begin at their first send, from twice the
+/// contact time after the last crash on, where two of three requests are sound
+/// and all share their first part, which nobody has asked with for a minute.
+double soundShareAfterQuiet(uint64_t Seed) {
+  RelayFleet Fleet(Seed, {.m_Nodes = 2,
+                          .m_Engines = 16,
+                          .m_CrashingParts = {CrashingPart},
+                          .m_AnswerTime = 2900ms,
+                          .m_RenewalPeriod = 1200ms});
+  std::mt19937_64 Random(Seed);
+  const auto AskSound = [&] {
+    Fleet.ask(Fleet.randomNode(), {FirstPart, 100 + Random() % 5, Random()});
+  };
+  for (int I = 0; I < 32; ++I) {
+    AskSound();
+    Fleet.run(200ms);
+  }
+  Fleet.run(65s);
+  for (int I = 0; I < 44; ++I) {
+    if (I % 2 == 0)
+      Fleet.ask(Fleet.randomNode(), {FirstPart, CrashingPart, Random()});
+    AskSound();
+    Fleet.run(500ms);
+  }
+  CHECK(Fleet.crashes().size() <= 5);
+  const size_t Last = std::min<size_t>(Fleet.crashes().size(), 5);
+  const model::TimePoint From = Fleet.crashes()[Last - 1] + 2 * ContactTime;
+  size_t Sound = 0;
+  size_t Begun = 0;
+  for (const RelayFleet::Asked &Each : Fleet.asked()) {
+    if (Each.m_At < From || Each.m_Parts[1] == CrashingPart ||
+        Each.m_At > Fleet.now() - 500ms)
+      continue;
+    ++Sound;
+    Begun += Each.m_BeganAtFirstSend ? 1 : 0;
+  }
+  REQUIRE(Sound >= 20);
+  return static_cast<double>(Begun) / static_cast<double>(Sound);
+}
+
 } // namespace
 
+// Guards against refusing all prompts of a route after a quiet minute, since
+// they share a part with those that crash engines.
+TEST_CASE("after a quiet minute, a part that all prompts share is not held "
+          "back with the one that crashes engines") {
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CAPTURE(Seed);
+    CHECK(soundShareAfterQuiet(Seed) > 0.5);
+  }
+}
+
 TEST_CASE("engines that end by themselves put fewer than one in a thousand "
           "sound parts in quarantine") {
   double Sum = 0;
--- a/Source/UnitTests/Gateway/RelayFleet.cpp
+++ b/Source/UnitTests/Gateway/RelayFleet.cpp
@@ -363,6 +363,9 @@
     }
     if (m_Now.time_since_epoch() % NoticePeriod == 0us)
       exchangeNotices();
+    if (m_Settings.m_RenewalPeriod > 0s &&
+        m_Now.time_since_epoch() % m_Settings.m_RenewalPeriod == 0us)
+      renewEntries();
     recordStreams();
     for (size_t I = 0; I < m_Nodes.size(); ++I) {
       m_Nodes[I]->m_Relay.m_Core.tick(m_Now, m_Nodes[I]->m_Relay.m_Out);
--- a/Source/UnitTests/Gateway/RelayFleet.h
+++ b/Source/UnitTests/Gateway/RelayFleet.h
@@ -32,6 +32,8 @@
     /// Requests that an engine runs at once, and that it lets wait besides.
     uint32_t m_Slots = 32;
     uint32_t m_Queue = 1000;
+    /// Of the engines' entries in the store; zero for never.
+    model::Duration m_RenewalPeriod{0};
   };
   /// What becomes of the links between a node and all engines.
   enum class Links {
@@ -189,6 +191,9 @@
               std::optional<model::Duration> RetryAfter = std::nullopt);
   void exchangeNotices();
   void publishEngines();
+  /// Tells the nodes of the store's entries, as they are.
+  void tellEndpoints();
+  void renewEntries();
   /// The end of a send of a node whose links are not whole; nullopt if the send
   /// reaches its engine.
   struct LostSend {
@@ -222,6 +227,9 @@
   std::multimap<model::TimePoint, Event> m_Events;
   std::vector<std::unique_ptr<Node>> m_Nodes;
   std::set<model::EndpointId> m_Engines;
+  /// Entries in the store.
+  std::vector<gateway::EndpointEntry> m_Published;
+  uint64_t m_Renewals = 0;
   std::map<model::EndpointId, std::string> m_SoftwareVersions;
   std::set<model::EndpointId> m_Draining;
   uint64_t m_LastEngine = 0;
--- a/Source/UnitTests/Gateway/RelayFleetEngines.cpp
+++ b/Source/UnitTests/Gateway/RelayFleetEngines.cpp
@@ -132,17 +132,31 @@
 }
 
 void RelayFleet::publishEngines() {
-  std::vector<gateway::EndpointEntry> Entries;
+  m_Published.clear();
   for (const model::EndpointId &Each : m_Engines) {
-    Entries.push_back(RelayFixture::endpoint(Each.str()));
-    Entries.back().m_Slots = m_Settings.m_Slots;
-    Entries.back().m_SoftwareVersion = m_SoftwareVersions.at(Each);
-    Entries.back().m_Draining = m_Draining.contains(Each);
+    m_Published.push_back(RelayFixture::endpoint(Each.str()));
+    m_Published.back().m_Slots = m_Settings.m_Slots;
+    m_Published.back().m_SoftwareVersion = m_SoftwareVersions.at(Each);
+    m_Published.back().m_Draining = m_Draining.contains(Each);
+    m_Published.back().m_StartedAtMs = 1;
+    m_Published.back().m_Renewals = m_Renewals;
   }
+  tellEndpoints();
+}
+
+void RelayFleet::renewEntries() {
+  ++m_Renewals;
+  for (gateway::EndpointEntry &Each : m_Published)
+    if (m_Engines.contains(Each.m_Id))
+      Each.m_Renewals = m_Renewals;
+  tellEndpoints();
+}
+
+void RelayFleet::tellEndpoints() {
   for (size_t I = 0; I < m_Nodes.size(); ++I) {
     if (m_CutOff.contains(I))
       continue;
-    m_Nodes[I]->m_Relay.m_Core.setEndpoints(Entries, m_Now,
+    m_Nodes[I]->m_Relay.m_Core.setEndpoints(m_Published, m_Now,
                                             m_Nodes[I]->m_Relay.m_Out);
     carryOut(I);
   }
