--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -6,7 +6,6 @@
 #include "Core/Model/Hash.h"
 
 #include <algorithm>
-#include <future>
 #include <utility>
 
 namespace bronzepass::core::adapters::gateway {
@@ -34,8 +33,6 @@
 constexpr model::Duration LivePeersPeriod = std::chrono::milliseconds(500);
 /// Requests to /ready and /metrics have none.
 constexpr uint64_t MaxStatusBodyBytes = 1024;
-/// A loop that is stuck must not hold up the end of the process.
-constexpr std::chrono::milliseconds MaxEndLogTime(100);
 /// What nodes add to the headers of a caller's request.
 constexpr size_t MaxForwardingHeaderBytes = 1024;
 
@@ -382,51 +379,6 @@
   });
 }
 
-void GatewayTraffic::stop(model::Duration LameDuck, model::TimePoint End,
-                          std::function<void()> OnDrained) {
-  m_Thread.loop().post([this, LameDuck, End, OnDrained = std::move(OnDrained)] {
-    if (m_Stopping)
-      return;
-    m_Stopping = true;
-    m_OnDrained = OnDrained;
-    m_Driver.closeConnectionsAfterAnswers();
-    m_Driver.decide([End](gateway::RelayCore &Core, model::TimePoint Now,
-                          gateway::RelayEffectList &Out) {
-      Core.beginStop(End, Now, Out);
-    });
-    m_Thread.loop().runAfter(LameDuck, [this] {
-      m_Core.stopAccepting();
-      m_CallerServer.closeIdle();
-      m_ForwardingServer.closeIdle();
-      waitUntilDrained();
-    });
-  });
-}
-
-void GatewayTraffic::waitUntilDrained() {
-  m_CallerServer.closeIdle();
-  m_ForwardingServer.closeIdle();
-  if (m_Core.activeRequestCount() == 0 && m_Driver.unsentAnswerCount() == 0 &&
-      m_CallerServer.connectionCount() == 0 &&
-      m_ForwardingServer.connectionCount() == 0) {
-    m_OnDrained();
-    return;
-  }
-  m_Thread.loop().runAfter(TickPeriod, [this] { waitUntilDrained(); });
-}
-
-void GatewayTraffic::logRequestsLeft() {
-  const std::shared_ptr<std::promise<void>> Logged =
-      std::make_shared<std::promise<void>>();
-  m_Thread.loop().post([this, Logged] {
-    m_Driver.decide(
-        [](gateway::RelayCore &Core, model::TimePoint Now,
-           gateway::RelayEffectList &Out) { Core.onProcessEnd(Now, Out); });
-    Logged->set_value();
-  });
-  Logged->get_future().wait_for(MaxEndLogTime);
-}
-
 std::string GatewayTraffic::metricsText() {
   m_GatewayMetrics.setCallerMemory(m_CallerMemory);
   m_GatewayMetrics.setAnswerMemory(m_Driver.answerMemory());
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -11,11 +11,8 @@
 
 constexpr int NotFound = 404;
 constexpr int ServiceUnavailable = 503;
-constexpr int GatewayTimeout = 504;
 /// Prompt parts in the index, over all endpoints; 4 to 32 bytes each.
 constexpr uint32_t PrefixIndexEntries = 16384;
-/// For callers of a stopping node: by then the load balancer sends them to
-/// another node.
 constexpr model::Duration NotReadyRetryAfter = std::chrono::milliseconds(500);
 /// A batch prefills about this many prompt tokens in the time of one decode
 /// step, so prompt and output tokens can be counted in the same unit.
@@ -232,57 +229,6 @@
                      m_UsageCounters.size() < MaxUsageCounters);
 }
 
-void RelayCore::onCallerDisconnected(model::RequestId Request,
-                                     model::TimePoint Now,
-                                     RelayEffectList &Out) {
-  m_Now = Now;
-  leave(Request, "gone", "the caller disconnected", Out);
-}
-
-void RelayCore::onConnectionClosed(model::RequestId Request,
-                                   const std::string &Reason,
-                                   model::TimePoint Now, RelayEffectList &Out) {
-  m_Now = Now;
-  leave(Request, "cut", Reason, Out);
-}
-
-void RelayCore::leave(model::RequestId Request, const char *Action,
-                      const std::string &Reason, RelayEffectList &Out) {
-  const auto Found = m_ActiveRequests.find(Request);
-  if (Found == m_ActiveRequests.end())
-    return;
-  ActiveRequest &Active = Found->second;
-  log(Active, Action, 0, Reason, Out);
-  // A request that must run at most once is left to finish: if it were
-  // cancelled, its outcome would be unknown.
-  const bool MustFinish = Active.m_Attempt && Active.m_Route &&
-                          !Active.m_Route->m_Repeatable &&
-                          !Active.m_Route->m_Stream;
-  if (MustFinish) {
-    Active.m_CallerDisconnected = true;
-    return;
-  }
-  if (Active.m_Attempt)
-    cancelSend(Active, Out);
-  removeRequest(Active);
-}
-
-void RelayCore::onProcessEnd(model::TimePoint Now, RelayEffectList &Out) {
-  m_Now = Now;
-  // The loop may have been busy since the end of the stop.
-  expireDue(Out);
-  for (auto &Each : m_ActiveRequests)
-    log(Each.second, Each.second.m_CallerDisconnected ? "end" : "cut", 0,
-        "the process ends", Out);
-}
-
-void RelayCore::cancelSend(ActiveRequest &Active, RelayEffectList &Out) {
-  if (const EndpointView *const Endpoint = findEndpoint(Active.m_Endpoint))
-    m_Quarantine.onSendCancelled(Active.m_Traits, Endpoint->m_Key,
-                                 Active.m_SentAt, m_Now);
-  Out.push_back(CancelSend{Active.m_Attempt});
-}
-
 void RelayCore::tick(model::TimePoint Now, RelayEffectList &Out) {
   m_Now = Now;
   m_Suspension.onTick(Now);
@@ -315,79 +261,6 @@
   dispatchWaiting(Out);
 }
 
-void RelayCore::expireDue(RelayEffectList &Out) {
-  while (!m_Deadlines.empty() && m_Deadlines.begin()->first <= m_Now)
-    expire(m_ActiveRequests.at(m_Deadlines.begin()->second), Out);
-}
-
-void RelayCore::expire(ActiveRequest &Active, RelayEffectList &Out) {
-  if (Active.m_Attempt) {
-    if (EndpointView *const Endpoint = findEndpoint(Active.m_Endpoint)) {
-      const SendOutcome Outcome{SendResult::Broken, 0, !Active.m_AnswerStarted,
-                                "timed out"};
-      updateEndpointHealth(Active, *Endpoint, Outcome);
-      updateLinks(Active, *Endpoint, Outcome);
-    }
-    cancelSend(Active, Out);
-  }
-  const char *const Reason = isBoundByStop(Active)
-                                 ? "the time of this node's stop is up"
-                                 : "its time is up";
-  if (Active.m_CallerDisconnected) {
-    log(Active, "end", 0, Reason, Out);
-    removeRequest(Active);
-  } else if (Active.m_ForwardingStarted)
-    abortAnswer(Active, Reason, Out);
-  else if (Active.m_PossibleRuns > 0 || Active.m_Attempt)
-    reject(Active, GatewayTimeout, std::nullopt, Reason, Out);
-  else if (isBoundByStop(Active))
-    reject(Active, ServiceUnavailable, stoppingRetryAfter(Active), Reason, Out);
-  else
-    reject(Active, ServiceUnavailable, jittered(NotReadyRetryAfter),
-           "its time is up before it was sent", Out);
-}
-
-bool RelayCore::expireIfDue(ActiveRequest &Active, RelayEffectList &Out) {
-  if (m_Now < Active.m_Deadline)
-    return false;
-  expire(Active, Out);
-  return true;
-}
-
-void RelayCore::reject(ActiveRequest &Active, int Status,
-                       std::optional<model::Duration> RetryAfter,
-                       const std::string &Reason, RelayEffectList &Out) {
-  log(Active, "refuse", Status, Reason, Out);
-  Out.push_back(
-      RejectRequest{Active.m_Request.m_Number, Status, RetryAfter, Reason});
-  removeRequest(Active);
-}
-
-void RelayCore::abortAnswer(ActiveRequest &Active, const std::string &Reason,
-                            RelayEffectList &Out) {
-  log(Active, "cut", 0, Reason, Out);
-  Out.push_back(AbortAnswer{Active.m_Request.m_Number, Reason});
-  removeRequest(Active);
-}
-
-void RelayCore::removeRequest(ActiveRequest &Active) {
-  endSend(Active);
-  const model::RequestId Number = Active.m_Request.m_Number;
-  m_Deadlines.erase({Active.m_Deadline, Number});
-  endWaiting(Active);
-  m_ActiveRequests.erase(Number);
-}
-
-void RelayCore::endWaiting(ActiveRequest &Active) {
-  const model::RequestId Number = Active.m_Request.m_Number;
-  Active.m_WaitsUntil.reset();
-  Active.m_QuotaWaitEnd.reset();
-  m_Waiting.erase(Number);
-  m_Unconfirmed.erase(Number);
-  m_QuotaWaiting.erase(Number);
-  releaseHold(Active);
-}
-
 RelayLogEntry::Content RelayCore::contentOf(const ActiveRequest &Active) {
   const RelayRequest &Request = Active.m_Request;
   RelayLogEntry::Content Content{
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -264,7 +264,7 @@
   };
   using ActiveRequestMap = std::unordered_map<model::RequestId, ActiveRequest>;
 
-  // RelayCore.cpp: new requests, timers, the end of requests.
+  // RelayCore.cpp: new requests, timers; RelayEnds.cpp: the end of requests.
   void reject(ActiveRequest &Active, int Status,
               std::optional<model::Duration> RetryAfter,
               const std::string &Reason, RelayEffectList &Out);
