Gateway: A request that broke off in a stop is tried again for longer

An attempt is made now while a mean answer fits.

RelayStopTest, "a request that broke off in a stop is sent again while its answer is expected in time": no send 0.7 s before the end before, with a mean of 0.5 s, one after.

--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -291,8 +291,8 @@
 
   // RelayStop.cpp: requests of a node that stops.
   /// Whether the answer to the request, if it is sent now, is expected after
-  /// the end of the stop.
-  bool endsBeyondStop(const ActiveRequest &Active) const;
+  /// the end of the stop, by \p MeanAnswers times the service's mean.
+  bool endsBeyondStop(const ActiveRequest &Active, double MeanAnswers) const;
   /// Refuses the request if it has not run and endsBeyondStop().
   bool rejectBeyondStop(ActiveRequest &Active, RelayEffectList &Out);
   /// The same for all requests that wait.
--- a/Source/Core/Gateway/RelayOutcomes.cpp
+++ b/Source/Core/Gateway/RelayOutcomes.cpp
@@ -184,7 +184,8 @@
   if (Active.m_CallerDisconnected || Active.m_Sends >= m_Settings.m_MaxSends ||
       Active.m_Deadline - m_Now < m_Settings.m_MinTimeForRetry)
     return false;
-  if (!Active.m_ForwardingStarted && endsBeyondStop(Active))
+  // Unlike a new request, it may not be tried elsewhere by its caller.
+  if (!Active.m_ForwardingStarted && endsBeyondStop(Active, 1))
     return false;
   if (!m_Quarantine.allowsRetry(Active.m_Traits.m_Fingerprint))
     return false;
--- a/Source/Core/Gateway/RelayStop.cpp
+++ b/Source/Core/Gateway/RelayStop.cpp
@@ -31,7 +31,8 @@
   rejectWaitingBeyondStop(Out);
 }
 
-bool RelayCore::endsBeyondStop(const ActiveRequest &Active) const {
+bool RelayCore::endsBeyondStop(const ActiveRequest &Active,
+                               double MeanAnswers) const {
   if (!isBoundByStop(Active))
     return false;
   const auto Service = m_Services.find(Active.m_Service);
@@ -39,14 +40,14 @@
       Service != m_Services.end() && Service->second.m_AnswerMs > 0;
   const double AnswerMs =
       IsMeasured ? Service->second.m_AnswerMs : DefaultAnswerMs;
-  return m_Now + model::Duration(static_cast<int64_t>(
-                     LongAnswerFactor * AnswerMs * MicrosPerMilli)) >
+  return m_Now + model::Duration(static_cast<int64_t>(MeanAnswers * AnswerMs *
+                                                      MicrosPerMilli)) >=
          *m_StopEnd;
 }
 
 bool RelayCore::rejectBeyondStop(ActiveRequest &Active, RelayEffectList &Out) {
   if (Active.m_ForwardingStarted || Active.m_PossibleRuns > 0 ||
-      !endsBeyondStop(Active))
+      !endsBeyondStop(Active, LongAnswerFactor))
     return false;
   reject(Active, ServiceUnavailable, stoppingRetryAfter(Active),
          "this node stops before the answer could be complete", Out);
--- a/Source/UnitTests/Gateway/RelayStopTest.cpp
+++ b/Source/UnitTests/Gateway/RelayStopTest.cpp
@@ -120,6 +120,19 @@
   CHECK(Relay.take<RejectRequest>().size() == 1);
 }
 
+// Guards against giving up a request that broke off while a stop has time left.
+TEST_CASE("a request that broke off in a stop is sent again while its answer "
+          "is expected in time") {
+  StopFixture Relay;
+  Relay.ask("/again/x");
+  const std::vector<SendRequest> Sent = Relay.take<SendRequest>();
+  Relay.beginStop();
+  Relay.advance(5300ms);
+  Relay.finishSend(Sent.front().m_Attempt, SendResult::Broken, 0);
+  CHECK(Relay.take<SendRequest>().size() == 1);
+  CHECK(Relay.take<RejectRequest>().empty());
+}
+
 // Guards against a request that waits for an adapter until the process ends.
 TEST_CASE("requests that wait are refused as not run while a stop leaves time "
           "to tell") {
