--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -195,7 +195,6 @@
   }
 
   void onSocketReady(curl_socket_t Socket, uint64_t Id, uint32_t ReadyEvents) {
-
     int Action = 0;
     if ((ReadyEvents & (EPOLLIN | EPOLLHUP)) != 0)
       Action |= CURL_CSELECT_IN;
