--- a/Source/UnitTests/Crowd/EndlessAnswer.h
+++ b/Source/UnitTests/Crowd/EndlessAnswer.h
@@ -34,7 +34,8 @@
                           const EndlessAnswer &) = default;
 };
 
-/// All, or those with that name.
+/// All, those with that name, or the "others": all but empty lines, which take
+/// time rather than memory.
 std::vector<EndlessAnswer> endlessAnswers(const std::string &Name);
 
 } // namespace bronzepass::unit_tests::crowd
