Gateway: Where a caller left, how long a turn takes, and a configuration's way to its first request

Lines and metrics that tell the hypotheses apart: - gone and cut lines have `stage`; bronzepass_left_requests_total counts it. - bronzepass_loop_turn_seconds, and a line `process busy` for a turn of the traffic thread over 250 ms. - config `received` (from whom, bytes, time of reading), `in_force` with its age, `used` by the first request; bronzepass_config_step_seconds. No decision changes.

--- a/Source/Core/Adapters/Gateway/GatewayLog.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayLog.cpp
@@ -79,6 +79,7 @@
       {"elapsed_ms", Entry.m_Elapsed.count() / MicrosPerMilli},
       {"config", static_cast<int64_t>(Entry.m_ConfigVersion)},
       {"cause", Entry.m_RefusalCause},
+      {"stage", Entry.m_Stage},
       {"reason", Entry.m_Reason}};
   if (Entry.m_Inputs)
     for (const LogField &Each : std::initializer_list<LogField>{
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.cpp
@@ -65,6 +65,23 @@
                         .Help("Times that the node lost its links to the "
                               "endpoints of a service, or to all")
                         .Register(m_Registry)),
+        m_Left(prom::BuildCounter()
+                   .Name("bronzepass_left_requests_total")
+                   .Help("Requests whose caller left before the end, by what "
+                         "was done for them until then")
+                   .Register(m_Registry)),
+        m_Turns(prom::BuildHistogram()
+                    .Name("bronzepass_loop_turn_seconds")
+                    .Help("Turns of the traffic thread's loop; what arrives "
+                          "meanwhile waits for the next one")
+                    .Register(m_Registry)
+                    .Add({}, Buckets)),
+        m_ConfigSteps(prom::BuildHistogram()
+                          .Name("bronzepass_config_step_seconds")
+                          .Help("From the receipt of a configuration until it "
+                                "was read, taken by the traffic thread, and "
+                                "used for a request")
+                          .Register(m_Registry)),
         m_Durations(prom::BuildHistogram()
                         .Name("bronzepass_request_duration_seconds")
                         .Help("From a request's first byte to its end")
@@ -106,6 +123,9 @@
   prom::Family<prom::Counter> &m_UnreadableStatements;
   prom::Family<prom::Counter> &m_DroppedRequests;
   prom::Family<prom::Counter> &m_LinksLost;
+  prom::Family<prom::Counter> &m_Left;
+  prom::Histogram &m_Turns;
+  prom::Family<prom::Histogram> &m_ConfigSteps;
   prom::Family<prom::Histogram> &m_Durations;
   prom::Family<prom::Counter> &m_Refusals;
   prom::Family<prom::Counter> &m_OfOrganisations;
@@ -143,6 +163,8 @@
             {"end", Entry.m_Action},
             {"status", std::to_string(Entry.m_Status)}})
       .Increment();
+  if (Entry.m_Action == "gone")
+    m_Impl->m_Left.Add({{"stage", Entry.m_Stage}}).Increment();
   if (!Entry.m_RefusalCause.empty())
     m_Impl->m_Refusals.Add({{"cause", Entry.m_RefusalCause}}).Increment();
   if (!Entry.m_Organisation.empty()) {
@@ -175,6 +197,15 @@
   m_Impl->m_DroppedRequests.Add({}).Increment();
 }
 
+void GatewayMetrics::observeTurn(std::chrono::microseconds Length) {
+  m_Impl->m_Turns.Observe(std::chrono::duration<double>(Length).count());
+}
+
+void GatewayMetrics::observeConfigStep(const char *Step, model::Duration Time) {
+  m_Impl->m_ConfigSteps.Add({{"step", Step}}, Buckets)
+      .Observe(std::chrono::duration<double>(Time).count());
+}
+
 void GatewayMetrics::countStoreRestore() {
   m_Impl->m_StoreRestores.Add({}).Increment();
 }
--- a/Source/Core/Adapters/Gateway/GatewayMetrics.h
+++ b/Source/Core/Adapters/Gateway/GatewayMetrics.h
@@ -6,6 +6,7 @@
 #include "Core/Resources/AnswerMemory.h"
 #include "Core/Resources/CallerMemory.h"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -33,6 +34,11 @@
   void countUnreadableStatement();
   /// The connection of a request that was read whole had ended by then.
   void countDroppedRequest();
+  /// One turn of the traffic thread's loop.
+  void observeTurn(std::chrono::microseconds Length);
+  /// \p Step of a configuration on its way to its first request: "read",
+  /// "taken" or "used".
+  void observeConfigStep(const char *Step, model::Duration Time);
   /// The platform's store has been restored from a backup.
   void countStoreRestore();
   /// Requests of other organisations than these, or beyond the first
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -35,6 +35,14 @@
 constexpr uint64_t MaxStatusBodyBytes = 1024;
 /// What nodes add to the headers of a caller's request.
 constexpr size_t MaxForwardingHeaderBytes = 1024;
+/// A turn of the loop this long is logged, at most once a second: what arrives
+/// meanwhile is decided late.
+constexpr std::chrono::milliseconds LongTurn(250);
+constexpr model::Duration LongTurnLogPeriod = std::chrono::seconds(1);
+
+int64_t toMillis(std::chrono::microseconds Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
 
 } // namespace
 
@@ -113,6 +121,8 @@
       m_Thread.loop().post([this] { askQuotas(); });
   });
   m_Driver.setConfirmationHandler([this] { m_Events.onConfirmEndpoints(); });
+  m_Thread.loop().setTurnObserver(
+      [this](const net::EventLoop::Turn &Ended) { noteTurn(Ended); });
   m_Thread.loop().setFaultHandler([this](const std::string &What) {
     m_Log.write("process", "exception",
                 {{"thread", "traffic"}, {"reason", What}});
@@ -148,6 +158,20 @@
   return m_Core.table() && m_HasEndpoints && !m_Stopping;
 }
 
+void GatewayTraffic::noteTurn(const net::EventLoop::Turn &Ended) {
+  m_GatewayMetrics.observeTurn(Ended.m_Length);
+  if (Ended.m_Length < LongTurn)
+    return;
+  const model::TimePoint Now = m_Clock.now();
+  if (Now - m_LongTurnLoggedAt < LongTurnLogPeriod)
+    return;
+  m_LongTurnLoggedAt = Now;
+  m_Log.write("process", "busy",
+              {{"thread", "traffic"},
+               {"turn_ms", toMillis(Ended.m_Length)},
+               {"events", static_cast<int64_t>(Ended.m_Events)}});
+}
+
 void GatewayTraffic::tick() {
   m_Thread.loop().runAfter(TickPeriod, [this] { tick(); });
   m_Driver.decide([](gateway::RelayCore &Core, model::TimePoint Now,
@@ -271,9 +295,14 @@
 
 void GatewayTraffic::setTable(
     std::shared_ptr<const gateway::RouteTable> Table) {
-  m_Thread.loop().post([this, Table = std::move(Table)] {
+  const model::TimePoint ReadAt = m_Clock.now();
+  m_Thread.loop().post([this, ReadAt, Table = std::move(Table)] {
     if (!m_Core.setTable(Table))
       return;
+    const model::Duration Reading = ReadAt - Table->receivedAt();
+    const model::Duration Age = m_Clock.now() - Table->receivedAt();
+    m_GatewayMetrics.observeConfigStep("read", Reading);
+    m_GatewayMetrics.observeConfigStep("taken", Age);
     m_QuotaKeeper.setPlans(m_Core.quotaPlans(), m_Clock.now());
     const gateway::CallerInputLimits &Limits = Table->config().m_Limits;
     front::FrontLimits Front = m_CallerServer.limits();
@@ -302,7 +331,8 @@
         "config", "in_force",
         {{"config", static_cast<int64_t>(Table->config().m_Version)},
          {"routes", static_cast<int64_t>(Table->config().m_Routes.size())},
-         {"idle_ms", static_cast<int64_t>(Front.m_IdleTimeout.count())}});
+         {"idle_ms", static_cast<int64_t>(Front.m_IdleTimeout.count())},
+         {"age_ms", toMillis(Age)}});
   });
 }
 
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -118,6 +118,8 @@
   };
 
   bool isReady() const;
+  /// Counts a turn of the loop, and logs a long one.
+  void noteTurn(const net::EventLoop::Turn &Ended);
   void tick();
   void sendLoadNotice();
   /// Passes on what this node records of streams, if it has a slot.
@@ -180,6 +182,7 @@
   uint64_t m_LoggedPlaces = 0;
   uint64_t m_LoggedPauses = 0;
   model::TimePoint m_ShortageLoggedAt;
+  model::TimePoint m_LongTurnLoggedAt;
   std::unique_ptr<StatusHandler> m_StatusHandler;
   RelayDriver m_Driver;
   front::FrontServer m_CallerServer;
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -180,6 +180,21 @@
              gateway::RelayEffectList &Out) {
     Core.onRequestReceived(std::move(Relayed), Now, Out);
   });
+  noteTableUse();
+}
+
+void RelayDriver::noteTableUse() {
+  const gateway::RouteTable *const Table = m_Core.table();
+  if (!Table || Table->config().m_Version == m_UsedVersion)
+    return;
+  m_UsedVersion = Table->config().m_Version;
+  const model::Duration Age = m_Clock.now() - Table->receivedAt();
+  m_Metrics.observeConfigStep("used", Age);
+  m_Log.write(
+      "config", "used",
+      {{"config", static_cast<int64_t>(m_UsedVersion)},
+       {"age_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(Age).count()}});
 }
 
 void RelayDriver::carryOut(const gateway::RelayEffectList &Effects) {
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -168,6 +168,8 @@
               const std::shared_ptr<pistache::HttpResponseWriter> &Answer,
               core::gateway::HeaderLines Headers,
               std::optional<core::gateway::ForwardingTerms> Terms);
+  /// Logs the first request that a configuration decides.
+  void noteTableUse();
   void carryOut(const core::gateway::RelayEffectList &Effects);
   void on(const core::gateway::SendRequest &Effect);
   void on(const core::gateway::CancelSend &Effect);
@@ -239,6 +241,8 @@
   /// Shortest time for which a service's endpoints keep idle connections.
   std::map<std::string, std::chrono::seconds> m_KeepAlive;
   uint64_t m_LastRequestNumber = 0;
+  /// The configuration that decided the last request.
+  uint64_t m_UsedVersion = 0;
   std::optional<model::TimePoint> m_UnreadableLoggedAt;
   bool m_Closing = false;
   size_t m_UnsentAnswers = 0;
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -20,6 +20,10 @@
 /// Nodes rarely join or leave, and they also notify each other directly.
 constexpr model::Duration NodeListPeriod = std::chrono::seconds(5);
 
+int64_t toMillis(model::Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
 gateway::WatchTimes watchTimesOf(const StoreFeedTimes &Times, bool Relays) {
   return gateway::watchTimes(Times.m_LeaveNotice, Times.m_ContactTime, Relays);
 }
@@ -232,6 +236,7 @@
 }
 
 void StoreFeeds::handleConfig(const std::string &Content) {
+  const model::TimePoint ReceivedAt = m_Clock.now();
   gateway::Decoded<gateway::GatewayConfig> Parsed =
       m_Dialect.readConfig(Content);
   m_Log.writeFindings("config", "config", Parsed.m_Findings);
@@ -239,8 +244,17 @@
   if (!Parsed.m_Value || Parsed.m_Value->m_Version <= m_ConfigVersion)
     return;
   m_ConfigVersion = Parsed.m_Value->m_Version;
-  m_Events.onRouteTableChanged(
-      std::make_shared<gateway::RouteTable>(std::move(*Parsed.m_Value)));
+  const std::shared_ptr<const gateway::RouteTable> Table =
+      std::make_shared<gateway::RouteTable>(std::move(*Parsed.m_Value),
+                                            ReceivedAt);
+  const std::string Source = m_ConfigFeed.m_AskedNode.str();
+  m_Log.write("config", "received",
+              {{"config", static_cast<int64_t>(m_ConfigVersion)},
+               {"bytes", static_cast<int64_t>(Content.size())},
+               {"source", Source.empty() ? "store" : Source},
+               {"asked_ms", toMillis(ReceivedAt - m_ConfigFeed.m_AskedAt)},
+               {"read_ms", toMillis(m_Clock.now() - ReceivedAt)}});
+  m_Events.onRouteTableChanged(Table);
 }
 
 void StoreFeeds::handleEndpoint(const gateway::FeedChange &Change) {
--- a/Source/Core/Adapters/Net/EventLoop.cpp
+++ b/Source/Core/Adapters/Net/EventLoop.cpp
@@ -62,9 +62,14 @@
   while (!m_Stopping) {
     const int Count = ::epoll_wait(m_Epoll.get(), Events.data(), EventsPerWait,
                                    millisToNextTimer());
+    const SteadyTime Begin = std::chrono::steady_clock::now();
     for (int I = 0; I < Count; ++I)
       dispatch(Events[I].data.u64, Events[I].events);
     runDueTimers();
+    if (m_OnTurn)
+      m_OnTurn({std::chrono::duration_cast<std::chrono::microseconds>(
+                    std::chrono::steady_clock::now() - Begin),
+                static_cast<size_t>(std::max(Count, 0))});
   }
 }
 
--- a/Source/Core/Adapters/Net/EventLoop.h
+++ b/Source/Core/Adapters/Net/EventLoop.h
@@ -30,6 +30,15 @@
   /// Gets the text of the exception.
   using FaultHandler = std::function<void(const std::string &What)>;
 
+  /// What was done between two waits for events.
+  struct Turn {
+    std::chrono::microseconds m_Length{0};
+    size_t m_Events = 0;
+
+    friend auto operator<=>(const Turn &, const Turn &) = default;
+  };
+  using TurnObserver = std::function<void(const Turn &Ended)>;
+
   struct TimerId {
     SteadyTime m_Due;
     uint64_t m_Serial = 0;
@@ -48,6 +57,9 @@
   /// the loop runs.
   void setFaultHandler(FaultHandler OnFault) { m_OnFault = std::move(OnFault); }
 
+  /// Calls \p OnTurn at the end of each turn. Called before the loop runs.
+  void setTurnObserver(TurnObserver OnTurn) { m_OnTurn = std::move(OnTurn); }
+
   /// Runs until stop(); tasks posted before it are run first.
   void run();
   void stop();
@@ -83,6 +95,7 @@
   FileDescriptor m_Wakeup;
   std::atomic<bool> m_Stopping = false;
   FaultHandler m_OnFault;
+  TurnObserver m_OnTurn;
 
   std::mutex m_TaskMutex;
   std::vector<Task> m_Tasks;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -3,6 +3,7 @@
 #include "Core/Model/Hash.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace bronzepass::core::gateway {
@@ -297,6 +298,10 @@
       .m_Elapsed = m_Now - Active.m_Request.m_BeganAt,
       .m_Reason = Reason,
       .m_Inputs = Active.m_Inputs,
+      .m_Stage = std::string_view(Action) == "gone" ||
+                         std::string_view(Action) == "cut"
+                     ? stageOf(Active)
+                     : "",
       .m_Timing = Active.m_AnswerStarted ? std::optional(Active.m_Timing)
                                          : std::nullopt,
       .m_AnswerEnd = std::exchange(Active.m_AnswerEnd, std::nullopt),
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -276,6 +276,9 @@
   /// Nobody can receive the answer any more.
   void leave(model::RequestId Request, const char *Action,
              const std::string &Reason, RelayEffectList &Out);
+  /// What is done for the request: "answering", "sent", "forwarded", or what it
+  /// waits for.
+  static const char *stageOf(const ActiveRequest &Active);
   /// Ends the send in flight, of which nobody awaits the answer any more.
   void cancelSend(ActiveRequest &Active, RelayEffectList &Out);
   void log(ActiveRequest &Active, const char *Action, int Status,
--- a/Source/Core/Gateway/RelayEnds.cpp
+++ b/Source/Core/Gateway/RelayEnds.cpp
@@ -45,6 +45,20 @@
   removeRequest(Active);
 }
 
+const char *RelayCore::stageOf(const ActiveRequest &Active) {
+  if (Active.m_Attempt && Active.m_AnswerStarted)
+    return "answering";
+  if (Active.m_Attempt)
+    return Active.m_ForwardedTo ? "forwarded" : "sent";
+  if (Active.m_IsHeld)
+    return "held";
+  if (Active.m_QuotaWaitEnd)
+    return "quota";
+  if (Active.m_WaitsUntil)
+    return "adapter";
+  return Active.m_UnconfirmedSince ? "confirmation" : "received";
+}
+
 void RelayCore::onProcessEnd(model::TimePoint Now, RelayEffectList &Out) {
   m_Now = Now;
   // The loop may have been busy since the end of the stop.
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -269,6 +269,9 @@
   std::string m_Reason;
   /// Set for "send", "retry" and a refusal for lack of a slot.
   std::optional<ChoiceInputs> m_Inputs;
+  /// For "gone" and "cut": what was done for the request until then, in one
+  /// word.
+  std::string m_Stage;
   /// Set when the request ends after chunks were received.
   std::optional<AnswerTiming> m_Timing;
   /// Set in the first line after the end of an endpoint's answer.
--- a/Source/Core/Gateway/RouteTable.cpp
+++ b/Source/Core/Gateway/RouteTable.cpp
@@ -15,7 +15,8 @@
 
 } // namespace
 
-RouteTable::RouteTable(GatewayConfig Config) : m_Config(std::move(Config)) {
+RouteTable::RouteTable(GatewayConfig Config, model::TimePoint ReceivedAt)
+    : m_Config(std::move(Config)), m_ReceivedAt(ReceivedAt) {
   if (m_Config.m_Organisations)
     m_Organisations.emplace(*m_Config.m_Organisations);
   for (size_t I = 0; I < m_Config.m_Routes.size(); ++I)
--- a/Source/Core/Gateway/RouteTable.h
+++ b/Source/Core/Gateway/RouteTable.h
@@ -17,9 +17,11 @@
 /// control thread builds it and the traffic thread reads it.
 class RouteTable {
 public:
-  explicit RouteTable(GatewayConfig Config);
+  /// \p ReceivedAt: when this node received the configuration.
+  explicit RouteTable(GatewayConfig Config, model::TimePoint ReceivedAt = {});
 
   const GatewayConfig &config() const { return m_Config; }
+  model::TimePoint receivedAt() const { return m_ReceivedAt; }
 
   /// The route of \p Host with the longest prefix of \p Path; null if none
   /// matches. \p Host may have a port; its case is ignored.
@@ -41,6 +43,7 @@
   using PrefixMap = std::unordered_map<std::string, size_t>;
 
   GatewayConfig m_Config;
+  model::TimePoint m_ReceivedAt;
   std::optional<organisations::OrganisationTable> m_Organisations;
   std::unordered_map<std::string, PrefixMap> m_Hosts;
   std::map<std::string, size_t> m_Services;
