--- a/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.cpp
@@ -6,7 +6,9 @@
 #include <chrono>
 #include <cstdio>
 #include <doctest/doctest.h>
+#include <future>
 #include <memory>
+#include <thread>
 #include <utility>
 
 namespace bronzepass::unit_tests::adapters::gateway {
@@ -83,6 +85,28 @@
 
 RelayNode::~RelayNode() { m_Thread.stop(); }
 
+void RelayNode::whileBusy(std::chrono::milliseconds Span,
+                          const std::function<void()> &Work) {
+  std::promise<void> Busy;
+  std::promise<void> Done;
+  m_Thread.loop().post([&Busy, &Done, Span] {
+    Busy.set_value();
+    std::this_thread::sleep_for(Span);
+    Done.set_value();
+  });
+  Busy.get_future().wait();
+  Work();
+  Done.get_future().wait();
+}
+
+void RelayNode::settle() {
+  constexpr std::chrono::milliseconds Rest(200);
+  std::this_thread::sleep_for(Rest);
+  std::promise<void> Done;
+  m_Thread.loop().post([&Done] { Done.set_value(); });
+  Done.get_future().wait();
+}
+
 void RelayNode::tick() {
   m_Thread.loop().runAfter(TickPeriod, [this] { tick(); });
   hearOf("peer", m_PeerPort);
--- a/Source/UnitTests/Adapters/Gateway/RelayNode.h
+++ b/Source/UnitTests/Adapters/Gateway/RelayNode.h
@@ -9,7 +9,9 @@
 #include "platform/PlatformDialect.h"
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,6 +41,12 @@
   /// The same of a second one.
   void setOtherPeer(uint16_t ForwardingPort) { m_OtherPort = ForwardingPort; }
   std::string metrics() const { return m_Metrics.text(); }
+  /// Keeps the loop busy for \p Span and runs \p Work meanwhile.
+  void whileBusy(std::chrono::milliseconds Span,
+                 const std::function<void()> &Work);
+  /// Returns once the loop has done what was there before, and what follows
+  /// from it at once.
+  void settle();
 
 private:
   void tick();
