Net: What is posted runs before the events that follow

Cause: a turn of the loop took the kernel's events in their order and ran posted tasks only when its wake-up came up among them, often a turn later; timers, libcurl's among them, ran before. A turn that is long makes the difference long.

Why it works: pending tasks run before each event and before the timers of a turn; an atomic flag makes that cheap where there are none.

--- a/Source/Core/Adapters/Net/EventLoop.cpp
+++ b/Source/Core/Adapters/Net/EventLoop.cpp
@@ -63,8 +63,11 @@
     const int Count = ::epoll_wait(m_Epoll.get(), Events.data(), EventsPerWait,
                                    millisToNextTimer());
     const SteadyTime Begin = std::chrono::steady_clock::now();
-    for (int I = 0; I < Count; ++I)
+    for (int I = 0; I < Count; ++I) {
+      runTasks();
       dispatch(Events[I].data.u64, Events[I].events);
+    }
+    runTasks();
     runDueTimers();
     if (m_OnTurn)
       m_OnTurn({std::chrono::duration_cast<std::chrono::microseconds>(
@@ -84,6 +87,7 @@
     const std::lock_guard<std::mutex> Lock(m_TaskMutex);
     WasEmpty = m_Tasks.empty();
     m_Tasks.push_back(std::move(Work));
+    m_HasTasks = true;
   }
   if (WasEmpty)
     ::eventfd_write(m_Wakeup.get(), 1);
@@ -153,12 +157,13 @@
 }
 
 void EventLoop::runTasks() {
-  eventfd_t Ignored = 0;
-  ::eventfd_read(m_Wakeup.get(), &Ignored);
+  if (!m_HasTasks)
+    return;
   std::vector<Task> Tasks;
   {
     const std::lock_guard<std::mutex> Lock(m_TaskMutex);
     Tasks.swap(m_Tasks);
+    m_HasTasks = false;
   }
   for (const Task &Work : Tasks)
     guard(Work);
@@ -167,7 +172,8 @@
 void EventLoop::dispatch(uint64_t Tag, uint32_t Events) {
   const uint32_t Serial = static_cast<uint32_t>(Tag >> 32);
   if (Serial == WakeupSerial) {
-    runTasks();
+    eventfd_t Ignored = 0;
+    ::eventfd_read(m_Wakeup.get(), &Ignored);
     return;
   }
   auto Found = m_Watches.find(static_cast<int>(Tag & 0xffffffff));
--- a/Source/Core/Adapters/Net/EventLoop.h
+++ b/Source/Core/Adapters/Net/EventLoop.h
@@ -63,7 +63,8 @@
   /// Runs until stop(); tasks posted before it are run first.
   void run();
   void stop();
-  /// Runs \p Work on the loop's thread, in order of posting.
+  /// Runs \p Work on the loop's thread, in order of posting, and before the
+  /// watchers and timers that are due after it.
   void post(Task Work);
 
   TimerId runAfter(std::chrono::microseconds Delay, Task Work);
@@ -99,6 +100,7 @@
 
   std::mutex m_TaskMutex;
   std::vector<Task> m_Tasks;
+  std::atomic<bool> m_HasTasks = false;
 
   std::map<TimerId, Task> m_Timers;
   uint64_t m_NextTimer = 1;
--- a/Source/UnitTests/Adapters/Net/EventLoopTest.cpp
+++ b/Source/UnitTests/Adapters/Net/EventLoopTest.cpp
@@ -36,4 +36,29 @@
     CHECK(std::find(Faults.begin(), Faults.end(), Origin) != Faults.end());
 }
 
+// Guards against requests that are decided by what was known before, although
+// the news came first: a busy loop finds both at once.
+TEST_CASE("what is posted runs before the events that follow, also within a "
+          "turn") {
+  EventLoop Loop;
+  std::vector<std::string> Order;
+  const FileDescriptor First(::eventfd(1, EFD_CLOEXEC | EFD_NONBLOCK));
+  const FileDescriptor Second(::eventfd(1, EFD_CLOEXEC | EFD_NONBLOCK));
+  const auto Watch = [&](const FileDescriptor &Event, const std::string &Name) {
+    Loop.watch(Event.get(), EPOLLIN, [&Loop, &Order, &Event, Name](uint32_t) {
+      Loop.unwatch(Event.get());
+      Order.push_back(Name);
+      Loop.post([&Order, Name] { Order.push_back("news of " + Name); });
+    });
+  };
+  Watch(First, "first");
+  Watch(Second, "second");
+  Loop.runAfter(0ms, [&] { Order.emplace_back("timer"); });
+  Loop.runAfter(20ms, [&] { Loop.stop(); });
+  Loop.run();
+  const std::vector<std::string> Expected = {"first", "news of first", "second",
+                                             "news of second", "timer"};
+  CHECK(Order == Expected);
+}
+
 } // namespace bronzepass::core::adapters::net
