Gateway: A change is known in time also where its watcher is cut off and then lost

Cause: silence of a watcher was taken for "no change" for up to twice a watch and its answer. With a leave notice of 3 s, a watcher that was cut off from the store and lost just before it noticed left its askers without news for 0.8 B + 1.2 s = 3.6 s; with 4 s, 4.4 s. Besides, the bound of the configuration was taken from that of leaving endpoints.

WatchTimesTest computes the sum for bounds of 2, 3, 4 and 10 s.

Why it works: a watch and a question stay open for 0.18 of the bound, their answers take at most 0.2 of it, so that two silences, the delay after an earlier change and a call to the store fit. The setting platform.config-notice is the configuration's own bound.

--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -102,7 +102,8 @@
                     cpuPercent(Settings.get(keys::NodeCpuShare))};
   Options.m_FeedTimes = {Settings.get(keys::PlatformLeaveNotice),
                          Settings.get(keys::PlatformContactTime),
-                         Settings.get(keys::KeyRevocationTime)};
+                         Settings.get(keys::KeyRevocationTime),
+                         Settings.get(keys::PlatformConfigNotice)};
   Options.m_Lease.m_Term = Settings.get(keys::LeaseTerm);
   Options.m_Lease.m_Margin = Options.m_Lease.m_Term / LeaseMarginDivisor;
   // Handing the duty over gains nothing and makes the new holder request a
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -24,28 +24,36 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
 }
 
-gateway::WatchTimes watchTimesOf(const StoreFeedTimes &Times, bool Relays) {
+gateway::WatchTimes endpointWatchTimes(const StoreFeedTimes &Times,
+                                       bool Relays) {
   return gateway::watchTimes(Times.m_LeaveNotice, Times.m_ContactTime, Relays);
 }
 
-model::Duration configWatchTimeoutOf(const StoreFeedTimes &Times, bool Relays) {
-  return gateway::configWatchTimeout(watchTimesOf(Times, Relays).m_WatchTimeout,
-                                     Times.m_KeyRevocationTime, Relays);
+gateway::WatchTimes configWatchTimes(const StoreFeedTimes &Times, bool Relays) {
+  gateway::WatchTimes Watch =
+      gateway::watchTimes(Times.m_ConfigNotice, Times.m_ContactTime, Relays);
+  Watch.m_WatchTimeout = gateway::configWatchTimeout(
+      Watch.m_WatchTimeout, Times.m_KeyRevocationTime, Relays);
+  Watch.m_AnswerTimeout =
+      std::min(Watch.m_AnswerTimeout,
+               gateway::configAnswerTimeout(Times.m_KeyRevocationTime));
+  return Watch;
 }
 
 gateway::FeedSettings configFeedSettings(const StoreFeedTimes &Times) {
+  const gateway::WatchTimes Watch = configWatchTimes(Times, false);
   gateway::FeedSettings Settings;
-  Settings.m_WatchTimeout = configWatchTimeoutOf(Times, false);
-  Settings.m_AnswerTimeout =
-      gateway::configAnswerTimeout(Times.m_KeyRevocationTime);
-  Settings.m_BatchDelay = watchTimesOf(Times, false).m_ConfigBatchDelay;
+  Settings.m_WatchTimeout = Watch.m_WatchTimeout;
+  Settings.m_AnswerTimeout = Watch.m_AnswerTimeout;
+  Settings.m_BatchDelay = Watch.m_ConfigBatchDelay;
   return Settings;
 }
 
 gateway::FeedSettings endpointFeedSettings(const StoreFeedTimes &Times) {
+  const gateway::WatchTimes Watch = endpointWatchTimes(Times, false);
   gateway::FeedSettings Settings;
-  Settings.m_WatchTimeout = watchTimesOf(Times, false).m_WatchTimeout;
-  Settings.m_BatchDelay = watchTimesOf(Times, false).m_EndpointBatchDelay;
+  Settings.m_WatchTimeout = Watch.m_WatchTimeout;
+  Settings.m_BatchDelay = Watch.m_EndpointBatchDelay;
   return Settings;
 }
 
@@ -313,11 +321,13 @@
 void StoreFeeds::updateSources(const std::vector<gateway::NodeEntry> &Nodes) {
   m_Sources.setNodes(Nodes);
   const bool Relays = m_Sources.hasFollowers();
-  const gateway::WatchTimes New = watchTimesOf(m_Times, Relays);
-  m_ConfigFeed.m_Feed.setWatchTimes(configWatchTimeoutOf(m_Times, Relays),
-                                    New.m_ConfigBatchDelay);
-  m_EndpointFeed.m_Feed.setWatchTimes(New.m_WatchTimeout,
-                                      New.m_EndpointBatchDelay);
+  const gateway::WatchTimes Config = configWatchTimes(m_Times, Relays);
+  m_ConfigFeed.m_Feed.setWatchTimes(
+      Config.m_WatchTimeout, Config.m_AnswerTimeout, Config.m_ConfigBatchDelay);
+  const gateway::WatchTimes Endpoints = endpointWatchTimes(m_Times, Relays);
+  m_EndpointFeed.m_Feed.setWatchTimes(Endpoints.m_WatchTimeout,
+                                      Endpoints.m_AnswerTimeout,
+                                      Endpoints.m_EndpointBatchDelay);
   const model::Duration MaxBackoff =
       m_Sources.isWatcher()
           ? gateway::FeedSettings().m_MaxBackoff
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -49,6 +49,9 @@
   /// How long a key may open routes after it was taken away; zero: until this
   /// node learns of it.
   model::Duration m_KeyRevocationTime{0};
+  /// How long after a change of the configuration the one before may still
+  /// decide.
+  model::Duration m_ConfigNotice = std::chrono::seconds(2);
 };
 
 /// Follows the configuration, endpoints and nodes in the platform's store, and
--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -9,7 +9,7 @@
 namespace bronzepass::core::gateway {
 
 ObjectFeed::ObjectFeed(const FeedSettings &Settings, ports::Random &Random)
-    : m_Settings(Settings),
+    : m_Settings(Settings), m_WatchAnswerTimeout(Settings.m_AnswerTimeout),
       m_Backoff(Settings.m_BaseBackoff, Settings.m_MaxBackoff),
       m_Random(Random) {}
 
@@ -30,7 +30,8 @@
     // The first list, and the first after a restore, has to be up to date.
     Call.m_MayBeStale = m_Settings.m_ListPeriod && isCurrent();
   }
-  Call.m_Timeout = Call.m_Wait + m_Settings.m_AnswerTimeout;
+  Call.m_Timeout = Call.m_Wait + (m_Watching ? m_WatchAnswerTimeout
+                                             : m_Settings.m_AnswerTimeout);
   return Call;
 }
 
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -142,9 +142,12 @@
   uint64_t completeFrom() const { return m_CompleteFrom; }
   /// Takes effect with the next failure.
   void setMaxBackoff(model::Duration Max) { m_Backoff.setCap(Max); }
-  /// Takes effect with the next call.
-  void setWatchTimes(model::Duration WatchTimeout, model::Duration BatchDelay) {
+  /// Takes effect with the next call. \p AnswerTimeout is that of watches.
+  void setWatchTimes(model::Duration WatchTimeout,
+                     model::Duration AnswerTimeout,
+                     model::Duration BatchDelay) {
     m_Settings.m_WatchTimeout = WatchTimeout;
+    m_WatchAnswerTimeout = AnswerTimeout;
     m_Settings.m_BatchDelay = BatchDelay;
   }
 
@@ -154,6 +157,7 @@
   void finishList(std::vector<FeedChange> &Changes);
 
   FeedSettings m_Settings;
+  model::Duration m_WatchAnswerTimeout;
   membership::Backoff m_Backoff;
   ports::Random &m_Random;
   bool m_CallInProgress = false;
--- a/Source/Core/Gateway/WatchTimes.cpp
+++ b/Source/Core/Gateway/WatchTimes.cpp
@@ -15,10 +15,12 @@
 constexpr double EndpointBatchShare = 0.6;
 /// The same where other nodes learn of the change from this one. What a change
 /// takes to reach the last node is the sum of this delay, a watch that fails
-/// unnoticed, and the call to the store that follows: together less than the
+/// unnoticed, a question to the node that made it and was lost just before it
+/// noticed, and the call to the store that follows: together less than the
 /// leave notice.
-constexpr double RelayedBatchShare = 0.25;
-constexpr double RelayedWatchShare = 0.4;
+constexpr double RelayedBatchShare = 0.15;
+constexpr double RelayedWatchShare = 0.18;
+constexpr double RelayedAnswerShare = 0.2;
 /// Shares of the revocation time. Where nodes learn through others, two watches
 /// follow each other.
 constexpr double ProofWatchShare = 0.25;
@@ -41,11 +43,13 @@
 
 WatchTimes watchTimes(model::Duration LeaveNotice, model::Duration ContactTime,
                       bool Relays) {
-  const model::Duration Longest = ContactTime - FeedSettings().m_AnswerTimeout;
+  const model::Duration Answer = FeedSettings().m_AnswerTimeout;
+  const model::Duration Longest = ContactTime - Answer;
   if (!Relays)
-    return {Longest, ConfigBatchDelay,
+    return {Longest, Answer, ConfigBatchDelay,
             shareOf(LeaveNotice, EndpointBatchShare)};
   return {std::min(Longest, shareOf(LeaveNotice, RelayedWatchShare)),
+          std::min(Answer, shareOf(LeaveNotice, RelayedAnswerShare)),
           ConfigBatchDelay, shareOf(LeaveNotice, RelayedBatchShare)};
 }
 
--- a/Source/Core/Gateway/WatchTimes.h
+++ b/Source/Core/Gateway/WatchTimes.h
@@ -9,8 +9,10 @@
 
 /// How the configuration and the endpoints in the platform's store are watched.
 struct WatchTimes {
-  /// How long one watch stays open.
+  /// How long one watch, or one question to another node, stays open.
   model::Duration m_WatchTimeout;
+  /// Time for its answer beyond that.
+  model::Duration m_AnswerTimeout;
   /// Delay of the next watch after a change.
   model::Duration m_ConfigBatchDelay;
   model::Duration m_EndpointBatchDelay;
--- a/Source/Core/Settings/GatewaySettings.cpp
+++ b/Source/Core/Settings/GatewaySettings.cpp
@@ -19,6 +19,7 @@
       toSettingInfo(RetrySlack),
       toSettingInfo(RetryWindow),
       toSettingInfo(PlatformLeaveNotice),
+      toSettingInfo(PlatformConfigNotice),
       toSettingInfo(PlatformContactTime),
       toSettingInfo(WaitingOrder),
       toSettingInfo(KeyRevocationTime),
--- a/Source/Core/Settings/GatewaySettings.h
+++ b/Source/Core/Settings/GatewaySettings.h
@@ -65,6 +65,14 @@
     60s,
     "How long an endpoint still takes requests after the store has accepted "
     "that it leaves"};
+inline const Setting<model::Duration> PlatformConfigNotice{
+    "platform",
+    "config-notice",
+    2s,
+    100ms,
+    60s,
+    "How long after the store has accepted a configuration requests may be "
+    "handled by the one before"};
 inline const Setting<model::Duration> PlatformContactTime{
     "platform",
     "contact-time",
--- a/Source/UnitTests/Adapters/Gateway/WatcherLossTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/WatcherLossTest.cpp
@@ -49,7 +49,8 @@
 TEST_CASE(
     "a change is known within the leave notice where watchers are cut off "
     "and then lost") {
-  for (const std::chrono::milliseconds Until : {600ms, 900ms, 1200ms, 1700ms}) {
+  for (const std::chrono::milliseconds Until :
+       {600ms, 900ms, 1050ms, 1200ms, 1700ms}) {
     CAPTURE(Until.count());
     RestorableStore Store;
     Store.write("config", "main", config(5));
--- a/Source/UnitTests/Gateway/WatchTimesTest.cpp
+++ b/Source/UnitTests/Gateway/WatchTimesTest.cpp
@@ -23,6 +23,22 @@
   }
 }
 
+// Guards against nodes that learn late of a change since two faults follow each
+// other.
+TEST_CASE("a change reaches every node within the leave notice, also where its "
+          "watcher loses the store and is lost before it notices") {
+  // The call to the store that follows, and reading what it brings.
+  constexpr model::Duration Rest = 150ms;
+  for (const model::Duration LeaveNotice : {2s, 3s, 4s, 10s}) {
+    CAPTURE(LeaveNotice.count());
+    const WatchTimes Times = watchTimes(LeaveNotice, LeaveNotice + 1s, true);
+    const model::Duration Silence =
+        Times.m_WatchTimeout + Times.m_AnswerTimeout;
+    CHECK(Times.m_EndpointBatchDelay + 2 * Silence + Rest < LeaveNotice);
+    CHECK(Times.m_ConfigBatchDelay + 2 * Silence + Rest < LeaveNotice);
+  }
+}
+
 TEST_CASE("the proof of the configuration holds while one call fails, and is "
           "young in calm") {
   const model::Duration Step = 20ms;
--- a/review/standins/World.h
+++ b/review/standins/World.h
@@ -580,6 +580,7 @@
         {"PortRange.1", std::to_string(Added.m_FirstPort + 15)},
         {"Platform.Address", StoreAddress},
         {"Bounds.DrainMs", "2000"},
+        {"Bounds.ConfigApplyMs", "2000"},
         {"Bounds.ContactMs", "3000"},
         {"Bounds.BudgetRatio", "0.2"},
         {"Bounds.BudgetSlack", "56"},
