Gateway: The node that a request was forwarded to learns that its caller has left

Cause: such a request is left to finish when its caller leaves. Where it had only been forwarded, the node that received it went on waiting, the other node never heard of the leave, and sent the request whenever it came to it.

Evidence: CallerLeaveTests "a forwarded request is taken back from the other node when its caller leaves" failed before for requests that may run once (2 requests at the endpoint, not 1).

Why it works: the first node closes the connection to the other one, which decides by what it knows: it drops a request that waits, and leaves one to finish that an endpoint has.

--- a/Source/Core/Gateway/RelayEnds.cpp
+++ b/Source/Core/Gateway/RelayEnds.cpp
@@ -31,10 +31,11 @@
     return;
   ActiveRequest &Active = Found->second;
   log(Active, Action, 0, Reason, Out);
-  // A request that must run at most once is left to finish: if it were
-  // cancelled, its outcome would be unknown.
-  const bool MustFinish = Active.m_Attempt && Active.m_Route &&
-                          !Active.m_Route->m_Repeatable &&
+  // A request that must run at most once is left to finish where an endpoint has
+  // it: if it were cancelled, its outcome would be unknown. Another node decides
+  // that for itself.
+  const bool MustFinish = Active.m_Attempt && !Active.m_ForwardedTo &&
+                          Active.m_Route && !Active.m_Route->m_Repeatable &&
                           !Active.m_Route->m_Stream;
   if (MustFinish) {
     Active.m_CallerDisconnected = true;
