Gateway: Nothing is sent for a caller who has left

Cause: a loop that was busy finds a request and the close behind it together. It started the request, whatever the kernel knew of its connection; the core heard of the close later, and left what may run once to finish although not a byte of it had been sent. The same held for what a retry, a freed place, a quota or a copy sends on in that turn.

Why it works: the kernel is asked whether the caller has left when a request has been read, and once more when its connection to the endpoint is ready, right before the first byte. What is not sent ends without a trace at its endpoint's health, and gives its quota back. What may run once is taken back, too, while the endpoint's machine has not acknowledged all of it.

--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -97,6 +97,31 @@
       remove(Id);
   }
 
+  bool hasBegun(uint64_t Id) const {
+    const auto Found = m_Transfers.find(Id);
+    return Found != m_Transfers.end() && Found->second->m_SendStarted;
+  }
+
+  bool hasArrived(uint64_t Id) const {
+    const auto Found = m_Transfers.find(Id);
+    if (Found == m_Transfers.end() || !Found->second->m_SendStarted)
+      return false;
+    const Transfer &Running = *Found->second;
+    if (Running.m_HeadReceived)
+      return true;
+    curl_off_t Written = 0;
+    curl_easy_getinfo(Running.m_Easy.get(), CURLINFO_SIZE_UPLOAD_T, &Written);
+    const TransferRequest &Request = Running.m_Request;
+    const std::string &Body =
+        Request.m_SharedBody ? *Request.m_SharedBody : Request.m_Body;
+    if (static_cast<size_t>(Written) < Body.size())
+      return false;
+    int Unacknowledged = 0;
+    return Running.m_Socket < 0 ||
+           ::ioctl(Running.m_Socket, TIOCOUTQ, &Unacknowledged) != 0 ||
+           Unacknowledged == 0;
+  }
+
 private:
   void setOptions(Transfer &Added) {
     CURL *const Easy = Added.m_Easy.get();
@@ -161,9 +186,9 @@
     auto Found = m_Transfers.find(Id);
     if (Found == m_Transfers.end())
       return;
-    const std::unique_ptr<Transfer> Removed = std::move(Found->second);
-    m_Transfers.erase(Found);
-    curl_multi_remove_handle(m_Multi.get(), Removed->m_Easy.get());
+    // Known until its connection is closed.
+    curl_multi_remove_handle(m_Multi.get(), Found->second->m_Easy.get());
+    m_Transfers.erase(Id);
   }
 
   static Transfer &transferOf(CURL *Easy) {
@@ -187,7 +212,10 @@
       Events |= EPOLLIN;
     if ((What & CURL_POLL_OUT) != 0)
       Events |= EPOLLOUT;
-    const uint64_t Id = transferOf(Easy).m_Id;
+    Transfer &Waiting = transferOf(Easy);
+    Waiting.m_Socket = Socket;
+    const uint64_t Id = Waiting.m_Id;
+    Self.m_LastUsers[Socket] = Id;
     Self.m_Loop.watch(Socket, Events, [&Self, Socket, Id](uint32_t Ready) {
       Self.onSocketReady(Socket, Id, Ready);
     });
@@ -234,7 +262,16 @@
   }
 
   static int onSocketClosed(void *User, curl_socket_t Socket) {
-    static_cast<Impl *>(User)->m_Loop.unwatch(Socket);
+    Impl &Self = *static_cast<Impl *>(User);
+    Self.m_Loop.unwatch(Socket);
+    const auto Last = Self.m_LastUsers.find(Socket);
+    if (Last != Self.m_LastUsers.end()) {
+      const auto Running = Self.m_Transfers.find(Last->second);
+      if (Running != Self.m_Transfers.end()) {
+        Running->second->m_Socket = -1;
+      }
+      Self.m_LastUsers.erase(Last);
+    }
     return ::close(Socket);
   }
 
@@ -321,6 +358,8 @@
   net::EventLoop &m_Loop;
   std::unique_ptr<CURLM, MultiDeleter> m_Multi;
   std::unordered_map<uint64_t, std::unique_ptr<Transfer>> m_Transfers;
+  /// The last transfer on each connection.
+  std::unordered_map<curl_socket_t, uint64_t> m_LastUsers;
   uint64_t m_NextId = 1;
   bool m_InCurl = false;
   std::vector<uint64_t> m_ToStart;
@@ -341,4 +380,12 @@
 
 void CurlMulti::cancel(uint64_t Transfer) { m_Impl->cancel(Transfer); }
 
+bool CurlMulti::hasBegun(uint64_t Transfer) const {
+  return m_Impl->hasBegun(Transfer);
+}
+
+bool CurlMulti::hasArrived(uint64_t Transfer) const {
+  return m_Impl->hasArrived(Transfer);
+}
+
 } // namespace bronzepass::core::adapters::curl
--- a/Source/Core/Adapters/Curl/CurlMulti.h
+++ b/Source/Core/Adapters/Curl/CurlMulti.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,6 +40,9 @@
   /// How long sent bytes may stay unacknowledged, and keep-alive probes
   /// unanswered, before the connection fails. Zero means the kernel's defaults.
   std::chrono::milliseconds m_TcpUserTimeout{0};
+  /// Called when a connection is ready, before the first byte is sent. False:
+  /// the transfer ends, and nothing is sent. Empty: it is always sent.
+  std::function<bool()> m_MaySend;
 };
 
 /// Status and headers of an answer.
@@ -104,6 +108,10 @@
                  std::shared_ptr<TransferListener> Listener);
   /// Closes the transfer's connection. Its listener is not called any more.
   void cancel(uint64_t Transfer);
+  /// Whether the first byte of the request has been sent, or is about to be.
+  bool hasBegun(uint64_t Transfer) const;
+  /// Whether the server's machine has acknowledged the whole request.
+  bool hasArrived(uint64_t Transfer) const;
 
 private:
   class Impl;
--- a/Source/Core/Adapters/Curl/CurlTransfer.cpp
+++ b/Source/Core/Adapters/Curl/CurlTransfer.cpp
@@ -150,6 +150,10 @@
   Transfer &Running = *static_cast<Transfer *>(User);
   if (Running.m_SendStarted)
     return CURL_PREREQFUNC_ABORT;
+  if (Running.m_Request.m_MaySend && !Running.m_Request.m_MaySend()) {
+    Running.m_AbortReason = "nobody waits for the answer any more";
+    return CURL_PREREQFUNC_ABORT;
+  }
   Running.m_SendStarted = true;
   return CURL_PREREQFUNC_OK;
 }
--- a/Source/Core/Adapters/Curl/CurlTransfer.h
+++ b/Source/Core/Adapters/Curl/CurlTransfer.h
@@ -38,6 +38,8 @@
   std::string m_AbortReason;
   /// libcurl had a connection ready and was about to send the request.
   bool m_SendStarted = false;
+  /// That it waits for; -1 if none.
+  curl_socket_t m_Socket = -1;
 };
 
 /// What the header lines of \p Running take, at most.
--- a/Source/Core/Adapters/Gateway/RelayDriver.h
+++ b/Source/Core/Adapters/Gateway/RelayDriver.h
@@ -139,6 +139,8 @@
     /// To another node, which chooses the endpoint.
     bool m_IsForwarded = false;
     uint64_t m_Transfer = 0;
+    /// Its caller had left when it was about to be sent.
+    bool m_IsWithdrawn = false;
     bool m_IsStream = false;
     /// Goes on with a stream of which the caller has the beginning.
     bool m_IsContinuation = false;
@@ -173,6 +175,7 @@
   void carryOut(const core::gateway::RelayEffectList &Effects);
   void on(const core::gateway::SendRequest &Effect);
   void on(const core::gateway::CancelSend &Effect);
+  void on(const core::gateway::WithdrawSend &Effect);
   void on(const core::gateway::ForwardAnswer &Effect);
   void on(const core::gateway::RejectRequest &Effect);
   void on(const core::gateway::AbortAnswer &Effect);
@@ -202,6 +205,9 @@
   void beginAnswer(Exchange &To, int Status,
                    const core::gateway::HeaderLines &Headers,
                    std::optional<uint64_t> Length);
+  /// Whether somebody still waits for the answer; called just before the first
+  /// byte is sent.
+  bool mayStillSend(model::AttemptId Attempt);
   void endExchange(model::RequestId Request);
   void eraseExchange(model::RequestId Request);
   // RelayDriverMemory.cpp
--- a/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriverAnswers.cpp
@@ -211,6 +211,14 @@
   Send Ended = std::move(Found->second);
   m_Sends.erase(Found);
   m_AnswerMemory.remove(Attempt);
+  if (Ended.m_IsWithdrawn) {
+    decide([&](gateway::RelayCore &Core, model::TimePoint Now,
+               gateway::RelayEffectList &Out) {
+      Core.onSendWithdrawn(Attempt, false, Now, Out);
+    });
+    eraseExchange(Ended.m_Request);
+    return;
+  }
   const auto To = m_Exchanges.find(Ended.m_Request);
   if (To != m_Exchanges.end())
     daemon::CrashReport::setSubject(To->second.m_CallerRequestId);
--- a/Source/Core/Adapters/Pistache/HttpConnection.cpp
+++ b/Source/Core/Adapters/Pistache/HttpConnection.cpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -232,6 +233,14 @@
 
 void HttpConnection::abort(ConnectionEnd End) { close(End); }
 
+bool HttpConnection::hasCallerLeft() const {
+  if (!m_Open)
+    return m_WasOpened;
+  pollfd State{.fd = m_Fd.get(), .events = POLLRDHUP, .revents = 0};
+  return ::poll(&State, 1, 0) > 0 &&
+         (State.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void HttpConnection::startTimer(std::chrono::milliseconds Delay,
                                 std::function<void()> OnTimeout) {
   stopTimer();
--- a/Source/Core/Adapters/Pistache/HttpConnection.h
+++ b/Source/Core/Adapters/Pistache/HttpConnection.h
@@ -95,6 +95,9 @@
   /// sees an incomplete response.
   void abort(ConnectionEnd End = ConnectionEnd::Aborted);
   bool isOpen() const { return m_Open; }
+  /// Whether the caller has closed or reset the connection, also if the loop
+  /// has not been told yet.
+  bool hasCallerLeft() const;
   /// Whether bytes are buffered for the caller.
   bool hasUnsentBytes() const { return !m_Pending.empty(); }
   /// Why the connection has ended; meaningful once it has.
--- a/Source/Core/Adapters/Pistache/HttpResponseWriter.h
+++ b/Source/Core/Adapters/Pistache/HttpResponseWriter.h
@@ -60,6 +60,7 @@
   /// Why the connection has ended, in onDisconnect() and after it.
   ConnectionEnd connectionEnd() const { return m_Connection->end(); }
   size_t lostBytes() const { return m_Connection->lostBytes(); }
+  bool hasCallerLeft() const { return m_Connection->hasCallerLeft(); }
   bool hasBegun() const { return m_Begun; }
   bool hasEnded() const { return m_Ended; }
   net::EventLoop &loop() { return m_Connection->loop(); }
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -113,6 +113,10 @@
   void onAnswerForwarded(model::RequestId Request, model::TimePoint Now);
   void onSendFinished(model::AttemptId Attempt, const SendOutcome &Outcome,
                       model::TimePoint Now, RelayEffectList &Out);
+  /// The send was taken back, since its caller has left. \p MayHaveRun: parts
+  /// of it may have reached the endpoint.
+  void onSendWithdrawn(model::AttemptId Attempt, bool MayHaveRun,
+                       model::TimePoint Now, RelayEffectList &Out);
   /// Handles timeouts and waiting requests; called about every 20 ms.
   void tick(model::TimePoint Now, RelayEffectList &Out);
 
--- a/Source/Core/Gateway/RelayEnds.cpp
+++ b/Source/Core/Gateway/RelayEnds.cpp
@@ -31,14 +31,15 @@
     return;
   ActiveRequest &Active = Found->second;
   log(Active, Action, 0, Reason, Out);
-  // A request that must run at most once is left to finish where an endpoint has
-  // it: if it were cancelled, its outcome would be unknown. Another node decides
-  // that for itself.
-  const bool MustFinish = Active.m_Attempt && !Active.m_ForwardedTo &&
-                          Active.m_Route && !Active.m_Route->m_Repeatable &&
-                          !Active.m_Route->m_Stream;
-  if (MustFinish) {
+  // A request that must run at most once is left to finish where an endpoint
+  // has it: if it were cancelled, its outcome would be unknown. Another node
+  // decides that for itself.
+  const bool MayHaveBegun = Active.m_Attempt && !Active.m_ForwardedTo &&
+                            Active.m_Route && !Active.m_Route->m_Repeatable &&
+                            !Active.m_Route->m_Stream;
+  if (MayHaveBegun) {
     Active.m_CallerDisconnected = true;
+    Out.push_back(WithdrawSend{Active.m_Attempt});
     return;
   }
   if (Active.m_Attempt)
@@ -60,6 +61,27 @@
   return Active.m_UnconfirmedSince ? "confirmation" : "received";
 }
 
+void RelayCore::onSendWithdrawn(model::AttemptId Attempt, bool MayHaveRun,
+                                model::TimePoint Now, RelayEffectList &Out) {
+  m_Now = Now;
+  const auto Found = m_Attempts.find(Attempt);
+  if (Found == m_Attempts.end())
+    return;
+  ActiveRequest &Active = m_ActiveRequests.at(Found->second);
+  const EndpointView *const Endpoint = findEndpoint(Active.m_Endpoint);
+  if (MayHaveRun && Endpoint)
+    m_Quarantine.onSendCancelled(Active.m_Traits, Endpoint->m_Key,
+                                 Active.m_SentAt, m_Now);
+  if (!MayHaveRun)
+    giveQuotaBack(Active, {.m_Result = SendResult::NotSent});
+  const char *const Reason = MayHaveRun
+                                 ? "taken back before all of it was received"
+                                 : "taken back before it was sent";
+  // Else the line that tells of the caller was written when it left.
+  log(Active, Active.m_CallerDisconnected ? "end" : "gone", 0, Reason, Out);
+  removeRequest(Active);
+}
+
 void RelayCore::onProcessEnd(model::TimePoint Now, RelayEffectList &Out) {
   m_Now = Now;
   // The loop may have been busy since the end of the stop.
--- a/Source/Core/Gateway/RelayTypes.h
+++ b/Source/Core/Gateway/RelayTypes.h
@@ -168,6 +168,14 @@
   friend auto operator<=>(const CancelSend &, const CancelSend &) = default;
 };
 
+/// Effect: the caller has left; take the send back if the endpoint can't have
+/// all of it yet, and leave it to finish otherwise.
+struct WithdrawSend {
+  model::AttemptId m_Attempt;
+
+  friend auto operator<=>(const WithdrawSend &, const WithdrawSend &) = default;
+};
+
 /// Effect: forward the answer that was received from the endpoint.
 struct ForwardAnswer {
   model::RequestId m_Request;
@@ -371,10 +379,10 @@
 };
 
 using RelayEffect =
-    std::variant<SendRequest, CancelSend, ForwardAnswer, RejectRequest,
-                 AbortAnswer, CopyRequest, RelayLogEntry, QuarantineChange,
-                 StatementChange, PauseBegun, LinksChange, PaceChange,
-                 ConfirmEndpoints, ProofChange, AskQuotas>;
+    std::variant<SendRequest, CancelSend, WithdrawSend, ForwardAnswer,
+                 RejectRequest, AbortAnswer, CopyRequest, RelayLogEntry,
+                 QuarantineChange, StatementChange, PauseBegun, LinksChange,
+                 PaceChange, ConfirmEndpoints, ProofChange, AskQuotas>;
 using RelayEffectList = std::vector<RelayEffect>;
 
 } // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -96,6 +96,34 @@
   CHECK(Relay.take<ForwardAnswer>().size() == 1);
 }
 
+// Guards against a send that counts against an endpoint which never got it, and
+// against a quota that is spent for nothing.
+TEST_CASE("a send that is taken back ends its request and leaves its endpoint "
+          "usable") {
+  RelayFixture Relay;
+  Relay.start({"a"});
+  for (const bool HasLeftBefore : {false, true}) {
+    CAPTURE(HasLeftBefore);
+    const model::RequestId Once = Relay.ask("/once/");
+    const std::vector<SendRequest> Sent = Relay.take<SendRequest>();
+    REQUIRE(Sent.size() == 1);
+    if (HasLeftBefore) {
+      Relay.m_Core.onCallerDisconnected(Once, Relay.m_Now, Relay.m_Out);
+      CHECK(Relay.take<gateway::WithdrawSend>().size() == 1);
+    }
+    Relay.take<gateway::RelayLogEntry>();
+    Relay.m_Core.onSendWithdrawn(Sent[0].m_Attempt, false, Relay.m_Now,
+                                 Relay.m_Out);
+    const std::vector<gateway::RelayLogEntry> Lines =
+        Relay.take<gateway::RelayLogEntry>();
+    REQUIRE(Lines.size() == 1);
+    CHECK(Lines[0].m_Action == (HasLeftBefore ? "end" : "gone"));
+    CHECK(Relay.m_Core.activeRequestCount() == 0);
+  }
+  Relay.ask("/once/");
+  CHECK(Relay.take<SendRequest>().size() == 1);
+}
+
 TEST_CASE(
     "the send of a disconnected caller is cancelled, but a non-repeatable "
     "request is left to finish") {
--- a/Source/UnitTests/Gateway/RelayPropertyTest.cpp
+++ b/Source/UnitTests/Gateway/RelayPropertyTest.cpp
@@ -4,6 +4,8 @@
 #include <map>
 #include <random>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace bronzepass::unit_tests {
 
@@ -138,6 +140,17 @@
     for (const gateway::RelayEffect &Each : m_Relay.m_Out)
       std::visit([this](const auto &Effect) { on(Effect); }, Each);
     m_Relay.m_Out.clear();
+    withdrawSends();
+  }
+
+  /// Some sends whose callers have left can be taken back.
+  void withdrawSends() {
+    for (const model::AttemptId &Each : std::exchange(m_ToWithdraw, {})) {
+      if (m_Random() % 2 == 0 || m_Sends.erase(Each) == 0)
+        continue;
+      m_Relay.m_Core.onSendWithdrawn(Each, m_Random() % 2 == 0, m_Relay.m_Now,
+                                     m_Relay.m_Out);
+    }
   }
 
   void on(const gateway::QuarantineChange & /*Effect*/) {}
@@ -173,6 +186,9 @@
     ++m_Requests[Found->second.m_Request].m_PossibleRuns;
     m_Sends.erase(Found);
   }
+  void on(const gateway::WithdrawSend &Effect) {
+    m_ToWithdraw.push_back(Effect.m_Attempt);
+  }
   void on(const gateway::ForwardAnswer &Effect) { final(Effect.m_Request); }
   void on(const gateway::AbortAnswer &Effect) {
     CHECK(m_Requests[Effect.m_Request].m_ForwardingStarted);
@@ -208,6 +224,7 @@
   std::map<model::AttemptId, SendRequest> m_Sends;
   std::set<std::string> m_Usable = {"a", "b", "c"};
   std::set<model::RequestId> m_LeftToFinish;
+  std::vector<model::AttemptId> m_ToWithdraw;
 };
 
 } // namespace
