Gateway: What endpoints have not read is taken back when its caller leaves

Cause: closing is not taking back. A cancelled send was closed with a FIN, behind which the kernel delivers what is left, however much later a cut heals or a peer reads on; and what may run once was left to finish at endpoints that stood still and had not read it.

Why it works: a cancelled transfer resets its connection, so that neither kernel delivers the rest. A request that may run once and whose caller has left is taken back from an endpoint of which nothing has come for four mean answers, at least 0.2 s; where answers take longer than 0.1 s, silence tells nothing in time, and it is left to finish as before.

--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -269,12 +269,20 @@
       const auto Running = Self.m_Transfers.find(Last->second);
       if (Running != Self.m_Transfers.end()) {
         Running->second->m_Socket = -1;
+        if (Running->second->m_Cancelled)
+          resetOnClose(Socket);
       }
       Self.m_LastUsers.erase(Last);
     }
     return ::close(Socket);
   }
 
+  /// Otherwise the kernel would go on delivering what is left of the request.
+  static void resetOnClose(curl_socket_t Socket) {
+    const linger Linger{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Linger, sizeof(Linger));
+  }
+
   /// The server has closed the connection, or sent bytes that belong to no
   /// request. libcurl would take these for the answer to the next one, so makes
   /// it see a closed connection.
--- a/Source/Core/Adapters/Curl/CurlMulti.h
+++ b/Source/Core/Adapters/Curl/CurlMulti.h
@@ -106,7 +106,8 @@
   /// Starts a transfer and returns its id.
   uint64_t start(TransferRequest Request,
                  std::shared_ptr<TransferListener> Listener);
-  /// Closes the transfer's connection. Its listener is not called any more.
+  /// Resets the transfer's connection, so that the kernel delivers nothing more
+  /// of the request. Its listener is not called any more.
   void cancel(uint64_t Transfer);
   /// Whether the first byte of the request has been sent, or is about to be.
   bool hasBegun(uint64_t Transfer) const;
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -248,6 +248,7 @@
   m_Quarantine.tick(Now);
   for (const QuarantineChange &Each : m_Quarantine.takeChanges())
     Out.push_back(Each);
+  takeBackFromSilent(Out);
   noteSilentEndpoints();
   tickPaces(Out);
   for (const LinksChange &Each : m_Links.takeChanges())
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -467,6 +467,9 @@
   void updateLinks(const ActiveRequest &Active, const EndpointView &Endpoint,
                    const SendOutcome &Outcome);
   void onHeardFrom(EndpointView &Endpoint);
+  /// Takes back the requests whose callers have left from endpoints that stand
+  /// still, and would read them long after.
+  void takeBackFromSilent(RelayEffectList &Out);
   /// Finds the endpoints that have been silent for too long while this node
   /// awaited an answer.
   void noteSilentEndpoints();
@@ -504,6 +507,8 @@
   std::set<std::pair<model::TimePoint, model::RequestId>> m_Deadlines;
   /// Requests that wait for a copy, oldest first.
   std::set<model::RequestId> m_Waiting;
+  /// Those that were left to finish when their callers left.
+  std::set<model::RequestId> m_LeftToFinish;
   /// Those that wait for the store to confirm the endpoints.
   std::set<model::RequestId> m_Unconfirmed;
   HoldQueue m_Held;
--- a/Source/Core/Gateway/RelayEnds.cpp
+++ b/Source/Core/Gateway/RelayEnds.cpp
@@ -39,6 +39,7 @@
                             !Active.m_Route->m_Stream;
   if (MayHaveBegun) {
     Active.m_CallerDisconnected = true;
+    m_LeftToFinish.insert(Request);
     Out.push_back(WithdrawSend{Active.m_Attempt});
     return;
   }
@@ -158,6 +159,7 @@
   const model::RequestId Number = Active.m_Request.m_Number;
   m_Deadlines.erase({Active.m_Deadline, Number});
   endWaiting(Active);
+  m_LeftToFinish.erase(Number);
   m_ActiveRequests.erase(Number);
 }
 
--- a/Source/Core/Gateway/RelayLinks.cpp
+++ b/Source/Core/Gateway/RelayLinks.cpp
@@ -1,6 +1,7 @@
 #include "Core/Gateway/RelayCore.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace bronzepass::core::gateway {
 
@@ -10,6 +11,13 @@
 /// than what callers of a stream wait for.
 constexpr model::Duration SilenceTime = std::chrono::milliseconds(600);
 constexpr model::Duration SilenceNotePeriod = std::chrono::milliseconds(100);
+/// Mean answers of the service, without a sign of an endpoint, after which it
+/// probably has not read the request.
+constexpr double StandstillFactor = 4;
+constexpr model::Duration MinStandstill = std::chrono::milliseconds(200);
+/// Where answers take longer, silence tells nothing in time.
+constexpr model::Duration MaxStandstill = std::chrono::milliseconds(400);
+constexpr double MicrosPerMilli = 1e3;
 
 } // namespace
 
@@ -36,6 +44,30 @@
     m_Links.onHeard(Endpoint->m_Entry.m_Service, true);
 }
 
+void RelayCore::takeBackFromSilent(RelayEffectList &Out) {
+  // A copy, because a request that ends is removed from the set.
+  const std::vector<model::RequestId> Left(m_LeftToFinish.begin(),
+                                           m_LeftToFinish.end());
+  for (const model::RequestId &Number : Left) {
+    ActiveRequest &Active = m_ActiveRequests.at(Number);
+    const EndpointView *const Endpoint = findEndpoint(Active.m_Endpoint);
+    if (!Endpoint || Active.m_AnswerStarted)
+      continue;
+    const model::Duration Least = std::max(
+        MinStandstill,
+        model::Duration(static_cast<int64_t>(
+            StandstillFactor * m_Services[Active.m_Service].m_AnswerMs *
+            MicrosPerMilli)));
+    const model::Duration Silence =
+        m_Now - std::max(Active.m_SentAt, Endpoint->m_HeardAt);
+    if (Least > MaxStandstill || Silence < Least)
+      continue;
+    cancelSend(Active, Out);
+    log(Active, "end", 0, "taken back from an endpoint that stands still", Out);
+    removeRequest(Active);
+  }
+}
+
 void RelayCore::noteSilentEndpoints() {
   if (m_Now - m_SilenceNotedAt < SilenceNotePeriod)
     return;
--- a/Source/UnitTests/Adapters/Gateway/CallerLeaveTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/CallerLeaveTest.cpp
@@ -71,11 +71,12 @@
           "again") {
   for (const std::string Path : {"/once/x", "/again/x", "/stream/x"}) {
     CAPTURE(Path);
+    std::atomic<bool> IsReady = false;
     std::atomic<bool> Asked = false;
     std::atomic<bool> MayAnswer = false;
     ScriptedEndpoint Endpoint(
-        [&](ScriptConnection &To, const std::string &, int Number) {
-          if (Number == 1) {
+        [&](ScriptConnection &To, const std::string &, int) {
+          if (!IsReady) {
             To.write(Whole);
             return;
           }
@@ -88,13 +89,11 @@
     });
     RelayNode Node({Endpoint.port(), Other.port()});
     // Until both have a connection that is kept.
-    for (int Tries = 0; Tries < 50 && (Endpoint.requests().empty() ||
-                                       Other.requests().empty());
-         ++Tries)
-      if (Endpoint.requests().empty() || Other.requests().empty())
-        answerTo(Node, onceRequest());
-    REQUIRE(Endpoint.requests().size() == 1);
-    REQUIRE_FALSE(Other.requests().empty());
+    REQUIRE(http::waitFor([&] {
+      answerTo(Node, onceRequest());
+      return !Endpoint.requests().empty() && !Other.requests().empty();
+    }));
+    IsReady = true;
     // Until the first endpoint has a request.
     std::vector<RawConnection> Callers;
     while (!Asked) {
@@ -142,19 +141,21 @@
 // what nobody waits for any more.
 TEST_CASE("what an endpoint has not received of a request is taken back when "
           "the caller leaves") {
-  UnreadEndpoint Endpoint;
-  RelayNode Node({Endpoint.port()});
-  const std::string Body(1 << 20, 'x');
-  RawConnection Caller(Node.port());
-  Caller.send(
-      requestText("/again/x",
-                  "Content-Length: " + std::to_string(Body.size()) + "\r\n") +
-      Body);
-  REQUIRE(Endpoint.waitForRequest());
-  Caller.close();
-  Node.settle();
-  CHECK(Endpoint.readToEnd() < Body.size());
-  CHECK(Endpoint.wasReset());
+  for (const std::string Path : {"/once/x", "/again/x", "/stream/x"}) {
+    CAPTURE(Path);
+    UnreadEndpoint Endpoint;
+    RelayNode Node({Endpoint.port()});
+    const std::string Body(1 << 20, 'x');
+    RawConnection Caller(Node.port());
+    Caller.send(requestText(Path, "Content-Length: " +
+                                      std::to_string(Body.size()) + "\r\n") +
+                Body);
+    REQUIRE(Endpoint.waitForRequest());
+    Caller.close();
+    Node.settle();
+    CHECK(Endpoint.readToEnd() < Body.size());
+    CHECK(Endpoint.wasReset());
+  }
 }
 
 } // namespace bronzepass::unit_tests::adapters::gateway
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -124,6 +124,37 @@
   CHECK(Relay.take<SendRequest>().size() == 1);
 }
 
+// Guards against requests that an endpoint reads when it goes on, long after
+// their callers have left.
+TEST_CASE("a request that was left to finish is taken back from an endpoint "
+          "that stands still") {
+  constexpr model::Duration AnswerTime = 60ms;
+  for (const bool IsHeard : {false, true}) {
+    CAPTURE(IsHeard);
+    RelayFixture Relay;
+    Relay.start({"a"});
+    for (int I = 0; I < 50; ++I) {
+      Relay.ask("/once/");
+      const model::AttemptId Attempt =
+          Relay.take<SendRequest>().back().m_Attempt;
+      Relay.advance(AnswerTime);
+      Relay.m_Core.onAnswerChunk(Attempt, Relay.m_Now);
+      Relay.finishSend(Attempt, SendResult::Completed);
+    }
+    const model::RequestId Once = Relay.ask("/once/");
+    const model::RequestId Beside = Relay.ask("/stream/");
+    CHECK(Beside != Once);
+    const model::AttemptId Other = Relay.take<SendRequest>().back().m_Attempt;
+    Relay.m_Core.onCallerDisconnected(Once, Relay.m_Now, Relay.m_Out);
+    for (int I = 0; I < 25; ++I) {
+      Relay.advance(20ms);
+      if (IsHeard)
+        Relay.m_Core.onAnswerChunk(Other, Relay.m_Now);
+    }
+    CHECK(Relay.take<CancelSend>().size() == (IsHeard ? 0 : 1));
+  }
+}
+
 TEST_CASE(
     "the send of a disconnected caller is cancelled, but a non-repeatable "
     "request is left to finish") {
