Gateway: A node that stood still judges no endpoint's silence by that time

Cause: the silence of endpoints is measured by the tick, which runs after a stall before the answers that arrived meanwhile are read.

Why it works: a tick that comes over 150 ms after the one before judges nothing; the next one, 20 ms later, follows a turn in which what waited is read.

--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -21,6 +21,8 @@
 /// Models and adapters counted: twice those of the largest planned deployment.
 constexpr size_t MaxUsageCounters = 4096;
 
+/// Less than any silence of an endpoint that counts.
+constexpr model::Duration MaxTickGap = std::chrono::milliseconds(150);
 /// Much shorter than a stream's lifetime.
 constexpr model::Duration VersionsNotePeriod = std::chrono::seconds(1);
 constexpr double MillisPerMicro = 1e-3;
@@ -248,8 +250,12 @@
   m_Quarantine.tick(Now);
   for (const QuarantineChange &Each : m_Quarantine.takeChanges())
     Out.push_back(Each);
-  takeBackFromSilent(Out);
-  noteSilentEndpoints();
+  // After a stall, what endpoints sent meanwhile is still to be read.
+  const bool IsLate = Now - std::exchange(m_TickedAt, Now) > MaxTickGap;
+  if (!IsLate) {
+    takeBackFromSilent(Out);
+    noteSilentEndpoints();
+  }
   tickPaces(Out);
   for (const LinksChange &Each : m_Links.takeChanges())
     Out.push_back(Each);
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -529,6 +529,7 @@
   LinkMonitor m_Links;
   /// When the links to a service were last tried while they were lost.
   std::map<std::string, model::TimePoint> m_LinksTriedAt;
+  model::TimePoint m_TickedAt;
   model::TimePoint m_SilenceNotedAt;
   std::vector<PaceChange> m_PaceChanges;
   StreamOrigins m_Origins;
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -1,5 +1,6 @@
 #include "UnitTests/Gateway/RelayFixture.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 namespace bronzepass::unit_tests {
@@ -155,6 +156,36 @@
   }
 }
 
+// Guards against links that count as lost, and requests that are taken back,
+// since the node itself stood still while the answers arrived.
+TEST_CASE("endpoints do not count as silent for a time in which the node stood "
+          "still") {
+  for (const bool Stalls : {true, false}) {
+    CAPTURE(Stalls);
+    RelayFixture Relay;
+    Relay.start({"a", "b", "c"});
+    const model::RequestId Left = Relay.ask("/once/");
+    for (int I = 0; I < 5; ++I)
+      Relay.ask("/stream/");
+    Relay.m_Core.onCallerDisconnected(Left, Relay.m_Now, Relay.m_Out);
+    const std::vector<SendRequest> Sent = Relay.take<SendRequest>();
+    Relay.advance(20ms);
+    for (int I = 0; I < (Stalls ? 1 : 50); ++I)
+      Relay.advance(Stalls ? 1000ms : 20ms);
+    // What had arrived meanwhile is read in the next turn.
+    for (const SendRequest &Each : Sent)
+      Relay.m_Core.onAnswerChunk(Each.m_Attempt, Relay.m_Now);
+    Relay.advance(20ms);
+    const std::vector<gateway::LinksChange> Changes =
+        Relay.take<gateway::LinksChange>();
+    const bool WereLost =
+        std::any_of(Changes.begin(), Changes.end(),
+                    [](const auto &Each) { return Each.m_IsLost; });
+    CHECK(WereLost == !Stalls);
+    CHECK(Relay.take<CancelSend>().size() == (Stalls ? 0 : 1));
+  }
+}
+
 TEST_CASE(
     "the send of a disconnected caller is cancelled, but a non-repeatable "
     "request is left to finish") {
