Gateway: Status requests are answered though their caller has shut down its side

A caller that sends a request to /ready or /metrics and shuts down its sending side got no answer since, which asked whether the caller had left in the connection of every server. The question belongs where requests are sent on: it is asked by RelayDriver now.

--- a/Source/Core/Adapters/Front/FrontConnection.cpp
+++ b/Source/Core/Adapters/Front/FrontConnection.cpp
@@ -317,13 +317,6 @@
     m_Server->m_Handler.onRequestDropped(Request, m_Writer->end());
     return;
   }
-  // The loop may have been busy since the request arrived.
-  if (m_Writer->hasCallerLeft()) {
-    m_Server->m_Handler.onRequestDropped(Request,
-                                         pistache::ConnectionEnd::ByCaller);
-    close(pistache::ConnectionEnd::ByCaller);
-    return;
-  }
   m_Answering = true;
   m_AwaitedState = ParserState::Idle;
   m_Loop.setWatchedEvents(m_Fd.get(), 0);
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -112,6 +112,11 @@
     front::FrontRequest Request,
     const std::shared_ptr<pistache::HttpResponseWriter> &Answer,
     HeaderLines Headers, std::optional<gateway::ForwardingTerms> Terms) {
+  // The loop may have been busy since the request arrived.
+  if (Answer->hasCallerLeft()) {
+    onRequestDropped(Request, pistache::ConnectionEnd::ByCaller);
+    return;
+  }
   const model::RequestId Number{++m_LastRequestNumber};
   gateway::RelayRequest Relayed;
   Relayed.m_Number = Number;
