Gateway: Requests are taken back from an endpoint only where its service's answers were measured

Nothing had been measured in a node's first moments, and 0.2 s without a sign of an endpoint counted as standing still: a request that may run once, whose caller had left, would have been broken off while its endpoint worked on it. Seen on reading. Until answers are measured they count as long, so that nothing is taken back.

--- a/Source/Core/Gateway/RelayLinks.cpp
+++ b/Source/Core/Gateway/RelayLinks.cpp
@@ -53,11 +53,11 @@
     const EndpointView *const Endpoint = findEndpoint(Active.m_Endpoint);
     if (!Endpoint || Active.m_AnswerStarted)
       continue;
+    const double Measured = m_Services[Active.m_Service].m_AnswerMs;
+    const double AnswerMs = Measured > 0 ? Measured : DefaultAnswerMs;
     const model::Duration Least = std::max(
-        MinStandstill,
-        model::Duration(static_cast<int64_t>(
-            StandstillFactor * m_Services[Active.m_Service].m_AnswerMs *
-            MicrosPerMilli)));
+        MinStandstill, model::Duration(static_cast<int64_t>(
+                           StandstillFactor * AnswerMs * MicrosPerMilli)));
     const model::Duration Silence =
         m_Now - std::max(Active.m_SentAt, Endpoint->m_HeardAt);
     if (Least > MaxStandstill || Silence < Least)
--- a/Source/UnitTests/Adapters/Gateway/CallerLeaveTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/CallerLeaveTest.cpp
@@ -158,4 +158,37 @@
   }
 }
 
+// Guards against breaking off what an endpoint works on, so that nobody knows
+// whether it was done.
+TEST_CASE(
+    "a request that may run once is left to finish at an endpoint that has "
+    "all of it") {
+  for (const size_t BodyBytes : {0, 600, 200000}) {
+    CAPTURE(BodyBytes);
+    std::atomic<bool> Asked = false;
+    std::atomic<bool> HasLeft = false;
+    std::atomic<bool> WasClosed = true;
+    ScriptedEndpoint Endpoint(
+        [&](ScriptConnection &To, const std::string &, int) {
+          constexpr int WorkMillis = 300;
+          Asked = true;
+          waitUntil(HasLeft);
+          WasClosed = To.waitForClose(WorkMillis);
+          To.write(Whole);
+        });
+    RelayNode Node({Endpoint.port()});
+    RawConnection Caller(Node.port());
+    Caller.send(requestText("/once/x", "Content-Length: " +
+                                           std::to_string(BodyBytes) + "\r\n") +
+                std::string(BodyBytes, 'x'));
+    REQUIRE(waitUntil(Asked));
+    std::this_thread::sleep_for(100ms);
+    Caller.close();
+    HasLeft = true;
+    Node.settle();
+    Node.settle();
+    CHECK_FALSE(WasClosed);
+  }
+}
+
 } // namespace bronzepass::unit_tests::adapters::gateway
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -14,6 +14,23 @@
 using gateway::SendRequest;
 using gateway::SendResult;
 
+namespace {
+
+/// The service answers in 60 ms.
+void measureAnswers(RelayFixture &Relay) {
+  constexpr model::Duration AnswerTime = 60ms;
+  constexpr int Answers = 50;
+  for (int I = 0; I < Answers; ++I) {
+    Relay.ask("/once/");
+    const model::AttemptId Attempt = Relay.take<SendRequest>().back().m_Attempt;
+    Relay.advance(AnswerTime);
+    Relay.m_Core.onAnswerChunk(Attempt, Relay.m_Now);
+    Relay.finishSend(Attempt, SendResult::Completed);
+  }
+}
+
+} // namespace
+
 TEST_CASE("before the first configuration a node answers 503, never 404") {
   RelayFixture Relay;
   Relay.ask("/nowhere/");
@@ -129,19 +146,11 @@
 // their callers have left.
 TEST_CASE("a request that was left to finish is taken back from an endpoint "
           "that stands still") {
-  constexpr model::Duration AnswerTime = 60ms;
   for (const bool IsHeard : {false, true}) {
     CAPTURE(IsHeard);
     RelayFixture Relay;
     Relay.start({"a"});
-    for (int I = 0; I < 50; ++I) {
-      Relay.ask("/once/");
-      const model::AttemptId Attempt =
-          Relay.take<SendRequest>().back().m_Attempt;
-      Relay.advance(AnswerTime);
-      Relay.m_Core.onAnswerChunk(Attempt, Relay.m_Now);
-      Relay.finishSend(Attempt, SendResult::Completed);
-    }
+    measureAnswers(Relay);
     const model::RequestId Once = Relay.ask("/once/");
     const model::RequestId Beside = Relay.ask("/stream/");
     CHECK(Beside != Once);
@@ -164,6 +173,8 @@
     CAPTURE(Stalls);
     RelayFixture Relay;
     Relay.start({"a", "b", "c"});
+    measureAnswers(Relay);
+    Relay.take<SendRequest>();
     const model::RequestId Left = Relay.ask("/once/");
     for (int I = 0; I < 5; ++I)
       Relay.ask("/stream/");
