--- a/Source/Core/Gateway/WatchTimes.cpp
+++ b/Source/Core/Gateway/WatchTimes.cpp
@@ -21,6 +21,9 @@
 constexpr double RelayedBatchShare = 0.15;
 constexpr double RelayedWatchShare = 0.18;
 constexpr double RelayedAnswerShare = 0.2;
+/// A store that is far away, or a busy node, needs this long whatever the leave
+/// notice.
+constexpr model::Duration MinAnswerTimeout = std::chrono::milliseconds(300);
 /// Shares of the revocation time. Where nodes learn through others, two watches
 /// follow each other.
 constexpr double ProofWatchShare = 0.25;
@@ -49,7 +52,8 @@
     return {Longest, Answer, ConfigBatchDelay,
             shareOf(LeaveNotice, EndpointBatchShare)};
   return {std::min(Longest, shareOf(LeaveNotice, RelayedWatchShare)),
-          std::min(Answer, shareOf(LeaveNotice, RelayedAnswerShare)),
+          std::clamp(shareOf(LeaveNotice, RelayedAnswerShare), MinAnswerTimeout,
+                     Answer),
           ConfigBatchDelay, shareOf(LeaveNotice, RelayedBatchShare)};
 }
 
--- a/Source/UnitTests/Gateway/WatchTimesTest.cpp
+++ b/Source/UnitTests/Gateway/WatchTimesTest.cpp
@@ -39,6 +39,13 @@
   }
 }
 
+// Guards against calls that end before a store or a busy node can answer them.
+TEST_CASE("a watch leaves time for its answer also where the leave notice is "
+          "short") {
+  for (const model::Duration LeaveNotice : {100ms, 500ms, 1000ms})
+    CHECK(watchTimes(LeaveNotice, 3s, true).m_AnswerTimeout >= 300ms);
+}
+
 TEST_CASE("the proof of the configuration holds while one call fails, and is "
           "young in calm") {
   const model::Duration Step = 20ms;
