--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -26,18 +26,13 @@
 
 gateway::WatchTimes endpointWatchTimes(const StoreFeedTimes &Times,
                                        bool Relays) {
-  return gateway::watchTimes(Times.m_LeaveNotice, Times.m_ContactTime, Relays);
+  return gateway::endpointWatchTimes(Times.m_LeaveNotice, Times.m_ContactTime,
+                                     Relays);
 }
 
 gateway::WatchTimes configWatchTimes(const StoreFeedTimes &Times, bool Relays) {
-  gateway::WatchTimes Watch =
-      gateway::watchTimes(Times.m_ConfigNotice, Times.m_ContactTime, Relays);
-  Watch.m_WatchTimeout = gateway::configWatchTimeout(
-      Watch.m_WatchTimeout, Times.m_KeyRevocationTime, Relays);
-  Watch.m_AnswerTimeout =
-      std::min(Watch.m_AnswerTimeout,
-               gateway::configAnswerTimeout(Times.m_KeyRevocationTime));
-  return Watch;
+  return gateway::configWatchTimes(Times.m_ConfigNotice, Times.m_ContactTime,
+                                   Times.m_KeyRevocationTime, Relays);
 }
 
 gateway::FeedSettings configFeedSettings(const StoreFeedTimes &Times) {
@@ -45,7 +40,7 @@
   gateway::FeedSettings Settings;
   Settings.m_WatchTimeout = Watch.m_WatchTimeout;
   Settings.m_AnswerTimeout = Watch.m_AnswerTimeout;
-  Settings.m_BatchDelay = Watch.m_ConfigBatchDelay;
+  Settings.m_BatchDelay = Watch.m_BatchDelay;
   return Settings;
 }
 
@@ -53,7 +48,7 @@
   const gateway::WatchTimes Watch = endpointWatchTimes(Times, false);
   gateway::FeedSettings Settings;
   Settings.m_WatchTimeout = Watch.m_WatchTimeout;
-  Settings.m_BatchDelay = Watch.m_EndpointBatchDelay;
+  Settings.m_BatchDelay = Watch.m_BatchDelay;
   return Settings;
 }
 
@@ -323,11 +318,11 @@
   const bool Relays = m_Sources.hasFollowers();
   const gateway::WatchTimes Config = configWatchTimes(m_Times, Relays);
   m_ConfigFeed.m_Feed.setWatchTimes(
-      Config.m_WatchTimeout, Config.m_AnswerTimeout, Config.m_ConfigBatchDelay);
+      Config.m_WatchTimeout, Config.m_AnswerTimeout, Config.m_BatchDelay);
   const gateway::WatchTimes Endpoints = endpointWatchTimes(m_Times, Relays);
   m_EndpointFeed.m_Feed.setWatchTimes(Endpoints.m_WatchTimeout,
                                       Endpoints.m_AnswerTimeout,
-                                      Endpoints.m_EndpointBatchDelay);
+                                      Endpoints.m_BatchDelay);
   const model::Duration MaxBackoff =
       m_Sources.isWatcher()
           ? gateway::FeedSettings().m_MaxBackoff
--- a/Source/Core/Gateway/WatchTimes.cpp
+++ b/Source/Core/Gateway/WatchTimes.cpp
@@ -13,16 +13,17 @@
 /// Shares of the leave notice. Each watch costs a call, and entries change with
 /// every copy; urgent changes of copies are sent directly between nodes.
 constexpr double EndpointBatchShare = 0.6;
-/// The same where other nodes learn of the change from this one. What a change
-/// takes to reach the last node is the sum of this delay, a watch that fails
-/// unnoticed, a question to the node that made it and was lost just before it
-/// noticed, and the call to the store that follows: together less than the
-/// leave notice.
-constexpr double RelayedBatchShare = 0.15;
-constexpr double RelayedWatchShare = 0.18;
-constexpr double RelayedAnswerShare = 0.2;
-/// A store that is far away, or a busy node, needs this long whatever the leave
-/// notice.
+/// The same where other nodes learn of the change from this one.
+constexpr double RelayedBatchShare = 0.25;
+constexpr double RelayedWatchShare = 0.4;
+/// What a configuration takes to reach the last node is the sum of the delay, a
+/// watch that fails unnoticed, a question to the node that made it and was lost
+/// just before it noticed, and the call to the store that follows: together
+/// less than its bound.
+constexpr double RelayedConfigWatchShare = 0.18;
+constexpr double RelayedConfigAnswerShare = 0.2;
+/// A store that is far away, or a busy node, needs this long whatever the
+/// bound.
 constexpr model::Duration MinAnswerTimeout = std::chrono::milliseconds(300);
 /// Shares of the revocation time. Where nodes learn through others, two watches
 /// follow each other.
@@ -44,17 +45,29 @@
 
 } // namespace
 
-WatchTimes watchTimes(model::Duration LeaveNotice, model::Duration ContactTime,
-                      bool Relays) {
+WatchTimes endpointWatchTimes(model::Duration LeaveNotice,
+                              model::Duration ContactTime, bool Relays) {
   const model::Duration Answer = FeedSettings().m_AnswerTimeout;
   const model::Duration Longest = ContactTime - Answer;
   if (!Relays)
-    return {Longest, Answer, ConfigBatchDelay,
-            shareOf(LeaveNotice, EndpointBatchShare)};
-  return {std::min(Longest, shareOf(LeaveNotice, RelayedWatchShare)),
-          std::clamp(shareOf(LeaveNotice, RelayedAnswerShare), MinAnswerTimeout,
-                     Answer),
-          ConfigBatchDelay, shareOf(LeaveNotice, RelayedBatchShare)};
+    return {Longest, Answer, shareOf(LeaveNotice, EndpointBatchShare)};
+  return {std::min(Longest, shareOf(LeaveNotice, RelayedWatchShare)), Answer,
+          shareOf(LeaveNotice, RelayedBatchShare)};
+}
+
+WatchTimes configWatchTimes(model::Duration ConfigNotice,
+                            model::Duration ContactTime,
+                            model::Duration RevocationTime, bool Relays) {
+  const model::Duration Answer = configAnswerTimeout(RevocationTime);
+  const model::Duration Longest = configWatchTimeout(
+      ContactTime - FeedSettings().m_AnswerTimeout, RevocationTime, Relays);
+  if (!Relays)
+    return {Longest, Answer, ConfigBatchDelay};
+  return {std::min(Longest, shareOf(ConfigNotice, RelayedConfigWatchShare)),
+          std::min(Answer,
+                   std::max(MinAnswerTimeout,
+                            shareOf(ConfigNotice, RelayedConfigAnswerShare))),
+          ConfigBatchDelay};
 }
 
 model::Duration configWatchTimeout(model::Duration Longest,
--- a/Source/Core/Gateway/WatchTimes.h
+++ b/Source/Core/Gateway/WatchTimes.h
@@ -7,15 +7,14 @@
 
 namespace bronzepass::core::gateway {
 
-/// How the configuration and the endpoints in the platform's store are watched.
+/// How one kind of object in the platform's store is watched.
 struct WatchTimes {
   /// How long one watch, or one question to another node, stays open.
   model::Duration m_WatchTimeout;
   /// Time for its answer beyond that.
   model::Duration m_AnswerTimeout;
   /// Delay of the next watch after a change.
-  model::Duration m_ConfigBatchDelay;
-  model::Duration m_EndpointBatchDelay;
+  model::Duration m_BatchDelay;
 
   friend auto operator<=>(const WatchTimes &, const WatchTimes &) = default;
 };
@@ -23,8 +22,14 @@
 /// \p LeaveNotice: how long a leaving endpoint still takes requests.
 /// \p ContactTime: in which a silent connection to the store has to be noticed.
 /// \p Relays: other nodes learn of changes from those that watch the store.
-WatchTimes watchTimes(model::Duration LeaveNotice, model::Duration ContactTime,
-                      bool Relays);
+WatchTimes endpointWatchTimes(model::Duration LeaveNotice,
+                              model::Duration ContactTime, bool Relays);
+
+/// \p ConfigNotice: how long after a change the configuration before it may
+/// still decide. \p RevocationTime: see configWatchTimeout().
+WatchTimes configWatchTimes(model::Duration ConfigNotice,
+                            model::Duration ContactTime,
+                            model::Duration RevocationTime, bool Relays);
 
 /// How long one watch of the configuration stays open, at most \p Longest. Each
 /// answer proves that the configuration is in force: in calm, the age of every
--- a/Source/UnitTests/Gateway/StoreReturnTest.cpp
+++ b/Source/UnitTests/Gateway/StoreReturnTest.cpp
@@ -72,7 +72,7 @@
   FeedSettings settings() const {
     FeedSettings Settings;
     Settings.m_WatchTimeout =
-        watchTimes(LeaveNotice, m_Day.m_Contact, false).m_WatchTimeout;
+        endpointWatchTimes(LeaveNotice, m_Day.m_Contact, false).m_WatchTimeout;
     return Settings;
   }
   bool isAway(model::TimePoint At) const { return At < m_Start + m_Day.m_End; }
