--- a/Source/UnitTests/Gateway/WatchTimesTest.cpp
+++ b/Source/UnitTests/Gateway/WatchTimesTest.cpp
@@ -68,9 +68,10 @@
   const FeedSettings Feed;
   for (const bool Relays : {false, true})
     for (const model::Duration ContactTime : {3s, 4s, 5s})
-      CHECK(endpointWatchTimes(2s, ContactTime, Relays).m_WatchTimeout +
-                Feed.m_AnswerTimeout <=
-            ContactTime);
+      for (const WatchTimes &Times :
+           {endpointWatchTimes(2s, ContactTime, Relays),
+            configWatchTimes(2s, ContactTime, 0s, Relays)})
+        CHECK(Times.m_WatchTimeout + Feed.m_AnswerTimeout <= ContactTime);
   CHECK(followerMaxBackoff(3s) < 3s);
   CHECK(followerMaxBackoff(1s) == Feed.m_MaxBackoff);
 }
