--- a/Source/Core/Adapters/Gateway/PlacementControl.cpp
+++ b/Source/Core/Adapters/Gateway/PlacementControl.cpp
@@ -18,6 +18,7 @@
 /// lease terms.
 constexpr int SuspensionTerms = 2;
 const model::LeaseName PlacementLease{"placement"};
+constexpr model::Duration RankLogPeriod = std::chrono::seconds(2);
 
 leases::GovernorSettings governorSettings() {
   leases::GovernorSettings Settings;
@@ -94,12 +95,25 @@
   m_Candidates.setHeard(Nodes);
   if (m_Stopping)
     return;
+  const uint32_t Rank = m_Candidates.rank();
+  logRank(Rank, Nodes.size());
   ports::EffectList Effects;
-  m_LeaseManager.setCandidacies({{PlacementLease, m_Candidates.rank()}},
-                                m_Clock.now(), Effects);
+  m_LeaseManager.setCandidacies({{PlacementLease, Rank}}, m_Clock.now(),
+                                Effects);
   submit(Effects);
 }
 
+void PlacementControl::logRank(uint32_t Rank, size_t Heard) {
+  const model::TimePoint Now = m_Clock.now();
+  if (m_LoggedRank == Rank || Now < m_RankLoggedAt + RankLogPeriod)
+    return;
+  m_LoggedRank = Rank;
+  m_RankLoggedAt = Now;
+  m_Log.write("placement", "rank",
+              {{"rank", static_cast<int64_t>(Rank)},
+               {"heard", static_cast<int64_t>(Heard)}});
+}
+
 void PlacementControl::stop() {
   m_Stopping = true;
   ports::EffectList Effects;
--- a/Source/Core/Adapters/Gateway/PlacementControl.h
+++ b/Source/Core/Adapters/Gateway/PlacementControl.h
@@ -69,6 +69,8 @@
 private:
   void submit(const ports::EffectList &Effects);
   void handleStoreAnswer(const ports::StoreAnswer &Answer);
+  /// Logs a new rank, at most one each two seconds.
+  void logRank(uint32_t Rank, size_t Heard);
   void logLeaseChanges(const std::vector<leases::LeaseNotice> &Notices);
   void updateLease();
   void
@@ -95,6 +97,8 @@
   std::optional<model::HeldLease> m_Held;
   bool m_Stopping = false;
   std::optional<model::TimePoint> m_SuspendedUntil;
+  std::optional<uint32_t> m_LoggedRank;
+  model::TimePoint m_RankLoggedAt;
 };
 
 } // namespace bronzepass::core::adapters::gateway
