--- a/Source/UnitTests/Soak/SoakNodes.cpp
+++ b/Source/UnitTests/Soak/SoakNodes.cpp
@@ -23,9 +23,9 @@
 
 SoakNodes::SoakNodes(size_t Count, uint16_t BasePort, std::string Folder,
                      const StoreOf &Store, RequestRecord &Record,
-                     PlantedFault Planted)
-    : m_BasePort(BasePort), m_Folder(std::move(Folder)), m_Record(Record),
-      m_Planted(Planted) {
+                     PlantedFault Planted, std::string Settings)
+    : m_BasePort(BasePort), m_Folder(std::move(Folder)),
+      m_Settings(std::move(Settings)), m_Record(Record), m_Planted(Planted) {
   for (size_t I = 0; I < Count; ++I) {
     m_Nodes.push_back(std::make_unique<Node>());
     Node &Added = *m_Nodes.back();
@@ -56,7 +56,7 @@
        << "\", metrics: \"127.0.0.1:" << port(Node, 3)
        << "\", forwarding-port: " << port(Node, 4) << "}\n"
        << "platform: {store: \"127.0.0.1:" << m_Nodes[Node]->m_StorePort->port()
-       << "\", leave-notice: 2s, contact-time: 3s}\n"
+       << "\", leave-notice: 2s, contact-time: 3s" << m_Settings
        << "retries: {ratio: 0.2, slack: 50, window: 10s}\n"
        << "lease: {term: 3s}\nstop: {grace: " << StopGrace.count() << "ms}\n";
 }
--- a/Source/UnitTests/Soak/SoakNodes.h
+++ b/Source/UnitTests/Soak/SoakNodes.h
@@ -25,8 +25,10 @@
   /// The store that a node is given.
   using StoreOf = std::function<PlatformStore &(size_t Node)>;
 
+  /// \p Settings: ends the nodes' platform settings, and may add others.
   SoakNodes(size_t Count, uint16_t BasePort, std::string Folder,
-            const StoreOf &Store, RequestRecord &Record, PlantedFault Planted);
+            const StoreOf &Store, RequestRecord &Record, PlantedFault Planted,
+            std::string Settings = "}\n");
 
   size_t count() const { return m_Nodes.size(); }
   uint16_t callerPort(size_t Node) const;
@@ -72,6 +74,7 @@
 
   const uint16_t m_BasePort;
   const std::string m_Folder;
+  const std::string m_Settings;
   RequestRecord &m_Record;
   const PlantedFault m_Planted;
   std::mutex m_CommandMutex;
