Curl: A descriptor that libcurl has closed is not watched

Cause: where an attempt to connect ends (time-out, or a cancelled transfer), libcurl closes the descriptor without the close callback and then names it for removal. It was watched as an idle connection. If another thread had opened a descriptor of that number meanwhile, what arrived there was dropped and its connection shut down: a caller's request, an answer of the store. Who used a descriptor last was kept by that number, too.

The new case fails before (a fault for each attempt, with a time-out and with a cancelled transfer) and passes now: what has not begun to send is forgotten instead of watched.

--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -202,6 +202,10 @@
                       void * /*SocketUser*/) {
     Impl &Self = *static_cast<Impl *>(User);
     if (What == CURL_POLL_REMOVE) {
+      if (Self.wasOnlyConnecting(Socket)) {
+        Self.forget(Socket);
+        return 0;
+      }
       Self.m_Loop.watch(Socket, EPOLLIN, [&Self, Socket](uint32_t) {
         Self.spoilIdleConnection(Socket);
       });
@@ -261,19 +265,37 @@
     Listener->onHeadBytes(headBytes(*Reading));
   }
 
+  /// libcurl closes the descriptor of an attempt to connect by itself, and
+  /// names it afterwards: another thread may have opened one of that number
+  /// since.
+  bool wasOnlyConnecting(curl_socket_t Socket) const {
+    const auto Last = m_LastUsers.find(Socket);
+    if (Last == m_LastUsers.end())
+      return false;
+    const auto Running = m_Transfers.find(Last->second);
+    return Running != m_Transfers.end() && !Running->second->m_SendStarted;
+  }
+
+  void forget(curl_socket_t Socket) {
+    m_Loop.unwatch(Socket);
+    const auto Last = m_LastUsers.find(Socket);
+    if (Last == m_LastUsers.end())
+      return;
+    const auto Running = m_Transfers.find(Last->second);
+    if (Running != m_Transfers.end() && Running->second->m_Socket == Socket)
+      Running->second->m_Socket = -1;
+    m_LastUsers.erase(Last);
+  }
+
   static int onSocketClosed(void *User, curl_socket_t Socket) {
     Impl &Self = *static_cast<Impl *>(User);
-    Self.m_Loop.unwatch(Socket);
     const auto Last = Self.m_LastUsers.find(Socket);
     if (Last != Self.m_LastUsers.end()) {
       const auto Running = Self.m_Transfers.find(Last->second);
-      if (Running != Self.m_Transfers.end()) {
-        Running->second->m_Socket = -1;
-        if (Running->second->m_Cancelled)
-          resetOnClose(Socket);
-      }
-      Self.m_LastUsers.erase(Last);
+      if (Running != Self.m_Transfers.end() && Running->second->m_Cancelled)
+        resetOnClose(Socket);
     }
+    Self.forget(Socket);
     return ::close(Socket);
   }
 
--- a/Source/UnitTests/Adapters/Curl/CurlMultiTest.cpp
+++ b/Source/UnitTests/Adapters/Curl/CurlMultiTest.cpp
@@ -4,11 +4,21 @@
 #include "Core/Adapters/Net/LoopThread.h"
 #include "UnitTests/Adapters/Gateway/ScriptedEndpoint.h"
 
+#include "Core/Adapters/Net/FileDescriptor.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <chrono>
 #include <doctest/doctest.h>
+#include <fcntl.h>
 #include <future>
 #include <memory>
+#include <netinet/in.h>
 #include <stdexcept>
 #include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <vector>
 
 namespace bronzepass::unit_tests::adapters::curl {
 
@@ -40,8 +50,76 @@
   bool m_AtHead;
 };
 
+/// A listener that accepts nothing, and whose queue is full: an attempt to
+/// connect hangs.
+class FullListener {
+public:
+  FullListener() : m_Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    m_Address.sin_family = AF_INET;
+    m_Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Length = sizeof(m_Address);
+    auto *const Address = reinterpret_cast<sockaddr *>(&m_Address);
+    REQUIRE(::bind(m_Listener.get(), Address, Length) == 0);
+    REQUIRE(::listen(m_Listener.get(), 0) == 0);
+    REQUIRE(::getsockname(m_Listener.get(), Address, &Length) == 0);
+    for (int I = 0; I < 4; ++I) {
+      m_Waiting.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      ::connect(m_Waiting.back().get(), Address, Length);
+    }
+  }
+
+  uint16_t port() const { return ntohs(m_Address.sin_port); }
+
+private:
+  core::adapters::net::FileDescriptor m_Listener;
+  sockaddr_in m_Address{};
+  std::vector<core::adapters::net::FileDescriptor> m_Waiting;
+};
+
 } // namespace
 
+// Guards against a descriptor that is watched although libcurl has closed it,
+// and another thread may have opened it since.
+TEST_CASE("an attempt to connect that ends leaves no descriptor watched") {
+  for (const bool IsCancelled : {false, true}) {
+    CAPTURE(IsCancelled);
+    const FullListener Listener;
+    std::atomic<int> Faults = 0;
+    core::adapters::net::LoopThread Thread;
+    Thread.loop().setFaultHandler([&](const std::string &) { ++Faults; });
+    curl::CurlMulti Multi(Thread.loop(), 4);
+    Thread.start();
+    for (int I = 0; I < 3; ++I) {
+      curl::TransferRequest Request;
+      Request.m_Address = {"127.0.0.1", Listener.port()};
+      Request.m_Path = "/x";
+      Request.m_ConnectTimeout = std::chrono::milliseconds(80);
+      std::promise<void> Ended;
+      std::promise<uint64_t> Started;
+      Thread.loop().post([&] {
+        Started.set_value(Multi.start(
+            Request, std::make_shared<curl::AnswerCollector>(
+                         [&](const curl::TransferResult &Result,
+                             const curl::TransferHead &, const std::string &) {
+                           CHECK_FALSE(Result.m_Complete);
+                           Ended.set_value();
+                         })));
+      });
+      const uint64_t Id = Started.get_future().get();
+      if (IsCancelled) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+        Thread.loop().post([&] {
+          Multi.cancel(Id);
+          Ended.set_value();
+        });
+      }
+      Ended.get_future().get();
+    }
+    Thread.stop();
+    CHECK(Faults == 0);
+  }
+}
+
 // Guards against an exception that leaves libcurl's state unusable.
 TEST_CASE("an exception while an answer is received ends that transfer alone") {
   ScriptedEndpoint Endpoint([](ScriptConnection &To, const std::string &, int) {
