Gateway: A node that can't prove its configuration denies no route

Cause: the route is looked up, and its lack answered, before the node's proof is asked for. Requests with a route and a key were refused 4 s after the last proof; those without a route never were. A caller does not ask elsewhere after a 404.

Such a request is refused with 503 and a time to come back, as for a missing proof. The new case fails before (404 where 503 is asked, three times).

--- a/Source/Core/Gateway/RelayAccess.cpp
+++ b/Source/Core/Gateway/RelayAccess.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr int Unauthorised = 401;
+constexpr int NotFound = 404;
 constexpr int BadGateway = 502;
 constexpr int ServiceUnavailable = 503;
 /// A store that is back, or a watcher that is replaced, proves the
@@ -46,6 +47,22 @@
                          m_Now);
 }
 
+void RelayCore::rejectUnrouted(ActiveRequest &Active, RelayEffectList &Out) {
+  if (m_Access.proof().holds(m_Now)) {
+    reject(Active, NotFound, std::nullopt, "no route", Out);
+    return;
+  }
+  // A newer configuration may have the route, and another node may know it.
+  Active.m_RefusalCause = organisations::UnprovenCause;
+  reject(Active, ServiceUnavailable,
+         Active.m_Request.m_Forwarded
+             ? std::nullopt
+             : std::optional(jittered(UnprovenRetryAfter)),
+         "no route, and this node can't prove that its configuration is in "
+         "force",
+         Out);
+}
+
 bool RelayCore::rejectUnauthorised(ActiveRequest &Active,
                                    RelayEffectList &Out) {
   const organisations::AccessDecision Decision = decideAccess(Active);
--- a/Source/Core/Gateway/RelayCore.cpp
+++ b/Source/Core/Gateway/RelayCore.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr int NotFound = 404;
 constexpr int ServiceUnavailable = 503;
 /// Prompt parts in the index, over all endpoints; 4 to 32 bytes each.
 constexpr uint32_t PrefixIndexEntries = 16384;
@@ -178,7 +177,7 @@
   Active.m_Table = m_Table;
   Active.m_Route = m_Table->find(Asked.m_Host, Asked.m_Path);
   if (!Active.m_Route || Active.m_Route->m_Services.empty()) {
-    reject(Active, NotFound, std::nullopt, "no route", Out);
+    rejectUnrouted(Active, Out);
     return;
   }
   Active.m_Priority = Active.m_Route->m_Priority;
--- a/Source/Core/Gateway/RelayCore.h
+++ b/Source/Core/Gateway/RelayCore.h
@@ -314,6 +314,8 @@
   stoppingRetryAfter(const ActiveRequest &Active) const;
 
   // RelayAccess.cpp: whose a request is, and whether it may be sent.
+  /// The newest configuration has no route for it.
+  void rejectUnrouted(ActiveRequest &Active, RelayEffectList &Out);
   /// Rejects or ends the request if it may not be sent now. Called when it is
   /// received and before each send.
   bool rejectUnauthorised(ActiveRequest &Active, RelayEffectList &Out);
--- a/Source/Core/Organisations/AccessControl.cpp
+++ b/Source/Core/Organisations/AccessControl.cpp
@@ -9,7 +9,7 @@
 AccessDecision unproven(const OrganisationSpec *Organisation) {
   return {Outcome::Unproven, Organisation,
           "this node can't prove that its configuration is in force",
-          "unproven"};
+          UnprovenCause};
 }
 
 AccessDecision disagreed(const char *Reason) {
--- a/Source/Core/Organisations/AccessControl.h
+++ b/Source/Core/Organisations/AccessControl.h
@@ -9,6 +9,9 @@
 
 namespace bronzepass::core::organisations {
 
+/// AccessDecision::m_Cause of what a node refuses for want of a proof.
+inline constexpr const char *UnprovenCause = "unproven";
+
 struct AccessDecision {
   enum class Outcome {
     Allowed,
--- a/Source/UnitTests/Gateway/RelayAccessTest.cpp
+++ b/Source/UnitTests/Gateway/RelayAccessTest.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int Unauthorised = 401;
+constexpr int NotFound = 404;
 constexpr int BadGateway = 502;
 constexpr int ServiceUnavailable = 503;
 constexpr model::Duration RevocationTime = std::chrono::seconds(5);
@@ -117,6 +118,24 @@
   CHECK(Node.sent().m_Organisation == "lab");
 }
 
+// Guards against a route that a node denies by a configuration that has long
+// been replaced: its caller would not ask elsewhere.
+TEST_CASE("A node that can't prove its configuration denies no route") {
+  AccessFixture Node(RevocationTime);
+  Node.startKeyed({"a"});
+  for (const char *const Key : {"key-1", static_cast<const char *>(nullptr)}) {
+    CAPTURE(Key);
+    Node.ask("/gone/", Key);
+    CHECK(Node.refusal() == ServiceUnavailable);
+  }
+  Node.prove();
+  Node.ask("/gone/", "key-1");
+  CHECK(Node.refusal() == NotFound);
+  Node.m_Now += RevocationTime * 4 / 5;
+  Node.ask("/gone/", "key-1");
+  CHECK(Node.refusal() == ServiceUnavailable);
+}
+
 TEST_CASE("Without a key that an organisation holds, nothing is sent") {
   AccessFixture Node;
   Node.startKeyed({"a"});
