Gateway: A watch goes on from where a change may have been missed

A feed now goes on from the revision that was named two seconds ago, unless an event came since. Watches then bring the missed event, or that the history is gone. No call is added: a watch from an earlier revision without events waits as before.

The new case (watches of 0.15, 0.54 and 2.4 s, changes at three moments of a deaf second) fails before and passes now; a second one bounds how old the revision may be.

--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -56,9 +56,13 @@
   for (const FeedObject &Object : Answer.m_Objects)
     apply(Object, Changes);
   if (m_Watching) {
+    if (Answer.m_Objects.empty()) {
+      advanceQuietly(Answer.m_Revision, Now);
+      return Changes;
+    }
+    m_Named.clear();
     m_Revision = std::max(m_Revision, Answer.m_Revision);
-    if (!Answer.m_Objects.empty())
-      m_NextCallAt = Now + m_Settings.m_BatchDelay;
+    m_NextCallAt = Now + m_Settings.m_BatchDelay;
     return Changes;
   }
   for (const FeedObject &Object : Answer.m_Objects)
@@ -75,6 +79,16 @@
   return Changes;
 }
 
+void ObjectFeed::advanceQuietly(uint64_t Named, model::TimePoint Now) {
+  if (Named > m_Revision)
+    m_Named.push_back({Now, Named});
+  while (!m_Named.empty() &&
+         Now - m_Named.front().m_At >= m_Settings.m_HearingDelay) {
+    m_Revision = std::max(m_Revision, m_Named.front().m_Revision);
+    m_Named.pop_front();
+  }
+}
+
 std::vector<FeedChange>
 ObjectFeed::handleConfirmation(const FeedAnswer &Answer) {
   std::vector<FeedChange> Changes;
@@ -109,6 +123,7 @@
 
 void ObjectFeed::startList() {
   m_Watching = false;
+  m_Named.clear();
   m_After.clear();
   m_ListedNames.clear();
   m_ListRevision.reset();
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -90,6 +91,9 @@
   /// Delay of the next watch after a change, so that one call fetches several
   /// changes.
   model::Duration m_BatchDelay = std::chrono::milliseconds(50);
+  /// A watch may hear nothing for some time and yet name a later revision: it
+  /// is watched from the one that was named so long ago.
+  model::Duration m_HearingDelay = std::chrono::seconds(2);
   /// If set: lists again after this period instead of watching.
   std::optional<model::Duration> m_ListPeriod;
 
@@ -135,7 +139,7 @@
   bool isCurrent() const { return m_ListedOnce && !m_RestorePending; }
   /// The last call failed.
   bool isFailing() const { return m_Failing; }
-  /// The store's revision up to which all changes are known.
+  /// The store's revision up to which all changes are certainly known.
   uint64_t revision() const { return m_Revision; }
   /// The revision from which on all deletions are known, also of objects that
   /// were created after it.
@@ -152,7 +156,15 @@
   }
 
 private:
+  /// The revision that the answer to a watch named.
+  struct NamedRevision {
+    model::TimePoint m_At;
+    uint64_t m_Revision = 0;
+  };
+
   void apply(const FeedObject &Object, std::vector<FeedChange> &Changes);
+  /// Goes on from an answer to a watch that brought nothing.
+  void advanceQuietly(uint64_t Named, model::TimePoint Now);
   void startList();
   void finishList(std::vector<FeedChange> &Changes);
 
@@ -166,6 +178,8 @@
   bool m_Failing = false;
   model::TimePoint m_NextCallAt;
   uint64_t m_Revision = 0;
+  /// Named by answers that brought nothing, oldest first; beyond m_Revision.
+  std::deque<NamedRevision> m_Named;
   uint64_t m_CompleteFrom = 0;
   std::string m_After;
   std::set<std::string> m_ListedNames;
--- a/Source/UnitTests/Gateway/ObjectFeedTest.cpp
+++ b/Source/UnitTests/Gateway/ObjectFeedTest.cpp
@@ -132,6 +132,57 @@
   CHECK(Feed.nextCall(at(1s))->m_Revision == 20);
 }
 
+// Guards against a change that is skipped until the next one, since a watch
+// that heard nothing named a revision beyond it.
+TEST_CASE("a watch goes on from where a change may have been missed") {
+  constexpr model::Duration Deaf = 1s;
+  for (const model::Duration Watch : {150ms, 540ms, 2400ms})
+    for (const model::Duration ChangedAt : {0ms, 400ms, 990ms}) {
+      CAPTURE(Watch.count());
+      CAPTURE(ChangedAt.count());
+      unit_tests::fakes::FixedRandom FeedRandom(1);
+      ObjectFeed Feed({}, FeedRandom);
+      Feed.nextCall(at(0s));
+      Feed.handleAnswer(answer(5, {object("main", 3)}), at(0s));
+      // Answers name one more revision each 10 ms, as other objects change.
+      const auto RevisionAt = [](model::Duration At) {
+        return 5 + static_cast<uint64_t>(At / 10ms);
+      };
+      const uint64_t Missed = RevisionAt(ChangedAt) + 1;
+      std::optional<model::Duration> KnownAt;
+      for (model::Duration Now = 0ms; Now < 6s && !KnownAt;) {
+        const std::optional<FeedCall> Call = Feed.nextCall(at(Now));
+        REQUIRE(Call);
+        const bool Hears = Now >= Deaf && Call->m_Revision < Missed;
+        Now += Hears ? model::Duration(1ms) : Watch;
+        std::vector<FeedObject> Events;
+        if (Hears)
+          Events.push_back(object("main", Missed, "new"));
+        if (!Feed.handleAnswer(answer(RevisionAt(Now), Events), at(Now))
+                 .empty())
+          KnownAt = Now;
+      }
+      REQUIRE(KnownAt);
+      CHECK(*KnownAt <= Deaf + Watch + 1ms);
+    }
+}
+
+// Guards against a watch that goes on from so long ago that the store has
+// dropped the history.
+TEST_CASE("a watch that hears nothing for long goes on from lately") {
+  unit_tests::fakes::FixedRandom FeedRandom(1);
+  ObjectFeed Feed({}, FeedRandom);
+  Feed.nextCall(at(0s));
+  Feed.handleAnswer(answer(5, {object("main", 3)}), at(0s));
+  for (int Second = 1; Second < 60; ++Second) {
+    const std::optional<FeedCall> Call = Feed.nextCall(at(1s * Second));
+    REQUIRE(Call);
+    CHECK(Call->m_Revision + 4 >= 5U + static_cast<uint64_t>(Second));
+    Feed.handleAnswer(answer(5U + static_cast<uint64_t>(Second), {}),
+                      at(1s * Second));
+  }
+}
+
 TEST_CASE("a failed call backs off; the store's recovery ends the backoff") {
   unit_tests::fakes::FixedRandom FeedRandom(1);
   ObjectFeed Feed({}, FeedRandom);
