Organisations: A new holder knows all shares once every node has told its own

With a crowd at the nodes, organisations that sent no more than their share were refused half of their requests and more.

Cause: a new holder counted all shares of the standing rate as given away until each had been told or 15 s had passed. Nodes that have started own none, but only nodes with demand asked, and what nodes told was subtracted from the whole share, which no sum of theirs reaches.

A node that hears of a new holder now tells it the share of each organisation, also where it has none, in two askings. Once every node that was registered or heard within the lifetime of shares has told, in this holding, nothing is unknown. A node that tells nothing holds the rest back for 15 s, as before. Holdings are told with answers and announcements, which go to all nodes.

--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -233,7 +233,10 @@
   if (Notice.m_From == m_Self)
     return;
   const model::TimePoint Now = m_Clock.now();
+  const bool IsUnknown = !m_Peers.contains(Notice.m_From);
   Peer &Sender = m_Peers[Notice.m_From];
+  if (IsUnknown)
+    tellKeeperNodes();
   Sender.m_Address = From;
   Sender.m_LastHeardAt = Now;
   Sender.m_HoldsLease = Notice.m_HoldsLease;
@@ -366,6 +369,7 @@
           Now - *Each.second.m_LastHeardAt < PeerTimeout)
         Known.emplace(Each);
     m_Peers = std::move(Known);
+    tellKeeperNodes();
   });
 }
 
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -135,8 +135,10 @@
   /// Asks the holder of quotas what is due.
   void askQuotas();
   void tickQuotas();
-  /// Tells the nodes that get no other notices that this one is the holder.
+  /// Tells all nodes that this one is the holder.
   void announceHolder();
+  /// Tells the keeper which nodes may have shares of quotas.
+  void tellKeeperNodes();
   void onQuotaNotice(const core::gateway::PeerNotice &Notice,
                      const model::Address &From);
   void onQuotaAnswer(const core::organisations::QuotaNotice &Answer);
@@ -159,6 +161,8 @@
   bool m_HasEndpoints = false;
   bool m_Stopping = false;
   bool m_HoldsLease = false;
+  /// Of the lease that this node holds, or held last.
+  uint64_t m_Holding = 0;
   core::organisations::QuotaKeeper m_QuotaKeeper;
   bool m_IsQuotaAskPosted = false;
   bool m_HasQuotaHolder = true;
--- a/Source/Core/Adapters/Gateway/GatewayTrafficQuotas.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTrafficQuotas.cpp
@@ -1,7 +1,7 @@
 #include "Core/Adapters/Gateway/GatewayTraffic.h"
 #include "Core/Model/Hash.h"
 
-#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace bronzepass::core::adapters::gateway {
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Between two announcements to nodes that get no other notices of the holder.
+/// Between two announcements: other notices don't tell which holding it is.
 constexpr model::Duration AnnouncePeriod = std::chrono::seconds(1);
 /// For requests that came just after the holder was asked.
 constexpr std::chrono::milliseconds NextAskDelay(5);
@@ -26,8 +26,9 @@
       m_QuotaKeeper.release();
       return;
     }
-    m_QuotaKeeper.hold(Held->m_Token.m_Value, Held->m_ValidUntil,
-                       m_Clock.now());
+    m_Holding = Held->m_Token.m_Value;
+    m_QuotaKeeper.hold(m_Holding, Held->m_ValidUntil, m_Clock.now());
+    m_Core.quotas().onHolder(m_Holding);
     if (IsGained)
       announceHolder();
   });
@@ -37,15 +38,20 @@
   m_HolderAnnouncedAt = m_Clock.now();
   if (!m_Core.quotas().isNeeded())
     return;
-  const std::vector<model::Address> Told = noticeTargets();
-  std::vector<model::Address> Others;
+  std::vector<model::Address> All;
   for (const auto &Each : m_Peers)
-    if (std::find(Told.begin(), Told.end(), Each.second.m_Address) ==
-        Told.end())
-      Others.push_back(Each.second.m_Address);
+    All.push_back(Each.second.m_Address);
   gateway::PeerNotice Notice;
   Notice.m_Quotas.m_IsAnnouncement = true;
-  sendNotice(std::move(Notice), Others);
+  Notice.m_Quotas.m_Holding = m_Holding;
+  sendNotice(std::move(Notice), All);
+}
+
+void GatewayTraffic::tellKeeperNodes() {
+  std::set<uint64_t> Nodes = {model::stableHash(m_Self.str())};
+  for (const auto &Each : m_Peers)
+    Nodes.insert(model::stableHash(Each.first.str()));
+  m_QuotaKeeper.setNodes(Nodes, m_Clock.now());
 }
 
 void GatewayTraffic::askQuotas() {
@@ -62,7 +68,9 @@
   }
   if (m_QuotaKeeper.holds(Now)) {
     if (const std::optional<organisations::QuotaNotice> Answer =
-            m_QuotaKeeper.onAsk(Asked->m_AskerStart, *Asked, Now))
+            m_QuotaKeeper.onAsk(
+                {model::stableHash(m_Self.str()), Asked->m_AskerStart}, *Asked,
+                Now))
       onQuotaAnswer(*Answer);
     return;
   }
@@ -97,14 +105,15 @@
 
 void GatewayTraffic::onQuotaNotice(const gateway::PeerNotice &Notice,
                                    const model::Address &From) {
+  if (Notice.m_Quotas.m_IsAnnouncement)
+    m_Core.quotas().onHolder(Notice.m_Quotas.m_Holding);
   if (!Notice.m_Quotas.m_Answers.empty())
     onQuotaAnswer(Notice.m_Quotas);
   if (Notice.m_Quotas.m_Asks.empty())
     return;
-  const uint64_t Node =
-      model::stableHash(Notice.m_From.str(), Notice.m_Quotas.m_AskerStart);
-  const std::optional<organisations::QuotaNotice> Answer =
-      m_QuotaKeeper.onAsk(Node, Notice.m_Quotas, m_Clock.now());
+  const std::optional<organisations::QuotaNotice> Answer = m_QuotaKeeper.onAsk(
+      {model::stableHash(Notice.m_From.str()), Notice.m_Quotas.m_AskerStart},
+      Notice.m_Quotas, m_Clock.now());
   if (!Answer || Answer->m_Answers.empty())
     return;
   gateway::PeerNotice Reply;
--- a/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
+++ b/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
@@ -130,6 +130,7 @@
     Visitor.optional("at", Value.m_AskedAt);
     Visitor.optional("asks", Value.m_Asks);
     Visitor.optional("answers", Value.m_Answers);
+    Visitor.optional("holding", Value.m_Holding);
     Visitor.optional("holder", Value.m_IsAnnouncement);
   }
 };
--- a/Source/Core/Organisations/QuotaGate.cpp
+++ b/Source/Core/Organisations/QuotaGate.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double DemandUnit = 1e-3;
+/// An asking has room for so many organisations beside those with demand.
+constexpr size_t MaxTells = 32;
 /// Over which demand is averaged.
 constexpr double DemandSeconds = 0.4;
 /// Below this demand in a second, a node without a share asks for nothing.
@@ -236,6 +238,7 @@
   if (!IsDue && !IsUrgentDue)
     return std::nullopt;
   QuotaNotice Notice;
+  size_t TellCount = 0;
   for (auto &Each : m_States) {
     State &Value = Each.second;
     if (!IsDue && Value.m_Need <= 0)
@@ -243,9 +246,15 @@
     fill(Value, Now);
     addDemand(Value, 0, Now);
     // A share is only given back by asking.
-    if (Value.m_Need > 0 || Value.m_DemandPerSecond >= MinDemand ||
-        Value.m_Share > 0)
-      Notice.m_Asks.push_back(askOf(Each.first, Value, Now));
+    const bool HasUse = Value.m_Need > 0 ||
+                        Value.m_DemandPerSecond >= MinDemand ||
+                        Value.m_Share > 0;
+    const bool Tells =
+        m_Holding != 0 && Value.m_TellsLeft > 0 && TellCount < MaxTells;
+    if (!HasUse && !Tells)
+      continue;
+    TellCount += HasUse ? 0 : 1;
+    Notice.m_Asks.push_back(askOf(Each.first, Value, Now));
   }
   m_IsUrgent = false;
   if (IsDue)
@@ -275,11 +284,14 @@
   if (Now - AskedAt >= m_Timing.m_GrantLifetime)
     return false;
   m_SilentSince.reset();
+  onHolder(Notice.m_Holding);
   for (const QuotaAnswer &Each : Notice.m_Answers) {
     const auto Found = m_States.find(Each.m_Organisation);
     if (Found == m_States.end())
       continue;
     State &Value = Found->second;
+    if (Notice.m_Holding == m_Holding && Value.m_TellsLeft > 0)
+      --Value.m_TellsLeft;
     fill(Value, Now);
     if (Each.m_Granted > 0)
       Value.m_Lots.push_back({static_cast<double>(Each.m_Granted),
@@ -307,6 +319,14 @@
   return true;
 }
 
+void QuotaGate::onHolder(uint64_t Holding) {
+  if (Holding <= m_Holding)
+    return;
+  m_Holding = Holding;
+  for (auto &Each : m_States)
+    Each.second.m_TellsLeft = TellsNeeded;
+}
+
 std::vector<QuotaUse> QuotaGate::use(model::TimePoint Now) const {
   std::vector<QuotaUse> Uses;
   for (const auto &Each : m_States) {
--- a/Source/Core/Organisations/QuotaGate.h
+++ b/Source/Core/Organisations/QuotaGate.h
@@ -83,6 +83,9 @@
   std::optional<QuotaNotice> takeAsk(model::TimePoint Now);
   /// Returns whether anything may have been granted that requests wait for.
   bool onAnswer(const QuotaNotice &Notice, model::TimePoint Now);
+  /// A holder has told of itself. A new one is told the share of each
+  /// organisation, also where there is none.
+  void onHolder(uint64_t Holding);
   /// Whether the holder answers.
   bool isInTouch(model::TimePoint Now) const;
 
@@ -119,7 +122,11 @@
     model::TimePoint m_EmptyUntil;
     model::TimePoint m_ThereAt;
     QuotaUse m_Use;
+    /// Askings that the holder has still to answer before it knows the share.
+    int m_TellsLeft = TellsNeeded;
   };
+  /// The second one names the answer to the first.
+  static constexpr int TellsNeeded = 2;
 
   void fill(State &Value, model::TimePoint Now) const;
   void addDemand(State &Value, double Amount, model::TimePoint Now) const;
@@ -130,6 +137,8 @@
 
   const QuotaTiming m_Timing;
   uint64_t m_Start;
+  /// Of the newest holder that this node has heard of; 0: none.
+  uint64_t m_Holding = 0;
   std::unordered_map<uint64_t, State> m_States;
   /// Askings without an answer, oldest first.
   std::deque<int64_t> m_Asked;
--- a/Source/Core/Organisations/QuotaKeeper.cpp
+++ b/Source/Core/Organisations/QuotaKeeper.cpp
@@ -32,14 +32,41 @@
   for (const auto &Each : Plans) {
     const auto [Found, IsNew] = m_Organisations.try_emplace(Each.first);
     Organisation &Value = Found->second;
-    if (IsNew)
+    if (IsNew) {
       Value.m_FilledAt = Now;
+      Value.m_Unsettled = nodesOfLate(Now);
+    }
     fill(Value, Now);
     Value.m_Plan = Each.second;
     Value.m_Level = std::min(Value.m_Level, Value.m_Plan.m_BucketSize);
   }
 }
 
+void QuotaKeeper::setNodes(const std::set<uint64_t> &Nodes,
+                           model::TimePoint Now) {
+  for (const uint64_t Each : m_Nodes)
+    if (!Nodes.contains(Each))
+      m_RemovedAt[Each] = Now;
+  std::erase_if(m_RemovedAt, [&](const auto &Entry) {
+    return Nodes.contains(Entry.first) ||
+           Now - Entry.second > m_Timing.m_ShareLifetime;
+  });
+  for (const uint64_t Each : Nodes)
+    if (!m_Nodes.contains(Each))
+      for (auto &Known : m_Organisations)
+        if (Known.second.m_Unknown > 0)
+          Known.second.m_Unsettled.insert(Each);
+  m_Nodes = Nodes;
+}
+
+std::set<uint64_t> QuotaKeeper::nodesOfLate(model::TimePoint Now) const {
+  std::set<uint64_t> Nodes = m_Nodes;
+  for (const auto &Each : m_RemovedAt)
+    if (Now - Each.second <= m_Timing.m_ShareLifetime)
+      Nodes.insert(Each.first);
+  return Nodes;
+}
+
 void QuotaKeeper::hold(uint64_t Holding, model::TimePoint ValidUntil,
                        model::TimePoint Now) {
   m_ValidUntil = ValidUntil;
@@ -53,6 +80,7 @@
     Each.second = Organisation();
     Each.second.m_Plan = Plan;
     Each.second.m_FilledAt = Now;
+    Each.second.m_Unsettled = nodesOfLate(Now);
   }
 }
 
@@ -104,29 +132,31 @@
     Value.m_DemandSum = 0;
 }
 
-std::optional<QuotaNotice> QuotaKeeper::onAsk(uint64_t Node,
+std::optional<QuotaNotice> QuotaKeeper::onAsk(const QuotaAsker &Asker,
                                               const QuotaNotice &Notice,
                                               model::TimePoint Now) {
   if (!holds(Now))
     return std::nullopt;
-  LastAsk &Last = m_LastAsks[Node];
+  LastAsk &Last = m_LastAsks[Asker];
   if (Notice.m_AskedAt <= Last.m_AskedAt)
     return std::nullopt;
   Last = {Notice.m_AskedAt, Now};
   QuotaNotice Answer;
   Answer.m_AskerStart = Notice.m_AskerStart;
   Answer.m_AskedAt = Notice.m_AskedAt;
+  Answer.m_Holding = *m_Holding;
   for (const QuotaAsk &Ask : Notice.m_Asks) {
     const auto Found = m_Organisations.find(Ask.m_Organisation);
     if (Found != m_Organisations.end())
       Answer.m_Answers.push_back(
-          answer(Found->second, Node, Ask, Notice.m_AskedAt, Now));
+          answer(Found->second, Asker, Ask, Notice.m_AskedAt, Now));
   }
   return Answer;
 }
 
-void QuotaKeeper::hear(Organisation &Value, NodeShare &Node,
-                       const QuotaAsk &Ask, model::TimePoint Now) {
+void QuotaKeeper::hear(Organisation &Value, const QuotaAsker &Asker,
+                       NodeShare &Node, const QuotaAsk &Ask,
+                       model::TimePoint Now) {
   std::optional<model::TimePoint> HeardAnswerOf;
   uint32_t Most = Ask.m_Share;
   while (!Node.m_Answered.empty() &&
@@ -143,6 +173,9 @@
   if (HeardAnswerOf && !Node.m_IsKnown) {
     Node.m_IsKnown = true;
     Value.m_Unknown -= std::min<uint64_t>(Value.m_Unknown, Ask.m_Share);
+    // An earlier start of the node has ended, and its share with it.
+    if (Value.m_Unsettled.erase(Asker.m_Node) != 0 && Value.m_Unsettled.empty())
+      Value.m_Unknown = 0;
   }
   const uint32_t Before = Node.m_Most;
   setMost(Value, Node, Most);
@@ -165,13 +198,13 @@
   Node.m_Demand = Demand;
 }
 
-QuotaAnswer QuotaKeeper::answer(Organisation &Value, uint64_t Node,
+QuotaAnswer QuotaKeeper::answer(Organisation &Value, const QuotaAsker &From,
                                 const QuotaAsk &Ask, int64_t AskedAt,
                                 model::TimePoint Now) {
   fill(Value, Now);
   sweep(Value, Now);
-  NodeShare &Asker = Value.m_Nodes[Node];
-  hear(Value, Asker, Ask, Now);
+  NodeShare &Asker = Value.m_Nodes[From];
+  hear(Value, From, Asker, Ask, Now);
   QuotaAnswer Answer;
   Answer.m_Organisation = Ask.m_Organisation;
 
--- a/Source/Core/Organisations/QuotaKeeper.h
+++ b/Source/Core/Organisations/QuotaKeeper.h
@@ -5,23 +5,35 @@
 #include "Core/Organisations/QuotaNotice.h"
 #include "Core/Organisations/QuotaPlan.h"
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
 namespace bronzepass::core::organisations {
 
+/// One start of a node that asks.
+struct QuotaAsker {
+  uint64_t m_Node = 0;
+  uint64_t m_Start = 0;
+
+  friend auto operator<=>(const QuotaAsker &, const QuotaAsker &) = default;
+};
+
 /// Grants at the holder of the lease what nodes may spend of organisations'
 /// quotas. Its state dies with its holding; the next holder counts all shares
-/// as given away until nodes tell which they have, or they have expired.
+/// as given away until every node has told which it has, or they have expired.
 class QuotaKeeper {
 public:
   explicit QuotaKeeper(const QuotaTiming &Timing) : m_Timing(Timing) {}
 
   void setPlans(const QuotaPlans &Plans, model::TimePoint Now);
+  /// All nodes that are known, this one included.
+  void setNodes(const std::set<uint64_t> &Nodes, model::TimePoint Now);
   /// This node holds the lease until \p ValidUntil. \p Holding differs for each
   /// time that a lease is gained.
   void hold(uint64_t Holding, model::TimePoint ValidUntil,
@@ -31,9 +43,10 @@
     return m_Holding && Now < m_ValidUntil;
   }
 
-  /// \p Node identifies one start of the asking node. nullopt if this node is
-  /// not the holder, or has seen this or a later asking.
-  std::optional<QuotaNotice> onAsk(uint64_t Node, const QuotaNotice &Notice,
+  /// nullopt if this node is not the holder, or has seen this or a later
+  /// asking.
+  std::optional<QuotaNotice> onAsk(const QuotaAsker &Asker,
+                                   const QuotaNotice &Notice,
                                    model::TimePoint Now);
 
 private:
@@ -64,20 +77,26 @@
     /// Shares that an earlier holder may have given to nodes that are not
     /// known.
     uint64_t m_Unknown = WholeShare;
+    /// The nodes that may have them.
+    std::set<uint64_t> m_Unsettled;
     double m_DemandSum = 0;
     model::TimePoint m_SweptAt;
-    std::unordered_map<uint64_t, NodeShare> m_Nodes;
+    /// By the start of each node.
+    std::map<QuotaAsker, NodeShare> m_Nodes;
   };
 
   static void fill(Organisation &Value, model::TimePoint Now);
   /// What certainly no node has.
   static uint64_t freeShare(const Organisation &Value);
   void sweep(Organisation &Value, model::TimePoint Now) const;
-  QuotaAnswer answer(Organisation &Value, uint64_t Node, const QuotaAsk &Ask,
-                     int64_t AskedAt, model::TimePoint Now);
+  QuotaAnswer answer(Organisation &Value, const QuotaAsker &From,
+                     const QuotaAsk &Ask, int64_t AskedAt,
+                     model::TimePoint Now);
   /// Counts what the node says of itself.
-  void hear(Organisation &Value, NodeShare &Node, const QuotaAsk &Ask,
-            model::TimePoint Now);
+  void hear(Organisation &Value, const QuotaAsker &Asker, NodeShare &Node,
+            const QuotaAsk &Ask, model::TimePoint Now);
+  /// The nodes that may have shares of an earlier holder's.
+  std::set<uint64_t> nodesOfLate(model::TimePoint Now) const;
   static void setMost(Organisation &Value, NodeShare &Node, uint32_t Share);
 
   const QuotaTiming m_Timing;
@@ -90,7 +109,10 @@
     int64_t m_AskedAt = 0;
     model::TimePoint m_At;
   };
-  std::unordered_map<uint64_t, LastAsk> m_LastAsks;
+  std::map<QuotaAsker, LastAsk> m_LastAsks;
+  std::set<uint64_t> m_Nodes;
+  /// When nodes that are none any more were last among them.
+  std::map<uint64_t, model::TimePoint> m_RemovedAt;
 };
 
 } // namespace bronzepass::core::organisations
--- a/Source/Core/Organisations/QuotaNotice.h
+++ b/Source/Core/Organisations/QuotaNotice.h
@@ -57,6 +57,9 @@
   int64_t m_AskedAt = 0;
   std::vector<QuotaAsk> m_Asks;
   std::vector<QuotaAnswer> m_Answers;
+  /// With answers, and where the sender announces that it is the holder: rises
+  /// with each holding. 0 if it is not told.
+  uint64_t m_Holding = 0;
   /// The holder tells a node that it is the holder.
   bool m_IsAnnouncement = false;
 
--- a/Source/UnitTests/Organisations/QuotaFleet.h
+++ b/Source/UnitTests/Organisations/QuotaFleet.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -49,7 +50,8 @@
              const core::organisations::QuotaSettings &Settings, uint64_t Seed,
              QuotaFault Fault = QuotaFault::None,
              const core::organisations::QuotaTiming &Timing = {})
-      : m_Settings(Settings), m_Timing(Timing), m_Fault(Fault), m_Random(Seed),
+      : m_NodeCount(Nodes), m_Settings(Settings), m_Timing(Timing),
+        m_Fault(Fault), m_Random(Seed),
         m_Organisations(std::move(Organisations)) {
     m_Spends.resize(m_Organisations.size());
     m_Refused.resize(m_Organisations.size());
@@ -204,6 +206,10 @@
     Value.m_Keeper = std::make_unique<Keeper>(m_Timing);
     Value.m_Gate->setPlans(plans(), m_Now);
     Value.m_Keeper->setPlans(plans(), m_Now);
+    std::set<uint64_t> All;
+    for (size_t I = 0; I < m_NodeCount; ++I)
+      All.insert(I);
+    Value.m_Keeper->setNodes(All, m_Now);
     Value.m_Waiting.clear();
     Value.m_Inbox.clear();
   }
@@ -234,8 +240,10 @@
         m_Fault == QuotaFault::HolderStartsFull ? m_Now - std::chrono::hours(1)
                                                 : m_Now);
     for (size_t I = 0; I < m_Nodes.size(); ++I)
-      if (!m_Cuts[{*m_Holder, I}] && !isFrozen(I))
+      if (!m_Cuts[{*m_Holder, I}] && !isFrozen(I)) {
         m_Nodes[I]->m_Believed = *m_Holder;
+        m_Nodes[I]->m_Gate->onHolder(m_Holding);
+      }
   }
 
   bool take(size_t Index, size_t Organisation, uint64_t Tokens, bool IsNew) {
@@ -316,11 +324,12 @@
     if (Value.m_Asks.empty())
       return;
     const std::optional<Notice> Answer =
-        Receiver.m_Keeper->onAsk(Value.m_AskerStart, Value, m_Now);
+        Receiver.m_Keeper->onAsk({From, Value.m_AskerStart}, Value, m_Now);
     if (Answer)
       send(To, From, *Answer);
   }
 
+  const size_t m_NodeCount;
   const core::organisations::QuotaSettings m_Settings;
   const core::organisations::QuotaTiming m_Timing;
   const QuotaFault m_Fault;
