Gateway: Nodes that the store refuses ask any node that it answers

Cause: knowledge of the store had one way to each node. A watcher asked the store alone, the others the named watchers alone, and a node that starts knew nobody else.

Each notice now tells whether its sender reads the store itself, and whether the store refuses it. Watchers, and up to three stand-ins where all watchers fail, announce themselves to all registered nodes each second. A node that the store does not answer asks such a source, for lists too, takes over the store's era from it, and tries the store each 0.7 s. How old a configuration's proof is is told as before: over one hop. What lapses while the store works for others is judged by them.

--- a/Source/Core/Adapters/Gateway/FeedRelayCodec.cpp
+++ b/Source/Core/Adapters/Gateway/FeedRelayCodec.cpp
@@ -11,6 +11,7 @@
 /// FeedQuery with each field of a type that the codec knows.
 struct QueryFields {
   core::gateway::FeedKind m_Kind = core::gateway::FeedKind::Config;
+  bool m_IsList = false;
   uint64_t m_Revision = 0;
   bool m_HasEra = false;
   model::StoreEra m_Era;
@@ -20,6 +21,8 @@
 /// FeedReply, likewise.
 struct ReplyFields {
   core::gateway::FeedReply m_Reply;
+  bool m_HasEra = false;
+  model::StoreEra m_Era;
   /// The proof's offset from the query's receipt, whose sign the codec doesn't
   /// know.
   std::optional<model::Duration> m_ProofBefore;
@@ -40,6 +43,7 @@
 template <> struct Fields<gateway::QueryFields> {
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("kind", Value.m_Kind);
+    Visitor.optional("list", Value.m_IsList);
     Visitor.required("revision", Value.m_Revision);
     Visitor.optional("hasEra", Value.m_HasEra);
     Visitor.optional("era", Value.m_Era);
@@ -60,6 +64,9 @@
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.optional("available", Value.m_Reply.m_IsAvailable);
     Visitor.optional("storeFailing", Value.m_Reply.m_IsStoreFailing);
+    Visitor.optional("historyGone", Value.m_Reply.m_IsHistoryGone);
+    Visitor.optional("hasEra", Value.m_HasEra);
+    Visitor.optional("era", Value.m_Era);
     Visitor.optional("revision", Value.m_Reply.m_Revision);
     Visitor.optional("objects", Value.m_Reply.m_Objects);
     Visitor.optional("proofBeforeMicros", Value.m_ProofBefore);
@@ -100,13 +107,16 @@
 } // namespace
 
 std::string encodeFeedQuery(const FeedQuery &Query) {
-  return encode(
-      QueryFields{Query.m_Kind, Query.m_Revision, Query.m_Era.has_value(),
-                  Query.m_Era.value_or(model::StoreEra()), Query.m_Wait});
+  return encode(QueryFields{
+      Query.m_Kind, Query.m_IsList, Query.m_Revision, Query.m_Era.has_value(),
+      Query.m_Era.value_or(model::StoreEra()), Query.m_Wait});
 }
 
 std::string encodeFeedReply(const FeedReply &Reply) {
-  ReplyFields Fields{Reply, std::nullopt, std::nullopt};
+  ReplyFields Fields;
+  Fields.m_Reply = Reply;
+  Fields.m_HasEra = Reply.m_Era.has_value();
+  Fields.m_Era = Reply.m_Era.value_or(model::StoreEra());
   if (Reply.m_ProofOffset && *Reply.m_ProofOffset > model::Duration::zero())
     Fields.m_ProofAfter = Reply.m_ProofOffset;
   else if (Reply.m_ProofOffset)
@@ -122,7 +132,7 @@
     return std::nullopt;
   return FeedQuery{Read->m_Kind, Read->m_Revision,
                    Read->m_HasEra ? std::optional(Read->m_Era) : std::nullopt,
-                   Read->m_Wait};
+                   Read->m_Wait, Read->m_IsList};
 }
 
 std::optional<FeedReply> decodeFeedReply(std::string_view Bytes,
@@ -131,6 +141,8 @@
       decode<ReplyFields>(Bytes, MaxFeedReplyBytes, Reason);
   if (!Read)
     return std::nullopt;
+  if (Read->m_HasEra)
+    Read->m_Reply.m_Era = Read->m_Era;
   if (Read->m_ProofBefore)
     Read->m_Reply.m_ProofOffset = -*Read->m_ProofBefore;
   else
--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -93,6 +93,16 @@
   m_Traffic->setPeers(Nodes);
 }
 
+void GatewayControl::onStoreReachChanged(const StoreReach &Reach) {
+  m_Log.write("dependency", "reach",
+              {{"dependency", "store"},
+               {"source", Reach.m_IsSource ? "yes" : "no"},
+               {"announces", Reach.m_Announces ? "yes" : "no"},
+               {"refused", Reach.m_IsRefused ? "yes" : "no"}});
+  m_Traffic->setStoreReach(Reach.m_IsSource, Reach.m_Announces,
+                           Reach.m_IsRefused);
+}
+
 void GatewayControl::onStoreEraChanged(std::optional<model::StoreEra> Old,
                                        model::StoreEra New) {
   if (Old) {
@@ -147,6 +157,14 @@
   });
 }
 
+void GatewayControl::onSourceHeard(const gateway::NodeEntry &Source) {
+  m_Thread.loop().post([this, Source] { m_Feeds.onSourceHeard(Source); });
+}
+
+void GatewayControl::onSourceLost(const model::NodeId &Node) {
+  m_Thread.loop().post([this, Node] { m_Feeds.onSourceLost(Node); });
+}
+
 void GatewayControl::onConfirmEndpoints() {
   m_Thread.loop().post([this] { m_Feeds.confirmEndpoints(); });
 }
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -59,6 +59,8 @@
   void onStatementChange(const core::gateway::StatementChange &Change) override;
   void onPauseBegun(const core::gateway::PauseBegun &Pause) override;
   void onLivePeers(std::vector<model::NodeId> Nodes) override;
+  void onSourceHeard(const core::gateway::NodeEntry &Source) override;
+  void onSourceLost(const model::NodeId &Node) override;
   void onConfirmEndpoints() override;
   void onStreamRecord(core::gateway::StreamNotice Record) override;
 
@@ -71,6 +73,7 @@
   void onConfigProven(model::TimePoint At) override;
   void
   onNodesChanged(const std::vector<core::gateway::NodeEntry> &Nodes) override;
+  void onStoreReachChanged(const StoreReach &Reach) override;
   void onStoreEraChanged(std::optional<model::StoreEra> Old,
                          model::StoreEra New) override;
   void onLeaseChanged(const std::optional<model::HeldLease> &Held) override;
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -159,6 +159,7 @@
                      gateway::RelayEffectList &Out) { Core.tick(Now, Out); });
   m_CallerMemory.tick(front::FrontServer::now());
   tickQuotas();
+  tickAnnouncement();
   const model::TimePoint Now = m_Clock.now();
   reportShortage();
   const bool IsNews = m_Core.prefillChanges() != m_PrefillChangesSent;
@@ -217,6 +218,8 @@
   Notice.m_Start = m_Start;
   Notice.m_Sequence = ++m_Sequence;
   Notice.m_HoldsLease = m_HoldsLease;
+  Notice.m_IsSource = m_IsSource;
+  Notice.m_IsStoreRefused = m_IsStoreRefused;
   if (isReady())
     Notice.m_ForwardingPort = m_Addresses.m_Forwarding.m_Port;
   const std::optional<std::string> Bytes = encodeNotice(Notice);
@@ -239,7 +242,7 @@
     tellKeeperNodes();
   Sender.m_Address = From;
   Sender.m_LastHeardAt = Now;
-  Sender.m_HoldsLease = Notice.m_HoldsLease;
+  noteSender(Notice, Sender);
   if (!Notice.m_Quotas.isEmpty()) {
     onQuotaNotice(Notice, From);
     return;
@@ -357,9 +360,9 @@
         continue;
       const auto Old = m_Peers.find(Each.m_Node);
       // The source address of a recent notice is newer than the registered one.
-      Known[Each.m_Node] = Old == m_Peers.end() ? Peer{Each.m_PeerAddress,
-                                                       std::nullopt, false, 0}
-                                                : Old->second;
+      Known[Each.m_Node] = Old == m_Peers.end()
+                               ? Peer{.m_Address = Each.m_PeerAddress}
+                               : Old->second;
       Peer &Value = Known[Each.m_Node];
       if (!Value.m_LastHeardAt || Now - *Value.m_LastHeardAt > PeerTimeout)
         Value.m_Address = Each.m_PeerAddress;
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -39,6 +39,10 @@
   virtual void onPauseBegun(const core::gateway::PauseBegun &Pause) = 0;
   /// Called periodically with the peers that sent a notice recently.
   virtual void onLivePeers(std::vector<model::NodeId> Nodes) = 0;
+  /// A peer has told that it reads the store itself.
+  virtual void onSourceHeard(const core::gateway::NodeEntry &Source) = 0;
+  /// It has told that it no longer does.
+  virtual void onSourceLost(const model::NodeId &Node) = 0;
   /// Whether endpoints have joined or changed that are not known has to be
   /// asked of the store; GatewayTraffic::confirmEndpoints() takes the answer.
   virtual void onConfirmEndpoints() = 0;
@@ -95,6 +99,9 @@
   void proveConfig(model::TimePoint At);
   void setPeers(std::vector<core::gateway::NodeEntry> Peers);
   void announceCopyChanges(std::vector<core::gateway::CopyChange> Changes);
+  /// What this node tells others of its way to the store; \p Announces: all of
+  /// them, not only those that get its notices anyway.
+  void setStoreReach(bool IsSource, bool Announces, bool IsRefused);
   void setHeldLease(std::optional<model::HeldLease> Held);
   /// What nodes had recorded of streams' origins when this one started.
   void restoreStreams(core::gateway::StreamNotice Record);
@@ -113,6 +120,9 @@
     model::Address m_Address;
     std::optional<model::TimePoint> m_LastHeardAt;
     bool m_HoldsLease = false;
+    bool m_IsStoreRefused = false;
+    /// When it was last passed on that it reads the store.
+    std::optional<model::TimePoint> m_SourceToldAt;
     /// Identifies the peer process that sent the last notice.
     uint64_t m_Start = 0;
   };
@@ -135,8 +145,11 @@
   /// Asks the holder of quotas what is due.
   void askQuotas();
   void tickQuotas();
-  /// Tells all nodes that this one is the holder.
-  void announceHolder();
+  void tickAnnouncement();
+  /// Tells the nodes that get no other notices what this one is.
+  void announce();
+  /// Takes over what a notice says of its sender.
+  void noteSender(const core::gateway::PeerNotice &Notice, Peer &Sender);
   /// Tells the keeper which nodes may have shares of quotas.
   void tellKeeperNodes();
   void onQuotaNotice(const core::gateway::PeerNotice &Notice,
@@ -166,7 +179,10 @@
   core::organisations::QuotaKeeper m_QuotaKeeper;
   bool m_IsQuotaAskPosted = false;
   bool m_HasQuotaHolder = true;
-  model::TimePoint m_HolderAnnouncedAt;
+  bool m_IsSource = false;
+  bool m_AnnouncesSource = false;
+  bool m_IsStoreRefused = false;
+  model::TimePoint m_AnnouncedAt;
   uint64_t m_Sequence = 0;
   model::TimePoint m_LoadNoticeSentAt;
   model::TimePoint m_StreamNoticeSentAt;
--- a/Source/Core/Adapters/Gateway/GatewayTrafficQuotas.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTrafficQuotas.cpp
@@ -1,7 +1,7 @@
 #include "Core/Adapters/Gateway/GatewayTraffic.h"
 #include "Core/Model/Hash.h"
 
-#include <set>
+#include <algorithm>
 #include <utility>
 
 namespace bronzepass::core::adapters::gateway {
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Between two announcements: other notices don't tell which holding it is.
-constexpr model::Duration AnnouncePeriod = std::chrono::seconds(1);
 /// For requests that came just after the holder was asked.
 constexpr std::chrono::milliseconds NextAskDelay(5);
 
@@ -30,23 +28,10 @@
     m_QuotaKeeper.hold(m_Holding, Held->m_ValidUntil, m_Clock.now());
     m_Core.quotas().onHolder(m_Holding);
     if (IsGained)
-      announceHolder();
+      announce();
   });
 }
 
-void GatewayTraffic::announceHolder() {
-  m_HolderAnnouncedAt = m_Clock.now();
-  if (!m_Core.quotas().isNeeded())
-    return;
-  std::vector<model::Address> All;
-  for (const auto &Each : m_Peers)
-    All.push_back(Each.second.m_Address);
-  gateway::PeerNotice Notice;
-  Notice.m_Quotas.m_IsAnnouncement = true;
-  Notice.m_Quotas.m_Holding = m_Holding;
-  sendNotice(std::move(Notice), All);
-}
-
 void GatewayTraffic::tellKeeperNodes() {
   std::set<uint64_t> Nodes = {model::stableHash(m_Self.str())};
   for (const auto &Each : m_Peers)
@@ -91,8 +76,6 @@
     return;
   askQuotas();
   const model::TimePoint Now = m_Clock.now();
-  if (m_HoldsLease && Now >= m_HolderAnnouncedAt + AnnouncePeriod)
-    announceHolder();
   if (m_Core.quotas().isInTouch(Now) == m_HasQuotaHolder)
     return;
   m_HasQuotaHolder = !m_HasQuotaHolder;
--- a/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
+++ b/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
@@ -154,6 +154,8 @@
     Visitor.optional("forwarding", Value.m_ForwardingPort);
     Visitor.optional("lost", Value.m_LostServices);
     Visitor.optional("holder", Value.m_HoldsLease);
+    Visitor.optional("source", Value.m_IsSource);
+    Visitor.optional("refused", Value.m_IsStoreRefused);
     Visitor.optional("quotas", Value.m_Quotas);
   }
 };
--- a/Source/Core/Adapters/Gateway/StoreClient.cpp
+++ b/Source/Core/Adapters/Gateway/StoreClient.cpp
@@ -45,6 +45,15 @@
          Verdict == leases::EraVerdict::Fallen;
 }
 
+bool StoreClient::learnEra(model::StoreEra Era) {
+  const std::optional<model::StoreEra> Old = m_Eras.current();
+  if (!m_Eras.onTold(Era))
+    return false;
+  if (Old != Era)
+    m_Events.onStoreEraChanged(Old, Era);
+  return true;
+}
+
 void StoreClient::warnOnce(const char *Problem, const std::string &Text) {
   if (m_Warned != Problem)
     m_Log.write("dependency", Problem,
--- a/Source/Core/Adapters/Gateway/StoreClient.h
+++ b/Source/Core/Adapters/Gateway/StoreClient.h
@@ -39,6 +39,9 @@
   void call(const core::gateway::HttpCall &Call, model::Duration Timeout,
             bool MayBeStale, ControlCalls::CallDone OnDone);
   std::optional<model::StoreEra> era() const { return m_Eras.current(); }
+  /// Another node was told \p Era by the store. False if this one knows a later
+  /// one.
+  bool learnEra(model::StoreEra Era);
 
 private:
   bool isUsable(const leases::CallEra &Call,
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -1,6 +1,7 @@
 #include "Core/Adapters/Gateway/StoreFeeds.h"
 
 #include "Core/Gateway/WatchTimes.h"
+#include "Core/Leases/CircuitBreaker.h"
 
 #include <algorithm>
 #include <optional>
@@ -17,6 +18,16 @@
 /// After a restore of the store each node waits a random part of this before it
 /// reads and registers again, so that not all nodes call at once.
 constexpr model::Duration RestoreSpread = std::chrono::milliseconds(300);
+/// Between two calls to a store that does not answer, while other nodes are
+/// asked in its place.
+constexpr model::Duration ProbePeriod = std::chrono::milliseconds(700);
+constexpr model::Duration ProbeTimeout = std::chrono::milliseconds(600);
+/// Of several nodes whose watchers fail together, few announce themselves
+/// before they hear the others.
+constexpr model::Duration MaxStandInDelay = std::chrono::milliseconds(300);
+/// The store works, though not for this node, if a node that reads it has
+/// answered within this time.
+constexpr model::Duration SourceAnswerAge = std::chrono::seconds(2);
 /// Nodes rarely join or leave, and they also notify each other directly.
 constexpr model::Duration NodeListPeriod = std::chrono::seconds(5);
 
@@ -67,8 +78,8 @@
                        GatewayLog &Log, StoreEvents &Events)
     : m_Store(Store), m_Relay(Relay), m_Times(Times),
       m_Sources(Self.m_Node, gateway::FeedSourceSettings()),
-      m_Self(std::move(Self)), m_Dialect(Dialect), m_Clock(Clock), m_Log(Log),
-      m_Events(Events),
+      m_Self(std::move(Self)), m_Dialect(Dialect), m_Clock(Clock),
+      m_Random(Random), m_Log(Log), m_Events(Events),
       m_Registry(gateway::lapsedRetention(Times.m_ContactTime)),
       m_ConfigFeed(gateway::FeedKind::Config, "config",
                    configFeedSettings(Times), Random),
@@ -86,9 +97,75 @@
     publishEndpoints();
   if (m_ConfirmsAgain)
     confirmEndpoints();
+  probeStore();
+  updateReach();
   registerSelf();
 }
 
+void StoreFeeds::onSourceHeard(const gateway::NodeEntry &Source) {
+  const model::TimePoint Now = m_Clock.now();
+  const bool HadNone = !m_Sources.chooseSource(Now);
+  m_Sources.onSourceHeard(Source, Now);
+  if (m_IsStoreRefused && HadNone)
+    for (Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
+      Each->m_Feed.onStoreRecovered(Now);
+}
+
+void StoreFeeds::onSourceLost(const model::NodeId &Node) {
+  m_Sources.onSourceLost(Node);
+}
+
+void StoreFeeds::updateReach() {
+  const auto ReadsStore = [](const Feed &Each) {
+    return Each.m_ReadsStore && Each.m_Feed.isCurrent() &&
+           !Each.m_Feed.isFailing();
+  };
+  StoreReach Reach;
+  const model::TimePoint Now = m_Clock.now();
+  // Of the other kinds it tells, when asked, whether it knows them.
+  Reach.m_IsSource = !m_Leaving && ReadsStore(m_ConfigFeed);
+  const bool ShouldAnnounce = Reach.m_IsSource && m_Sources.shouldAnnounce(Now);
+  if (ShouldAnnounce && !m_ShouldAnnounce)
+    m_AnnounceAt = m_Sources.isWatcher()
+                       ? Now
+                       : Now + leases::fullJitter(MaxStandInDelay, m_Random);
+  m_ShouldAnnounce = ShouldAnnounce;
+  Reach.m_Announces = ShouldAnnounce && Now >= m_AnnounceAt;
+  Reach.m_IsRefused = m_IsStoreRefused;
+  if (Reach == m_Reach)
+    return;
+  m_Reach = Reach;
+  m_Events.onStoreReachChanged(Reach);
+}
+
+void StoreFeeds::probeStore() {
+  const model::TimePoint Now = m_Clock.now();
+  if (!m_IsStoreRefused || m_IsProbing || Now < m_ProbeAt)
+    return;
+  m_IsProbing = true;
+  gateway::FeedCall Call;
+  Call.m_MayBeStale = true;
+  m_Store.call(m_Dialect.feedCall(gateway::FeedKind::Nodes, Call), ProbeTimeout,
+               true, [this, Call](const gateway::HttpResult &Result) {
+                 m_IsProbing = false;
+                 onStoreCallEnded(m_Dialect.readFeed(Call, Result).m_Status !=
+                                  gateway::FeedStatus::Failed);
+               });
+}
+
+void StoreFeeds::onStoreCallEnded(bool IsAnswered) {
+  const model::TimePoint Now = m_Clock.now();
+  m_IsStoreRefused = !IsAnswered;
+  m_ProbeAt = Now + ProbePeriod;
+  const bool WorksForOthers =
+      m_SourceAnsweredAt && Now - *m_SourceAnsweredAt < SourceAnswerAge;
+  if (!IsAnswered && !WorksForOthers)
+    m_Health.recordFailure(Now);
+  else if (IsAnswered && m_Health.recordAnswer())
+    for (Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
+      Each->m_Feed.onStoreRecovered(Now);
+}
+
 bool StoreFeeds::isHeldBack(const Feed &Source) const {
   for (const Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
     if (Each->m_Feed.isFailing())
@@ -106,10 +183,11 @@
     return;
   Source.m_AskedAt = Now;
   std::optional<gateway::NodeEntry> Watcher;
-  if (Due->m_Verb == gateway::FeedCall::Verb::Watch && !Source.m_AsksStoreNext)
-    Watcher = m_Sources.choose(Now);
-  if (Source.m_AsksStoreNext && needsProof(Source)) {
-    // The failed question has cost time that the proof may not have.
+  if (!Source.m_AsksStoreNext)
+    Watcher = nodeToAsk(*Due);
+  if (Source.m_AsksStoreNext) {
+    // The failed question has cost time, which the proof may not have; and
+    // others may wait to hear who reads the store.
     Due->m_Timeout -= Due->m_Wait;
     Due->m_Wait = model::Duration::zero();
   }
@@ -120,6 +198,21 @@
     askStore(Source, *Due);
 }
 
+std::optional<gateway::NodeEntry>
+StoreFeeds::nodeToAsk(const gateway::FeedCall &Call) const {
+  const model::TimePoint Now = m_Clock.now();
+  const bool IsList = Call.m_Verb == gateway::FeedCall::Verb::List;
+  if (m_IsStoreRefused) {
+    const std::optional<gateway::NodeEntry> Source =
+        m_Sources.chooseSource(Now);
+    return Source || IsList ? Source : m_Sources.choose(Now);
+  }
+  if (IsList)
+    return std::nullopt;
+  return m_Reach.m_Announces ? m_Sources.chooseTrustedWatcher(Now)
+                             : m_Sources.choose(Now);
+}
+
 void StoreFeeds::askStore(Feed &Source, const gateway::FeedCall &Call) {
   logSource(Source, model::NodeId(), "");
   m_Store.call(m_Dialect.feedCall(Source.m_Kind, Call), Call.m_Timeout,
@@ -142,7 +235,7 @@
 void StoreFeeds::onStoreRestored() {
   const model::TimePoint Now = m_Clock.now();
   m_Health.recordRestore(Now);
-  for (const Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed})
+  for (const Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
     m_Relay.publisher(Each->m_Kind).clear();
   m_Registry.onStoreRestored(Now);
   for (Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
@@ -150,8 +243,7 @@
   m_Registered = false;
   m_RegisterAsNew = true;
   m_RegisterAgain = true;
-  updateStanding(m_ConfigFeed);
-  updateStanding(m_EndpointFeed);
+  updateStandings();
   // The answer to a registration in flight is in doubt.
   ++m_Registration;
   m_Registering = false;
@@ -159,12 +251,9 @@
 
 void StoreFeeds::onStoreAnswer(Feed &Source,
                                const gateway::FeedAnswer &Answer) {
-  const model::TimePoint Now = m_Clock.now();
-  if (Answer.m_Status == gateway::FeedStatus::Failed)
-    m_Health.recordFailure(Now);
-  else if (m_Health.recordAnswer())
-    for (Feed *const Other : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
-      Other->m_Feed.onStoreRecovered(Now);
+  const bool IsAnswered = Answer.m_Status != gateway::FeedStatus::Failed;
+  Source.m_ReadsStore = IsAnswered;
+  onStoreCallEnded(IsAnswered);
   applyAnswer(Source, Answer, Source.m_AskedAt);
 }
 
@@ -329,8 +418,7 @@
           : gateway::followerMaxBackoff(m_Times.m_ContactTime);
   for (Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
     Each->m_Feed.setMaxBackoff(MaxBackoff);
-  updateStanding(m_ConfigFeed);
-  updateStanding(m_EndpointFeed);
+  updateStandings();
 }
 
 void StoreFeeds::registerSelf() {
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -20,6 +20,18 @@
 
 namespace bronzepass::core::adapters::gateway {
 
+/// What other nodes have to know of this node's way to the store.
+struct StoreReach {
+  /// It reads the store itself, and may be asked for what it knows.
+  bool m_IsSource = false;
+  /// It has to tell all nodes so, not only those that get its notices anyway.
+  bool m_Announces = false;
+  /// The store does not answer it.
+  bool m_IsRefused = false;
+
+  friend auto operator<=>(const StoreReach &, const StoreReach &) = default;
+};
+
 /// Receives changes read from the store, on the control thread.
 class StoreEvents {
 public:
@@ -39,6 +51,7 @@
   /// Called with all current nodes, including this one.
   virtual void
   onNodesChanged(const std::vector<core::gateway::NodeEntry> &Nodes) = 0;
+  virtual void onStoreReachChanged(const StoreReach &Reach) = 0;
 };
 
 struct StoreFeedTimes {
@@ -56,7 +69,8 @@
 
 /// Follows the configuration, endpoints and nodes in the platform's store, and
 /// registers this node there. In larger fleets most nodes learn of changes from
-/// one of a few that watch the store.
+/// one of a few that watch the store. A node that the store does not answer
+/// asks any other that has told that it reads the store.
 class StoreFeeds {
 public:
   /// All arguments except \p Times and \p Self must outlive this object.
@@ -73,6 +87,9 @@
   /// The store has been restored from a backup: reads all objects again and
   /// registers this node again, spread over a short time.
   void onStoreRestored();
+  /// Another node has told that it reads the store itself.
+  void onSourceHeard(const core::gateway::NodeEntry &Source);
+  void onSourceLost(const model::NodeId &Node);
   /// Removes this node's entry from the store and writes no new one.
   void leave();
 
@@ -93,13 +110,26 @@
     model::TimePoint m_AskedAt;
     /// The node that was asked last; empty: the store.
     model::NodeId m_AskedNode;
+    /// The last answer was the store's own.
+    bool m_ReadsStore = false;
   };
 
   void startDueCall(Feed &Source);
+  /// The node to ask; nullopt: the store.
+  std::optional<core::gateway::NodeEntry>
+  nodeToAsk(const core::gateway::FeedCall &Call) const;
+  /// Finds out, while other nodes are asked, whether the store answers again.
+  void probeStore();
+  void onStoreCallEnded(bool IsAnswered);
+  void updateReach();
   bool isHeldBack(const Feed &Source) const;
   void askStore(Feed &Source, const core::gateway::FeedCall &Call);
   void askWatcher(Feed &Source, const core::gateway::FeedCall &Call,
                   const core::gateway::NodeEntry &Watcher);
+  /// Whether what \p Reply says may be taken over; if not, why.
+  std::optional<std::string>
+  faultOf(const Feed &Source, const core::gateway::FeedReply &Reply,
+          std::optional<model::TimePoint> ProvenAt) const;
   void onWatcherReply(Feed &Source, const model::NodeId &Watcher,
                       const std::optional<core::gateway::FeedReply> &Reply,
                       const std::string &Reason);
@@ -118,6 +148,7 @@
                       std::optional<model::StoreEra> Era,
                       const core::gateway::FeedAnswer &Answer);
   void updateStanding(Feed &Source);
+  void updateStandings();
   void updateSources(const std::vector<core::gateway::NodeEntry> &Nodes);
   /// Logs objects that could not be read when they appear or change.
   void logUnreadable(Feed &Source, const core::gateway::FeedAnswer &Answer);
@@ -139,9 +170,20 @@
   const core::gateway::NodeEntry m_Self;
   const core::gateway::Dialect &m_Dialect;
   const ports::Clock &m_Clock;
+  ports::Random &m_Random;
   GatewayLog &m_Log;
   StoreEvents &m_Events;
+  /// Of the store itself, as far as this node or one that it asked knows.
   core::gateway::StoreHealth m_Health;
+  /// The store has not answered this node's last call.
+  bool m_IsStoreRefused = false;
+  bool m_IsProbing = false;
+  model::TimePoint m_ProbeAt;
+  /// When a node that reads the store answered last.
+  std::optional<model::TimePoint> m_SourceAnsweredAt;
+  StoreReach m_Reach;
+  bool m_ShouldAnnounce = false;
+  model::TimePoint m_AnnounceAt;
   core::gateway::EndpointRegistry m_Registry;
   std::map<model::NodeId, core::gateway::NodeEntry> m_Nodes;
   uint64_t m_ConfigVersion = 0;
--- a/Source/Core/Gateway/FeedPublisher.cpp
+++ b/Source/Core/Gateway/FeedPublisher.cpp
@@ -44,7 +44,7 @@
                             ReplyHandler OnReply) {
   const uint64_t Id = ++m_LastId;
   const FeedReply Reply = replyTo(Query, Now);
-  if (!Reply.m_IsAvailable || !Reply.m_Objects.empty())
+  if (!Reply.m_IsAvailable || Query.m_IsList || !Reply.m_Objects.empty())
     OnReply(Reply);
   else
     m_Waiting[Id] = {Query, Now, Now + Query.m_Wait, std::move(OnReply)};
@@ -55,10 +55,15 @@
   replyWhere([Now](const WaitingQuery &Each) { return Each.m_Until <= Now; });
 }
 
-bool FeedPublisher::mayReply(const FeedQuery &Query) const {
+bool FeedPublisher::knowsEraOf(const FeedQuery &Query) const {
+  const bool IsAnyEra = Query.m_IsList && !Query.m_Era;
   return m_Standing.m_IsCurrent && !m_Standing.m_IsStoreFailing &&
-         m_Standing.m_Era == Query.m_Era &&
-         Query.m_Revision >= m_Standing.m_CompleteFrom;
+         (IsAnyEra || m_Standing.m_Era == Query.m_Era);
+}
+
+bool FeedPublisher::mayReply(const FeedQuery &Query) const {
+  return knowsEraOf(Query) &&
+         (Query.m_IsList || Query.m_Revision >= m_Standing.m_CompleteFrom);
 }
 
 FeedReply FeedPublisher::replyTo(const FeedQuery &Query,
@@ -66,13 +71,18 @@
   FeedReply Reply;
   Reply.m_IsStoreFailing = m_Standing.m_IsStoreFailing;
   Reply.m_IsAvailable = mayReply(Query);
+  if (m_Standing.m_IsCurrent)
+    Reply.m_Era = m_Standing.m_Era;
+  Reply.m_IsHistoryGone = !Reply.m_IsAvailable && knowsEraOf(Query);
   if (!Reply.m_IsAvailable)
     return Reply;
-  Reply.m_Revision = std::max(m_Revision, Query.m_Revision);
+  Reply.m_Revision =
+      Query.m_IsList ? m_Revision : std::max(m_Revision, Query.m_Revision);
   if (m_ProvenAt)
     Reply.m_ProofOffset = *m_ProvenAt - ReceivedAt;
   for (const auto &Each : m_Objects)
-    if (Each.second.m_LearnedAt > Query.m_Revision)
+    if (Query.m_IsList ? !Each.second.m_Object.m_Deleted
+                       : Each.second.m_LearnedAt > Query.m_Revision)
       Reply.m_Objects.push_back(Each.second.m_Object);
   return Reply;
 }
--- a/Source/Core/Gateway/FeedPublisher.h
+++ b/Source/Core/Gateway/FeedPublisher.h
@@ -24,6 +24,8 @@
   std::optional<model::StoreEra> m_Era;
   /// How long the watcher may wait for a change.
   model::Duration m_Wait{0};
+  /// All objects, whatever the revision, instead of changes.
+  bool m_IsList = false;
 
   friend auto operator<=>(const FeedQuery &, const FeedQuery &) = default;
 };
@@ -41,11 +43,16 @@
   /// which the store was known to hold nothing newer; negative if that was
   /// before. nullopt if the watcher doesn't know.
   std::optional<model::Duration> m_ProofOffset;
+  /// With m_IsAvailable false: deletions since the query's revision are not
+  /// known, but a list would be replied to.
+  bool m_IsHistoryGone = false;
+  /// The store's era, if it names one; also with m_IsAvailable false.
+  std::optional<model::StoreEra> m_Era;
 
   friend auto operator<=>(const FeedReply &, const FeedReply &) = default;
 };
 
-/// A watcher's copy of the objects of one kind, as the store returned them, and
+/// A node's copy of the objects of one kind, as the store returned them, and
 /// the queries that wait for a change. It holds nothing that is not in the
 /// store, and answers only while this node itself watches the store and the
 /// store answers.
@@ -98,6 +105,7 @@
   };
 
   bool mayReply(const FeedQuery &Query) const;
+  bool knowsEraOf(const FeedQuery &Query) const;
   FeedReply replyTo(const FeedQuery &Query, model::TimePoint ReceivedAt) const;
   void replyWhere(const std::function<bool(const WaitingQuery &)> &IsDue);
 
--- a/Source/Core/Gateway/PeerNotice.h
+++ b/Source/Core/Gateway/PeerNotice.h
@@ -92,7 +92,12 @@
   std::vector<std::string> m_LostServices;
   /// The sender holds the placement lease.
   bool m_HoldsLease = false;
-  /// If not empty, the notice tells nothing else but who holds the lease.
+  /// The sender reads the platform's store itself, and tells what it knows.
+  bool m_IsSource = false;
+  /// The store does not answer the sender.
+  bool m_IsStoreRefused = false;
+  /// If not empty, the notice tells nothing else but what the sender is: the
+  /// four fields above.
   organisations::QuotaNotice m_Quotas;
 
   friend auto operator<=>(const PeerNotice &, const PeerNotice &) = default;
--- a/Source/Core/Leases/StoreEraTracker.cpp
+++ b/Source/Core/Leases/StoreEraTracker.cpp
@@ -19,4 +19,13 @@
   return SentBefore ? EraVerdict::InDoubt : EraVerdict::Current;
 }
 
+bool StoreEraTracker::onTold(model::StoreEra Era) {
+  if (m_Current && Era < *m_Current)
+    return false;
+  if (m_Current && Era > *m_Current)
+    ++m_Restores;
+  m_Current = Era;
+  return true;
+}
+
 } // namespace bronzepass::core::leases
--- a/Source/Core/Leases/StoreEraTracker.h
+++ b/Source/Core/Leases/StoreEraTracker.h
@@ -44,6 +44,10 @@
   EraVerdict onAnswer(const CallEra &Call,
                       std::optional<model::StoreEra> Named);
 
+  /// Another node was told \p Era by the store. False if this one knows a later
+  /// one.
+  bool onTold(model::StoreEra Era);
+
   /// nullopt until an answer has named one.
   std::optional<model::StoreEra> current() const { return m_Current; }
   /// Restores seen since this node's start.
--- a/Source/Core/Organisations/QuotaNotice.h
+++ b/Source/Core/Organisations/QuotaNotice.h
@@ -60,7 +60,7 @@
   /// With answers, and where the sender announces that it is the holder: rises
   /// with each holding. 0 if it is not told.
   uint64_t m_Holding = 0;
-  /// The holder tells a node that it is the holder.
+  /// The sender tells a node only what it is, such as the holder.
   bool m_IsAnnouncement = false;
 
   bool isEmpty() const {
--- a/Source/UnitTests/Adapters/Gateway/FeedRelayTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/FeedRelayTest.cpp
@@ -144,6 +144,16 @@
         Query);
   const relay::FeedReply Reply{
       true, false, {{"a\xff", 5, true, ""}, {"b", 6, false, "\xc3\x28"}}, 9};
+  relay::FeedQuery List = Query;
+  List.m_IsList = true;
+  List.m_Era.reset();
+  CHECK(adapter::decodeFeedQuery(adapter::encodeFeedQuery(List), Reason) ==
+        List);
+  relay::FeedReply Gone;
+  Gone.m_IsHistoryGone = true;
+  Gone.m_Era = core::model::StoreEra{0};
+  CHECK(adapter::decodeFeedReply(adapter::encodeFeedReply(Gone), Reason) ==
+        Gone);
   const std::string Bytes = adapter::encodeFeedReply(Reply);
   CHECK(adapter::decodeFeedReply(Bytes, Reason) == Reply);
   for (const core::model::Duration Offset :
--- a/Source/UnitTests/Gateway/FeedPublisherTest.cpp
+++ b/Source/UnitTests/Gateway/FeedPublisherTest.cpp
@@ -56,6 +56,43 @@
         std::vector<FeedObject>{object("a", 9, "new")});
 }
 
+// Guards against a node that starts while the store refuses it and learns only
+// what changes from then on, or objects that are gone.
+TEST_CASE("a list is answered at once, with all objects that are there") {
+  FeedPublisher Publisher;
+  const auto ListIn = [&](std::optional<model::StoreEra> Era) {
+    Asked List;
+    FeedQuery Query = since(0, Era);
+    Query.m_IsList = true;
+    Publisher.ask(Query, at(0s), List.handler());
+    REQUIRE(List.m_Reply);
+    return *List.m_Reply;
+  };
+  const model::StoreEra Era{4};
+  CHECK_FALSE(ListIn(std::nullopt).m_IsAvailable);
+  Publisher.setStanding({true, false, Era, 6});
+  Publisher.record({object("a", 3), object("b", 7), {"c", 8, true, ""}}, {}, 8);
+  for (const std::optional<model::StoreEra> Known :
+       {std::optional<model::StoreEra>(), std::optional(Era)}) {
+    const FeedReply Reply = ListIn(Known);
+    CHECK(Reply.m_IsAvailable);
+    CHECK(Reply.m_Era == Era);
+    CHECK(Reply.m_Revision == 8);
+    CHECK(Reply.m_Objects ==
+          std::vector<FeedObject>{object("a", 3), object("b", 7)});
+  }
+  // Revisions of another era would be compared with these.
+  const FeedReply Other = ListIn(model::StoreEra{3});
+  CHECK_FALSE(Other.m_IsAvailable);
+  CHECK_FALSE(Other.m_IsHistoryGone);
+  CHECK(Other.m_Era == Era);
+  Asked Behind;
+  Publisher.ask(since(5, Era), at(0s), Behind.handler());
+  REQUIRE(Behind.m_Reply);
+  CHECK_FALSE(Behind.m_Reply->m_IsAvailable);
+  CHECK(Behind.m_Reply->m_IsHistoryGone);
+}
+
 TEST_CASE("a reply tells how long before or after its query the store was last "
           "known to hold nothing newer") {
   FeedPublisher Publisher;
--- a/Source/UnitTests/Gateway/FeedSourceChooserTest.cpp
+++ b/Source/UnitTests/Gateway/FeedSourceChooserTest.cpp
@@ -89,10 +89,58 @@
     CHECK(Chooser.choose(at(25s))->m_Node == First->m_Node);
     for (int Watcher = 0; Watcher < 3; ++Watcher)
       if (const std::optional<NodeEntry> Next = Chooser.choose(at(30s)))
-        Chooser.onWatcherUnavailable(Next->m_Node, at(30s));
+        Chooser.onWatcherUnavailable(Next->m_Node, false, at(30s));
     CHECK_FALSE(Chooser.choose(at(31s)));
     CHECK(Chooser.choose(at(35s)));
   }
 }
 
+// Guards against a node that asks nobody while the store refuses it, though
+// others are served.
+TEST_CASE("a node that the store refuses asks a node that tells it is served") {
+  const std::vector<NodeEntry> Nodes = fleet(50);
+  for (const NodeEntry &Each : Nodes) {
+    FeedSourceChooser Chooser(Each.m_Node, {});
+    Chooser.setNodes(Nodes);
+    CHECK_FALSE(Chooser.chooseSource(at(30s)));
+    Chooser.onSourceHeard(Each, at(30s));
+    CHECK_FALSE(Chooser.chooseSource(at(30s)));
+    const NodeEntry Source = Nodes[Each.m_Node == Nodes[0].m_Node ? 1 : 0];
+    Chooser.onSourceHeard(Source, at(30s));
+    CHECK(Chooser.chooseSource(at(32s)) == Source);
+    CHECK_FALSE(Chooser.chooseSource(at(33s)));
+    Chooser.onSourceHeard(Source, at(33s));
+    Chooser.onWatcherUnavailable(Source.m_Node, true, at(33s));
+    CHECK_FALSE(Chooser.chooseSource(at(33s)));
+    CHECK(Chooser.chooseSource(at(34s)) == Source);
+    Chooser.onSourceLost(Source.m_Node);
+    CHECK_FALSE(Chooser.chooseSource(at(34s)));
+  }
+}
+
+// Guards against a fleet in which every node announces to every other one.
+TEST_CASE("few nodes stand in for watchers that all fail") {
+  const std::vector<NodeEntry> Nodes = fleet(50);
+  std::vector<NodeEntry> Announcing;
+  // Each one hears of those before it.
+  for (const NodeEntry &Each : Nodes) {
+    FeedSourceChooser Chooser(Each.m_Node, {});
+    Chooser.setNodes(Nodes);
+    if (Chooser.isWatcher())
+      continue;
+    CHECK_FALSE(Chooser.shouldAnnounce(at(30s)));
+    while (const std::optional<NodeEntry> Next = Chooser.choose(at(30s)))
+      Chooser.onWatcherFailed(Next->m_Node, at(30s));
+    CHECK(Chooser.shouldAnnounce(at(30s)));
+    for (const NodeEntry &Heard : Nodes)
+      if (Heard.m_Node != Each.m_Node)
+        Chooser.onSourceHeard(Heard, at(30s));
+    if (Chooser.shouldAnnounce(at(30s)))
+      Announcing.push_back(Each);
+    // A watcher that has failed is asked once it is heard.
+    CHECK(Chooser.chooseTrustedWatcher(at(36s)) == std::nullopt);
+  }
+  CHECK(Announcing.size() <= 3);
+}
+
 } // namespace bronzepass::core::gateway
