Gateway: Nodes that the store refuses are no candidates for the lease

No node held the lease, so that none granted quotas, and nothing was placed.

Cause: a candidate waits half a term for each that comes before it, and counted all registered nodes that it had never heard. The three nodes of 81 that could take the lease heard few others, and waited for some of 78 that could not: up to two minutes.

Nodes that say that the store refuses them don't count. Holders announce themselves to all nodes, with or without quotas; once none has been heard for one and a half terms, nodes that were never heard don't count.

The new case of PlacementCandidatesTest has three able nodes of 81 (ranks 0, 1 and 2).

--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -150,10 +150,10 @@
   m_Thread.loop().post([this, Pause] { m_Placement.onPauseBegun(Pause); });
 }
 
-void GatewayControl::onLivePeers(std::vector<model::NodeId> Nodes) {
-  m_Thread.loop().post([this, Nodes = std::move(Nodes)] {
-    m_Placement.onLivePeers(Nodes);
-    m_StreamRecorder.onLivePeers(Nodes);
+void GatewayControl::onLivePeers(gateway::LivePeers Peers) {
+  m_Thread.loop().post([this, Peers = std::move(Peers)] {
+    m_Placement.onLivePeers(Peers);
+    m_StreamRecorder.onLivePeers(Peers);
   });
 }
 
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -58,7 +58,7 @@
   void onCopyRequest(const core::gateway::CopyRequest &Request) override;
   void onStatementChange(const core::gateway::StatementChange &Change) override;
   void onPauseBegun(const core::gateway::PauseBegun &Pause) override;
-  void onLivePeers(std::vector<model::NodeId> Nodes) override;
+  void onLivePeers(core::gateway::LivePeers Peers) override;
   void onSourceHeard(const core::gateway::NodeEntry &Source) override;
   void onSourceLost(const model::NodeId &Node) override;
   void onConfirmEndpoints() override;
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -176,13 +176,17 @@
   if (Now < m_LivePeersReportedAt + LivePeersPeriod)
     return;
   m_LivePeersReportedAt = Now;
-  std::vector<model::NodeId> Live;
-  for (const auto &Each : m_Peers)
-    if (Each.second.m_LastHeardAt &&
-        Now - *Each.second.m_LastHeardAt < PeerTimeout)
-      Live.push_back(Each.first);
-  m_Core.setNodeCount(
-      static_cast<uint32_t>(std::max(m_Peers.size(), Live.size())) + 1, Now);
+  gateway::LivePeers Live;
+  Live.m_HasHolder = m_HoldsLease;
+  for (const auto &Each : m_Peers) {
+    const Peer &Known = Each.second;
+    if (!Known.m_LastHeardAt || Now - *Known.m_LastHeardAt >= PeerTimeout)
+      continue;
+    (Known.m_IsStoreRefused ? Live.m_StoreRefused : Live.m_Able)
+        .push_back(Each.first);
+    Live.m_HasHolder = Live.m_HasHolder || Known.m_HoldsLease;
+  }
+  m_Core.setNodeCount(static_cast<uint32_t>(m_Peers.size()) + 1, Now);
   m_Events.onLivePeers(std::move(Live));
 }
 
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -8,6 +8,7 @@
 #include "Core/Adapters/Gateway/RelayDriver.h"
 #include "Core/Adapters/Net/LoopThread.h"
 #include "Core/Gateway/Dialect.h"
+#include "Core/Gateway/LivePeers.h"
 #include "Core/Gateway/RelayCore.h"
 #include "Core/Model/Lease.h"
 #include "Core/Organisations/QuotaKeeper.h"
@@ -37,8 +38,8 @@
   onStatementChange(const core::gateway::StatementChange &Change) = 0;
   /// An endpoint wants nothing from this node for a while.
   virtual void onPauseBegun(const core::gateway::PauseBegun &Pause) = 0;
-  /// Called periodically with the peers that sent a notice recently.
-  virtual void onLivePeers(std::vector<model::NodeId> Nodes) = 0;
+  /// Called periodically.
+  virtual void onLivePeers(core::gateway::LivePeers Peers) = 0;
   /// A peer has told that it reads the store itself.
   virtual void onSourceHeard(const core::gateway::NodeEntry &Source) = 0;
   /// It has told that it no longer does.
--- a/Source/Core/Adapters/Gateway/PlacementControl.cpp
+++ b/Source/Core/Adapters/Gateway/PlacementControl.cpp
@@ -18,6 +18,9 @@
 /// lease terms.
 constexpr int SuspensionTerms = 2;
 const model::LeaseName PlacementLease{"placement"};
+/// Half terms of the lease: the first candidate would have taken it by then,
+/// and holders announce themselves each second.
+constexpr int HolderSilenceHalfTerms = 3;
 constexpr model::Duration RankLogPeriod = std::chrono::seconds(2);
 
 leases::GovernorSettings governorSettings() {
@@ -38,7 +41,8 @@
       m_Governor(governorSettings(), Random),
       m_LeaseManager(m_Options.m_Lease, m_Options.m_Self, m_Governor, Random),
       m_Candidates(m_Options.m_Self, PlacementLease.m_Duty),
-      m_Residency(m_Options.m_Residency, m_Options.m_Self) {}
+      m_Residency(m_Options.m_Residency, m_Options.m_Self),
+      m_HolderHeardAt(Clock.now()) {}
 
 void PlacementControl::tick() {
   const model::TimePoint Now = m_Clock.now();
@@ -91,15 +95,20 @@
   m_Candidates.setRegistered(Nodes);
 }
 
-void PlacementControl::onLivePeers(const std::vector<model::NodeId> &Nodes) {
-  m_Candidates.setHeard(Nodes);
+void PlacementControl::onLivePeers(const gateway::LivePeers &Peers) {
+  const model::TimePoint Now = m_Clock.now();
+  if (Peers.m_HasHolder)
+    m_HolderHeardAt = Now;
+  m_Candidates.setHeard(Peers);
+  m_Candidates.setHolderSilent(Now - m_HolderHeardAt >=
+                               HolderSilenceHalfTerms *
+                                   m_Options.m_Lease.m_Term / 2);
   if (m_Stopping)
     return;
   const uint32_t Rank = m_Candidates.rank();
-  logRank(Rank, Nodes.size());
+  logRank(Rank, Peers.m_Able.size());
   ports::EffectList Effects;
-  m_LeaseManager.setCandidacies({{PlacementLease, Rank}}, m_Clock.now(),
-                                Effects);
+  m_LeaseManager.setCandidacies({{PlacementLease, Rank}}, Now, Effects);
   submit(Effects);
 }
 
--- a/Source/Core/Adapters/Gateway/PlacementControl.h
+++ b/Source/Core/Adapters/Gateway/PlacementControl.h
@@ -58,7 +58,7 @@
   void setNodes(const std::vector<core::gateway::NodeEntry> &Nodes);
   /// Sets the nodes that are heard. The first candidate by DutyRank is the
   /// preferred lease holder.
-  void onLivePeers(const std::vector<model::NodeId> &Nodes);
+  void onLivePeers(const core::gateway::LivePeers &Peers);
   /// Takes the store's era. If it has changed, the store was restored from a
   /// backup, and this node stops placing models until it gets the lease anew.
   void onStoreEra(model::StoreEra Era);
@@ -99,6 +99,8 @@
   std::optional<model::TimePoint> m_SuspendedUntil;
   std::optional<uint32_t> m_LoggedRank;
   model::TimePoint m_RankLoggedAt;
+  /// When a holder of the lease was last heard; at first, this node's start.
+  model::TimePoint m_HolderHeardAt;
 };
 
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Gateway/StreamRecorder.cpp
+++ b/Source/Core/Adapters/Gateway/StreamRecorder.cpp
@@ -98,8 +98,8 @@
   m_Candidates.setRegistered(Nodes);
 }
 
-void StreamRecorder::onLivePeers(const std::vector<model::NodeId> &Nodes) {
-  m_Candidates.setHeard(Nodes);
+void StreamRecorder::onLivePeers(const gateway::LivePeers &Peers) {
+  m_Candidates.setHeard(Peers);
   updateSlot();
 }
 
--- a/Source/Core/Adapters/Gateway/StreamRecorder.h
+++ b/Source/Core/Adapters/Gateway/StreamRecorder.h
@@ -41,7 +41,7 @@
   /// Sets all registered nodes, and those that are heard: the first by DutyRank
   /// record.
   void setNodes(const std::vector<core::gateway::NodeEntry> &Nodes);
-  void onLivePeers(const std::vector<model::NodeId> &Nodes);
+  void onLivePeers(const core::gateway::LivePeers &Peers);
   /// What this node knows of streams' origins now.
   void setRecord(core::gateway::StreamNotice Record) {
     m_Keeper.setRecord(std::move(Record));
--- a/Source/Core/Gateway/PlacementCandidates.cpp
+++ b/Source/Core/Gateway/PlacementCandidates.cpp
@@ -20,11 +20,13 @@
   });
 }
 
-void PlacementCandidates::setHeard(const std::vector<model::NodeId> &Nodes) {
-  m_Heard = {Nodes.begin(), Nodes.end()};
-  for (const model::NodeId &Node : Nodes)
-    if (m_Registered.contains(Node))
-      m_HeardBefore.insert(Node);
+void PlacementCandidates::setHeard(const LivePeers &Peers) {
+  m_Heard = {Peers.m_Able.begin(), Peers.m_Able.end()};
+  for (const std::vector<model::NodeId> *const Nodes :
+       {&Peers.m_Able, &Peers.m_StoreRefused})
+    for (const model::NodeId &Node : *Nodes)
+      if (m_Registered.contains(Node))
+        m_HeardBefore.insert(Node);
 }
 
 NodeEntry PlacementCandidates::entryOf(const model::NodeId &Node) const {
@@ -37,7 +39,7 @@
                                  bool HearsAll) const {
   if (m_Heard.contains(Node))
     return true;
-  return !HearsAll && !m_HeardBefore.contains(Node);
+  return !HearsAll && !m_IsHolderSilent && !m_HeardBefore.contains(Node);
 }
 
 uint32_t PlacementCandidates::rank() const {
--- a/Source/Core/Gateway/PlacementCandidates.h
+++ b/Source/Core/Gateway/PlacementCandidates.h
@@ -2,6 +2,7 @@
 #define BRONZEPASS_CORE_GATEWAY_PLACEMENTCANDIDATES_H
 
 #include "Core/Gateway/Dialect.h"
+#include "Core/Gateway/LivePeers.h"
 #include "Core/Model/Id.h"
 
 #include <cstdint>
@@ -21,11 +22,16 @@
   /// All nodes that are registered in the store.
   void setRegistered(const std::vector<NodeEntry> &Nodes);
   /// The nodes that sent a notice recently.
-  void setHeard(const std::vector<model::NodeId> &Nodes);
-
-  /// The number of nodes that come before this one. In a fleet in which every
-  /// node hears every other, only nodes that are heard count. In a larger one a
-  /// registered node counts unless it was heard before and no longer is.
+  void setHeard(const LivePeers &Peers);
+  /// No node has told for longer than a change of holder takes that it holds
+  /// the lease.
+  void setHolderSilent(bool IsSilent) { m_IsHolderSilent = IsSilent; }
+
+  /// The number of nodes that come before this one. Nodes that the store does
+  /// not answer don't count. In a fleet in which every node hears every other,
+  /// only nodes that are heard count. In a larger one a registered node counts
+  /// unless it was heard before and no longer is; and none that is not heard
+  /// once the holder has been silent for long.
   uint32_t rank() const;
 
 private:
@@ -36,8 +42,10 @@
   const std::string m_Duty;
   std::map<model::NodeId, NodeEntry> m_Registered;
   std::set<model::NodeId> m_Heard;
-  /// Registered nodes that were heard at any time.
+  /// Registered nodes that were heard at any time, able to take the lease or
+  /// not.
   std::set<model::NodeId> m_HeardBefore;
+  bool m_IsHolderSilent = false;
 };
 
 } // namespace bronzepass::core::gateway
--- a/Source/UnitTests/Gateway/PlacementCandidatesTest.cpp
+++ b/Source/UnitTests/Gateway/PlacementCandidatesTest.cpp
@@ -1,5 +1,6 @@
 #include "Core/Gateway/PlacementCandidates.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <string>
 #include <vector>
@@ -38,7 +39,7 @@
     std::vector<model::NodeId> Heard;
     for (size_t Peer = 1; Peer <= 24; ++Peer)
       Heard.push_back(Nodes[(Self + Peer * 7) % Nodes.size()]);
-    Candidates.setHeard(Heard);
+    Candidates.setHeard({.m_Able = Heard});
     const bool IsFirst = Candidates.rank() < 3;
     First += IsFirst ? 1 : 0;
     CHECK((!IsFirst || Self % 3 == 0));
@@ -53,11 +54,11 @@
     for (const model::NodeId &Self : Nodes) {
       PlacementCandidates Candidates(Self, "placement");
       Candidates.setRegistered(entries(Nodes));
-      Candidates.setHeard(Nodes);
+      Candidates.setHeard({.m_Able = Nodes});
       const uint32_t Rank = Candidates.rank();
       Candidates.setHeard({});
       CHECK(Candidates.rank() == 0);
-      Candidates.setHeard(Nodes);
+      Candidates.setHeard({.m_Able = Nodes});
       CHECK(Candidates.rank() == Rank);
     }
   }
@@ -73,4 +74,30 @@
   }
 }
 
+// Guards against a lease that nobody takes, since the nodes that the store
+// answers wait for those that it refuses, or that nobody has heard.
+TEST_CASE("nodes that the store refuses do not come before those that it "
+          "answers") {
+  const std::vector<model::NodeId> Nodes = fleet(81);
+  const std::vector<model::NodeId> Able = {Nodes[7], Nodes[20], Nodes[50]};
+  std::vector<uint32_t> Ranks;
+  for (const model::NodeId &Self : Able) {
+    PlacementCandidates Candidates(Self, "placement");
+    Candidates.setRegistered(entries(Nodes));
+    LivePeers Peers;
+    for (const model::NodeId &Each : Able)
+      if (Each != Self)
+        Peers.m_Able.push_back(Each);
+    for (size_t Peer = 0; Peer < 24; ++Peer)
+      Peers.m_StoreRefused.push_back(Nodes[Peer * 3]);
+    Candidates.setHeard(Peers);
+    Candidates.setHolderSilent(true);
+    Ranks.push_back(Candidates.rank());
+    Candidates.setHeard({.m_Able = Nodes});
+    CHECK(Candidates.rank() > 2);
+  }
+  std::sort(Ranks.begin(), Ranks.end());
+  CHECK(Ranks == std::vector<uint32_t>{0, 1, 2});
+}
+
 } // namespace bronzepass::core::gateway
