Curl: An answer without a valid status ends its transfer

The transfer ends with the head now, and says why. Statuses of 600 and above are passed on as before: failures of the endpoint, unchanged.

--- a/Source/Core/Adapters/Curl/CurlTransfer.cpp
+++ b/Source/Core/Adapters/Curl/CurlTransfer.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr int FirstStatus = 100;
 constexpr int FirstFinalStatus = 200;
 /// For the header lines of one answer: of interim answers, the head and
 /// trailers. A server that sends more does not answer in HTTP.
@@ -92,6 +93,10 @@
   }
   long Status = 0;
   curl_easy_getinfo(Running.m_Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
+  if (Status < FirstStatus) {
+    Running.m_AbortReason = "the answer's status is not valid";
+    return 0;
+  }
   if (Status < FirstFinalStatus)
     return Line.size();
   Running.m_Head.m_Status = static_cast<int>(Status);
--- a/Source/UnitTests/Adapters/Gateway/ControlCallsTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/ControlCallsTest.cpp
@@ -55,6 +55,24 @@
   CHECK_FALSE(Reset.m_NotSent);
 }
 
+// Guards against an order, a report or an answer of the store that is taken
+// from a server in trouble.
+TEST_CASE("a control call's answer without a valid status is none") {
+  for (const std::string Status : {"000", "099", "20", "2000", "", "abc"})
+    for (const std::string Interim : {"", "HTTP/1.1 100 Continue\r\n\r\n"})
+      for (const std::string Rest :
+           {"Content-Length: 2\r\n\r\n{}", "\r\n{}",
+            "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"}) {
+        CAPTURE(Status);
+        CAPTURE(Rest);
+        const relay::HttpResult Result =
+            callResult(Interim + "HTTP/1.1 " + Status + " X\r\n" + Rest,
+                       ConnectionEnd::Close);
+        CHECK(Result.m_Status == 0);
+        CHECK_FALSE(Result.m_NotSent);
+      }
+}
+
 TEST_CASE("a control call's answer that breaks off is none") {
   for (const char *const Response :
        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
--- a/Source/UnitTests/Adapters/Http/FaultyEngineTest.cpp
+++ b/Source/UnitTests/Adapters/Http/FaultyEngineTest.cpp
@@ -225,6 +225,35 @@
   }
 }
 
+// Guards against an answer whose status is none, 000 above all, that a caller
+// gets as its answer, or as a success.
+TEST_CASE("an answer without a valid status is no success for its caller") {
+  for (const std::string Status : {"000", "099", "20", "2000", "", "abc"})
+    for (const std::string Interim : {"", "HTTP/1.1 100 Continue\r\n\r\n"})
+      for (const Kind Of : AllKinds) {
+        CAPTURE(Status);
+        CAPTURE(Interim);
+        CAPTURE(static_cast<int>(Of));
+        std::atomic<int> Requests = 0;
+        ScriptedEndpoint Endpoint(
+            [&](ScriptConnection &To, const std::string &Request, int) {
+              ++Requests;
+              std::string Answer = successFor(Request, "secret text");
+              Answer.replace(Answer.find("200 OK"), 6, Status + " X");
+              To.write(Interim + Answer);
+            });
+        const TestNode Node(settingsFor(Endpoint));
+        const HttpResult Answer = send(Node, Of, "name");
+        CHECK(Requests > 0);
+        CHECK(Answer.m_Status >= 500);
+        CHECK(Answer.m_Status < 600);
+        CHECK(Answer.m_Body.find("secret") == std::string::npos);
+        CHECK(Answer.m_Body.find("not_run") == std::string::npos);
+        if (Of == Kind::KeyedCall)
+          CHECK(Requests == 1);
+      }
+}
+
 namespace {
 
 const std::string Begun = "data: a\n\ndata: b\n\n";
