Leases: A lease that nobody has held goes to the first by rank, not by time

Cause: nodes that start together take a free lease the faster the sooner they start, since none knows another yet, and a holder keeps it.

A lease without a record is left for two seconds. The new cases fail before: the node that started first holds the lease, and the second list comes after five seconds.

--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -21,6 +21,8 @@
 
 namespace {
 
+/// Nodes that start together have listed and heard each other by then.
+constexpr model::Duration FirstLeaseDelay = std::chrono::seconds(2);
 /// How often the settings are read again.
 constexpr long SettingsPeriodNanos = 1'000'000'000;
 /// How often the shutdown checks whether all requests have been answered.
@@ -109,6 +111,7 @@
   // Handing the duty over gains nothing and makes the new holder request a
   // report from every engine.
   Options.m_Lease.m_HandOverDelay = std::chrono::hours(24);
+  Options.m_Lease.m_FirstDelay = FirstLeaseDelay;
   return Options;
 }
 
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -30,6 +30,8 @@
 constexpr model::Duration SourceAnswerAge = std::chrono::seconds(2);
 /// Nodes rarely join or leave, and they also notify each other directly.
 constexpr model::Duration NodeListPeriod = std::chrono::seconds(5);
+/// Nodes that start together have registered by then.
+constexpr model::Duration SecondNodeListDelay = std::chrono::seconds(1);
 
 int64_t toMillis(model::Duration Value) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
@@ -66,6 +68,7 @@
 gateway::FeedSettings nodeFeedSettings() {
   gateway::FeedSettings Settings;
   Settings.m_ListPeriod = NodeListPeriod;
+  Settings.m_SecondListDelay = SecondNodeListDelay;
   return Settings;
 }
 
--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -28,7 +28,8 @@
   } else {
     Call.m_After = m_After;
     // The first list, and the first after a restore, has to be up to date.
-    Call.m_MayBeStale = m_Settings.m_ListPeriod && isCurrent();
+    Call.m_MayBeStale =
+        m_Settings.m_ListPeriod && isCurrent() && !m_IsSecondListDue;
   }
   Call.m_Timeout = Call.m_Wait + (m_Watching ? m_WatchAnswerTimeout
                                              : m_Settings.m_AnswerTimeout);
@@ -75,7 +76,8 @@
   else
     finishList(Changes);
   if (!m_Watching && m_After.empty() && m_Settings.m_ListPeriod)
-    m_NextCallAt = Now + *m_Settings.m_ListPeriod;
+    m_NextCallAt = Now + (m_IsSecondListDue ? *m_Settings.m_SecondListDelay
+                                            : *m_Settings.m_ListPeriod);
   return Changes;
 }
 
@@ -165,6 +167,7 @@
   }
   m_Revision = std::max(m_Revision, *m_ListRevision);
   m_CompleteFrom = m_Revision;
+  m_IsSecondListDue = !m_ListedOnce && m_Settings.m_SecondListDelay.has_value();
   m_ListedOnce = true;
   m_RestorePending = false;
   m_Watching = !m_Settings.m_ListPeriod;
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -96,6 +96,9 @@
   model::Duration m_HearingDelay = std::chrono::seconds(2);
   /// If set: lists again after this period instead of watching.
   std::optional<model::Duration> m_ListPeriod;
+  /// With m_ListPeriod: the second list comes after this time instead, and is
+  /// up to date; others that start together write their objects meanwhile.
+  std::optional<model::Duration> m_SecondListDelay;
 
   friend auto operator<=>(const FeedSettings &, const FeedSettings &) = default;
 };
@@ -175,6 +178,8 @@
   bool m_CallInProgress = false;
   bool m_Watching = false;
   bool m_ListedOnce = false;
+  /// The next list is the second one.
+  bool m_IsSecondListDue = false;
   bool m_Failing = false;
   model::TimePoint m_NextCallAt;
   uint64_t m_Revision = 0;
--- a/Source/Core/Leases/LeaseTracker.cpp
+++ b/Source/Core/Leases/LeaseTracker.cpp
@@ -151,9 +151,11 @@
   const model::Duration Term = std::max(m_Record.m_Term, m_Settings.m_Term);
   // Each candidate before this node gets a term to acquire a free lease, and
   // half a term for an expired one.
-  const model::Duration Wait =
+  model::Duration Wait =
       Free ? m_Settings.m_Term * m_Rank
            : Term + m_Settings.m_Margin + m_Settings.m_Term / 2 * m_Rank;
+  if (!m_Version)
+    Wait = std::max(Wait, m_Settings.m_FirstDelay);
   return Now >= m_UnchangedSince + Wait;
 }
 
--- a/Source/Core/Leases/LeaseTracker.h
+++ b/Source/Core/Leases/LeaseTracker.h
@@ -25,6 +25,9 @@
   /// How long a holder that no longer has rank 0 keeps a lease before it
   /// releases it.
   model::Duration m_HandOverDelay = std::chrono::seconds(30);
+  /// How long a lease that nobody has ever held is left, so that candidates
+  /// that start together know their ranks.
+  model::Duration m_FirstDelay{0};
   model::Duration m_BackoffBase = std::chrono::milliseconds(100);
   model::Duration m_BackoffMax = std::chrono::seconds(2);
 };
--- a/Source/UnitTests/Gateway/ObjectFeedTest.cpp
+++ b/Source/UnitTests/Gateway/ObjectFeedTest.cpp
@@ -274,6 +274,26 @@
   CHECK(Feed.nextCall(at(2s))->m_Revision == 12);
 }
 
+// Guards against nodes that know only those that started before them for a
+// whole period, and take all duties for their own meanwhile.
+TEST_CASE("the second list comes soon and is up to date") {
+  unit_tests::fakes::FixedRandom FeedRandom(1);
+  FeedSettings Settings;
+  Settings.m_ListPeriod = 5s;
+  Settings.m_SecondListDelay = 1s;
+  ObjectFeed Feed(Settings, FeedRandom);
+  std::vector<model::Duration> Lists;
+  std::vector<bool> Stale;
+  for (model::Duration Now = 0s; Now < 14s; Now += 100ms)
+    if (const std::optional<FeedCall> Call = Feed.nextCall(at(Now))) {
+      Lists.push_back(Now);
+      Stale.push_back(Call->m_MayBeStale);
+      Feed.handleAnswer(answer(20, {object("a", 3)}), at(Now));
+    }
+  CHECK(Lists == std::vector<model::Duration>{0s, 1s, 6s, 11s});
+  CHECK(Stale == std::vector<bool>{false, false, true, true});
+}
+
 TEST_CASE("a feed that lists periodically keeps lost objects for one period") {
   unit_tests::fakes::FixedRandom FeedRandom(1);
   FeedSettings Settings;
--- a/Source/UnitTests/Leases/LeaseManagerTest.cpp
+++ b/Source/UnitTests/Leases/LeaseManagerTest.cpp
@@ -116,6 +116,26 @@
   CHECK(Net.reusedTokens() == 0);
 }
 
+// Guards against a fleet whose lease is held by its weakest node, since that
+// one was the first to start and no other was known yet.
+TEST_CASE(
+    "A lease that nobody has held goes to the first by rank, not by time") {
+  for (const seconds Delay : {seconds(0), seconds(2)}) {
+    LeaseNetwork Net(
+        3, false,
+        {.m_HandOverDelay = std::chrono::hours(24), .m_FirstDelay = Delay});
+    // Each believes to be alone, and the others have not started.
+    for (size_t I = 0; I < 2; ++I)
+      Net.pause(I, seconds(1));
+    Net.setRank(2, 0);
+    Net.run(seconds(1));
+    Net.setRank(2, 2);
+    Net.run(seconds(10));
+    CHECK(Net.held(0).has_value() == (Delay > seconds(0)));
+    CHECK(Net.maxHolders() == 1);
+  }
+}
+
 TEST_CASE("A holder that loses rank 0 hands the lease over to the new rank 0") {
   LeaseNetwork Net(2);
   Net.kill(0);
--- a/Source/UnitTests/Leases/LeaseNetwork.h
+++ b/Source/UnitTests/Leases/LeaseNetwork.h
@@ -38,8 +38,9 @@
   };
 
   /// \p WithEras: answers name the store's era, as on the users' platform.
-  explicit LeaseNetwork(size_t Nodes, bool WithEras = false)
-      : m_WithEras(WithEras) {
+  explicit LeaseNetwork(size_t Nodes, bool WithEras = false,
+                        const core::leases::LeaseSettings &Settings = {})
+      : m_Settings(Settings), m_WithEras(WithEras) {
     for (size_t I = 0; I < Nodes; ++I)
       m_Nodes.push_back(makeNode(I));
     for (size_t I = 0; I < Nodes; ++I)
@@ -106,6 +107,8 @@
   core::model::Duration m_Step = std::chrono::milliseconds(100);
 
 private:
+  const core::leases::LeaseSettings m_Settings;
+
   Node makeNode(size_t Index) {
     Node N;
     N.m_Id = core::model::NodeId("node-" + std::to_string(++m_LastNode));
@@ -113,7 +116,7 @@
     N.m_Governor = std::make_unique<core::leases::StoreGovernor>(
         core::leases::GovernorSettings(), *N.m_Random);
     N.m_Manager = std::make_unique<core::leases::LeaseManager>(
-        core::leases::LeaseSettings(), N.m_Id, *N.m_Governor, *N.m_Random);
+        m_Settings, N.m_Id, *N.m_Governor, *N.m_Random);
     N.m_Offset = std::chrono::hours(Index);
     N.m_RatePerMille = Index % 2 == 0 ? 20 : -20;
     return N;
