Gateway: A store that answers nobody is not tried twice

A node that the store does not answer tried it with a call of its own beside the feed that finds out for all, also where no node could be asked in its place.

--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -143,7 +143,9 @@
 
 void StoreFeeds::probeStore() {
   const model::TimePoint Now = m_Clock.now();
-  if (!m_IsStoreRefused || m_IsProbing || Now < m_ProbeAt)
+  // Otherwise a feed finds out.
+  if (!m_IsStoreRefused || !worksForOthers(Now) || m_IsProbing ||
+      Now < m_ProbeAt)
     return;
   m_IsProbing = true;
   gateway::FeedCall Call;
@@ -156,13 +158,15 @@
                });
 }
 
+bool StoreFeeds::worksForOthers(model::TimePoint Now) const {
+  return m_SourceAnsweredAt && Now - *m_SourceAnsweredAt < SourceAnswerAge;
+}
+
 void StoreFeeds::onStoreCallEnded(bool IsAnswered) {
   const model::TimePoint Now = m_Clock.now();
   m_IsStoreRefused = !IsAnswered;
   m_ProbeAt = Now + ProbePeriod;
-  const bool WorksForOthers =
-      m_SourceAnsweredAt && Now - *m_SourceAnsweredAt < SourceAnswerAge;
-  if (!IsAnswered && !WorksForOthers)
+  if (!IsAnswered && !worksForOthers(Now))
     m_Health.recordFailure(Now);
   else if (IsAnswered && m_Health.recordAnswer())
     for (Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -120,6 +120,8 @@
   nodeToAsk(const core::gateway::FeedCall &Call) const;
   /// Finds out, while other nodes are asked, whether the store answers again.
   void probeStore();
+  /// A node that reads the store has answered lately.
+  bool worksForOthers(model::TimePoint Now) const;
   void onStoreCallEnded(bool IsAnswered);
   void updateReach();
   bool isHeldBack(const Feed &Source) const;
