--- a/Source/UnitTests/Adapters/Curl/CurlMultiTest.cpp
+++ b/Source/UnitTests/Adapters/Curl/CurlMultiTest.cpp
@@ -64,7 +64,7 @@
     REQUIRE(::getsockname(m_Listener.get(), Address, &Length) == 0);
     for (int I = 0; I < 4; ++I) {
       m_Waiting.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-      ::connect(m_Waiting.back().get(), Address, Length);
+      static_cast<void>(::connect(m_Waiting.back().get(), Address, Length));
     }
   }
 
--- a/Source/UnitTests/Gateway/FeedSourceChooserTest.cpp
+++ b/Source/UnitTests/Gateway/FeedSourceChooserTest.cpp
@@ -105,7 +105,7 @@
     CHECK_FALSE(Chooser.chooseSource(at(30s)));
     Chooser.onSourceHeard(Each, at(30s));
     CHECK_FALSE(Chooser.chooseSource(at(30s)));
-    const NodeEntry Source = Nodes[Each.m_Node == Nodes[0].m_Node ? 1 : 0];
+    const NodeEntry &Source = Nodes[Each.m_Node == Nodes[0].m_Node ? 1 : 0];
     Chooser.onSourceHeard(Source, at(30s));
     CHECK(Chooser.chooseSource(at(32s)) == Source);
     CHECK_FALSE(Chooser.chooseSource(at(33s)));
