--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -93,14 +93,13 @@
   m_Traffic->setPeers(Nodes);
 }
 
-void GatewayControl::onStoreReachChanged(const StoreReach &Reach) {
+void GatewayControl::onStoreReachChanged(const gateway::StoreReach &Reach) {
   m_Log.write("dependency", "reach",
               {{"dependency", "store"},
                {"source", Reach.m_IsSource ? "yes" : "no"},
                {"announces", Reach.m_Announces ? "yes" : "no"},
                {"refused", Reach.m_IsRefused ? "yes" : "no"}});
-  m_Traffic->setStoreReach(Reach.m_IsSource, Reach.m_Announces,
-                           Reach.m_IsRefused);
+  m_Traffic->setStoreReach(Reach);
 }
 
 void GatewayControl::onStoreEraChanged(std::optional<model::StoreEra> Old,
--- a/Source/Core/Adapters/Gateway/GatewayControl.h
+++ b/Source/Core/Adapters/Gateway/GatewayControl.h
@@ -73,7 +73,7 @@
   void onConfigProven(model::TimePoint At) override;
   void
   onNodesChanged(const std::vector<core::gateway::NodeEntry> &Nodes) override;
-  void onStoreReachChanged(const StoreReach &Reach) override;
+  void onStoreReachChanged(const core::gateway::StoreReach &Reach) override;
   void onStoreEraChanged(std::optional<model::StoreEra> Old,
                          model::StoreEra New) override;
   void onLeaseChanged(const std::optional<model::HeldLease> &Held) override;
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -222,8 +222,8 @@
   Notice.m_Start = m_Start;
   Notice.m_Sequence = ++m_Sequence;
   Notice.m_HoldsLease = m_HoldsLease;
-  Notice.m_IsSource = m_IsSource;
-  Notice.m_IsStoreRefused = m_IsStoreRefused;
+  Notice.m_IsSource = m_Reach.m_IsSource;
+  Notice.m_IsStoreRefused = m_Reach.m_IsRefused;
   if (isReady())
     Notice.m_ForwardingPort = m_Addresses.m_Forwarding.m_Port;
   const std::optional<std::string> Bytes = encodeNotice(Notice);
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -10,6 +10,7 @@
 #include "Core/Gateway/Dialect.h"
 #include "Core/Gateway/LivePeers.h"
 #include "Core/Gateway/RelayCore.h"
+#include "Core/Gateway/StoreReach.h"
 #include "Core/Model/Lease.h"
 #include "Core/Organisations/QuotaKeeper.h"
 #include "Core/Ports/Ports.h"
@@ -100,9 +101,8 @@
   void proveConfig(model::TimePoint At);
   void setPeers(std::vector<core::gateway::NodeEntry> Peers);
   void announceCopyChanges(std::vector<core::gateway::CopyChange> Changes);
-  /// What this node tells others of its way to the store; \p Announces: all of
-  /// them, not only those that get its notices anyway.
-  void setStoreReach(bool IsSource, bool Announces, bool IsRefused);
+  /// What this node tells others of its way to the store.
+  void setStoreReach(const core::gateway::StoreReach &Reach);
   void setHeldLease(std::optional<model::HeldLease> Held);
   /// What nodes had recorded of streams' origins when this one started.
   void restoreStreams(core::gateway::StreamNotice Record);
@@ -180,9 +180,7 @@
   core::organisations::QuotaKeeper m_QuotaKeeper;
   bool m_IsQuotaAskPosted = false;
   bool m_HasQuotaHolder = true;
-  bool m_IsSource = false;
-  bool m_AnnouncesSource = false;
-  bool m_IsStoreRefused = false;
+  core::gateway::StoreReach m_Reach;
   model::TimePoint m_AnnouncedAt;
   uint64_t m_Sequence = 0;
   model::TimePoint m_LoadNoticeSentAt;
--- a/Source/Core/Adapters/Gateway/GatewayTrafficAnnouncements.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTrafficAnnouncements.cpp
@@ -16,20 +16,17 @@
 
 } // namespace
 
-void GatewayTraffic::setStoreReach(bool IsSource, bool Announces,
-                                   bool IsRefused) {
-  m_Thread.loop().post([this, IsSource, Announces, IsRefused] {
-    const bool IsNews = Announces && !m_AnnouncesSource;
-    m_IsSource = IsSource;
-    m_AnnouncesSource = Announces;
-    m_IsStoreRefused = IsRefused;
+void GatewayTraffic::setStoreReach(const gateway::StoreReach &Reach) {
+  m_Thread.loop().post([this, Reach] {
+    const bool IsNews = Reach.m_Announces && !m_Reach.m_Announces;
+    m_Reach = Reach;
     if (IsNews)
       announce();
   });
 }
 
 void GatewayTraffic::tickAnnouncement() {
-  if ((m_HoldsLease || m_AnnouncesSource) &&
+  if ((m_HoldsLease || m_Reach.m_Announces) &&
       m_Clock.now() >= m_AnnouncedAt + AnnouncePeriod)
     announce();
 }
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -10,6 +10,7 @@
 #include "Core/Gateway/ObjectFeed.h"
 #include "Core/Gateway/RouteTable.h"
 #include "Core/Gateway/StoreHealth.h"
+#include "Core/Gateway/StoreReach.h"
 #include "Core/Ports/Ports.h"
 
 #include <map>
@@ -20,18 +21,6 @@
 
 namespace bronzepass::core::adapters::gateway {
 
-/// What other nodes have to know of this node's way to the store.
-struct StoreReach {
-  /// It reads the store itself, and may be asked for what it knows.
-  bool m_IsSource = false;
-  /// It has to tell all nodes so, not only those that get its notices anyway.
-  bool m_Announces = false;
-  /// The store does not answer it.
-  bool m_IsRefused = false;
-
-  friend auto operator<=>(const StoreReach &, const StoreReach &) = default;
-};
-
 /// Receives changes read from the store, on the control thread.
 class StoreEvents {
 public:
@@ -51,7 +40,7 @@
   /// Called with all current nodes, including this one.
   virtual void
   onNodesChanged(const std::vector<core::gateway::NodeEntry> &Nodes) = 0;
-  virtual void onStoreReachChanged(const StoreReach &Reach) = 0;
+  virtual void onStoreReachChanged(const core::gateway::StoreReach &Reach) = 0;
 };
 
 struct StoreFeedTimes {
@@ -183,7 +172,7 @@
   model::TimePoint m_ProbeAt;
   /// When a node that reads the store answered last.
   std::optional<model::TimePoint> m_SourceAnsweredAt;
-  StoreReach m_Reach;
+  core::gateway::StoreReach m_Reach;
   bool m_ShouldAnnounce = false;
   model::TimePoint m_AnnounceAt;
   core::gateway::EndpointRegistry m_Registry;
--- a/Source/Core/Gateway/FeedSourceChooser.h
+++ b/Source/Core/Gateway/FeedSourceChooser.h
@@ -26,6 +26,7 @@
   /// failure in a row.
   model::Duration m_BaseSuspension = std::chrono::seconds(5);
   model::Duration m_MaxSuspension = std::chrono::seconds(60);
+  /// The same where the node can't ask the store instead.
   model::Duration m_ShortSuspension = std::chrono::milliseconds(300);
   /// A source that was not heard for so long is none any more; they announce
   /// themselves each second.
--- a/Source/UnitTests/Adapters/Gateway/FeedNode.h
+++ b/Source/UnitTests/Adapters/Gateway/FeedNode.h
@@ -288,8 +288,8 @@
   }
   void onNodesChanged(
       const std::vector<core::gateway::NodeEntry> & /*Nodes*/) override {}
-  void onStoreReachChanged(
-      const core::adapters::gateway::StoreReach & /*Reach*/) override {}
+  void
+  onStoreReachChanged(const core::gateway::StoreReach & /*Reach*/) override {}
   void onEndpointsConfirmed(core::model::TimePoint AskedAt) override {
     const std::scoped_lock Lock(m_Mutex);
     m_Confirmed[AskedAt] = m_Draining.size();
