--- a/Source/Core/Gateway/PeerNotice.h
+++ b/Source/Core/Gateway/PeerNotice.h
@@ -96,8 +96,8 @@
   bool m_IsSource = false;
   /// The store does not answer the sender.
   bool m_IsStoreRefused = false;
-  /// If not empty, the notice tells nothing else but what the sender is: the
-  /// four fields above.
+  /// If not empty, the notice tells nothing else but whether the sender holds
+  /// the lease, reads the store or is refused by it.
   organisations::QuotaNotice m_Quotas;
 
   friend auto operator<=>(const PeerNotice &, const PeerNotice &) = default;
