Gateway: A confirmation that brings nothing skips no change

In a second in which watches hear nothing, a change below it was skipped.

The new case fails before (the next watch goes on from 9 in place of 5).

--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -96,8 +96,9 @@
   std::vector<FeedChange> Changes;
   for (const FeedObject &Object : Answer.m_Objects)
     apply(Object, Changes);
-  // A list that is under way finds out for itself what is missing from it.
-  if (m_Watching)
+  // A list that is under way finds out for itself what is missing from it, and
+  // an answer that brings nothing may have missed a change.
+  if (m_Watching && !Answer.m_Objects.empty())
     m_Revision = std::max(m_Revision, Answer.m_Revision);
   return Changes;
 }
--- a/Source/UnitTests/Gateway/ObjectFeedTest.cpp
+++ b/Source/UnitTests/Gateway/ObjectFeedTest.cpp
@@ -167,6 +167,18 @@
     }
 }
 
+// Guards against the same where the store was asked beside the watch.
+TEST_CASE("a confirmation that brings nothing skips no change") {
+  unit_tests::fakes::FixedRandom FeedRandom(1);
+  ObjectFeed Feed({}, FeedRandom);
+  Feed.nextCall(at(0s));
+  Feed.handleAnswer(answer(5, {object("a", 3)}), at(0s));
+  CHECK(Feed.handleConfirmation(answer(9, {})).empty());
+  CHECK(Feed.nextCall(at(0s))->m_Revision == 5);
+  CHECK(Feed.handleConfirmation(answer(9, {object("b", 8)})).size() == 1);
+  CHECK(Feed.revision() == 9);
+}
+
 // Guards against a watch that goes on from so long ago that the store has
 // dropped the history.
 TEST_CASE("a watch that hears nothing for long goes on from lately") {
