--- a/Source/Core/Adapters/Curl/CurlMulti.cpp
+++ b/Source/Core/Adapters/Curl/CurlMulti.cpp
@@ -202,7 +202,7 @@
                       void * /*SocketUser*/) {
     Impl &Self = *static_cast<Impl *>(User);
     if (What == CURL_POLL_REMOVE) {
-      if (Self.wasOnlyConnecting(Socket)) {
+      if (Self.neverConnected(Socket)) {
         Self.forget(Socket);
         return 0;
       }
@@ -268,7 +268,7 @@
   /// libcurl closes the descriptor of an attempt to connect by itself, and
   /// names it afterwards: another thread may have opened one of that number
   /// since.
-  bool wasOnlyConnecting(curl_socket_t Socket) const {
+  bool neverConnected(curl_socket_t Socket) const {
     const auto Last = m_LastUsers.find(Socket);
     if (Last == m_LastUsers.end())
       return false;
--- a/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayDaemon.cpp
@@ -111,7 +111,7 @@
   // Handing the duty over gains nothing and makes the new holder request a
   // report from every engine.
   Options.m_Lease.m_HandOverDelay = std::chrono::hours(24);
-  Options.m_Lease.m_FirstDelay = FirstLeaseDelay;
+  Options.m_Lease.m_InitialDelay = FirstLeaseDelay;
   return Options;
 }
 
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.cpp
@@ -243,7 +243,7 @@
   const bool IsUnknown = !m_Peers.contains(Notice.m_From);
   Peer &Sender = m_Peers[Notice.m_From];
   if (IsUnknown)
-    tellKeeperNodes();
+    updateQuotaNodes();
   Sender.m_Address = From;
   Sender.m_LastHeardAt = Now;
   noteSender(Notice, Sender);
@@ -376,7 +376,7 @@
           Now - *Each.second.m_LastHeardAt < PeerTimeout)
         Known.emplace(Each);
     m_Peers = std::move(Known);
-    tellKeeperNodes();
+    updateQuotaNodes();
   });
 }
 
--- a/Source/Core/Adapters/Gateway/GatewayTraffic.h
+++ b/Source/Core/Adapters/Gateway/GatewayTraffic.h
@@ -152,7 +152,7 @@
   /// Takes over what a notice says of its sender.
   void noteSender(const core::gateway::PeerNotice &Notice, Peer &Sender);
   /// Tells the keeper which nodes may have shares of quotas.
-  void tellKeeperNodes();
+  void updateQuotaNodes();
   void onQuotaNotice(const core::gateway::PeerNotice &Notice,
                      const model::Address &From);
   void onQuotaAnswer(const core::organisations::QuotaNotice &Answer);
--- a/Source/Core/Adapters/Gateway/GatewayTrafficQuotas.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayTrafficQuotas.cpp
@@ -32,7 +32,7 @@
   });
 }
 
-void GatewayTraffic::tellKeeperNodes() {
+void GatewayTraffic::updateQuotaNodes() {
   std::set<uint64_t> Nodes = {model::stableHash(m_Self.str())};
   for (const auto &Each : m_Peers)
     Nodes.insert(model::stableHash(Each.first.str()));
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -110,7 +110,7 @@
   /// Finds out, while other nodes are asked, whether the store answers again.
   void probeStore();
   /// A node that reads the store has answered lately.
-  bool worksForOthers(model::TimePoint Now) const;
+  bool storeAnswersOthers(model::TimePoint Now) const;
   void onStoreCallEnded(bool IsAnswered);
   void updateReach();
   bool isHeldBack(const Feed &Source) const;
@@ -119,8 +119,8 @@
                   const core::gateway::NodeEntry &Watcher);
   /// Whether what \p Reply says may be taken over; if not, why.
   std::optional<std::string>
-  faultOf(const Feed &Source, const core::gateway::FeedReply &Reply,
-          std::optional<model::TimePoint> ProvenAt) const;
+  reasonToReject(const Feed &Source, const core::gateway::FeedReply &Reply,
+                 std::optional<model::TimePoint> ProvenAt) const;
   void onWatcherReply(Feed &Source, const model::NodeId &Watcher,
                       const std::optional<core::gateway::FeedReply> &Reply,
                       const std::string &Reason);
--- a/Source/Core/Adapters/Gateway/StoreFeedsReach.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeedsReach.cpp
@@ -63,7 +63,7 @@
 void StoreFeeds::probeStore() {
   const model::TimePoint Now = m_Clock.now();
   // Otherwise a feed finds out.
-  if (!m_IsStoreRefused || !worksForOthers(Now) || m_IsProbing ||
+  if (!m_IsStoreRefused || !storeAnswersOthers(Now) || m_IsProbing ||
       Now < m_ProbeAt)
     return;
   m_IsProbing = true;
@@ -77,7 +77,7 @@
                });
 }
 
-bool StoreFeeds::worksForOthers(model::TimePoint Now) const {
+bool StoreFeeds::storeAnswersOthers(model::TimePoint Now) const {
   return m_SourceAnsweredAt && Now - *m_SourceAnsweredAt < SourceAnswerAge;
 }
 
@@ -85,7 +85,7 @@
   const model::TimePoint Now = m_Clock.now();
   m_IsStoreRefused = !IsAnswered;
   m_ProbeAt = Now + ProbePeriod;
-  if (!IsAnswered && !worksForOthers(Now))
+  if (!IsAnswered && !storeAnswersOthers(Now))
     m_Health.recordFailure(Now);
   else if (IsAnswered && m_Health.recordAnswer())
     for (Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
--- a/Source/Core/Adapters/Gateway/StoreFeedsWatchers.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeedsWatchers.cpp
@@ -26,8 +26,8 @@
 }
 
 std::optional<std::string>
-StoreFeeds::faultOf(const Feed &Source, const gateway::FeedReply &Reply,
-                    std::optional<model::TimePoint> ProvenAt) const {
+StoreFeeds::reasonToReject(const Feed &Source, const gateway::FeedReply &Reply,
+                           std::optional<model::TimePoint> ProvenAt) const {
   if (!Reply.m_IsAvailable)
     return " can't tell the state of the store";
   if (needsProof(Source) && (!ProvenAt || m_Clock.now() - *ProvenAt >
@@ -55,7 +55,7 @@
   if (Reply && Reply->m_ProofOffset)
     ProvenAt = std::min(Now, Source.m_AskedAt + *Reply->m_ProofOffset);
   const std::optional<std::string> Fault =
-      Reply ? faultOf(Source, *Reply, ProvenAt) : ": " + Reason;
+      Reply ? reasonToReject(Source, *Reply, ProvenAt) : ": " + Reason;
   if (!Fault) {
     m_Sources.onWatcherAnswered(Watcher);
     Source.m_ReadsStore = false;
--- a/Source/Core/Gateway/FeedSourceChooser.cpp
+++ b/Source/Core/Gateway/FeedSourceChooser.cpp
@@ -158,10 +158,11 @@
 }
 
 void FeedSourceChooser::onWatcherUnavailable(const model::NodeId &Watcher,
-                                             bool MayReturn,
+                                             bool IsRetriedSoon,
                                              model::TimePoint Now) {
-  m_Failures[Watcher] = {0, Now + (MayReturn ? m_Settings.m_ShortSuspension
-                                             : m_Settings.m_BaseSuspension)};
+  m_Failures[Watcher] = {0,
+                         Now + (IsRetriedSoon ? m_Settings.m_ShortSuspension
+                                              : m_Settings.m_BaseSuspension)};
 }
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/FeedSourceChooser.h
+++ b/Source/Core/Gateway/FeedSourceChooser.h
@@ -63,9 +63,9 @@
   /// The watcher did not answer.
   void onWatcherFailed(const model::NodeId &Watcher, model::TimePoint Now);
   /// The watcher answered that it can't tell the state of the store.
-  /// \p MayReturn: it is asked again soon, since the store does not answer this
-  /// node.
-  void onWatcherUnavailable(const model::NodeId &Watcher, bool MayReturn,
+  /// \p IsRetriedSoon: it is asked again soon, since the store does not answer
+  /// this node.
+  void onWatcherUnavailable(const model::NodeId &Watcher, bool IsRetriedSoon,
                             model::TimePoint Now);
 
   /// Whether this node watches the store for others.
--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -58,10 +58,10 @@
     apply(Object, Changes);
   if (m_Watching) {
     if (Answer.m_Objects.empty()) {
-      advanceQuietly(Answer.m_Revision, Now);
+      advanceWithDelay(Answer.m_Revision, Now);
       return Changes;
     }
-    m_Named.clear();
+    m_ReportedRevisions.clear();
     m_Revision = std::max(m_Revision, Answer.m_Revision);
     m_NextCallAt = Now + m_Settings.m_BatchDelay;
     return Changes;
@@ -81,13 +81,13 @@
   return Changes;
 }
 
-void ObjectFeed::advanceQuietly(uint64_t Named, model::TimePoint Now) {
+void ObjectFeed::advanceWithDelay(uint64_t Named, model::TimePoint Now) {
   if (Named > m_Revision)
-    m_Named.push_back({Now, Named});
-  while (!m_Named.empty() &&
-         Now - m_Named.front().m_At >= m_Settings.m_HearingDelay) {
-    m_Revision = std::max(m_Revision, m_Named.front().m_Revision);
-    m_Named.pop_front();
+    m_ReportedRevisions.push_back({Now, Named});
+  while (!m_ReportedRevisions.empty() &&
+         Now - m_ReportedRevisions.front().m_At >= m_Settings.m_RevisionDelay) {
+    m_Revision = std::max(m_Revision, m_ReportedRevisions.front().m_Revision);
+    m_ReportedRevisions.pop_front();
   }
 }
 
@@ -126,7 +126,7 @@
 
 void ObjectFeed::startList() {
   m_Watching = false;
-  m_Named.clear();
+  m_ReportedRevisions.clear();
   m_After.clear();
   m_ListedNames.clear();
   m_ListRevision.reset();
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -93,7 +93,7 @@
   model::Duration m_BatchDelay = std::chrono::milliseconds(50);
   /// A watch may hear nothing for some time and yet name a later revision: it
   /// is watched from the one that was named so long ago.
-  model::Duration m_HearingDelay = std::chrono::seconds(2);
+  model::Duration m_RevisionDelay = std::chrono::seconds(2);
   /// If set: lists again after this period instead of watching.
   std::optional<model::Duration> m_ListPeriod;
   /// With m_ListPeriod: the second list comes after this time instead, and is
@@ -160,14 +160,14 @@
 
 private:
   /// The revision that the answer to a watch named.
-  struct NamedRevision {
+  struct ReportedRevision {
     model::TimePoint m_At;
     uint64_t m_Revision = 0;
   };
 
   void apply(const FeedObject &Object, std::vector<FeedChange> &Changes);
   /// Goes on from an answer to a watch that brought nothing.
-  void advanceQuietly(uint64_t Named, model::TimePoint Now);
+  void advanceWithDelay(uint64_t Named, model::TimePoint Now);
   void startList();
   void finishList(std::vector<FeedChange> &Changes);
 
@@ -184,7 +184,7 @@
   model::TimePoint m_NextCallAt;
   uint64_t m_Revision = 0;
   /// Named by answers that brought nothing, oldest first; beyond m_Revision.
-  std::deque<NamedRevision> m_Named;
+  std::deque<ReportedRevision> m_ReportedRevisions;
   uint64_t m_CompleteFrom = 0;
   std::string m_After;
   std::set<std::string> m_ListedNames;
--- a/Source/Core/Leases/LeaseTracker.cpp
+++ b/Source/Core/Leases/LeaseTracker.cpp
@@ -155,7 +155,7 @@
       Free ? m_Settings.m_Term * m_Rank
            : Term + m_Settings.m_Margin + m_Settings.m_Term / 2 * m_Rank;
   if (!m_Version)
-    Wait = std::max(Wait, m_Settings.m_FirstDelay);
+    Wait = std::max(Wait, m_Settings.m_InitialDelay);
   return Now >= m_UnchangedSince + Wait;
 }
 
--- a/Source/Core/Leases/LeaseTracker.h
+++ b/Source/Core/Leases/LeaseTracker.h
@@ -27,7 +27,7 @@
   model::Duration m_HandOverDelay = std::chrono::seconds(30);
   /// How long a lease that nobody has ever held is left, so that candidates
   /// that start together know their ranks.
-  model::Duration m_FirstDelay{0};
+  model::Duration m_InitialDelay{0};
   model::Duration m_BackoffBase = std::chrono::milliseconds(100);
   model::Duration m_BackoffMax = std::chrono::seconds(2);
 };
--- a/Source/Core/Organisations/QuotaGate.cpp
+++ b/Source/Core/Organisations/QuotaGate.cpp
@@ -9,7 +9,7 @@
 
 constexpr double DemandUnit = 1e-3;
 /// An asking has room for so many organisations beside those with demand.
-constexpr size_t MaxTells = 32;
+constexpr size_t MaxShareReports = 32;
 /// Over which demand is averaged.
 constexpr double DemandSeconds = 0.4;
 /// Below this demand in a second, a node without a share asks for nothing.
@@ -238,7 +238,7 @@
   if (!IsDue && !IsUrgentDue)
     return std::nullopt;
   QuotaNotice Notice;
-  size_t TellCount = 0;
+  size_t ShareReports = 0;
   for (auto &Each : m_States) {
     State &Value = Each.second;
     if (!IsDue && Value.m_Need <= 0)
@@ -249,11 +249,11 @@
     const bool HasUse = Value.m_Need > 0 ||
                         Value.m_DemandPerSecond >= MinDemand ||
                         Value.m_Share > 0;
-    const bool Tells =
-        m_Holding != 0 && Value.m_TellsLeft > 0 && TellCount < MaxTells;
-    if (!HasUse && !Tells)
+    const bool ReportsShare = m_Holding != 0 && Value.m_ShareReportsLeft > 0 &&
+                              ShareReports < MaxShareReports;
+    if (!HasUse && !ReportsShare)
       continue;
-    TellCount += HasUse ? 0 : 1;
+    ShareReports += HasUse ? 0 : 1;
     Notice.m_Asks.push_back(askOf(Each.first, Value, Now));
   }
   m_IsUrgent = false;
@@ -290,8 +290,8 @@
     if (Found == m_States.end())
       continue;
     State &Value = Found->second;
-    if (Notice.m_Holding == m_Holding && Value.m_TellsLeft > 0)
-      --Value.m_TellsLeft;
+    if (Notice.m_Holding == m_Holding && Value.m_ShareReportsLeft > 0)
+      --Value.m_ShareReportsLeft;
     fill(Value, Now);
     if (Each.m_Granted > 0)
       Value.m_Lots.push_back({static_cast<double>(Each.m_Granted),
@@ -324,7 +324,7 @@
     return;
   m_Holding = Holding;
   for (auto &Each : m_States)
-    Each.second.m_TellsLeft = TellsNeeded;
+    Each.second.m_ShareReportsLeft = ShareReportsNeeded;
 }
 
 std::vector<QuotaUse> QuotaGate::use(model::TimePoint Now) const {
--- a/Source/Core/Organisations/QuotaGate.h
+++ b/Source/Core/Organisations/QuotaGate.h
@@ -123,10 +123,10 @@
     model::TimePoint m_ThereAt;
     QuotaUse m_Use;
     /// Askings that the holder has still to answer before it knows the share.
-    int m_TellsLeft = TellsNeeded;
+    int m_ShareReportsLeft = ShareReportsNeeded;
   };
   /// The second one names the answer to the first.
-  static constexpr int TellsNeeded = 2;
+  static constexpr int ShareReportsNeeded = 2;
 
   void fill(State &Value, model::TimePoint Now) const;
   void addDemand(State &Value, double Amount, model::TimePoint Now) const;
--- a/Source/Core/Organisations/QuotaKeeper.cpp
+++ b/Source/Core/Organisations/QuotaKeeper.cpp
@@ -34,7 +34,7 @@
     Organisation &Value = Found->second;
     if (IsNew) {
       Value.m_FilledAt = Now;
-      Value.m_Unsettled = nodesOfLate(Now);
+      Value.m_UnreportedNodes = recentNodes(Now);
     }
     fill(Value, Now);
     Value.m_Plan = Each.second;
@@ -55,11 +55,11 @@
     if (!m_Nodes.contains(Each))
       for (auto &Known : m_Organisations)
         if (Known.second.m_Unknown > 0)
-          Known.second.m_Unsettled.insert(Each);
+          Known.second.m_UnreportedNodes.insert(Each);
   m_Nodes = Nodes;
 }
 
-std::set<uint64_t> QuotaKeeper::nodesOfLate(model::TimePoint Now) const {
+std::set<uint64_t> QuotaKeeper::recentNodes(model::TimePoint Now) const {
   std::set<uint64_t> Nodes = m_Nodes;
   for (const auto &Each : m_RemovedAt)
     if (Now - Each.second <= m_Timing.m_ShareLifetime)
@@ -80,7 +80,7 @@
     Each.second = Organisation();
     Each.second.m_Plan = Plan;
     Each.second.m_FilledAt = Now;
-    Each.second.m_Unsettled = nodesOfLate(Now);
+    Each.second.m_UnreportedNodes = recentNodes(Now);
   }
 }
 
@@ -174,7 +174,8 @@
     Node.m_IsKnown = true;
     Value.m_Unknown -= std::min<uint64_t>(Value.m_Unknown, Ask.m_Share);
     // An earlier start of the node has ended, and its share with it.
-    if (Value.m_Unsettled.erase(Asker.m_Node) != 0 && Value.m_Unsettled.empty())
+    if (Value.m_UnreportedNodes.erase(Asker.m_Node) != 0 &&
+        Value.m_UnreportedNodes.empty())
       Value.m_Unknown = 0;
   }
   const uint32_t Before = Node.m_Most;
--- a/Source/Core/Organisations/QuotaKeeper.h
+++ b/Source/Core/Organisations/QuotaKeeper.h
@@ -78,7 +78,7 @@
     /// known.
     uint64_t m_Unknown = WholeShare;
     /// The nodes that may have them.
-    std::set<uint64_t> m_Unsettled;
+    std::set<uint64_t> m_UnreportedNodes;
     double m_DemandSum = 0;
     model::TimePoint m_SweptAt;
     /// By the start of each node.
@@ -96,7 +96,7 @@
   void hear(Organisation &Value, const QuotaAsker &Asker, NodeShare &Node,
             const QuotaAsk &Ask, model::TimePoint Now);
   /// The nodes that may have shares of an earlier holder's.
-  std::set<uint64_t> nodesOfLate(model::TimePoint Now) const;
+  std::set<uint64_t> recentNodes(model::TimePoint Now) const;
   static void setMost(Organisation &Value, NodeShare &Node, uint32_t Share);
 
   const QuotaTiming m_Timing;
--- a/Source/UnitTests/Leases/LeaseManagerTest.cpp
+++ b/Source/UnitTests/Leases/LeaseManagerTest.cpp
@@ -123,7 +123,7 @@
   for (const seconds Delay : {seconds(0), seconds(2)}) {
     LeaseNetwork Net(
         3, false,
-        {.m_HandOverDelay = std::chrono::hours(24), .m_FirstDelay = Delay});
+        {.m_HandOverDelay = std::chrono::hours(24), .m_InitialDelay = Delay});
     // Each believes to be alone, and the others have not started.
     for (size_t I = 0; I < 2; ++I)
       Net.pause(I, seconds(1));
