--- a/review/standins-2/Deployment.h
+++ b/review/standins-2/Deployment.h
@@ -144,6 +144,7 @@
   Node &operator=(const Node &) = delete;
 
   const std::string &name() const { return m_Name; }
+  pid_t process() const { return m_Pid; }
   uint16_t callerPort() const { return m_Port; }
   void start() {
     m_Pid = ::fork();
