--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -244,6 +244,10 @@
         // The platform forwards to ready machines: a try that meets none is no
         // attempt.
         Answers += Status != 0 ? 1 : 0;
+        if (Status != 0)
+          Log.write("client of " + Id + " gets status " +
+                    std::to_string(Status) + ", events to " +
+                    std::to_string(Mine.m_LastEvent));
         if (Before > 0 && Status == 503)
           ++Refused;
         if (Before > 0 && Mine.m_LastEvent > Before)
