Gateway: Log which slot of the record of streams a node writes

The log could not tell why no record was read: whether nobody had a slot, writes failed, or what was written was not found. The first choice of a slot and each change of it is logged with the inputs of the choice, and a record that is read empty too.

--- a/Source/Core/Adapters/Gateway/StreamRecorder.cpp
+++ b/Source/Core/Adapters/Gateway/StreamRecorder.cpp
@@ -72,12 +72,11 @@
       m_Keeper.onListed(Names, Records, Answer.m_HasMore);
   if (!All)
     return;
-  if (!All->isEmpty())
-    m_Log.write(
-        "streams", "record_read",
-        {{"origins", static_cast<int64_t>(All->m_Origins.size())},
-         {"mixed_services", static_cast<int64_t>(All->m_MixedServices.size())},
-         {"revision", static_cast<int64_t>(Answer.m_Revision)}});
+  m_Log.write(
+      "streams", "record_read",
+      {{"origins", static_cast<int64_t>(All->m_Origins.size())},
+       {"mixed_services", static_cast<int64_t>(All->m_MixedServices.size())},
+       {"revision", static_cast<int64_t>(Answer.m_Revision)}});
   m_Events.onStreamRecordRead(*All);
 }
 
@@ -107,9 +106,16 @@
   const uint32_t Rank = m_Candidates.rank();
   const std::optional<uint32_t> Slot =
       Rank < gateway::StreamRecordSlots ? std::optional(Rank) : std::nullopt;
-  if (Slot == m_Slot)
+  if (m_IsSlotDecided && Slot == m_Slot)
     return;
+  m_IsSlotDecided = true;
   m_Slot = Slot;
+  m_Log.write(
+      "streams", "record_slot",
+      {{"slot", Slot ? std::to_string(*Slot) : "none"},
+       {"rank", static_cast<int64_t>(Rank)},
+       {"unheard", static_cast<int64_t>(m_Candidates.unheardBefore())},
+       {"registered", static_cast<int64_t>(m_Candidates.registered())}});
   m_Keeper.setSlot(Slot);
   m_Events.onStreamRecordSlot(Slot);
 }
--- a/Source/Core/Adapters/Gateway/StreamRecorder.h
+++ b/Source/Core/Adapters/Gateway/StreamRecorder.h
@@ -62,6 +62,7 @@
   core::gateway::PlacementCandidates m_Candidates;
   core::gateway::StreamRecordKeeper m_Keeper;
   std::optional<uint32_t> m_Slot;
+  bool m_IsSlotDecided = false;
 };
 
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Gateway/PlacementCandidates.cpp
+++ b/Source/Core/Gateway/PlacementCandidates.cpp
@@ -4,6 +4,7 @@
 #include "Core/Gateway/PeerNotice.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace bronzepass::core::gateway {
@@ -42,17 +43,31 @@
   return !HearsAll && !m_IsHolderSilent && !m_HeardBefore.contains(Node);
 }
 
-uint32_t PlacementCandidates::rank() const {
+std::vector<model::NodeId> PlacementCandidates::nodesBefore() const {
   const bool HearsAll = m_Registered.size() <= MaxNoticeTargets + 1;
   const DutyRank Own = dutyRank(m_Duty, entryOf(m_Self));
   std::set<model::NodeId> Candidates = m_Heard;
   for (const auto &Each : m_Registered)
     Candidates.insert(Each.first);
+  std::vector<model::NodeId> Before;
+  std::copy_if(Candidates.begin(), Candidates.end(), std::back_inserter(Before),
+               [&](const model::NodeId &Node) {
+                 return Node != m_Self &&
+                        dutyRank(m_Duty, entryOf(Node)) > Own &&
+                        counts(Node, HearsAll);
+               });
+  return Before;
+}
+
+uint32_t PlacementCandidates::rank() const {
+  return static_cast<uint32_t>(nodesBefore().size());
+}
+
+uint32_t PlacementCandidates::unheardBefore() const {
+  const std::vector<model::NodeId> Before = nodesBefore();
   return static_cast<uint32_t>(std::count_if(
-      Candidates.begin(), Candidates.end(), [&](const model::NodeId &Node) {
-        return Node != m_Self && dutyRank(m_Duty, entryOf(Node)) > Own &&
-               counts(Node, HearsAll);
-      }));
+      Before.begin(), Before.end(),
+      [this](const model::NodeId &Node) { return !m_Heard.contains(Node); }));
 }
 
 } // namespace bronzepass::core::gateway
--- a/Source/Core/Gateway/PlacementCandidates.h
+++ b/Source/Core/Gateway/PlacementCandidates.h
@@ -5,6 +5,7 @@
 #include "Core/Gateway/LivePeers.h"
 #include "Core/Model/Id.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -33,8 +34,12 @@
   /// unless it was heard before and no longer is; and none that is not heard
   /// once the holder has been silent for long.
   uint32_t rank() const;
+  /// How many of them are registered, but not heard.
+  uint32_t unheardBefore() const;
+  size_t registered() const { return m_Registered.size(); }
 
 private:
+  std::vector<model::NodeId> nodesBefore() const;
   NodeEntry entryOf(const model::NodeId &Node) const;
   bool counts(const model::NodeId &Node, bool HearsAll) const;
 
