Gateway: Loads and notices go to live nodes before those that are gone

Cause: a node tells 24 of all registered nodes what it knows, chosen by weight, so that of seven live peers it told one or none. Now the lease holder comes first, then peers that are alive, then those that were heard last, so that one that is cut off one way is still told where there is room.

PeerDirectoryTests: beside 0 to 1,000 entries, each of 2 to 80 live nodes tells all the others, or 24.

--- a/Source/Core/Gateway/PeerDirectory.cpp
+++ b/Source/Core/Gateway/PeerDirectory.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 namespace bronzepass::core::gateway {
@@ -70,6 +71,12 @@
   return Now - *Known.m_LastHeardAt < Lifetime;
 }
 
+bool PeerDirectory::hadTimeToAnswer(const Peer &Known,
+                                    model::TimePoint Now) const {
+  return Known.m_FirstSentAt &&
+         Now - *Known.m_FirstSentAt >= m_Timing.m_FirstAnswerTime;
+}
+
 LivePeers PeerDirectory::livePeers(model::TimePoint Now) const {
   LivePeers Live;
   for (const auto &Each : m_Peers) {
@@ -80,20 +87,25 @@
       Live.m_HasHolder = Live.m_HasHolder || Known.m_HoldsLease;
       continue;
     }
-    const bool HadTime = Known.m_FirstSentAt && Now - *Known.m_FirstSentAt >=
-                                                    m_Timing.m_FirstAnswerTime;
-    if (Known.m_LastHeardAt || HadTime)
+    if (Known.m_LastHeardAt || hadTimeToAnswer(Known, Now))
       Live.m_Silent.push_back(Each.first);
   }
   return Live;
 }
 
-std::set<model::NodeId> PeerDirectory::loadTargets() const {
-  using Rank = std::pair<bool, uint64_t>;
+std::set<model::NodeId> PeerDirectory::loadTargets(model::TimePoint Now) const {
+  using Rank = std::tuple<bool, bool, model::TimePoint, uint64_t>;
   std::vector<std::pair<Rank, const model::NodeId *>> Ranked;
-  for (const auto &Each : m_Peers)
+  for (const auto &Each : m_Peers) {
+    const Peer &Known = Each.second;
+    const bool IsAlive = isAlive(Known, Now);
+    const model::TimePoint SilentSince =
+        IsAlive ? model::TimePoint()
+                : Known.m_LastHeardAt.value_or(model::TimePoint());
     Ranked.push_back(
-        {{Each.second.m_HoldsLease, Each.second.m_Weight}, &Each.first});
+        {{Known.m_HoldsLease, IsAlive, SilentSince, Known.m_Weight},
+         &Each.first});
+  }
   const size_t Count = std::min(Ranked.size(), MaxNoticeTargets);
   const auto End = Ranked.begin() + static_cast<std::ptrdiff_t>(Count);
   std::partial_sort(Ranked.begin(), End, Ranked.end(), std::greater<>());
@@ -116,14 +128,14 @@
 std::vector<model::Address>
 PeerDirectory::takeLoadTargets(model::TimePoint Now) {
   std::vector<model::Address> Addresses;
-  for (const model::NodeId &Each : loadTargets())
+  for (const model::NodeId &Each : loadTargets(Now))
     Addresses.push_back(take(m_Peers.at(Each), true, Now));
   return Addresses;
 }
 
 std::vector<model::Address> PeerDirectory::takeOthers(bool HasLoads,
                                                       model::TimePoint Now) {
-  const std::set<model::NodeId> Targets = loadTargets();
+  const std::set<model::NodeId> Targets = loadTargets(Now);
   std::vector<model::Address> Addresses;
   for (auto &Each : m_Peers)
     if (!Targets.contains(Each.first))
@@ -135,14 +147,15 @@
                                   model::TimePoint Now) const {
   if (!Known.m_LastSentAt)
     return true;
-  model::Duration Period =
-      isAlive(Known, Now)
-          ? greetingPeriod(m_Timing.m_GreetingPeriod, m_AliveCount)
-          : greetingPeriod(m_Timing.m_SilentGreetingPeriod,
-                           m_Peers.size() - m_AliveCount);
+  const model::Duration Since = Now - *Known.m_LastSentAt;
   if (Known.m_LastSentAt == Known.m_LoadsSentAt)
-    Period = m_Timing.m_FirstGreetingDelay;
-  return Now - *Known.m_LastSentAt >= Period;
+    return Since >= m_Timing.m_FirstGreetingDelay;
+  if (isAlive(Known, Now))
+    return Since >= greetingPeriod(m_Timing.m_GreetingPeriod, m_AliveCount);
+  if (!hadTimeToAnswer(Known, Now))
+    return Since >= m_Timing.m_FirstGreetingPeriod;
+  return Since >= greetingPeriod(m_Timing.m_SilentGreetingPeriod,
+                                 m_Peers.size() - m_AliveCount);
 }
 
 std::vector<model::Address> PeerDirectory::takeGreetings(model::TimePoint Now) {
--- a/Source/Core/Gateway/PeerDirectory.h
+++ b/Source/Core/Gateway/PeerDirectory.h
@@ -34,10 +34,12 @@
   model::Duration m_GreetingSpacing = std::chrono::milliseconds(20);
   /// Greetings that may be lost before a peer no longer counts as alive.
   int m_LostGreetings = 3;
-  /// A peer that is alive answers its first greeting within this time.
+  /// A peer that is alive answers one of its first greetings within this time.
   model::Duration m_FirstAnswerTime = std::chrono::seconds(3);
+  /// Between these first ones.
+  model::Duration m_FirstGreetingPeriod = std::chrono::seconds(1);
   /// Greetings in one call of takeGreetings().
-  size_t m_MaxGreetings = 50;
+  size_t m_MaxGreetings = 100;
 
   friend auto operator<=>(const PeerTiming &, const PeerTiming &) = default;
 };
@@ -81,7 +83,7 @@
   LivePeers livePeers(model::TimePoint Now) const;
 
   /// Those that are sent this node's loads now, at most MaxNoticeTargets: the
-  /// lease holder, then others in rendezvous order.
+  /// lease holder, then peers that are alive, then those that were heard last.
   std::vector<model::Address> takeLoadTargets(model::TimePoint Now);
   /// The same, of all other peers; \p HasLoads: the notice counts as loads.
   std::vector<model::Address> takeOthers(bool HasLoads, model::TimePoint Now);
@@ -89,8 +91,9 @@
   std::vector<model::Address> takeGreetings(model::TimePoint Now);
 
 private:
-  std::set<model::NodeId> loadTargets() const;
+  std::set<model::NodeId> loadTargets(model::TimePoint Now) const;
   model::Duration greetingPeriod(model::Duration Least, size_t Peers) const;
+  bool hadTimeToAnswer(const Peer &Known, model::TimePoint Now) const;
   bool isGreetingDue(const Peer &Known, model::TimePoint Now) const;
   static model::Address take(Peer &Known, bool HasLoads, model::TimePoint Now);
 
--- a/Source/UnitTests/Gateway/PeerDirectoryTest.cpp
+++ b/Source/UnitTests/Gateway/PeerDirectoryTest.cpp
@@ -35,6 +35,20 @@
       }
 }
 
+// Guards against what a node knows of requests that crash engines being told to
+// nodes that are gone.
+TEST_CASE("loads go to live nodes before those that are gone") {
+  for (const size_t Live : {2U, 8U, 26U, 80U})
+    for (const size_t Gone : {0U, 3U, 26U, 240U, 1000U}) {
+      CAPTURE(Live);
+      CAPTURE(Gone);
+      PeerFleet Fleet(Live, Gone, 1, LossShare);
+      Fleet.run(StartTakeover);
+      for (size_t I = 0; I < Live; ++I)
+        CHECK(Fleet.liveTargets(I) == std::min(Live - 1, MaxNoticeTargets));
+    }
+}
+
 TEST_CASE("nodes that end while others run are replaced in their duty, one by "
           "one and together") {
   for (const size_t Live : {6U, 26U, 80U})
