Gateway: Entries of nodes that are gone are removed from the store

By the number of entries a node divides limits, the slack of retries and paces, and expects notices: six live nodes beside 48 entries had a ninth of their own shares, and asked the store for each stream that was taken up, since they never heard half of 24 tellers.

The holder of the placement lease, to which all nodes send their loads, now removes the entry of a node that was silent for 20 s, under the condition of its revision, at most ten a second. A node whose entry is missing in the list registers again. Silence before this node held the lease, during a pause of its own or before a restore of the store does not count; one that came back is left for twice as long; a holder that hears nobody waits for 60 s.

--- a/Source/Core/Adapters/Gateway/GatewayControl.cpp
+++ b/Source/Core/Adapters/Gateway/GatewayControl.cpp
@@ -120,6 +120,7 @@
 
 void GatewayControl::onLeaseChanged(
     const std::optional<model::HeldLease> &Held) {
+  m_Feeds.setHolder(Held.has_value());
   m_Traffic->setHeldLease(Held);
 }
 
@@ -153,6 +154,7 @@
   m_Thread.loop().post([this, Peers = std::move(Peers)] {
     m_Placement.onLivePeers(Peers);
     m_StreamRecorder.onLivePeers(Peers);
+    m_Feeds.onLivePeers(Peers);
   });
 }
 
--- a/Source/Core/Adapters/Gateway/StoreFeeds.cpp
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr model::Duration RegisterTimeout = std::chrono::milliseconds(1500);
-constexpr model::Duration RegisterRetry = std::chrono::milliseconds(1500);
 /// After a restore of the store each node waits a random part of this before it
 /// reads and registers again, so that not all nodes call at once.
 constexpr model::Duration RestoreSpread = std::chrono::milliseconds(300);
@@ -72,6 +70,7 @@
       m_Sources(Self.m_Node, gateway::FeedSourceSettings()),
       m_Self(std::move(Self)), m_Dialect(Dialect), m_Clock(Clock),
       m_Random(Random), m_Log(Log), m_Events(Events),
+      m_StaleNodes(gateway::StaleNodeSettings()),
       m_Registry(gateway::lapsedRetention(Times.m_ContactTime)),
       m_ConfigFeed(gateway::FeedKind::Config, "config",
                    configFeedSettings(Times), Random),
@@ -92,6 +91,7 @@
   probeStore();
   updateReach();
   registerSelf();
+  removeStaleNode();
 }
 
 bool StoreFeeds::isHeldBack(const Feed &Source) const {
@@ -148,6 +148,7 @@
 void StoreFeeds::onStoreRestored() {
   const model::TimePoint Now = m_Clock.now();
   m_Health.recordRestore(Now);
+  m_StaleNodes.onStoreRestored(Now);
   for (const Feed *const Each : {&m_ConfigFeed, &m_EndpointFeed, &m_NodeFeed})
     m_Relay.publisher(Each->m_Kind).clear();
   m_Registry.onStoreRestored(Now);
@@ -292,29 +293,10 @@
                  {"born_ms", Entry.m_StartedAtMs}});
 }
 
-void StoreFeeds::handleNode(const gateway::FeedChange &Change) {
-  m_Nodes.erase(model::NodeId(Change.m_Name));
-  if (!Change.m_Content)
-    return;
-  const gateway::Decoded<gateway::NodeEntry> Parsed =
-      m_Dialect.readNode(Change.m_Name, *Change.m_Content);
-  m_Log.writeFindings("node", Change.m_Name, Parsed.m_Findings);
-  if (Parsed.m_Value)
-    m_Nodes[Parsed.m_Value->m_Node] = *Parsed.m_Value;
-}
-
 void StoreFeeds::publishEndpoints() {
   m_Events.onEndpointsChanged(m_Registry.entries());
 }
 
-void StoreFeeds::publishNodes() {
-  std::vector<gateway::NodeEntry> Nodes;
-  for (const auto &Each : m_Nodes)
-    Nodes.push_back(Each.second);
-  updateSources(Nodes);
-  m_Events.onNodesChanged(Nodes);
-}
-
 void StoreFeeds::updateSources(const std::vector<gateway::NodeEntry> &Nodes) {
   m_Sources.setNodes(Nodes);
   const bool Relays = m_Sources.hasFollowers();
@@ -334,50 +316,4 @@
   updateStandings();
 }
 
-void StoreFeeds::registerSelf() {
-  const model::TimePoint Now = m_Clock.now();
-  if (m_Registered || m_Registering || m_Leaving || Now < m_RegisterAt ||
-      !m_NodeFeed.m_Feed.isCurrent())
-    return;
-  const auto Known = m_Nodes.find(m_Self.m_Node);
-  const bool IsKnown = Known != m_Nodes.end() && !m_RegisterAgain;
-  if (IsKnown && Known->second == m_Self) {
-    m_Registered = true;
-    return;
-  }
-  m_Registering = true;
-  const bool Create = m_RegisterAsNew && !IsKnown;
-  m_Store.call(m_Dialect.writeNode(m_Self, Create), RegisterTimeout, false,
-               [this, Create, Registration = ++m_Registration](
-                   const gateway::HttpResult &Result) {
-                 constexpr int FirstFailure = 300;
-                 constexpr int Conflict = 409;
-                 if (Registration != m_Registration)
-                   return;
-                 m_Registering = false;
-                 m_Registered =
-                     Result.m_Status > 0 && Result.m_Status < FirstFailure;
-                 // The entry already existed, or was removed meanwhile: the
-                 // next attempt updates or creates it instead.
-                 if (m_Registered || Result.m_Status == Conflict)
-                   m_RegisterAgain = false;
-                 m_RegisterAsNew = Create ? Result.m_Status != Conflict : true;
-                 m_RegisterAt = m_Clock.now() + RegisterRetry;
-               });
-}
-
-void StoreFeeds::leave() {
-  m_Leaving = true;
-  m_Relay.close();
-  if (!m_Registered)
-    return;
-  // Otherwise the peers would keep sending notices to this node.
-  m_Store.call(
-      m_Dialect.removeNode(m_Self.m_Node), RegisterTimeout, false,
-      [this](const gateway::HttpResult &Result) {
-        if (Result.m_Status == 0)
-          m_Log.write("dependency", "entry_left", {{"reason", "no answer"}});
-      });
-}
-
 } // namespace bronzepass::core::adapters::gateway
--- a/Source/Core/Adapters/Gateway/StoreFeeds.h
+++ b/Source/Core/Adapters/Gateway/StoreFeeds.h
@@ -7,8 +7,10 @@
 #include "Core/Gateway/Dialect.h"
 #include "Core/Gateway/EndpointRegistry.h"
 #include "Core/Gateway/FeedSourceChooser.h"
+#include "Core/Gateway/LivePeers.h"
 #include "Core/Gateway/ObjectFeed.h"
 #include "Core/Gateway/RouteTable.h"
+#include "Core/Gateway/StaleNodeFinder.h"
 #include "Core/Gateway/StoreHealth.h"
 #include "Core/Gateway/StoreReach.h"
 #include "Core/Ports/Ports.h"
@@ -79,6 +81,10 @@
   /// Another node has told that it reads the store itself.
   void onSourceHeard(const core::gateway::NodeEntry &Source);
   void onSourceLost(const model::NodeId &Node);
+  /// Sets the nodes that are heard.
+  void onLivePeers(const core::gateway::LivePeers &Peers);
+  /// The holder of the placement lease removes entries of nodes that are gone.
+  void setHolder(bool IsHolder);
   /// Removes this node's entry from the store and writes no new one.
   void leave();
 
@@ -153,6 +159,9 @@
   void publishEndpoints();
   void publishNodes();
   void registerSelf();
+  /// Registers again if another node has removed this one's entry.
+  void checkOwnEntry();
+  void removeStaleNode();
 
   StoreClient &m_Store;
   FeedRelay &m_Relay;
@@ -175,6 +184,7 @@
   core::gateway::StoreReach m_Reach;
   bool m_ShouldAnnounce = false;
   model::TimePoint m_AnnounceAt;
+  core::gateway::StaleNodeFinder m_StaleNodes;
   core::gateway::EndpointRegistry m_Registry;
   std::map<model::NodeId, core::gateway::NodeEntry> m_Nodes;
   uint64_t m_ConfigVersion = 0;
@@ -194,6 +204,7 @@
   /// Another confirmation was asked for since.
   bool m_ConfirmsAgain = false;
   model::TimePoint m_RegisterAt;
+  model::TimePoint m_RegisteredAt;
   Feed m_ConfigFeed;
   Feed m_EndpointFeed;
   Feed m_NodeFeed;
--- a/Source/Core/Gateway/Dialect.h
+++ b/Source/Core/Gateway/Dialect.h
@@ -145,7 +145,9 @@
                                       const std::string &Content) const = 0;
   /// Writes a node's entry: creates it, or replaces the existing one.
   virtual HttpCall writeNode(const NodeEntry &Entry, bool Create) const = 0;
-  virtual HttpCall removeNode(const model::NodeId &Node) const = 0;
+  /// Removes a node's entry; with \p Revision, only if that is the entry's.
+  virtual HttpCall removeNode(const model::NodeId &Node,
+                              std::optional<uint64_t> Revision) const = 0;
   /// A call on the recorded origins of streams. A list is read by readFeed(),
   /// its objects by readStreamRecord().
   virtual HttpCall streamRecordCall(const StreamRecordCall &Call) const = 0;
--- a/Source/Core/Gateway/ObjectFeed.cpp
+++ b/Source/Core/Gateway/ObjectFeed.cpp
@@ -124,6 +124,14 @@
   m_NextCallAt = Now + leases::fullJitter(MaxDelay, m_Random);
 }
 
+std::optional<uint64_t> ObjectFeed::revisionOf(const std::string &Name) const {
+  const auto Found = m_Seen.find(Name);
+  if (Found == m_Seen.end() || Found->second.m_Deleted ||
+      Found->second.m_Revision == 0)
+    return std::nullopt;
+  return Found->second.m_Revision;
+}
+
 void ObjectFeed::startList() {
   m_Watching = false;
   m_ReportedRevisions.clear();
--- a/Source/Core/Gateway/ObjectFeed.h
+++ b/Source/Core/Gateway/ObjectFeed.h
@@ -136,6 +136,10 @@
   /// in flight. The next list is made within \p MaxDelay, at a random time.
   void onStoreRestored(model::TimePoint Now, model::Duration MaxDelay);
 
+  /// The revision of an object in the store; nullopt if it is not known, or
+  /// was not seen since the last restore.
+  std::optional<uint64_t> revisionOf(const std::string &Name) const;
+
   /// At least one list has been completed.
   bool isComplete() const { return m_ListedOnce; }
   /// The objects have been listed since the last restore.
--- a/Source/UnitTests/Losses/GoneNodes.cpp
+++ b/Source/UnitTests/Losses/GoneNodes.cpp
@@ -19,6 +19,10 @@
 constexpr int EngineCount = 12;
 /// Within which a record has to stand in the store.
 constexpr std::chrono::seconds RecordLimit = 6s;
+/// Within which entries of nodes that are gone have to be removed, and one that
+/// was taken away from a live node has to be back.
+constexpr std::chrono::seconds RemovalLimit = 60s;
+constexpr std::chrono::seconds ReturnLimit = 10s;
 constexpr std::chrono::seconds ContactTime = 3s;
 /// Engines that a request may reach after that.
 constexpr int MaxLateEngines = 3;
@@ -130,6 +134,42 @@
   return 0;
 }
 
+int runRemoval(const std::string &Folder, uint16_t Port) {
+  constexpr size_t Live = 4;
+  constexpr size_t Gone = 60;
+  GoneNodes Nodes(Folder, Port, Live, Gone);
+  if (!Nodes.start()) {
+    std::cerr << "broken: a node does not become ready" << std::endl;
+    return 1;
+  }
+  const auto AwaitEntries = [&](size_t Count, std::chrono::seconds Limit) {
+    const soak::SteadyTime Start = std::chrono::steady_clock::now();
+    while (Nodes.store().names("bronzepass-nodes").size() != Count) {
+      if (std::chrono::steady_clock::now() > Start + Limit) {
+        std::cerr << "broken: "
+                  << Nodes.store().names("bronzepass-nodes").size()
+                  << " entries of nodes instead of " << Count << std::endl;
+        return false;
+      }
+      std::this_thread::sleep_for(LookPeriod);
+    }
+    std::cerr << Count << " entries after "
+              << std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::steady_clock::now() - Start)
+                     .count()
+              << " ms" << std::endl;
+    return true;
+  };
+  if (!AwaitEntries(Live + Gone, ReturnLimit))
+    return 1;
+  // Long enough to be taken for gone as well.
+  Nodes.pause(0);
+  if (!AwaitEntries(Live - 1, RemovalLimit))
+    return 1;
+  Nodes.resume(0);
+  return AwaitEntries(Live, ReturnLimit) ? 0 : 1;
+}
+
 int runQuarantine(const std::string &Folder, uint16_t Port) {
   constexpr size_t Live = 8;
   constexpr size_t Gone = 240;
--- a/Source/UnitTests/Losses/GoneNodes.h
+++ b/Source/UnitTests/Losses/GoneNodes.h
@@ -46,6 +46,7 @@
 
 /// Each test returns the status of the process.
 int runRecord(const std::string &Folder, uint16_t Port);
+int runRemoval(const std::string &Folder, uint16_t Port);
 int runQuarantine(const std::string &Folder, uint16_t Port);
 
 } // namespace bronzepass::unit_tests::losses
--- a/Source/UnitTests/Losses/LossesMain.cpp
+++ b/Source/UnitTests/Losses/LossesMain.cpp
@@ -193,6 +193,8 @@
     return runChange(Folder, Port, Name == "change");
   if (Name == "gone-record")
     return losses::runRecord(Folder, Port);
+  if (Name == "gone-removal")
+    return losses::runRemoval(Folder, Port);
   if (Name == "gone-quarantine")
     return losses::runQuarantine(Folder, Port);
   return runRestart(Folder, Port,
--- a/Source/UnitTests/Soak/PlatformStore.cpp
+++ b/Source/UnitTests/Soak/PlatformStore.cpp
@@ -140,6 +140,10 @@
   if (Request.m_Method == "DELETE") {
     if (!Exists)
       return {404};
+    const std::string Condition = Request.query("Revision");
+    if (!Condition.empty() &&
+        Condition != std::to_string(Found->second.m_Revision))
+      return {409, toJson(Name, Found->second)};
     apply({0, Kind, Name, std::nullopt});
     return {200};
   }
