Curl: An answer whose head has lines that are no header field is broken off

Cause: an answer's head was split at each line's first colon and passed on unchecked. Now each line is read as a field, and an answer with one that is none counts as failed.

--- a/Source/Core/Adapters/Curl/CurlTransfer.cpp
+++ b/Source/Core/Adapters/Curl/CurlTransfer.cpp
@@ -1,5 +1,6 @@
 #include "Core/Adapters/Curl/CurlTransfer.h"
 
+#include "Core/Adapters/Curl/HeaderField.h"
 #include "Core/Model/HeaderValue.h"
 #include "Core/Model/LowerCase.h"
 
@@ -10,6 +11,7 @@
 #include <optional>
 #include <string_view>
 #include <sys/socket.h>
+#include <utility>
 
 namespace bronzepass::core::adapters::curl {
 
@@ -27,14 +29,6 @@
 /// What keeping a line takes beside its bytes.
 constexpr uint64_t LineOverhead = 256;
 
-void addHeaderLine(TransferHead &Head, std::string_view Line) {
-  const size_t Colon = Line.find(':');
-  if (Colon == std::string_view::npos)
-    return;
-  Head.m_Lines.emplace_back(Line.substr(0, Colon),
-                            model::trimBlanks(Line.substr(Colon + 1)));
-}
-
 bool hasBody(const TransferRequest &Request, int Status) {
   constexpr int NoContent = 204;
   constexpr int NotModified = 304;
@@ -85,10 +79,18 @@
     Running.m_AbortReason = "another answer begins inside the head";
     return 0;
   }
-  if (Line.substr(0, 5) == "HTTP/")
+  if (Line.substr(0, 5) == "HTTP/") {
     Running.m_Head = {};
+    return Line.size();
+  }
   if (!model::trimBlanks(Line).empty()) {
-    addHeaderLine(Running.m_Head, Line);
+    std::optional<std::pair<std::string, std::string>> Field =
+        readHeaderField(Line);
+    if (!Field) {
+      Running.m_AbortReason = "a line of the answer's head is no header field";
+      return 0;
+    }
+    Running.m_Head.m_Lines.push_back(std::move(*Field));
     return Line.size();
   }
   long Status = 0;
--- a/Source/Core/Adapters/Front/ChunkReader.cpp
+++ b/Source/Core/Adapters/Front/ChunkReader.cpp
@@ -1,6 +1,6 @@
 #include "Core/Adapters/Front/ChunkReader.h"
 
-#include "Core/Adapters/Front/HeaderText.h"
+#include "Core/Model/HeaderName.h"
 
 #include <algorithm>
 #include <optional>
@@ -126,14 +126,14 @@
   case Place::TrailerStart:
     if (Byte == '\r')
       return goTo(Place::LastLineEnd);
-    if (!isTokenByte(Byte))
+    if (!core::model::isTokenByte(Byte))
       return ChunkState::Malformed;
     m_Place = Place::TrailerName;
     return takeExtra();
   case Place::TrailerName:
     if (Byte == ':')
       m_Place = Place::TrailerValue;
-    else if (!isTokenByte(Byte))
+    else if (!core::model::isTokenByte(Byte))
       return ChunkState::Malformed;
     return takeExtra();
   case Place::TrailerValue:
--- a/Source/Core/Adapters/Front/FrontRequestParser.cpp
+++ b/Source/Core/Adapters/Front/FrontRequestParser.cpp
@@ -1,6 +1,5 @@
 #include "Core/Adapters/Front/FrontRequestParser.h"
 
-#include "Core/Adapters/Front/HeaderText.h"
 #include "Core/Model/Hash.h"
 #include "Core/Model/HeaderName.h"
 
@@ -33,10 +32,6 @@
 /// Unlike the assignment of an empty string, frees the memory.
 void release(std::string &Text) { std::string().swap(Text); }
 
-bool isToken(std::string_view Name) {
-  return !Name.empty() && std::all_of(Name.begin(), Name.end(), isTokenByte);
-}
-
 int statusOf(const boost::system::error_code &Error) {
   if (Error == http::error::header_limit)
     return HeadersTooLarge;
@@ -254,7 +249,7 @@
 ParserState FrontRequestParser::validateHeaders() {
   const http::request<http::empty_body> &Message = m_Parser->get();
   for (const auto &Field : Message)
-    if (!isToken(text(Field.name_string())))
+    if (!model::isToken(text(Field.name_string())))
       return fail(BadRequest, "a header's name is not a token");
   const bool HasChunks = Message.count(http::field::transfer_encoding) != 0;
   if (HasChunks && !m_Parser->chunked())
--- a/Source/Core/Model/HeaderName.h
+++ b/Source/Core/Model/HeaderName.h
@@ -15,6 +15,17 @@
                     });
 }
 
+/// Whether the byte may stand in a header's name.
+inline bool isTokenByte(unsigned char Byte) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return std::isalnum(Byte) != 0 ||
+         Marks.find(static_cast<char>(Byte)) != std::string_view::npos;
+}
+
+inline bool isToken(std::string_view Name) {
+  return !Name.empty() && std::all_of(Name.begin(), Name.end(), isTokenByte);
+}
+
 } // namespace bronzepass::core::model
 
 #endif // BRONZEPASS_CORE_MODEL_HEADERNAME_H
