Gateway: Requests are taken back from silent endpoints at a mean answer of up to 0.2 s

Cause: a request is taken back after a silence of four mean answers, and where these are longer than 0.4 s nothing was taken back at all. The silence that is waited for is now cut to 0.4 s, as long as it holds two mean answers.

GatewayTests: at 130 and 190 ms the request stayed before, and is taken back now; at 300 ms, and where the endpoint is heard, it is left as before.

--- a/Source/Core/Gateway/RelayLinks.cpp
+++ b/Source/Core/Gateway/RelayLinks.cpp
@@ -15,8 +15,12 @@
 /// probably has not read the request.
 constexpr double StandstillFactor = 4;
 constexpr model::Duration MinStandstill = std::chrono::milliseconds(200);
-/// Where answers take longer, silence tells nothing in time.
+/// A request that is taken back later may have been begun long after its caller
+/// left.
 constexpr model::Duration MaxStandstill = std::chrono::milliseconds(400);
+/// Mean answers that have to fit into MaxStandstill: with fewer, silence tells
+/// nothing in time.
+constexpr double MinStandstillFactor = 2;
 constexpr double MicrosPerMilli = 1e3;
 
 } // namespace
@@ -55,12 +59,15 @@
       continue;
     const double Measured = m_Services[Active.m_Service].m_AnswerMs;
     const double AnswerMs = Measured > 0 ? Measured : DefaultAnswerMs;
-    const model::Duration Least = std::max(
-        MinStandstill, model::Duration(static_cast<int64_t>(
-                           StandstillFactor * AnswerMs * MicrosPerMilli)));
+    const auto Answers = [AnswerMs](double Count) {
+      return model::Duration(
+          static_cast<int64_t>(Count * AnswerMs * MicrosPerMilli));
+    };
+    const model::Duration Least =
+        std::clamp(Answers(StandstillFactor), MinStandstill, MaxStandstill);
     const model::Duration Silence =
         m_Now - std::max(Active.m_SentAt, Endpoint->m_HeardAt);
-    if (Least > MaxStandstill || Silence < Least)
+    if (Answers(MinStandstillFactor) > MaxStandstill || Silence < Least)
       continue;
     cancelSend(Active, Out);
     log(Active, "end", 0, "taken back from an endpoint that stands still", Out);
--- a/Source/UnitTests/Gateway/RelayCoreTest.cpp
+++ b/Source/UnitTests/Gateway/RelayCoreTest.cpp
@@ -16,9 +16,8 @@
 
 namespace {
 
-/// The service answers in 60 ms.
-void measureAnswers(RelayFixture &Relay) {
-  constexpr model::Duration AnswerTime = 60ms;
+/// The service answers in \p AnswerTime.
+void measureAnswers(RelayFixture &Relay, model::Duration AnswerTime = 60ms) {
   constexpr int Answers = 50;
   for (int I = 0; I < Answers; ++I) {
     Relay.ask("/once/");
@@ -165,6 +164,30 @@
   }
 }
 
+// Guards against the same where a service's answers take longer than 100 ms.
+TEST_CASE("a request is taken back half a second after its caller has left at "
+          "the latest, while silence of that length is no usual answer") {
+  for (const model::Duration AnswerTime : {20ms, 60ms, 130ms, 190ms, 300ms})
+    for (const bool IsHeard : {false, true}) {
+      CAPTURE(AnswerTime.count());
+      CAPTURE(IsHeard);
+      RelayFixture Relay;
+      Relay.start({"a"});
+      measureAnswers(Relay, AnswerTime);
+      const model::RequestId Once = Relay.ask("/once/");
+      Relay.ask("/stream/");
+      const model::AttemptId Other = Relay.take<SendRequest>().back().m_Attempt;
+      Relay.m_Core.onCallerDisconnected(Once, Relay.m_Now, Relay.m_Out);
+      for (int I = 0; I < 25; ++I) {
+        Relay.advance(20ms);
+        if (IsHeard)
+          Relay.m_Core.onAnswerChunk(Other, Relay.m_Now);
+      }
+      const bool IsTakenBack = !IsHeard && AnswerTime < 200ms;
+      CHECK(Relay.take<CancelSend>().size() == (IsTakenBack ? 1 : 0));
+    }
+}
+
 // Guards against links that count as lost, and requests that are taken back,
 // since the node itself stood still while the answers arrived.
 TEST_CASE("endpoints do not count as silent for a time in which the node stood "
