Gateway: A prompt part is held back only with the parts that came with it in each crash

Cause: each part of a broken request was counted by itself. Reports of crashes now name the other parts of the request, and a part in quarantine holds back only requests that have all parts that came with it in each crash. A request with some of them shows which ones are safe, or which one is not.

--- a/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
+++ b/Source/Core/Adapters/Gateway/PeerNoticeCodec.cpp
@@ -51,6 +51,7 @@
     Visitor.required("e", Value.m_Engine);
     Visitor.required("c", Value.m_CrashAge);
     Visitor.required("s", Value.m_SendAge);
+    Visitor.optional("w", Value.m_Company);
   }
 };
 
@@ -58,6 +59,7 @@
   template <typename V, typename T> static void visit(V &Visitor, T &Value) {
     Visitor.required("p", Value.m_Trait);
     Visitor.required("t", Value.m_Remaining);
+    Visitor.optional("w", Value.m_Company);
   }
 };
 
--- a/Source/Core/Gateway/CrashQuarantine.cpp
+++ b/Source/Core/Gateway/CrashQuarantine.cpp
@@ -17,7 +17,6 @@
 constexpr model::Duration SettleTime = std::chrono::milliseconds(300);
 /// Renewals that an engine made before it crashed may arrive after its answer.
 constexpr uint64_t MinRenewals = 2;
-constexpr model::Duration QuarantineTime = std::chrono::minutes(10);
 /// Longer than a quarantine, so that one more crash after its end renews it.
 constexpr model::Duration CrashRetention = std::chrono::minutes(20);
 constexpr model::Duration SafeRetention = std::chrono::minutes(1);
@@ -25,12 +24,6 @@
 constexpr model::Duration SafeRefreshTime = std::chrono::seconds(5);
 constexpr model::Duration EngineRetention = std::chrono::minutes(2);
 constexpr model::Duration ForgetPeriod = std::chrono::seconds(1);
-/// Several notices may be lost in this time.
-constexpr model::Duration AnnounceTime = std::chrono::seconds(3);
-/// Entries of each kind in one notice: 30 to 40 bytes each.
-constexpr size_t MaxAnnounced = 24;
-/// Beyond this many, notices take turns with the entries of a kind.
-constexpr model::Duration TurnPeriod = std::chrono::milliseconds(200);
 constexpr size_t MaxSuspects = 4096;
 constexpr size_t MaxQuarantined = 1024;
 constexpr size_t MaxSafe = 16384;
@@ -40,28 +33,24 @@
 /// so is sent to.
 constexpr model::Duration CancelledRetention = std::chrono::seconds(3);
 
-/// In the order in which suspects are told.
-struct RankedSuspect {
-  size_t m_CrashCount = 0;
-  model::TimePoint m_LastHeardAt;
-  uint64_t m_Trait = 0;
-
-  friend auto operator<=>(const RankedSuspect &,
-                          const RankedSuspect &) = default;
-};
+void keepCommon(std::set<uint64_t> &Parts, const std::set<uint64_t> &Others) {
+  std::erase_if(Parts, [&](uint64_t Part) { return !Others.contains(Part); });
+}
 
 } // namespace
 
 void CrashQuarantine::report(const RequestTraits &Traits, EndpointKey Engine,
                              model::TimePoint SentAt, model::TimePoint Now) {
-  const auto Report = [&](uint64_t Trait) {
-    if (!isSafe(Trait, Now))
-      addCrash(Trait, Engine, {Now, SentAt, Now});
-  };
-  if (Traits.m_Fingerprint)
-    Report(*Traits.m_Fingerprint);
-  std::for_each(Traits.m_PromptParts.begin(), Traits.m_PromptParts.end(),
-                Report);
+  if (Traits.m_Fingerprint && !isSafe(*Traits.m_Fingerprint, Now))
+    addCrash(*Traits.m_Fingerprint, Engine, {Now, SentAt, Now, {}});
+  const Company All(Traits.m_PromptParts.begin(), Traits.m_PromptParts.end());
+  for (const uint64_t Part : All) {
+    if (isSafe(Part, Now))
+      continue;
+    Company Others = All;
+    Others.erase(Part);
+    addCrash(Part, Engine, {Now, SentAt, Now, std::move(Others)});
+  }
 }
 
 void CrashQuarantine::onSendBroken(const RequestTraits &Traits,
@@ -162,6 +151,8 @@
     if (!FromPeer)
       m_SafeAnnouncements[Trait] = At + AnnounceTime;
   }
+  for (auto &Each : m_Quarantined)
+    Each.second.m_Company.erase(Trait);
   if (m_Quarantined.erase(Trait) > 0) {
     m_SafeAnnouncements[Trait] = At + AnnounceTime;
     m_Changes.push_back({Trait, false, 0, FromPeer});
@@ -173,8 +164,13 @@
   if (m_Suspects.size() >= MaxSuspects && !m_Suspects.contains(Trait))
     dropWeakestSuspect();
   Suspect &Suspected = m_Suspects[Trait];
-  if (!Suspected.m_Crashes.emplace(Engine, Reported).second)
-    return;
+  const auto [Known, IsNew] = Suspected.m_Crashes.emplace(Engine, Reported);
+  if (!IsNew) {
+    const size_t Before = Known->second.m_Company.size();
+    keepCommon(Known->second.m_Company, Reported.m_Company);
+    if (Known->second.m_Company.size() == Before)
+      return;
+  }
   m_PendingSuspects += Suspected.m_IsPending ? 0 : 1;
   Suspected.m_IsPending = true;
 }
@@ -237,37 +233,29 @@
   if (!IsSettled)
     return false;
   if (crashesEngines(Suspected))
-    quarantine(Trait, Now + QuarantineTime,
+    quarantine(Trait, {Now + QuarantineTime, companyOf(Suspected, Now)},
                static_cast<uint32_t>(Suspected.m_Crashes.size()), false);
   return true;
 }
 
-void CrashQuarantine::quarantine(uint64_t Trait, model::TimePoint Until,
-                                 uint32_t Engines, bool FromPeer) {
-  if (m_Quarantined.size() >= MaxQuarantined)
-    return;
-  if (m_Quarantined.emplace(Trait, Until).second)
-    m_Changes.push_back({Trait, true, Engines, FromPeer});
+CrashQuarantine::Company
+CrashQuarantine::companyOf(const Suspect &Suspected,
+                           model::TimePoint Now) const {
+  Company Common = Suspected.m_Crashes.begin()->second.m_Company;
+  for (const auto &Each : Suspected.m_Crashes)
+    keepCommon(Common, Each.second.m_Company);
+  std::erase_if(Common, [&](uint64_t Part) { return isSafe(Part, Now); });
+  return Common;
 }
 
-void CrashQuarantine::onNotice(const QuarantineNotice &Notice,
-                               model::TimePoint Now) {
-  for (const SafeTrait &Each : Notice.m_Safe)
-    markSafe(Each.m_Trait, Now - Each.m_Age, true);
-  for (const CrashReport &Each : Notice.m_CrashReports) {
-    if (isSafe(Each.m_Trait, Now))
-      m_SafeAnnouncements[Each.m_Trait] = Now + AnnounceTime;
-    else
-      addCrash(Each.m_Trait, Each.m_Engine,
-               {Now - Each.m_CrashAge, Now - Each.m_SendAge, Now});
-  }
-  for (const QuarantinedTrait &Each : Notice.m_Quarantined) {
-    if (isSafe(Each.m_Trait, Now))
-      m_SafeAnnouncements[Each.m_Trait] = Now + AnnounceTime;
-    else
-      quarantine(Each.m_Trait, Now + std::min(Each.m_Remaining, QuarantineTime),
-                 0, true);
-  }
+void CrashQuarantine::quarantine(uint64_t Trait, const Quarantine &Added,
+                                 uint32_t Engines, bool FromPeer) {
+  const auto Known = m_Quarantined.find(Trait);
+  if (Known != m_Quarantined.end())
+    keepCommon(Known->second.m_Company, Added.m_Company);
+  else if (m_Quarantined.size() < MaxQuarantined &&
+           m_Quarantined.emplace(Trait, Added).second)
+    m_Changes.push_back({Trait, true, Engines, FromPeer});
 }
 
 void CrashQuarantine::tick(model::TimePoint Now) {
@@ -295,7 +283,7 @@
     return IsOld && !Each.second.m_IsPending;
   });
   for (auto Each = m_Quarantined.begin(); Each != m_Quarantined.end();) {
-    if (Now < Each->second) {
+    if (Now < Each->second.m_End) {
       ++Each;
       continue;
     }
@@ -326,8 +314,17 @@
   std::optional<model::TimePoint> End;
   const auto Consider = [&](uint64_t Trait) {
     const auto Found = m_Quarantined.find(Trait);
-    if (Found != m_Quarantined.end() && Now < Found->second)
-      End = std::max(End.value_or(Found->second), Found->second);
+    if (Found == m_Quarantined.end() || Now >= Found->second.m_End)
+      return;
+    const Company &Others = Found->second.m_Company;
+    const bool HasAll =
+        std::all_of(Others.begin(), Others.end(), [&](uint64_t Part) {
+          return std::find(Traits.m_PromptParts.begin(),
+                           Traits.m_PromptParts.end(),
+                           Part) != Traits.m_PromptParts.end();
+        });
+    if (HasAll)
+      End = std::max(End.value_or(Found->second.m_End), Found->second.m_End);
   };
   if (Traits.m_Fingerprint)
     Consider(*Traits.m_Fingerprint);
@@ -336,43 +333,6 @@
   return End;
 }
 
-QuarantineNotice CrashQuarantine::notice(model::TimePoint Now) const {
-  QuarantineNotice Notice;
-  const size_t Turns = (m_Quarantined.size() + MaxAnnounced - 1) / MaxAnnounced;
-  const size_t Turn =
-      Turns < 2
-          ? 0
-          : static_cast<size_t>(Now.time_since_epoch() / TurnPeriod) % Turns;
-  size_t Index = 0;
-  for (const auto &Each : m_Quarantined)
-    if (Index++ / MaxAnnounced == Turn && Now < Each.second)
-      Notice.m_Quarantined.push_back({Each.first, Each.second - Now});
-  for (const auto &Each : m_SafeAnnouncements) {
-    const auto Known = m_Safe.find(Each.first);
-    if (Notice.m_Safe.size() < MaxAnnounced && Now < Each.second &&
-        Known != m_Safe.end())
-      Notice.m_Safe.push_back({Each.first, Now - Known->second});
-  }
-  // Traits with the most reports first, since these are closest to a
-  // quarantine, then the latest, so that each gets its turn.
-  std::vector<RankedSuspect> Ranked;
-  for (const auto &Each : m_Suspects) {
-    const model::TimePoint LastHeardAt = Each.second.lastHeardAt();
-    if (!m_Quarantined.contains(Each.first) && Now - LastHeardAt < AnnounceTime)
-      Ranked.push_back({Each.second.m_Crashes.size(), LastHeardAt, Each.first});
-  }
-  std::sort(Ranked.rbegin(), Ranked.rend());
-  for (const RankedSuspect &Suspected : Ranked) {
-    for (const auto &Each : m_Suspects.at(Suspected.m_Trait).m_Crashes)
-      if (Notice.m_CrashReports.size() < MaxAnnounced &&
-          Now - Each.second.m_HeardAt < AnnounceTime)
-        Notice.m_CrashReports.push_back({Suspected.m_Trait, Each.first,
-                                         Now - Each.second.m_CrashedAt,
-                                         Now - Each.second.m_SentAt});
-  }
-  return Notice;
-}
-
 std::vector<QuarantineChange> CrashQuarantine::takeChanges() {
   return std::exchange(m_Changes, {});
 }
--- a/Source/Core/Gateway/CrashQuarantine.h
+++ b/Source/Core/Gateway/CrashQuarantine.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -40,6 +41,11 @@
 /// all their requests with them, sound ones too, so that one of the requests
 /// must have been sent after an earlier crash with the trait.
 ///
+/// Several traits may have come together in all requests that crashed engines,
+/// so that any of them may be the cause: a prompt part that many requests
+/// share, and one behind it. Only requests that have all of them are refused.
+/// One that has some of them shows which ones are safe, or which one is not.
+///
 /// Nodes exchange reports, quarantines and safe traits with their notices, and
 /// pass on what they received.
 class CrashQuarantine {
@@ -80,10 +86,23 @@
   size_t quarantinedCount() const { return m_Quarantined.size(); }
 
 private:
+  static constexpr model::Duration QuarantineTime = std::chrono::minutes(10);
+  /// Several notices may be lost in this time.
+  static constexpr model::Duration AnnounceTime = std::chrono::seconds(3);
+
+  using Company = std::set<uint64_t>;
+
   struct Crash {
     model::TimePoint m_CrashedAt;
     model::TimePoint m_SentAt;
     model::TimePoint m_HeardAt;
+    /// The other parts of the request's prompt.
+    Company m_Company;
+  };
+  struct Quarantine {
+    model::TimePoint m_End;
+    /// Parts that have come with the trait in each crash.
+    Company m_Company;
   };
   struct Suspect {
     std::map<EndpointKey, Crash> m_Crashes;
@@ -132,14 +151,16 @@
   /// Returns true once nothing is left to wait for.
   bool examine(uint64_t Trait, Suspect &Suspected, model::TimePoint Now);
   static bool crashesEngines(const Suspect &Suspected);
-  void quarantine(uint64_t Trait, model::TimePoint Until, uint32_t Engines,
+  /// Parts that are not known to be safe and have come with the trait in each
+  /// crash.
+  Company companyOf(const Suspect &Suspected, model::TimePoint Now) const;
+  void quarantine(uint64_t Trait, const Quarantine &Added, uint32_t Engines,
                   bool FromPeer);
   void forgetOld(model::TimePoint Now);
 
   std::map<uint64_t, Suspect> m_Suspects;
   size_t m_PendingSuspects = 0;
-  /// Ends of the quarantines.
-  std::map<uint64_t, model::TimePoint> m_Quarantined;
+  std::map<uint64_t, Quarantine> m_Quarantined;
   /// Times of the last answers that engines survived.
   std::unordered_map<uint64_t, model::TimePoint> m_Safe;
   /// Safe traits that other nodes suspect, and until when notices say so.
--- a/Source/Core/Gateway/QuarantineNotice.h
+++ b/Source/Core/Gateway/QuarantineNotice.h
@@ -20,14 +20,18 @@
   model::Duration m_CrashAge{0};
   /// Since the request was sent to the engine.
   model::Duration m_SendAge{0};
+  /// The other parts of the request's prompt.
+  std::vector<uint64_t> m_Company;
 
   friend auto operator<=>(const CrashReport &, const CrashReport &) = default;
 };
 
-/// Requests with the trait are refused.
+/// Requests with the trait are refused if they also have all parts of its
+/// company.
 struct QuarantinedTrait {
   uint64_t m_Trait = 0;
   model::Duration m_Remaining{0};
+  std::vector<uint64_t> m_Company;
 
   friend auto operator<=>(const QuarantinedTrait &,
                           const QuarantinedTrait &) = default;
--- a/Source/UnitTests/Adapters/Gateway/PeerNoticeCodecTest.cpp
+++ b/Source/UnitTests/Adapters/Gateway/PeerNoticeCodecTest.cpp
@@ -18,7 +18,8 @@
   Notice.m_UsageCounters = {{"s", {"m", "a"}, 4, 500}};
   Notice.m_CopyChanges = {{model::EndpointId("e"), {"m", ""}, true}};
   Notice.m_CopyRequests = {{"s", {"m", "b"}}};
-  Notice.m_Quarantine = {{{~0ULL, 5, 200ms, 300ms}}, {{6, 9min}}, {{7, 1s}}};
+  Notice.m_Quarantine = {
+      {{~0ULL, 5, 200ms, 300ms, {8, ~0ULL}}}, {{6, 9min, {9}}}, {{7, 1s}}};
   Notice.m_EndpointNotices = {
       {model::EndpointId("e"), 300ms, {true, 4.25, 2.0}, 500ms},
       {model::EndpointId("f"), 1s, {}}};
--- a/Source/UnitTests/Gateway/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Gateway/CrashQuarantineTest.cpp
@@ -1,8 +1,11 @@
 #include "Core/Gateway/CrashQuarantine.h"
 
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace bronzepass::core::gateway {
 
@@ -273,4 +276,93 @@
   CHECK(Heard.size() == 100);
 }
 
+namespace {
+
+constexpr uint64_t Shared = 11;
+constexpr uint64_t Deadly = 12;
+constexpr uint64_t Sound = 13;
+
+RequestTraits prompt(std::vector<uint64_t> Parts) {
+  return {std::nullopt, std::move(Parts)};
+}
+
+/// Nodes that hear each other at once.
+class PromptNodes {
+public:
+  void crash(size_t Node, EndpointKey Engine, const RequestTraits &Request) {
+    m_Nodes[Node].onSendBroken(Request, Engine, m_Now - 50ms, m_Now);
+    advance(1s);
+  }
+  void survive(size_t Node, EndpointKey Engine, const RequestTraits &Request) {
+    m_Nodes[Node].onAnswerCompleted(Request, Engine, m_Now);
+    advance(1s);
+    m_Nodes[Node].onEngineAlive(Engine, m_Now);
+    advance(1s);
+  }
+  /// At all nodes; they have to agree.
+  bool isRefused(const RequestTraits &Request) const {
+    const bool First = m_Nodes[0].quarantineEnd(Request, m_Now).has_value();
+    for (const CrashQuarantine &Each : m_Nodes)
+      CHECK(Each.quarantineEnd(Request, m_Now).has_value() == First);
+    return First;
+  }
+  void advance(model::Duration Span) {
+    m_Now += Span;
+    for (int Round = 0; Round < 2; ++Round)
+      for (CrashQuarantine &From : m_Nodes) {
+        From.tick(m_Now);
+        for (CrashQuarantine &To : m_Nodes)
+          if (&To != &From)
+            To.onNotice(From.notice(m_Now), m_Now);
+      }
+  }
+
+private:
+  std::array<CrashQuarantine, 3> m_Nodes;
+  model::TimePoint m_Now = model::TimePoint(100s);
+};
+
+} // namespace
+
+// Guards against sound requests that are refused for the part that they share
+// with those that crash engines.
+TEST_CASE("a part that came with another in each crash does not hold back "
+          "requests without that one") {
+  for (const bool IsFirstGuilty : {false, true}) {
+    CAPTURE(IsFirstGuilty);
+    PromptNodes Nodes;
+    const RequestTraits Both = prompt({Shared, Deadly});
+    const RequestTraits Other = prompt({Shared, Sound});
+    for (EndpointKey Engine = 1; Engine <= 3; ++Engine)
+      Nodes.crash(Engine % 3, Engine, Both);
+    CHECK(Nodes.isRefused(Both));
+    CHECK_FALSE(Nodes.isRefused(Other));
+    if (IsFirstGuilty) {
+      // One more crash tells which of them it is.
+      Nodes.crash(0, 4, Other);
+      CHECK(Nodes.isRefused(Other));
+      CHECK(Nodes.isRefused(prompt({Shared, 14})));
+    } else {
+      Nodes.survive(0, 4, Other);
+      CHECK(Nodes.isRefused(Both));
+      CHECK(Nodes.isRefused(prompt({14, Deadly})));
+      CHECK_FALSE(Nodes.isRefused(Other));
+      CHECK_FALSE(Nodes.isRefused(prompt({Shared, 14})));
+    }
+  }
+}
+
+TEST_CASE("a part that crashes engines in different company is held back in "
+          "any") {
+  PromptNodes Nodes;
+  for (EndpointKey Engine = 1; Engine <= 3; ++Engine)
+    Nodes.crash(Engine % 3, Engine, prompt({Shared, Deadly, 20 + Engine}));
+  CHECK(Nodes.isRefused(prompt({Shared, Deadly, 30})));
+  CHECK_FALSE(Nodes.isRefused(prompt({Shared, 30})));
+  CHECK_FALSE(Nodes.isRefused(prompt({15, Deadly, 30})));
+  Nodes.crash(1, 4, prompt({15, Deadly, 30}));
+  CHECK(Nodes.isRefused(prompt({16, Deadly, 31})));
+  CHECK_FALSE(Nodes.isRefused(prompt({15, 30})));
+}
+
 } // namespace bronzepass::core::gateway
