Resources: A request's memory counts until its transfer has ended

Cause: a request that may run once goes on when its caller leaves. The connection took it out of the account, while the transfer kept its body. A complete request is now a counted object, which the connection and the body that is sent both hold.

ResourceTests: the order in which holder and transfer end does not matter.

--- a/Source/Core/Adapters/Front/FrontConnection.cpp
+++ b/Source/Core/Adapters/Front/FrontConnection.cpp
@@ -155,7 +155,7 @@
   Memory.settle(*this, m_Parser.bytesHeldAfter(0));
   Memory.onReceived(*this, m_Parser.receivedBytes(), m_MovedAt);
   if (State == ParserState::Complete)
-    Memory.setComplete(*this);
+    m_HeldRequest = Memory.setComplete(*this);
 }
 
 void FrontConnection::releaseMemory() {
@@ -312,6 +312,7 @@
 
 void FrontConnection::dispatchRequest() {
   FrontRequest Request = m_Parser.take();
+  Request.m_Memory = std::move(m_HeldRequest);
   // Fails if the connection's timeout has just expired.
   if (!m_Writer->tryMarkBusy()) {
     m_Server->m_Handler.onRequestDropped(Request, m_Writer->end());
--- a/Source/Core/Adapters/Front/FrontConnection.h
+++ b/Source/Core/Adapters/Front/FrontConnection.h
@@ -73,6 +73,8 @@
   const uint32_t m_Address;
   /// The account of memory knows of the current request.
   bool m_IsCharged = false;
+  /// Of a request that is complete and not dispatched yet.
+  std::shared_ptr<const resources::HeldRequest> m_HeldRequest;
   model::TimePoint m_MovedAt;
   /// When the last answer ended.
   model::TimePoint m_IdleSince;
--- a/Source/Core/Adapters/Front/FrontRequest.h
+++ b/Source/Core/Adapters/Front/FrontRequest.h
@@ -2,10 +2,12 @@
 #define BRONZEPASS_CORE_ADAPTERS_FRONT_FRONTREQUEST_H
 
 #include "Core/Adapters/Pistache/HttpMessage.h"
+#include "Core/Resources/HeldRequest.h"
 
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +28,9 @@
   /// False for HTTP/1.0 callers, which do not understand chunked answers.
   bool m_Http11 = true;
   bool m_KeepAlive = true;
+  /// Counts its memory for as long as a copy is kept; null if nothing counts
+  /// it.
+  std::shared_ptr<const resources::HeldRequest> m_Memory;
   /// When its first byte was read.
   std::chrono::steady_clock::time_point m_BeganAt;
 
--- a/Source/Core/Adapters/Gateway/RelayDriver.cpp
+++ b/Source/Core/Adapters/Gateway/RelayDriver.cpp
@@ -25,6 +25,20 @@
   return Lines;
 }
 
+/// The request's body, which keeps its memory counted: a transfer may need it
+/// longer than the caller's connection lives.
+std::shared_ptr<const std::string> takeBody(front::FrontRequest &From) {
+  struct CountedBody {
+    std::string m_Text;
+    std::shared_ptr<const resources::HeldRequest> m_Memory;
+  };
+  const std::shared_ptr<const CountedBody> Body =
+      std::make_shared<const CountedBody>(
+          CountedBody{std::exchange(From.m_Body, {}),
+                      std::exchange(From.m_Memory, nullptr)});
+  return {Body, &Body->m_Text};
+}
+
 std::vector<pistache::HttpHeader> headersOf(const HeaderLines &Lines) {
   std::vector<pistache::HttpHeader> Headers;
   for (const HeaderLine &Each : Lines)
@@ -136,8 +150,7 @@
   Added.m_Splicer.startAfter(Relayed.m_LastEventId);
   daemon::CrashReport::setSubject(Added.m_CallerRequestId);
   Added.m_Request = std::move(Request);
-  Added.m_RequestBody = std::make_shared<const std::string>(
-      std::exchange(Added.m_Request.m_Body, {}));
+  Added.m_RequestBody = takeBody(Added.m_Request);
   Added.m_Answer = Answer;
   if (m_Closing)
     Answer->closeAfter();
--- a/Source/Core/Resources/CallerMemory.cpp
+++ b/Source/Core/Resources/CallerMemory.cpp
@@ -120,8 +120,15 @@
   Found->second.m_MovedAt = Now;
 }
 
-void CallerMemory::setComplete(MemoryHolder &Holder) {
-  m_Entries[&Holder].m_Reading = false;
+std::shared_ptr<const HeldRequest>
+CallerMemory::setComplete(MemoryHolder &Holder) {
+  Entry &Complete = m_Entries[&Holder];
+  Complete.m_Reading = false;
+  const uint64_t Bytes = Complete.m_Bytes;
+  charge(Complete, 0);
+  Complete.m_Request =
+      std::make_shared<const HeldRequest>(budgetOf(Bytes), Bytes);
+  return Complete.m_Request;
 }
 
 void CallerMemory::end(MemoryHolder &Holder) {
@@ -130,6 +137,7 @@
     return;
   stopWaiting(Found->second);
   charge(Found->second, 0);
+  Found->second.m_Request.reset();
   Found->second.m_Reading = false;
 }
 
--- a/Source/Core/Resources/CallerMemory.h
+++ b/Source/Core/Resources/CallerMemory.h
@@ -2,11 +2,13 @@
 #define BRONZEPASS_CORE_RESOURCES_CALLERMEMORY_H
 
 #include "Core/Model/Time.h"
+#include "Core/Resources/HeldRequest.h"
 #include "Core/Resources/MemoryBudget.h"
 #include "Core/Resources/MemoryShares.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -60,8 +62,9 @@
   }
   /// Bytes of the request have arrived, \p Total up to now.
   void onReceived(MemoryHolder &Holder, uint64_t Total, model::TimePoint Now);
-  /// From now on, the request can't be lost.
-  void setComplete(MemoryHolder &Holder);
+  /// From now on, the request can't be lost. It is counted until the holder has
+  /// ended it and the returned object is gone.
+  std::shared_ptr<const HeldRequest> setComplete(MemoryHolder &Holder);
   /// The request has been answered or given up.
   void end(MemoryHolder &Holder);
 
@@ -87,6 +90,8 @@
     bool m_Reading = false;
     uint64_t m_Bytes = 0;
     uint64_t m_AnswerBytes = 0;
+    /// Once it is complete; not in m_Bytes.
+    std::shared_ptr<const HeldRequest> m_Request;
     /// What a holder that waits needs in all.
     uint64_t m_Wanted = 0;
     std::optional<model::TimePoint> m_WaitsSince;
--- a/Source/UnitTests/Adapters/Front/FrontMemoryTest.cpp
+++ b/Source/UnitTests/Adapters/Front/FrontMemoryTest.cpp
@@ -2,6 +2,7 @@
 #include "Core/Adapters/Net/LoopThread.h"
 #include "UnitTests/Adapters/Http/HttpClient.h"
 
+#include <atomic>
 #include <chrono>
 #include <doctest/doctest.h>
 #include <memory>
@@ -44,10 +45,29 @@
   }
 };
 
+/// Keeps requests, as long as they are sent to an endpoint.
+class KeepingHandler : public LengthHandler {
+public:
+  void onRequest(front::FrontRequest Received,
+                 std::shared_ptr<core::adapters::pistache::HttpResponseWriter>
+                     Answer) override {
+    m_Kept.push_back(std::move(Received));
+    m_Answers.push_back(std::move(Answer));
+    ++m_Count;
+  }
+
+  std::vector<front::FrontRequest> m_Kept;
+  std::vector<std::shared_ptr<core::adapters::pistache::HttpResponseWriter>>
+      m_Answers;
+  std::atomic<int> m_Count = 0;
+};
+
 /// A server whose memory holds two of the largest bodies.
 class SmallServer {
 public:
-  SmallServer() : m_Memory({64 << 10, 2 * (MaxBody + (48 << 10)), 1 << 20, 4}) {
+  explicit SmallServer(front::FrontHandler *Handler = nullptr)
+      : m_Memory({64 << 10, 2 * (MaxBody + (48 << 10)), 1 << 20, 4}),
+        m_Server(m_Thread.loop(), Handler ? *Handler : m_Handler) {
     front::FrontLimits Limits;
     Limits.m_Parser.m_MaxBodyBytes = MaxBody;
     m_Server.setLimits(Limits);
@@ -62,6 +82,7 @@
   SmallServer &operator=(const SmallServer &) = delete;
 
   uint16_t port() const { return m_Server.port(); }
+  core::adapters::net::EventLoop &loop() { return m_Thread.loop(); }
 
 private:
   void tick() {
@@ -72,7 +93,7 @@
   resources::CallerMemory m_Memory;
   LengthHandler m_Handler;
   core::adapters::net::LoopThread m_Thread;
-  front::FrontServer m_Server{m_Thread.loop(), m_Handler};
+  front::FrontServer m_Server;
 };
 
 std::string post(const std::string &Id, size_t Length) {
@@ -100,6 +121,36 @@
   CHECK(First.readUntil("Retry-After: 1"));
 }
 
+// Guards against a node that exceeds its memory by bodies of callers that left.
+TEST_CASE("bodies that are still needed count after their callers have left") {
+  KeepingHandler Handler;
+  SmallServer Server(&Handler);
+  const std::string Body(MaxBody, 'x');
+  for (int I = 0; I < 2; ++I) {
+    http::RawConnection Leaving(Server.port());
+    Leaving.send(post("leaving", MaxBody) + Body);
+    while (Handler.m_Count <= I)
+      std::this_thread::sleep_for(5ms);
+  }
+  std::this_thread::sleep_for(200ms);
+  http::RawConnection Refused(Server.port());
+  Refused.send(post("refused", MaxBody) + Body);
+  CHECK(Refused.readUntil("HTTP/1.1 503"));
+  CHECK(Handler.m_Count == 2);
+  Server.loop().post([&Handler] { Handler.m_Kept.clear(); });
+  std::this_thread::sleep_for(100ms);
+  http::RawConnection Accepted(Server.port());
+  Accepted.send(post("accepted", MaxBody) + Body);
+  for (int I = 0; I < 400 && Handler.m_Count < 3; ++I)
+    std::this_thread::sleep_for(5ms);
+  CHECK(Handler.m_Count == 3);
+  Server.loop().post([&Handler] {
+    Handler.m_Kept.clear();
+    Handler.m_Answers.clear();
+  });
+  std::this_thread::sleep_for(100ms);
+}
+
 TEST_CASE("a new caller gets the place of one that does nothing") {
   SmallServer Server;
   std::vector<std::unique_ptr<http::RawConnection>> Idle;
--- a/Source/UnitTests/Resources/CallerMemoryTest.cpp
+++ b/Source/UnitTests/Resources/CallerMemoryTest.cpp
@@ -50,6 +50,36 @@
   CHECK(Memory.counters().m_LostStalled == 1);
 }
 
+// Guards against bodies that nothing counts, since their callers have left
+// while endpoints still read them.
+TEST_CASE("a complete request counts until its holder and its transfer have "
+          "ended") {
+  for (const bool HolderEndsFirst : {false, true}) {
+    CAPTURE(HolderEndsFirst);
+    CallerMemory Memory(fewShares());
+    FakeHolder Caller;
+    FakeHolder New;
+    Memory.begin(Caller, model::TimePoint());
+    Memory.begin(New, model::TimePoint());
+    REQUIRE(Memory.hold(Caller, 2 * Large, model::TimePoint()));
+    std::shared_ptr<const HeldRequest> Transfer = Memory.setComplete(Caller);
+    CHECK(Memory.largeRequests().inUse() == 2 * Large);
+    CHECK(Memory.largeRequests().highest() == 2 * Large);
+    if (HolderEndsFirst)
+      Memory.remove(Caller);
+    else
+      Transfer.reset();
+    CHECK(Memory.largeRequests().inUse() == 2 * Large);
+    CHECK_FALSE(Memory.hold(New, Large, model::TimePoint()));
+    if (HolderEndsFirst)
+      Transfer.reset();
+    else
+      Memory.end(Caller);
+    CHECK(Memory.largeRequests().inUse() == 0);
+    CHECK(Memory.hold(New, Large, model::TimePoint()));
+  }
+}
+
 TEST_CASE("bytes that trickle in don't count as moving") {
   CallerMemory Memory(fewShares());
   FakeHolder Trickling;
