Gateway: A holder of the lease that falls silent is known to be gone at once

In a fleet of more than 25, a holder that sent its last notice as an announcement counted as alive for 7.5 s and more, since announcements were taken for greetings; candidates for the lease would have waited for it. A holder announces itself each second, so that 1.5 s tell, as before.

PeerDirectoryTests: 1 of the checks of the new case fails without it.

--- a/Source/Core/Gateway/PeerDirectory.cpp
+++ b/Source/Core/Gateway/PeerDirectory.cpp
@@ -65,7 +65,8 @@
       Known.m_LoadsHeardAt &&
       *Known.m_LastHeardAt - *Known.m_LoadsHeardAt < m_Timing.m_MaxLoadGap;
   model::Duration Lifetime = m_Timing.m_LoadLifetime;
-  if (!SendsLoads)
+  // A holder announces itself each second.
+  if (!SendsLoads && !Known.m_HoldsLease)
     Lifetime += m_Timing.m_LostGreetings *
                 greetingPeriod(m_Timing.m_GreetingPeriod, m_AliveCount);
   return Now - *Known.m_LastHeardAt < Lifetime;
--- a/Source/Core/Gateway/PeerDirectory.h
+++ b/Source/Core/Gateway/PeerDirectory.h
@@ -17,8 +17,9 @@
 namespace bronzepass::core::gateway {
 
 struct PeerTiming {
-  /// A peer that sends its loads and was silent for this long does not count as
-  /// alive. Several consecutive notices may be lost before that.
+  /// A peer that sends its loads, or holds the lease, and was silent for this
+  /// long does not count as alive. Several consecutive notices may be lost
+  /// before that.
   model::Duration m_LoadLifetime = std::chrono::milliseconds(1500);
   /// A peer that is heard this long after its last loads sends none any more.
   model::Duration m_MaxLoadGap = std::chrono::milliseconds(400);
--- a/Source/UnitTests/Gateway/PeerDirectoryTest.cpp
+++ b/Source/UnitTests/Gateway/PeerDirectoryTest.cpp
@@ -105,6 +105,20 @@
   }
 }
 
+// Guards against candidates for the lease that wait for a holder which is gone.
+TEST_CASE("a holder that falls silent is known to be gone before others are") {
+  for (const bool HoldsLease : {false, true}) {
+    CAPTURE(HoldsLease);
+    PeerDirectory Directory(model::NodeId("self"), PeerTiming());
+    const model::TimePoint Heard{100s};
+    Peer &Other = Directory.onNotice(model::NodeId("other"), {}, false, Heard);
+    Other.m_HoldsLease = HoldsLease;
+    CHECK(Directory.isAlive(Other, Heard + 1400ms));
+    CHECK(Directory.isAlive(Other, Heard + 1600ms) == !HoldsLease);
+    CHECK_FALSE(Directory.isAlive(Other, Heard + 8s));
+  }
+}
+
 TEST_CASE("in calm no node takes another for gone") {
   for (const size_t Live : {25U, 60U, 195U}) {
     CAPTURE(Live);
