--- a/Source/UnitTests/Losses/GoneNodes.cpp
+++ b/Source/UnitTests/Losses/GoneNodes.cpp
@@ -49,6 +49,17 @@
 
 } // namespace
 
+void addGoneEntries(soak::PlatformStore &Store, size_t Count) {
+  constexpr int DiscardPort = 9;
+  constexpr int CpuPercent = 800;
+  for (size_t I = 0; I < Count; ++I)
+    Store.put("bronzepass-nodes", "gone-" + std::to_string(I),
+              {{"ip", "127.0.0.1"},
+               {"port", DiscardPort},
+               {"failureDomain", "z0"},
+               {"cpuPercent", CpuPercent}});
+}
+
 GoneNodes::GoneNodes(const std::string &Folder, uint16_t Port, size_t Live,
                      size_t Gone) {
   m_Store.put("config", "main",
@@ -72,13 +83,7 @@
   for (int I = 0; I < EngineCount; ++I)
     m_Engines.push_back(
         std::make_unique<CrashingEngine>(m_Store, I, I % 2 == 0 ? "v1" : "v2"));
-  // More processor time: for each duty they come before the live ones.
-  for (size_t I = 0; I < Gone; ++I)
-    m_Store.put("bronzepass-nodes", "gone-" + std::to_string(I),
-                {{"ip", "127.0.0.1"},
-                 {"port", 9},
-                 {"failureDomain", "z0"},
-                 {"cpuPercent", 800}});
+  addGoneEntries(m_Store, Gone);
   m_Nodes = std::make_unique<soak::SoakNodes>(
       Live, Port, Folder,
       [this](size_t) -> soak::PlatformStore & { return m_Store; }, m_Record,
--- a/Source/UnitTests/Losses/GoneNodes.h
+++ b/Source/UnitTests/Losses/GoneNodes.h
@@ -14,6 +14,10 @@
 
 namespace bronzepass::unit_tests::losses {
 
+/// Adds entries of nodes that ended without removing theirs. They have more
+/// processor time than the live ones: for each duty they come before them.
+void addGoneEntries(soak::PlatformStore &Store, size_t Count);
+
 /// Real nodes beside the entries of others that ended without removing theirs.
 class GoneNodes {
 public:
--- a/Source/UnitTests/Losses/LossesMain.cpp
+++ b/Source/UnitTests/Losses/LossesMain.cpp
@@ -15,6 +15,8 @@
 
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
+/// Of nodes that ended without removing theirs.
+constexpr size_t GoneEntries = 100;
 /// Nodes that the store goes on to serve.
 constexpr size_t Served = 2;
 /// Nodes list each other each 5 s, and agree on who holds quotas.
@@ -84,10 +86,11 @@
 };
 
 int runRestart(const std::string &Folder, uint16_t Port,
-               soak::StoreAccess Access) {
+               soak::StoreAccess Access, size_t Gone) {
   RefusedNodes Nodes(Folder, Port,
                      std::string(NoticeSettings) + "}\n" + KeySettings);
   Nodes.configure({});
+  Nodes.addGone(Gone);
   Nodes.startAll();
   if (!Nodes.awaitReady()) {
     std::cerr << "broken: a node does not become ready" << std::endl;
@@ -119,12 +122,14 @@
   return 1;
 }
 
-int runChange(const std::string &Folder, uint16_t Port, bool HasKeys) {
+int runChange(const std::string &Folder, uint16_t Port, bool HasKeys,
+              size_t Gone) {
   constexpr std::chrono::seconds WatchedTime = 10s;
   RefusedNodes Nodes(Folder, Port,
                      std::string(NoticeSettings) + "}\n" +
                          (HasKeys ? KeySettings : ""));
   Nodes.configure({.m_HasKeys = HasKeys});
+  Nodes.addGone(Gone);
   Nodes.startAll();
   if (!Nodes.awaitReady()) {
     std::cerr << "broken: a node does not become ready" << std::endl;
@@ -190,7 +195,11 @@
   const std::string Name = Arguments[3];
   const auto Port = static_cast<uint16_t>(std::stoul(Arguments[4]));
   if (Name == "change" || Name == "change-keyless")
-    return runChange(Folder, Port, Name == "change");
+    return runChange(Folder, Port, Name == "change", 0);
+  if (Name == "gone-change")
+    return runChange(Folder, Port, true, GoneEntries);
+  if (Name == "gone-restart")
+    return runRestart(Folder, Port, soak::StoreAccess::TooMany, GoneEntries);
   if (Name == "gone-record")
     return losses::runRecord(Folder, Port);
   if (Name == "gone-removal")
@@ -199,5 +208,6 @@
     return losses::runQuarantine(Folder, Port);
   return runRestart(Folder, Port,
                     Name == "restart-silent" ? soak::StoreAccess::Silent
-                                             : soak::StoreAccess::TooMany);
+                                             : soak::StoreAccess::TooMany,
+                    0);
 }
--- a/Source/UnitTests/Losses/RefusedNodes.h
+++ b/Source/UnitTests/Losses/RefusedNodes.h
@@ -1,6 +1,7 @@
 #ifndef BRONZEPASS_UNITTESTS_LOSSES_REFUSEDNODES_H
 #define BRONZEPASS_UNITTESTS_LOSSES_REFUSEDNODES_H
 
+#include "UnitTests/Losses/GoneNodes.h"
 #include "UnitTests/Soak/PlatformStore.h"
 #include "UnitTests/Soak/RequestRecord.h"
 #include "UnitTests/Soak/SoakNodes.h"
@@ -37,6 +38,7 @@
   RefusedNodes(const RefusedNodes &) = delete;
   RefusedNodes &operator=(const RefusedNodes &) = delete;
 
+  void addGone(size_t Count) { addGoneEntries(m_Store, Count); }
   void configure(const Configured &Configuration);
   void startAll();
   void killAll();
