--- a/review/standins-3/LateOrder.cpp
+++ b/review/standins-3/LateOrder.cpp
@@ -7,9 +7,16 @@
 
 int main(int, char **Arguments) {
   Record::get().open(Arguments[1]);
-  const std::map<std::string, uint64_t> Sizes = {
+  std::map<std::string, uint64_t> Sizes = {
       {"s1", 34300}, {"s2", 34300}, {"s3", 34300}, {"s4", 34300},
       {"s5", 34300}, {"t1", 72700}, {"t2", 72700}};
+  // Each of the other engines is filled by five models that no other has.
+  std::vector<std::set<std::string>> Others(3);
+  for (int I = 0; I < 15; ++I) {
+    const std::string Name = "w" + std::to_string(10 + I);
+    Sizes[Name] = 34300;
+    Others[I / 5].insert(Name);
+  }
   Store Platform;
   if (!Platform.open())
     return 2;
@@ -22,9 +29,15 @@
   Engine Second(Platform, "i-2", "dictamen", Sizes, {"t1", "t2"});
   Engine Third(Platform, "i-3", "dictamen", Sizes,
                {"s1", "s2", "s3", "s4", "s5"});
-  if (!Second.start() || !Third.start())
-    return 2;
-  Heart Beats({&First, &Second, &Third});
+  Engine Fourth(Platform, "i-4", "dictamen", Sizes, Others[0]);
+  Engine Fifth(Platform, "i-5", "dictamen", Sizes, Others[1]);
+  Engine Sixth(Platform, "i-6", "dictamen", Sizes, Others[2]);
+  const std::vector<Engine *> All = {&First,  &Second, &Third,
+                                     &Fourth, &Fifth,  &Sixth};
+  for (Engine *const Each : All)
+    if (Each != &First && !Each->start())
+      return 2;
+  Heart Beats(All);
   Nodes Machines(3, Platform.port());
   for (size_t I = 0; I < Machines.count(); ++I)
     Machines.start(I);
@@ -39,7 +52,7 @@
   std::atomic<size_t> Cut = 0;
   std::mutex Mutex;
   std::string What;
-  for (Engine *const Each : {&First, &Second, &Third})
+  for (Engine *const Each : All)
     Each->m_OnOverload = [&, Each](const json &Order, uint64_t Mb) {
       {
         const std::scoped_lock Lock(Mutex);
